--- /dev/null
+++ b/crates/harefield/src/adapters/callers.rs
@@ -0,0 +1,181 @@
+//! The callers' address: lookups by HTTP with JSON.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde_json::error::Category;
+use serde_json::value::RawValue;
+
+use super::http;
+use super::http::BodyError;
+use crate::domain::code::Code;
+use crate::domain::outcome::Answer;
+use crate::engine::LookupRequest;
+use crate::engine::Origin;
+use crate::engine::Worker;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+
+/// The path under which lookups stand.
+const LOOKUPS: &str = "/v1/lookups/";
+
+/// Bounds on one request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLimits {
+    /// The most bytes of its head.
+    pub head: usize,
+    /// The most bytes of its body.
+    pub body: usize,
+    /// How long its body may take.
+    pub time: Duration,
+}
+
+/// The body of a lookup.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Body {
+    query: Box<RawValue>,
+    id: Option<String>,
+    ticket: Option<String>,
+    deadline_ms: Option<u64>,
+}
+
+/// A request that is refused before it is a lookup.
+struct Refused {
+    code: Code,
+    detail: String,
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Self {
+        Self {
+            code,
+            detail: String::new(),
+        }
+    }
+}
+
+/// Answers one request on the callers' address.
+pub async fn handle<U, P, C>(
+    worker: Rc<Worker<U, P, C>>,
+    request: Request<Incoming>,
+    limits: RequestLimits,
+) -> Response<Full<Bytes>>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    let mut reply = match read(request, limits).await {
+        Ok((body, lookup)) => render(&look_up(&worker, body, lookup).await),
+        Err(refused) => render(&refuse(&refused)),
+    };
+    if worker.is_stopping() {
+        reply
+            .headers_mut()
+            .insert("connection", HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn look_up<U, P, C>(worker: &Rc<Worker<U, P, C>>, body: Body, lookup: String) -> Answer
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    let query: Box<str> = body.query.into();
+    let request = LookupRequest {
+        request: None,
+        lookup,
+        query: Arc::from(query.as_bytes()),
+        ticket: body.ticket,
+        limit: body.deadline_ms.map(Duration::from_millis),
+        origin: Origin::Caller,
+    };
+    let mut answer = worker.lookup(request).await;
+    answer.id = body.id;
+    answer
+}
+
+async fn read(
+    request: Request<Incoming>,
+    limits: RequestLimits,
+) -> Result<(Body, String), Refused> {
+    let (head, incoming) = request.into_parts();
+    let size: usize = head
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if size + head.uri.path().len() > limits.head {
+        return Err(Code::HeadTooLarge.into());
+    }
+    let lookup = head
+        .uri
+        .path()
+        .strip_prefix(LOOKUPS)
+        .filter(|name| !name.is_empty() && !name.contains('/'));
+    let lookup = lookup.ok_or(Code::UnknownPath)?.to_owned();
+    if head.method != Method::POST {
+        return Err(Code::WrongMethod.into());
+    }
+    let expired = async {
+        Timer::after(limits.time).await;
+        None
+    };
+    let read = async { Some(http::read(incoming, limits.body).await) }
+        .or(expired)
+        .await;
+    let bytes = match read {
+        None => return Err(Code::SlowBody.into()),
+        Some(Err(BodyError::TooLarge)) => return Err(Code::BodyTooLarge.into()),
+        Some(Err(BodyError::CutShort)) => return Err(Code::MalformedBody.into()),
+        Some(Ok(bytes)) => bytes,
+    };
+    let body: Body = serde_json::from_slice(&bytes).map_err(|error| Refused {
+        code: if error.classify() == Category::Data {
+            Code::BadField
+        } else {
+            Code::MalformedBody
+        },
+        detail: error.to_string(),
+    })?;
+    if body.deadline_ms == Some(0) {
+        return Err(Refused {
+            code: Code::BadField,
+            detail: "deadline-ms must be at least 1".to_owned(),
+        });
+    }
+    Ok((body, lookup))
+}
+
+/// A request that was never taken ran nowhere.
+fn refuse(refused: &Refused) -> Answer {
+    let mut answer = Answer::not_run("", refused.code, None);
+    if !refused.detail.is_empty() {
+        answer.message = format!("{}: {}", answer.message, refused.detail);
+    }
+    answer
+}
+
+fn render(answer: &Answer) -> Response<Full<Bytes>> {
+    let mut reply = http::json(answer.code.status(), answer);
+    let seconds = answer.retry_after.map(|millis| millis.div_ceil(1000));
+    if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s.to_string()).ok()) {
+        reply.headers_mut().insert("retry-after", value);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/clock.rs
@@ -0,0 +1,30 @@
+//! The machine's clock.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use async_io::Timer;
+
+use crate::ports::Clock;
+
+/// The machine's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> u64 {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+    }
+
+    async fn sleep_until(&self, at: Instant) {
+        Timer::at(at).await;
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -0,0 +1,123 @@
+//! A connection-level client, which sends each request once.
+
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use smol_hyper::rt::FuturesIo;
+
+use super::body;
+
+/// Why a request got no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ClientError {
+    /// No byte of the request was written.
+    #[error("nothing was sent")]
+    NotSent,
+    /// The request was written, and no whole reply came.
+    #[error("the reply was lost")]
+    Lost,
+}
+
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Returns whether the connection can carry a request now.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and awaits the head of its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request where no byte of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| error.take_message())
+    }
+}
+
+/// Opens a connection within `limit`.
+///
+/// # Errors
+///
+/// Returns `NotSent` where it could not be opened.
+pub async fn connect(
+    executor: &LocalExecutor<'_>,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<Connection, ClientError> {
+    let opened = async { Async::<TcpStream>::connect(address).await.ok() };
+    let expired = async {
+        Timer::after(limit).await;
+        None
+    };
+    let stream = opened.or(expired).await.ok_or(ClientError::NotSent)?;
+    stream
+        .get_ref()
+        .set_nodelay(true)
+        .map_err(|_error| ClientError::NotSent)?;
+    let (sender, driver) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|_error| ClientError::NotSent)?;
+    executor.spawn(async move { drop(driver.await) }).detach();
+    Ok(Connection { sender })
+}
+
+/// Opens a connection, sends one request and reads its whole reply.
+///
+/// # Errors
+///
+/// Returns whether the request had been written when it failed.
+pub async fn exchange(
+    executor: &LocalExecutor<'_>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    most: usize,
+    limit: Duration,
+) -> Result<Response<Bytes>, ClientError> {
+    let mut connection = connect(executor, address, limit).await?;
+    let expired = async {
+        Timer::after(limit).await;
+        Err(ClientError::Lost)
+    };
+    converse(&mut connection, request, most).or(expired).await
+}
+
+async fn converse(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    most: usize,
+) -> Result<Response<Bytes>, ClientError> {
+    let reply = connection
+        .send(request)
+        .await
+        .map_err(|unsent| match unsent {
+            Some(_) => ClientError::NotSent,
+            None => ClientError::Lost,
+        })?;
+    let (head, incoming) = reply.into_parts();
+    let whole = body::read(incoming, most)
+        .await
+        .map_err(|_cut| ClientError::Lost)?;
+    Ok(Response::from_parts(head, whole))
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/http/mod.rs
@@ -0,0 +1,26 @@
+//! HTTP by hyper over async-io, on one thread's executor.
+
+mod body;
+mod client;
+mod pool;
+mod reply;
+mod server;
+mod token;
+mod traffic;
+
+pub use body::BodyError;
+pub use body::bytes;
+pub use body::read;
+pub use client::ClientError;
+pub use client::Connection;
+pub use client::connect;
+pub use client::exchange;
+pub use pool::Pool;
+pub use reply::json;
+pub use reply::packed;
+pub use reply::refusal;
+pub use server::ServerLimits;
+pub use server::Stop;
+pub use server::serve;
+pub use token::shows_token;
+pub use traffic::Traffic;
--- /dev/null
+++ b/crates/harefield/src/adapters/http/pool.rs
@@ -0,0 +1,81 @@
+//! Idle connections kept for reuse, by address.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+
+use super::client::ClientError;
+use super::client::Connection;
+use super::client::connect;
+
+/// The most idle connections kept to one address.
+const MOST_IDLE: usize = 64;
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// Sends a request on an idle connection or a new one.
+    ///
+    /// An idle connection found dead before a byte was written is replaced;
+    /// a request that was written is never sent again.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request had been written when it failed.
+    pub async fn send(
+        &self,
+        executor: &LocalExecutor<'_>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(Response<Incoming>, Connection), ClientError> {
+        let mut request = request;
+        loop {
+            let idle = self.take(address);
+            let reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => connect(executor, address, limit).await?,
+            };
+            match connection.send(request).await {
+                Ok(reply) => return Ok((reply, connection)),
+                Err(Some(unwritten)) if reused => request = unwritten,
+                Err(Some(_unwritten)) => return Err(ClientError::NotSent),
+                Err(None) => return Err(ClientError::Lost),
+            }
+        }
+    }
+
+    /// Keeps a connection whose reply was read whole.
+    pub fn give_back(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MOST_IDLE {
+            kept.push(connection);
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_ready() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/http/reply.rs
@@ -0,0 +1,56 @@
+//! Making replies.
+
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use serde::Serialize;
+
+use super::body::bytes;
+use crate::domain::code::Code;
+
+/// A numbered refusal outside a lookup.
+#[derive(Serialize)]
+struct Refusal<'a> {
+    code: Code,
+    message: &'a str,
+}
+
+/// Makes a JSON reply.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    make(status, "application/json", body)
+}
+
+/// Makes a `MessagePack` reply.
+pub fn packed<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = rmp_serde::to_vec_named(value).unwrap_or_default();
+    make(200, "application/msgpack", body)
+}
+
+/// Makes a numbered refusal.
+#[must_use]
+pub fn refusal(code: Code, detail: &str) -> Response<Full<Bytes>> {
+    let message = if detail.is_empty() {
+        code.text().to_owned()
+    } else {
+        format!("{}: {detail}", code.text())
+    };
+    json(
+        code.status(),
+        &Refusal {
+            code,
+            message: &message,
+        },
+    )
+}
+
+fn make(status: u16, kind: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(bytes(body));
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    reply.headers_mut().insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static(kind),
+    );
+    reply
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/mod.rs
@@ -0,0 +1,14 @@
+//! The surroundings: HTTP, the platform, peers, the clock, settings, logs and
+//! metrics.
+
+pub mod callers;
+pub mod clock;
+pub mod http;
+pub mod logs;
+pub mod metrics;
+pub mod operators;
+pub mod peer_server;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+pub mod upstreams;
--- /dev/null
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -0,0 +1,141 @@
+//! The peers' address: requests handed on, exchanges and pulls.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_bytes::ByteBuf;
+
+use super::http;
+use super::http::Traffic;
+use super::peers::EXCHANGE_PATH;
+use super::peers::FORWARD_PATH;
+use super::peers::PULL_PATH;
+use crate::domain::code::Code;
+use crate::engine::LookupRequest;
+use crate::engine::Origin;
+use crate::engine::ToControl;
+use crate::engine::Worker;
+use crate::ports::Clock;
+use crate::ports::Exchange;
+use crate::ports::Forward;
+use crate::ports::Peers;
+use crate::ports::Pull;
+use crate::ports::Upstreams;
+
+/// The most bytes of a message from a peer.
+const MOST_MESSAGE: usize = 8 << 20;
+
+/// What the peers' address needs besides a worker.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    /// The control duty's ring.
+    pub control: Sender<ToControl>,
+    /// The token that peers show.
+    pub token: Option<String>,
+    /// Counts what control receives and answers.
+    pub traffic: Traffic,
+}
+
+/// Answers one request on the peers' address.
+pub async fn handle<U, P, C>(
+    worker: Rc<Worker<U, P, C>>,
+    server: PeerServer,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    let (head, incoming) = request.into_parts();
+    if !http::shows_token(&head.headers, server.token.as_deref()) {
+        return http::refusal(Code::TokenRequired, "");
+    }
+    if head.method != Method::POST {
+        return http::refusal(Code::WrongMethod, "");
+    }
+    let Ok(body) = http::read(incoming, MOST_MESSAGE).await else {
+        return http::refusal(Code::BodyTooLarge, "");
+    };
+    match head.uri.path() {
+        FORWARD_PATH => forward(&worker, &body).await,
+        EXCHANGE_PATH => {
+            ask_control(&server, &body, |said: Exchange, reply| {
+                ToControl::Exchange(Box::new(said), reply)
+            })
+            .await
+        }
+        PULL_PATH => {
+            ask_control(&server, &body, |pull: Pull, reply| {
+                ToControl::Pull(pull, reply)
+            })
+            .await
+        }
+        _ => http::refusal(Code::UnknownPath, ""),
+    }
+}
+
+async fn forward<U, P, C>(worker: &Rc<Worker<U, P, C>>, body: &Bytes) -> Response<Full<Bytes>>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    let message: Forward = match rmp_serde::from_slice(body) {
+        Ok(message) => message,
+        Err(error) => return http::refusal(Code::MalformedBody, &error.to_string()),
+    };
+    let request = LookupRequest {
+        request: Some(message.request),
+        lookup: message.lookup,
+        query: message.query.into(),
+        ticket: message.ticket,
+        limit: Some(Duration::from_millis(message.remaining)),
+        origin: Origin::Peer(message.from),
+    };
+    let answer = worker.lookup(request).await;
+    let json = serde_json::to_vec(&answer).unwrap_or_default();
+    http::packed(&ByteBuf::from(json))
+}
+
+/// Hands a message to the control duty and answers with its reply.
+async fn ask_control<M, R>(
+    server: &PeerServer,
+    body: &Bytes,
+    wrap: impl FnOnce(M, Sender<R>) -> ToControl,
+) -> Response<Full<Bytes>>
+where
+    M: DeserializeOwned,
+    R: Serialize,
+{
+    let message: M = match rmp_serde::from_slice(body) {
+        Ok(message) => message,
+        Err(error) => return http::refusal(Code::MalformedBody, &error.to_string()),
+    };
+    let (sender, receiver) = async_channel::bounded(1);
+    if server.control.try_send(wrap(message, sender)).is_err() {
+        return http::refusal(Code::QueueFull, "the control duty is busy");
+    }
+    match receiver.recv().await {
+        Ok(reply) => {
+            let made = http::packed(&reply);
+            let size = hyper::body::Body::size_hint(made.body())
+                .exact()
+                .unwrap_or(0);
+            server
+                .traffic
+                .count(body.len(), usize::try_from(size).unwrap_or(usize::MAX));
+            made
+        }
+        Err(_closed) => http::refusal(Code::Stopping, ""),
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/peers.rs
@@ -0,0 +1,180 @@
+//! Other daemons by HTTP with `MessagePack`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_bytes::ByteBuf;
+
+use super::http;
+use super::http::ClientError;
+use super::http::Pool;
+use super::http::Traffic;
+use crate::domain::feed::News;
+use crate::domain::ids::HostId;
+use crate::domain::outcome::Answer;
+use crate::ports::Exchange;
+use crate::ports::Forward;
+use crate::ports::PeerError;
+use crate::ports::Peers;
+use crate::ports::Pull;
+
+/// The path of requests handed on.
+pub const FORWARD_PATH: &str = "/v1/forward";
+
+/// The path of exchanges.
+pub const EXCHANGE_PATH: &str = "/v1/exchange";
+
+/// The path of pulls.
+pub const PULL_PATH: &str = "/v1/pull";
+
+/// The most bytes of a peer's reply.
+const MOST_REPLY: usize = 64 << 20;
+
+/// How long opening a connection to a daemon may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Speaks to other daemons by HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPeers {
+    executor: Rc<LocalExecutor<'static>>,
+    pool: Rc<Pool>,
+    token: Option<String>,
+    traffic: Traffic,
+}
+
+impl HttpPeers {
+    /// Creates the adapter on one thread's executor; `token` is shown to peers
+    /// and `traffic` counts what control sends.
+    #[must_use]
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        token: Option<String>,
+        traffic: Traffic,
+    ) -> Self {
+        Self {
+            executor,
+            pool: Rc::default(),
+            token,
+            traffic,
+        }
+    }
+
+    async fn call<R: DeserializeOwned>(
+        &self,
+        host: &HostId,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(R, usize), PeerError> {
+        let expired = async {
+            Timer::after(limit).await;
+            Err(PeerError::Silent)
+        };
+        self.converse(host, path, body, limit).or(expired).await
+    }
+
+    async fn converse<R: DeserializeOwned>(
+        &self,
+        host: &HostId,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(R, usize), PeerError> {
+        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
+        let request = self.request(host, path, body)?;
+        let connecting = limit.min(CONNECT_LIMIT);
+        let sent = self
+            .pool
+            .send(&self.executor, address, request, connecting)
+            .await;
+        let (reply, connection) = sent.map_err(|error| match error {
+            ClientError::NotSent => PeerError::Unreachable,
+            ClientError::Lost => PeerError::Silent,
+        })?;
+        let status = reply.status();
+        let whole = http::read(reply.into_body(), MOST_REPLY)
+            .await
+            .map_err(|_error| PeerError::Silent)?;
+        self.pool.give_back(address, connection);
+        match status {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Err(PeerError::Unreachable),
+            _ => return Err(PeerError::Silent),
+        }
+        let parsed = rmp_serde::from_slice(&whole).map_err(|_error| PeerError::Silent)?;
+        Ok((parsed, whole.len()))
+    }
+
+    fn request(
+        &self,
+        host: &HostId,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Request<Full<Bytes>>, PeerError> {
+        let mut request = Request::post(path).header("host", &**host);
+        if let Some(token) = &self.token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        request
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_error| PeerError::Unreachable)
+    }
+
+    async fn control<M, R>(
+        &self,
+        host: &HostId,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<R, PeerError>
+    where
+        M: Serialize,
+        R: DeserializeOwned,
+    {
+        let body = pack(message)?;
+        let size = body.len();
+        let (reply, bytes) = self.call(host, path, body, limit).await?;
+        self.traffic.count(size, bytes);
+        Ok(reply)
+    }
+}
+
+impl Peers for HttpPeers {
+    async fn forward(
+        &self,
+        host: &HostId,
+        message: &Forward,
+        limit: Duration,
+    ) -> Result<Answer, PeerError> {
+        let (json, _size): (ByteBuf, _) =
+            self.call(host, FORWARD_PATH, pack(message)?, limit).await?;
+        serde_json::from_slice(&json).map_err(|_error| PeerError::Silent)
+    }
+
+    async fn exchange(
+        &self,
+        host: &HostId,
+        message: &Exchange,
+        limit: Duration,
+    ) -> Result<Exchange, PeerError> {
+        self.control(host, EXCHANGE_PATH, message, limit).await
+    }
+
+    async fn pull(&self, host: &HostId, message: Pull, limit: Duration) -> Result<News, PeerError> {
+        self.control(host, PULL_PATH, &message, limit).await
+    }
+}
+
+fn pack<M: Serialize>(message: &M) -> Result<Vec<u8>, PeerError> {
+    rmp_serde::to_vec_named(message).map_err(|_error| PeerError::Unreachable)
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/settings.rs
@@ -0,0 +1,445 @@
+//! The settings file, in TOML; `docs/settings/` has a page for each section.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use miette::Diagnostic;
+use miette::LabeledSpan;
+use miette::NamedSource;
+use serde::Deserialize;
+
+use crate::domain::cell::CellSize;
+use crate::domain::code::Code;
+use crate::domain::routing::Policy;
+
+/// All settings of a daemon.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Settings {
+    /// Where the host stands.
+    pub host: Host,
+    /// The addresses that are listened on.
+    pub listen: Listen,
+    /// The platform's copies.
+    pub platform: PlatformSettings,
+    /// The other daemons.
+    pub peers: PeerSettings,
+    /// Bounds on what is taken in.
+    pub limits: Limits,
+    /// How replicas are chosen and extra load is spent.
+    pub routing: Routing,
+    /// How a planned stop goes.
+    pub stop: StopSettings,
+    /// What the time line keeps.
+    pub events: EventSettings,
+    /// Where metrics go.
+    pub metrics: MetricSettings,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+/// Where the host stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Host {
+    /// The availability zone; required.
+    pub zone: String,
+    /// The region.
+    pub region: String,
+}
+
+/// The addresses that are listened on; a port of 0 takes a free one.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other daemons; also the daemon's name, so it must be reachable.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            callers: at(7100),
+            peers: at(7200),
+            operators: at(7300),
+        }
+    }
+}
+
+/// The platform's copies.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The addresses of its copies; at least one.
+    pub addresses: Vec<SocketAddr>,
+    /// How long one watch waits, in milliseconds.
+    pub watch_ms: u64,
+    /// How many daemons of an availability zone hold the watch.
+    pub readers: usize,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            watch_ms: 20_000,
+            readers: 2,
+        }
+    }
+}
+
+/// The other daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Daemons to ask at the start, besides those that the platform lists.
+    pub seeds: Vec<SocketAddr>,
+    /// How often peers are spoken to, in milliseconds.
+    pub exchange_ms: u64,
+    /// How long a starting daemon waits for peers and the platform, in milliseconds.
+    pub join_ms: u64,
+    /// A file whose first line is the token that peers show each other.
+    pub token_file: Option<PathBuf>,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            exchange_ms: 1000,
+            join_ms: 2000,
+            token_file: None,
+        }
+    }
+}
+
+/// Bounds on what is taken in.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Limits {
+    /// Worker threads.
+    pub workers: usize,
+    /// Open connections of callers.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// How long a head may take, in milliseconds.
+    pub head_ms: u64,
+    /// How long a body may take, in milliseconds.
+    pub body_ms: u64,
+    /// Requests that run at once, for each index and worker.
+    pub running: usize,
+    /// Requests of one urgency that wait, for each index and worker.
+    pub waiting: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            workers: 1,
+            connections: 4096,
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_ms: 10_000,
+            body_ms: 5000,
+            running: 256,
+            waiting: 1024,
+        }
+    }
+}
+
+/// How replicas are chosen and extra load is spent.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Routing {
+    /// How a replica is chosen.
+    pub policy: Policy,
+    /// Extra requests allowed for each needed one.
+    pub extra_load: f64,
+    /// Whether slow requests are hedged.
+    pub hedge: bool,
+    /// A hedge is due after this many times the slow pace.
+    pub hedge_factor: f64,
+    /// A fixed delay before hedges, in milliseconds, free of the budget; a
+    /// baseline for measurements.
+    pub fixed_ms: Option<u64>,
+    /// The most daemons that dial the upstreams of an index.
+    pub cell_size: usize,
+    /// How long a reply that is no longer wanted is awaited to keep its
+    /// connection, in milliseconds.
+    pub drain_ms: u64,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Cost,
+            extra_load: 0.05,
+            hedge: true,
+            hedge_factor: 1.2,
+            fixed_ms: None,
+            cell_size: CellSize::default().most,
+            drain_ms: 1000,
+        }
+    }
+}
+
+/// How a planned stop goes.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct StopSettings {
+    /// How long new connections and idle ones are still served, in milliseconds.
+    pub linger_ms: u64,
+    /// The longest wait for requests in progress, in milliseconds.
+    pub limit_ms: u64,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self {
+            linger_ms: 1000,
+            limit_ms: 30_000,
+        }
+    }
+}
+
+/// What the time line keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct EventSettings {
+    /// Events kept in memory.
+    pub keep: usize,
+    /// Of this many requests, one is recorded in detail; 0 for none.
+    pub detail_every: u64,
+    /// A file whose first line is the token that operators show.
+    pub token_file: Option<PathBuf>,
+}
+
+impl Default for EventSettings {
+    fn default() -> Self {
+        Self {
+            keep: 20_000,
+            detail_every: 1,
+            token_file: None,
+        }
+    }
+}
+
+/// Where metrics go.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct MetricSettings {
+    /// The `StatsD` address; none for no metrics.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// What is logged.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct LogSettings {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: log::LevelFilter,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+        }
+    }
+}
+
+/// Every fault of a settings file, with its place.
+#[derive(Debug, thiserror::Error)]
+#[error("{code}: {}", code.text())]
+pub struct SettingsError {
+    code: Code,
+    source_code: NamedSource<String>,
+    labels: Vec<LabeledSpan>,
+}
+
+impl Diagnostic for SettingsError {
+    fn code(&self) -> Option<Box<dyn std::fmt::Display + '_>> {
+        Some(Box::new(self.code))
+    }
+
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&self.source_code)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.labels.iter().cloned()))
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file at once, each with its place.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&name, &text),
+            Err(error) => {
+                let label = LabeledSpan::at(0..0, error.to_string());
+                Err(SettingsError {
+                    code: Code::SettingsUnreadable,
+                    source_code: NamedSource::new(name, String::new()),
+                    labels: vec![label],
+                })
+            }
+        }
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text at once, each with its place.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let mut labels = Vec::new();
+        let settings = parse_past_faults(text, &mut labels);
+        for fault in settings.faults() {
+            labels.push(LabeledSpan::at(0..0, fault));
+        }
+        if labels.is_empty() {
+            return Ok(settings);
+        }
+        let source_code = NamedSource::new(name, text.to_owned());
+        Err(SettingsError {
+            code: Code::SettingsInvalid,
+            source_code,
+            labels,
+        })
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let limits = &self.limits;
+        let stated = [
+            (self.host.zone.is_empty(), "host.zone is required"),
+            (
+                self.platform.addresses.is_empty(),
+                "platform.addresses needs at least one address",
+            ),
+            (
+                self.platform.readers == 0,
+                "platform.readers must be at least 1",
+            ),
+            (
+                self.peers.exchange_ms == 0,
+                "peers.exchange-ms must be at least 1",
+            ),
+            (
+                limits.workers == 0 || limits.workers > 64,
+                "limits.workers must be from 1 to 64",
+            ),
+            (
+                limits.connections == 0,
+                "limits.connections must be at least 1",
+            ),
+            (limits.running < 2, "limits.running must be at least 2"),
+            (limits.waiting < 2, "limits.waiting must be at least 2"),
+            (
+                limits.head_bytes < 1024,
+                "limits.head-bytes must be at least 1024",
+            ),
+            (
+                limits.body_bytes == 0,
+                "limits.body-bytes must be at least 1",
+            ),
+            (
+                self.routing.cell_size == 0,
+                "routing.cell-size must be at least 1",
+            ),
+            (
+                !(0.0..=1.0).contains(&self.routing.extra_load),
+                "routing.extra-load must be from 0 to 1",
+            ),
+            (
+                !(0.1..=100.0).contains(&self.routing.hedge_factor),
+                "routing.hedge-factor must be from 0.1 to 100",
+            ),
+            (self.events.keep == 0, "events.keep must be at least 1"),
+        ];
+        stated
+            .iter()
+            .filter(|(bad, _)| *bad)
+            .map(|(_, text)| (*text).to_owned())
+            .collect()
+    }
+
+    /// Returns how large cells may be.
+    #[must_use]
+    pub fn cell(&self) -> CellSize {
+        CellSize {
+            most: self.routing.cell_size,
+            wanted: self.limits.workers,
+        }
+    }
+
+    /// Returns how long a planned stop waits for requests in progress.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_millis(self.stop.limit_ms)
+    }
+}
+
+/// Parses a text, noting each fault and blanking its line, until the rest parses.
+fn parse_past_faults(text: &str, labels: &mut Vec<LabeledSpan>) -> Settings {
+    const MOST_FAULTS: usize = 50;
+    let mut rest = text.to_owned();
+    while labels.len() < MOST_FAULTS {
+        let error = match toml::from_str::<Settings>(&rest) {
+            Ok(settings) => return settings,
+            Err(error) => error,
+        };
+        let span = error.span().unwrap_or(0..0);
+        labels.push(LabeledSpan::at(span.clone(), error.message().to_owned()));
+        if !blank_lines(&mut rest, span) {
+            break;
+        }
+    }
+    Settings::default()
+}
+
+/// Blanks the lines that a span touches; returns whether anything changed.
+fn blank_lines(text: &mut String, span: std::ops::Range<usize>) -> bool {
+    let start = text[..span.start].rfind('\n').map_or(0, |at| at + 1);
+    let end = text[span.end..]
+        .find('\n')
+        .map_or(text.len(), |at| span.end + at);
+    let blank: String = text[start..end]
+        .chars()
+        .map(|c| if c == '\n' { '\n' } else { ' ' })
+        .collect();
+    let changed = !text[start..end].trim().is_empty();
+    text.replace_range(start..end, &blank);
+    changed
+}
+
+/// Reads the token in a file's first line.
+///
+/// # Errors
+///
+/// Returns why the file cannot be read.
+pub fn read_token(path: Option<&Path>) -> std::io::Result<Option<String>> {
+    let Some(path) = path else { return Ok(None) };
+    let text = std::fs::read_to_string(path)?;
+    Ok(text
+        .lines()
+        .next()
+        .map(str::trim)
+        .filter(|line| !line.is_empty())
+        .map(str::to_owned))
+}
--- /dev/null
+++ b/crates/harefield/src/commands/check.rs
@@ -0,0 +1,124 @@
+//! `harefield check`: check a settings file or a set of resources.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use miette::Diagnostic;
+use miette::LabeledSpan;
+use miette::NamedSource;
+
+use super::Exit;
+use super::Failure;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use crate::adapters::operators::SetFile;
+use crate::adapters::settings::Settings;
+use crate::domain::code::Code;
+use crate::domain::resources::Fault;
+
+const HELP: &str = "\
+Usage: harefield check FILE
+
+Checks a settings file (.toml) or a set of resources (.json, an object with
+\"items\": the values by key), and prints every fault with its place.
+";
+
+/// Every fault of a set of resources, with its place.
+#[derive(Debug, thiserror::Error)]
+#[error("the resources are refused: {count} faults")]
+struct SetError {
+    count: usize,
+    source_code: NamedSource<String>,
+    labels: Vec<LabeledSpan>,
+}
+
+impl Diagnostic for SetError {
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&self.source_code)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.labels.iter().cloned()))
+    }
+}
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut path = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Argument::Word(word) if path.is_none() => path = Some(PathBuf::from(word)),
+            Argument::Word(word) => {
+                return Err(lexopt::Error::from(format!("unexpected {word:?}")).into());
+            }
+            Argument::Option(name) => return Err(unknown(&name).into()),
+        }
+    }
+    let path = path.ok_or_else(|| lexopt::Error::from("a FILE is needed"))?;
+    if path.extension().is_some_and(|kind| kind == "json") {
+        check_resources(&path)
+    } else {
+        let settings = Settings::load(&path).map_err(|error| Failure::new(Exit::Invalid, error))?;
+        println!("valid: {settings:#?}");
+        Ok(Exit::Done)
+    }
+}
+
+fn check_resources(path: &Path) -> Outcome {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        let report = miette::miette!("{}: {}: {error}", Code::SettingsUnreadable, path.display());
+        Failure::new(Exit::Invalid, report)
+    })?;
+    let file: SetFile = match serde_json::from_str(&text) {
+        Ok(file) => file,
+        Err(error) => {
+            let at = offset(&text, error.line(), error.column());
+            let label = LabeledSpan::at(at..at, format!("{}: {error}", Code::ResourceMalformed));
+            return Err(invalid(path, text, vec![label]));
+        }
+    };
+    match file.check() {
+        Ok(set) => {
+            let (services, upstreams) = (set.services.len(), set.upstreams.len());
+            println!("valid: {services} services, {upstreams} upstreams");
+            Ok(Exit::Done)
+        }
+        Err(faults) => {
+            let labels = faults.iter().map(|fault| label(&text, fault)).collect();
+            Err(invalid(path, text, labels))
+        }
+    }
+}
+
+fn invalid(path: &Path, text: String, labels: Vec<LabeledSpan>) -> Failure {
+    let source_code = NamedSource::new(path.display().to_string(), text);
+    Failure::new(
+        Exit::Invalid,
+        SetError {
+            count: labels.len(),
+            source_code,
+            labels,
+        },
+    )
+}
+
+/// Points at the key of a resource with a fault.
+fn label(text: &str, fault: &Fault) -> LabeledSpan {
+    let quoted = format!("\"{}\"", fault.key);
+    let start = text.find(&quoted).unwrap_or(0);
+    LabeledSpan::at(
+        start..start + quoted.len(),
+        format!("{}: {}", fault.code, fault.detail),
+    )
+}
+
+fn offset(text: &str, line: usize, column: usize) -> usize {
+    let before: usize = text
+        .split_inclusive('\n')
+        .take(line.saturating_sub(1))
+        .map(str::len)
+        .sum();
+    (before + column.saturating_sub(1)).min(text.len())
+}
--- /dev/null
+++ b/crates/harefield/src/commands/explain.rs
@@ -0,0 +1,59 @@
+//! `harefield explain`: tell the story of one request.
+
+use super::Exit;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use super::fetch::Asker;
+use super::fetch::find_fleet;
+use super::timeline;
+use super::timeline::Options;
+
+const HELP: &str = "\
+Usage: harefield explain REQUEST --from IP:PORT [--from IP:PORT ...]
+
+Tells one request's story in order, over the daemon that it came through and
+the member of the cell that ran it. Times count from its first event.
+
+Options:
+  --token-file F   the file with the operators' token
+";
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut options = Options::default();
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Argument::Word(word) => options.filter.request = Some(word),
+            Argument::Option(name) if name == "from" => {
+                let text = arguments.value()?;
+                let address = text
+                    .parse()
+                    .map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
+                options.from.push(address?);
+            }
+            Argument::Option(name) if name == "token-file" => {
+                options.asker = Asker::with_token(&arguments.value()?)?;
+            }
+            Argument::Option(name) => return Err(unknown(&name).into()),
+        }
+    }
+    let request = options.filter.request.clone();
+    let request = request.ok_or_else(|| lexopt::Error::from("a REQUEST is needed"))?;
+    if options.from.is_empty() {
+        return Err(lexopt::Error::from("--from IP:PORT is needed").into());
+    }
+    let fleet = find_fleet(&options.asker, &options.from)?;
+    timeline::name_silent(&fleet);
+    let records = timeline::gather(&fleet, &options);
+    let Some(first) = records.first() else {
+        println!("no daemon holds events of {request}");
+        return Ok(Exit::Done);
+    };
+    let origin = first.stamp.micros;
+    for record in &records {
+        println!("{}", timeline::describe(record, origin));
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/harefield/src/commands/mod.rs
@@ -0,0 +1,121 @@
+//! The command line: one file a subcommand.
+
+mod arguments;
+mod check;
+mod explain;
+mod fetch;
+mod query;
+mod serve;
+mod status;
+mod timeline;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use arguments::Arguments;
+use miette::Report;
+
+const HELP: &str = "\
+harefield: a query tier over many shards
+
+Usage: harefield COMMAND [OPTIONS]
+
+Commands:
+  serve      run a daemon
+  check      check a settings file or a set of resources
+  query      ask a daemon and print the answer
+  timeline   print the events of all daemons
+  explain    tell the story of one request
+  status     show every daemon and where they disagree
+
+Options:
+  --help     print this help; after a command, the command's
+  --version  print the version
+
+Exit codes: 0 done, 2 wrong usage, 3 not valid, 4 cannot start,
+5 no daemon reached, 6 partial answer, 7 not run, 8 may have run,
+9 a stop cut requests
+";
+
+/// The exit codes of the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All went well.
+    Done = 0,
+    /// The command line is not understood.
+    Usage = 2,
+    /// Settings or resources are not valid.
+    Invalid = 3,
+    /// The daemon could not start.
+    CannotStart = 4,
+    /// No daemon could be reached.
+    Unreachable = 5,
+    /// The answer is partial.
+    Partial = 6,
+    /// The request did not run.
+    NotRun = 7,
+    /// The request may have run.
+    MayHaveRun = 8,
+    /// A planned stop was ended with requests in progress.
+    Cut = 9,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// A command that failed: what to print, and the exit code.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    exit: Exit,
+    report: Report,
+}
+
+impl Failure {
+    fn new(exit: Exit, report: impl Into<Report>) -> Self {
+        Self {
+            exit,
+            report: report.into(),
+        }
+    }
+}
+
+impl From<lexopt::Error> for Failure {
+    fn from(error: lexopt::Error) -> Self {
+        let code = crate::domain::code::Code::UsageWrong;
+        Self::new(Exit::Usage, miette::miette!("{code}: {error}; see --help"))
+    }
+}
+
+type Outcome = Result<Exit, Failure>;
+
+/// Runs the program on the process's arguments.
+#[must_use]
+pub fn main() -> ExitCode {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    match dispatch(arguments) {
+        Ok(exit) => exit.into(),
+        Err(failure) => {
+            eprintln!("{:?}", failure.report);
+            failure.exit.into()
+        }
+    }
+}
+
+fn dispatch(arguments: Vec<OsString>) -> Outcome {
+    let mut parser = Arguments::new(arguments, HELP);
+    let Some(command) = parser.command()? else {
+        return Ok(Exit::Done);
+    };
+    match command.as_str() {
+        "serve" => serve::run(parser),
+        "check" => check::run(parser),
+        "query" => query::run(parser),
+        "timeline" => timeline::run(parser),
+        "explain" => explain::run(parser),
+        "status" => status::run(parser),
+        other => Err(lexopt::Error::from(format!("no command {other:?}")).into()),
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/commands/serve.rs
@@ -0,0 +1,45 @@
+//! `harefield serve`: run a daemon.
+
+use std::path::PathBuf;
+
+use super::Exit;
+use super::Failure;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use crate::adapters::settings::Settings;
+use crate::daemon;
+use crate::daemon::Ended;
+
+const HELP: &str = "\
+Usage: harefield serve --settings FILE
+
+Runs a daemon. Prints one JSON line with its addresses once it serves; logs go
+to standard error. SIGTERM begins a planned stop, a second one ends it at once.
+";
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut path = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Argument::Option(name) if name == "settings" => {
+                path = Some(PathBuf::from(arguments.value()?));
+            }
+            Argument::Option(name) => return Err(unknown(&name).into()),
+            Argument::Word(word) => {
+                return Err(lexopt::Error::from(format!("unexpected {word:?}")).into());
+            }
+        }
+    }
+    let path = path.ok_or_else(|| lexopt::Error::from("--settings FILE is needed"))?;
+    let settings = Settings::load(&path).map_err(|error| Failure::new(Exit::Invalid, error))?;
+    let ended = daemon::run(settings, |addresses| {
+        println!("{}", serde_json::to_string(addresses).unwrap_or_default());
+    });
+    match ended.map_err(|error| Failure::new(Exit::CannotStart, error))? {
+        Ended::Whole => Ok(Exit::Done),
+        Ended::Cut => Ok(Exit::Cut),
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/commands/status.rs
@@ -0,0 +1,121 @@
+//! `harefield status`: show every daemon and where they disagree.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use super::Exit;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use super::fetch::Asker;
+use super::fetch::Fleet;
+use super::fetch::find_fleet;
+use crate::telemetry::Status;
+
+const HELP: &str = "\
+Usage: harefield status --from IP:PORT [--from IP:PORT ...]
+
+Asks every daemon that can be found for its status, and names where they
+disagree: the revision in force, the list of hosts, which daemons are seen how.
+
+Options:
+  --json           each daemon's status as a JSON line
+  --token-file F   the file with the operators' token
+";
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut from: Vec<SocketAddr> = Vec::new();
+    let mut asker = Asker::default();
+    let mut json = false;
+    while let Some(argument) = arguments.next()? {
+        let Argument::Option(name) = argument else {
+            return Err(lexopt::Error::from("only options are taken").into());
+        };
+        match name.as_str() {
+            "json" => json = true,
+            "token-file" => asker = Asker::with_token(&arguments.value()?)?,
+            "from" => {
+                let text = arguments.value()?;
+                let address = text
+                    .parse()
+                    .map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
+                from.push(address?);
+            }
+            other => return Err(unknown(other).into()),
+        }
+    }
+    if from.is_empty() {
+        return Err(lexopt::Error::from("--from IP:PORT is needed").into());
+    }
+    let fleet = find_fleet(&asker, &from)?;
+    for (_, status) in &fleet.answered {
+        if json {
+            println!("{}", serde_json::to_string(status).unwrap_or_default());
+        } else {
+            println!("{}", line(status));
+        }
+    }
+    if !json {
+        tell_differences(&fleet);
+    }
+    Ok(Exit::Done)
+}
+
+fn line(status: &Status) -> String {
+    let number = |revision: Option<u64>| revision.map_or("none".to_owned(), |r| r.to_string());
+    let config = &status.config;
+    let answered: u64 = status.workers.values().map(|w| w.answered).sum();
+    let running: usize = status.workers.values().map(|w| w.running).sum();
+    let mut text = format!(
+        "{} revision {} hosts {} running {running} answered {answered} control-bytes {}",
+        status.host,
+        number(config.revision),
+        number(config.listed),
+        status.control_bytes,
+    );
+    if let Some(refused) = config.refused {
+        let first = config
+            .faults
+            .first()
+            .map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
+        let first = first.unwrap_or_default();
+        text = format!("{text}; revision {refused} is refused: {first}");
+    }
+    text
+}
+
+fn tell_differences(fleet: &Fleet) {
+    for address in &fleet.silent {
+        println!("did not answer: {address}");
+    }
+    let newest = fleet
+        .answered
+        .iter()
+        .map(|(_, status)| status.config.revision)
+        .max()
+        .flatten();
+    for (_, status) in &fleet.answered {
+        if status.config.revision != newest {
+            println!("behind: {} holds an older revision", status.host);
+        }
+        for row in status
+            .peers
+            .iter()
+            .filter(|row| row.state.to_string() != "live")
+        {
+            println!("{} sees {} as {}", status.host, row.host, row.state);
+        }
+    }
+    let leaving: BTreeSet<_> = fleet
+        .answered
+        .iter()
+        .flat_map(|(_, status)| status.workers.values())
+        .flat_map(|worker| worker.upstreams.iter().filter(|u| u.leaving))
+        .map(|upstream| upstream.upstream.to_string())
+        .collect();
+    if !leaving.is_empty() {
+        println!("upstreams leaving: {}", Vec::from_iter(leaving).join(", "));
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/commands/timeline.rs
@@ -0,0 +1,158 @@
+//! `harefield timeline`: print the events of all daemons, merged causally.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Exit;
+use super::Failure;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use super::fetch::Asker;
+use super::fetch::Fleet;
+use super::fetch::OPERATOR_LIMIT;
+use super::fetch::find_fleet;
+use crate::domain::event::Record;
+use crate::telemetry::Filter;
+
+const HELP: &str = "\
+Usage: harefield timeline --from IP:PORT [--from IP:PORT ...] [OPTIONS]
+
+Asks every daemon that can be found from the operators' addresses given, and
+prints their events merged by hybrid logical time. Daemons that did not answer
+are named on standard error.
+
+Options:
+  --request ID     events of one request
+  --lookup NAME    events that name a lookup
+  --upstream NAME  events that name an upstream
+  --kind KIND      events of one kind, such as answer-cut
+  --after MICROS   events after a time, microseconds since the epoch
+  --until MICROS   events up to a time
+  --most N         at most the newest N of each daemon
+  --json           JSON lines for programs
+  --follow         go on with new events
+  --token-file F   the file with the operators' token
+";
+
+/// How often new events are asked for when following.
+const FOLLOW_EVERY: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+pub(super) struct Options {
+    pub from: Vec<SocketAddr>,
+    pub filter: Filter,
+    pub asker: Asker,
+    json: bool,
+    follow: bool,
+}
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut options = read(&mut arguments)?;
+    let fleet = find_fleet(&options.asker, &options.from)?;
+    name_silent(&fleet);
+    loop {
+        let records = gather(&fleet, &options);
+        for record in &records {
+            print(record, options.json);
+        }
+        if !options.follow {
+            return Ok(Exit::Done);
+        }
+        let newest = records.last().map(|record| record.stamp.micros);
+        options.filter.after = newest.or(options.filter.after);
+        std::thread::sleep(FOLLOW_EVERY);
+    }
+}
+
+fn read(arguments: &mut Arguments) -> Result<Options, Failure> {
+    let mut options = Options::default();
+    while let Some(argument) = arguments.next()? {
+        let Argument::Option(name) = argument else {
+            return Err(lexopt::Error::from("only options are taken").into());
+        };
+        let filter = &mut options.filter;
+        match name.as_str() {
+            "json" => options.json = true,
+            "follow" => options.follow = true,
+            "from" => options.from.push(number(&arguments.value()?)?),
+            "request" => filter.request = Some(arguments.value()?),
+            "lookup" => filter.lookup = Some(arguments.value()?),
+            "upstream" => filter.upstream = Some(arguments.value()?),
+            "kind" => filter.kind = Some(arguments.value()?),
+            "after" => filter.after = Some(number(&arguments.value()?)?),
+            "until" => filter.until = Some(number(&arguments.value()?)?),
+            "most" => filter.most = Some(number(&arguments.value()?)?),
+            "token-file" => options.asker = Asker::with_token(&arguments.value()?)?,
+            other => return Err(unknown(other).into()),
+        }
+    }
+    if options.from.is_empty() {
+        return Err(lexopt::Error::from("--from IP:PORT is needed").into());
+    }
+    Ok(options)
+}
+
+fn number<T: std::str::FromStr>(text: &str) -> Result<T, lexopt::Error> {
+    text.parse()
+        .map_err(|_error| format!("{text:?} is not valid here").into())
+}
+
+/// Names the daemons that did not answer.
+pub(super) fn name_silent(fleet: &Fleet) {
+    for address in &fleet.silent {
+        eprintln!("did not answer: {address}");
+    }
+}
+
+/// Gathers the selected records of a fleet, merged.
+pub(super) fn gather(fleet: &Fleet, options: &Options) -> Vec<Record> {
+    let query = serde_urlencoded::to_string(&options.filter).unwrap_or_default();
+    let path = format!("/v1/timeline?{query}");
+    let mut records: Vec<Record> = Vec::new();
+    for (address, _) in &fleet.answered {
+        match options
+            .asker
+            .get::<Vec<Record>>(*address, &path, OPERATOR_LIMIT)
+        {
+            Some(found) => records.extend(found),
+            None => eprintln!("did not answer: {address}"),
+        }
+    }
+    records.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
+    records
+}
+
+fn print(record: &Record, json: bool) {
+    if json {
+        println!("{}", serde_json::to_string(record).unwrap_or_default());
+    } else {
+        println!("{}", describe(record, 0));
+    }
+}
+
+/// Returns a record as a line of text, its time relative to `origin`.
+pub(super) fn describe(record: &Record, origin: u64) -> String {
+    let mut fields = match serde_json::to_value(&record.event) {
+        Ok(serde_json::Value::Object(fields)) => fields,
+        _ => serde_json::Map::new(),
+    };
+    let kind = fields
+        .remove("kind")
+        .and_then(|kind| kind.as_str().map(str::to_owned))
+        .unwrap_or_default();
+    let words: Vec<String> = fields
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    let micros = record.stamp.micros.saturating_sub(origin);
+    let request = record.request.as_deref().unwrap_or("-");
+    let (seconds, rest) = (micros / 1_000_000, micros % 1_000_000);
+    format!(
+        "{seconds}.{rest:06} {} {request} {kind} {}",
+        record.host,
+        words.join(" ")
+    )
+}
--- /dev/null
+++ b/crates/harefield/src/control/confirm.rs
@@ -0,0 +1,86 @@
+//! Confirming what is known after a pause.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+
+use super::duty::Control;
+use crate::engine::Confirmed;
+use crate::engine::ToWorker;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::Space;
+
+/// How long one round may take; those who did not answer by then are not
+/// waited for, since the fleet must go on without a platform.
+const ROUND_LIMIT: Duration = Duration::from_millis(400);
+
+/// How many daemons are asked in a round.
+const ASKED: usize = 3;
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Starts a round, unless one is under way.
+    pub(super) fn start_confirming(self: &Rc<Self>) {
+        if self.confirming.replace(true) {
+            return;
+        }
+        let this = Rc::clone(self);
+        let round = async move {
+            let asked = this.ports.clock.now();
+            this.confirm_round().await;
+            this.confirming.set(false);
+            this.tell(&ToWorker::Confirmed(Confirmed { asked }));
+        };
+        self.executor.spawn(round).detach();
+    }
+
+    /// Asks the platform and a few daemons at once for what is newer.
+    async fn confirm_round(self: &Rc<Self>) {
+        let (sender, ended) = async_channel::bounded(ASKED + Space::ALL.len());
+        let mut started = 0;
+        for host in self.draw_peers(ASKED) {
+            let (this, sender) = (Rc::clone(self), sender.clone());
+            let ask = async move {
+                let _answered = this.exchange_with(&host).await;
+                let _ = sender.try_send(());
+            };
+            self.executor.spawn(ask).detach();
+            started += 1;
+        }
+        for space in Space::ALL {
+            let (this, sender) = (Rc::clone(self), sender.clone());
+            let ask = async move {
+                this.look_at_platform(space).await;
+                let _ = sender.try_send(());
+            };
+            self.executor.spawn(ask).detach();
+            started += 1;
+        }
+        let all = async {
+            for _ in 0..started {
+                let _ = ended.recv().await;
+            }
+        };
+        all.or(self.ports.clock.sleep(ROUND_LIMIT)).await;
+    }
+
+    async fn look_at_platform(self: &Rc<Self>, space: Space) {
+        let Some(copy) = self.settings.copies.first() else {
+            return;
+        };
+        let looked = match self.revision(space) {
+            Some(after) => self.watch(*copy, space, after, Duration::ZERO).await,
+            None => self.list(*copy, space).await,
+        };
+        if let Err(error) = looked {
+            log::debug!("platform copy {copy} while confirming: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/control/duty.rs
@@ -0,0 +1,304 @@
+//! The state of the control duty and what it tells the workers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use log::info;
+use log::warn;
+
+use super::wordbook::Wordbook;
+use crate::domain::cell::CellSize;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::feed::Configuration;
+use crate::domain::feed::Feed;
+use crate::domain::feed::News;
+use crate::domain::feed::Offer;
+use crate::domain::hlc::HybridClock;
+use crate::domain::ids::HostId;
+use crate::domain::ids::Revision;
+use crate::domain::membership::Membership;
+use crate::domain::membership::Row;
+use crate::domain::view::HostList;
+use crate::domain::view::View;
+use crate::domain::word::NamedWord;
+use crate::engine::PeerView;
+use crate::engine::ToControl;
+use crate::engine::ToWorker;
+use crate::ports::Clock;
+use crate::ports::Mark;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::Space;
+use crate::telemetry::Board;
+use crate::telemetry::ConfigStatus;
+use crate::telemetry::Telemetry;
+use crate::telemetry::Trace;
+
+/// What the control duty is told when it is made.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// The daemon's own row.
+    pub own: Row,
+    /// The platform's copies.
+    pub copies: Vec<std::net::SocketAddr>,
+    /// Daemons to ask at the start.
+    pub seeds: Vec<HostId>,
+    /// How often peers are spoken to.
+    pub exchange: Duration,
+    /// How long joining may take.
+    pub join: Duration,
+    /// How long one watch waits.
+    pub watch: Duration,
+    /// How many daemons of an availability zone hold the watch.
+    pub readers: usize,
+    /// How large cells may be.
+    pub cell: CellSize,
+}
+
+/// The ports of the control duty.
+#[derive(Clone, Debug)]
+pub struct ControlPorts<F, P, C> {
+    /// The platform.
+    pub platform: F,
+    /// The other daemons.
+    pub peers: P,
+    /// The clock.
+    pub clock: C,
+}
+
+/// The control duty of one daemon.
+#[derive(Debug)]
+pub struct Control<F, P, C> {
+    pub(super) settings: ControlSettings,
+    pub(super) ports: ControlPorts<F, P, C>,
+    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) config: RefCell<Configuration>,
+    pub(super) hosts: RefCell<Feed>,
+    pub(super) list: RefCell<HostList>,
+    pub(super) members: RefCell<Membership>,
+    pub(super) words: RefCell<Wordbook>,
+    pub(super) workers: Vec<Sender<ToWorker>>,
+    pub(super) hybrid: Rc<RefCell<HybridClock>>,
+    pub(super) telemetry: Telemetry,
+    pub(super) board: Arc<Board>,
+    pub(super) joined: Cell<bool>,
+    pub(super) confirming: Cell<bool>,
+}
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Creates the duty of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        settings: ControlSettings,
+        ports: ControlPorts<F, P, C>,
+        executor: Rc<LocalExecutor<'static>>,
+        workers: Vec<Sender<ToWorker>>,
+        telemetry: Telemetry,
+        board: Arc<Board>,
+    ) -> Rc<Self> {
+        let members = Membership::new(settings.own.clone());
+        Rc::new(Self {
+            settings,
+            ports,
+            executor,
+            config: RefCell::default(),
+            hosts: RefCell::default(),
+            list: RefCell::default(),
+            members: RefCell::new(members),
+            words: RefCell::default(),
+            workers,
+            hybrid: Rc::default(),
+            telemetry,
+            board,
+            joined: Cell::new(false),
+            confirming: Cell::new(false),
+        })
+    }
+
+    /// Joins the fleet, then keeps it until the workers' ring is closed.
+    pub async fn run(self: Rc<Self>, inbox: Receiver<ToControl>, ready: Sender<()>) {
+        let listening = self.executor.spawn(Rc::clone(&self).listen(inbox));
+        self.join().await;
+        self.joined.set(true);
+        self.publish();
+        let _ = ready.try_send(());
+        for space in Space::ALL {
+            self.executor.spawn(Rc::clone(&self).read(space)).detach();
+        }
+        self.executor.spawn(Rc::clone(&self).speak()).detach();
+        listening.await;
+    }
+
+    /// Returns how far this daemon is in a space.
+    pub(super) fn revision(&self, space: Space) -> Option<Revision> {
+        match space {
+            Space::Config => self.config.borrow().revision(),
+            Space::Hosts => self.hosts.borrow().revision(),
+        }
+    }
+
+    /// Returns how far this daemon is in every space.
+    pub(super) fn marks(&self) -> Vec<Mark> {
+        Space::ALL
+            .map(|space| Mark {
+                space,
+                revision: self.revision(space),
+            })
+            .to_vec()
+    }
+
+    /// Returns what brings a peer up to date.
+    pub(super) fn news(&self, space: Space, have: Option<Revision>) -> News {
+        match space {
+            Space::Config => self.config.borrow().since(have),
+            Space::Hosts => self.hosts.borrow().since(have),
+        }
+    }
+
+    /// Takes news from a peer; returns whether any were newer.
+    pub(super) fn learn(&self, space: Space, news: News, from: &str) -> bool {
+        let learnt = match space {
+            Space::Config => self.config.borrow_mut().learn(news),
+            Space::Hosts => self.hosts.borrow_mut().learn(news),
+        };
+        if learnt {
+            self.changed(space, from);
+        }
+        learnt
+    }
+
+    /// Takes what became of a revision read from the platform.
+    pub(super) fn judged(&self, offer: &Offer) {
+        match offer {
+            Offer::Accepted => self.changed(Space::Config, "platform"),
+            Offer::Old => {}
+            Offer::Refused(faults) => {
+                let revision = self.config.borrow().seen().unwrap_or_default();
+                let first = faults
+                    .first()
+                    .map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
+                let first = first.unwrap_or_default();
+                warn!("revision {revision} is refused: {first}");
+                self.emit(Event::ConfigRefused {
+                    revision,
+                    faults: faults.len(),
+                    first,
+                });
+                self.show_config();
+            }
+        }
+    }
+
+    /// Notes a newer revision of a space: tells workers, and peers at once.
+    pub(super) fn changed(&self, space: Space, from: &str) {
+        let revision = self.revision(space).unwrap_or_default();
+        match space {
+            Space::Config => {
+                info!("revision {revision} is in force, from {from}");
+                self.emit(Event::ConfigAccepted {
+                    revision,
+                    from: from.to_owned(),
+                });
+                let set = Arc::clone(self.config.borrow().set());
+                self.words
+                    .borrow_mut()
+                    .prune(|upstream| set.upstreams.contains_key(upstream));
+            }
+            Space::Hosts => {
+                let list = HostList::parse(self.hosts.borrow().items());
+                self.emit(Event::HostsListed {
+                    revision,
+                    leaving: list.leaving().len(),
+                });
+                self.members.borrow_mut().prune(&list.daemons());
+                *self.list.borrow_mut() = list;
+            }
+        }
+        if self.joined.get() {
+            self.publish();
+            self.relay();
+        }
+    }
+
+    /// Works out the view and tells the workers.
+    pub(super) fn publish(&self) {
+        let config = self.config.borrow();
+        let listed = self.hosts.borrow().revision();
+        let list = self.list.borrow();
+        let view = View::build(
+            config.revision(),
+            config.set(),
+            listed,
+            &list,
+            self.settings.cell,
+        );
+        drop(config);
+        self.tell(&ToWorker::View(Arc::new(view)));
+        self.tell_peers();
+        self.show_config();
+    }
+
+    /// Tells every worker; the rings are long enough for what control sends.
+    pub(super) fn tell(&self, message: &ToWorker) {
+        for worker in &self.workers {
+            if worker.try_send(message.clone()).is_err() {
+                warn!("a worker's ring is full or closed");
+            }
+        }
+    }
+
+    /// Tells the workers which daemons are seen how.
+    pub(super) fn tell_peers(&self) {
+        let rows: Vec<Row> = self.members.borrow().rows().cloned().collect();
+        self.board.status().peers.clone_from(&rows);
+        self.tell(&ToWorker::Peers(Arc::new(PeerView { rows })));
+    }
+
+    /// Takes upstreams' words; tells the workers what was news.
+    pub(super) fn hear(&self, words: &[NamedWord]) {
+        let news = self.words.borrow_mut().join(words);
+        if !news.is_empty() {
+            self.tell(&ToWorker::Words(news.into()));
+        }
+    }
+
+    /// Takes rows from a peer; tells the workers what was news.
+    pub(super) fn meet(&self, rows: &[Row]) {
+        let news = self.members.borrow_mut().join(rows);
+        for row in &news {
+            let (host, state) = (Arc::clone(&row.host), row.state.to_string());
+            self.emit(Event::PeerSeen { host, state });
+        }
+        if !news.is_empty() {
+            self.tell_peers();
+        }
+    }
+
+    fn show_config(&self) {
+        let config = self.config.borrow();
+        let refused = config.refused();
+        self.board.status().config = ConfigStatus {
+            revision: config.revision(),
+            seen: config.seen(),
+            refused: refused.map(|r| r.revision),
+            faults: refused.map(|r| r.faults.clone()).unwrap_or_default(),
+            listed: self.hosts.borrow().revision(),
+        };
+    }
+
+    pub(super) fn emit(&self, event: Event) {
+        Trace::new(None, true, &self.hybrid, self.ports.clock, &self.telemetry).emit(event);
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/control/gossip.rs
@@ -0,0 +1,162 @@
+//! Speaking to other daemons: exchanges in turn, and at once when there is news.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use super::duty::Control;
+use crate::domain::event::Event;
+use crate::domain::ids::HostId;
+use crate::ports::Clock;
+use crate::ports::Exchange;
+use crate::ports::Mark;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::Pull;
+
+/// How many daemons are told of news at once.
+const RELAY_WIDTH: usize = 3;
+
+/// How many daemons are spoken to in one round.
+const ROUND_WIDTH: usize = 2;
+
+/// How long one exchange may take.
+pub(super) const EXCHANGE_LIMIT: Duration = Duration::from_millis(800);
+
+/// How long a pull may take; a whole configuration may be large.
+const PULL_LIMIT: Duration = Duration::from_secs(3);
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Speaks to a few daemons in each round.
+    pub(super) async fn speak(self: Rc<Self>) {
+        loop {
+            for host in self.draw_peers(ROUND_WIDTH) {
+                let this = Rc::clone(&self);
+                self.executor
+                    .spawn(async move {
+                        let _answered = this.exchange_with(&host).await;
+                    })
+                    .detach();
+            }
+            let jitter = rand::rng().random_range(0.8..1.2);
+            self.ports
+                .clock
+                .sleep(self.settings.exchange.mul_f64(jitter))
+                .await;
+        }
+    }
+
+    /// Tells a few daemons at once that there is news.
+    pub(super) fn relay(&self) {
+        for host in self.draw_peers(RELAY_WIDTH) {
+            let message = self.message(&host);
+            let peers = self.ports.peers.clone();
+            let told = async move {
+                let _reply = peers.exchange(&host, &message, EXCHANGE_LIMIT).await;
+            };
+            self.executor.spawn(told).detach();
+        }
+    }
+
+    pub(super) fn draw_peers(&self, count: usize) -> Vec<HostId> {
+        let mut peers = self.members.borrow().peers();
+        let listed = self.list.borrow().daemons();
+        let known: Vec<HostId> = self
+            .settings
+            .seeds
+            .iter()
+            .chain(&listed)
+            .map(Arc::clone)
+            .collect();
+        for host in known {
+            if host != self.settings.own.host && !peers.contains(&host) {
+                peers.push(host);
+            }
+        }
+        peers
+            .choose_multiple(&mut rand::rng(), count)
+            .map(Arc::clone)
+            .collect()
+    }
+
+    /// Speaks to one daemon and takes what it has that is newer; returns
+    /// whether it answered.
+    pub(super) async fn exchange_with(self: &Rc<Self>, host: &HostId) -> bool {
+        let message = self.message(host);
+        let reply = self
+            .ports
+            .peers
+            .exchange(host, &message, EXCHANGE_LIMIT)
+            .await;
+        let Ok(reply) = reply else {
+            self.unanswered(host);
+            return false;
+        };
+        self.take_exchange(&reply).await;
+        true
+    }
+
+    /// Takes what a daemon said, and pulls what it has that is newer.
+    pub(super) async fn take_exchange(self: &Rc<Self>, said: &Exchange) {
+        self.hybrid
+            .borrow_mut()
+            .receive(self.ports.clock.wall(), said.stamp);
+        self.meet(&said.rows);
+        self.hear(&said.words);
+        for mark in &said.marks {
+            self.pull_newer(&said.from, *mark).await;
+        }
+    }
+
+    async fn pull_newer(self: &Rc<Self>, host: &HostId, mark: Mark) {
+        let have = self.revision(mark.space);
+        if mark.revision <= have {
+            return;
+        }
+        let pull = Pull {
+            space: mark.space,
+            have,
+        };
+        if let Ok(news) = self.ports.peers.pull(host, pull, PULL_LIMIT).await {
+            self.learn(mark.space, news, host);
+        }
+    }
+
+    /// Notes that a daemon did not answer.
+    pub(super) fn unanswered(&self, host: &HostId) {
+        let news = self.members.borrow_mut().suspect(host);
+        if news {
+            self.emit(Event::PeerSeen {
+                host: Arc::clone(host),
+                state: "suspect".to_owned(),
+            });
+            self.tell_peers();
+        }
+    }
+
+    /// Returns what is to be told a daemon: its own row is always in it, so
+    /// that it can answer rumours about itself.
+    pub(super) fn message(&self, host: &HostId) -> Exchange {
+        let mut members = self.members.borrow_mut();
+        let mut rows = members.digest();
+        if !rows.iter().any(|row| row.host == *host) {
+            rows.extend(members.row(host).cloned());
+        }
+        Exchange {
+            from: Arc::clone(&self.settings.own.host),
+            incarnation: self.settings.own.incarnation,
+            stamp: self.hybrid.borrow_mut().tick(self.ports.clock.wall()),
+            marks: self.marks(),
+            rows,
+            words: self.words.borrow_mut().digest(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/control/inbox.rs
@@ -0,0 +1,62 @@
+//! What workers tell the control duty.
+
+use std::rc::Rc;
+
+use async_channel::Receiver;
+
+use super::duty::Control;
+use crate::engine::ToControl;
+use crate::engine::ToWorker;
+use crate::ports::Clock;
+use crate::ports::Exchange;
+use crate::ports::Peers;
+use crate::ports::Platform;
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Takes the workers' messages until their ring is closed.
+    pub(super) async fn listen(self: Rc<Self>, inbox: Receiver<ToControl>) {
+        while let Ok(message) = inbox.recv().await {
+            self.take(message);
+        }
+    }
+
+    fn take(self: &Rc<Self>, message: ToControl) {
+        match message {
+            ToControl::Exchange(said, reply) => self.answer_exchange(*said, &reply),
+            ToControl::Pull(pull, reply) => {
+                drop(reply.try_send(self.news(pull.space, pull.have)));
+            }
+            ToControl::Word(named) => {
+                let words = [named];
+                self.hear(&words);
+                self.relay();
+            }
+            ToControl::Woke => self.start_confirming(),
+            ToControl::Silent(host) => self.unanswered(&host),
+            ToControl::Stop => {
+                self.members.borrow_mut().leave();
+                self.tell(&ToWorker::Stop);
+                self.relay();
+            }
+        }
+    }
+
+    /// Answers with what is known, then takes what was said.
+    fn answer_exchange(self: &Rc<Self>, said: Exchange, reply: &async_channel::Sender<Exchange>) {
+        let known = self.members.borrow().row(&said.from).is_some();
+        let mut answer = self.message(&said.from);
+        if !known {
+            answer.words = self.words.borrow().all();
+        }
+        drop(reply.try_send(answer));
+        let this = Rc::clone(self);
+        self.executor
+            .spawn(async move { this.take_exchange(&said).await })
+            .detach();
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/control/join.rs
@@ -0,0 +1,89 @@
+//! Joining the fleet: a daemon that starts with nothing asks every copy of the
+//! platform and every daemon it knows of before it serves.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use log::info;
+use log::warn;
+
+use super::duty::Control;
+use crate::domain::ids::HostId;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::Space;
+
+/// The pause before those that did not answer are asked again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// The most daemons asked at the start: enough that one of them is up to date.
+const MOST_ASKED: usize = 16;
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Asks until every copy and daemon has answered or refused, or the time
+    /// is up; with no configuration at all, it goes on in the background.
+    pub(super) async fn join(self: &Rc<Self>) {
+        let limit = self.ports.clock.now() + self.settings.join;
+        let asking = async { self.ask_everyone().await };
+        let expired = async {
+            self.ports.clock.sleep_until(limit).await;
+            warn!("joining took its whole time; some did not answer");
+        };
+        asking.or(expired).await;
+        info!("joined at revision {:?}", self.revision(Space::Config));
+    }
+
+    async fn ask_everyone(self: &Rc<Self>) {
+        for copy in self.settings.copies.clone() {
+            for space in Space::ALL {
+                self.ask_copy(copy, space).await;
+            }
+        }
+        let mut asked: HashSet<HostId> = HashSet::new();
+        while let Some(host) = self.next_to_ask(&asked) {
+            asked.insert(Arc::clone(&host));
+            self.ask_daemon(&host).await;
+        }
+    }
+
+    /// Reads a copy until it answers; an unreachable one is asked until joining
+    /// ends, unless another copy has answered.
+    async fn ask_copy(self: &Rc<Self>, copy: std::net::SocketAddr, space: Space) {
+        while let Err(error) = self.list(copy, space).await {
+            if self.settings.copies.len() > 1 || self.revision(space).is_some() {
+                warn!("platform copy {copy}: {error}");
+                return;
+            }
+            if !self.settings.seeds.is_empty() {
+                return;
+            }
+            self.ports.clock.sleep(AGAIN).await;
+        }
+    }
+
+    fn next_to_ask(&self, asked: &HashSet<HostId>) -> Option<HostId> {
+        if asked.len() >= MOST_ASKED {
+            return None;
+        }
+        let listed = self.list.borrow().daemons();
+        let known = self.members.borrow().peers();
+        let all = self.settings.seeds.iter().chain(&listed).chain(&known);
+        let other = |host: &&HostId| **host != self.settings.own.host && !asked.contains(*host);
+        all.into_iter().find(other).map(Arc::clone)
+    }
+
+    async fn ask_daemon(self: &Rc<Self>, host: &HostId) {
+        if !self.exchange_with(host).await {
+            info!("daemon {host} did not answer while joining");
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/control/mod.rs
@@ -0,0 +1,16 @@
+//! The control duty: keeps the configuration, the host list and the fleet's
+//! membership, and tells the workers.
+
+mod confirm;
+mod duty;
+mod gossip;
+mod inbox;
+mod join;
+mod reader;
+mod wordbook;
+
+pub use duty::Control;
+pub use duty::ControlPorts;
+pub use duty::ControlSettings;
+pub use reader::is_reader;
+pub use wordbook::Wordbook;
--- /dev/null
+++ b/crates/harefield/src/control/reader.rs
@@ -0,0 +1,199 @@
+//! Reading the platform: a few daemons of each availability zone hold the
+//! watch; the others hear from them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::debug;
+use rand::Rng;
+
+use super::duty::Control;
+use crate::domain::cell::weight;
+use crate::domain::ids::HostId;
+use crate::domain::ids::Revision;
+use crate::domain::membership::PeerState;
+use crate::domain::membership::Row;
+use crate::ports::Clock;
+use crate::ports::Listing;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::PlatformError;
+use crate::ports::Space;
+use crate::ports::Watched;
+
+/// The first pause after a copy did not answer; it doubles with each failure.
+const BACKOFF: Duration = Duration::from_millis(250);
+
+/// The longest pause after failures.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+
+/// How often a daemon that is not a reader looks whether it has become one.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Says whether `own` is among the `count` readers of its availability zone.
+///
+/// Readers are the live daemons with the highest rendezvous weights, so that
+/// another takes over when one goes.
+#[must_use]
+pub fn is_reader<'a>(own: &Row, rows: impl IntoIterator<Item = &'a Row>, count: usize) -> bool {
+    let rank = |host: &HostId| weight("reader", host);
+    let mine = rank(&own.host);
+    let ahead = rows.into_iter().filter(|row| {
+        row.host != own.host
+            && row.zone == own.zone
+            && row.state == PeerState::Live
+            && rank(&row.host) > mine
+    });
+    ahead.count() < count
+}
+
+impl<F, P, C> Control<F, P, C>
+where
+    F: Platform + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Holds the watch on one space while this daemon is a reader.
+    pub(super) async fn read(self: Rc<Self>, space: Space) {
+        let mut turn: usize = 0;
+        let mut failures: u32 = 0;
+        loop {
+            if !self.is_reader() {
+                self.ports.clock.sleep(LOOK_EVERY).await;
+                continue;
+            }
+            let copies = &self.settings.copies;
+            let copy = copies[turn % copies.len()];
+            match self.read_once(copy, space).await {
+                Ok(()) => failures = 0,
+                Err(error) => {
+                    debug!("platform copy {copy}: {error}");
+                    failures = failures.saturating_add(1);
+                    turn += 1;
+                    self.ports.clock.sleep(pause(failures)).await;
+                }
+            }
+        }
+    }
+
+    fn is_reader(&self) -> bool {
+        let members = self.members.borrow();
+        is_reader(&self.settings.own, members.rows(), self.settings.readers)
+    }
+
+    async fn read_once(
+        self: &Rc<Self>,
+        copy: SocketAddr,
+        space: Space,
+    ) -> Result<(), PlatformError> {
+        match self.seen(space) {
+            None => self.list(copy, space).await,
+            Some(after) => self.watch(copy, space, after, self.settings.watch).await,
+        }
+    }
+
+    fn seen(&self, space: Space) -> Option<Revision> {
+        match space {
+            Space::Config => self.config.borrow().seen(),
+            Space::Hosts => self.hosts.borrow().revision(),
+        }
+    }
+
+    /// Reads a whole space; pages read at different revisions are brought to
+    /// one by watching, before anything is offered.
+    pub(super) async fn list(
+        self: &Rc<Self>,
+        copy: SocketAddr,
+        space: Space,
+    ) -> Result<(), PlatformError> {
+        let mut listing = self.ports.platform.list(copy, space).await?;
+        while listing.first < listing.last {
+            let watched = self
+                .ports
+                .platform
+                .watch(copy, space, listing.first, Duration::ZERO)
+                .await?;
+            catch_up(&mut listing, watched)?;
+        }
+        self.take_listing(space, listing);
+        Ok(())
+    }
+
+    fn take_listing(&self, space: Space, listing: Listing) {
+        let Listing { first, items, .. } = listing;
+        match space {
+            Space::Config => {
+                let offer = self.config.borrow_mut().offer_all(first, items);
+                self.judged(&offer);
+            }
+            Space::Hosts => {
+                let newer = self.hosts.borrow_mut().replace(first, items);
+                if newer {
+                    self.changed(Space::Hosts, "platform");
+                }
+            }
+        }
+    }
+
+    /// Watches a space once.
+    pub(super) async fn watch(
+        self: &Rc<Self>,
+        copy: SocketAddr,
+        space: Space,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<(), PlatformError> {
+        match self.ports.platform.watch(copy, space, after, wait).await? {
+            Watched::Compacted => self.list(copy, space).await,
+            Watched::Deltas(deltas) => {
+                for delta in &deltas {
+                    match space {
+                        Space::Config => {
+                            let offer = self.config.borrow_mut().offer(delta);
+                            self.judged(&offer);
+                        }
+                        Space::Hosts => {
+                            let newer = self.hosts.borrow_mut().apply(delta);
+                            if newer {
+                                self.changed(Space::Hosts, "platform");
+                            }
+                        }
+                    }
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Applies watched changes to a listing whose pages differ in revision.
+fn catch_up(listing: &mut Listing, watched: Watched) -> Result<(), PlatformError> {
+    let Watched::Deltas(deltas) = watched else {
+        return Err(PlatformError::Malformed(
+            "changes are gone while listing".to_owned(),
+        ));
+    };
+    if deltas.is_empty() {
+        return Err(PlatformError::Malformed(
+            "a page is newer than all changes".to_owned(),
+        ));
+    }
+    for delta in deltas {
+        for change in delta.changes {
+            match change.value {
+                Some(value) => listing.items.insert(change.key, value),
+                None => listing.items.remove(&change.key),
+            };
+        }
+        listing.first = delta.revision;
+    }
+    Ok(())
+}
+
+fn pause(failures: u32) -> Duration {
+    let doubled = BACKOFF
+        .saturating_mul(1 << failures.min(8))
+        .min(LONGEST_BACKOFF);
+    doubled.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- /dev/null
+++ b/crates/harefield/src/control/wordbook.rs
@@ -0,0 +1,86 @@
+//! The upstreams' words as the fleet passes them on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::domain::ids::UpstreamId;
+use crate::domain::word::NamedWord;
+use crate::domain::word::Word;
+
+/// How often a changed word is passed on.
+const TRANSMITS: u32 = 8;
+
+/// The most words in one message.
+const MOST_WORDS: usize = 32;
+
+#[derive(Debug)]
+struct Held {
+    word: Word,
+    transmits: u32,
+}
+
+/// The newest word of each upstream that was heard of.
+#[derive(Debug, Default)]
+pub struct Wordbook {
+    words: HashMap<UpstreamId, Held>,
+}
+
+impl Wordbook {
+    /// Joins words; returns those that were news.
+    pub fn join(&mut self, words: &[NamedWord]) -> Vec<NamedWord> {
+        words
+            .iter()
+            .filter(|named| self.join_one(named))
+            .cloned()
+            .collect()
+    }
+
+    fn join_one(&mut self, named: &NamedWord) -> bool {
+        let held = self
+            .words
+            .entry(Arc::clone(&named.upstream))
+            .or_insert_with(|| Held {
+                word: Word::default(),
+                transmits: 0,
+            });
+        let news = held.word.join(&named.word);
+        if news {
+            held.transmits = TRANSMITS;
+        }
+        news
+    }
+
+    /// Returns the words for the next message.
+    pub fn digest(&mut self) -> Vec<NamedWord> {
+        let mut words = Vec::new();
+        for (upstream, held) in self.words.iter_mut().filter(|(_, held)| held.transmits > 0) {
+            if words.len() == MOST_WORDS {
+                break;
+            }
+            held.transmits -= 1;
+            words.push(NamedWord {
+                upstream: Arc::clone(upstream),
+                word: held.word.clone(),
+            });
+        }
+        words
+    }
+
+    /// Returns the words of draining upstreams and of those that say what they
+    /// hold, for a daemon that has just started.
+    #[must_use]
+    pub fn all(&self) -> Vec<NamedWord> {
+        let words = self.words.iter();
+        words
+            .map(|(upstream, held)| NamedWord {
+                upstream: Arc::clone(upstream),
+                word: held.word.clone(),
+            })
+            .collect()
+    }
+
+    /// Drops the words of upstreams that no longer exist.
+    pub fn prune(&mut self, exists: impl Fn(&UpstreamId) -> bool) {
+        self.words.retain(|upstream, _| exists(upstream));
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/daemon/threads.rs
@@ -0,0 +1,226 @@
+//! The worker and control threads.
+
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::future;
+
+use super::context::Arrived;
+use super::context::Context;
+use super::context::Side;
+use crate::adapters::callers;
+use crate::adapters::callers::RequestLimits;
+use crate::adapters::clock::SystemClock;
+use crate::adapters::http;
+use crate::adapters::peer_server;
+use crate::adapters::peer_server::PeerServer;
+use crate::adapters::peers::HttpPeers;
+use crate::adapters::platform::HttpPlatform;
+use crate::adapters::upstreams::HttpUpstreams;
+use crate::control::Control;
+use crate::control::ControlPorts;
+use crate::control::ControlSettings;
+use crate::domain::admission::GateLimits;
+use crate::domain::membership::PeerState;
+use crate::domain::membership::Row;
+use crate::engine::Ports;
+use crate::engine::ToControl;
+use crate::engine::ToWorker;
+use crate::engine::Worker;
+use crate::engine::WorkerSettings;
+
+type HttpWorker = Worker<HttpUpstreams, HttpPeers, SystemClock>;
+
+/// How often a stopping worker looks whether all is done.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// Counts a connection as open until dropped.
+struct Open<'a> {
+    context: &'a Context,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.context.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Runs a worker until a planned stop has let its requests end.
+pub(super) fn run_worker(
+    context: &Context,
+    number: usize,
+    arrivals: &Receiver<Arrived>,
+    messages: Receiver<ToWorker>,
+) {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let upstreams = HttpUpstreams::new(Rc::clone(&executor));
+    let peers = HttpPeers::new(
+        Rc::clone(&executor),
+        context.token.clone(),
+        context.traffic.clone(),
+    );
+    let ports = Ports {
+        upstreams: upstreams.clone(),
+        peers,
+        clock: SystemClock,
+    };
+    let worker = Worker::new(
+        worker_settings(context, number),
+        Rc::clone(&executor),
+        ports,
+        Arc::clone(&context.ledger),
+        context.control.clone(),
+        context.telemetry.clone(),
+    );
+    executor.spawn(Rc::clone(&worker).listen(messages)).detach();
+    executor.spawn(Rc::clone(&worker).keep_lease()).detach();
+    let board = Arc::clone(&context.board);
+    executor
+        .spawn(Rc::clone(&worker).report(board, move || upstreams.opened()))
+        .detach();
+    future::block_on(executor.run(take_connections(context, &executor, &worker, arrivals)));
+}
+
+/// Serves connections until the accept thread ends, then waits for requests
+/// and connections in progress.
+async fn take_connections(
+    context: &Context,
+    executor: &Rc<LocalExecutor<'static>>,
+    worker: &Rc<HttpWorker>,
+    arrivals: &Receiver<Arrived>,
+) {
+    let open = Rc::new(std::cell::Cell::new(0_usize));
+    while let Ok(arrived) = arrivals.recv().await {
+        let (context, worker, open) = (context.clone(), Rc::clone(worker), Rc::clone(&open));
+        open.set(open.get() + 1);
+        let serving = async move {
+            serve(&context, worker, arrived).await;
+            open.set(open.get() - 1);
+        };
+        executor.spawn(serving).detach();
+    }
+    while worker.running() > 0 || open.get() > 0 {
+        Timer::after(LOOK_EVERY).await;
+    }
+}
+
+async fn serve(context: &Context, worker: Rc<HttpWorker>, arrived: Arrived) {
+    let _open = Open { context };
+    let Ok(stream) = Async::<TcpStream>::new(arrived.stream) else {
+        return;
+    };
+    let (limits, stop, linger) = (
+        context.server_limits(),
+        context.stop.clone(),
+        context.linger(),
+    );
+    match arrived.side {
+        Side::Callers => {
+            let limited = request_limits(context);
+            let handle = |request| callers::handle(Rc::clone(&worker), request, limited);
+            http::serve(stream, limits, stop, linger, handle).await;
+        }
+        Side::Peers => {
+            let server = PeerServer {
+                control: context.control.clone(),
+                token: context.token.clone(),
+                traffic: context.traffic.clone(),
+            };
+            let handle = |request| peer_server::handle(Rc::clone(&worker), server.clone(), request);
+            http::serve(stream, limits, stop, linger, handle).await;
+        }
+    }
+}
+
+fn request_limits(context: &Context) -> RequestLimits {
+    let limits = &context.settings.limits;
+    RequestLimits {
+        head: limits.head_bytes,
+        body: limits.body_bytes,
+        time: Duration::from_millis(limits.body_ms),
+    }
+}
+
+fn worker_settings(context: &Context, number: usize) -> WorkerSettings {
+    let settings = &context.settings;
+    let routing = &settings.routing;
+    WorkerSettings {
+        host: Arc::clone(&context.host),
+        zone: settings.host.zone.as_str().into(),
+        incarnation: context.incarnation,
+        number,
+        gate: GateLimits {
+            running: settings.limits.running,
+            waiting: settings.limits.waiting,
+        },
+        policy: routing.policy,
+        extra: routing.extra_load,
+        hedge: routing.hedge.then_some(routing.hedge_factor),
+        fixed: routing.fixed_ms.map(Duration::from_millis),
+        drain: Duration::from_millis(routing.drain_ms),
+        detail: settings.events.detail_every,
+        seed: rand::random(),
+    }
+}
+
+/// Runs the control duty until the daemon ends.
+pub(super) fn run_control(
+    context: &Context,
+    workers: Vec<Sender<ToWorker>>,
+    inbox: Receiver<ToControl>,
+    ready: Sender<()>,
+) {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let ports = ControlPorts {
+        platform: HttpPlatform::new(Rc::clone(&executor), context.traffic.clone()),
+        peers: HttpPeers::new(
+            Rc::clone(&executor),
+            context.token.clone(),
+            context.traffic.clone(),
+        ),
+        clock: SystemClock,
+    };
+    let control = Control::new(
+        control_settings(context),
+        ports,
+        Rc::clone(&executor),
+        workers,
+        context.telemetry.clone(),
+        Arc::clone(&context.board),
+    );
+    future::block_on(executor.run(control.run(inbox, ready)));
+}
+
+fn control_settings(context: &Context) -> ControlSettings {
+    let settings = &context.settings;
+    ControlSettings {
+        own: Row {
+            host: Arc::clone(&context.host),
+            zone: settings.host.zone.as_str().into(),
+            operators: context.addresses.operators.to_string().into(),
+            incarnation: context.incarnation,
+            version: 0,
+            state: PeerState::Live,
+        },
+        copies: settings.platform.addresses.clone(),
+        seeds: settings
+            .peers
+            .seeds
+            .iter()
+            .map(|seed| seed.to_string().into())
+            .collect(),
+        exchange: Duration::from_millis(settings.peers.exchange_ms),
+        join: Duration::from_millis(settings.peers.join_ms),
+        watch: Duration::from_millis(settings.platform.watch_ms),
+        readers: settings.platform.readers,
+        cell: settings.cell(),
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/admission.rs
@@ -0,0 +1,302 @@
+//! Admission: who runs now, who waits, and who is refused at once.
+//!
+//! One gate stands before each index of a worker. Its limit follows what the
+//! upstreams take: it grows while fan-outs find room, and shrinks when their
+//! shards have to wait for it.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::code::Code;
+use super::resources::Urgency;
+
+/// Numbers the requests that wait at a gate.
+pub type WaiterId = u64;
+
+/// Of this many picks, ordinary requests get one while urgent ones wait.
+const ORDINARY_TURN: u32 = 4;
+
+/// Of this many picks, bulk requests get one while others wait.
+const BULK_TURN: u32 = 16;
+
+/// A fan-out counts as crowded when this share of its shards, in percent, waited.
+const CROWDED_PERCENT: usize = 10;
+
+const FIRST_LIMIT: f64 = 16.0;
+const LEAST_LIMIT: f64 = 2.0;
+const SHRINK: f64 = 0.95;
+const GAIN: f64 = 0.1;
+const FIRST_TIME: f64 = 0.01;
+
+/// Bounds of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateLimits {
+    /// The most requests that run at once.
+    pub running: usize,
+    /// The most requests of one urgency that wait.
+    pub waiting: usize,
+}
+
+/// A request at a gate.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its urgency.
+    pub urgency: Urgency,
+    /// The team whose share it uses.
+    pub team: Arc<str>,
+    /// When it must be answered.
+    pub deadline: Instant,
+}
+
+/// What the gate decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// It runs now.
+    Run,
+    /// It waits under this number.
+    Wait(WaiterId),
+    /// It is refused, and may come back after this time.
+    Refuse(Code, Duration),
+}
+
+/// A request that left the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Called {
+    /// It runs now.
+    Run(WaiterId),
+    /// It can no longer make its deadline.
+    Refuse(WaiterId, Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    id: WaiterId,
+    arrival: Arrival,
+}
+
+/// The gate before one index.
+#[derive(Debug)]
+pub struct Gate {
+    limits: GateLimits,
+    limit: f64,
+    running: HashMap<Arc<str>, usize>,
+    total: usize,
+    queues: [VecDeque<Waiter>; 3],
+    time: f64,
+    next: WaiterId,
+    picks: u32,
+}
+
+const fn class(urgency: Urgency) -> usize {
+    match urgency {
+        Urgency::Urgent => 0,
+        Urgency::Ordinary => 1,
+        Urgency::Bulk => 2,
+    }
+}
+
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+impl Gate {
+    /// Creates an open gate.
+    #[must_use]
+    pub fn new(limits: GateLimits) -> Self {
+        Self {
+            limits,
+            limit: FIRST_LIMIT.min(number(limits.running)),
+            running: HashMap::new(),
+            total: 0,
+            queues: Default::default(),
+            time: FIRST_TIME,
+            next: 0,
+            picks: 0,
+        }
+    }
+
+    /// Returns the adaptive limit.
+    #[must_use]
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.total
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+
+    /// Decides on a request that arrives at `now`.
+    pub fn arrive(&mut self, arrival: &Arrival, now: Instant) -> Entry {
+        if self.waiting() == 0 && self.has_room() {
+            self.enter(&arrival.team);
+            return Entry::Run;
+        }
+        if let Some(refusal) = self.refuses(arrival, now) {
+            return refusal;
+        }
+        let id = self.next;
+        self.next += 1;
+        let queue = &mut self.queues[class(arrival.urgency)];
+        let at = queue.partition_point(|w| w.arrival.deadline <= arrival.deadline);
+        queue.insert(
+            at,
+            Waiter {
+                id,
+                arrival: arrival.clone(),
+            },
+        );
+        Entry::Wait(id)
+    }
+
+    /// Takes the end of a request that ran for `took`, `waited` of whose
+    /// `shards` had to wait for room; returns who leaves the queue.
+    pub fn leave(
+        &mut self,
+        team: &Arc<str>,
+        took: Duration,
+        crowd: Crowd,
+        now: Instant,
+    ) -> Vec<Called> {
+        self.exit(team);
+        self.time += (took.as_secs_f64() - self.time) * GAIN;
+        if crowd.is_crowded() {
+            self.limit = (self.limit * SHRINK).max(LEAST_LIMIT);
+        } else if number(self.total) + 2.0 >= self.limit {
+            self.limit = (self.limit + 1.0 / self.limit).min(number(self.limits.running));
+        }
+        self.call(now)
+    }
+
+    /// Takes a waiter that went away by itself.
+    pub fn forget(&mut self, id: WaiterId) {
+        for queue in &mut self.queues {
+            queue.retain(|waiter| waiter.id != id);
+        }
+    }
+
+    /// Calls those who may run or can no longer make their deadline.
+    pub fn call(&mut self, now: Instant) -> Vec<Called> {
+        let mut called = self.expire(now);
+        while self.has_room() {
+            let Some(waiter) = self.pick() else { break };
+            self.enter(&waiter.arrival.team);
+            called.push(Called::Run(waiter.id));
+        }
+        called
+    }
+
+    fn has_room(&self) -> bool {
+        number(self.total) + 1.0 <= self.limit
+    }
+
+    fn enter(&mut self, team: &Arc<str>) {
+        *self.running.entry(Arc::clone(team)).or_default() += 1;
+        self.total += 1;
+    }
+
+    fn exit(&mut self, team: &Arc<str>) {
+        self.total = self.total.saturating_sub(1);
+        if let Some(count) = self.running.get_mut(team) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(team);
+            }
+        }
+    }
+
+    fn refuses(&self, arrival: &Arrival, now: Instant) -> Option<Entry> {
+        let queue = &self.queues[class(arrival.urgency)];
+        let wait = self.expected_wait(arrival.urgency);
+        if queue.len() >= self.limits.waiting {
+            return Some(Entry::Refuse(Code::QueueFull, wait));
+        }
+        let own = queue
+            .iter()
+            .filter(|w| w.arrival.team == arrival.team)
+            .count();
+        let shared = own < queue.len() || self.running.keys().any(|team| *team != arrival.team);
+        if shared && own * 2 >= self.limits.waiting {
+            return Some(Entry::Refuse(Code::TeamShare, wait));
+        }
+        let need = wait + Duration::from_secs_f64(self.time);
+        if now + need > arrival.deadline {
+            return Some(Entry::Refuse(Code::TooLate, wait));
+        }
+        None
+    }
+
+    /// Returns how long a new arrival would wait, by the queue ahead of it.
+    #[must_use]
+    pub fn expected_wait(&self, urgency: Urgency) -> Duration {
+        let own = class(urgency);
+        let ahead: usize = self.queues[..=own].iter().map(VecDeque::len).sum();
+        let turn = [1.0, 1.0, 2.0][own];
+        Duration::from_secs_f64((number(ahead) + 1.0) * turn * self.time / self.limit)
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<Called> {
+        let need = Duration::from_secs_f64(self.time / 2.0);
+        let wait = self.expected_wait(Urgency::Ordinary);
+        let mut called = Vec::new();
+        for queue in &mut self.queues {
+            while queue
+                .front()
+                .is_some_and(|w| now + need > w.arrival.deadline)
+            {
+                let late = queue.pop_front();
+                called.extend(late.map(|w| Called::Refuse(w.id, wait)));
+            }
+        }
+        called
+    }
+
+    fn pick(&mut self) -> Option<Waiter> {
+        self.picks = self.picks.wrapping_add(1);
+        let order: [usize; 3] = if self.picks.is_multiple_of(BULK_TURN) {
+            [2, 0, 1]
+        } else if self.picks.is_multiple_of(ORDINARY_TURN) {
+            [1, 0, 2]
+        } else {
+            [0, 1, 2]
+        };
+        order.into_iter().find_map(|class| self.pick_from(class))
+    }
+
+    /// Picks the waiter whose team runs least; the earliest deadline among its own.
+    fn pick_from(&mut self, class: usize) -> Option<Waiter> {
+        let running = |w: &Waiter| self.running.get(&w.arrival.team).copied().unwrap_or(0);
+        let queue = &self.queues[class];
+        let best = queue
+            .iter()
+            .enumerate()
+            .min_by_key(|(at, w)| (running(w), *at));
+        let at = best.map(|(at, _)| at)?;
+        self.queues[class].remove(at)
+    }
+}
+
+/// How many of a fan-out's shards had to wait for room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crowd {
+    /// Shards that waited.
+    pub waited: usize,
+    /// All shards.
+    pub shards: usize,
+}
+
+impl Crowd {
+    fn is_crowded(self) -> bool {
+        self.waited > 0 && self.waited * 100 >= self.shards * CROWDED_PERCENT
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/cell.rs
@@ -0,0 +1,112 @@
+//! Cells: the daemons that may dial the upstreams of an index.
+//!
+//! Members are picked by rendezvous hashing over the published hosts, with a
+//! bound on the cells a host belongs to. Where the hosts are few, a cell is
+//! everyone and nothing is forwarded.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ids::HostId;
+use super::resources::Index;
+use super::resources::ResourceSet;
+use super::view::Cells;
+use super::view::index_upstreams;
+
+/// The share of an upstream's connections that cells use, in percent; the rest
+/// is room for the old and the new cell while views differ.
+const USED_PERCENT: usize = 90;
+
+/// How large cells may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellSize {
+    /// The most members of a cell.
+    pub most: usize,
+    /// The connections that a member wants at each upstream.
+    pub wanted: usize,
+}
+
+impl Default for CellSize {
+    fn default() -> Self {
+        Self {
+            most: 24,
+            wanted: 1,
+        }
+    }
+}
+
+/// Returns the weight of a host for an index; the highest weights are members.
+#[must_use]
+pub fn weight(index: &str, host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(index.as_bytes(), 0))
+}
+
+/// Assigns a cell to each index of a set.
+#[must_use]
+pub fn assign(set: &ResourceSet, hosts: &[HostId], size: CellSize) -> Cells {
+    let sizes = set
+        .indexes
+        .iter()
+        .map(|(name, index)| (Arc::clone(name), index_size(set, index, size)));
+    assign_sizes(&sizes.collect(), hosts)
+}
+
+/// Assigns cells of the given sizes, so that no host is in many more than its part.
+///
+/// The bound is the rounded-up mean; only an index that cannot fill its cell
+/// within the bound goes past it.
+#[must_use]
+pub fn assign_sizes(sizes: &BTreeMap<Arc<str>, usize>, hosts: &[HostId]) -> Cells {
+    let places: usize = sizes.values().map(|size| (*size).min(hosts.len())).sum();
+    let bound = places.div_ceil(hosts.len().max(1)).max(1);
+    let mut held: HashMap<&HostId, usize> = HashMap::new();
+    let mut cells = Cells::new();
+    for (name, size) in sizes {
+        let cell = pick(name, *size, bound, hosts, &held);
+        for host in &cell {
+            *held.entry(host).or_default() += 1;
+        }
+        cells.insert(Arc::clone(name), cell.into_iter().cloned().collect());
+    }
+    cells
+}
+
+fn pick<'a>(
+    index: &str,
+    size: usize,
+    bound: usize,
+    hosts: &'a [HostId],
+    held: &HashMap<&HostId, usize>,
+) -> Vec<&'a HostId> {
+    let full = |host: &HostId| held.get(host).is_some_and(|count| *count >= bound);
+    let mut ranked: Vec<_> = hosts
+        .iter()
+        .map(|host| (full(host), u64::MAX - weight(index, host), host))
+        .collect();
+    ranked.sort_unstable();
+    ranked.truncate(size);
+    ranked.into_iter().map(|(_, _, host)| host).collect()
+}
+
+fn index_size(set: &ResourceSet, index: &Index, size: CellSize) -> usize {
+    let limits = index_upstreams(set, index)
+        .into_iter()
+        .filter_map(|name| set.upstreams.get(name));
+    let least = limits
+        .map(|u| usize::try_from(u.connections).unwrap_or(usize::MAX))
+        .min();
+    let fits = least.unwrap_or(usize::MAX) / 100 * USED_PERCENT
+        + least.unwrap_or(0) % 100 * USED_PERCENT / 100;
+    (fits / size.wanted.max(1)).clamp(1, size.most.max(1))
+}
+
+/// Returns the connections that each of `sharers` members may open to an upstream.
+#[must_use]
+pub fn connection_share(connections: u32, sharers: u32) -> u32 {
+    let used = u64::from(connections) * USED_PERCENT as u64 / 100;
+    let share = used / u64::from(sharers.max(1));
+    u32::try_from(share).unwrap_or(u32::MAX).max(1)
+}
--- /dev/null
+++ b/crates/harefield/src/domain/event.rs
@@ -0,0 +1,231 @@
+//! The events that make every decision visible.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::code::Code;
+use super::hlc::Stamp;
+use super::ids::AttemptId;
+use super::ids::HostId;
+use super::ids::Incarnation;
+use super::ids::RequestId;
+use super::ids::Revision;
+use super::ids::ShardId;
+use super::ids::UpstreamId;
+use super::ids::Version;
+use super::outcome::Gap;
+use super::outcome::Outcome;
+use super::resources::Urgency;
+
+/// Why an attempt was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// It is the shard's first.
+    First,
+    /// An earlier one failed.
+    Retry,
+    /// An earlier one is slow.
+    Hedge,
+}
+
+/// Why a reply was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Drop {
+    /// The shard had contributed already.
+    Duplicate,
+    /// The answer had been cut already.
+    Late,
+}
+
+/// One replica's score at a choice; the lowest wins.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Score {
+    /// The replica.
+    pub upstream: UpstreamId,
+    /// Its expected time in milliseconds; none where it may not be asked.
+    pub cost: Option<f64>,
+    /// Why it may not be asked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub barred: Option<Gap>,
+}
+
+/// One decision, with what it was taken on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+#[expect(
+    missing_docs,
+    reason = "the variants' fields are explained by their types"
+)]
+pub enum Event {
+    /// A request was let in.
+    Admitted {
+        lookup: String,
+        urgency: Urgency,
+        waited: u64,
+    },
+    /// A request was refused before it ran.
+    Refused {
+        lookup: String,
+        code: Code,
+        retry_after: Option<u64>,
+    },
+    /// The snapshot of the answer was chosen.
+    SnapshotChosen {
+        index: String,
+        version: Version,
+        shards: usize,
+    },
+    /// A replica was chosen among others.
+    ReplicaChosen {
+        shard: ShardId,
+        upstream: UpstreamId,
+        scores: Vec<Score>,
+    },
+    /// A shard waits, since no replica may be asked now.
+    Waiting { shard: ShardId, why: Gap },
+    /// A request to an upstream left.
+    Sent {
+        shard: ShardId,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        cause: Cause,
+    },
+    /// A hedge was due but the budget of extra load is used up.
+    HedgeDenied { shard: ShardId },
+    /// A reply was taken into the answer.
+    ReplyTaken {
+        shard: ShardId,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        micros: u64,
+    },
+    /// A reply was not taken into the answer.
+    ReplyDropped {
+        shard: ShardId,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        why: Drop,
+    },
+    /// An attempt failed.
+    AttemptFailed {
+        shard: ShardId,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        why: Gap,
+        ran: bool,
+    },
+    /// An attempt was given up; the upstream is told where it can be.
+    Cancelled {
+        shard: ShardId,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+    },
+    /// A shard was given up.
+    ShardMissing { shard: ShardId, why: Gap, ran: bool },
+    /// The answer was cut while replies were awaited.
+    AnswerCut { contributed: usize, awaited: usize },
+    /// The fan-out is tried again at another snapshot.
+    SnapshotAbandoned { version: Version, missing: usize },
+    /// The caller was answered.
+    Answered {
+        outcome: Outcome,
+        code: Code,
+        contributed: usize,
+        missing: usize,
+        micros: u64,
+    },
+    /// The request was handed to a member of the cell.
+    Forwarded { to: HostId },
+    /// A member answered, or did not.
+    ForwardEnded {
+        to: HostId,
+        outcome: Outcome,
+        code: Code,
+    },
+    /// A request came from another daemon.
+    ForwardTaken { from: HostId },
+    /// A ticket was issued.
+    TicketIssued { ticket: String },
+    /// A ticket was submitted again and its first outcome given.
+    TicketReplayed { ticket: String },
+    /// The caller went away before its answer.
+    CallerGone { lookup: String },
+    /// A revision came into force.
+    ConfigAccepted { revision: Revision, from: String },
+    /// A revision was refused.
+    ConfigRefused {
+        revision: Revision,
+        faults: usize,
+        first: String,
+    },
+    /// A newer list of hosts is in use.
+    HostsListed { revision: Revision, leaving: usize },
+    /// An upstream's word changed.
+    UpstreamWord {
+        upstream: UpstreamId,
+        draining: bool,
+        held: Vec<Version>,
+    },
+    /// Another daemon is seen in another state.
+    PeerSeen { host: HostId, state: String },
+    /// The process was paused for this many milliseconds.
+    Paused { millis: u64 },
+    /// What was known before a pause is confirmed.
+    Confirmed { millis: u64 },
+    /// A limit on an upstream changed.
+    LimitChanged { upstream: UpstreamId, window: f64 },
+    /// The daemon began to serve.
+    Started { version: String },
+    /// A planned stop began.
+    StopBegun { running: usize },
+    /// A planned stop ended.
+    StopEnded { cut: usize },
+    /// Events were dropped since the ring was full.
+    RingOverflow { dropped: u64 },
+}
+
+impl Event {
+    /// Returns whether the event is a detail that sampling may leave out.
+    #[must_use]
+    pub fn is_detail(&self) -> bool {
+        matches!(
+            self,
+            Self::ReplicaChosen { .. }
+                | Self::Sent {
+                    cause: Cause::First,
+                    ..
+                }
+                | Self::ReplyTaken { .. }
+        )
+    }
+}
+
+/// An event with where and when it happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The daemon.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// When, in hybrid logical time.
+    pub stamp: Stamp,
+    /// The request it concerns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<RequestId>,
+    /// What happened.
+    pub event: Event,
+}
+
+/// Takes the events of one request or duty.
+pub trait Sink {
+    /// Takes one event; never blocks.
+    fn emit(&mut self, event: Event);
+}
+
+impl Sink for Vec<Event> {
+    fn emit(&mut self, event: Event) {
+        self.push(event);
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -0,0 +1,20 @@
+//! The fan-out of one request: which shard is asked where and when, which
+//! replies count, and when the answer is given.
+//!
+//! A state machine without I/O. It is told what happened and when, and says
+//! what to do next.
+
+mod cut;
+mod machine;
+mod shard;
+mod verify;
+
+pub use cut::Rules;
+pub use machine::Fanout;
+pub use machine::Finished;
+pub use shard::Action;
+pub use shard::AttemptEnd;
+pub use shard::Cancel;
+pub use shard::Send;
+pub use verify::Echo;
+pub use verify::verify;
--- /dev/null
+++ b/crates/harefield/src/domain/ids.rs
@@ -0,0 +1,30 @@
+//! Type aliases for the identifiers that cross module borders.
+
+use std::sync::Arc;
+
+/// Names one daemon: its peers' address, as `IP:PORT`.
+pub type HostId = Arc<str>;
+
+/// Tells two lives of one daemon apart: start time and random bits.
+pub type Incarnation = u64;
+
+/// Orders the changes of one platform space.
+pub type Revision = u64;
+
+/// Numbers a snapshot of an index.
+pub type Version = u64;
+
+/// Names a shard across services, as `SERVICE/SHARD`.
+pub type ShardId = Arc<str>;
+
+/// Names an upstream resource.
+pub type UpstreamId = Arc<str>;
+
+/// Names one request of a caller across processes.
+pub type RequestId = Arc<str>;
+
+/// Numbers the attempts that one request makes on upstreams.
+pub type AttemptId = u32;
+
+/// Names a resource within its space, such as `services/north`.
+pub type Key = Arc<str>;
--- /dev/null
+++ b/crates/harefield/src/domain/mod.rs
@@ -0,0 +1,22 @@
+//! The decisions of the query tier: pure functions and small state machines.
+//!
+//! Nothing here does I/O, reads a clock or draws randomness of its own: time
+//! and random numbers are handed in, so that every decision can be replayed.
+
+pub mod admission;
+pub mod cell;
+pub mod code;
+pub mod event;
+pub mod fanout;
+pub mod feed;
+pub mod hlc;
+pub mod ids;
+pub mod lease;
+pub mod membership;
+pub mod once;
+pub mod outcome;
+pub mod resources;
+pub mod routing;
+pub mod snapshot;
+pub mod view;
+pub mod word;
--- /dev/null
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -0,0 +1,18 @@
+//! The resources that the platform publishes, their schema and their checks.
+//!
+//! `docs/RESOURCES.md` writes down the same schema for operators.
+
+mod check;
+mod kinds;
+mod set;
+
+pub use check::Fault;
+pub use check::MAX_VALUE_BYTES;
+pub use kinds::Index;
+pub use kinds::Lookup;
+pub use kinds::Preference;
+pub use kinds::Service;
+pub use kinds::Snapshot;
+pub use kinds::Upstream;
+pub use kinds::Urgency;
+pub use set::ResourceSet;
--- /dev/null
+++ b/crates/harefield/src/domain/routing/pace.rs
@@ -0,0 +1,53 @@
+//! How long shard requests take: a moving mean and a moving quantile.
+
+use std::time::Duration;
+
+/// The quantile after which a reply counts as slow.
+const SLOW: f64 = 0.95;
+
+/// How far one sample moves the quantile, as a share of it.
+const STEP: f64 = 0.02;
+
+/// How far one sample moves the mean.
+const GAIN: f64 = 0.02;
+
+/// The pace before the first sample.
+const FIRST: Duration = Duration::from_millis(10);
+
+/// The observed pace of one index's shard requests.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    mean: f64,
+    slow: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            mean: FIRST.as_secs_f64(),
+            slow: FIRST.as_secs_f64(),
+        }
+    }
+}
+
+impl Pace {
+    /// Takes one reply's time.
+    pub fn sample(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        self.mean += (took - self.mean) * GAIN;
+        let weight = if took > self.slow { SLOW } else { SLOW - 1.0 };
+        self.slow *= 1.0 + STEP * weight;
+    }
+
+    /// Returns the moving mean.
+    #[must_use]
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean.max(0.0))
+    }
+
+    /// Returns the time after which a reply counts as slow.
+    #[must_use]
+    pub fn slow(&self) -> Duration {
+        Duration::from_secs_f64(self.slow.clamp(0.0, 60.0))
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -0,0 +1,259 @@
+//! The router of one worker: every upstream's state and the choice among them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::budget::Budget;
+use super::pace::Pace;
+use super::policy::Policy;
+use super::searcher::Bar;
+use super::searcher::Report;
+use super::searcher::Searcher;
+use super::searcher::Until;
+use super::searcher::Verdict;
+use crate::domain::event::Score;
+use crate::domain::ids::UpstreamId;
+use crate::domain::ids::Version;
+use crate::domain::lease::Lease;
+use crate::domain::outcome::Gap;
+use crate::domain::view::View;
+use crate::domain::word::NamedWord;
+use crate::domain::word::Word;
+
+/// A replica chosen, with every candidate's score.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The replica.
+    pub upstream: UpstreamId,
+    /// All candidates' scores.
+    pub scores: Vec<Score>,
+}
+
+/// What is asked for when a replica is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The replicas configured for the shard.
+    pub replicas: &'a [UpstreamId],
+    /// Those already tried, in vain or still under way.
+    pub tried: &'a [UpstreamId],
+    /// The snapshot's version.
+    pub version: Version,
+    /// The index, for its pace.
+    pub index: &'a Arc<str>,
+}
+
+/// Routes the requests of one worker.
+#[derive(Debug)]
+pub struct Router {
+    searchers: HashMap<UpstreamId, Searcher>,
+    paces: HashMap<Arc<str>, Pace>,
+    policy: Policy,
+    budget: Budget,
+    lease: Lease,
+    seed: u64,
+}
+
+impl Router {
+    /// Creates a router without upstreams.
+    #[must_use]
+    pub fn new(policy: Policy, budget: Budget, seed: u64, now: Instant) -> Self {
+        Self {
+            searchers: HashMap::new(),
+            paces: HashMap::new(),
+            policy,
+            budget,
+            lease: Lease::new(now),
+            seed,
+        }
+    }
+
+    /// Takes a new view: upstreams come and go, their state otherwise stays.
+    pub fn apply(&mut self, view: &View) {
+        let set = &view.set;
+        self.searchers
+            .retain(|name, s| set.upstreams.contains_key(name) || s.under_way() > 0);
+        for (name, spec) in &set.upstreams {
+            let sharers = view.sharers.get(name).copied().unwrap_or(1);
+            let searcher = self
+                .searchers
+                .entry(Arc::clone(name))
+                .and_modify(|s| s.update(spec, sharers))
+                .or_insert_with(|| Searcher::new(spec.clone(), sharers));
+            searcher.list(view.leaving.contains(&spec.address));
+        }
+        for (name, searcher) in &mut self.searchers {
+            if !set.upstreams.contains_key(name) {
+                searcher.list(true);
+            }
+        }
+        self.paces
+            .retain(|index, _| set.indexes.contains_key(index));
+    }
+
+    /// Returns the state of an upstream.
+    #[must_use]
+    pub fn searcher(&self, name: &UpstreamId) -> Option<&Searcher> {
+        self.searchers.get(name)
+    }
+
+    /// Returns every upstream with its state.
+    pub fn searchers(&self) -> impl Iterator<Item = (&UpstreamId, &Searcher)> {
+        self.searchers.iter()
+    }
+
+    /// Returns the lease on what the router knows.
+    #[must_use]
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Returns the lease, to renew or confirm it.
+    pub fn lease_mut(&mut self) -> &mut Lease {
+        &mut self.lease
+    }
+
+    /// Returns the pace of an index.
+    #[must_use]
+    pub fn pace(&self, index: &Arc<str>) -> Pace {
+        self.paces.get(index).cloned().unwrap_or_default()
+    }
+
+    /// Returns whether an upstream may serve a version, load aside.
+    #[must_use]
+    pub fn usable(&self, name: &UpstreamId, version: Version) -> bool {
+        self.searchers
+            .get(name)
+            .is_some_and(|s| s.may_serve(version).is_ok())
+    }
+
+    /// Chooses the replica to ask.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none may be asked now; the reason that passes first.
+    pub fn choose(&mut self, ask: &Ask<'_>, now: Instant) -> Result<Choice, Bar> {
+        if !self.lease.held(now) {
+            return Err(Bar {
+                gap: Gap::Unconfirmed,
+                until: Until::Soon,
+            });
+        }
+        let typical = self.pace(ask.index).mean().as_secs_f64();
+        let mut scores = Vec::with_capacity(ask.replicas.len());
+        let mut best: Option<(f64, UpstreamId)> = None;
+        let mut bar = Bar {
+            gap: Gap::NoReplica,
+            until: Until::Never,
+        };
+        for name in ask.replicas.iter().filter(|name| !ask.tried.contains(name)) {
+            let found = self.score(name, ask.version, typical, now);
+            scores.push(Score {
+                upstream: Arc::clone(name),
+                cost: found.ok().map(|cost| cost * 1000.0),
+                barred: found.err().map(|bar| bar.gap),
+            });
+            match found {
+                Ok(cost) if best.as_ref().is_none_or(|(least, _)| cost < *least) => {
+                    best = Some((cost, Arc::clone(name)));
+                }
+                Ok(_) => {}
+                Err(other) => bar = softer(bar, other),
+            }
+        }
+        match best {
+            Some((_, upstream)) => Ok(Choice { upstream, scores }),
+            None => Err(bar),
+        }
+    }
+
+    fn score(
+        &mut self,
+        name: &UpstreamId,
+        version: Version,
+        typical: f64,
+        now: Instant,
+    ) -> Result<f64, Bar> {
+        let draw = self.draw();
+        let unknown = Bar {
+            gap: Gap::NoReplica,
+            until: Until::Never,
+        };
+        let searcher = self.searchers.get(name).ok_or(unknown)?;
+        searcher.admits(version, now)?;
+        Ok(self.policy.cost(searcher, typical, draw, now))
+    }
+
+    /// Draws a number in 0..1 from the router's own seeded sequence.
+    fn draw(&mut self) -> f64 {
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        let high = u32::try_from(self.seed >> 32).unwrap_or(0);
+        f64::from(high) / f64::from(u32::MAX)
+    }
+
+    /// Notes a request that leaves for an upstream.
+    pub fn begin(&mut self, name: &UpstreamId, now: Instant) {
+        if let Some(searcher) = self.searchers.get_mut(name) {
+            searcher.begin(now);
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn end(
+        &mut self,
+        name: &UpstreamId,
+        start: Instant,
+        verdict: Verdict,
+        report: &Report,
+        now: Instant,
+    ) {
+        if let Some(searcher) = self.searchers.get_mut(name) {
+            searcher.end(start, verdict, report, now);
+        }
+    }
+
+    /// Takes a good reply's time into the index's pace.
+    pub fn sample(&mut self, index: &Arc<str>, took: Duration) {
+        self.paces
+            .entry(Arc::clone(index))
+            .or_default()
+            .sample(took);
+    }
+
+    /// Takes an upstream's word; returns whether it was news.
+    pub fn hear(&mut self, name: &UpstreamId, word: &Word) -> bool {
+        self.searchers.get_mut(name).is_some_and(|s| s.hear(word))
+    }
+
+    /// Takes words that peers passed on.
+    pub fn hear_all(&mut self, words: &[NamedWord]) {
+        for named in words {
+            self.hear(&named.upstream, &named.word);
+        }
+    }
+
+    /// Takes how many idle connections an upstream has.
+    pub fn set_idle(&mut self, name: &UpstreamId, idle: usize) {
+        if let Some(searcher) = self.searchers.get_mut(name) {
+            searcher.set_idle(idle);
+        }
+    }
+
+    /// Returns the budget of extra load.
+    pub fn budget(&mut self) -> &mut Budget {
+        &mut self.budget
+    }
+}
+
+/// Returns the bar that passes first; a known reason goes before no replica.
+fn softer(held: Bar, found: Bar) -> Bar {
+    if found.until < held.until || held.gap == Gap::NoReplica {
+        found
+    } else {
+        held
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -0,0 +1,339 @@
+//! What one worker knows of one upstream.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::window::Window;
+use crate::domain::cell::connection_share;
+use crate::domain::ids::Version;
+use crate::domain::outcome::Gap;
+use crate::domain::resources::Upstream;
+use crate::domain::word::Word;
+
+/// The first pause after a failure; it doubles with each further one.
+const BACKOFF: Duration = Duration::from_millis(100);
+
+/// The longest pause after failures.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+
+/// The longest that a refusal's word on when to come back is kept.
+const LONGEST_SHED: Duration = Duration::from_secs(30);
+
+/// How fast the observed time follows a slower and a faster reply.
+const RISE: f64 = 0.3;
+const FALL: f64 = 0.1;
+
+/// After this long without a reply, half of what was observed is forgotten.
+const HALF_LIFE: f64 = 2.0;
+
+/// How long a load report counts.
+const REPORT_LIFE: Duration = Duration::from_millis(200);
+
+/// What an upstream reports of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests it runs.
+    pub active: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+}
+
+/// What one attempt showed of an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The load that the reply carried.
+    pub load: Option<Load>,
+    /// The upstream's word that the reply carried.
+    pub word: Option<Word>,
+}
+
+/// When an upstream that may not be asked now may be asked again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Until {
+    /// When a request under way ends.
+    Soon,
+    /// At this time.
+    At(Instant),
+    /// Not while the facts stay as they are.
+    Never,
+}
+
+/// Why an upstream may not be asked, and until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bar {
+    /// The reason, as the gap it would leave.
+    pub gap: Gap,
+    /// Until when it holds.
+    pub until: Until,
+}
+
+/// How one attempt ended, as far as routing is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It was answered.
+    Good,
+    /// It was refused since the upstream is full, until then if it said.
+    Full(Option<Duration>),
+    /// It was refused for a reason that says nothing of the upstream's load.
+    Declined,
+    /// It was given up; the time so far is the least that it would have taken.
+    Abandoned,
+    /// No connection could be had, or it was lost.
+    Broken,
+}
+
+/// One upstream, as one worker sees it.
+#[derive(Clone, Debug)]
+pub struct Searcher {
+    spec: Upstream,
+    share: u32,
+    window: Window,
+    starts: Vec<Instant>,
+    observed: Option<(f64, Instant)>,
+    load: Option<(Load, Instant)>,
+    word: Word,
+    listed: bool,
+    shed: Option<Instant>,
+    failures: u32,
+    retry: Option<Instant>,
+    idle: usize,
+}
+
+impl Searcher {
+    /// Creates the state of an upstream that nothing is known of yet.
+    #[must_use]
+    pub fn new(spec: Upstream, sharers: u32) -> Self {
+        let share = connection_share(spec.connections, sharers);
+        let window = Window::new(spec.slots, sharers, share);
+        Self {
+            spec,
+            share,
+            window,
+            starts: Vec::new(),
+            observed: None,
+            load: None,
+            word: Word::default(),
+            listed: false,
+            shed: None,
+            failures: 0,
+            retry: None,
+            idle: 0,
+        }
+    }
+
+    /// Takes a new specification or number of sharers; a new address starts afresh.
+    pub fn update(&mut self, spec: &Upstream, sharers: u32) {
+        if spec.address != self.spec.address {
+            *self = Self::new(spec.clone(), sharers);
+            return;
+        }
+        self.spec = spec.clone();
+        self.share = connection_share(spec.connections, sharers);
+        self.window.resize(self.share);
+    }
+
+    /// Returns the specification.
+    #[must_use]
+    pub fn spec(&self) -> &Upstream {
+        &self.spec
+    }
+
+    /// Returns how many connections this member may have open.
+    #[must_use]
+    pub fn share(&self) -> u32 {
+        self.share
+    }
+
+    /// Returns the upstream's own word.
+    #[must_use]
+    pub fn word(&self) -> &Word {
+        &self.word
+    }
+
+    /// Returns how many requests are under way.
+    #[must_use]
+    pub fn under_way(&self) -> usize {
+        self.starts.len()
+    }
+
+    /// Returns the adaptive limit.
+    #[must_use]
+    pub fn window(&self) -> &Window {
+        &self.window
+    }
+
+    /// Takes whether the platform lists the host as leaving.
+    pub fn list(&mut self, leaving: bool) {
+        self.listed = leaving;
+    }
+
+    /// Takes the upstream's word, heard directly or through a peer.
+    pub fn hear(&mut self, word: &Word) -> bool {
+        self.word.join(word)
+    }
+
+    /// Takes how many idle connections are open.
+    pub fn set_idle(&mut self, idle: usize) {
+        self.idle = idle;
+    }
+
+    /// Returns whether the upstream takes no new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.listed || self.word.draining
+    }
+
+    /// Says whether a request may be sent for `version`, or why not.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason, and until when it holds.
+    pub fn admits(&self, version: Version, now: Instant) -> Result<(), Bar> {
+        self.may_serve(version).map_err(|gap| Bar {
+            gap,
+            until: Until::Never,
+        })?;
+        if let Some(at) = self.retry.filter(|at| now < *at) {
+            return Err(Bar {
+                gap: Gap::Unreachable,
+                until: Until::At(at),
+            });
+        }
+        if let Some(at) = self.shed.filter(|at| now < *at) {
+            return Err(Bar {
+                gap: Gap::Overloaded,
+                until: Until::At(at),
+            });
+        }
+        if !self.window.has_room(self.under_way()) {
+            return Err(Bar {
+                gap: Gap::Overloaded,
+                until: Until::Soon,
+            });
+        }
+        Ok(())
+    }
+
+    /// Says whether the upstream could serve `version` at all, load aside.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason as the gap it would leave.
+    pub fn may_serve(&self, version: Version) -> Result<(), Gap> {
+        if self.is_leaving() {
+            return Err(Gap::Leaving);
+        }
+        if !self.word.may_hold(version) {
+            return Err(Gap::SnapshotMissing);
+        }
+        Ok(())
+    }
+
+    /// Notes that a request leaves at `now`.
+    pub fn begin(&mut self, now: Instant) {
+        self.starts.push(now);
+    }
+
+    /// Notes how the request that left at `start` ended.
+    pub fn end(&mut self, start: Instant, verdict: Verdict, report: &Report, now: Instant) {
+        let under_way = self.under_way();
+        if let Some(at) = self.starts.iter().position(|s| *s == start) {
+            self.starts.swap_remove(at);
+        }
+        if let Some(load) = report.load {
+            self.load = Some((load, now));
+        }
+        match verdict {
+            Verdict::Good => self.good(start, under_way, now),
+            Verdict::Full(wait) => self.full(wait, now),
+            Verdict::Declined => {}
+            Verdict::Abandoned => self.abandoned(start, now),
+            Verdict::Broken => self.broken(now),
+        }
+    }
+
+    fn good(&mut self, start: Instant, under_way: usize, now: Instant) {
+        self.failures = 0;
+        self.retry = None;
+        let took = now.saturating_duration_since(start).as_secs_f64();
+        let next = match self.observed {
+            None => took,
+            Some((old, _)) if took > old => old + (took - old) * RISE,
+            Some((old, _)) => old + (took - old) * FALL,
+        };
+        self.observed = Some((next, now));
+        let queued = self.load.map_or(0, |(load, _)| load.queued);
+        if queued <= self.spec.slots {
+            self.window.grow(under_way);
+        }
+    }
+
+    fn abandoned(&mut self, start: Instant, now: Instant) {
+        let took = now.saturating_duration_since(start).as_secs_f64();
+        match self.observed {
+            Some((old, _)) if took <= old => {}
+            Some((old, _)) => self.observed = Some((old + (took - old) * RISE, now)),
+            None => self.observed = Some((took, now)),
+        }
+    }
+
+    fn full(&mut self, wait: Option<Duration>, now: Instant) {
+        self.window.shrink();
+        if let Some(wait) = wait {
+            self.shed = Some(now + wait.min(LONGEST_SHED));
+        }
+    }
+
+    fn broken(&mut self, now: Instant) {
+        let doubled = BACKOFF.saturating_mul(1 << self.failures.min(10));
+        self.retry = Some(now + doubled.min(LONGEST_BACKOFF));
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Returns the expected time of one more request, in seconds; `typical`
+    /// stands in for what was not observed or is long past.
+    #[must_use]
+    pub fn expected(&self, typical: f64, now: Instant) -> f64 {
+        let base = self.observed_time(typical, now).max(self.oldest_age(now));
+        let ahead = f64::from(u32::try_from(self.under_way()).unwrap_or(u32::MAX));
+        let wait = base * ahead / f64::from(self.spec.slots.max(1));
+        base * self.reported_factor(now) + wait + self.connect_time()
+    }
+
+    /// Returns the observed time of a request, in seconds, moving towards
+    /// `typical` while nothing is heard.
+    #[must_use]
+    pub fn observed_time(&self, typical: f64, now: Instant) -> f64 {
+        let Some((observed, at)) = self.observed else {
+            return typical;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        typical + (observed - typical) * 0.5_f64.powf(age / HALF_LIFE)
+    }
+
+    fn oldest_age(&self, now: Instant) -> f64 {
+        let oldest = self.starts.iter().min();
+        oldest.map_or(0.0, |start| {
+            now.saturating_duration_since(*start).as_secs_f64()
+        })
+    }
+
+    /// A report can at most double what own requests showed: it may lag or lie.
+    fn reported_factor(&self, now: Instant) -> f64 {
+        match self.load {
+            Some((load, at)) if now.saturating_duration_since(at) <= REPORT_LIFE => {
+                let per_slot = f64::from(load.queued) / f64::from(self.spec.slots.max(1));
+                1.0 + per_slot.min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    fn connect_time(&self) -> f64 {
+        if self.idle > 0 {
+            0.0
+        } else {
+            f64::from(self.spec.connect_ms) / 1000.0
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/engine/attempt.rs
@@ -0,0 +1,280 @@
+//! Attempts on upstreams: each runs as a task of its own, so that its end is
+//! learnt from even after the request it was for has been answered.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use futures_lite::FutureExt;
+
+use super::worker::Worker;
+use crate::domain::admission::Crowd;
+use crate::domain::event::Cause;
+use crate::domain::event::Drop;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::fanout::Action;
+use crate::domain::fanout::AttemptEnd;
+use crate::domain::fanout::Echo;
+use crate::domain::fanout::Fanout;
+use crate::domain::fanout::Finished;
+use crate::domain::fanout::Rules;
+use crate::domain::fanout::Send;
+use crate::domain::ids::AttemptId;
+use crate::domain::ids::RequestId;
+use crate::domain::ids::ShardId;
+use crate::domain::outcome::Gap;
+use crate::domain::routing::Report;
+use crate::domain::routing::Verdict;
+use crate::domain::view::Plan;
+use crate::domain::word::NamedWord;
+use crate::ports::Call;
+use crate::ports::CallEnd;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+use crate::telemetry::Batch;
+use crate::telemetry::Trace;
+
+use super::message::ToControl;
+
+/// The end of an attempt, on its way to the fan-out.
+struct Landed {
+    shard: usize,
+    attempt: AttemptId,
+    end: AttemptEnd,
+}
+
+/// What all attempts of a request share.
+#[derive(Clone)]
+pub(super) struct Job {
+    pub request: RequestId,
+    pub query: Arc<[u8]>,
+    pub deadline: Instant,
+    pub once: bool,
+}
+
+/// One attempt, as its task carries it.
+struct Attempt {
+    job: Job,
+    plan: Arc<Plan>,
+    send: Send,
+}
+
+impl Attempt {
+    fn shard(&self) -> ShardId {
+        Arc::clone(&self.plan.shards[self.send.shard].shard)
+    }
+
+    fn echo(&self) -> Echo {
+        Echo {
+            request: format!("{}.{}", self.job.request, self.send.attempt),
+            shard: self.shard().to_string(),
+            version: self.plan.version,
+        }
+    }
+}
+
+/// The result of one fan-out.
+pub(super) struct FanoutEnd {
+    pub finished: Finished,
+    pub next: AttemptId,
+    pub crowd: Crowd,
+}
+
+impl<U, P, C> Worker<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Runs one fan-out to its end.
+    pub(super) async fn fan_out(
+        self: &Rc<Self>,
+        job: &Job,
+        plan: &Arc<Plan>,
+        rules: Rules,
+        first: AttemptId,
+        trace: &mut Trace<C>,
+    ) -> FanoutEnd {
+        let ring = plan.shards.len().max(1) * 4;
+        let (sender, landed) = async_channel::bounded(ring);
+        let mut fanout = Fanout::new(Arc::clone(plan), rules, first);
+        let now = self.ports.clock.now();
+        let actions = fanout.start(now, &mut self.router.borrow_mut(), trace);
+        self.act(job, plan, actions, &sender);
+        while !fanout.is_done() {
+            let wake = fanout.next_wake();
+            let next = self.next_landing(&landed, wake).await;
+            let mut actions = Vec::new();
+            let mut ready = next;
+            while let Some(end) = ready {
+                let now = self.ports.clock.now();
+                let mut router = self.router.borrow_mut();
+                actions.extend(fanout.on_end(
+                    (end.shard, end.attempt),
+                    end.end,
+                    now,
+                    &mut router,
+                    trace,
+                ));
+                ready = landed.try_recv().ok();
+            }
+            let now = self.ports.clock.now();
+            actions.extend(fanout.on_time(now, &mut self.router.borrow_mut(), trace));
+            self.act(job, plan, actions, &sender);
+        }
+        let (next, crowd) = (fanout.next_attempt(), fanout.crowd());
+        FanoutEnd {
+            finished: fanout.finish(),
+            next,
+            crowd,
+        }
+    }
+
+    async fn next_landing(&self, landed: &Receiver<Landed>, wake: Instant) -> Option<Landed> {
+        let timed = async {
+            self.ports.clock.sleep_until(wake).await;
+            None
+        };
+        async { landed.recv().await.ok() }.or(timed).await
+    }
+
+    fn act(
+        self: &Rc<Self>,
+        job: &Job,
+        plan: &Arc<Plan>,
+        actions: Vec<Action>,
+        sender: &Sender<Landed>,
+    ) {
+        for action in actions {
+            match action {
+                Action::Send(send) => {
+                    let attempt = Attempt {
+                        job: job.clone(),
+                        plan: Arc::clone(plan),
+                        send,
+                    };
+                    self.launch(attempt, sender.clone());
+                }
+                Action::Cancel(cancel) => {
+                    let name = format!("{}.{}", job.request, cancel.attempt);
+                    self.ports.upstreams.cancel(&cancel.upstream, &name);
+                }
+            }
+        }
+    }
+
+    fn launch(self: &Rc<Self>, attempt: Attempt, sender: Sender<Landed>) {
+        self.count(|counts| match attempt.send.cause {
+            Cause::First => counts.first += 1,
+            Cause::Retry | Cause::Hedge => counts.extra += 1,
+        });
+        let this = Rc::clone(self);
+        let task = async move {
+            let end = this.ask(&attempt).await;
+            this.learn(&attempt, &end);
+            let landed = Landed {
+                shard: attempt.send.shard,
+                attempt: attempt.send.attempt,
+                end: end.end,
+            };
+            if sender.try_send(landed).is_err() {
+                this.drop_late(&attempt);
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    async fn ask(&self, attempt: &Attempt) -> CallEnd {
+        let upstream = Arc::clone(&attempt.send.upstream);
+        let now = self.ports.clock.now();
+        let found = self
+            .router
+            .borrow()
+            .searcher(&upstream)
+            .map(|s| (s.spec().address, s.share()));
+        let Some((address, share)) = found else {
+            return CallEnd {
+                end: AttemptEnd::NotSent {
+                    why: Gap::NoReplica,
+                },
+                verdict: Verdict::Declined,
+                report: Report::default(),
+            };
+        };
+        let call = Call {
+            upstream,
+            address,
+            share,
+            echo: attempt.echo(),
+            remaining: attempt.job.deadline.saturating_duration_since(now),
+            drain: self.settings.drain,
+            once: attempt.job.once,
+            query: Arc::clone(&attempt.job.query),
+        };
+        let permit = || {
+            let now = self.ports.clock.now();
+            now < attempt.job.deadline && self.router.borrow().lease().held(now)
+        };
+        self.ports.upstreams.ask(call, permit).await
+    }
+
+    /// Takes what an attempt showed into the routing, and tells other daemons
+    /// of a changed word.
+    fn learn(&self, attempt: &Attempt, end: &CallEnd) {
+        let now = self.ports.clock.now();
+        let Send {
+            upstream, start, ..
+        } = &attempt.send;
+        let mut router = self.router.borrow_mut();
+        router.end(upstream, *start, end.verdict, &end.report, now);
+        if end.verdict == Verdict::Good {
+            router.sample(&attempt.plan.index, now.saturating_duration_since(*start));
+        }
+        router.set_idle(upstream, self.ports.upstreams.idle(upstream));
+        let Some(word) = end
+            .report
+            .word
+            .as_ref()
+            .filter(|word| router.hear(upstream, word))
+        else {
+            return;
+        };
+        drop(router);
+        let named = NamedWord {
+            upstream: Arc::clone(upstream),
+            word: word.clone(),
+        };
+        let (draining, held) = (word.draining, word.held.clone().unwrap_or_default());
+        self.duty_trace().emit(Event::UpstreamWord {
+            upstream: Arc::clone(upstream),
+            draining,
+            held,
+        });
+        drop(self.control.try_send(ToControl::Word(named)));
+    }
+
+    fn drop_late(&self, attempt: &Attempt) {
+        let stamp = self.hybrid.borrow_mut().tick(self.ports.clock.wall());
+        let event = Event::ReplyDropped {
+            shard: attempt.shard(),
+            upstream: Arc::clone(&attempt.send.upstream),
+            attempt: attempt.send.attempt,
+            why: Drop::Late,
+        };
+        let request = Some(Arc::clone(&attempt.job.request));
+        self.telemetry.send(Batch {
+            request,
+            events: vec![(stamp, event)],
+        });
+    }
+
+    /// Returns how long a hedge waits where it is fixed.
+    pub(super) fn fixed_hedge(&self) -> Option<Duration> {
+        self.settings.fixed
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/engine/gate.rs
@@ -0,0 +1,203 @@
+//! Waiting at the gate before an index.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+
+use super::worker::Worker;
+use crate::domain::admission::Arrival;
+use crate::domain::admission::Called;
+use crate::domain::admission::Crowd;
+use crate::domain::admission::Entry;
+use crate::domain::admission::Gate;
+use crate::domain::admission::WaiterId;
+use crate::domain::code::Code;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+
+/// A refusal at the gate: its code and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct GateRefusal {
+    pub code: Code,
+    pub wait: Duration,
+}
+
+/// A place inside a gate, given back when dropped.
+pub(super) struct Place<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    worker: Rc<Worker<U, P, C>>,
+    index: Arc<str>,
+    team: Arc<str>,
+    entered: Instant,
+    pub crowd: Crowd,
+}
+
+impl<U, P, C> Drop for Place<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    fn drop(&mut self) {
+        let now = self.worker.ports.clock.now();
+        let took = now.saturating_duration_since(self.entered);
+        self.worker
+            .leave_gate(&self.index, &self.team, took, self.crowd, now);
+    }
+}
+
+/// A place in a gate's queue, given up when dropped.
+struct Waiting<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    worker: Rc<Worker<U, P, C>>,
+    index: Arc<str>,
+    team: Arc<str>,
+    id: WaiterId,
+    calls: Receiver<Called>,
+    settled: bool,
+}
+
+impl<U, P, C> Drop for Waiting<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let worker = &self.worker;
+        worker
+            .waiters
+            .borrow_mut()
+            .remove(&(Arc::clone(&self.index), self.id));
+        let called = self.calls.try_recv().ok();
+        if matches!(called, Some(Called::Run(_))) {
+            let now = worker.ports.clock.now();
+            worker.leave_gate(
+                &self.index,
+                &self.team,
+                Duration::ZERO,
+                Crowd::default(),
+                now,
+            );
+        } else if let Some(gate) = worker.gates.borrow_mut().get_mut(&self.index) {
+            gate.forget(self.id);
+        }
+    }
+}
+
+impl<U, P, C> Worker<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Enters the gate of an index, waiting for room where that can still do.
+    pub(super) async fn enter_gate(
+        self: &Rc<Self>,
+        index: &Arc<str>,
+        arrival: Arrival,
+    ) -> Result<Place<U, P, C>, GateRefusal> {
+        let now = self.ports.clock.now();
+        let entry = {
+            let mut gates = self.gates.borrow_mut();
+            let gate = gates
+                .entry(Arc::clone(index))
+                .or_insert_with(|| Gate::new(self.settings.gate));
+            gate.arrive(&arrival, now)
+        };
+        match entry {
+            Entry::Run => Ok(self.place(index, &arrival.team)),
+            Entry::Refuse(code, wait) => Err(GateRefusal { code, wait }),
+            Entry::Wait(id) => self.wait_at_gate(index, &arrival, id).await,
+        }
+    }
+
+    fn place(self: &Rc<Self>, index: &Arc<str>, team: &Arc<str>) -> Place<U, P, C> {
+        Place {
+            worker: Rc::clone(self),
+            index: Arc::clone(index),
+            team: Arc::clone(team),
+            entered: self.ports.clock.now(),
+            crowd: Crowd::default(),
+        }
+    }
+
+    async fn wait_at_gate(
+        self: &Rc<Self>,
+        index: &Arc<str>,
+        arrival: &Arrival,
+        id: WaiterId,
+    ) -> Result<Place<U, P, C>, GateRefusal> {
+        let (sender, calls) = async_channel::bounded(1);
+        self.waiters
+            .borrow_mut()
+            .insert((Arc::clone(index), id), sender);
+        let mut waiting = Waiting {
+            worker: Rc::clone(self),
+            index: Arc::clone(index),
+            team: Arc::clone(&arrival.team),
+            id,
+            calls: calls.clone(),
+            settled: false,
+        };
+        let expired = async {
+            self.ports.clock.sleep_until(arrival.deadline).await;
+            None
+        };
+        let called = async { calls.recv().await.ok() }.or(expired).await;
+        match called {
+            Some(Called::Run(_)) => {
+                waiting.settled = true;
+                Ok(self.place(index, &arrival.team))
+            }
+            Some(Called::Refuse(_, wait)) => {
+                waiting.settled = true;
+                Err(GateRefusal {
+                    code: Code::TooLate,
+                    wait,
+                })
+            }
+            None => Err(GateRefusal {
+                code: Code::TooLate,
+                wait: Duration::ZERO,
+            }),
+        }
+    }
+
+    fn leave_gate(
+        &self,
+        index: &Arc<str>,
+        team: &Arc<str>,
+        took: Duration,
+        crowd: Crowd,
+        now: Instant,
+    ) {
+        let called = match self.gates.borrow_mut().get_mut(index) {
+            Some(gate) => gate.leave(team, took, crowd, now),
+            None => Vec::new(),
+        };
+        for call in called {
+            let (Called::Run(id) | Called::Refuse(id, _)) = call;
+            let waiter = self.waiters.borrow_mut().remove(&(Arc::clone(index), id));
+            if let Some(sender) = waiter {
+                let _ = sender.try_send(call);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/engine/message.rs
@@ -0,0 +1,86 @@
+//! The messages between a worker and the control duty, and a request as the
+//! worker takes it.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::domain::feed::News;
+use crate::domain::ids::HostId;
+use crate::domain::membership::Row;
+use crate::domain::view::View;
+use crate::domain::word::NamedWord;
+use crate::ports::Exchange;
+use crate::ports::Pull;
+
+/// Where a request came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which counts on this one to run it.
+    Peer(HostId),
+}
+
+/// A request as a worker takes it.
+#[derive(Clone, Debug)]
+pub struct LookupRequest {
+    /// The id given by the daemon that it came through; none from callers.
+    pub request: Option<String>,
+    /// The lookup.
+    pub lookup: String,
+    /// The query, as JSON.
+    pub query: Arc<[u8]>,
+    /// The ticket of a once-only request.
+    pub ticket: Option<String>,
+    /// A bound on the time it may take, besides the lookup's.
+    pub limit: Option<Duration>,
+    /// Where it came from.
+    pub origin: Origin,
+}
+
+/// The daemons as the control duty sees them.
+#[derive(Clone, Debug, Default)]
+pub struct PeerView {
+    /// Every known daemon.
+    pub rows: Vec<Row>,
+}
+
+/// A confirmation of what is known, by a round that began at `asked`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmed {
+    /// When the round began.
+    pub asked: Instant,
+}
+
+/// From the control duty to a worker.
+#[derive(Clone, Debug)]
+pub enum ToWorker {
+    /// A new view to act on.
+    View(Arc<View>),
+    /// Upstreams' words that peers passed on.
+    Words(Arc<[NamedWord]>),
+    /// The daemons as seen now.
+    Peers(Arc<PeerView>),
+    /// What is known was confirmed after a pause.
+    Confirmed(Confirmed),
+    /// A planned stop has begun.
+    Stop,
+}
+
+/// From a worker to the control duty.
+#[derive(Debug)]
+pub enum ToControl {
+    /// A peer speaks; the reply is awaited.
+    Exchange(Box<Exchange>, async_channel::Sender<Exchange>),
+    /// A peer asks for news; the reply is awaited.
+    Pull(Pull, async_channel::Sender<News>),
+    /// An upstream's word changed.
+    Word(NamedWord),
+    /// A worker woke from a pause and wants its knowledge confirmed.
+    Woke,
+    /// A daemon did not answer a request handed to it.
+    Silent(HostId),
+    /// A planned stop has begun.
+    Stop,
+}
--- /dev/null
+++ b/crates/harefield/src/engine/run.rs
@@ -0,0 +1,316 @@
+//! The life of one request in a worker.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::attempt::Job;
+use super::message::LookupRequest;
+use super::message::Origin;
+use super::worker::Worker;
+use crate::domain::admission::Arrival;
+use crate::domain::admission::Crowd;
+use crate::domain::code::Code;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::fanout::Finished;
+use crate::domain::fanout::Rules;
+use crate::domain::ids::AttemptId;
+use crate::domain::outcome::Answer;
+use crate::domain::outcome::Gap;
+use crate::domain::outcome::Outcome;
+use crate::domain::outcome::SnapshotName;
+use crate::domain::resources::Lookup;
+use crate::domain::resources::Preference;
+use crate::domain::snapshot;
+use crate::domain::view::LookupPlan;
+use crate::domain::view::Plan;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+use crate::telemetry::Trace;
+
+/// How long a repeatable request waits for a confirmation after a pause.
+const CONFIRM_WAIT: Duration = Duration::from_millis(500);
+
+/// How often it looks whether the confirmation came.
+const CONFIRM_POLL: Duration = Duration::from_millis(2);
+
+/// When a refused caller may come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(200);
+
+/// Counts a request as in progress until dropped, and tells when its caller
+/// went away first.
+struct Progress<'a, U, P, C> {
+    worker: &'a Worker<U, P, C>,
+}
+
+impl<U, P, C> Drop for Progress<'_, U, P, C> {
+    fn drop(&mut self) {
+        self.worker.running.set(self.worker.running.get() - 1);
+    }
+}
+
+/// A request that found its plan.
+pub(super) struct Found {
+    pub plan: Arc<LookupPlan>,
+    pub start: Instant,
+    pub deadline: Instant,
+}
+
+impl<U, P, C> Worker<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Takes a request and answers it.
+    ///
+    /// Dropping the future gives the request up; a once-only request that has
+    /// begun goes on and its outcome stays with its ticket.
+    pub async fn lookup(self: &Rc<Self>, request: LookupRequest) -> Answer {
+        self.running.set(self.running.get() + 1);
+        let progress = Progress { worker: self };
+        let start = self.ports.clock.now();
+        let mut trace = self.request_trace(request.request.as_deref());
+        if let Origin::Peer(from) = &request.origin {
+            trace.emit(Event::ForwardTaken {
+                from: Arc::clone(from),
+            });
+        }
+        let answer = self.decide(&request, start, &mut trace).await;
+        self.tell(&request, &answer, start, &mut trace);
+        drop(progress);
+        answer
+    }
+
+    fn tell(&self, request: &LookupRequest, answer: &Answer, start: Instant, trace: &mut Trace<C>) {
+        if answer.outcome == Outcome::NotRun {
+            let (lookup, retry_after) = (request.lookup.clone(), answer.retry_after);
+            trace.emit(Event::Refused {
+                lookup,
+                code: answer.code,
+                retry_after,
+            });
+        }
+        let took = self.ports.clock.now().saturating_duration_since(start);
+        trace.emit(Event::Answered {
+            outcome: answer.outcome,
+            code: answer.code,
+            contributed: answer.coverage.contributed.len(),
+            missing: answer.coverage.missing.len(),
+            micros: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+        });
+        self.count(|counts| counts.answered += 1);
+    }
+
+    async fn decide(
+        self: &Rc<Self>,
+        request: &LookupRequest,
+        start: Instant,
+        trace: &mut Trace<C>,
+    ) -> Answer {
+        let found = match self.find(request, start) {
+            Ok(found) => found,
+            Err(code) => return refuse(trace, code, COME_BACK),
+        };
+        if !self.wait_confirmed(&found).await {
+            return refuse(trace, Code::Unconfirmed, COME_BACK);
+        }
+        if found.plan.lookup.repeatable {
+            return self.run_or_forward(request, &found, trace).await;
+        }
+        self.once(request, &found, trace).await
+    }
+
+    fn find(&self, request: &LookupRequest, start: Instant) -> Result<Found, Code> {
+        let view = self.view.borrow();
+        if view.revision.is_none() {
+            return Err(Code::NoConfiguration);
+        }
+        let plan = view
+            .lookups
+            .get(request.lookup.as_str())
+            .ok_or(Code::UnknownLookup)?;
+        let own = Duration::from_millis(plan.lookup.deadline_ms);
+        let time = request.limit.map_or(own, |limit| limit.min(own));
+        Ok(Found {
+            plan: Arc::clone(plan),
+            start,
+            deadline: start + time,
+        })
+    }
+
+    /// Waits for the lease after a pause; a once-only request does not wait,
+    /// since its bytes may be older than the pause.
+    async fn wait_confirmed(&self, found: &Found) -> bool {
+        let until = found.deadline.min(found.start + CONFIRM_WAIT);
+        loop {
+            let now = self.ports.clock.now();
+            if self.router.borrow().lease().held(now) {
+                return true;
+            }
+            if now >= until || !found.plan.lookup.repeatable {
+                return false;
+            }
+            self.ports.clock.sleep(CONFIRM_POLL).await;
+        }
+    }
+
+    async fn run_or_forward(
+        self: &Rc<Self>,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) -> Answer {
+        if request.origin == Origin::Caller && !self.is_member(&found.plan.lookup) {
+            return self.forward(request, found, trace).await;
+        }
+        self.run(request, found, trace).await
+    }
+
+    pub(super) fn is_member(&self, lookup: &Lookup) -> bool {
+        let view = self.view.borrow();
+        let cell = view.cells.get(lookup.index.as_str());
+        cell.is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host))
+    }
+
+    /// Runs a request here: the gate, the snapshot, the fan-out.
+    pub(super) async fn run(
+        self: &Rc<Self>,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) -> Answer {
+        let lookup = &found.plan.lookup;
+        let arrival = Arrival {
+            urgency: lookup.urgency,
+            team: lookup.team.as_str().into(),
+            deadline: found.deadline,
+        };
+        let index: Arc<str> = lookup.index.as_str().into();
+        let mut place = match self.enter_gate(&index, arrival).await {
+            Ok(place) => place,
+            Err(refusal) => return refuse(trace, refusal.code, refusal.wait),
+        };
+        let waited = self
+            .ports
+            .clock
+            .now()
+            .saturating_duration_since(found.start);
+        trace.emit(Event::Admitted {
+            lookup: request.lookup.clone(),
+            urgency: lookup.urgency,
+            waited: u64::try_from(waited.as_micros()).unwrap_or(u64::MAX),
+        });
+        let job = Job {
+            request: trace.request().map(Arc::clone).unwrap_or_default(),
+            query: Arc::clone(&request.query),
+            deadline: found.deadline,
+            once: !lookup.repeatable,
+        };
+        let (answer, crowd) = self.fan_out_twice(&job, found, trace).await;
+        place.crowd = crowd;
+        answer
+    }
+
+    /// Fans out at the best snapshot, and once more at another where the first
+    /// turned out not to be held and the request may be repeated.
+    async fn fan_out_twice(
+        self: &Rc<Self>,
+        job: &Job,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) -> (Answer, Crowd) {
+        let mut first: AttemptId = 0;
+        let mut tried = None;
+        loop {
+            let Some(plan) = self.choose_snapshot(&found.plan) else {
+                return (refuse(trace, Code::NoReplica, COME_BACK), Crowd::default());
+            };
+            let (index, version) = (plan.index.to_string(), plan.version);
+            trace.emit(Event::SnapshotChosen {
+                index,
+                version,
+                shards: plan.shards.len(),
+            });
+            let ended = self
+                .fan_out(job, &plan, self.rules(found), first, trace)
+                .await;
+            let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
+            if !again {
+                return (answer(trace, &plan, ended.finished), ended.crowd);
+            }
+            let missing = ended.finished.coverage.missing.len();
+            trace.emit(Event::SnapshotAbandoned { version, missing });
+            tried = Some(version);
+            first = ended.next;
+        }
+    }
+
+    fn choose_snapshot(&self, plan: &LookupPlan) -> Option<Arc<Plan>> {
+        let router = self.router.borrow();
+        snapshot::choose(&plan.plans, |upstream, version| {
+            router.usable(upstream, version)
+        })
+        .map(Arc::clone)
+    }
+
+    fn rules(&self, found: &Found) -> Rules {
+        let lookup = &found.plan.lookup;
+        Rules {
+            repeatable: lookup.repeatable,
+            prefer: lookup.prefer,
+            start: found.start,
+            deadline: found.deadline,
+            hedge: self.settings.hedge,
+            fixed: self.fixed_hedge(),
+        }
+    }
+
+    /// Says whether another snapshot promises more than what was found.
+    fn better_elsewhere(&self, finished: &Finished, plan: &Arc<Plan>, found: &Found) -> bool {
+        let unheld = |gap: Gap| {
+            matches!(
+                gap,
+                Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved
+            )
+        };
+        let lost = finished
+            .coverage
+            .missing
+            .iter()
+            .any(|missing| unheld(missing.why));
+        let time_left = self.ports.clock.now() < found.start + (found.deadline - found.start) / 2;
+        let lookup = &found.plan.lookup;
+        let worth = lookup.prefer == Preference::Coverage
+            || finished.coverage.contributed.is_empty()
+            || time_left;
+        let other = self
+            .choose_snapshot(&found.plan)
+            .is_some_and(|next| next.version != plan.version);
+        lookup.repeatable && lost && time_left && worth && other
+    }
+}
+
+pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
+    let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
+    let request = trace.request().map_or("", |id| id);
+    Answer::not_run(request, code, Some(wait))
+}
+
+fn answer<C: Clock>(trace: &Trace<C>, plan: &Plan, finished: Finished) -> Answer {
+    let request = trace.request().map_or("", |id| id);
+    let mut answer = Answer::bare(request, finished.outcome, finished.code);
+    answer.snapshot = Some(SnapshotName {
+        index: plan.index.to_string(),
+        version: plan.version,
+    });
+    answer.coverage = finished.coverage;
+    answer.results = finished.parts;
+    if answer.outcome == Outcome::NotRun {
+        answer.retry_after = u64::try_from(COME_BACK.as_millis()).ok();
+    }
+    answer
+}
--- /dev/null
+++ b/crates/harefield/src/main.rs
@@ -0,0 +1,7 @@
+//! The `harefield` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    harefield::commands::main()
+}
--- /dev/null
+++ b/crates/harefield/src/ports/clock.rs
@@ -0,0 +1,21 @@
+//! The clock port.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Tells the time and waits for it.
+pub trait Clock {
+    /// Returns the monotonic time.
+    fn now(&self) -> Instant;
+
+    /// Returns the wall-clock time in microseconds since the Unix epoch.
+    fn wall(&self) -> u64;
+
+    /// Waits until `at`.
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()>;
+
+    /// Waits for `time`.
+    fn sleep(&self, time: Duration) -> impl Future<Output = ()> {
+        self.sleep_until(self.now() + time)
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/ports/mod.rs
@@ -0,0 +1,23 @@
+//! The small traits through which the engine and the control duty meet their
+//! surroundings.
+
+mod clock;
+mod peers;
+mod platform;
+mod upstreams;
+
+pub use clock::Clock;
+pub use peers::Exchange;
+pub use peers::Forward;
+pub use peers::Mark;
+pub use peers::PeerError;
+pub use peers::Peers;
+pub use peers::Pull;
+pub use platform::Listing;
+pub use platform::Platform;
+pub use platform::PlatformError;
+pub use platform::Space;
+pub use platform::Watched;
+pub use upstreams::Call;
+pub use upstreams::CallEnd;
+pub use upstreams::Upstreams;
--- /dev/null
+++ b/crates/harefield/src/ports/peers.rs
@@ -0,0 +1,122 @@
+//! The port to the other daemons.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::domain::feed::News;
+use crate::domain::hlc::Stamp;
+use crate::domain::ids::HostId;
+use crate::domain::ids::Incarnation;
+use crate::domain::ids::Revision;
+use crate::domain::membership::Row;
+use crate::domain::outcome::Answer;
+use crate::domain::word::NamedWord;
+
+use super::platform::Space;
+
+/// A request handed to another daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Forward {
+    /// The daemon that hands it on.
+    pub from: HostId,
+    /// When it left, in hybrid logical time.
+    pub stamp: Stamp,
+    /// The request's id.
+    pub request: String,
+    /// The lookup.
+    pub lookup: String,
+    /// The query, as JSON.
+    #[serde(with = "serde_bytes")]
+    pub query: Vec<u8>,
+    /// The ticket of a once-only request.
+    pub ticket: Option<String>,
+    /// The time left, in milliseconds.
+    pub remaining: u64,
+}
+
+/// How far a daemon is in one space.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The space.
+    pub space: Space,
+    /// The revision in use; none before the first.
+    pub revision: Option<Revision>,
+}
+
+/// What two daemons tell each other, in both directions.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The daemon that speaks.
+    pub from: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// When, in hybrid logical time.
+    pub stamp: Stamp,
+    /// How far it is.
+    pub marks: Vec<Mark>,
+    /// Daemons as it knows them.
+    pub rows: Vec<Row>,
+    /// Upstreams' words that it heard.
+    pub words: Vec<NamedWord>,
+}
+
+/// Asks a daemon for what is newer than the asker has.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Pull {
+    /// The space.
+    pub space: Space,
+    /// The asker's revision.
+    pub have: Option<Revision>,
+}
+
+/// Why a daemon gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// Nothing was sent.
+    #[error("the daemon could not be connected to")]
+    Unreachable,
+    /// The message was sent, and no valid answer came.
+    #[error("the daemon was sent the message and did not answer")]
+    Silent,
+}
+
+/// Speaks to other daemons.
+pub trait Peers {
+    /// Hands a request to another daemon and awaits the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request had been sent when it failed.
+    fn forward(
+        &self,
+        host: &HostId,
+        message: &Forward,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Answer, PeerError>>;
+
+    /// Tells a daemon what is known here and hears what is known there.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the message had been sent when it failed.
+    fn exchange(
+        &self,
+        host: &HostId,
+        message: &Exchange,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Exchange, PeerError>>;
+
+    /// Fetches what a daemon has that is newer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the message had been sent when it failed.
+    fn pull(
+        &self,
+        host: &HostId,
+        message: Pull,
+        limit: Duration,
+    ) -> impl Future<Output = Result<News, PeerError>>;
+}
--- /dev/null
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -0,0 +1,59 @@
+//! The port to the upstreams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::domain::fanout::AttemptEnd;
+use crate::domain::fanout::Echo;
+use crate::domain::ids::UpstreamId;
+use crate::domain::routing::Report;
+use crate::domain::routing::Verdict;
+
+/// One request to one upstream.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How many connections to it may be open.
+    pub share: u32,
+    /// What the reply must echo: request and attempt, shard, version.
+    pub echo: Echo,
+    /// The time that the request has left.
+    pub remaining: Duration,
+    /// How long past that its reply is awaited to keep the connection.
+    pub drain: Duration,
+    /// Whether the request must not run twice.
+    pub once: bool,
+    /// The query, as JSON.
+    pub query: Arc<[u8]>,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct CallEnd {
+    /// For the fan-out.
+    pub end: AttemptEnd,
+    /// For the routing.
+    pub verdict: Verdict,
+    /// What the reply said of the upstream.
+    pub report: Report,
+}
+
+/// Asks upstreams.
+pub trait Upstreams {
+    /// Sends a call once and awaits its reply.
+    ///
+    /// `permit` is asked right before the first byte is written; where it
+    /// says no, nothing is sent.
+    fn ask(&self, call: Call, permit: impl Fn() -> bool) -> impl Future<Output = CallEnd>;
+
+    /// Tells an upstream that a reply is no longer wanted, where that costs
+    /// no new connection.
+    fn cancel(&self, upstream: &UpstreamId, request: &str);
+
+    /// Returns how many idle connections to an upstream are open.
+    fn idle(&self, upstream: &UpstreamId) -> usize;
+}
--- /dev/null
+++ b/crates/harefield/src/telemetry/board.rs
@@ -0,0 +1,130 @@
+//! What the duties last said of themselves, for operators.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::store::Store;
+use crate::domain::ids::HostId;
+use crate::domain::ids::Incarnation;
+use crate::domain::ids::Revision;
+use crate::domain::ids::UpstreamId;
+use crate::domain::ids::Version;
+use crate::domain::membership::Row;
+use crate::domain::resources::Fault;
+
+/// The configuration as one daemon has it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ConfigStatus {
+    /// The revision in force.
+    pub revision: Option<Revision>,
+    /// The newest revision seen, good or not.
+    pub seen: Option<Revision>,
+    /// The refused revision, while none newer is in force.
+    pub refused: Option<Revision>,
+    /// Its faults.
+    pub faults: Vec<Fault>,
+    /// The revision of the host list.
+    pub listed: Option<Revision>,
+}
+
+/// An upstream as one worker observes it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct UpstreamStatus {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Requests under way.
+    pub running: usize,
+    /// The adaptive limit on them.
+    pub window: f64,
+    /// The observed time of a request, in milliseconds.
+    pub latency: f64,
+    /// The versions that it says it holds.
+    pub held: Option<Vec<Version>>,
+}
+
+/// One worker's counts and observations.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WorkerStatus {
+    /// Requests in progress.
+    pub running: usize,
+    /// Requests that wait at a gate.
+    pub waiting: usize,
+    /// Requests answered since the start.
+    pub answered: u64,
+    /// Shard requests sent since the start, first ones.
+    pub first: u64,
+    /// Shard requests sent since the start, retries and hedges.
+    pub extra: u64,
+    /// Connections opened to upstreams since the start.
+    pub opened: u64,
+    /// The upstreams as observed.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// One daemon's account of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Status {
+    /// The daemon.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its configuration.
+    pub config: ConfigStatus,
+    /// The daemons as it sees them.
+    pub peers: Vec<Row>,
+    /// Bytes that control has sent and received since the start.
+    pub control_bytes: u64,
+    /// Its workers.
+    pub workers: BTreeMap<usize, WorkerStatus>,
+    /// Events dropped since a ring was full.
+    pub dropped: u64,
+}
+
+/// Shared between the duties that report and the operators' listener; no
+/// request waits for it.
+#[derive(Debug)]
+pub struct Board {
+    status: Mutex<Status>,
+    store: Mutex<Store>,
+}
+
+impl Board {
+    /// Creates the board of one daemon.
+    #[must_use]
+    pub fn new(host: HostId, incarnation: Incarnation, keep: usize) -> Self {
+        let status = Status {
+            host,
+            incarnation,
+            config: ConfigStatus::default(),
+            peers: Vec::new(),
+            control_bytes: 0,
+            workers: BTreeMap::new(),
+            dropped: 0,
+        };
+        Self {
+            status: Mutex::new(status),
+            store: Mutex::new(Store::new(keep)),
+        }
+    }
+
+    /// Returns the status, to read or change it.
+    pub fn status(&self) -> MutexGuard<'_, Status> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the records, to read or add to them.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/telemetry/duty.rs
@@ -0,0 +1,86 @@
+//! The telemetry thread's duty.
+
+use std::sync::Arc;
+
+use log::debug;
+
+use super::board::Board;
+use super::ring::Batch;
+use super::ring::Telemetry;
+use crate::adapters::metrics::Metrics;
+use crate::domain::event::Event;
+use crate::domain::event::Record;
+use crate::domain::outcome::Outcome;
+
+/// Moves batches from the ring into the store until the ring is closed.
+pub async fn run(
+    receiver: async_channel::Receiver<Batch>,
+    telemetry: Telemetry,
+    board: Arc<Board>,
+    metrics: Metrics,
+) {
+    while let Ok(batch) = receiver.recv().await {
+        let dropped = telemetry.take_dropped();
+        store(&board, batch, dropped, &metrics);
+    }
+}
+
+fn store(board: &Board, batch: Batch, dropped: u64, metrics: &Metrics) {
+    let (host, incarnation) = {
+        let mut status = board.status();
+        status.dropped += dropped;
+        (Arc::clone(&status.host), status.incarnation)
+    };
+    let overflow = batch
+        .events
+        .first()
+        .filter(|_| dropped > 0)
+        .map(|(stamp, _)| *stamp);
+    let gap = overflow.map(|stamp| (stamp, None, Event::RingOverflow { dropped }));
+    let events = batch
+        .events
+        .into_iter()
+        .map(|(stamp, event)| (stamp, batch.request.clone(), event));
+    let mut store = board.store();
+    for (stamp, request, event) in gap.into_iter().chain(events) {
+        measure(&event, metrics);
+        if !event.is_detail() {
+            debug!("{request:?} {event:?}");
+        }
+        let host = Arc::clone(&host);
+        store.push(Record {
+            host,
+            incarnation,
+            stamp,
+            request,
+            event,
+        });
+    }
+}
+
+fn measure(event: &Event, metrics: &Metrics) {
+    match event {
+        Event::Answered {
+            outcome,
+            missing,
+            micros,
+            ..
+        } => {
+            let name = match outcome {
+                Outcome::Answered if *missing == 0 => "answered.whole",
+                Outcome::Answered => "answered.partial",
+                Outcome::NotRun => "not-run",
+                Outcome::MayHaveRun => "may-have-run",
+            };
+            metrics.count(name, 1);
+            metrics.time("answer", micros / 1000);
+        }
+        Event::Refused { .. } => metrics.count("refused", 1),
+        Event::Sent { .. } => metrics.count("sent", 1),
+        Event::HedgeDenied { .. } => metrics.count("hedge-denied", 1),
+        Event::ConfigAccepted { revision, .. } => metrics.gauge("revision", *revision),
+        Event::ConfigRefused { .. } => metrics.count("config-refused", 1),
+        Event::RingOverflow { dropped } => metrics.count("events-dropped", *dropped),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/telemetry/mod.rs
@@ -0,0 +1,23 @@
+//! The time line: every duty's events, kept for a while and asked by operators.
+//!
+//! Events travel over a bounded ring to the telemetry thread. A full ring
+//! drops and counts; it never blocks a request.
+
+mod board;
+mod duty;
+mod ring;
+mod store;
+mod trace;
+
+pub use board::Board;
+pub use board::ConfigStatus;
+pub use board::Status;
+pub use board::UpstreamStatus;
+pub use board::WorkerStatus;
+pub use duty::run;
+pub use ring::Batch;
+pub use ring::Telemetry;
+pub use ring::ring;
+pub use store::Filter;
+pub use store::Store;
+pub use trace::Trace;
--- /dev/null
+++ b/crates/standin/src/bin/standin.rs
@@ -0,0 +1,187 @@
+//! The `standin` program: stand-ins and load for scripts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use serde_json::json;
+use standin::Deployment;
+use standin::Layout;
+use standin::Platform;
+use standin::Searchers;
+use standin::load;
+use standin::load::Load;
+use standin::load::Mix;
+
+const HELP: &str = "\
+standin: stand-ins for harefield's platform and searchers
+
+Usage:
+  standin platform  --listen IP:PORT --admin IP:PORT --layout L --base-port N [--daemon IP:PORT ...]
+  standin searchers --base-port N --admin IP:PORT --layout L
+  standin load      --daemon IP:PORT ... --mix LOOKUP=RATE ... [--seconds N] [--seed N]
+  standin tell      --admin IP:PORT PATH BODY
+
+Layouts: small, caroni, licence. Searchers listen on 127.0.0.1 from the base
+port on, in the layout's order; the platform publishes them there.
+";
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Failure> {
+    let options = Options::read()?;
+    match options.words.first().map(String::as_str) {
+        Some("platform") => platform(&options),
+        Some("searchers") => searchers(&options),
+        Some("load") => run_load(&options),
+        Some("tell") => tell(&options),
+        _ => {
+            print!("{HELP}");
+            Ok(())
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Options {
+    words: Vec<String>,
+    values: HashMap<String, Vec<String>>,
+}
+
+impl Options {
+    fn read() -> Result<Self, Failure> {
+        let mut options = Self::default();
+        let mut parser = Parser::from_env();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Arg::Value(word) => options.words.push(word.string()?),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    let value = parser.value()?.string()?;
+                    options.values.entry(name).or_default().push(value);
+                }
+                Arg::Short(_) => return Err(argument.unexpected().into()),
+            }
+        }
+        Ok(options)
+    }
+
+    fn all(&self, name: &str) -> &[String] {
+        self.values.get(name).map_or(&[], Vec::as_slice)
+    }
+
+    fn one<T: std::str::FromStr>(&self, name: &str, default: Option<T>) -> Result<T, Failure> {
+        match (self.all(name).last(), default) {
+            (Some(text), _) => text
+                .parse()
+                .map_err(|_error| format!("--{name} {text} is not valid").into()),
+            (None, Some(default)) => Ok(default),
+            (None, None) => Err(format!("--{name} is needed").into()),
+        }
+    }
+
+    fn layout(&self) -> Result<Layout, Failure> {
+        let name: String = self.one("layout", Some("small".to_owned()))?;
+        let deployment = match name.as_str() {
+            "small" => Deployment::Small,
+            "caroni" => Deployment::Caroni,
+            "licence" => Deployment::Licence,
+            other => return Err(format!("no layout {other}").into()),
+        };
+        Ok(Layout::new(deployment))
+    }
+
+    fn places(&self, layout: &Layout) -> Result<HashMap<String, SocketAddr>, Failure> {
+        let base: u16 = self.one("base-port", None)?;
+        let mut places = HashMap::new();
+        for (offset, spec) in layout.searchers.iter().enumerate() {
+            let port = base + u16::try_from(offset)?;
+            places.insert(spec.name.clone(), SocketAddr::from(([127, 0, 0, 1], port)));
+        }
+        Ok(places)
+    }
+}
+
+fn platform(options: &Options) -> Result<(), Failure> {
+    let layout = options.layout()?;
+    let places = options.places(&layout)?;
+    let platform = Platform::start(&[options.one("listen", None)?]);
+    platform.publish("config", layout.resources(|name| places[name]));
+    let row = |role: &str| Some(json!({ "role": role, "state": "live", "zone": "hall-1a" }));
+    let mut hosts: Vec<_> = options
+        .all("daemon")
+        .iter()
+        .map(|address| (format!("hosts/{address}"), row("harefield")))
+        .collect();
+    hosts.extend(
+        places
+            .values()
+            .map(|address| (format!("hosts/{address}"), row("upstream"))),
+    );
+    platform.publish("hosts", hosts);
+    standin::serve_admin(options.one("admin", None)?, Some(platform), None);
+    wait()
+}
+
+fn searchers(options: &Options) -> Result<(), Failure> {
+    let layout = options.layout()?;
+    let places = options.places(&layout)?;
+    let specs = layout
+        .searchers
+        .iter()
+        .map(|s| (s.name.clone(), places[&s.name], s.behaviour.clone()));
+    let searchers = Searchers::start(specs.collect());
+    standin::serve_admin(options.one("admin", None)?, None, Some(searchers));
+    wait()
+}
+
+fn wait() -> Result<(), Failure> {
+    println!("ready");
+    loop {
+        std::thread::sleep(Duration::from_secs(3600));
+    }
+}
+
+fn run_load(options: &Options) -> Result<(), Failure> {
+    let daemons: Result<Vec<SocketAddr>, _> = options
+        .all("daemon")
+        .iter()
+        .map(|text| text.parse())
+        .collect();
+    let mut mixes = Vec::new();
+    for text in options.all("mix") {
+        let (lookup, rate) = text.split_once('=').ok_or("--mix is LOOKUP=RATE")?;
+        mixes.push(Mix {
+            lookup: lookup.to_owned(),
+            rate: rate.parse()?,
+        });
+    }
+    let seconds: f64 = options.one("seconds", Some(10.0))?;
+    let load = Load {
+        daemons: daemons?,
+        mixes,
+        time: Duration::from_secs_f64(seconds),
+        warm: Duration::from_secs_f64(seconds / 5.0),
+        latency: Duration::from_micros(options.one("latency-us", Some(1000))?),
+        seed: options.one("seed", Some(1))?,
+    };
+    println!("{}", serde_json::to_string_pretty(&load::run(&load))?);
+    Ok(())
+}
+
+fn tell(options: &Options) -> Result<(), Failure> {
+    let to = options.one("admin", None)?;
+    let word = |at: usize| options.words.get(at).map_or("", String::as_str);
+    let method = if word(2).is_empty() { "GET" } else { "POST" };
+    let reply = standin::Client::once(to, method, word(1), word(2), Duration::from_secs(5));
+    let (status, body) = reply.ok_or("no reply")?;
+    println!("{}", String::from_utf8_lossy(&body));
+    if status == 200 {
+        Ok(())
+    } else {
+        Err(format!("status {status}").into())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,26 @@
+//! Stand-ins for what harefield meets, and a load generator; not shipped.
+//!
+//! [`Platform`] publishes resources and hosts, [`Searchers`] are upstreams that
+//! can be told to misbehave while they run, [`Layout`] writes down the two
+//! users' deployments, and [`load`] measures. Each runs on threads of its own,
+//! so that a test or a program can hold it and change it.
+
+mod admin;
+mod behaviour;
+mod layout;
+pub mod load;
+mod net;
+mod platform;
+mod searcher;
+mod searchers;
+
+pub use admin::serve_admin;
+pub use behaviour::Behaviour;
+pub use behaviour::Fault;
+pub use layout::Deployment;
+pub use layout::Layout;
+pub use layout::SearcherSpec;
+pub use net::Client;
+pub use platform::Platform;
+pub use searchers::Searchers;
+pub use searchers::Tally;
