--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -136,6 +136,7 @@
         };
         let name = Arc::clone(&self.plan.shards[shard].shard);
         if !self.shards[shard].is_open() {
+            self.shards[shard].ran |= end.may_have_run();
             let why = if self.cut {
                 Drop::Late
             } else {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use futures_lite::FutureExt;
 
+use super::message::ToControl;
 use super::worker::Worker;
 use crate::domain::admission::Crowd;
 use crate::domain::event::Cause;
@@ -39,8 +40,6 @@
 use crate::telemetry::Batch;
 use crate::telemetry::Trace;
 
-use super::message::ToControl;
-
 /// The end of an attempt, on its way to the fan-out.
 struct Landed {
     shard: usize,
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -3,7 +3,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::Task;
+use futures_lite::FutureExt;
 use rand::Rng;
 
 use super::message::LookupRequest;
@@ -34,13 +39,66 @@
 /// Spare time that the member's answer has to travel.
 const TRAVEL: Duration = Duration::from_millis(50);
 
+/// How a request handed to one daemon ended.
+struct Ended {
+    host: HostId,
+    result: Result<Answer, PeerError>,
+}
+
+/// A request on its way through members of the cell.
+struct Handed {
+    tried: Vec<HostId>,
+    tasks: Vec<Task<()>>,
+    under_way: usize,
+    sent: bool,
+    sender: Sender<Ended>,
+    ends: Receiver<Ended>,
+}
+
+/// Counts a request as handed to a daemon until dropped.
+struct Outgoing<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    worker: Rc<Worker<U, P, C>>,
+    host: HostId,
+}
+
+impl<U, P, C> Drop for Outgoing<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    fn drop(&mut self) {
+        self.worker.forget_forward(&self.host);
+    }
+}
+
+impl Handed {
+    fn new() -> Self {
+        let (sender, ends) = async_channel::bounded(MOST_TRIES);
+        Self {
+            tried: Vec::new(),
+            tasks: Vec::new(),
+            under_way: 0,
+            sent: false,
+            sender,
+            ends,
+        }
+    }
+}
+
 impl<U, P, C> Worker<U, P, C>
 where
     U: Upstreams + Clone + 'static,
     P: Peers + Clone + 'static,
     C: Clock + Copy + 'static,
 {
-    /// Hands a request to members of the cell until one answers.
+    /// Hands a request to a member of the cell, and to others where that one
+    /// fails or, for repeatable requests and within a budget, is slow.
     ///
     /// A member that was sent a once-only request and did not answer ends the
     /// tries: it may have run.
@@ -50,31 +108,36 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        let mut tried: Vec<HostId> = Vec::new();
-        let mut sent = false;
-        while tried.len() < MOST_TRIES {
-            let Some(host) = self.pick_member(&found.plan.lookup.index, &tried) else {
-                break;
+        let mut handed = Handed::new();
+        self.spare.borrow_mut().earn();
+        self.hand_on(&mut handed, request, found, trace);
+        let mut hedge_at = found.start + found.deadline.saturating_duration_since(found.start) / 2;
+        while handed.under_way > 0 {
+            let Some(ended) = self.next_end(&handed, hedge_at).await else {
+                hedge_at = found.deadline + TRAVEL * 2;
+                if self.may_hedge(found) {
+                    self.hand_on(&mut handed, request, found, trace);
+                }
+                continue;
             };
-            tried.push(Arc::clone(&host));
-            match self.hand_to(&host, request, found, trace).await {
+            handed.under_way -= 1;
+            self.note_end(&ended, trace);
+            match ended.result {
                 Ok(answer) => return answer,
                 Err(PeerError::Unreachable) => {}
-                Err(PeerError::Silent) => sent = true,
+                Err(PeerError::Silent) => handed.sent = true,
             }
-            let late = self.ports.clock.now() >= found.deadline;
-            if (sent && !found.plan.lookup.repeatable) || late {
-                break;
+            if self.may_retry(&handed, found) {
+                self.hand_on(&mut handed, request, found, trace);
             }
         }
-        if sent {
-            let id = trace.request().map_or("", |id| id);
-            return Answer::may_have_run(id, Code::PeerSilent);
+        if handed.sent {
+            return Answer::may_have_run(trace.request().map_or("", |id| id), Code::PeerSilent);
         }
         refuse(trace, Code::NoMember, COME_BACK)
     }
 
-    /// Hands a request to one daemon.
+    /// Hands a request to one daemon and no other.
     pub(super) async fn hand_to(
         self: &Rc<Self>,
         host: &HostId,
@@ -82,16 +145,65 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Result<Answer, PeerError> {
-        let now = self.ports.clock.now();
-        let left = found.deadline.saturating_duration_since(now);
-        let repeatable = found.plan.lookup.repeatable;
-        let limit = if repeatable {
-            left * 2 / 3
-        } else {
-            left + TRAVEL
+        let mut handed = Handed::new();
+        self.start_handing(&mut handed, Arc::clone(host), request, found, trace);
+        let ended = handed
+            .ends
+            .recv()
+            .await
+            .map_err(|_closed| PeerError::Silent)?;
+        self.note_end(&ended, trace);
+        ended.result
+    }
+
+    async fn next_end(&self, handed: &Handed, until: Instant) -> Option<Ended> {
+        let timed = async {
+            self.ports.clock.sleep_until(until).await;
+            None
         };
+        async { handed.ends.recv().await.ok() }.or(timed).await
+    }
+
+    fn may_hedge(&self, found: &Found) -> bool {
+        let in_time = self.ports.clock.now() < found.deadline;
+        in_time && found.plan.lookup.repeatable && self.spare.borrow_mut().spend_hedge()
+    }
+
+    fn may_retry(&self, handed: &Handed, found: &Found) -> bool {
+        let in_time = self.ports.clock.now() < found.deadline;
+        let safe = found.plan.lookup.repeatable || !handed.sent;
+        in_time && safe && handed.under_way == 0 && self.spare.borrow_mut().spend_retry()
+    }
+
+    /// Hands a request to one more member, if there is one.
+    fn hand_on(
+        self: &Rc<Self>,
+        handed: &mut Handed,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) {
+        if handed.tried.len() >= MOST_TRIES {
+            return;
+        }
+        if let Some(host) = self.pick_member(&found.plan.lookup.index, &handed.tried) {
+            self.start_handing(handed, host, request, found, trace);
+        }
+    }
+
+    fn start_handing(
+        self: &Rc<Self>,
+        handed: &mut Handed,
+        host: HostId,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) {
+        let left = found
+            .deadline
+            .saturating_duration_since(self.ports.clock.now());
         trace.emit(Event::Forwarded {
-            to: Arc::clone(host),
+            to: Arc::clone(&host),
         });
         let message = Forward {
             from: Arc::clone(&self.settings.host),
@@ -102,29 +214,62 @@
             ticket: request.ticket.clone(),
             remaining: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
+        handed.tried.push(Arc::clone(&host));
+        handed.under_way += 1;
         *self
             .forwards
             .borrow_mut()
-            .entry(Arc::clone(host))
+            .entry(Arc::clone(&host))
             .or_default() += 1;
-        let ended = self.ports.peers.forward(host, &message, limit).await;
-        if let Some(count) = self.forwards.borrow_mut().get_mut(host) {
-            *count = count.saturating_sub(1);
-        }
-        let (outcome, code) = match &ended {
+        let outgoing = Outgoing {
+            worker: Rc::clone(self),
+            host,
+        };
+        let sender = handed.sender.clone();
+        let task = async move {
+            let Outgoing { worker, host } = &outgoing;
+            let result = worker
+                .ports
+                .peers
+                .forward(host, &message, left + TRAVEL)
+                .await;
+            let ended = Ended {
+                host: Arc::clone(host),
+                result,
+            };
+            let _ = sender.try_send(ended).is_ok();
+        };
+        handed.tasks.push(self.executor.spawn(task));
+    }
+
+    fn note_end(&self, ended: &Ended, trace: &mut Trace<C>) {
+        let (outcome, code) = match &ended.result {
             Ok(answer) => (answer.outcome, answer.code),
             Err(PeerError::Unreachable) => (Outcome::NotRun, Code::NoMember),
             Err(PeerError::Silent) => (Outcome::MayHaveRun, Code::PeerSilent),
         };
         trace.emit(Event::ForwardEnded {
-            to: Arc::clone(host),
+            to: Arc::clone(&ended.host),
             outcome,
             code,
         });
-        if ended.is_err() {
-            drop(self.control.try_send(ToControl::Silent(Arc::clone(host))));
+        if ended.result.is_err() {
+            drop(
+                self.control
+                    .try_send(ToControl::Silent(Arc::clone(&ended.host))),
+            );
+        }
+    }
+
+    /// Takes one request less as handed to a daemon.
+    fn forget_forward(&self, host: &HostId) {
+        let mut forwards = self.forwards.borrow_mut();
+        let left = forwards.get(host).copied().unwrap_or(0).saturating_sub(1);
+        if left == 0 {
+            forwards.remove(host);
+        } else {
+            forwards.insert(Arc::clone(host), left);
         }
-        ended
     }
 
     /// Picks a member: not known to be gone, in the own availability zone if
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -111,19 +111,34 @@
         start: Instant,
         trace: &mut Trace<C>,
     ) -> Answer {
-        let found = match self.find(request, start) {
+        let found = match self.find_confirmed(request, start).await {
             Ok(found) => found,
             Err(code) => return refuse(trace, code, COME_BACK),
         };
-        if !self.wait_confirmed(&found).await {
-            return refuse(trace, Code::Unconfirmed, COME_BACK);
-        }
         if found.plan.lookup.repeatable {
             return self.run_or_forward(request, &found, trace).await;
         }
         self.once(request, &found, trace).await
     }
 
+    /// Finds the plan of a request. After a pause it is found again, since
+    /// what was in force before may no longer be.
+    async fn find_confirmed(&self, request: &LookupRequest, start: Instant) -> Result<Found, Code> {
+        let found = self.find(request, start)?;
+        if self.is_confirmed() {
+            return Ok(found);
+        }
+        if !self.wait_confirmed(&found).await {
+            return Err(Code::Unconfirmed);
+        }
+        self.find(request, start)
+    }
+
+    fn is_confirmed(&self) -> bool {
+        let now = self.ports.clock.now();
+        self.router.borrow().lease().held(now)
+    }
+
     fn find(&self, request: &LookupRequest, start: Instant) -> Result<Found, Code> {
         let view = self.view.borrow();
         if view.revision.is_none() {
@@ -147,10 +162,10 @@
     async fn wait_confirmed(&self, found: &Found) -> bool {
         let until = found.deadline.min(found.start + CONFIRM_WAIT);
         loop {
-            let now = self.ports.clock.now();
-            if self.router.borrow().lease().held(now) {
+            if self.is_confirmed() {
                 return true;
             }
+            let now = self.ports.clock.now();
             if now >= until || !found.plan.lookup.repeatable {
                 return false;
             }
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -98,6 +98,7 @@
     pub(super) gates: RefCell<HashMap<Arc<str>, Gate>>,
     pub(super) waiters: RefCell<HashMap<WaiterKey, Sender<Called>>>,
     pub(super) forwards: RefCell<HashMap<HostId, usize>>,
+    pub(super) spare: RefCell<Budget>,
     pub(super) ledger: Arc<Mutex<Ledger>>,
     pub(super) control: Sender<ToControl>,
     pub(super) hybrid: Rc<RefCell<HybridClock>>,
@@ -136,6 +137,7 @@
         telemetry: Telemetry,
     ) -> Rc<Self> {
         let budget = Budget::new(settings.extra);
+        let spare = Budget::new(settings.extra);
         let router = Router::new(settings.policy, budget, settings.seed, ports.clock.now());
         Rc::new(Self {
             settings,
@@ -147,6 +149,7 @@
             gates: RefCell::default(),
             waiters: RefCell::default(),
             forwards: RefCell::default(),
+            spare: RefCell::new(spare),
             ledger,
             control,
             hybrid: Rc::default(),
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::platform::Space;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::HostId;
@@ -14,8 +15,6 @@
 use crate::domain::outcome::Answer;
 use crate::domain::word::NamedWord;
 
-use super::platform::Space;
-
 /// A request handed to another daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Forward {
--- /dev/null
+++ b/crates/harefield/tests/decisions/admission.rs
@@ -0,0 +1,236 @@
+//! The gate before an index.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+
+use crate::support::at;
+use crate::support::cases;
+use harefield::domain::admission::Arrival;
+use harefield::domain::admission::Called;
+use harefield::domain::admission::Crowd;
+use harefield::domain::admission::Entry;
+use harefield::domain::admission::Gate;
+use harefield::domain::admission::GateLimits;
+use harefield::domain::admission::WaiterId;
+use harefield::domain::code::Code;
+use harefield::domain::resources::Urgency;
+
+const LIMITS: GateLimits = GateLimits {
+    running: 32,
+    waiting: 8,
+};
+
+fn arrival(urgency: Urgency, team: &str, deadline: Instant) -> Arrival {
+    Arrival {
+        urgency,
+        team: team.into(),
+        deadline,
+    }
+}
+
+/// Fills a gate until nobody else is let in at once.
+fn full_gate(now: Instant) -> (Gate, usize) {
+    let mut gate = Gate::new(LIMITS);
+    let mut running = 0;
+    loop {
+        let next = arrival(Urgency::Ordinary, "t", at(now, 10_000));
+        match gate.arrive(&next, now) {
+            Entry::Run => running += 1,
+            Entry::Wait(id) => {
+                gate.forget(id);
+                return (gate, running);
+            }
+            Entry::Refuse(code, _) => panic!("{code}"),
+        }
+    }
+}
+
+fn end_one(gate: &mut Gate, now: Instant) -> Vec<Called> {
+    gate.leave(
+        &"t".into(),
+        Duration::from_millis(10),
+        Crowd::default(),
+        now,
+    )
+}
+
+#[test]
+fn urgent_first() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let later = at(now, 10_000);
+    let Entry::Wait(_) = gate.arrive(&arrival(Urgency::Ordinary, "t", later), now) else {
+        panic!()
+    };
+    let Entry::Wait(urgent) = gate.arrive(&arrival(Urgency::Urgent, "t", later), now) else {
+        panic!()
+    };
+    let called = end_one(&mut gate, now);
+    assert_eq!(called.first(), Some(&Called::Run(urgent)));
+}
+
+#[test]
+fn ordinary_goes_on() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let later = at(now, 100_000);
+    let mut ordinary = Vec::new();
+    for _ in 0..4 {
+        if let Entry::Wait(id) = gate.arrive(&arrival(Urgency::Ordinary, "t", later), now) {
+            ordinary.push(id);
+        }
+    }
+    let mut ran = 0;
+    for _ in 0..12 {
+        while let Entry::Wait(_) = gate.arrive(&arrival(Urgency::Urgent, "t", later), now) {}
+        let called = end_one(&mut gate, now);
+        ran += called
+            .iter()
+            .filter(|c| matches!(c, Called::Run(id) if ordinary.contains(id)))
+            .count();
+    }
+    assert!(
+        ran >= 2,
+        "{ran} ordinary ones ran under a full urgent queue"
+    );
+}
+
+#[test]
+fn late_refused_at_once() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let refused = gate.arrive(&arrival(Urgency::Urgent, "t", at(now, 1)), now);
+    assert!(
+        matches!(refused, Entry::Refuse(Code::TooLate, _)),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn queue_bounded() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let next = arrival(Urgency::Urgent, "t", at(now, 100_000));
+    let mut waiting = 0;
+    let code = loop {
+        match gate.arrive(&next, now) {
+            Entry::Wait(_) => waiting += 1,
+            Entry::Refuse(code, wait) => {
+                assert!(
+                    wait > Duration::ZERO,
+                    "the caller is told when to come back"
+                );
+                break code;
+            }
+            Entry::Run => panic!("the gate is full"),
+        }
+    };
+    assert_eq!(waiting, LIMITS.waiting);
+    assert_eq!(code, Code::QueueFull);
+}
+
+#[test]
+fn team_keeps_share() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let greedy = arrival(Urgency::Urgent, "greedy", at(now, 100_000));
+    let mut held = 0;
+    while let Entry::Wait(_) = gate.arrive(&greedy, now) {
+        held += 1;
+    }
+    assert_eq!(
+        held,
+        LIMITS.waiting / 2,
+        "another team runs, so half the queue is left to it"
+    );
+    let other = gate.arrive(&arrival(Urgency::Urgent, "t", at(now, 100_000)), now);
+    assert!(matches!(other, Entry::Wait(_)));
+}
+
+#[test]
+fn limit_follows_crowd() {
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let before = gate.limit();
+    let crowd = Crowd {
+        waited: 5,
+        shards: 20,
+    };
+    gate.leave(&"t".into(), Duration::from_millis(10), crowd, now);
+    assert!(gate.limit() < before);
+    let shrunk = gate.limit();
+    for _ in 0..20 {
+        end_one(&mut gate, now);
+        let _entry = gate.arrive(&arrival(Urgency::Urgent, "t", at(now, 10_000)), now);
+        let _entry = gate.arrive(&arrival(Urgency::Urgent, "t", at(now, 10_000)), now);
+    }
+    assert!(gate.limit() > shrunk);
+}
+
+/// What happens at a gate.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Arrive(u8, u8, u64),
+    Leave(usize, usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0_u8..3, 0_u8..3, 1_u64..400).prop_map(|(c, t, d)| Step::Arrive(c, t, d)),
+        3 => (any::<usize>(), 0_usize..30).prop_map(|(n, w)| Step::Leave(n, w)),
+        1 => (1_u64..50).prop_map(Step::Wait),
+    ]
+}
+
+fn urgency(number: u8) -> Urgency {
+    [Urgency::Urgent, Urgency::Ordinary, Urgency::Bulk][usize::from(number)]
+}
+
+proptest! {
+    #![proptest_config(cases(300))]
+
+    /// Nobody is lost: each is running, waiting, refused or called, once; and
+    /// the bounds hold.
+    #[test]
+    fn nobody_lost(steps in prop::collection::vec(step(), 1..200)) {
+        let mut now = Instant::now();
+        let mut gate = Gate::new(LIMITS);
+        let mut waiting: BTreeMap<WaiterId, Arc<str>> = BTreeMap::new();
+        let mut running: Vec<Arc<str>> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Arrive(class, team, deadline) => {
+                    let team: Arc<str> = team.to_string().into();
+                    let next = arrival(urgency(class), &team, at(now, deadline));
+                    match gate.arrive(&next, now) {
+                        Entry::Run => running.push(team),
+                        Entry::Wait(id) => prop_assert!(waiting.insert(id, team).is_none()),
+                        Entry::Refuse(code, _) => prop_assert!((2000..3000).contains(&code.number())),
+                    }
+                }
+                Step::Leave(n, waited) if !running.is_empty() => {
+                    let team = running.swap_remove(n % running.len());
+                    let crowd = Crowd { waited, shards: 20 };
+                    for called in gate.leave(&team, Duration::from_millis(20), crowd, now) {
+                        let (Called::Run(id) | Called::Refuse(id, _)) = called;
+                        let team = waiting.remove(&id).expect("it was waiting");
+                        if matches!(called, Called::Run(_)) {
+                            running.push(team);
+                        }
+                    }
+                }
+                Step::Leave(..) => {}
+                Step::Wait(millis) => now += Duration::from_millis(millis),
+            }
+            prop_assert_eq!(gate.running(), running.len());
+            prop_assert_eq!(gate.waiting(), waiting.len());
+            prop_assert!(gate.waiting() <= LIMITS.waiting * 3);
+            prop_assert!(gate.running() <= LIMITS.running);
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -0,0 +1,273 @@
+//! The configuration only moves forward, and only to sets without faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::cases;
+use crate::support::items;
+use crate::support::values;
+use harefield::domain::code::Code;
+use harefield::domain::feed::Change;
+use harefield::domain::feed::Configuration;
+use harefield::domain::feed::Delta;
+use harefield::domain::feed::Feed;
+use harefield::domain::feed::Items;
+use harefield::domain::feed::News;
+use harefield::domain::feed::Offer;
+use harefield::domain::resources::ResourceSet;
+
+/// The platform's whole history: what each revision changed, and its items.
+struct History {
+    changes: Vec<Vec<Change>>,
+    states: Vec<Items>,
+}
+
+/// Makes a history; an odd choice breaks the set, an even one mends it.
+fn history(choices: &[u8]) -> History {
+    let mut state = items(values(2, 2, &[1]));
+    let mut states = vec![state.clone()];
+    let all = state.iter().map(|(key, value)| Change {
+        key: Arc::clone(key),
+        value: Some(Arc::clone(value)),
+    });
+    let mut changes = vec![all.collect()];
+    for (number, choice) in choices.iter().enumerate() {
+        let value = if choice % 2 == 1 {
+            json!({ "index": "nowhere", "urgency": "urgent", "deadline-ms": 1, "repeatable": true, "prefer": "time" })
+        } else {
+            json!({ "index": "i", "urgency": "bulk", "deadline-ms": 10 + number, "repeatable": true, "prefer": "time" })
+        };
+        let change = Change {
+            key: "lookups/l".into(),
+            value: Some(value.to_string().into()),
+        };
+        state.insert(
+            Arc::clone(&change.key),
+            change.value.clone().expect("it has a value"),
+        );
+        changes.push(vec![change]);
+        states.push(state.clone());
+    }
+    History { changes, states }
+}
+
+impl History {
+    fn delta(&self, revision: usize) -> Delta {
+        let number = |n: usize| u64::try_from(n).expect("small");
+        Delta {
+            base: number(revision),
+            revision: number(revision + 1),
+            changes: self.changes[revision].clone(),
+        }
+    }
+
+    fn is_good(&self, revision: u64) -> bool {
+        let at = usize::try_from(revision).expect("small") - 1;
+        ResourceSet::parse(&self.states[at]).is_ok()
+    }
+}
+
+/// What reaches one daemon.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A copy of the platform answers a watch with one revision.
+    Watch(usize),
+    /// A copy, up to date or stale, is listed whole.
+    List(usize),
+    /// The daemon hears from another one.
+    Hear(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => any::<usize>().prop_map(Step::Watch),
+        2 => any::<usize>().prop_map(Step::List),
+        3 => any::<usize>().prop_map(Step::Hear),
+    ]
+}
+
+proptest! {
+    #![proptest_config(cases(300))]
+
+    /// Whatever order news reach a fleet in, no daemon goes back, none has a
+    /// faulty set in force, and two at one revision have the same set.
+    #[test]
+    fn never_reverts(
+        choices in prop::collection::vec(any::<u8>(), 1..10),
+        steps in prop::collection::vec((0_usize..3, step()), 1..60),
+    ) {
+        let history = history(&choices);
+        let mut fleet: Vec<Configuration> = vec![Configuration::default(); 3];
+        for (who, step) in steps {
+            let before = fleet[who].revision();
+            match step {
+                Step::Watch(n) => {
+                    let _offer = fleet[who].offer(&history.delta(n % history.changes.len()));
+                }
+                Step::List(n) => {
+                    let at = n % history.states.len();
+                    let revision = u64::try_from(at + 1).expect("small");
+                    let _offer = fleet[who].offer_all(revision, history.states[at].clone());
+                }
+                Step::Hear(n) => {
+                    let news = fleet[n % 3].since(fleet[who].revision());
+                    fleet[who].learn(news);
+                }
+            }
+            prop_assert!(fleet[who].revision() >= before, "it went back");
+            if let Some(revision) = fleet[who].revision() {
+                prop_assert!(history.is_good(revision), "revision {} has faults", revision);
+                let at = usize::try_from(revision).expect("small") - 1;
+                let expected = ResourceSet::parse(&history.states[at]).expect("it is good");
+                prop_assert_eq!(&**fleet[who].set(), &expected);
+            }
+        }
+        // Once everyone has heard from everyone, all have the same in force.
+        for _ in 0..2 {
+            for who in 0..3 {
+                for other in 0..3 {
+                    let news = fleet[other].since(fleet[who].revision());
+                    fleet[who].learn(news);
+                }
+            }
+        }
+        prop_assert_eq!(fleet[0].revision(), fleet[1].revision());
+        prop_assert_eq!(fleet[1].revision(), fleet[2].revision());
+        prop_assert_eq!(fleet[0].set(), fleet[2].set());
+    }
+
+    /// A feed brings any asker up to date, whatever it has.
+    #[test]
+    fn feed_brings_along(count in 1_usize..90, have in 0_usize..90) {
+        let mut feed = Feed::default();
+        let mut asker = Feed::default();
+        for revision in 1..=count {
+            let number = u64::try_from(revision).expect("small");
+            let mut state = feed.items().clone();
+            state.insert(format!("k{}", revision % 7).into(), revision.to_string().into());
+            feed.replace(number, state);
+            if revision == have {
+                asker = feed.clone();
+            }
+        }
+        let news = feed.since(asker.revision());
+        asker.learn(news);
+        prop_assert_eq!(asker.revision(), feed.revision());
+        prop_assert_eq!(asker.items(), feed.items());
+    }
+}
+
+#[test]
+fn faulty_between_good() {
+    let history = history(&[1, 0]);
+    let mut config = Configuration::default();
+    assert_eq!(
+        config.offer_all(1, history.states[0].clone()),
+        Offer::Accepted
+    );
+    assert!(matches!(config.offer(&history.delta(1)), Offer::Refused(_)));
+    assert_eq!(
+        config.revision(),
+        Some(1),
+        "the last good set stays in force"
+    );
+    assert_eq!(config.refused().map(|refused| refused.revision), Some(2));
+    assert_eq!(config.offer(&history.delta(2)), Offer::Accepted);
+    assert_eq!(config.revision(), Some(3));
+    assert!(config.refused().is_none());
+}
+
+#[test]
+fn late_starter() {
+    let history = history(&[1]);
+    let mut first = Configuration::default();
+    first.offer_all(1, history.states[0].clone());
+    first.offer(&history.delta(1));
+    let mut second = Configuration::default();
+    assert!(matches!(
+        second.offer_all(2, history.states[1].clone()),
+        Offer::Refused(_)
+    ));
+    assert_eq!(second.revision(), None);
+    assert!(
+        second.learn(first.since(None)),
+        "a peer has the last good set"
+    );
+    assert_eq!(second.revision(), Some(1));
+}
+
+#[test]
+fn stale_copy_ignored() {
+    let history = history(&[0, 0]);
+    let mut config = Configuration::default();
+    config.offer_all(3, history.states[2].clone());
+    assert_eq!(config.offer_all(1, history.states[0].clone()), Offer::Old);
+    assert_eq!(config.offer(&history.delta(1)), Offer::Old);
+    assert_eq!(config.revision(), Some(3));
+    assert!(!config.learn(News::Full {
+        revision: 2,
+        items: history.states[1].clone()
+    }));
+}
+
+/// Returns the codes of a set's faults, by key.
+fn faults(changes: &[(&str, Value)]) -> BTreeMap<String, Code> {
+    let mut all = values(2, 2, &[1]);
+    all.extend(
+        changes
+            .iter()
+            .map(|(key, value)| ((*key).to_owned(), value.clone())),
+    );
+    let found = ResourceSet::parse(&items(all)).expect_err("the set has faults");
+    found
+        .into_iter()
+        .map(|fault| (fault.key.to_string(), fault.code))
+        .collect()
+}
+
+#[test]
+fn every_fault_named() {
+    let found = faults(&[
+        ("services/t", json!({ "shards": { "0": ["ghost"] } })),
+        ("upstreams/bad", json!({ "address": "nowhere" })),
+        (
+            "upstreams/idle",
+            json!({ "address": "127.0.0.1:1", "zone": "a", "slots": 0, "connections": 1 }),
+        ),
+        ("things/x", json!({})),
+        (
+            "indexes/j",
+            json!({ "snapshots": [{ "version": 1, "shards": { "s": ["000", "000"] } }] }),
+        ),
+        (
+            "services/u",
+            json!({ "shards": { "0": ["u0-0"] }, "extra": 1 }),
+        ),
+    ]);
+    let expected = [
+        ("services/t", Code::ResourceReference),
+        ("upstreams/bad", Code::ResourceMalformed),
+        ("upstreams/idle", Code::ResourceRange),
+        ("things/x", Code::ResourceUnknownKind),
+        ("indexes/j", Code::ResourceDuplicate),
+        ("services/u", Code::ResourceMalformed),
+    ];
+    let expected: BTreeMap<String, Code> = expected
+        .into_iter()
+        .map(|(key, code)| (key.to_owned(), code))
+        .collect();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn value_too_large() {
+    let found = faults(&[(
+        "services/big",
+        json!({ "team": "x".repeat(1 << 20), "shards": {} }),
+    )]);
+    assert_eq!(found["services/big"], Code::ResourceTooLarge);
+}
--- /dev/null
+++ b/crates/harefield/tests/decisions/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the decisions, without I/O and in virtual time.
+
+mod admission;
+mod cells;
+mod codes;
+mod configuration;
+mod fanout;
+mod lease;
+mod members;
+mod once;
+mod routing;
+mod settings;
+mod snapshot;
+mod stamps;
+mod support;
+mod words;
--- /dev/null
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -0,0 +1,291 @@
+//! Choice among replicas, limits and the budget of extra load.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+
+use crate::support::at;
+use crate::support::cases;
+use crate::support::replica;
+use crate::support::router;
+use crate::support::set;
+use crate::support::view;
+use harefield::domain::ids::UpstreamId;
+use harefield::domain::outcome::Gap;
+use harefield::domain::routing::Ask;
+use harefield::domain::routing::Budget;
+use harefield::domain::routing::Load;
+use harefield::domain::routing::Pace;
+use harefield::domain::routing::Report;
+use harefield::domain::routing::Router;
+use harefield::domain::routing::Until;
+use harefield::domain::routing::Verdict;
+use harefield::domain::routing::Window;
+use harefield::domain::word::Word;
+use harefield::domain::word::WordStamp;
+
+fn two(now: Instant) -> (Router, [UpstreamId; 2]) {
+    (
+        router(&view(&set(1, 2, &[1])), now),
+        [replica(0, 0), replica(0, 1)],
+    )
+}
+
+fn choose(router: &mut Router, replicas: &[UpstreamId], now: Instant) -> Result<UpstreamId, Gap> {
+    let index: Arc<str> = "i".into();
+    let ask = Ask {
+        replicas,
+        tried: &[],
+        version: 1,
+        index: &index,
+    };
+    router
+        .choose(&ask, now)
+        .map(|choice| choice.upstream)
+        .map_err(|bar| bar.gap)
+}
+
+/// Lets a replica answer `count` requests, each after `millis`.
+fn serve(
+    router: &mut Router,
+    name: &UpstreamId,
+    millis: u64,
+    count: usize,
+    now: Instant,
+    report: &Report,
+) {
+    for _ in 0..count {
+        router.begin(name, now);
+        router.end(name, now, Verdict::Good, report, at(now, millis));
+        router.set_idle(name, 1);
+    }
+}
+
+#[test]
+fn slow_avoided() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[0], 40, 10, now, &Report::default());
+    serve(&mut router, &names[1], 4, 10, now, &Report::default());
+    for _ in 0..20 {
+        assert_eq!(
+            choose(&mut router, &names, at(now, 50)),
+            Ok(Arc::clone(&names[1]))
+        );
+    }
+}
+
+#[test]
+fn lying_report_loses() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    let idle = Report {
+        load: Some(Load {
+            active: 0,
+            queued: 0,
+        }),
+        word: None,
+    };
+    let busy = Report {
+        load: Some(Load {
+            active: 2,
+            queued: 1000,
+        }),
+        word: None,
+    };
+    serve(&mut router, &names[0], 40, 10, now, &idle);
+    serve(&mut router, &names[1], 4, 10, now, &busy);
+    let chosen = choose(&mut router, &names, at(now, 41));
+    assert_eq!(
+        chosen,
+        Ok(Arc::clone(&names[1])),
+        "own requests weigh more than reports"
+    );
+}
+
+#[test]
+fn silent_replica_ages() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[0], 4, 10, now, &Report::default());
+    serve(&mut router, &names[1], 5, 10, now, &Report::default());
+    router.begin(&names[0], now);
+    let chosen = choose(&mut router, &names, at(now, 500));
+    assert_eq!(
+        chosen,
+        Ok(Arc::clone(&names[1])),
+        "a request out for long tells of a pause"
+    );
+}
+
+#[test]
+fn slow_forgiven() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[0], 400, 10, now, &Report::default());
+    let searcher = router.searcher(&names[0]).expect("it is known");
+    let soon = searcher.observed_time(0.004, at(now, 400));
+    let later = searcher.observed_time(0.004, at(now, 20_400));
+    assert!(soon > 0.3, "{soon}");
+    assert!(later < 0.01, "{later}: it is asked again some time");
+}
+
+#[test]
+fn shed_kept() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    for name in &names {
+        router.begin(name, now);
+        let wait = Some(Duration::from_millis(300));
+        router.end(name, now, Verdict::Full(wait), &Report::default(), now);
+    }
+    assert_eq!(
+        choose(&mut router, &names, at(now, 299)),
+        Err(Gap::Overloaded)
+    );
+    let chosen = choose(&mut router, &names, at(now, 300));
+    assert!(chosen.is_ok_and(|name| names.contains(&name)));
+}
+
+#[test]
+fn broken_backs_off() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    let only = &names[..1];
+    let mut time = now;
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        router.begin(&names[0], time);
+        router.end(&names[0], time, Verdict::Broken, &Report::default(), time);
+        let index: Arc<str> = "i".into();
+        let ask = Ask {
+            replicas: only,
+            tried: &[],
+            version: 1,
+            index: &index,
+        };
+        router.lease_mut().renew(time);
+        let bar = router.choose(&ask, time).expect_err("it is backed off");
+        let Until::At(until) = bar.until else {
+            panic!("{bar:?}")
+        };
+        pauses.push(until - time);
+        time = until;
+    }
+    let millis: Vec<u128> = pauses.iter().map(Duration::as_millis).collect();
+    assert_eq!(millis, [100, 200, 400, 800]);
+}
+
+#[test]
+fn leaving_never_chosen() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    let word = Word {
+        stamp: WordStamp {
+            start: 1,
+            change: 1,
+        },
+        draining: true,
+        held: None,
+    };
+    router.hear(&names[0], &word);
+    for _ in 0..20 {
+        assert_eq!(choose(&mut router, &names, now), Ok(Arc::clone(&names[1])));
+    }
+    router.hear(&names[1], &word);
+    assert_eq!(choose(&mut router, &names, now), Err(Gap::Leaving));
+}
+
+#[test]
+fn pause_stops_choice() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    assert_eq!(choose(&mut router, &names, now).err(), None);
+    assert_eq!(
+        choose(&mut router, &names, at(now, 1500)),
+        Err(Gap::Unconfirmed)
+    );
+}
+
+#[test]
+fn version_held() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    let word = Word {
+        stamp: WordStamp {
+            start: 1,
+            change: 1,
+        },
+        draining: false,
+        held: Some(vec![2]),
+    };
+    router.hear(&names[0], &word);
+    assert_eq!(choose(&mut router, &names, now), Ok(Arc::clone(&names[1])));
+    assert_eq!(
+        choose(&mut router, &names[..1], now),
+        Err(Gap::SnapshotMissing)
+    );
+}
+
+proptest! {
+    #![proptest_config(cases(200))]
+
+    /// A window keeps within the share of the connections, and halves.
+    #[test]
+    fn window_bounded(slots in 1_u32..8, sharers in 1_u32..30, most in 1_u32..20, good in prop::collection::vec(any::<bool>(), 0..100)) {
+        let mut window = Window::new(slots, sharers, most);
+        for good in good {
+            let before = window.size();
+            if good {
+                window.grow(100);
+            } else {
+                window.shrink();
+                prop_assert!(window.size() <= (before / 2.0).max(1.0));
+            }
+            prop_assert!(window.size() >= 1.0);
+            prop_assert!(window.size() <= f64::from(most));
+            prop_assert!(window.has_room(0));
+            prop_assert!(!window.has_room(usize::try_from(most).expect("small")));
+        }
+    }
+
+    /// Hedges stay within their share of the requests, plus what was saved up.
+    #[test]
+    fn budget_kept(requests in 0_u32..2000) {
+        let mut budget = Budget::new(0.05);
+        let mut hedges = 0_u32;
+        for _ in 0..requests {
+            budget.earn();
+            hedges += u32::from(budget.spend_hedge());
+        }
+        prop_assert!(f64::from(hedges) <= f64::from(requests) * 0.05 + 16.0 + 1e-6);
+    }
+}
+
+#[test]
+fn retries_before_hedges() {
+    let mut budget = Budget::new(0.05);
+    while budget.spend_hedge() {}
+    assert!(budget.spend_retry(), "a retry may overdraw");
+    let mut retries = 0;
+    while budget.spend_retry() {
+        retries += 1;
+    }
+    assert!(
+        (200..300).contains(&retries),
+        "{retries}: the reserve has an end"
+    );
+}
+
+#[test]
+fn pace_follows() {
+    let mut pace = Pace::default();
+    for n in 0..4000 {
+        let millis = if n % 10 == 0 { 30 } else { 5 };
+        pace.sample(Duration::from_millis(millis));
+    }
+    assert!(pace.mean() > Duration::from_millis(6) && pace.mean() < Duration::from_millis(10));
+    assert!(pace.slow() > Duration::from_millis(20), "{:?}", pace.slow());
+}
--- /dev/null
+++ b/crates/harefield/tests/decisions/support.rs
@@ -0,0 +1,103 @@
+//! What several tests need.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use serde_json::Value;
+use serde_json::json;
+
+use harefield::domain::cell::CellSize;
+use harefield::domain::feed::Items;
+use harefield::domain::ids::UpstreamId;
+use harefield::domain::resources::ResourceSet;
+use harefield::domain::routing::Budget;
+use harefield::domain::routing::Policy;
+use harefield::domain::routing::Router;
+use harefield::domain::view::HostList;
+use harefield::domain::view::View;
+
+/// Returns a configuration that draws the same cases in every run.
+pub fn cases(count: u32) -> Config {
+    Config {
+        cases: count,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Returns `millis` after `start`.
+pub fn at(start: Instant, millis: u64) -> Instant {
+    start + Duration::from_millis(millis)
+}
+
+/// Returns items made of JSON values.
+pub fn items(values: impl IntoIterator<Item = (String, Value)>) -> Items {
+    let entry = |(key, value): (String, Value)| (key.into(), value.to_string().into());
+    values.into_iter().map(entry).collect()
+}
+
+/// Returns the name of a replica of a shard.
+pub fn replica(shard: usize, number: usize) -> UpstreamId {
+    format!("u{shard}-{number}").into()
+}
+
+/// Returns the values of one service `s` and index `i` with `shards` shards of
+/// `replicas` replicas each, at the versions given.
+pub fn values(shards: usize, replicas: usize, versions: &[u64]) -> BTreeMap<String, Value> {
+    let mut all = BTreeMap::new();
+    let mut held = serde_json::Map::new();
+    let mut names = Vec::new();
+    for shard in 0..shards {
+        let own: Vec<String> = (0..replicas)
+            .map(|n| replica(shard, n).to_string())
+            .collect();
+        for (number, name) in own.iter().enumerate() {
+            let address = format!("127.0.0.1:{}", 1000 + shard * 10 + number);
+            let upstream =
+                json!({ "address": address, "zone": "a", "slots": 2, "connections": 25 });
+            all.insert(format!("upstreams/{name}"), upstream);
+        }
+        held.insert(format!("{shard:03}"), json!(own));
+        names.push(format!("{shard:03}"));
+    }
+    all.insert("services/s".to_owned(), json!({ "shards": held }));
+    let snapshots: Vec<Value> = versions
+        .iter()
+        .map(|v| json!({ "version": v, "shards": { "s": names } }))
+        .collect();
+    all.insert("indexes/i".to_owned(), json!({ "snapshots": snapshots }));
+    let lookup = json!({
+        "index": "i", "urgency": "urgent", "deadline-ms": 100, "repeatable": true, "prefer": "time",
+    });
+    all.insert("lookups/l".to_owned(), lookup);
+    all
+}
+
+/// Returns the set of [`values`].
+pub fn set(shards: usize, replicas: usize, versions: &[u64]) -> Arc<ResourceSet> {
+    let items = items(values(shards, replicas, versions));
+    Arc::new(ResourceSet::parse(&items).expect("the values are valid"))
+}
+
+/// Returns the view of a set in a fleet without listed hosts.
+pub fn view(set: &Arc<ResourceSet>) -> View {
+    View::build(
+        Some(1),
+        set,
+        None,
+        &HostList::default(),
+        CellSize::default(),
+    )
+}
+
+/// Returns a router that acts on a view.
+pub fn router(view: &View, now: Instant) -> Router {
+    let mut router = Router::new(Policy::Cost, Budget::new(0.05), 7, now);
+    router.apply(view);
+    router
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/forwarding.rs
@@ -0,0 +1,174 @@
+//! Cells smaller than the fleet: requests are handed to members.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::support::World;
+use crate::support::ask;
+use crate::support::await_true;
+use harefield::domain::code::Code;
+use harefield::domain::event::Event;
+use harefield::domain::outcome::Outcome;
+
+const SMALL_CELL: &str = "[routing]\ncell-size = 2\n";
+
+/// Returns which daemons have asked upstreams.
+fn members(world: &World) -> Vec<usize> {
+    let fanned = |n: &usize| {
+        world.daemons[*n]
+            .status()
+            .workers
+            .values()
+            .any(|w| w.first > 0)
+    };
+    (0..world.daemons.len()).filter(fanned).collect()
+}
+
+#[test]
+fn handed_once() {
+    let world = World::start(5, SMALL_CELL);
+    for daemon in 0..5 {
+        for _ in 0..4 {
+            let answer = world.query(daemon);
+            assert_eq!(answer.code, Code::Whole);
+            assert_eq!(answer.coverage.contributed.len(), 3);
+        }
+    }
+    await_true("they report", || members(&world).len() == 2);
+    let forwards: usize = world
+        .daemons
+        .iter()
+        .map(|d| d.timeline("kind=forwarded").len())
+        .sum();
+    assert_eq!(
+        forwards, 12,
+        "three of five hand on each of their four, once"
+    );
+}
+
+#[test]
+fn member_killed() {
+    let mut world = World::start(4, SMALL_CELL);
+    for daemon in 0..4 {
+        for _ in 0..3 {
+            world.query(daemon);
+        }
+    }
+    await_true("they report", || members(&world).len() == 2);
+    let inside = members(&world);
+    let outside = (0..4)
+        .find(|n| !inside.contains(n))
+        .expect("some are outside");
+    world.searchers.change_all(|b| b.service_ms = 200.0);
+    let to = world.daemons[outside].addresses.callers;
+    let askers: Vec<_> = (0..6)
+        .map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 }))))
+        .collect();
+    await_true("they run", || world.searchers.tally().ran > 40);
+    world.daemons[inside[0]].signal("KILL");
+    world.daemons[inside[0]].wait();
+    for asker in askers {
+        let answer = asker.join().expect("no panic").expect("an answer");
+        assert_eq!(
+            answer.code,
+            Code::Whole,
+            "the other member gives the answer"
+        );
+    }
+}
+
+#[test]
+fn member_frozen() {
+    let world = World::start(3, "[routing]\ncell-size = 2\n");
+    for daemon in 0..3 {
+        for _ in 0..3 {
+            world.query(daemon);
+        }
+    }
+    await_true("they report", || members(&world).len() == 2);
+    let inside = members(&world);
+    let outside = (0..3)
+        .find(|n| !inside.contains(n))
+        .expect("one is outside");
+    world.daemons[inside[0]].signal("STOP");
+    for _ in 0..6 {
+        let answer = world.query(outside);
+        assert_eq!(
+            answer.code,
+            Code::Whole,
+            "a frozen member is passed over in time"
+        );
+    }
+}
+
+#[test]
+fn ticket_of_member() {
+    let world = World::start(4, "[routing]\ncell-size = 1\n");
+    for daemon in 0..4 {
+        let refused = world.ask(daemon, "parcels-once", &json!({ "query": daemon }));
+        let ticket = refused.ticket.expect("a ticket is given");
+        let body = json!({ "query": daemon, "ticket": ticket });
+        let other = (daemon + 1) % 4;
+        assert_eq!(world.ask(other, "parcels-once", &body).code, Code::Whole);
+        let again = world.ask(daemon, "parcels-once", &body);
+        assert_eq!(again.outcome, Outcome::Answered);
+    }
+    assert_eq!(
+        world.searchers.tally().ran,
+        12,
+        "four tickets, three shards, once each"
+    );
+}
+
+#[test]
+fn views_differ() {
+    // The listed hosts change while requests are handed on: answers stay whole.
+    let mut world = World::start(3, "[routing]\ncell-size = 1\n");
+    let callers: Vec<_> = world.daemons.iter().map(|d| d.addresses.callers).collect();
+    let askers: Vec<_> = callers
+        .into_iter()
+        .map(|to| {
+            thread::spawn(move || {
+                for _ in 0..150 {
+                    let answer = ask(to, "parcels", &json!({ "query": 1 })).expect("an answer");
+                    assert_eq!(answer.code, Code::Whole, "{:?}", answer.coverage);
+                }
+            })
+        })
+        .collect();
+    for _ in 0..3 {
+        world.add_daemon();
+        thread::sleep(Duration::from_millis(100));
+    }
+    for asker in askers {
+        asker.join().expect("no answer is lost");
+    }
+}
+
+#[test]
+fn one_story() {
+    let world = World::start(3, "[routing]\ncell-size = 1\n");
+    let answers: Vec<_> = (0..3).map(|daemon| world.query(daemon)).collect();
+    thread::sleep(Duration::from_millis(200));
+    let mut handed = 0;
+    for answer in answers {
+        let query = format!("request={}", answer.request);
+        let records: Vec<_> = world
+            .daemons
+            .iter()
+            .flat_map(|d| d.timeline(&query))
+            .collect();
+        let sent = records
+            .iter()
+            .filter(|r| matches!(r.event, Event::Sent { .. }))
+            .count();
+        assert_eq!(sent, 3, "the story holds every shard's request");
+        handed += records
+            .iter()
+            .filter(|r| matches!(r.event, Event::ForwardTaken { .. }))
+            .count();
+    }
+    assert_eq!(handed, 2);
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/main.rs
@@ -0,0 +1,16 @@
+//! Tests with real processes under failure: daemons are separate processes,
+//! the platform and the searchers are stand-ins on threads of the test.
+
+mod bad_input;
+mod configuration;
+mod forwarding;
+mod leaving;
+mod not_run;
+mod once;
+mod overload;
+mod own_answer;
+mod planned_stop;
+mod snapshot;
+mod support;
+mod time_line;
+mod true_coverage;
--- /dev/null
+++ b/crates/harefield/tests/processes/overload.rs
@@ -0,0 +1,87 @@
+//! Refusals under overload are early and say when to come back.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::support::World;
+use crate::support::ask;
+use harefield::domain::code::Code;
+use harefield::domain::outcome::Outcome;
+
+#[test]
+fn refused_early() {
+    let world = World::start(1, "[limits]\nrunning = 2\nwaiting = 4\n");
+    world.searchers.change_all(|b| b.service_ms = 150.0);
+    world.query(0);
+    let to = world.daemons[0].addresses.callers;
+    let askers: Vec<_> = (0..40)
+        .map(|_| {
+            thread::spawn(move || {
+                let begun = Instant::now();
+                let answer = ask(to, "parcels", &json!({ "query": 1 })).expect("an answer");
+                (answer, begun.elapsed())
+            })
+        })
+        .collect();
+    let mut refused = 0;
+    for asker in askers {
+        let (answer, took) = asker.join().expect("no panic");
+        if answer.outcome == Outcome::NotRun {
+            refused += 1;
+            assert!(
+                [Code::QueueFull, Code::TooLate].contains(&answer.code),
+                "{}",
+                answer.code
+            );
+            assert!(
+                answer.retry_after.is_some(),
+                "the caller is told when to come back"
+            );
+            assert!(
+                took < Duration::from_millis(900),
+                "{took:?}: it is refused early"
+            );
+        }
+    }
+    assert!(refused >= 20, "{refused}");
+}
+
+#[test]
+fn connections_bounded() {
+    let world = World::start(1, "[limits]\nconnections = 4\n");
+    let to = world.daemons[0].addresses.callers;
+    let held: Vec<_> = (0..4)
+        .map(|_| std::net::TcpStream::connect(to).expect("it listens"))
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    let answer = ask(to, "parcels", &json!({ "query": 1 })).expect("a numbered answer");
+    assert_eq!(answer.code, Code::TooManyConnections);
+    drop(held);
+    crate::support::await_true("room comes back", || {
+        ask(to, "parcels", &json!({ "query": 1 })).is_some_and(|answer| answer.code == Code::Whole)
+    });
+}
+
+#[test]
+fn searcher_limit_kept() {
+    // Three daemons under load keep within the searchers' connections.
+    let world = World::start(3, "");
+    let callers: Vec<_> = world.daemons.iter().map(|d| d.addresses.callers).collect();
+    let askers: Vec<_> = (0..24)
+        .map(|n| {
+            let to = callers[n % 3];
+            thread::spawn(move || {
+                for _ in 0..20 {
+                    drop(ask(to, "parcels", &json!({ "query": 1 })));
+                }
+            })
+        })
+        .collect();
+    for asker in askers {
+        asker.join().expect("no panic");
+    }
+    assert_eq!(world.searchers.tally().refused_connections, 0);
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/own_answer.rs
@@ -0,0 +1,97 @@
+//! Each caller gets the whole answer to its own request and nothing else.
+
+use std::thread;
+
+use serde_json::Value;
+use serde_json::json;
+use standin::Fault;
+
+use crate::support::World;
+use crate::support::ask;
+use harefield::domain::code::Code;
+use harefield::domain::outcome::Answer;
+
+/// Asserts that every part is for this request and this query.
+fn assert_own(answer: &Answer, query: &Value) {
+    for part in &answer.results {
+        let reply: Value = serde_json::from_str(part.reply.get()).expect("it is JSON");
+        let request = reply["for"].as_str().expect("it names its request");
+        assert_eq!(request.split('.').next(), Some(answer.request.as_str()));
+        assert_eq!(reply["shard"].as_str(), Some(&*part.shard));
+        assert_eq!(&reply["query"], query);
+    }
+    assert_eq!(answer.results.len(), answer.coverage.contributed.len());
+}
+
+/// Lets many callers ask at once, each with its own query, and checks each.
+fn ask_at_once(world: &World, callers: usize, each: usize) -> Vec<Answer> {
+    let to = world.daemons[0].addresses.callers;
+    let threads: Vec<_> = (0..callers)
+        .map(|caller| {
+            thread::spawn(move || {
+                let mut answers = Vec::new();
+                for number in 0..each {
+                    let query = json!({ "caller": caller, "number": number });
+                    let answer = ask(to, "parcels", &json!({ "query": query, "id": "same" }))
+                        .expect("an answer");
+                    assert_own(&answer, &query);
+                    assert_eq!(answer.id.as_deref(), Some("same"));
+                    answers.push(answer);
+                }
+                answers
+            })
+        })
+        .collect();
+    threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("no caller fails"))
+        .collect()
+}
+
+#[test]
+fn same_ids() {
+    let world = World::start(1, "");
+    let answers = ask_at_once(&world, 8, 10);
+    let mut ids: Vec<&str> = answers
+        .iter()
+        .map(|answer| answer.request.as_str())
+        .collect();
+    ids.sort_unstable();
+    ids.dedup();
+    assert_eq!(ids.len(), answers.len(), "the tier's own ids differ");
+}
+
+#[test]
+fn crossed_replies() {
+    let world = World::start(1, "");
+    world
+        .searchers
+        .change("parcels-00-0", |b| b.fault = Fault::Cross);
+    world
+        .searchers
+        .change("parcels-01-1", |b| b.fault = Fault::Cross);
+    for answer in ask_at_once(&world, 6, 10) {
+        assert_eq!(answer.code, Code::Whole, "the other replica answers");
+    }
+}
+
+#[test]
+fn cut_bodies() {
+    let world = World::start(1, "");
+    world
+        .searchers
+        .change("parcels-00-0", |b| b.fault = Fault::Truncate);
+    for answer in ask_at_once(&world, 4, 10) {
+        assert_eq!(answer.code, Code::Whole);
+    }
+}
+
+#[test]
+fn late_replies() {
+    let world = World::start(1, "");
+    world.searchers.change_all(|b| {
+        b.straggle_percent = 20.0;
+        b.straggle_ms = 60.0;
+    });
+    ask_at_once(&world, 6, 20);
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/planned_stop.rs
@@ -0,0 +1,178 @@
+//! A planned stop cuts no request in progress.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::support::PATIENCE;
+use crate::support::World;
+use crate::support::ask;
+use crate::support::await_true;
+use harefield::domain::code::Code;
+
+const SLOW: f64 = 600.0;
+
+#[test]
+fn in_progress_ends() {
+    let mut world = World::start(1, "");
+    world.searchers.change_all(|b| b.service_ms = SLOW);
+    let to = world.daemons[0].addresses.callers;
+    let askers: Vec<_> = (0..4)
+        .map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 }))))
+        .collect();
+    await_true("they run", || world.searchers.tally().ran >= 3);
+    world.daemons[0].signal("TERM");
+    for asker in askers {
+        let answer = asker.join().expect("no panic").expect("no request is cut");
+        assert_ne!(answer.code, Code::Stopping);
+    }
+    assert_eq!(world.daemons[0].wait(), Some(0));
+}
+
+#[test]
+fn queued_ends() {
+    let mut world = World::start(1, "[limits]\nrunning = 2\n");
+    world.searchers.change_all(|b| b.service_ms = 400.0);
+    let to = world.daemons[0].addresses.callers;
+    let askers: Vec<_> = (0..8)
+        .map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 }))))
+        .collect();
+    await_true("they wait", || {
+        world.daemons[0]
+            .status()
+            .workers
+            .values()
+            .any(|worker| worker.waiting > 0)
+    });
+    world.daemons[0].signal("TERM");
+    for asker in askers {
+        asker
+            .join()
+            .expect("no panic")
+            .expect("who waited is answered");
+    }
+    assert_eq!(world.daemons[0].wait(), Some(0));
+}
+
+#[test]
+fn forwarded_ends() {
+    let mut world = World::start(3, "[routing]\ncell-size = 1\n");
+    world.searchers.change_all(|b| b.service_ms = SLOW);
+    let askers: Vec<_> = world
+        .daemons
+        .iter()
+        .map(|daemon| {
+            let to = daemon.addresses.callers;
+            thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))
+        })
+        .collect();
+    await_true("they run", || world.searchers.tally().ran >= 6);
+    let busy = |d: &crate::support::Daemon| d.status().workers.values().any(|w| w.first > 0);
+    await_true("one member fans out", || world.daemons.iter().any(busy));
+    let member = world.daemons.iter().position(busy).expect("it is there");
+    world.daemons[member].signal("TERM");
+    for asker in askers {
+        let answer = asker.join().expect("no panic").expect("no request is cut");
+        assert_eq!(answer.code, Code::Whole);
+    }
+    assert_eq!(world.daemons[member].wait(), Some(0));
+}
+
+#[test]
+fn kept_connection() {
+    // A caller that keeps its connection is still answered while the stop
+    // lingers, and told that the connection closes.
+    let mut world = World::start(1, "[stop]\nlinger-ms = 1000\n");
+    let mut stream = TcpStream::connect(world.daemons[0].addresses.callers).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let body = "{\"query\":1}";
+    let request = format!(
+        "POST /v1/lookups/parcels HTTP/1.1\r\nhost: h\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut buffer = [0_u8; 8192];
+    stream.write_all(request.as_bytes()).expect("it is sent");
+    let first = stream.read(&mut buffer).expect("it is answered");
+    assert!(first > 0);
+    world.daemons[0].signal("TERM");
+    thread::sleep(Duration::from_millis(200));
+    stream.write_all(request.as_bytes()).expect("it is sent");
+    let mut rest = String::new();
+    stream
+        .read_to_string(&mut rest)
+        .expect("it is answered and closed");
+    assert!(rest.starts_with("HTTP/1.1 200"), "{rest}");
+    assert!(rest.to_lowercase().contains("connection: close"), "{rest}");
+    assert_eq!(world.daemons[0].wait(), Some(0));
+}
+
+#[test]
+fn bounded_wait() {
+    let mut world = World::start(1, "[stop]\nlinger-ms = 10\nlimit-ms = 300\n");
+    world.searchers.change_all(|b| b.frozen = true);
+    let to = world.daemons[0].addresses.callers;
+    let asker = thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })));
+    await_true("it runs", || {
+        world.daemons[0]
+            .status()
+            .workers
+            .values()
+            .any(|w| w.running > 0)
+    });
+    let begun = Instant::now();
+    world.daemons[0].signal("TERM");
+    assert_eq!(
+        world.daemons[0].wait(),
+        Some(9),
+        "it says that something was cut"
+    );
+    assert!(
+        begun.elapsed() < Duration::from_millis(900),
+        "{:?}",
+        begun.elapsed()
+    );
+    drop(asker.join());
+}
+
+#[test]
+fn second_signal() {
+    let mut world = World::start(1, "");
+    world.searchers.change_all(|b| b.frozen = true);
+    let to = world.daemons[0].addresses.callers;
+    let asker = thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })));
+    await_true("it runs", || {
+        world.daemons[0]
+            .status()
+            .workers
+            .values()
+            .any(|w| w.running > 0)
+    });
+    world.daemons[0].signal("TERM");
+    thread::sleep(Duration::from_millis(100));
+    let begun = Instant::now();
+    world.daemons[0].signal("TERM");
+    assert_eq!(world.daemons[0].wait(), Some(9));
+    assert!(begun.elapsed() < Duration::from_millis(500));
+    drop(asker.join());
+}
+
+#[test]
+fn once_only_goes_on() {
+    let mut world = World::start(1, "");
+    let refused = world.ask(0, "parcels-once", &json!({ "query": 1 }));
+    let ticket = refused.ticket.expect("a ticket");
+    world.searchers.change_all(|b| b.service_ms = SLOW);
+    let to = world.daemons[0].addresses.callers;
+    let body = json!({ "query": 1, "ticket": ticket });
+    let asker = thread::spawn(move || ask(to, "parcels-once", &body));
+    await_true("it runs", || world.searchers.tally().ran == 3);
+    world.daemons[0].signal("TERM");
+    let answer = asker.join().expect("no panic").expect("an answer");
+    assert_eq!(answer.code, Code::Whole);
+    assert_eq!(world.daemons[0].wait(), Some(0));
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/support.rs
@@ -0,0 +1,284 @@
+//! A small world: a platform, searchers and daemons, told what to do by a test.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use standin::Client;
+use standin::Deployment;
+use standin::Layout;
+use standin::Platform;
+use standin::Searchers;
+
+use harefield::domain::event::Record;
+use harefield::domain::outcome::Answer;
+use harefield::telemetry::Status;
+
+/// How long anything that should happen may take: far longer than it does.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Addresses {
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+/// A daemon's process.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    pub addresses: Addresses,
+}
+
+impl Daemon {
+    /// Starts a daemon and waits until it serves.
+    pub fn start(settings: &str) -> Self {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("harefield-{}-{number}.toml", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings).expect("settings can be written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_harefield"))
+            .args(["serve", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        let mut line = String::new();
+        let out = child.stdout.take().expect("its output is piped");
+        BufReader::new(out)
+            .read_line(&mut line)
+            .expect("it says that it is ready");
+        drop(std::fs::remove_file(&path));
+        let addresses = serde_json::from_str(&line).expect("it says where it listens");
+        Self { child, addresses }
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh")
+            .args(["-c", &command])
+            .status()
+            .expect("sh runs");
+        assert!(status.success(), "kill -{name}");
+    }
+
+    /// Waits for the end; returns the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("it is a child") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the daemon does not end");
+    }
+
+    /// Returns the daemon's own account of itself.
+    pub fn status(&self) -> Status {
+        let reply = Client::once(self.addresses.operators, "GET", "/v1/status", "", PATIENCE);
+        let (_, body) = reply.expect("operators are answered");
+        serde_json::from_slice(&body).expect("it is a status")
+    }
+
+    /// Returns the selected events.
+    pub fn timeline(&self, query: &str) -> Vec<Record> {
+        let path = format!("/v1/timeline?{query}");
+        let reply = Client::once(self.addresses.operators, "GET", &path, "", PATIENCE);
+        let (_, body) = reply.expect("operators are answered");
+        serde_json::from_slice(&body).expect("they are records")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// A platform, searchers and daemons.
+#[derive(Debug)]
+pub struct World {
+    pub platform: Platform,
+    pub searchers: Searchers,
+    pub layout: Layout,
+    pub daemons: Vec<Daemon>,
+    pub extra: String,
+}
+
+impl World {
+    /// Starts a small deployment with `count` daemons; `extra` is appended to
+    /// their settings.
+    pub fn start(count: usize, extra: &str) -> Self {
+        Self::start_with(count, extra, 1)
+    }
+
+    /// The same with several copies of the platform.
+    pub fn start_with(count: usize, extra: &str, copies: usize) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let layout = Layout::new(Deployment::Small);
+        let specs = layout
+            .searchers
+            .iter()
+            .map(|s| (s.name.clone(), free, s.behaviour.clone()));
+        let searchers = Searchers::start(specs.collect());
+        let platform = Platform::start(&vec![free; copies]);
+        platform.publish("config", layout.resources(|name| searchers.address(name)));
+        let mut world = Self {
+            platform,
+            searchers,
+            layout,
+            daemons: Vec::new(),
+            extra: extra.to_owned(),
+        };
+        let rows = world.searchers.names().into_iter().map(|name| {
+            (
+                format!("hosts/{}", world.searchers.address(&name)),
+                Some(json!({ "role": "upstream", "state": "live" })),
+            )
+        });
+        let rows = rows.collect();
+        world.platform.publish("hosts", rows);
+        for _ in 0..count {
+            world.add_daemon();
+        }
+        let revision = world.hosts_revision();
+        world.await_hosts(revision);
+        world
+    }
+
+    /// Starts one more daemon and lists it as live.
+    pub fn add_daemon(&mut self) -> usize {
+        let daemon = Daemon::start(&self.settings(&self.extra));
+        self.list_daemon(&daemon, "live");
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Returns the settings of one more daemon.
+    pub fn settings(&self, extra: &str) -> String {
+        let copies: Vec<String> = self
+            .platform
+            .copies()
+            .iter()
+            .map(|a| format!("\"{a}\""))
+            .collect();
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|d| format!("\"{}\"", d.addresses.peers))
+            .collect();
+        format!(
+            "[host]\nzone = \"hall-1a\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n[platform]\naddresses = [{}]\nwatch-ms = 2000\n\
+             [peers]\nseeds = [{}]\nexchange-ms = 200\n{extra}\n",
+            copies.join(", "),
+            seeds.join(", "),
+        )
+    }
+
+    fn list_daemon(&self, daemon: &Daemon, state: &str) {
+        let key = format!("hosts/{}", daemon.addresses.peers);
+        let row = json!({ "role": "harefield", "state": state, "zone": "hall-1a" });
+        self.platform.publish("hosts", vec![(key, Some(row))]);
+    }
+
+    /// Lists a searcher's host as live or leaving.
+    pub fn list_searcher(&self, name: &str, state: &str) -> u64 {
+        let key = format!("hosts/{}", self.searchers.address(name));
+        self.platform.publish(
+            "hosts",
+            vec![(key, Some(json!({ "role": "upstream", "state": state })))],
+        )
+    }
+
+    fn hosts_revision(&self) -> u64 {
+        self.platform.publish::<String>("hosts", Vec::new())
+    }
+
+    /// Publishes one resource and returns the revision.
+    pub fn publish(&self, key: &str, value: Value) -> u64 {
+        self.platform.publish("config", vec![(key, Some(value))])
+    }
+
+    /// Waits until every daemon has a revision of the configuration in force.
+    pub fn await_revision(&self, revision: u64) -> Duration {
+        self.await_all("the revision", |status| {
+            status.config.revision >= Some(revision)
+        })
+    }
+
+    /// Waits until every daemon uses a revision of the host list, give or take
+    /// the empty change that asked for it.
+    pub fn await_hosts(&self, revision: u64) {
+        self.await_all("the host list", |status| {
+            status.config.listed >= Some(revision - 1)
+        });
+    }
+
+    /// Waits until every daemon's status is as it should be.
+    pub fn await_all(&self, what: &str, good: impl Fn(&Status) -> bool) -> Duration {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if self.daemons.iter().all(|daemon| good(&daemon.status())) {
+                return begun.elapsed();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("{what} is not there on every daemon");
+    }
+
+    /// Asks a daemon for a lookup.
+    pub fn ask(&self, daemon: usize, lookup: &str, body: &Value) -> Answer {
+        ask(self.daemons[daemon].addresses.callers, lookup, body).expect("an answer")
+    }
+
+    /// Asks a daemon for the small lookup.
+    pub fn query(&self, daemon: usize) -> Answer {
+        self.ask(daemon, "parcels", &json!({ "query": 1 }))
+    }
+
+    /// Changes every replica of a shard's service.
+    pub fn change_service(&self, service: &str, change: impl Fn(&mut standin::Behaviour)) {
+        for name in self
+            .searchers
+            .names()
+            .iter()
+            .filter(|name| name.starts_with(service))
+        {
+            self.searchers.change(name, &change);
+        }
+    }
+}
+
+/// Asks at an address; none where there was no answer at all.
+pub fn ask(to: SocketAddr, lookup: &str, body: &Value) -> Option<Answer> {
+    let path = format!("/v1/lookups/{lookup}");
+    let (_, reply) = Client::once(to, "POST", &path, &body.to_string(), PATIENCE)?;
+    serde_json::from_slice(&reply).ok()
+}
+
+/// Waits until something holds.
+pub fn await_true(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/time_line.rs
@@ -0,0 +1,108 @@
+//! The time line, as operators ask for it from the command line.
+
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use standin::Fault;
+
+use crate::support::World;
+
+/// Runs the program and returns its exit code and output.
+fn run(arguments: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_harefield"))
+        .args(arguments)
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    (output.status.code(), text)
+}
+
+#[test]
+fn explain_partial() {
+    let world = World::start(3, "[routing]\ncell-size = 1\n");
+    world.change_service("parcels-01", |b| b.fault = Fault::RefuseBegun);
+    let answer = world.query(1);
+    thread::sleep(Duration::from_millis(200));
+    let from = world.daemons[0].addresses.operators.to_string();
+    let (code, text) = run(&["explain", &answer.request, "--from", &from]);
+    assert_eq!(code, Some(0));
+    for word in [
+        "admitted",
+        "snapshot-chosen",
+        "attempt-failed",
+        "shard-missing",
+        "parcels-01/0",
+        "answered",
+    ] {
+        assert!(text.contains(word), "{word} in {text}");
+    }
+}
+
+#[test]
+fn merged_in_order() {
+    let world = World::start(3, "");
+    for daemon in 0..3 {
+        world.query(daemon);
+    }
+    thread::sleep(Duration::from_millis(200));
+    let from = world.daemons[2].addresses.operators.to_string();
+    let (code, text) = run(&["timeline", "--from", &from, "--json"]);
+    assert_eq!(code, Some(0));
+    let records: Vec<harefield::domain::event::Record> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a record a line"))
+        .collect();
+    assert!(records.is_sorted_by_key(|record| record.stamp));
+    let mut hosts: Vec<_> = records
+        .iter()
+        .map(|record| record.host.to_string())
+        .collect();
+    hosts.sort();
+    hosts.dedup();
+    assert_eq!(hosts.len(), 3, "events of every daemon, found from one");
+}
+
+#[test]
+fn silent_named() {
+    let mut world = World::start(2, "");
+    let gone = world.daemons[1].addresses.operators.to_string();
+    let from = world.daemons[0].addresses.operators.to_string();
+    world.await_all("they know each other", |status| status.peers.len() == 2);
+    world.daemons[1].signal("KILL");
+    world.daemons[1].wait();
+    let (code, text) = run(&["timeline", "--from", &from, "--kind", "started"]);
+    assert_eq!(code, Some(0));
+    assert!(text.contains(&format!("did not answer: {gone}")), "{text}");
+}
+
+#[test]
+fn status_names_older() {
+    let world = World::start(2, "");
+    let from = world.daemons[0].addresses.operators.to_string();
+    let (code, text) = run(&["status", "--from", &from]);
+    assert_eq!(code, Some(0));
+    assert_eq!(text.matches("revision 1").count(), 2, "{text}");
+    assert!(!text.contains("behind"), "{text}");
+}
+
+#[test]
+fn usage_errors() {
+    for arguments in [
+        &["bogus"][..],
+        &["serve"],
+        &["query", "--nope"],
+        &["timeline"],
+        &["explain"],
+    ] {
+        assert_eq!(run(arguments).0, Some(2), "{arguments:?}");
+    }
+    for command in ["serve", "check", "query", "timeline", "explain", "status"] {
+        let (code, text) = run(&[command, "--help"]);
+        assert_eq!(code, Some(0));
+        assert!(text.starts_with("Usage: harefield"), "{text}");
+    }
+    assert!(run(&["--version"]).1.starts_with("harefield "));
+    assert_eq!(run(&["query", "--to", "127.0.0.1:1", "x"]).0, Some(5));
+}
