--- a/crates/harefield/src/adapters/upstreams.rs
+++ b/crates/harefield/src/adapters/upstreams.rs
@@ -33,6 +33,7 @@
 use crate::domain::word::WordStamp;
 use crate::ports::Call;
 use crate::ports::CallEnd;
+use crate::ports::Place;
 use crate::ports::Upstreams;
 
 /// The most bytes of one shard's reply.
@@ -47,6 +48,7 @@
     address: SocketAddr,
     idle: Vec<Connection>,
     open: u32,
+    warming: usize,
 }
 
 /// Asks upstreams by HTTP.
@@ -76,8 +78,8 @@
 
     fn take_idle(&self, call: &Call) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(&call.upstream)?;
-        if pool.address != call.address {
+        let pool = pools.get_mut(&call.place.upstream)?;
+        if pool.address != call.place.address {
             pool.idle.clear();
             return None;
         }
@@ -91,46 +93,66 @@
     }
 
     /// Reserves a place for one more connection within the share.
-    fn reserve(&self, call: &Call) -> bool {
+    fn reserve(&self, place: &Place, share: u32) -> bool {
         let mut pools = self.pools.borrow_mut();
         let pool = pools
-            .entry(Arc::clone(&call.upstream))
-            .or_insert_with(|| Pool::new(call.address));
-        if pool.address != call.address {
-            *pool = Pool::new(call.address);
+            .entry(Arc::clone(&place.upstream))
+            .or_insert_with(|| Pool::new(place.address));
+        if pool.address != place.address {
+            *pool = Pool::new(place.address);
         }
-        let room = pool.open < call.share;
+        let room = pool.open < share;
         pool.open += u32::from(room);
         room
     }
 
-    fn release(&self, call: &Call) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&call.upstream)
-            && pool.address == call.address
+    /// Changes the pool of a place, unless it has moved to another address.
+    fn with_pool(&self, place: &Place, change: impl FnOnce(&mut Pool)) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&place.upstream)
+            && pool.address == place.address
         {
-            pool.open = pool.open.saturating_sub(1);
+            change(pool);
         }
     }
 
-    fn give_back(&self, call: &Call, connection: Connection) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&call.upstream)
-            && pool.address == call.address
-        {
-            pool.idle.push(connection);
-        }
+    fn release(&self, place: &Place) {
+        self.with_pool(place, |pool| pool.open = pool.open.saturating_sub(1));
     }
 
-    async fn open(&self, call: &Call) -> Result<Connection, Gap> {
-        if !self.reserve(call) {
+    fn give_back(&self, place: &Place, connection: Connection) {
+        self.with_pool(place, |pool| pool.idle.push(connection));
+    }
+
+    /// Returns how many connections are idle or being opened ahead of need.
+    fn ready(&self, place: &Place) -> usize {
+        let pools = self.pools.borrow();
+        pools
+            .get(&place.upstream)
+            .map_or(0, |pool| pool.idle.len() + pool.warming)
+    }
+
+    /// Notes that a connection is opened ahead of need, where the share has room.
+    fn has_room(&self, place: &Place, share: u32) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(Arc::clone(&place.upstream))
+            .or_insert_with(|| Pool::new(place.address));
+        let room = pool.open < share;
+        pool.warming += usize::from(room);
+        room
+    }
+
+    async fn open(&self, place: &Place, share: u32) -> Result<Connection, Gap> {
+        if !self.reserve(place, share) {
             return Err(Gap::Overloaded);
         }
-        match http::connect(&self.executor, call.address, CONNECT_LIMIT).await {
+        match http::connect(&self.executor, place.address, CONNECT_LIMIT).await {
             Ok(connection) => {
                 self.opened.set(self.opened.get() + 1);
                 Ok(connection)
             }
             Err(_unopened) => {
-                self.release(call);
+                self.release(place);
                 Err(Gap::Unreachable)
             }
         }
@@ -145,28 +167,28 @@
             let reused = idle.is_some();
             let opened = match idle {
                 Some(connection) => Ok(connection),
-                None => self.open(call).await,
+                None => self.open(&call.place, call.share).await,
             };
             let mut connection = match opened {
                 Ok(connection) => connection,
                 Err(why) => return unsent(why),
             };
             if !permit() {
-                self.give_back(call, connection);
+                self.give_back(&call.place, connection);
                 return unsent(Gap::Unconfirmed);
             }
             match connection.send(request).await {
                 Ok(reply) => return self.finish(call, connection, reply).await,
                 Err(Some(unwritten)) if reused => {
-                    self.release(call);
+                    self.release(&call.place);
                     request = unwritten;
                 }
                 Err(Some(_unwritten)) => {
-                    self.release(call);
+                    self.release(&call.place);
                     return unsent(Gap::Unreachable);
                 }
                 Err(None) => {
-                    self.release(call);
+                    self.release(&call.place);
                     return lost(Gap::ReplyLost, Report::default());
                 }
             }
@@ -183,15 +205,15 @@
         let report = read_report(&head.headers);
         let whole = http::read(body, MOST_REPLY).await;
         let Ok(whole) = whole else {
-            self.release(call);
+            self.release(&call.place);
             return lost(Gap::ReplyLost, report);
         };
         let echoed = read_echo(&head.headers);
         if let Err(gap) = verify(&call.echo, echoed.as_ref()) {
-            self.release(call);
+            self.release(&call.place);
             return lost(gap, report);
         }
-        self.give_back(call, connection);
+        self.give_back(&call.place, connection);
         if head.status == StatusCode::OK {
             return answered(&whole, report);
         }
@@ -205,6 +227,7 @@
             address,
             idle: Vec::new(),
             open: 0,
+            warming: 0,
         }
     }
 }
@@ -220,7 +243,7 @@
             .or(expired)
             .await;
         ended.unwrap_or_else(|| {
-            self.release(&call);
+            self.release(&call.place);
             lost(Gap::ReplyLost, Report::default())
         })
     }
@@ -236,34 +259,46 @@
         let Some((mut connection, address)) = taken else {
             return;
         };
+        let place = Place {
+            upstream: Arc::clone(upstream),
+            address,
+        };
         let path = format!("/v1/requests/{request}");
-        let (this, upstream) = (self.clone(), Arc::clone(upstream));
+        let this = self.clone();
         let send = async move {
             let request = Request::delete(path).header("host", address.to_string());
             let Ok(request) = request.body(Full::default()) else {
                 return;
             };
-            let reply = connection.send(request).await;
-            let kept = match reply {
+            let kept = match connection.send(request).await {
                 Ok(reply) => http::read(reply.into_body(), MOST_REPLY).await.is_ok(),
                 Err(_) => false,
             };
-            let mut pools = this.pools.borrow_mut();
-            let Some(pool) = pools
-                .get_mut(&upstream)
-                .filter(|pool| pool.address == address)
-            else {
-                return;
-            };
             if kept {
-                pool.idle.push(connection);
+                this.give_back(&place, connection);
             } else {
-                pool.open = pool.open.saturating_sub(1);
+                this.release(&place);
             }
         };
         self.executor.spawn(send).detach();
     }
 
+    fn warm(&self, place: &Place, share: u32, want: usize) -> bool {
+        if self.ready(place) >= want || !self.has_room(place, share) {
+            return false;
+        }
+        let (this, place) = (self.clone(), place.clone());
+        let open = async move {
+            let opened = this.open(&place, share).await;
+            this.with_pool(&place, |pool| pool.warming = pool.warming.saturating_sub(1));
+            if let Ok(connection) = opened {
+                this.give_back(&place, connection);
+            }
+        };
+        self.executor.spawn(open).detach();
+        true
+    }
+
     fn idle(&self, upstream: &UpstreamId) -> usize {
         self.pools
             .borrow()
@@ -280,7 +315,7 @@
         *request.uri_mut() = path;
     }
     let headers = request.headers_mut();
-    put(headers, "host", &call.address.to_string());
+    put(headers, "host", &call.place.address.to_string());
     put(headers, "content-type", "application/json");
     put(headers, "harefield-request", &call.echo.request);
     put(headers, "harefield-shard", &call.echo.shard);
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -82,6 +82,7 @@
     );
     executor.spawn(Rc::clone(&worker).listen(messages)).detach();
     executor.spawn(Rc::clone(&worker).keep_lease()).detach();
+    executor.spawn(Rc::clone(&worker).keep_warm()).detach();
     let board = Arc::clone(&context.board);
     executor
         .spawn(Rc::clone(&worker).report(board, move || upstreams.opened()))
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -214,6 +214,12 @@
         Ok(())
     }
 
+    /// Returns whether it is left alone for a while after failures.
+    #[must_use]
+    pub fn is_backed_off(&self, now: Instant) -> bool {
+        self.retry.is_some_and(|at| now < at)
+    }
+
     /// Says whether the upstream could serve `version` at all, load aside.
     ///
     /// # Errors
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -36,6 +36,7 @@
 use crate::ports::CallEnd;
 use crate::ports::Clock;
 use crate::ports::Peers;
+use crate::ports::Place;
 use crate::ports::Upstreams;
 use crate::telemetry::Batch;
 use crate::telemetry::Trace;
@@ -206,8 +207,7 @@
             };
         };
         let call = Call {
-            upstream,
-            address,
+            place: Place { upstream, address },
             share,
             echo: attempt.echo(),
             remaining: attempt.job.deadline.saturating_duration_since(now),
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod once;
 mod run;
+mod warm;
 mod worker;
 
 pub use message::Confirmed;
--- /dev/null
+++ b/crates/harefield/src/engine/warm.rs
@@ -0,0 +1,101 @@
+//! Connections opened ahead of need, so that no request waits for one, and at
+//! a pace, so that a mass restart is no herd on the searchers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+
+use super::worker::Worker;
+use crate::domain::ids::UpstreamId;
+use crate::domain::view::index_upstreams;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Place;
+use crate::ports::Upstreams;
+
+/// How many connections to each upstream are kept ready.
+const READY: usize = 2;
+
+/// How often some are opened.
+const OPEN_EVERY: Duration = Duration::from_millis(10);
+
+/// How many are opened at a time.
+const OPEN_AT_ONCE: usize = 4;
+
+/// How long the duty rests when every upstream had what it needs.
+const REST: Duration = Duration::from_millis(100);
+
+impl<U, P, C> Worker<U, P, C>
+where
+    U: Upstreams + Clone + 'static,
+    P: Peers + Clone + 'static,
+    C: Clock + Copy + 'static,
+{
+    /// Keeps connections ready to the upstreams of the cells that this daemon
+    /// is a member of.
+    pub async fn keep_warm(self: Rc<Self>) {
+        loop {
+            let mut names = self.own_upstreams();
+            names.shuffle(&mut rand::rng());
+            let mut opened = 0;
+            for name in names {
+                if !self.warm(&name) {
+                    continue;
+                }
+                opened += 1;
+                if opened % OPEN_AT_ONCE == 0 {
+                    self.ports.clock.sleep(OPEN_EVERY).await;
+                }
+            }
+            self.ports.clock.sleep(REST).await;
+        }
+    }
+
+    /// Opens one connection to an upstream where it needs one.
+    fn warm(&self, name: &UpstreamId) -> bool {
+        let now = self.ports.clock.now();
+        let (place, share) = {
+            let router = self.router.borrow();
+            let Some(searcher) = router.searcher(name) else {
+                return false;
+            };
+            let usable = !searcher.is_leaving() && !searcher.is_backed_off(now);
+            if !usable || !router.lease().held(now) {
+                return false;
+            }
+            let address = searcher.spec().address;
+            (
+                Place {
+                    upstream: Arc::clone(name),
+                    address,
+                },
+                searcher.share(),
+            )
+        };
+        let opening = self.ports.upstreams.warm(&place, share, READY);
+        let idle = self.ports.upstreams.idle(name);
+        self.router.borrow_mut().set_idle(name, idle);
+        opening
+    }
+
+    fn own_upstreams(&self) -> Vec<UpstreamId> {
+        let view = self.view.borrow();
+        let mut names: Vec<UpstreamId> = Vec::new();
+        for (name, index) in &view.set.indexes {
+            let member = view
+                .cells
+                .get(name)
+                .is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host));
+            if member {
+                names.extend(
+                    index_upstreams(&view.set, index)
+                        .into_iter()
+                        .map(Arc::clone),
+                );
+            }
+        }
+        names
+    }
+}
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -20,4 +20,5 @@
 pub use platform::Watched;
 pub use upstreams::Call;
 pub use upstreams::CallEnd;
+pub use upstreams::Place;
 pub use upstreams::Upstreams;
--- a/crates/harefield/src/ports/upstreams.rs
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -10,13 +10,20 @@
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
 
-/// One request to one upstream.
-#[derive(Clone, Debug)]
-pub struct Call {
+/// An upstream and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
     /// The upstream.
     pub upstream: UpstreamId,
     /// Where it listens.
     pub address: SocketAddr,
+}
+
+/// One request to one upstream.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Whom to ask.
+    pub place: Place,
     /// How many connections to it may be open.
     pub share: u32,
     /// What the reply must echo: request and attempt, shard, version.
@@ -54,6 +61,10 @@
     /// no new connection.
     fn cancel(&self, upstream: &UpstreamId, request: &str);
 
+    /// Opens a connection ahead of need, where fewer than `want` are idle and
+    /// the share has room; returns whether one is being opened.
+    fn warm(&self, place: &Place, share: u32, want: usize) -> bool;
+
     /// Returns how many idle connections to an upstream are open.
     fn idle(&self, upstream: &UpstreamId) -> usize;
 }
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -10,6 +10,8 @@
     /// Nothing.
     #[default]
     None,
+    /// The host is gone: connections close before anything runs.
+    Gone,
     /// The connection closes after the request ran, without a reply.
     Lose,
     /// The body stops half-way.
--- a/crates/standin/src/bin/standin.rs
+++ b/crates/standin/src/bin/standin.rs
@@ -12,6 +12,9 @@
 use standin::Layout;
 use standin::Platform;
 use standin::Searchers;
+use standin::experiment;
+use standin::experiment::Experiment;
+use standin::experiment::Outcome;
 use standin::load;
 use standin::load::Load;
 use standin::load::Mix;
@@ -23,6 +26,10 @@
   standin platform  --listen IP:PORT --admin IP:PORT --layout L --base-port N [--daemon IP:PORT ...]
   standin searchers --base-port N --admin IP:PORT --layout L
   standin load      --daemon IP:PORT ... --mix LOOKUP=RATE ... [--seconds N] [--seed N]
+  standin experiment --scenario S --variant V --layout L --base-port N --listen IP:PORT
+                    --daemon IP:PORT ... --operator IP:PORT ... --peer IP:PORT ... --pids FILE
+                    [--seconds N] [--seed N] [--scale N]
+  standin table     FILE
   standin tell      --admin IP:PORT PATH BODY
 
 Layouts: small, caroni, licence. Searchers listen on 127.0.0.1 from the base
@@ -37,6 +44,8 @@
         Some("platform") => platform(&options),
         Some("searchers") => searchers(&options),
         Some("load") => run_load(&options),
+        Some("experiment") => run_experiment(&options),
+        Some("table") => print_table(&options),
         Some("tell") => tell(&options),
         _ => {
             print!("{HELP}");
@@ -106,34 +115,13 @@
 }
 
 fn platform(options: &Options) -> Result<(), Failure> {
-    let layout = options.layout()?;
-    let places = options.places(&layout)?;
-    let platform = Platform::start(&[options.one("listen", None)?]);
-    platform.publish("config", layout.resources(|name| places[name]));
-    let row = |role: &str| Some(json!({ "role": role, "state": "live", "zone": "hall-1a" }));
-    let mut hosts: Vec<_> = options
-        .all("daemon")
-        .iter()
-        .map(|address| (format!("hosts/{address}"), row("harefield")))
-        .collect();
-    hosts.extend(
-        places
-            .values()
-            .map(|address| (format!("hosts/{address}"), row("upstream"))),
-    );
-    platform.publish("hosts", hosts);
+    let platform = start_platform(options, &options.layout()?, "daemon")?;
     standin::serve_admin(options.one("admin", None)?, Some(platform), None);
     wait()
 }
 
 fn searchers(options: &Options) -> Result<(), Failure> {
-    let layout = options.layout()?;
-    let places = options.places(&layout)?;
-    let specs = layout
-        .searchers
-        .iter()
-        .map(|s| (s.name.clone(), places[&s.name], s.behaviour.clone()));
-    let searchers = Searchers::start(specs.collect());
+    let searchers = start_searchers(options, &options.layout()?)?;
     standin::serve_admin(options.one("admin", None)?, None, Some(searchers));
     wait()
 }
@@ -172,6 +160,83 @@
     Ok(())
 }
 
+/// Publishes a layout and the daemons' rows on a new platform.
+fn start_platform(options: &Options, layout: &Layout, peers: &str) -> Result<Platform, Failure> {
+    let places = options.places(layout)?;
+    let platform = Platform::start(&[options.one("listen", None)?]);
+    platform.publish("config", layout.resources(|name| places[name]));
+    let row = |role: &str| Some(json!({ "role": role, "state": "live", "zone": "hall-1a" }));
+    let daemons = options
+        .all(peers)
+        .iter()
+        .map(|address| (format!("hosts/{address}"), row("harefield")));
+    let upstreams = places
+        .values()
+        .map(|address| (format!("hosts/{address}"), row("upstream")));
+    platform.publish("hosts", daemons.chain(upstreams).collect());
+    Ok(platform)
+}
+
+fn start_searchers(options: &Options, layout: &Layout) -> Result<Searchers, Failure> {
+    let places = options.places(layout)?;
+    let specs = layout
+        .searchers
+        .iter()
+        .map(|s| (s.name.clone(), places[&s.name], s.behaviour.clone()));
+    Ok(Searchers::start(specs.collect()))
+}
+
+fn run_experiment(options: &Options) -> Result<(), Failure> {
+    let layout = options.layout()?;
+    let searchers = start_searchers(options, &layout)?;
+    let platform = start_platform(options, &layout, "peer")?;
+    let scenario: String = options.one("scenario", None)?;
+    let pids: String = options.one("pids", None)?;
+    let experiment = Experiment {
+        scenario: serde_json::from_value(scenario.into())?,
+        variant: options.one("variant", None)?,
+        layout,
+        platform,
+        searchers,
+        daemons: parse_all(options.all("daemon"))?,
+        operators: parse_all(options.all("operator"))?,
+        pids: parse_all(&read_words(&pids)?)?,
+        time: Duration::from_secs_f64(options.one("seconds", Some(8.0))?),
+        seed: options.one("seed", Some(1))?,
+        scale: options.one("scale", Some(1.0))?,
+    };
+    println!("{}", serde_json::to_string(&experiment.run())?);
+    Ok(())
+}
+
+/// Reads a file's words, once it is there and not empty.
+fn read_words(path: &str) -> Result<Vec<String>, Failure> {
+    for _ in 0..200 {
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        if text.ends_with('\n') {
+            return Ok(text.split_whitespace().map(str::to_owned).collect());
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    Err(format!("{path} is not there").into())
+}
+
+fn parse_all<T: std::str::FromStr>(texts: &[String]) -> Result<Vec<T>, Failure> {
+    let parse = |text: &String| {
+        text.parse()
+            .map_err(|_error| format!("{text} is not valid").into())
+    };
+    texts.iter().map(parse).collect()
+}
+
+fn print_table(options: &Options) -> Result<(), Failure> {
+    let path = options.words.get(1).ok_or("a FILE is needed")?;
+    let text = std::fs::read_to_string(path)?;
+    let outcomes: Result<Vec<Outcome>, _> = text.lines().map(serde_json::from_str).collect();
+    print!("{}", experiment::table(&outcomes?));
+    Ok(())
+}
+
 fn tell(options: &Options) -> Result<(), Failure> {
     let to = options.one("admin", None)?;
     let word = |at: usize| options.words.get(at).map_or("", String::as_str);
--- /dev/null
+++ b/crates/standin/src/experiment.rs
@@ -0,0 +1,389 @@
+//! Experiments: one scenario against a running fleet, figures as one JSON line.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::behaviour::Fault;
+use super::layout::Layout;
+use super::load;
+use super::load::Figures;
+use super::load::Load;
+use super::load::Mix;
+use super::net::Client;
+use super::platform::Platform;
+use super::searchers::Searchers;
+
+/// How long daemons may take to start.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// The mean time of a request in experiments, in milliseconds.
+const SERVICE_MS: f64 = 8.0;
+
+/// What happens to the world in an experiment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scenario {
+    /// Nothing.
+    Steady,
+    /// One searcher in each service takes six times as long.
+    Slow,
+    /// One request of a hundred takes 100 ms.
+    Stragglers,
+    /// One searcher in each service goes, half-way.
+    Lost,
+    /// One searcher in each service is replaced by a cold one, half-way.
+    Cold,
+    /// One searcher in each service sheds all load.
+    Shedding,
+    /// One searcher in each service is slow and says that it is idle; the
+    /// others say that they are busy.
+    Lying,
+    /// Twice what the first index's searchers can do, urgent and ordinary.
+    Overload,
+    /// A new snapshot is loaded, published, and the old one dropped.
+    NewSnapshot,
+    /// One daemon is frozen, half-way; callers go to the others.
+    FrozenDaemon,
+    /// Every second daemon and searcher goes, half-way.
+    ZoneGone,
+    /// The platform goes, half-way.
+    PlatformGone,
+}
+
+impl Scenario {
+    /// Every scenario.
+    pub const ALL: [Self; 12] = [
+        Self::Steady,
+        Self::Slow,
+        Self::Stragglers,
+        Self::Lost,
+        Self::Cold,
+        Self::Shedding,
+        Self::Lying,
+        Self::Overload,
+        Self::NewSnapshot,
+        Self::FrozenDaemon,
+        Self::ZoneGone,
+        Self::PlatformGone,
+    ];
+}
+
+/// An experiment's world and size.
+#[derive(Debug)]
+pub struct Experiment {
+    /// What happens.
+    pub scenario: Scenario,
+    /// The name of the daemons' settings, for the table.
+    pub variant: String,
+    /// The deployment.
+    pub layout: Layout,
+    /// The platform.
+    pub platform: Platform,
+    /// The searchers.
+    pub searchers: Searchers,
+    /// The daemons' callers' addresses.
+    pub daemons: Vec<SocketAddr>,
+    /// Their operators' addresses, in the same order.
+    pub operators: Vec<SocketAddr>,
+    /// Their process ids, in the same order.
+    pub pids: Vec<i32>,
+    /// For how long the load runs.
+    pub time: Duration,
+    /// Seeds the load.
+    pub seed: u64,
+    /// Multiplies the steady rates.
+    pub scale: f64,
+}
+
+/// The figures of one experiment.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Outcome {
+    /// What happened.
+    pub scenario: Scenario,
+    /// The name of the daemons' settings.
+    pub variant: String,
+    /// What came of each lookup.
+    pub lookups: BTreeMap<String, Figures>,
+    /// Shard requests beyond the first ones, as a part of those.
+    pub extra: f64,
+    /// Connections opened while the load ran.
+    pub opened: u64,
+    /// Connections that were one too many for a searcher.
+    pub refused_connections: u64,
+    /// Calls to the platform a second.
+    pub calls: f64,
+}
+
+/// Counts of all daemons.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    first: u64,
+    extra: u64,
+}
+
+impl Experiment {
+    /// Runs the experiment to its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the daemons do not answer.
+    #[must_use]
+    pub fn run(&self) -> Outcome {
+        self.await_daemons();
+        self.searchers.change_all(|b| b.service_ms = SERVICE_MS);
+        self.prepare();
+        let (sent, tally, (calls, begun)) =
+            (self.sent(), self.searchers.tally(), self.platform.calls());
+        let lookups = thread::scope(|scope| {
+            scope.spawn(|| self.happen());
+            load::run(&self.load())
+        });
+        let (calls_after, ended) = self.platform.calls();
+        let opened = self.searchers.tally().opened - tally.opened;
+        let refused = self.searchers.tally().refused_connections - tally.refused_connections;
+        self.signal_all(Signal::CONT);
+        thread::sleep(Duration::from_millis(700));
+        let after = self.sent();
+        Outcome {
+            scenario: self.scenario,
+            variant: self.variant.clone(),
+            lookups,
+            extra: part(after.extra - sent.extra, after.first - sent.first),
+            opened,
+            refused_connections: refused,
+            calls: f64::from(u32::try_from(calls_after - calls).unwrap_or(u32::MAX))
+                / ended.saturating_sub(begun).as_secs_f64(),
+        }
+    }
+
+    fn await_daemons(&self) {
+        let until = Instant::now() + START_LIMIT;
+        for operator in &self.operators {
+            while status(*operator).is_none() {
+                assert!(Instant::now() < until, "{operator} does not answer");
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
+    /// The steady rates: about a third of what the searchers can do.
+    fn load(&self) -> Load {
+        let steady = |lookup: &str| match lookup {
+            "console" | "usage" | "courier" | "availability" => 150.0,
+            "counter" | "overuse" => 100.0,
+            "bulk" | "renewal" => 30.0,
+            _ => 0.0,
+        };
+        let first = self.first_index();
+        let rate = |lookup: &str| match self.scenario {
+            Scenario::Overload if lookup == first => 250.0,
+            Scenario::Overload if lookup == format!("{first}-audit") => 750.0,
+            Scenario::Overload => 0.0,
+            _ => steady(lookup) * self.scale,
+        };
+        let names = self
+            .layout
+            .lookups
+            .keys()
+            .cloned()
+            .chain([format!("{first}-audit")]);
+        let mixes = names
+            .map(|lookup| Mix {
+                rate: rate(&lookup),
+                lookup,
+            })
+            .filter(|mix| mix.rate > 0.0);
+        let spared = |number: &usize| match self.scenario {
+            Scenario::FrozenDaemon => *number == 0,
+            Scenario::ZoneGone => number % 2 == 1,
+            _ => false,
+        };
+        let daemons = self
+            .daemons
+            .iter()
+            .enumerate()
+            .filter(|(n, _)| !spared(n))
+            .map(|(_, a)| *a);
+        Load {
+            daemons: daemons.collect(),
+            mixes: mixes.collect(),
+            time: self.time,
+            warm: self.time / 5,
+            latency: Duration::from_millis(1),
+            seed: self.seed,
+        }
+    }
+
+    fn first_index(&self) -> &'static str {
+        if self.layout.lookups.contains_key("console") {
+            "console"
+        } else {
+            "usage"
+        }
+    }
+
+    fn each_first(&self, change: impl Fn(&mut super::behaviour::Behaviour)) {
+        for spec in self
+            .layout
+            .searchers
+            .iter()
+            .filter(|spec| spec.replica == 0)
+        {
+            self.searchers.change(&spec.name, &change);
+        }
+    }
+
+    /// What is so from the start.
+    fn prepare(&self) {
+        match self.scenario {
+            Scenario::Slow => self.each_first(|b| b.service_ms = SERVICE_MS * 6.0),
+            Scenario::Stragglers => self.searchers.change_all(|b| {
+                b.straggle_percent = 1.0;
+                b.straggle_ms = 100.0;
+            }),
+            Scenario::Shedding => self.each_first(|b| b.shed_ms = Some(500)),
+            Scenario::Lying => {
+                self.searchers.change_all(|b| b.lie_queued = Some(50));
+                self.each_first(|b| {
+                    b.service_ms = SERVICE_MS * 4.0;
+                    b.lie_queued = Some(0);
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// What happens half-way.
+    fn happen(&self) {
+        thread::sleep(self.time / 2);
+        match self.scenario {
+            Scenario::Lost => self.each_first(|b| b.fault = Fault::Gone),
+            Scenario::Cold => self.each_first(|b| b.cold_requests = u64::MAX / 2),
+            Scenario::NewSnapshot => self.move_snapshot(),
+            Scenario::FrozenDaemon => self.signal(0, Signal::STOP),
+            Scenario::PlatformGone => self.platform.set_down(0, true),
+            Scenario::ZoneGone => {
+                for number in (1..self.pids.len()).step_by(2) {
+                    self.signal(number, Signal::STOP);
+                }
+                for spec in self
+                    .layout
+                    .searchers
+                    .iter()
+                    .filter(|spec| spec.replica % 2 == 1)
+                {
+                    self.searchers.change(&spec.name, |b| b.fault = Fault::Gone);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn move_snapshot(&self) {
+        for name in self.searchers.names() {
+            self.searchers.change(&name, |b| b.held.push(2));
+            thread::sleep(Duration::from_millis(3));
+        }
+        let index = self.first_index();
+        let moved = self.layout.index_at(index, &[2, 1]);
+        self.platform
+            .publish("config", vec![(format!("indexes/{index}"), moved)]);
+        thread::sleep(Duration::from_secs(1));
+        for name in self
+            .searchers
+            .names()
+            .iter()
+            .filter(|name| name.starts_with(index))
+        {
+            self.searchers
+                .change(name, |b| b.held.retain(|version| *version == 2));
+        }
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(pid) = self.pids.get(number).and_then(|pid| Pid::from_raw(*pid)) {
+            let _ = kill_process(pid, signal).is_ok();
+        }
+    }
+
+    fn signal_all(&self, signal: Signal) {
+        for number in 0..self.pids.len() {
+            self.signal(number, signal);
+        }
+    }
+
+    fn sent(&self) -> Sent {
+        let mut sent = Sent::default();
+        for workers in self.operators.iter().filter_map(|address| status(*address)) {
+            for worker in workers["workers"]
+                .as_object()
+                .into_iter()
+                .flat_map(|w| w.values())
+            {
+                sent.first += worker["first"].as_u64().unwrap_or(0);
+                sent.extra += worker["extra"].as_u64().unwrap_or(0);
+            }
+        }
+        sent
+    }
+}
+
+fn status(operator: SocketAddr) -> Option<Value> {
+    let reply = Client::once(operator, "GET", "/v1/status", "", Duration::from_secs(2));
+    serde_json::from_slice(&reply?.1).ok()
+}
+
+fn part(some: u64, all: u64) -> f64 {
+    let exact = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    if all == 0 {
+        0.0
+    } else {
+        exact(some) / exact(all)
+    }
+}
+
+/// Writes outcomes as a table, one row a scenario, variant and lookup.
+#[must_use]
+pub fn table(outcomes: &[Outcome]) -> String {
+    let mut text = "| scenario | variant | lookup | sent | p50 | p99 | p99.9 | whole | partial | refused | unknown | failed | coverage | extra | opened | too many |\n".to_owned();
+    text += "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+    for outcome in outcomes {
+        for (lookup, f) in &outcome.lookups {
+            text += &row(outcome, lookup, f);
+        }
+    }
+    text
+}
+
+fn row(outcome: &Outcome, lookup: &str, f: &Figures) -> String {
+    let scenario = serde_json::to_value(outcome.scenario).unwrap_or_default();
+    let cells = [
+        scenario.as_str().unwrap_or("").to_owned(),
+        outcome.variant.clone(),
+        lookup.to_owned(),
+        f.sent.to_string(),
+        format!("{:.1}", f.p50),
+        format!("{:.1}", f.p99),
+        format!("{:.1}", f.p999),
+        f.whole.to_string(),
+        f.partial.to_string(),
+        f.refused.to_string(),
+        f.unknown.to_string(),
+        f.failed.to_string(),
+        format!("{:.5}", f.coverage()),
+        format!("{:.2}%", outcome.extra * 100.0),
+        outcome.opened.to_string(),
+        outcome.refused_connections.to_string(),
+    ];
+    format!("| {} |\n", cells.join(" | "))
+}
--- a/crates/standin/src/layout.rs
+++ b/crates/standin/src/layout.rs
@@ -194,6 +194,15 @@
                 format!("lookups/{}", group.index),
                 Some(lookup(group, group.repeatable)),
             ));
+            let audit = Group {
+                urgency: "ordinary",
+                deadline_ms: group.deadline_ms * 4,
+                ..*group
+            };
+            items.push((
+                format!("lookups/{}-audit", group.index),
+                Some(lookup(&audit, true)),
+            ));
             items.push((
                 format!("lookups/{}-once", group.index),
                 Some(lookup(group, false)),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod behaviour;
+pub mod experiment;
 mod layout;
 pub mod load;
 mod net;
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -33,6 +33,9 @@
 /// How often a frozen searcher looks whether it may go on.
 const THAW: Duration = Duration::from_millis(5);
 
+/// How often a working searcher looks whether it was cancelled.
+const SLICE: Duration = Duration::from_millis(4);
+
 /// How much longer a cold searcher takes.
 const COLD: f64 = 4.0;
 
@@ -161,6 +164,9 @@
         over: bool,
     ) -> Result<SearcherReply, Close> {
         self.thaw().await;
+        if self.lock().behaviour.fault == Fault::Gone {
+            return Err(Close);
+        }
         let latency = millis(self.lock().behaviour.latency_ms);
         Timer::after(latency).await;
         let path = request.uri().path().to_owned();
@@ -195,7 +201,9 @@
             return Ok(self.refuse(asked, why, false));
         };
         let time = self.begin(asked);
-        Timer::after(time).await;
+        if !self.work(asked, time).await {
+            return Ok(self.refuse(asked, "cancelled", true));
+        }
         self.thaw().await;
         drop(slot);
         self.reply(asked, query)
@@ -252,6 +260,18 @@
         draw_time(&state.behaviour, state.counts.ran, &mut state.random)
     }
 
+    /// Works for a time, unless cancelled; returns whether the work was done.
+    async fn work(&self, asked: &Asked, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            Timer::at(end.min(Instant::now() + SLICE)).await;
+            if self.lock().cancelled.remove(&asked.request) {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn thaw(&self) {
         while self.lock().behaviour.frozen {
             Timer::after(THAW).await;
@@ -268,7 +288,7 @@
         let mut echo = asked.request.clone();
         match fault {
             Fault::None | Fault::Truncate | Fault::Garbage => {}
-            Fault::Lose => return Err(Close),
+            Fault::Lose | Fault::Gone => return Err(Close),
             Fault::RefuseBegun => return Ok(self.refuse(asked, "failed", true)),
             Fault::Cross => echo = previous,
             Fault::WrongVersion => version += 1,
