--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -60,10 +60,7 @@
 
 impl From<Code> for Refused {
     fn from(code: Code) -> Self {
-        Self {
-            code,
-            detail: String::new(),
-        }
+        Self { code, detail: String::new() }
     }
 }
 
@@ -83,9 +80,7 @@
         Err(refused) => render(&refuse(&refused)),
     };
     if worker.is_stopping() {
-        reply
-            .headers_mut()
-            .insert("connection", HeaderValue::from_static("close"));
+        reply.headers_mut().insert("connection", HeaderValue::from_static("close"));
     }
     reply
 }
@@ -110,24 +105,13 @@
     answer
 }
 
-async fn read(
-    request: Request<Incoming>,
-    limits: RequestLimits,
-) -> Result<(Body, String), Refused> {
+async fn read(request: Request<Incoming>, limits: RequestLimits) -> Result<(Body, String), Refused> {
     let (head, incoming) = request.into_parts();
-    let size: usize = head
-        .headers
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len() + 4)
-        .sum();
+    let size: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
     if size + head.uri.path().len() > limits.head {
         return Err(Code::HeadTooLarge.into());
     }
-    let lookup = head
-        .uri
-        .path()
-        .strip_prefix(LOOKUPS)
-        .filter(|name| !name.is_empty() && !name.contains('/'));
+    let lookup = head.uri.path().strip_prefix(LOOKUPS).filter(|name| !name.is_empty() && !name.contains('/'));
     let lookup = lookup.ok_or(Code::UnknownPath)?.to_owned();
     if head.method != Method::POST {
         return Err(Code::WrongMethod.into());
@@ -136,9 +120,7 @@
         Timer::after(limits.time).await;
         None
     };
-    let read = async { Some(http::read(incoming, limits.body).await) }
-        .or(expired)
-        .await;
+    let read = async { Some(http::read(incoming, limits.body).await) }.or(expired).await;
     let bytes = match read {
         None => return Err(Code::SlowBody.into()),
         Some(Err(BodyError::TooLarge)) => return Err(Code::BodyTooLarge.into()),
@@ -146,18 +128,11 @@
         Some(Ok(bytes)) => bytes,
     };
     let body: Body = serde_json::from_slice(&bytes).map_err(|error| Refused {
-        code: if error.classify() == Category::Data {
-            Code::BadField
-        } else {
-            Code::MalformedBody
-        },
+        code: if error.classify() == Category::Data { Code::BadField } else { Code::MalformedBody },
         detail: error.to_string(),
     })?;
     if body.deadline_ms == Some(0) {
-        return Err(Refused {
-            code: Code::BadField,
-            detail: "deadline-ms must be at least 1".to_owned(),
-        });
+        return Err(Refused { code: Code::BadField, detail: "deadline-ms must be at least 1".to_owned() });
     }
     Ok((body, lookup))
 }
--- a/crates/harefield/src/adapters/clock.rs
+++ b/crates/harefield/src/adapters/clock.rs
@@ -18,9 +18,7 @@
     }
 
     fn wall(&self) -> u64 {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
     }
 
--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -72,10 +72,7 @@
         None
     };
     let stream = opened.or(expired).await.ok_or(ClientError::NotSent)?;
-    stream
-        .get_ref()
-        .set_nodelay(true)
-        .map_err(|_error| ClientError::NotSent)?;
+    stream.get_ref().set_nodelay(true).map_err(|_error| ClientError::NotSent)?;
     let (sender, driver) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
         .await
         .map_err(|_error| ClientError::NotSent)?;
@@ -108,16 +105,11 @@
     request: Request<Full<Bytes>>,
     most: usize,
 ) -> Result<Response<Bytes>, ClientError> {
-    let reply = connection
-        .send(request)
-        .await
-        .map_err(|unsent| match unsent {
-            Some(_) => ClientError::NotSent,
-            None => ClientError::Lost,
-        })?;
+    let reply = connection.send(request).await.map_err(|unsent| match unsent {
+        Some(_) => ClientError::NotSent,
+        None => ClientError::Lost,
+    })?;
     let (head, incoming) = reply.into_parts();
-    let whole = body::read(incoming, most)
-        .await
-        .map_err(|_cut| ClientError::Lost)?;
+    let whole = body::read(incoming, most).await.map_err(|_cut| ClientError::Lost)?;
     Ok(Response::from_parts(head, whole))
 }
--- a/crates/harefield/src/adapters/http/reply.rs
+++ b/crates/harefield/src/adapters/http/reply.rs
@@ -31,26 +31,14 @@
 /// Makes a numbered refusal.
 #[must_use]
 pub fn refusal(code: Code, detail: &str) -> Response<Full<Bytes>> {
-    let message = if detail.is_empty() {
-        code.text().to_owned()
-    } else {
-        format!("{}: {detail}", code.text())
-    };
-    json(
-        code.status(),
-        &Refusal {
-            code,
-            message: &message,
-        },
-    )
+    let message =
+        if detail.is_empty() { code.text().to_owned() } else { format!("{}: {detail}", code.text()) };
+    json(code.status(), &Refusal { code, message: &message })
 }
 
 fn make(status: u16, kind: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut reply = Response::new(bytes(body));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    reply.headers_mut().insert(
-        "content-type",
-        hyper::header::HeaderValue::from_static(kind),
-    );
+    reply.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
     reply
 }
--- a/crates/harefield/src/adapters/http/server.rs
+++ b/crates/harefield/src/adapters/http/server.rs
@@ -50,10 +50,7 @@
         Ok::<_, std::convert::Infallible>(reply)
     };
     let mut builder = Builder::new();
-    builder
-        .timer(SmolTimer::new())
-        .header_read_timeout(limits.head_time)
-        .max_buf_size(limits.head_bytes);
+    builder.timer(SmolTimer::new()).header_read_timeout(limits.head_time).max_buf_size(limits.head_bytes);
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service_fn(answer)));
     let stopping = async {
         let _ = stop.recv().await;
--- a/crates/harefield/src/adapters/logs.rs
+++ b/crates/harefield/src/adapters/logs.rs
@@ -26,10 +26,7 @@
     fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
-            let time = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default()
-                .as_millis();
+            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
             let line = Line {
                 time,
                 level: record.level().as_str(),
@@ -37,10 +34,7 @@
                 target: record.target(),
                 message: message.to_string(),
             };
-            out.finish(format_args!(
-                "{}",
-                serde_json::to_string(&line).unwrap_or_default()
-            ));
+            out.finish(format_args!("{}", serde_json::to_string(&line).unwrap_or_default()));
         })
         .chain(std::io::stderr())
         .apply()
--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -26,21 +26,13 @@
     /// Returns why no socket could be had.
     pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
         let Some(address) = statsd else {
-            return Ok(Self {
-                client: StatsdClient::from_sink(PREFIX, NopMetricSink),
-            });
-        };
-        let local = if address.is_ipv4() {
-            "0.0.0.0:0"
-        } else {
-            "[::]:0"
+            return Ok(Self { client: StatsdClient::from_sink(PREFIX, NopMetricSink) });
         };
+        let local = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
         let socket = UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
         let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-        Ok(Self {
-            client: StatsdClient::from_sink(PREFIX, sink),
-        })
+        Ok(Self { client: StatsdClient::from_sink(PREFIX, sink) })
     }
 
     /// Counts `count` of something.
--- a/crates/harefield/src/adapters/operators.rs
+++ b/crates/harefield/src/adapters/operators.rs
@@ -40,11 +40,8 @@
     ///
     /// Returns every fault of the set.
     pub fn check(&self) -> Result<ResourceSet, Vec<Fault>> {
-        let items: Items = self
-            .items
-            .iter()
-            .map(|(key, value)| (Arc::clone(key), value.get().into()))
-            .collect();
+        let items: Items =
+            self.items.iter().map(|(key, value)| (Arc::clone(key), value.get().into())).collect();
         ResourceSet::parse(&items)
     }
 }
@@ -91,11 +88,5 @@
         Err(error) => return http::refusal(Code::MalformedBody, &error.to_string()),
     };
     let faults = file.check().err().unwrap_or_default();
-    http::json(
-        200,
-        &Checked {
-            accepted: faults.is_empty(),
-            faults,
-        },
-    )
+    http::json(200, &Checked { accepted: faults.is_empty(), faults })
 }
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -69,17 +69,10 @@
     match head.uri.path() {
         FORWARD_PATH => forward(&worker, &body).await,
         EXCHANGE_PATH => {
-            ask_control(&server, &body, |said: Exchange, reply| {
-                ToControl::Exchange(Box::new(said), reply)
-            })
-            .await
-        }
-        PULL_PATH => {
-            ask_control(&server, &body, |pull: Pull, reply| {
-                ToControl::Pull(pull, reply)
-            })
-            .await
+            ask_control(&server, &body, |said: Exchange, reply| ToControl::Exchange(Box::new(said), reply))
+                .await
         }
+        PULL_PATH => ask_control(&server, &body, |pull: Pull, reply| ToControl::Pull(pull, reply)).await,
         _ => http::refusal(Code::UnknownPath, ""),
     }
 }
@@ -128,12 +121,8 @@
     match receiver.recv().await {
         Ok(reply) => {
             let made = http::packed(&reply);
-            let size = hyper::body::Body::size_hint(made.body())
-                .exact()
-                .unwrap_or(0);
-            server
-                .traffic
-                .count(body.len(), usize::try_from(size).unwrap_or(usize::MAX));
+            let size = hyper::body::Body::size_hint(made.body()).exact().unwrap_or(0);
+            server.traffic.count(body.len(), usize::try_from(size).unwrap_or(usize::MAX));
             made
         }
         Err(_closed) => http::refusal(Code::Stopping, ""),
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -56,17 +56,8 @@
     /// Creates the adapter on one thread's executor; `token` is shown to peers
     /// and `traffic` counts what control sends.
     #[must_use]
-    pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
-        token: Option<String>,
-        traffic: Traffic,
-    ) -> Self {
-        Self {
-            executor,
-            pool: Rc::default(),
-            token,
-            traffic,
-        }
+    pub fn new(executor: Rc<LocalExecutor<'static>>, token: Option<String>, traffic: Traffic) -> Self {
+        Self { executor, pool: Rc::default(), token, traffic }
     }
 
     async fn call<R: DeserializeOwned>(
@@ -93,18 +84,13 @@
         let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
         let request = self.request(host, path, body)?;
         let connecting = limit.min(CONNECT_LIMIT);
-        let sent = self
-            .pool
-            .send(&self.executor, address, request, connecting)
-            .await;
+        let sent = self.pool.send(&self.executor, address, request, connecting).await;
         let (reply, connection) = sent.map_err(|error| match error {
             ClientError::NotSent => PeerError::Unreachable,
             ClientError::Lost => PeerError::Silent,
         })?;
         let status = reply.status();
-        let whole = http::read(reply.into_body(), MOST_REPLY)
-            .await
-            .map_err(|_error| PeerError::Silent)?;
+        let whole = http::read(reply.into_body(), MOST_REPLY).await.map_err(|_error| PeerError::Silent)?;
         self.pool.give_back(address, connection);
         match status {
             StatusCode::OK => {}
@@ -115,19 +101,12 @@
         Ok((parsed, whole.len()))
     }
 
-    fn request(
-        &self,
-        host: &HostId,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<Request<Full<Bytes>>, PeerError> {
+    fn request(&self, host: &HostId, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, PeerError> {
         let mut request = Request::post(path).header("host", &**host);
         if let Some(token) = &self.token {
             request = request.header("authorization", format!("Bearer {token}"));
         }
-        request
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|_error| PeerError::Unreachable)
+        request.body(Full::new(Bytes::from(body))).map_err(|_error| PeerError::Unreachable)
     }
 
     async fn control<M, R>(
@@ -150,14 +129,8 @@
 }
 
 impl Peers for HttpPeers {
-    async fn forward(
-        &self,
-        host: &HostId,
-        message: &Forward,
-        limit: Duration,
-    ) -> Result<Answer, PeerError> {
-        let (json, _size): (ByteBuf, _) =
-            self.call(host, FORWARD_PATH, pack(message)?, limit).await?;
+    async fn forward(&self, host: &HostId, message: &Forward, limit: Duration) -> Result<Answer, PeerError> {
+        let (json, _size): (ByteBuf, _) = self.call(host, FORWARD_PATH, pack(message)?, limit).await?;
         serde_json::from_slice(&json).map_err(|_error| PeerError::Silent)
     }
 
--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -81,9 +81,7 @@
         path: &str,
         limit: Duration,
     ) -> Result<Option<R>, PlatformError> {
-        let request = Request::get(path)
-            .header("host", copy.to_string())
-            .body(Full::default());
+        let request = Request::get(path).header("host", copy.to_string()).body(Full::default());
         let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
         let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
@@ -94,9 +92,7 @@
             _ => return Err(PlatformError::Unreachable),
         }
         let parsed = serde_json::from_slice(reply.body());
-        parsed
-            .map(Some)
-            .map_err(|error| PlatformError::Malformed(error.to_string()))
+        parsed.map(Some).map_err(|error| PlatformError::Malformed(error.to_string()))
     }
 }
 
@@ -112,11 +108,7 @@
                 listing.first = page.revision;
             }
             listing.last = page.revision;
-            listing.items.extend(
-                page.items
-                    .into_iter()
-                    .map(|item| (item.key, raw(&item.value))),
-            );
+            listing.items.extend(page.items.into_iter().map(|item| (item.key, raw(&item.value))));
             match page.next {
                 Some(next) => from = next.to_string(),
                 None => return Ok(listing),
@@ -131,11 +123,7 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
-        let path = format!(
-            "/v1/{}/watch?after={after}&wait-ms={}",
-            space.name(),
-            wait.as_millis()
-        );
+        let path = format!("/v1/{}/watch?after={after}&wait-ms={}", space.name(), wait.as_millis());
         let changes: Option<Changes> = self.get(copy, &path, wait + READ_LIMIT).await?;
         Ok(match changes {
             Some(changes) => Watched::Deltas(group(after, changes.changes)),
@@ -153,18 +141,11 @@
     let mut grouped: BTreeMap<Revision, Vec<Change>> = BTreeMap::new();
     for row in rows.into_iter().filter(|row| row.revision > after) {
         let value = row.value.as_deref().map(raw);
-        grouped.entry(row.revision).or_default().push(Change {
-            key: row.key,
-            value,
-        });
+        grouped.entry(row.revision).or_default().push(Change { key: row.key, value });
     }
     let mut base = after;
     let deltas = grouped.into_iter().map(|(revision, changes)| {
-        let delta = Delta {
-            base,
-            revision,
-            changes,
-        };
+        let delta = Delta { base, revision, changes };
         base = revision;
         delta
     });
--- a/crates/harefield/src/adapters/settings.rs
+++ b/crates/harefield/src/adapters/settings.rs
@@ -65,11 +65,7 @@
 impl Default for Listen {
     fn default() -> Self {
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        Self {
-            callers: at(7100),
-            peers: at(7200),
-            operators: at(7300),
-        }
+        Self { callers: at(7100), peers: at(7200), operators: at(7300) }
     }
 }
 
@@ -87,11 +83,7 @@
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self {
-            addresses: Vec::new(),
-            watch_ms: 20_000,
-            readers: 2,
-        }
+        Self { addresses: Vec::new(), watch_ms: 20_000, readers: 2 }
     }
 }
 
@@ -111,12 +103,7 @@
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self {
-            seeds: Vec::new(),
-            exchange_ms: 1000,
-            join_ms: 2000,
-            token_file: None,
-        }
+        Self { seeds: Vec::new(), exchange_ms: 1000, join_ms: 2000, token_file: None }
     }
 }
 
@@ -205,10 +192,7 @@
 
 impl Default for StopSettings {
     fn default() -> Self {
-        Self {
-            linger_ms: 1000,
-            limit_ms: 30_000,
-        }
+        Self { linger_ms: 1000, limit_ms: 30_000 }
     }
 }
 
@@ -226,11 +210,7 @@
 
 impl Default for EventSettings {
     fn default() -> Self {
-        Self {
-            keep: 20_000,
-            detail_every: 1,
-            token_file: None,
-        }
+        Self { keep: 20_000, detail_every: 1, token_file: None }
     }
 }
 
@@ -252,9 +232,7 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self {
-            level: log::LevelFilter::Info,
-        }
+        Self { level: log::LevelFilter::Info }
     }
 }
 
@@ -317,75 +295,37 @@
             return Ok(settings);
         }
         let source_code = NamedSource::new(name, text.to_owned());
-        Err(SettingsError {
-            code: Code::SettingsInvalid,
-            source_code,
-            labels,
-        })
+        Err(SettingsError { code: Code::SettingsInvalid, source_code, labels })
     }
 
     fn faults(&self) -> Vec<String> {
         let limits = &self.limits;
         let stated = [
             (self.host.zone.is_empty(), "host.zone is required"),
-            (
-                self.platform.addresses.is_empty(),
-                "platform.addresses needs at least one address",
-            ),
-            (
-                self.platform.readers == 0,
-                "platform.readers must be at least 1",
-            ),
-            (
-                self.peers.exchange_ms == 0,
-                "peers.exchange-ms must be at least 1",
-            ),
-            (
-                limits.workers == 0 || limits.workers > 64,
-                "limits.workers must be from 1 to 64",
-            ),
-            (
-                limits.connections == 0,
-                "limits.connections must be at least 1",
-            ),
+            (self.platform.addresses.is_empty(), "platform.addresses needs at least one address"),
+            (self.platform.readers == 0, "platform.readers must be at least 1"),
+            (self.peers.exchange_ms == 0, "peers.exchange-ms must be at least 1"),
+            (limits.workers == 0 || limits.workers > 64, "limits.workers must be from 1 to 64"),
+            (limits.connections == 0, "limits.connections must be at least 1"),
             (limits.running < 2, "limits.running must be at least 2"),
             (limits.waiting < 2, "limits.waiting must be at least 2"),
-            (
-                limits.head_bytes < 1024,
-                "limits.head-bytes must be at least 1024",
-            ),
-            (
-                limits.body_bytes == 0,
-                "limits.body-bytes must be at least 1",
-            ),
-            (
-                self.routing.cell_size == 0,
-                "routing.cell-size must be at least 1",
-            ),
-            (
-                !(0.0..=1.0).contains(&self.routing.extra_load),
-                "routing.extra-load must be from 0 to 1",
-            ),
+            (limits.head_bytes < 1024, "limits.head-bytes must be at least 1024"),
+            (limits.body_bytes == 0, "limits.body-bytes must be at least 1"),
+            (self.routing.cell_size == 0, "routing.cell-size must be at least 1"),
+            (!(0.0..=1.0).contains(&self.routing.extra_load), "routing.extra-load must be from 0 to 1"),
             (
                 !(0.1..=100.0).contains(&self.routing.hedge_factor),
                 "routing.hedge-factor must be from 0.1 to 100",
             ),
             (self.events.keep == 0, "events.keep must be at least 1"),
         ];
-        stated
-            .iter()
-            .filter(|(bad, _)| *bad)
-            .map(|(_, text)| (*text).to_owned())
-            .collect()
+        stated.iter().filter(|(bad, _)| *bad).map(|(_, text)| (*text).to_owned()).collect()
     }
 
     /// Returns how large cells may be.
     #[must_use]
     pub fn cell(&self) -> CellSize {
-        CellSize {
-            most: self.routing.cell_size,
-            wanted: self.limits.workers,
-        }
+        CellSize { most: self.routing.cell_size, wanted: self.limits.workers }
     }
 
     /// Returns how long a planned stop waits for requests in progress.
@@ -416,13 +356,8 @@
 /// Blanks the lines that a span touches; returns whether anything changed.
 fn blank_lines(text: &mut String, span: std::ops::Range<usize>) -> bool {
     let start = text[..span.start].rfind('\n').map_or(0, |at| at + 1);
-    let end = text[span.end..]
-        .find('\n')
-        .map_or(text.len(), |at| span.end + at);
-    let blank: String = text[start..end]
-        .chars()
-        .map(|c| if c == '\n' { '\n' } else { ' ' })
-        .collect();
+    let end = text[span.end..].find('\n').map_or(text.len(), |at| span.end + at);
+    let blank: String = text[start..end].chars().map(|c| if c == '\n' { '\n' } else { ' ' }).collect();
     let changed = !text[start..end].trim().is_empty();
     text.replace_range(start..end, &blank);
     changed
@@ -436,10 +371,5 @@
 pub fn read_token(path: Option<&Path>) -> std::io::Result<Option<String>> {
     let Some(path) = path else { return Ok(None) };
     let text = std::fs::read_to_string(path)?;
-    Ok(text
-        .lines()
-        .next()
-        .map(str::trim)
-        .filter(|line| !line.is_empty())
-        .map(str::to_owned))
+    Ok(text.lines().next().map(str::trim).filter(|line| !line.is_empty()).map(str::to_owned))
 }
--- a/crates/harefield/src/adapters/upstreams.rs
+++ b/crates/harefield/src/adapters/upstreams.rs
@@ -63,11 +63,7 @@
     /// Creates the adapter of one worker, without connections.
     #[must_use]
     pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
-        Self {
-            executor,
-            pools: Rc::default(),
-            opened: Rc::default(),
-        }
+        Self { executor, pools: Rc::default(), opened: Rc::default() }
     }
 
     /// Returns how many connections were opened.
@@ -95,9 +91,7 @@
     /// Reserves a place for one more connection within the share.
     fn reserve(&self, place: &Place, share: u32) -> bool {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools
-            .entry(Arc::clone(&place.upstream))
-            .or_insert_with(|| Pool::new(place.address));
+        let pool = pools.entry(Arc::clone(&place.upstream)).or_insert_with(|| Pool::new(place.address));
         if pool.address != place.address {
             *pool = Pool::new(place.address);
         }
@@ -126,17 +120,13 @@
     /// Returns how many connections are idle or being opened ahead of need.
     fn ready(&self, place: &Place) -> usize {
         let pools = self.pools.borrow();
-        pools
-            .get(&place.upstream)
-            .map_or(0, |pool| pool.idle.len() + pool.warming)
+        pools.get(&place.upstream).map_or(0, |pool| pool.idle.len() + pool.warming)
     }
 
     /// Notes that a connection is opened ahead of need, where the share has room.
     fn has_room(&self, place: &Place, share: u32) -> bool {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools
-            .entry(Arc::clone(&place.upstream))
-            .or_insert_with(|| Pool::new(place.address));
+        let pool = pools.entry(Arc::clone(&place.upstream)).or_insert_with(|| Pool::new(place.address));
         let room = pool.open < share;
         pool.warming += usize::from(room);
         room
@@ -195,12 +185,7 @@
         }
     }
 
-    async fn finish(
-        &self,
-        call: &Call,
-        connection: Connection,
-        reply: Response<Incoming>,
-    ) -> CallEnd {
+    async fn finish(&self, call: &Call, connection: Connection, reply: Response<Incoming>) -> CallEnd {
         let (head, body) = reply.into_parts();
         let report = read_report(&head.headers);
         let whole = http::read(body, MOST_REPLY).await;
@@ -223,12 +208,7 @@
 
 impl Pool {
     fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Vec::new(),
-            open: 0,
-            warming: 0,
-        }
+        Self { address, idle: Vec::new(), open: 0, warming: 0 }
     }
 }
 
@@ -239,9 +219,7 @@
             Timer::after(limit).await;
             None
         };
-        let ended = async { Some(self.converse(&call, permit).await) }
-            .or(expired)
-            .await;
+        let ended = async { Some(self.converse(&call, permit).await) }.or(expired).await;
         ended.unwrap_or_else(|| {
             self.release(&call.place);
             lost(Gap::ReplyLost, Report::default())
@@ -259,10 +237,7 @@
         let Some((mut connection, address)) = taken else {
             return;
         };
-        let place = Place {
-            upstream: Arc::clone(upstream),
-            address,
-        };
+        let place = Place { upstream: Arc::clone(upstream), address };
         let path = format!("/v1/requests/{request}");
         let this = self.clone();
         let send = async move {
@@ -300,10 +275,7 @@
     }
 
     fn idle(&self, upstream: &UpstreamId) -> usize {
-        self.pools
-            .borrow()
-            .get(upstream)
-            .map_or(0, |pool| pool.idle.len())
+        self.pools.borrow().get(upstream).map_or(0, |pool| pool.idle.len())
     }
 }
 
@@ -319,11 +291,7 @@
     put(headers, "content-type", "application/json");
     put(headers, "harefield-request", &call.echo.request);
     put(headers, "harefield-shard", &call.echo.shard);
-    put(
-        headers,
-        "harefield-snapshot",
-        &call.echo.version.to_string(),
-    );
+    put(headers, "harefield-snapshot", &call.echo.version.to_string());
     put(headers, "harefield-remaining-ms", &remaining.to_string());
     if call.once {
         put(headers, "harefield-once", "true");
@@ -350,46 +318,26 @@
 }
 
 fn read_report(headers: &HeaderMap) -> Report {
-    Report {
-        load: read_load(headers),
-        word: read_word(headers),
-    }
+    Report { load: read_load(headers), word: read_word(headers) }
 }
 
 fn read_load(headers: &HeaderMap) -> Option<Load> {
     let (active, queued) = text(headers, "harefield-load")?.split_once('/')?;
-    Some(Load {
-        active: active.parse().ok()?,
-        queued: queued.parse().ok()?,
-    })
+    Some(Load { active: active.parse().ok()?, queued: queued.parse().ok()? })
 }
 
 fn read_word(headers: &HeaderMap) -> Option<Word> {
     let (start, change) = text(headers, "harefield-word")?.split_once('.')?;
-    let stamp = WordStamp {
-        start: start.parse().ok()?,
-        change: change.parse().ok()?,
-    };
+    let stamp = WordStamp { start: start.parse().ok()?, change: change.parse().ok()? };
     let draining = text(headers, "harefield-draining") == Some("true");
-    let held = text(headers, "harefield-held").map(|list| {
-        list.split(',')
-            .filter_map(|version| version.trim().parse().ok())
-            .collect()
-    });
-    Some(Word {
-        stamp,
-        draining,
-        held,
-    })
+    let held = text(headers, "harefield-held")
+        .map(|list| list.split(',').filter_map(|version| version.trim().parse().ok()).collect());
+    Some(Word { stamp, draining, held })
 }
 
 fn answered(body: &Bytes, report: Report) -> CallEnd {
     match serde_json::from_slice::<Box<RawValue>>(body) {
-        Ok(reply) => CallEnd {
-            end: AttemptEnd::Answered(reply),
-            verdict: Verdict::Good,
-            report,
-        },
+        Ok(reply) => CallEnd { end: AttemptEnd::Answered(reply), verdict: Verdict::Good, report },
         Err(_malformed) => lost(Gap::Failed, report),
     }
 }
@@ -397,9 +345,7 @@
 /// Reads a refusal; one that does not say that it had not begun may have run.
 fn refused(headers: &HeaderMap, report: Report) -> CallEnd {
     let begun = text(headers, "harefield-begun") != Some("false");
-    let wait = text(headers, "harefield-retry-ms")
-        .and_then(|ms| ms.parse().ok())
-        .map(Duration::from_millis);
+    let wait = text(headers, "harefield-retry-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
     let (why, verdict) = match text(headers, "harefield-refused") {
         Some("overloaded" | "connections" | "shedding") => (Gap::Overloaded, Verdict::Full(wait)),
         Some("draining") => (Gap::Leaving, Verdict::Declined),
@@ -408,11 +354,7 @@
         Some("late" | "cancelled") => (Gap::Late, Verdict::Abandoned),
         _ => (Gap::Failed, Verdict::Broken),
     };
-    CallEnd {
-        end: AttemptEnd::Refused { why, begun },
-        verdict,
-        report,
-    }
+    CallEnd { end: AttemptEnd::Refused { why, begun }, verdict, report }
 }
 
 fn unsent(why: Gap) -> CallEnd {
@@ -421,22 +363,10 @@
         Gap::Unconfirmed => Verdict::Declined,
         _ => Verdict::Broken,
     };
-    CallEnd {
-        end: AttemptEnd::NotSent { why },
-        verdict,
-        report: Report::default(),
-    }
+    CallEnd { end: AttemptEnd::NotSent { why }, verdict, report: Report::default() }
 }
 
 fn lost(why: Gap, report: Report) -> CallEnd {
-    let verdict = if why == Gap::SnapshotWrong {
-        Verdict::Declined
-    } else {
-        Verdict::Broken
-    };
-    CallEnd {
-        end: AttemptEnd::Lost { why },
-        verdict,
-        report,
-    }
+    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Broken };
+    CallEnd { end: AttemptEnd::Lost { why }, verdict, report }
 }
--- a/crates/harefield/src/commands/arguments.rs
+++ b/crates/harefield/src/commands/arguments.rs
@@ -24,10 +24,7 @@
 
 impl Arguments {
     pub fn new(arguments: Vec<OsString>, help: &'static str) -> Self {
-        Self {
-            parser: Parser::from_args(arguments),
-            help,
-        }
+        Self { parser: Parser::from_args(arguments), help }
     }
 
     /// Sets what `--help` prints from here on.
--- a/crates/harefield/src/commands/check.rs
+++ b/crates/harefield/src/commands/check.rs
@@ -94,31 +94,17 @@
 
 fn invalid(path: &Path, text: String, labels: Vec<LabeledSpan>) -> Failure {
     let source_code = NamedSource::new(path.display().to_string(), text);
-    Failure::new(
-        Exit::Invalid,
-        SetError {
-            count: labels.len(),
-            source_code,
-            labels,
-        },
-    )
+    Failure::new(Exit::Invalid, SetError { count: labels.len(), source_code, labels })
 }
 
 /// Points at the key of a resource with a fault.
 fn label(text: &str, fault: &Fault) -> LabeledSpan {
     let quoted = format!("\"{}\"", fault.key);
     let start = text.find(&quoted).unwrap_or(0);
-    LabeledSpan::at(
-        start..start + quoted.len(),
-        format!("{}: {}", fault.code, fault.detail),
-    )
+    LabeledSpan::at(start..start + quoted.len(), format!("{}: {}", fault.code, fault.detail))
 }
 
 fn offset(text: &str, line: usize, column: usize) -> usize {
-    let before: usize = text
-        .split_inclusive('\n')
-        .take(line.saturating_sub(1))
-        .map(str::len)
-        .sum();
+    let before: usize = text.split_inclusive('\n').take(line.saturating_sub(1)).map(str::len).sum();
     (before + column.saturating_sub(1)).min(text.len())
 }
--- a/crates/harefield/src/commands/explain.rs
+++ b/crates/harefield/src/commands/explain.rs
@@ -28,9 +28,8 @@
             Argument::Word(word) => options.filter.request = Some(word),
             Argument::Option(name) if name == "from" => {
                 let text = arguments.value()?;
-                let address = text
-                    .parse()
-                    .map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
+                let address =
+                    text.parse().map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
                 options.from.push(address?);
             }
             Argument::Option(name) if name == "token-file" => {
--- a/crates/harefield/src/commands/fetch.rs
+++ b/crates/harefield/src/commands/fetch.rs
@@ -31,21 +31,13 @@
     /// Reads the token that operators show.
     pub fn with_token(path: &str) -> Result<Self, Failure> {
         let token = read_token(Some(Path::new(path))).map_err(|error| {
-            Failure::new(
-                Exit::Invalid,
-                miette::miette!("{}: {path}: {error}", Code::SettingsUnreadable),
-            )
+            Failure::new(Exit::Invalid, miette::miette!("{}: {path}: {error}", Code::SettingsUnreadable))
         })?;
         Ok(Self { token })
     }
 
     /// Gets a JSON document; none where the daemon gave none.
-    pub fn get<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        limit: Duration,
-    ) -> Option<T> {
+    pub fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<T> {
         let body = self.call(Method::GET, address, path, String::new(), limit)?;
         serde_json::from_slice(&body).ok()
     }
@@ -60,10 +52,7 @@
         limit: Duration,
     ) -> Option<Bytes> {
         let executor = LocalExecutor::new();
-        let mut request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", address.to_string());
+        let mut request = Request::builder().method(method).uri(path).header("host", address.to_string());
         if let Some(token) = &self.token {
             request = request.header("authorization", format!("Bearer {token}"));
         }
@@ -115,8 +104,5 @@
 /// Makes the failure for daemons that do not answer.
 pub(super) fn unreachable(addresses: &[SocketAddr]) -> Failure {
     let code = Code::DaemonUnreachable;
-    Failure::new(
-        Exit::Unreachable,
-        miette::miette!("{code}: {}: {addresses:?}", code.text()),
-    )
+    Failure::new(Exit::Unreachable, miette::miette!("{code}: {}: {addresses:?}", code.text()))
 }
--- a/crates/harefield/src/commands/mod.rs
+++ b/crates/harefield/src/commands/mod.rs
@@ -75,10 +75,7 @@
 
 impl Failure {
     fn new(exit: Exit, report: impl Into<Report>) -> Self {
-        Self {
-            exit,
-            report: report.into(),
-        }
+        Self { exit, report: report.into() }
     }
 }
 
--- a/crates/harefield/src/commands/query.rs
+++ b/crates/harefield/src/commands/query.rs
@@ -44,11 +44,7 @@
 
 pub(super) fn run(mut arguments: Arguments) -> Outcome {
     arguments.set_help(HELP);
-    let Options {
-        to,
-        lookup,
-        mut body,
-    } = read(&mut arguments)?;
+    let Options { to, lookup, mut body } = read(&mut arguments)?;
     let to = to.ok_or_else(|| lexopt::Error::from("--to IP:PORT is needed"))?;
     let lookup = lookup.ok_or_else(|| lexopt::Error::from("a LOOKUP is needed"))?;
     body.entry("query").or_insert(Value::Null);
@@ -60,10 +56,7 @@
         body.insert("ticket".to_owned(), Value::String(ticket.clone()));
         answer = ask(to, &lookup, &body)?;
     }
-    println!(
-        "{}",
-        serde_json::to_string_pretty(&answer).unwrap_or_default()
-    );
+    println!("{}", serde_json::to_string_pretty(&answer).unwrap_or_default());
     Ok(match answer.outcome {
         outcome::Outcome::Answered if answer.coverage.whole => Exit::Done,
         outcome::Outcome::Answered => Exit::Partial,
@@ -101,19 +94,12 @@
     T: std::str::FromStr,
     T::Err: std::fmt::Display,
 {
-    text.parse()
-        .map_err(|error: T::Err| format!("{text:?}: {error}").into())
+    text.parse().map_err(|error: T::Err| format!("{text:?}: {error}").into())
 }
 
 fn ask(to: SocketAddr, lookup: &str, body: &Map<String, Value>) -> Result<Answer, Failure> {
     let text = Value::Object(body.clone()).to_string();
-    let reply = Asker::default().call(
-        Method::POST,
-        to,
-        &format!("/v1/lookups/{lookup}"),
-        text,
-        LIMIT,
-    );
+    let reply = Asker::default().call(Method::POST, to, &format!("/v1/lookups/{lookup}"), text, LIMIT);
     let reply = reply.ok_or_else(|| unreachable(&[to]))?;
     serde_json::from_slice(&reply).map_err(|_error| unreachable(&[to]))
 }
--- a/crates/harefield/src/commands/status.rs
+++ b/crates/harefield/src/commands/status.rs
@@ -38,9 +38,8 @@
             "token-file" => asker = Asker::with_token(&arguments.value()?)?,
             "from" => {
                 let text = arguments.value()?;
-                let address = text
-                    .parse()
-                    .map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
+                let address =
+                    text.parse().map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
                 from.push(address?);
             }
             other => return Err(unknown(other).into()),
@@ -76,10 +75,7 @@
         status.control_bytes,
     );
     if let Some(refused) = config.refused {
-        let first = config
-            .faults
-            .first()
-            .map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
+        let first = config.faults.first().map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
         let first = first.unwrap_or_default();
         text = format!("{text}; revision {refused} is refused: {first}");
     }
@@ -90,21 +86,12 @@
     for address in &fleet.silent {
         println!("did not answer: {address}");
     }
-    let newest = fleet
-        .answered
-        .iter()
-        .map(|(_, status)| status.config.revision)
-        .max()
-        .flatten();
+    let newest = fleet.answered.iter().map(|(_, status)| status.config.revision).max().flatten();
     for (_, status) in &fleet.answered {
         if status.config.revision != newest {
             println!("behind: {} holds an older revision", status.host);
         }
-        for row in status
-            .peers
-            .iter()
-            .filter(|row| row.state.to_string() != "live")
-        {
+        for row in status.peers.iter().filter(|row| row.state.to_string() != "live") {
             println!("{} sees {} as {}", status.host, row.host, row.state);
         }
     }
--- a/crates/harefield/src/commands/timeline.rs
+++ b/crates/harefield/src/commands/timeline.rs
@@ -96,8 +96,7 @@
 }
 
 fn number<T: std::str::FromStr>(text: &str) -> Result<T, lexopt::Error> {
-    text.parse()
-        .map_err(|_error| format!("{text:?} is not valid here").into())
+    text.parse().map_err(|_error| format!("{text:?} is not valid here").into())
 }
 
 /// Names the daemons that did not answer.
@@ -113,10 +112,7 @@
     let path = format!("/v1/timeline?{query}");
     let mut records: Vec<Record> = Vec::new();
     for (address, _) in &fleet.answered {
-        match options
-            .asker
-            .get::<Vec<Record>>(*address, &path, OPERATOR_LIMIT)
-        {
+        match options.asker.get::<Vec<Record>>(*address, &path, OPERATOR_LIMIT) {
             Some(found) => records.extend(found),
             None => eprintln!("did not answer: {address}"),
         }
@@ -139,20 +135,10 @@
         Ok(serde_json::Value::Object(fields)) => fields,
         _ => serde_json::Map::new(),
     };
-    let kind = fields
-        .remove("kind")
-        .and_then(|kind| kind.as_str().map(str::to_owned))
-        .unwrap_or_default();
-    let words: Vec<String> = fields
-        .iter()
-        .map(|(name, value)| format!("{name}={value}"))
-        .collect();
+    let kind = fields.remove("kind").and_then(|kind| kind.as_str().map(str::to_owned)).unwrap_or_default();
+    let words: Vec<String> = fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
     let micros = record.stamp.micros.saturating_sub(origin);
     let request = record.request.as_deref().unwrap_or("-");
     let (seconds, rest) = (micros / 1_000_000, micros % 1_000_000);
-    format!(
-        "{seconds}.{rest:06} {} {request} {kind} {}",
-        record.host,
-        words.join(" ")
-    )
+    format!("{seconds}.{rest:06} {} {request} {kind} {}", record.host, words.join(" "))
 }
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -151,12 +151,7 @@
 
     /// Returns how far this daemon is in every space.
     pub(super) fn marks(&self) -> Vec<Mark> {
-        Space::ALL
-            .map(|space| Mark {
-                space,
-                revision: self.revision(space),
-            })
-            .to_vec()
+        Space::ALL.map(|space| Mark { space, revision: self.revision(space) }).to_vec()
     }
 
     /// Returns what brings a peer up to date.
@@ -186,16 +181,10 @@
             Offer::Old => {}
             Offer::Refused(faults) => {
                 let revision = self.config.borrow().seen().unwrap_or_default();
-                let first = faults
-                    .first()
-                    .map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
+                let first = faults.first().map(|f| format!("{} {}: {}", f.code, f.key, f.detail));
                 let first = first.unwrap_or_default();
                 warn!("revision {revision} is refused: {first}");
-                self.emit(Event::ConfigRefused {
-                    revision,
-                    faults: faults.len(),
-                    first,
-                });
+                self.emit(Event::ConfigRefused { revision, faults: faults.len(), first });
                 self.show_config();
             }
         }
@@ -207,21 +196,13 @@
         match space {
             Space::Config => {
                 info!("revision {revision} is in force, from {from}");
-                self.emit(Event::ConfigAccepted {
-                    revision,
-                    from: from.to_owned(),
-                });
+                self.emit(Event::ConfigAccepted { revision, from: from.to_owned() });
                 let set = Arc::clone(self.config.borrow().set());
-                self.words
-                    .borrow_mut()
-                    .prune(|upstream| set.upstreams.contains_key(upstream));
+                self.words.borrow_mut().prune(|upstream| set.upstreams.contains_key(upstream));
             }
             Space::Hosts => {
                 let list = HostList::parse(self.hosts.borrow().items());
-                self.emit(Event::HostsListed {
-                    revision,
-                    leaving: list.leaving().len(),
-                });
+                self.emit(Event::HostsListed { revision, leaving: list.leaving().len() });
                 self.members.borrow_mut().prune(&list.daemons());
                 *self.list.borrow_mut() = list;
             }
@@ -237,13 +218,7 @@
         let config = self.config.borrow();
         let listed = self.hosts.borrow().revision();
         let list = self.list.borrow();
-        let view = View::build(
-            config.revision(),
-            config.set(),
-            listed,
-            &list,
-            self.settings.cell,
-        );
+        let view = View::build(config.revision(), config.set(), listed, &list, self.settings.cell);
         drop(config);
         self.tell(&ToWorker::View(Arc::new(view)));
         self.tell_peers();
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -47,10 +47,7 @@
                     .detach();
             }
             let jitter = rand::rng().random_range(0.8..1.2);
-            self.ports
-                .clock
-                .sleep(self.settings.exchange.mul_f64(jitter))
-                .await;
+            self.ports.clock.sleep(self.settings.exchange.mul_f64(jitter)).await;
         }
     }
 
@@ -69,33 +66,20 @@
     pub(super) fn draw_peers(&self, count: usize) -> Vec<HostId> {
         let mut peers = self.members.borrow().peers();
         let listed = self.list.borrow().daemons();
-        let known: Vec<HostId> = self
-            .settings
-            .seeds
-            .iter()
-            .chain(&listed)
-            .map(Arc::clone)
-            .collect();
+        let known: Vec<HostId> = self.settings.seeds.iter().chain(&listed).map(Arc::clone).collect();
         for host in known {
             if host != self.settings.own.host && !peers.contains(&host) {
                 peers.push(host);
             }
         }
-        peers
-            .choose_multiple(&mut rand::rng(), count)
-            .map(Arc::clone)
-            .collect()
+        peers.choose_multiple(&mut rand::rng(), count).map(Arc::clone).collect()
     }
 
     /// Speaks to one daemon and takes what it has that is newer; returns
     /// whether it answered.
     pub(super) async fn exchange_with(self: &Rc<Self>, host: &HostId) -> bool {
         let message = self.message(host);
-        let reply = self
-            .ports
-            .peers
-            .exchange(host, &message, EXCHANGE_LIMIT)
-            .await;
+        let reply = self.ports.peers.exchange(host, &message, EXCHANGE_LIMIT).await;
         let Ok(reply) = reply else {
             self.unanswered(host);
             return false;
@@ -106,9 +90,7 @@
 
     /// Takes what a daemon said, and pulls what it has that is newer.
     pub(super) async fn take_exchange(self: &Rc<Self>, said: &Exchange) {
-        self.hybrid
-            .borrow_mut()
-            .receive(self.ports.clock.wall(), said.stamp);
+        self.hybrid.borrow_mut().receive(self.ports.clock.wall(), said.stamp);
         self.meet(&said.rows);
         self.hear(&said.words);
         for mark in &said.marks {
@@ -121,10 +103,7 @@
         if mark.revision <= have {
             return;
         }
-        let pull = Pull {
-            space: mark.space,
-            have,
-        };
+        let pull = Pull { space: mark.space, have };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_LIMIT).await {
             self.learn(mark.space, news, host);
         }
@@ -134,10 +113,7 @@
     pub(super) fn unanswered(&self, host: &HostId) {
         let news = self.members.borrow_mut().suspect(host);
         if news {
-            self.emit(Event::PeerSeen {
-                host: Arc::clone(host),
-                state: "suspect".to_owned(),
-            });
+            self.emit(Event::PeerSeen { host: Arc::clone(host), state: "suspect".to_owned() });
             self.tell_peers();
         }
     }
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -55,8 +55,6 @@
         }
         drop(reply.try_send(answer));
         let this = Rc::clone(self);
-        self.executor
-            .spawn(async move { this.take_exchange(&said).await })
-            .detach();
+        self.executor.spawn(async move { this.take_exchange(&said).await }).detach();
     }
 }
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -40,10 +40,7 @@
     let rank = |host: &HostId| weight("reader", host);
     let mine = rank(&own.host);
     let ahead = rows.into_iter().filter(|row| {
-        row.host != own.host
-            && row.zone == own.zone
-            && row.state == PeerState::Live
-            && rank(&row.host) > mine
+        row.host != own.host && row.zone == own.zone && row.state == PeerState::Live && rank(&row.host) > mine
     });
     ahead.count() < count
 }
@@ -82,11 +79,7 @@
         is_reader(&self.settings.own, members.rows(), self.settings.readers)
     }
 
-    async fn read_once(
-        self: &Rc<Self>,
-        copy: SocketAddr,
-        space: Space,
-    ) -> Result<(), PlatformError> {
+    async fn read_once(self: &Rc<Self>, copy: SocketAddr, space: Space) -> Result<(), PlatformError> {
         match self.seen(space) {
             None => self.list(copy, space).await,
             Some(after) => self.watch(copy, space, after, self.settings.watch).await,
@@ -102,18 +95,10 @@
 
     /// Reads a whole space; pages read at different revisions are brought to
     /// one by watching, before anything is offered.
-    pub(super) async fn list(
-        self: &Rc<Self>,
-        copy: SocketAddr,
-        space: Space,
-    ) -> Result<(), PlatformError> {
+    pub(super) async fn list(self: &Rc<Self>, copy: SocketAddr, space: Space) -> Result<(), PlatformError> {
         let mut listing = self.ports.platform.list(copy, space).await?;
         while listing.first < listing.last {
-            let watched = self
-                .ports
-                .platform
-                .watch(copy, space, listing.first, Duration::ZERO)
-                .await?;
+            let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
         }
         self.take_listing(space, listing);
@@ -170,14 +155,10 @@
 /// Applies watched changes to a listing whose pages differ in revision.
 fn catch_up(listing: &mut Listing, watched: Watched) -> Result<(), PlatformError> {
     let Watched::Deltas(deltas) = watched else {
-        return Err(PlatformError::Malformed(
-            "changes are gone while listing".to_owned(),
-        ));
+        return Err(PlatformError::Malformed("changes are gone while listing".to_owned()));
     };
     if deltas.is_empty() {
-        return Err(PlatformError::Malformed(
-            "a page is newer than all changes".to_owned(),
-        ));
+        return Err(PlatformError::Malformed("a page is newer than all changes".to_owned()));
     }
     for delta in deltas {
         for change in delta.changes {
@@ -192,8 +173,6 @@
 }
 
 fn pause(failures: u32) -> Duration {
-    let doubled = BACKOFF
-        .saturating_mul(1 << failures.min(8))
-        .min(LONGEST_BACKOFF);
+    let doubled = BACKOFF.saturating_mul(1 << failures.min(8)).min(LONGEST_BACKOFF);
     doubled.mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/harefield/src/control/wordbook.rs
+++ b/crates/harefield/src/control/wordbook.rs
@@ -28,21 +28,14 @@
 impl Wordbook {
     /// Joins words; returns those that were news.
     pub fn join(&mut self, words: &[NamedWord]) -> Vec<NamedWord> {
-        words
-            .iter()
-            .filter(|named| self.join_one(named))
-            .cloned()
-            .collect()
+        words.iter().filter(|named| self.join_one(named)).cloned().collect()
     }
 
     fn join_one(&mut self, named: &NamedWord) -> bool {
         let held = self
             .words
             .entry(Arc::clone(&named.upstream))
-            .or_insert_with(|| Held {
-                word: Word::default(),
-                transmits: 0,
-            });
+            .or_insert_with(|| Held { word: Word::default(), transmits: 0 });
         let news = held.word.join(&named.word);
         if news {
             held.transmits = TRANSMITS;
@@ -58,10 +51,7 @@
                 break;
             }
             held.transmits -= 1;
-            words.push(NamedWord {
-                upstream: Arc::clone(upstream),
-                word: held.word.clone(),
-            });
+            words.push(NamedWord { upstream: Arc::clone(upstream), word: held.word.clone() });
         }
         words
     }
@@ -72,10 +62,7 @@
     pub fn all(&self) -> Vec<NamedWord> {
         let words = self.words.iter();
         words
-            .map(|(upstream, held)| NamedWord {
-                upstream: Arc::clone(upstream),
-                word: held.word.clone(),
-            })
+            .map(|(upstream, held)| NamedWord { upstream: Arc::clone(upstream), word: held.word.clone() })
             .collect()
     }
 
--- a/crates/harefield/src/daemon/context.rs
+++ b/crates/harefield/src/daemon/context.rs
@@ -68,12 +68,7 @@
         /// Heads between the configured limit and this get a numbered answer.
         const LEAST_BUFFER: usize = 65_536;
         ServerLimits {
-            head_bytes: self
-                .settings
-                .limits
-                .head_bytes
-                .saturating_mul(2)
-                .max(LEAST_BUFFER),
+            head_bytes: self.settings.limits.head_bytes.saturating_mul(2).max(LEAST_BUFFER),
             head_time: Duration::from_millis(self.settings.limits.head_ms),
         }
     }
--- a/crates/harefield/src/daemon/operators.rs
+++ b/crates/harefield/src/daemon/operators.rs
@@ -60,14 +60,7 @@
             };
             // Operators may watch the stop itself, so it does not end them.
             let (_never, stop) = async_channel::bounded(1);
-            http::serve(
-                stream,
-                context.server_limits(),
-                stop,
-                Duration::ZERO,
-                handle,
-            )
-            .await;
+            http::serve(stream, context.server_limits(), stop, Duration::ZERO, handle).await;
             open.set(open.get() - 1);
         };
         executor.spawn(serving).detach();
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -113,26 +113,15 @@
     logs::start(settings.log.level, Arc::clone(&host))
         .unwrap_or_else(|_started| warn!("logging was started before"));
     let signals = Signals::new([Signal::Term, Signal::Int]);
-    let mut signals = signals.map_err(|source| DaemonError::System {
-        what: "signals".to_owned(),
-        source,
-    })?;
+    let mut signals = signals.map_err(|source| DaemonError::System { what: "signals".to_owned(), source })?;
     let (stop_sender, stop) = async_channel::bounded(1);
     let (control, inbox) = async_channel::bounded(INBOX);
     let (telemetry, batches) = telemetry::ring();
     let context = make_context(settings, addresses, host, stop, control, telemetry)?;
     let workers = start_threads(&context, listeners, inbox, batches)?;
-    note(
-        &context,
-        Event::Started {
-            version: env!("CARGO_PKG_VERSION").to_owned(),
-        },
-    );
+    note(&context, Event::Started { version: env!("CARGO_PKG_VERSION").to_owned() });
     ready(&addresses);
-    info!(
-        "ready: callers {}, peers {}",
-        addresses.callers, addresses.peers
-    );
+    info!("ready: callers {}, peers {}", addresses.callers, addresses.peers);
     future::block_on(signals.next());
     Ok(conduct_stop(&context, &stop_sender, &workers, signals))
 }
@@ -142,10 +131,7 @@
 }
 
 fn local(listener: &TcpListener) -> Result<SocketAddr, DaemonError> {
-    listener.local_addr().map_err(|source| DaemonError::System {
-        what: "address".to_owned(),
-        source,
-    })
+    listener.local_addr().map_err(|source| DaemonError::System { what: "address".to_owned(), source })
 }
 
 fn make_context(
@@ -156,11 +142,8 @@
     control: Sender<ToControl>,
     telemetry: Telemetry,
 ) -> Result<Context, DaemonError> {
-    let token =
-        read_token(settings.peers.token_file.as_deref()).map_err(|source| DaemonError::System {
-            what: "peers.token-file".to_owned(),
-            source,
-        })?;
+    let token = read_token(settings.peers.token_file.as_deref())
+        .map_err(|source| DaemonError::System { what: "peers.token-file".to_owned(), source })?;
     let incarnation = new_incarnation();
     let board = Board::new(Arc::clone(&host), incarnation, settings.events.keep);
     let ledger = Ledger::new(Arc::clone(&host), incarnation);
@@ -184,9 +167,7 @@
 /// unlike any other.
 fn new_incarnation() -> Incarnation {
     const RANDOM_BITS: u32 = 20;
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
     (millis << RANDOM_BITS) | u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS))
 }
@@ -198,17 +179,10 @@
     inbox: Receiver<ToControl>,
     batches: Receiver<Batch>,
 ) -> Result<Vec<JoinHandle<()>>, DaemonError> {
-    let metrics =
-        Metrics::new(context.settings.metrics.statsd).map_err(|source| DaemonError::System {
-            what: "metrics.statsd".to_owned(),
-            source,
-        })?;
-    let token = read_token(context.settings.events.token_file.as_deref()).map_err(|source| {
-        DaemonError::System {
-            what: "events.token-file".to_owned(),
-            source,
-        }
-    })?;
+    let metrics = Metrics::new(context.settings.metrics.statsd)
+        .map_err(|source| DaemonError::System { what: "metrics.statsd".to_owned(), source })?;
+    let token = read_token(context.settings.events.token_file.as_deref())
+        .map_err(|source| DaemonError::System { what: "events.token-file".to_owned(), source })?;
     let (board, telemetry) = (Arc::clone(&context.board), context.telemetry.clone());
     spawn("telemetry", move || {
         future::block_on(telemetry::run(batches, telemetry, board, metrics));
@@ -249,13 +223,8 @@
 }
 
 fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, DaemonError> {
-    let built = std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(body);
-    built.map_err(|source| DaemonError::System {
-        what: format!("thread {name}"),
-        source,
-    })
+    let built = std::thread::Builder::new().name(name.to_owned()).spawn(body);
+    built.map_err(|source| DaemonError::System { what: format!("thread {name}"), source })
 }
 
 /// Tells everyone that the daemon is leaving, and waits for requests in
@@ -289,12 +258,6 @@
 }
 
 fn note(context: &Context, event: Event) {
-    let stamp = Stamp {
-        micros: SystemClock.wall(),
-        count: 0,
-    };
-    context.telemetry.send(Batch {
-        request: None,
-        events: vec![(stamp, event)],
-    });
+    let stamp = Stamp { micros: SystemClock.wall(), count: 0 };
+    context.telemetry.send(Batch { request: None, events: vec![(stamp, event)] });
 }
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -62,16 +62,8 @@
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let upstreams = HttpUpstreams::new(Rc::clone(&executor));
-    let peers = HttpPeers::new(
-        Rc::clone(&executor),
-        context.token.clone(),
-        context.traffic.clone(),
-    );
-    let ports = Ports {
-        upstreams: upstreams.clone(),
-        peers,
-        clock: SystemClock,
-    };
+    let peers = HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone());
+    let ports = Ports { upstreams: upstreams.clone(), peers, clock: SystemClock };
     let worker = Worker::new(
         worker_settings(context, number),
         Rc::clone(&executor),
@@ -84,9 +76,7 @@
     executor.spawn(Rc::clone(&worker).keep_lease()).detach();
     executor.spawn(Rc::clone(&worker).keep_warm()).detach();
     let board = Arc::clone(&context.board);
-    executor
-        .spawn(Rc::clone(&worker).report(board, move || upstreams.opened()))
-        .detach();
+    executor.spawn(Rc::clone(&worker).report(board, move || upstreams.opened())).detach();
     future::block_on(executor.run(take_connections(context, &executor, &worker, arrivals)));
 }
 
@@ -118,11 +108,7 @@
     let Ok(stream) = Async::<TcpStream>::new(arrived.stream) else {
         return;
     };
-    let (limits, stop, linger) = (
-        context.server_limits(),
-        context.stop.clone(),
-        context.linger(),
-    );
+    let (limits, stop, linger) = (context.server_limits(), context.stop.clone(), context.linger());
     match arrived.side {
         Side::Callers => {
             let limited = request_limits(context);
@@ -158,10 +144,7 @@
         zone: settings.host.zone.as_str().into(),
         incarnation: context.incarnation,
         number,
-        gate: GateLimits {
-            running: settings.limits.running,
-            waiting: settings.limits.waiting,
-        },
+        gate: GateLimits { running: settings.limits.running, waiting: settings.limits.waiting },
         policy: routing.policy,
         extra: routing.extra_load,
         hedge: routing.hedge.then_some(routing.hedge_factor),
@@ -182,11 +165,7 @@
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let ports = ControlPorts {
         platform: HttpPlatform::new(Rc::clone(&executor), context.traffic.clone()),
-        peers: HttpPeers::new(
-            Rc::clone(&executor),
-            context.token.clone(),
-            context.traffic.clone(),
-        ),
+        peers: HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone()),
         clock: SystemClock,
     };
     let control = Control::new(
@@ -212,12 +191,7 @@
             state: PeerState::Live,
         },
         copies: settings.platform.addresses.clone(),
-        seeds: settings
-            .peers
-            .seeds
-            .iter()
-            .map(|seed| seed.to_string().into())
-            .collect(),
+        seeds: settings.peers.seeds.iter().map(|seed| seed.to_string().into()).collect(),
         exchange: Duration::from_millis(settings.peers.exchange_ms),
         join: Duration::from_millis(settings.peers.join_ms),
         watch: Duration::from_millis(settings.platform.watch_ms),
--- a/crates/harefield/src/domain/admission.rs
+++ b/crates/harefield/src/domain/admission.rs
@@ -149,25 +149,13 @@
         self.next += 1;
         let queue = &mut self.queues[class(arrival.urgency)];
         let at = queue.partition_point(|w| w.arrival.deadline <= arrival.deadline);
-        queue.insert(
-            at,
-            Waiter {
-                id,
-                arrival: arrival.clone(),
-            },
-        );
+        queue.insert(at, Waiter { id, arrival: arrival.clone() });
         Entry::Wait(id)
     }
 
     /// Takes the end of a request that ran for `took`, `waited` of whose
     /// `shards` had to wait for room; returns who leaves the queue.
-    pub fn leave(
-        &mut self,
-        team: &Arc<str>,
-        took: Duration,
-        crowd: Crowd,
-        now: Instant,
-    ) -> Vec<Called> {
+    pub fn leave(&mut self, team: &Arc<str>, took: Duration, crowd: Crowd, now: Instant) -> Vec<Called> {
         self.exit(team);
         self.time += (took.as_secs_f64() - self.time) * GAIN;
         if crowd.is_crowded() {
@@ -221,10 +209,7 @@
         if queue.len() >= self.limits.waiting {
             return Some(Entry::Refuse(Code::QueueFull, wait));
         }
-        let own = queue
-            .iter()
-            .filter(|w| w.arrival.team == arrival.team)
-            .count();
+        let own = queue.iter().filter(|w| w.arrival.team == arrival.team).count();
         let shared = own < queue.len() || self.running.keys().any(|team| *team != arrival.team);
         if shared && own * 2 >= self.limits.waiting {
             return Some(Entry::Refuse(Code::TeamShare, wait));
@@ -250,10 +235,7 @@
         let wait = self.expected_wait(Urgency::Ordinary);
         let mut called = Vec::new();
         for queue in &mut self.queues {
-            while queue
-                .front()
-                .is_some_and(|w| now + need > w.arrival.deadline)
-            {
+            while queue.front().is_some_and(|w| now + need > w.arrival.deadline) {
                 let late = queue.pop_front();
                 called.extend(late.map(|w| Called::Refuse(w.id, wait)));
             }
@@ -277,10 +259,7 @@
     fn pick_from(&mut self, class: usize) -> Option<Waiter> {
         let running = |w: &Waiter| self.running.get(&w.arrival.team).copied().unwrap_or(0);
         let queue = &self.queues[class];
-        let best = queue
-            .iter()
-            .enumerate()
-            .min_by_key(|(at, w)| (running(w), *at));
+        let best = queue.iter().enumerate().min_by_key(|(at, w)| (running(w), *at));
         let at = best.map(|(at, _)| at)?;
         self.queues[class].remove(at)
     }
--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -31,10 +31,7 @@
 
 impl Default for CellSize {
     fn default() -> Self {
-        Self {
-            most: 24,
-            wanted: 1,
-        }
+        Self { most: 24, wanted: 1 }
     }
 }
 
@@ -47,10 +44,7 @@
 /// Assigns a cell to each index of a set.
 #[must_use]
 pub fn assign(set: &ResourceSet, hosts: &[HostId], size: CellSize) -> Cells {
-    let sizes = set
-        .indexes
-        .iter()
-        .map(|(name, index)| (Arc::clone(name), index_size(set, index, size)));
+    let sizes = set.indexes.iter().map(|(name, index)| (Arc::clone(name), index_size(set, index, size)));
     assign_sizes(&sizes.collect(), hosts)
 }
 
@@ -82,24 +76,18 @@
     held: &HashMap<&HostId, usize>,
 ) -> Vec<&'a HostId> {
     let full = |host: &HostId| held.get(host).is_some_and(|count| *count >= bound);
-    let mut ranked: Vec<_> = hosts
-        .iter()
-        .map(|host| (full(host), u64::MAX - weight(index, host), host))
-        .collect();
+    let mut ranked: Vec<_> =
+        hosts.iter().map(|host| (full(host), u64::MAX - weight(index, host), host)).collect();
     ranked.sort_unstable();
     ranked.truncate(size);
     ranked.into_iter().map(|(_, _, host)| host).collect()
 }
 
 fn index_size(set: &ResourceSet, index: &Index, size: CellSize) -> usize {
-    let limits = index_upstreams(set, index)
-        .into_iter()
-        .filter_map(|name| set.upstreams.get(name));
-    let least = limits
-        .map(|u| usize::try_from(u.connections).unwrap_or(usize::MAX))
-        .min();
-    let fits = least.unwrap_or(usize::MAX) / 100 * USED_PERCENT
-        + least.unwrap_or(0) % 100 * USED_PERCENT / 100;
+    let limits = index_upstreams(set, index).into_iter().filter_map(|name| set.upstreams.get(name));
+    let least = limits.map(|u| usize::try_from(u.connections).unwrap_or(usize::MAX)).min();
+    let fits =
+        least.unwrap_or(usize::MAX) / 100 * USED_PERCENT + least.unwrap_or(0) % 100 * USED_PERCENT / 100;
     (fits / size.wanted.max(1)).clamp(1, size.most.max(1))
 }
 
--- /dev/null
+++ b/crates/harefield/src/domain/fanout/judge.rs
@@ -0,0 +1,61 @@
+//! What a finished fan-out is called.
+
+use crate::domain::code::Code;
+use crate::domain::outcome::Coverage;
+use crate::domain::outcome::Gap;
+use crate::domain::outcome::Outcome;
+use crate::domain::outcome::Part;
+
+/// What a finished fan-out found.
+#[derive(Debug)]
+pub struct Finished {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// The result code.
+    pub code: Code,
+    /// Which shards contributed.
+    pub coverage: Coverage,
+    /// Their contributions.
+    pub parts: Vec<Part>,
+}
+
+/// How a fan-out ended, besides its coverage.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ending {
+    /// Whether a shard that did not contribute may have run it.
+    pub ran: bool,
+    /// Whether the answer was cut while replies were awaited.
+    pub cut: bool,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+}
+
+/// Says what became of a request.
+pub(super) fn judge(coverage: &Coverage, ending: Ending) -> (Outcome, Code) {
+    if coverage.whole {
+        return (Outcome::Answered, Code::Whole);
+    }
+    let some = !coverage.contributed.is_empty();
+    if some && (ending.repeatable || !ending.ran) {
+        return (Outcome::Answered, Code::Partial);
+    }
+    if ending.ran && ending.cut {
+        return (Outcome::MayHaveRun, Code::DeadlinePassed);
+    }
+    if ending.ran {
+        return (Outcome::MayHaveRun, Code::ReplyLost);
+    }
+    (Outcome::NotRun, refusal(coverage))
+}
+
+fn refusal(coverage: &Coverage) -> Code {
+    const DEAD: [Gap; 4] = [Gap::NoReplica, Gap::Leaving, Gap::SnapshotMissing, Gap::Unreachable];
+    let all = |gaps: &[Gap]| coverage.missing.iter().all(|missing| gaps.contains(&missing.why));
+    if all(&[Gap::Unconfirmed]) {
+        Code::Unconfirmed
+    } else if all(&DEAD) {
+        Code::NoReplica
+    } else {
+        Code::AllRefused
+    }
+}
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -5,13 +5,16 @@
 //! what to do next.
 
 mod cut;
+mod judge;
 mod machine;
+mod sending;
 mod shard;
+mod step;
 mod verify;
 
 pub use cut::Rules;
+pub use judge::Finished;
 pub use machine::Fanout;
-pub use machine::Finished;
 pub use shard::Action;
 pub use shard::AttemptEnd;
 pub use shard::Cancel;
--- /dev/null
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -0,0 +1,156 @@
+//! How attempts leave: first ones, retries, hedges and probes.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::machine::Fanout;
+use super::shard::Action;
+use super::shard::Flight;
+use super::shard::Hedge;
+use super::shard::Send;
+use super::step::Step;
+use crate::domain::event::Cause;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::ids::UpstreamId;
+use crate::domain::outcome::Gap;
+use crate::domain::routing::Ask;
+use crate::domain::routing::Bar;
+use crate::domain::routing::Choice;
+use crate::domain::routing::Router;
+use crate::domain::routing::Until;
+
+/// How often a shard that waits for room asks again.
+const POLL_EVERY: Duration = Duration::from_millis(1);
+
+/// How often a hedge that the budget denied asks again.
+const DENIED_EVERY: Duration = Duration::from_millis(2);
+
+impl Fanout {
+    pub(super) fn retry<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
+        let cause = if self.shards[shard].sent == 0 { Cause::First } else { Cause::Retry };
+        self.attempt(shard, cause, step);
+    }
+
+    /// Asks a replica, or notes when to try again, or gives the shard up.
+    pub(super) fn attempt<S: Sink>(&mut self, shard: usize, cause: Cause, step: &mut Step<'_, S>) {
+        self.shards[shard].retry_at = None;
+        let mut chosen = self.choose(shard, step);
+        if chosen.is_err() && !self.shards[shard].failed.is_empty() {
+            self.shards[shard].failed.clear();
+            chosen = self.choose(shard, step);
+        }
+        match chosen {
+            Ok(_) if cause == Cause::Retry && !step.router.budget().spend_retry() => {
+                self.close(shard, Gap::Overloaded, step);
+            }
+            Ok(choice) => {
+                let upstream = Arc::clone(&choice.upstream);
+                self.send(shard, choice, cause, step);
+                self.probe(shard, &upstream, step);
+            }
+            Err(bar) => self.wait(shard, bar, step),
+        }
+    }
+
+    /// Sends a second attempt, the first being slow, where the budget allows.
+    pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
+        self.shards[shard].hedge = Hedge::Off;
+        let Ok(choice) = self.choose(shard, step) else {
+            self.shards[shard].hedge = Hedge::Due(step.now + POLL_EVERY);
+            return;
+        };
+        if self.rules.fixed.is_none() && !step.router.budget().spend_hedge() {
+            step.emit(Event::HedgeDenied { shard: self.name(shard) });
+            self.shards[shard].hedge = Hedge::Due(step.now + DENIED_EVERY);
+            return;
+        }
+        self.shards[shard].hedge = Hedge::Sent;
+        self.send(shard, choice, Cause::Hedge, step);
+    }
+
+    /// Sends an extra attempt to a replica that is passed over, where it is
+    /// time to look how it does, off the path of the request.
+    fn probe<S: Sink>(&mut self, shard: usize, chosen: &UpstreamId, step: &mut Step<'_, S>) {
+        let hedges = self.rules.hedge.is_some() && self.rules.fixed.is_none();
+        if !self.rules.repeatable || !hedges {
+            return;
+        }
+        let tried = self.shards[shard].tried();
+        let due = step.router.probe(&self.ask(shard, &tried), chosen, step.now);
+        let Some(upstream) = due else { return };
+        if step.router.budget().spend_hedge() {
+            let choice = Choice { upstream, scores: Vec::new() };
+            self.send(shard, choice, Cause::Probe, step);
+        }
+    }
+
+    fn ask<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> Ask<'a> {
+        Ask {
+            replicas: &self.plan.shards[shard].replicas,
+            tried,
+            version: self.plan.version,
+            index: &self.plan.index,
+        }
+    }
+
+    fn choose<S: Sink>(&self, shard: usize, step: &mut Step<'_, S>) -> Result<Choice, Bar> {
+        let tried = self.shards[shard].tried();
+        step.router.choose(&self.ask(shard, &tried), step.now)
+    }
+
+    fn wait<S: Sink>(&mut self, shard: usize, bar: Bar, step: &mut Step<'_, S>) {
+        let again = match bar.until {
+            Until::Soon => Some(step.now + POLL_EVERY),
+            Until::At(at) => Some(at),
+            Until::Never => None,
+        };
+        let name = self.name(shard);
+        let state = &mut self.shards[shard];
+        state.waited |= bar.gap == Gap::Overloaded;
+        if bar.gap != Gap::NoReplica || state.gap.is_none() {
+            let news = state.gap != Some(bar.gap);
+            state.gap = Some(bar.gap);
+            if news {
+                step.emit(Event::Waiting { shard: name, why: bar.gap });
+            }
+        }
+        match again.filter(|at| *at < self.rules.deadline) {
+            Some(at) => self.shards[shard].retry_at = Some(at),
+            None => self.close(shard, bar.gap, step),
+        }
+    }
+
+    fn send<S: Sink>(&mut self, shard: usize, choice: Choice, cause: Cause, step: &mut Step<'_, S>) {
+        let Choice { upstream, scores } = choice;
+        let (attempt, start) = (self.next, step.now);
+        self.next += 1;
+        step.router.begin(&upstream, start);
+        if cause == Cause::First {
+            step.router.budget().earn();
+        }
+        if self.shards[shard].hedge != Hedge::Sent {
+            let due = self.hedge_time(start, step.router);
+            self.shards[shard].hedge = due.map_or(Hedge::Off, Hedge::Due);
+        }
+        let name = self.name(shard);
+        let state = &mut self.shards[shard];
+        state.sent += u32::from(cause != Cause::Probe);
+        state.flights.push(Flight { attempt, upstream: Arc::clone(&upstream), start, cause });
+        step.emit(Event::ReplicaChosen { shard: Arc::clone(&name), upstream: Arc::clone(&upstream), scores });
+        step.emit(Event::Sent { shard: name, upstream: Arc::clone(&upstream), attempt, cause });
+        step.actions.push(Action::Send(Send { shard, upstream, attempt, cause, start }));
+    }
+
+    fn hedge_time(&self, now: Instant, router: &Router) -> Option<Instant> {
+        if !self.rules.repeatable {
+            return None;
+        }
+        if let Some(fixed) = self.rules.fixed {
+            return Some(now + fixed);
+        }
+        let slow = router.pace(&self.plan.index).slow();
+        self.rules.hedge.map(|factor| now + slow.mul_f64(factor))
+    }
+}
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -93,6 +93,7 @@
     pub attempt: AttemptId,
     pub upstream: UpstreamId,
     pub start: Instant,
+    pub cause: Cause,
 }
 
 /// How far the hedge of a shard is.
@@ -139,6 +140,11 @@
         self.part.is_none() && !self.closed
     }
 
+    /// Returns whether an attempt other than a probe is under way.
+    pub fn is_awaited(&self) -> bool {
+        self.flights.iter().any(|flight| flight.cause != Cause::Probe)
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.ran || !self.flights.is_empty()
     }
@@ -154,11 +160,7 @@
     /// Returns the replicas that a new attempt passes over.
     pub fn tried(&self) -> Vec<UpstreamId> {
         let flying = self.flights.iter().map(|flight| &flight.upstream);
-        flying
-            .chain(&self.failed)
-            .chain(&self.unfit)
-            .cloned()
-            .collect()
+        flying.chain(&self.failed).chain(&self.unfit).cloned().collect()
     }
 
     pub fn close(&mut self, gap: Gap) {
@@ -175,11 +177,7 @@
             end.gap(),
             Some(Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved | Gap::Leaving)
         );
-        let list = if unfit {
-            &mut self.unfit
-        } else {
-            &mut self.failed
-        };
+        let list = if unfit { &mut self.unfit } else { &mut self.failed };
         list.push(std::sync::Arc::clone(upstream));
     }
 }
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -83,11 +83,7 @@
         }
         if let Some(base) = self.revision {
             let changes = difference(&self.items, &items);
-            self.remember(Delta {
-                base,
-                revision,
-                changes,
-            });
+            self.remember(Delta { base, revision, changes });
         }
         self.revision = Some(revision);
         self.items = items;
@@ -135,17 +131,12 @@
     }
 
     fn full(&self, revision: Revision) -> News {
-        News::Full {
-            revision,
-            items: self.items.clone(),
-        }
+        News::Full { revision, items: self.items.clone() }
     }
 
     fn change(&mut self, change: &Change) {
         match &change.value {
-            Some(value) => self
-                .items
-                .insert(Arc::clone(&change.key), Arc::clone(value)),
+            Some(value) => self.items.insert(Arc::clone(&change.key), Arc::clone(value)),
             None => self.items.remove(&change.key),
         };
     }
@@ -162,17 +153,11 @@
     let removed = old
         .keys()
         .filter(|key| !new.contains_key(*key))
-        .map(|key| Change {
-            key: Arc::clone(key),
-            value: None,
-        });
+        .map(|key| Change { key: Arc::clone(key), value: None });
     let changed = new
         .iter()
         .filter(|(key, value)| old.get(*key) != Some(value))
-        .map(|(key, value)| Change {
-            key: Arc::clone(key),
-            value: Some(Arc::clone(value)),
-        });
+        .map(|(key, value)| Change { key: Arc::clone(key), value: Some(Arc::clone(value)) });
     removed.chain(changed).collect()
 }
 
@@ -229,9 +214,7 @@
     /// Returns the newest refused revision, while it is newer than the one in force.
     #[must_use]
     pub fn refused(&self) -> Option<&Refused> {
-        self.refused
-            .as_ref()
-            .filter(|r| Some(r.revision) > self.revision())
+        self.refused.as_ref().filter(|r| Some(r.revision) > self.revision())
     }
 
     /// Returns what brings a peer at `have` up to date.
@@ -268,8 +251,7 @@
         self.accepted = next;
         self.set = Arc::new(set);
         if let Some(revision) = self.accepted.revision() {
-            self.published
-                .replace(revision, self.accepted.items().clone());
+            self.published.replace(revision, self.accepted.items().clone());
         }
         true
     }
@@ -280,20 +262,14 @@
         };
         match ResourceSet::parse(self.published.items()) {
             Ok(set) => {
-                if !self
-                    .accepted
-                    .replace(revision, self.published.items().clone())
-                {
+                if !self.accepted.replace(revision, self.published.items().clone()) {
                     return Offer::Old;
                 }
                 self.set = Arc::new(set);
                 Offer::Accepted
             }
             Err(faults) => {
-                self.refused = Some(Refused {
-                    revision,
-                    faults: faults.clone(),
-                });
+                self.refused = Some(Refused { revision, faults: faults.clone() });
                 Offer::Refused(faults)
             }
         }
--- a/crates/harefield/src/domain/hlc.rs
+++ b/crates/harefield/src/domain/hlc.rs
@@ -35,10 +35,7 @@
         self.last = if micros > floor.micros {
             Stamp { micros, count: 0 }
         } else {
-            Stamp {
-                micros: floor.micros,
-                count: floor.count + 1,
-            }
+            Stamp { micros: floor.micros, count: floor.count + 1 }
         };
         self.last
     }
--- a/crates/harefield/src/domain/lease.rs
+++ b/crates/harefield/src/domain/lease.rs
@@ -33,10 +33,7 @@
     /// Creates a lease that is held from `now`.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self {
-            renewed: now,
-            lapsed: false,
-        }
+        Self { renewed: now, lapsed: false }
     }
 
     /// Renews the lease on the timer; a late timer lapses it instead.
--- a/crates/harefield/src/domain/membership.rs
+++ b/crates/harefield/src/domain/membership.rs
@@ -84,15 +84,8 @@
     #[must_use]
     pub fn new(own: Row) -> Self {
         let host = Arc::clone(&own.host);
-        let known = Known {
-            row: own,
-            transmits: TRANSMITS,
-        };
-        Self {
-            own: Arc::clone(&host),
-            rows: BTreeMap::from([(host, known)]),
-            cursor: 0,
-        }
+        let known = Known { row: own, transmits: TRANSMITS };
+        Self { own: Arc::clone(&host), rows: BTreeMap::from([(host, known)]), cursor: 0 }
     }
 
     /// Returns every known row.
@@ -109,8 +102,7 @@
     /// Returns whether a daemon may be given requests, as far as known.
     #[must_use]
     pub fn is_live(&self, host: &HostId) -> bool {
-        self.row(host)
-            .is_none_or(|row| row.state == PeerState::Live)
+        self.row(host).is_none_or(|row| row.state == PeerState::Live)
     }
 
     /// Returns the daemons other than this one that are not known to be gone.
@@ -122,10 +114,7 @@
 
     /// Joins rows from a peer; returns those that were news.
     pub fn join(&mut self, rows: &[Row]) -> Vec<Row> {
-        rows.iter()
-            .filter(|row| self.join_row(row))
-            .cloned()
-            .collect()
+        rows.iter().filter(|row| self.join_row(row)).cloned().collect()
     }
 
     fn join_row(&mut self, row: &Row) -> bool {
@@ -133,10 +122,7 @@
             self.refute(row);
             return false;
         }
-        if self
-            .row(&row.host)
-            .is_some_and(|held| held.rank() >= row.rank())
-        {
+        if self.row(&row.host).is_some_and(|held| held.rank() >= row.rank()) {
             return false;
         }
         self.put(row.clone());
@@ -144,13 +130,7 @@
     }
 
     fn put(&mut self, row: Row) {
-        self.rows.insert(
-            Arc::clone(&row.host),
-            Known {
-                row,
-                transmits: TRANSMITS,
-            },
-        );
+        self.rows.insert(Arc::clone(&row.host), Known { row, transmits: TRANSMITS });
     }
 
     /// Answers a rumour about this daemon with a newer statement of its own.
@@ -213,10 +193,7 @@
 
     fn fill_in_turn(&mut self, rows: &mut Vec<Row>) {
         const IN_TURN: usize = 8;
-        let room = MOST_ROWS
-            .saturating_sub(rows.len())
-            .min(IN_TURN)
-            .min(self.rows.len());
+        let room = MOST_ROWS.saturating_sub(rows.len()).min(IN_TURN).min(self.rows.len());
         for _ in 0..room {
             self.cursor = (self.cursor + 1) % self.rows.len();
             let turn = self.rows.values().nth(self.cursor);
--- a/crates/harefield/src/domain/once.rs
+++ b/crates/harefield/src/domain/once.rs
@@ -63,11 +63,7 @@
         let _: std::net::SocketAddr = host.parse().map_err(|_error| MalformedTicket)?;
         let incarnation = u64::from_str_radix(incarnation, 16).map_err(|_error| MalformedTicket)?;
         let number = number.parse().map_err(|_error| MalformedTicket)?;
-        Ok(Self {
-            host: host.into(),
-            incarnation,
-            number,
-        })
+        Ok(Self { host: host.into(), incarnation, number })
     }
 }
 
@@ -101,16 +97,9 @@
 
 #[derive(Debug)]
 enum Entry {
-    Open {
-        issued: Instant,
-    },
-    Running {
-        binding: Binding,
-    },
-    Done {
-        binding: Binding,
-        answer: Box<Answer>,
-    },
+    Open { issued: Instant },
+    Running { binding: Binding },
+    Done { binding: Binding, answer: Box<Answer> },
 }
 
 /// The tickets of one incarnation and what became of them.
@@ -129,15 +118,7 @@
     /// Creates the ledger of one incarnation.
     #[must_use]
     pub fn new(host: HostId, incarnation: Incarnation) -> Self {
-        Self {
-            host,
-            incarnation,
-            next: 1,
-            entries: BTreeMap::new(),
-            done: 0,
-            open: 0,
-            forgotten: 0,
-        }
+        Self { host, incarnation, next: 1, entries: BTreeMap::new(), done: 0, open: 0, forgotten: 0 }
     }
 
     /// Issues a ticket; none while too many are unused.
@@ -150,11 +131,7 @@
         self.next += 1;
         self.open += 1;
         self.entries.insert(number, Entry::Open { issued: now });
-        Some(Ticket {
-            host: Arc::clone(&self.host),
-            incarnation: self.incarnation,
-            number,
-        })
+        Some(Ticket { host: Arc::clone(&self.host), incarnation: self.incarnation, number })
     }
 
     /// Returns whether a ticket names this incarnation.
@@ -187,8 +164,7 @@
             self.entries.remove(&ticket.number);
             return Begin::Refuse(Outcome::NotRun, Code::TicketExpired);
         }
-        self.entries
-            .insert(ticket.number, Entry::Running { binding });
+        self.entries.insert(ticket.number, Entry::Running { binding });
         Begin::Run
     }
 
@@ -202,10 +178,7 @@
             self.entries.insert(number, Entry::Open { issued: now });
             return;
         }
-        let entry = Entry::Done {
-            binding: *binding,
-            answer: Box::new(answer.clone()),
-        };
+        let entry = Entry::Done { binding: *binding, answer: Box::new(answer.clone()) };
         self.entries.insert(number, entry);
         self.done += 1;
         self.forget_oldest();
@@ -225,10 +198,7 @@
         if self.done <= MOST_OUTCOMES {
             return;
         }
-        let oldest = self
-            .entries
-            .iter()
-            .find(|(_, entry)| matches!(entry, Entry::Done { .. }));
+        let oldest = self.entries.iter().find(|(_, entry)| matches!(entry, Entry::Done { .. }));
         if let Some(number) = oldest.map(|(number, _)| *number) {
             self.entries.remove(&number);
             self.done -= 1;
--- a/crates/harefield/src/domain/outcome.rs
+++ b/crates/harefield/src/domain/outcome.rs
@@ -106,11 +106,7 @@
     /// The contributions, one a shard.
     pub results: Vec<Part>,
     /// When to come back, in milliseconds, where that may help.
-    #[serde(
-        default,
-        rename = "retry-after-ms",
-        skip_serializing_if = "Option::is_none"
-    )]
+    #[serde(default, rename = "retry-after-ms", skip_serializing_if = "Option::is_none")]
     pub retry_after: Option<u64>,
     /// A ticket for a once-only request that came without one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -38,10 +38,7 @@
 
 impl<'a> Checker<'a> {
     pub(super) fn new(set: &'a ResourceSet) -> Self {
-        Self {
-            set,
-            faults: Vec::new(),
-        }
+        Self { set, faults: Vec::new() }
     }
 
     pub(super) fn run(mut self) -> Vec<Fault> {
@@ -84,8 +81,7 @@
             }
             for replica in replicas {
                 if !self.set.upstreams.contains_key(replica) {
-                    let detail =
-                        format!("shard {shard} names upstream {replica}, which does not exist");
+                    let detail = format!("shard {shard} names upstream {replica}, which does not exist");
                     self.fault("services", name, Code::ResourceReference, detail);
                 }
             }
@@ -109,16 +105,9 @@
         }
     }
 
-    fn snapshot_shards(
-        &mut self,
-        name: &str,
-        version: u64,
-        service: &str,
-        shards: &[std::sync::Arc<str>],
-    ) {
+    fn snapshot_shards(&mut self, name: &str, version: u64, service: &str, shards: &[std::sync::Arc<str>]) {
         let Some(found) = self.set.services.get(service) else {
-            let detail =
-                format!("snapshot {version} names service {service}, which does not exist");
+            let detail = format!("snapshot {version} names service {service}, which does not exist");
             self.fault("indexes", name, Code::ResourceReference, detail);
             return;
         };
@@ -128,9 +117,8 @@
         }
         for shard in shards {
             if !found.shards.contains_key(shard) {
-                let detail = format!(
-                    "snapshot {version} names shard {service}/{shard}, which the service lacks"
-                );
+                let detail =
+                    format!("snapshot {version} names shard {service}/{shard}, which the service lacks");
                 self.fault("indexes", name, Code::ResourceReference, detail);
             }
         }
@@ -147,10 +135,7 @@
             return;
         };
         for service in &lookup.services {
-            let known = index
-                .snapshots
-                .iter()
-                .any(|s| s.shards.contains_key(service.as_str()));
+            let known = index.snapshots.iter().any(|s| s.shards.contains_key(service.as_str()));
             if !known {
                 let detail = format!("no snapshot of {} has service {service}", lookup.index);
                 self.fault("lookups", name, Code::ResourceReference, detail);
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -34,9 +34,7 @@
     /// # Errors
     ///
     /// Returns every fault of the set; a set with faults is refused whole.
-    pub fn parse<'a>(
-        items: impl IntoIterator<Item = (&'a Key, &'a Arc<str>)>,
-    ) -> Result<Self, Vec<Fault>> {
+    pub fn parse<'a>(items: impl IntoIterator<Item = (&'a Key, &'a Arc<str>)>) -> Result<Self, Vec<Fault>> {
         let mut set = Self::default();
         let mut faults = Vec::new();
         for (key, value) in items {
@@ -45,21 +43,13 @@
             }
         }
         faults.extend(Checker::new(&set).run());
-        if faults.is_empty() {
-            Ok(set)
-        } else {
-            Err(faults)
-        }
+        if faults.is_empty() { Ok(set) } else { Err(faults) }
     }
 
     fn insert(&mut self, key: &Key, value: &str) -> Result<(), Fault> {
         if value.len() > MAX_VALUE_BYTES {
             let detail = format!("{} bytes", value.len());
-            return Err(Fault {
-                key: Arc::clone(key),
-                code: Code::ResourceTooLarge,
-                detail,
-            });
+            return Err(Fault { key: Arc::clone(key), code: Code::ResourceTooLarge, detail });
         }
         match key.split_once('/') {
             Some(("services", name)) => put(&mut self.services, key, name, value),
@@ -68,11 +58,7 @@
             Some(("indexes", name)) => put(&mut self.indexes, key, name, value),
             _ => {
                 let detail = "expected services/, upstreams/, lookups/ or indexes/".to_owned();
-                Err(Fault {
-                    key: Arc::clone(key),
-                    code: Code::ResourceUnknownKind,
-                    detail,
-                })
+                Err(Fault { key: Arc::clone(key), code: Code::ResourceUnknownKind, detail })
             }
         }
     }
--- a/crates/harefield/src/domain/routing/budget.rs
+++ b/crates/harefield/src/domain/routing/budget.rs
@@ -21,10 +21,7 @@
     /// Creates a budget that earns `share` of a request with every first one.
     #[must_use]
     pub fn new(share: f64) -> Self {
-        Self {
-            share,
-            tokens: MOST / 4.0,
-        }
+        Self { share, tokens: MOST / 4.0 }
     }
 
     /// Earns the share of one first request.
--- a/crates/harefield/src/domain/routing/pace.rs
+++ b/crates/harefield/src/domain/routing/pace.rs
@@ -23,10 +23,7 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        Self {
-            mean: FIRST.as_secs_f64(),
-            slow: FIRST.as_secs_f64(),
-        }
+        Self { mean: FIRST.as_secs_f64(), slow: FIRST.as_secs_f64() }
     }
 }
 
--- a/crates/harefield/src/domain/routing/policy.rs
+++ b/crates/harefield/src/domain/routing/policy.rs
@@ -26,6 +26,19 @@
     GeneralizedCMu,
 }
 
+/// How steeply a replica's part of the requests falls with its cost.
+const STEEPNESS: f64 = 6.0;
+
+/// Spreads a cost so that the least of several falls to each with a chance in
+/// proportion to its cost to the power of minus the steepness.
+///
+/// Equal replicas share evenly, so that daemons that saw the same do not all
+/// turn to the same one; one that takes twice as long gets one in 65.
+fn spread(cost: f64, draw: f64) -> f64 {
+    let exponential = -(1.0 - draw).max(1e-9).ln();
+    cost * exponential.max(1e-9).powf(1.0 / STEEPNESS)
+}
+
 impl Policy {
     /// Returns the cost of asking `searcher`; the lowest is chosen. `draw`
     /// is a random number in 0..1 for this replica at this choice.
@@ -33,12 +46,12 @@
     pub fn cost(self, searcher: &Searcher, typical: f64, draw: f64, now: Instant) -> f64 {
         let under_way = f64::from(u32::try_from(searcher.under_way()).unwrap_or(u32::MAX));
         match self {
-            Self::Cost => searcher.expected(typical, now) * (1.0 + draw * 0.05),
+            Self::Cost => spread(searcher.expected(typical, now), draw),
             Self::Random => draw,
             Self::LeastInFlight | Self::TwoChoices => under_way + draw * 0.5,
             Self::GeneralizedCMu => {
                 let slots = f64::from(searcher.spec().slots.max(1));
-                let mean = searcher.observed_time(typical, now);
+                let mean = searcher.observed_time(typical);
                 under_way / slots * mean + draw * 1e-6
             }
         }
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -31,6 +31,13 @@
     pub scores: Vec<Score>,
 }
 
+/// How a candidate ranks: those that failed last come after all others.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Rank {
+    probation: bool,
+    cost: f64,
+}
+
 /// What is asked for when a replica is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -72,8 +79,7 @@
     /// Takes a new view: upstreams come and go, their state otherwise stays.
     pub fn apply(&mut self, view: &View) {
         let set = &view.set;
-        self.searchers
-            .retain(|name, s| set.upstreams.contains_key(name) || s.under_way() > 0);
+        self.searchers.retain(|name, s| set.upstreams.contains_key(name) || s.under_way() > 0);
         for (name, spec) in &set.upstreams {
             let sharers = view.sharers.get(name).copied().unwrap_or(1);
             let searcher = self
@@ -88,8 +94,7 @@
                 searcher.list(true);
             }
         }
-        self.paces
-            .retain(|index, _| set.indexes.contains_key(index));
+        self.paces.retain(|index, _| set.indexes.contains_key(index));
     }
 
     /// Returns the state of an upstream.
@@ -123,9 +128,7 @@
     /// Returns whether an upstream may serve a version, load aside.
     #[must_use]
     pub fn usable(&self, name: &UpstreamId, version: Version) -> bool {
-        self.searchers
-            .get(name)
-            .is_some_and(|s| s.may_serve(version).is_ok())
+        self.searchers.get(name).is_some_and(|s| s.may_serve(version).is_ok())
     }
 
     /// Chooses the replica to ask.
@@ -135,18 +138,12 @@
     /// Returns why none may be asked now; the reason that passes first.
     pub fn choose(&mut self, ask: &Ask<'_>, now: Instant) -> Result<Choice, Bar> {
         if !self.lease.held(now) {
-            return Err(Bar {
-                gap: Gap::Unconfirmed,
-                until: Until::Soon,
-            });
+            return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
         let typical = self.pace(ask.index).mean().as_secs_f64();
         let mut scores = Vec::with_capacity(ask.replicas.len());
-        let mut best: Option<(f64, UpstreamId)> = None;
-        let mut bar = Bar {
-            gap: Gap::NoReplica,
-            until: Until::Never,
-        };
+        let mut best: Option<(Rank, UpstreamId)> = None;
+        let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
         for name in ask.replicas.iter().filter(|name| !ask.tried.contains(name)) {
             let found = self.score(name, ask.version, typical, now);
             scores.push(Score {
@@ -155,10 +152,12 @@
                 barred: found.err().map(|bar| bar.gap),
             });
             match found {
-                Ok(cost) if best.as_ref().is_none_or(|(least, _)| cost < *least) => {
-                    best = Some((cost, Arc::clone(name)));
+                Ok(cost) => {
+                    let rank = Rank { probation: self.on_probation(name), cost };
+                    if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                        best = Some((rank, Arc::clone(name)));
+                    }
                 }
-                Ok(_) => {}
                 Err(other) => bar = softer(bar, other),
             }
         }
@@ -168,29 +167,37 @@
         }
     }
 
-    fn score(
-        &mut self,
-        name: &UpstreamId,
-        version: Version,
-        typical: f64,
-        now: Instant,
-    ) -> Result<f64, Bar> {
+    fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
         let draw = self.draw();
-        let unknown = Bar {
-            gap: Gap::NoReplica,
-            until: Until::Never,
-        };
+        let unknown = Bar { gap: Gap::NoReplica, until: Until::Never };
         let searcher = self.searchers.get(name).ok_or(unknown)?;
         searcher.admits(version, now)?;
         Ok(self.policy.cost(searcher, typical, draw, now))
     }
 
+    fn on_probation(&self, name: &UpstreamId) -> bool {
+        self.searchers.get(name).is_some_and(Searcher::on_probation)
+    }
+
+    /// Returns a replica that is passed over and should be looked at, by an
+    /// extra request beside the one to the replica chosen.
+    #[must_use]
+    pub fn probe(&self, ask: &Ask<'_>, chosen: &UpstreamId, now: Instant) -> Option<UpstreamId> {
+        let typical = self.pace(ask.index).mean().as_secs_f64();
+        let other = self.searchers.get(chosen).map_or(typical, |s| s.observed_time(typical));
+        let due = |name: &&UpstreamId| {
+            let found = self.searchers.get(*name);
+            found.is_some_and(|s| {
+                s.passed_over(other) && s.probe_due(now) && s.admits(ask.version, now).is_ok()
+            })
+        };
+        let others = ask.replicas.iter().filter(|name| *name != chosen && !ask.tried.contains(name));
+        others.filter(due).map(Arc::clone).next()
+    }
+
     /// Draws a number in 0..1 from the router's own seeded sequence.
     fn draw(&mut self) -> f64 {
-        self.seed = self
-            .seed
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let high = u32::try_from(self.seed >> 32).unwrap_or(0);
         f64::from(high) / f64::from(u32::MAX)
     }
@@ -218,10 +225,7 @@
 
     /// Takes a good reply's time into the index's pace.
     pub fn sample(&mut self, index: &Arc<str>, took: Duration) {
-        self.paces
-            .entry(Arc::clone(index))
-            .or_default()
-            .sample(took);
+        self.paces.entry(Arc::clone(index)).or_default().sample(took);
     }
 
     /// Takes an upstream's word; returns whether it was news.
@@ -251,9 +255,5 @@
 
 /// Returns the bar that passes first; a known reason goes before no replica.
 fn softer(held: Bar, found: Bar) -> Bar {
-    if found.until < held.until || held.gap == Gap::NoReplica {
-        found
-    } else {
-        held
-    }
+    if found.until < held.until || held.gap == Gap::NoReplica { found } else { held }
 }
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -19,12 +19,25 @@
 /// The longest that a refusal's word on when to come back is kept.
 const LONGEST_SHED: Duration = Duration::from_secs(30);
 
-/// How fast the observed time follows a slower and a faster reply.
-const RISE: f64 = 0.3;
-const FALL: f64 = 0.1;
+/// How far one reply moves the observed median: by a factor, however slow the
+/// reply was, so that a single straggler says little.
+const STEP: f64 = 1.15;
 
-/// After this long without a reply, half of what was observed is forgotten.
-const HALF_LIFE: f64 = 2.0;
+/// How fast the best observed time is forgotten: by this factor with each reply.
+const BEST_DRIFT: f64 = 1.01;
+
+/// A report of a queue is believed when a reply took at least this part of the
+/// time that such a queue would cost.
+const BELIEF: f64 = 0.5;
+
+/// How far a believed queue shrinks the window.
+const QUEUE_SHRINK: f64 = 0.9;
+
+/// A replica that takes this many times as long as another is passed over.
+const PASSED_OVER: f64 = 1.5;
+
+/// The least time between probes of a replica that is passed over.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
 
 /// How long a load report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(200);
@@ -89,8 +102,11 @@
     share: u32,
     window: Window,
     starts: Vec<Instant>,
-    observed: Option<(f64, Instant)>,
+    observed: Option<f64>,
+    best: Option<f64>,
     load: Option<(Load, Instant)>,
+    heard: Option<Instant>,
+    probation: bool,
     word: Word,
     listed: bool,
     shed: Option<Instant>,
@@ -111,7 +127,10 @@
             window,
             starts: Vec::new(),
             observed: None,
+            best: None,
             load: None,
+            heard: None,
+            probation: false,
             word: Word::default(),
             listed: false,
             shed: None,
@@ -189,27 +208,15 @@
     ///
     /// Returns the reason, and until when it holds.
     pub fn admits(&self, version: Version, now: Instant) -> Result<(), Bar> {
-        self.may_serve(version).map_err(|gap| Bar {
-            gap,
-            until: Until::Never,
-        })?;
+        self.may_serve(version).map_err(|gap| Bar { gap, until: Until::Never })?;
         if let Some(at) = self.retry.filter(|at| now < *at) {
-            return Err(Bar {
-                gap: Gap::Unreachable,
-                until: Until::At(at),
-            });
+            return Err(Bar { gap: Gap::Unreachable, until: Until::At(at) });
         }
         if let Some(at) = self.shed.filter(|at| now < *at) {
-            return Err(Bar {
-                gap: Gap::Overloaded,
-                until: Until::At(at),
-            });
+            return Err(Bar { gap: Gap::Overloaded, until: Until::At(at) });
         }
         if !self.window.has_room(self.under_way()) {
-            return Err(Bar {
-                gap: Gap::Overloaded,
-                until: Until::Soon,
-            });
+            return Err(Bar { gap: Gap::Overloaded, until: Until::Soon });
         }
         Ok(())
     }
@@ -246,53 +253,68 @@
         if let Some(at) = self.starts.iter().position(|s| *s == start) {
             self.starts.swap_remove(at);
         }
-        if let Some(load) = report.load {
-            self.load = Some((load, now));
-        }
+        let took = now.saturating_duration_since(start).as_secs_f64();
+        self.heard = Some(now);
+        self.load = report.load.filter(|load| self.believes(*load, took)).map(|load| (load, now));
         match verdict {
-            Verdict::Good => self.good(start, under_way, now),
+            Verdict::Good => self.good(took, under_way),
             Verdict::Full(wait) => self.full(wait, now),
             Verdict::Declined => {}
-            Verdict::Abandoned => self.abandoned(start, now),
+            Verdict::Abandoned => self.abandoned(took),
             Verdict::Broken => self.broken(now),
         }
     }
 
-    fn good(&mut self, start: Instant, under_way: usize, now: Instant) {
+    /// Says whether a report of a queue fits the time that the reply took.
+    fn believes(&self, load: Load, took: f64) -> bool {
+        let queue = f64::from(load.queued) / f64::from(self.spec.slots.max(1));
+        self.best.is_none_or(|best| took >= best * (1.0 + queue) * BELIEF)
+    }
+
+    fn good(&mut self, took: f64, under_way: usize) {
         self.failures = 0;
         self.retry = None;
-        let took = now.saturating_duration_since(start).as_secs_f64();
-        let next = match self.observed {
-            None => took,
-            Some((old, _)) if took > old => old + (took - old) * RISE,
-            Some((old, _)) => old + (took - old) * FALL,
-        };
-        self.observed = Some((next, now));
+        self.shed = None;
+        self.probation = false;
+        self.observe(took);
+        self.best = Some(self.best.map_or(took, |best| (best * BEST_DRIFT).min(took)));
         let queued = self.load.map_or(0, |(load, _)| load.queued);
         if queued <= self.spec.slots {
             self.window.grow(under_way);
+        } else {
+            self.window.scale(QUEUE_SHRINK);
         }
     }
 
-    fn abandoned(&mut self, start: Instant, now: Instant) {
-        let took = now.saturating_duration_since(start).as_secs_f64();
-        match self.observed {
-            Some((old, _)) if took <= old => {}
-            Some((old, _)) => self.observed = Some((old + (took - old) * RISE, now)),
-            None => self.observed = Some((took, now)),
+    /// Moves the observed median towards a reply's time.
+    fn observe(&mut self, took: f64) {
+        self.observed = Some(match self.observed {
+            None => took,
+            Some(old) if took > old => (old * STEP).min(took),
+            Some(old) => (old / STEP).max(took),
+        });
+    }
+
+    /// The time so far counts only where it is more than was observed.
+    fn abandoned(&mut self, took: f64) {
+        if self.observed.is_none_or(|old| took > old) {
+            self.observe(took);
         }
     }
 
     fn full(&mut self, wait: Option<Duration>, now: Instant) {
         self.window.shrink();
-        if let Some(wait) = wait {
-            self.shed = Some(now + wait.min(LONGEST_SHED));
-        }
+        let Some(wait) = wait else { return };
+        let doubled = wait.saturating_mul(1 << self.failures.min(4));
+        self.shed = Some(now + wait.max(doubled.min(LONGEST_BACKOFF)).min(LONGEST_SHED));
+        self.failures = self.failures.saturating_add(1);
+        self.probation = true;
     }
 
     fn broken(&mut self, now: Instant) {
         let doubled = BACKOFF.saturating_mul(1 << self.failures.min(10));
         self.retry = Some(now + doubled.min(LONGEST_BACKOFF));
+        self.probation = true;
         self.failures = self.failures.saturating_add(1);
     }
 
@@ -300,28 +322,43 @@
     /// stands in for what was not observed or is long past.
     #[must_use]
     pub fn expected(&self, typical: f64, now: Instant) -> f64 {
-        let base = self.observed_time(typical, now).max(self.oldest_age(now));
+        let base = self.observed_time(typical).max(self.oldest_age(now));
         let ahead = f64::from(u32::try_from(self.under_way()).unwrap_or(u32::MAX));
         let wait = base * ahead / f64::from(self.spec.slots.max(1));
         base * self.reported_factor(now) + wait + self.connect_time()
     }
 
-    /// Returns the observed time of a request, in seconds, moving towards
-    /// `typical` while nothing is heard.
+    /// Returns the observed time of a request, in seconds; `typical` where
+    /// nothing was observed yet.
+    #[must_use]
+    pub fn observed_time(&self, typical: f64) -> f64 {
+        self.observed.unwrap_or(typical)
+    }
+
+    /// Returns whether it failed or shed last, and has not answered since.
+    #[must_use]
+    pub fn on_probation(&self) -> bool {
+        self.probation
+    }
+
+    /// Returns whether it is passed over beside a replica that takes `other`
+    /// seconds: it failed last, or takes much longer.
     #[must_use]
-    pub fn observed_time(&self, typical: f64, now: Instant) -> f64 {
-        let Some((observed, at)) = self.observed else {
-            return typical;
-        };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        typical + (observed - typical) * 0.5_f64.powf(age / HALF_LIFE)
+    pub fn passed_over(&self, other: f64) -> bool {
+        self.probation || self.observed.is_some_and(|own| own > other * PASSED_OVER)
+    }
+
+    /// Returns whether nothing was heard of it for a while, so that a probe may
+    /// look how it does now.
+    #[must_use]
+    pub fn probe_due(&self, now: Instant) -> bool {
+        let quiet = self.heard.is_some_and(|at| now.saturating_duration_since(at) >= PROBE_EVERY);
+        quiet && self.starts.is_empty()
     }
 
     fn oldest_age(&self, now: Instant) -> f64 {
         let oldest = self.starts.iter().min();
-        oldest.map_or(0.0, |start| {
-            now.saturating_duration_since(*start).as_secs_f64()
-        })
+        oldest.map_or(0.0, |start| now.saturating_duration_since(*start).as_secs_f64())
     }
 
     /// A report can at most double what own requests showed: it may lag or lie.
@@ -336,10 +373,6 @@
     }
 
     fn connect_time(&self) -> f64 {
-        if self.idle > 0 {
-            0.0
-        } else {
-            f64::from(self.spec.connect_ms) / 1000.0
-        }
+        if self.idle > 0 { 0.0 } else { f64::from(self.spec.connect_ms) / 1000.0 }
     }
 }
--- a/crates/harefield/src/domain/routing/window.rs
+++ b/crates/harefield/src/domain/routing/window.rs
@@ -15,10 +15,7 @@
     pub fn new(slots: u32, sharers: u32, connections: u32) -> Self {
         let most = f64::from(connections.max(1));
         let share = f64::from(slots) / f64::from(sharers.max(1));
-        Self {
-            size: share.clamp(1.0, most),
-            most,
-        }
+        Self { size: share.clamp(1.0, most), most }
     }
 
     /// Takes a new share of the connections after a change of view.
@@ -37,7 +34,12 @@
 
     /// Takes word that the upstream is full.
     pub fn shrink(&mut self) {
-        self.size = (self.size / 2.0).max(1.0);
+        self.scale(0.5);
+    }
+
+    /// Scales the window, for a queue that is growing.
+    pub fn scale(&mut self, factor: f64) {
+        self.size = (self.size * factor).clamp(1.0, self.most);
     }
 
     /// Returns the window's size, in requests.
--- a/crates/harefield/src/domain/snapshot.rs
+++ b/crates/harefield/src/domain/snapshot.rs
@@ -35,21 +35,12 @@
     let can = plan
         .shards
         .iter()
-        .filter(|shard| {
-            shard
-                .replicas
-                .iter()
-                .any(|replica| usable(replica, plan.version))
-        })
+        .filter(|shard| shard.replicas.iter().any(|replica| usable(replica, plan.version)))
         .count();
     ratio(can, plan.shards.len())
 }
 
 fn ratio(part: usize, whole: usize) -> f64 {
     let exact = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
-    if whole == 0 {
-        1.0
-    } else {
-        exact(part) / exact(whole)
-    }
+    if whole == 0 { 1.0 } else { exact(part) / exact(whole) }
 }
--- a/crates/harefield/src/domain/view.rs
+++ b/crates/harefield/src/domain/view.rs
@@ -72,18 +72,13 @@
             let row = serde_json::from_str(value).ok()?;
             Some((address, row))
         });
-        Self {
-            rows: rows.collect(),
-        }
+        Self { rows: rows.collect() }
     }
 
     /// Returns the addresses listed as leaving.
     #[must_use]
     pub fn leaving(&self) -> HashSet<SocketAddr> {
-        let rows = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.state == HostState::Leaving);
+        let rows = self.rows.iter().filter(|(_, row)| row.state == HostState::Leaving);
         rows.map(|(address, _)| *address).collect()
     }
 
@@ -94,8 +89,7 @@
             .rows
             .iter()
             .filter(|(_, row)| row.role == HostRole::Harefield && row.state == HostState::Live);
-        live.map(|(address, _)| address.to_string().into())
-            .collect()
+        live.map(|(address, _)| address.to_string().into()).collect()
     }
 }
 
@@ -189,61 +183,33 @@
         .map(|snapshot| Arc::new(plan_snapshot(set, index_name, snapshot, lookup)))
         .collect();
     plans.sort_by_key(|plan| std::cmp::Reverse(plan.version));
-    Some(LookupPlan {
-        name: Arc::clone(name),
-        lookup: lookup.clone(),
-        plans,
-    })
+    Some(LookupPlan { name: Arc::clone(name), lookup: lookup.clone(), plans })
 }
 
 fn has_services(snapshot: &Snapshot, lookup: &Lookup) -> bool {
-    lookup
-        .services
-        .iter()
-        .all(|s| snapshot.shards.contains_key(s.as_str()))
+    lookup.services.iter().all(|s| snapshot.shards.contains_key(s.as_str()))
 }
 
-fn plan_snapshot(
-    set: &ResourceSet,
-    index: &Arc<str>,
-    snapshot: &Snapshot,
-    lookup: &Lookup,
-) -> Plan {
-    let asked =
-        |service: &str| lookup.services.is_empty() || lookup.services.iter().any(|s| s == service);
+fn plan_snapshot(set: &ResourceSet, index: &Arc<str>, snapshot: &Snapshot, lookup: &Lookup) -> Plan {
+    let asked = |service: &str| lookup.services.is_empty() || lookup.services.iter().any(|s| s == service);
     let mut shards = Vec::new();
     for (service, names) in snapshot.shards.iter().filter(|(service, _)| asked(service)) {
         let held = set.services.get(service).map(|s| &s.shards);
         for name in names {
-            let replicas = held
-                .and_then(|shards| shards.get(name))
-                .cloned()
-                .unwrap_or_default();
+            let replicas = held.and_then(|shards| shards.get(name)).cloned().unwrap_or_default();
             let shard = format!("{service}/{name}").into();
             shards.push(ShardPlan { shard, replicas });
         }
     }
-    Plan {
-        index: Arc::clone(index),
-        version: snapshot.version,
-        shards,
-    }
+    Plan { index: Arc::clone(index), version: snapshot.version, shards }
 }
 
 /// Returns the names of the upstreams that hold any shard of an index.
 #[must_use]
 pub fn index_upstreams<'a>(set: &'a ResourceSet, index: &Index) -> HashSet<&'a UpstreamId> {
-    let services: HashSet<&Arc<str>> = index
-        .snapshots
-        .iter()
-        .flat_map(|s| s.shards.keys())
-        .collect();
-    let services = services
-        .into_iter()
-        .filter_map(|name| set.services.get(name));
-    services
-        .flat_map(|service| service.shards.values().flatten())
-        .collect()
+    let services: HashSet<&Arc<str>> = index.snapshots.iter().flat_map(|s| s.shards.keys()).collect();
+    let services = services.into_iter().filter_map(|name| set.services.get(name));
+    services.flat_map(|service| service.shards.values().flatten()).collect()
 }
 
 fn count_sharers(set: &ResourceSet, cells: &Cells) -> HashMap<UpstreamId, u32> {
@@ -253,15 +219,9 @@
             continue;
         };
         for upstream in index_upstreams(set, index) {
-            members
-                .entry(Arc::clone(upstream))
-                .or_default()
-                .extend(cell.iter());
+            members.entry(Arc::clone(upstream)).or_default().extend(cell.iter());
         }
     }
     let count = |hosts: HashSet<&HostId>| u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
-    members
-        .into_iter()
-        .map(|(name, hosts)| (name, count(hosts)))
-        .collect()
+    members.into_iter().map(|(name, hosts)| (name, count(hosts))).collect()
 }
--- a/crates/harefield/src/domain/word.rs
+++ b/crates/harefield/src/domain/word.rs
@@ -39,9 +39,7 @@
     /// Returns whether the upstream may hold `version`: it says so, or says nothing.
     #[must_use]
     pub fn may_hold(&self, version: Version) -> bool {
-        self.held
-            .as_ref()
-            .is_none_or(|held| held.contains(&version))
+        self.held.as_ref().is_none_or(|held| held.contains(&version))
     }
 }
 
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -114,13 +114,7 @@
             while let Some(end) = ready {
                 let now = self.ports.clock.now();
                 let mut router = self.router.borrow_mut();
-                actions.extend(fanout.on_end(
-                    (end.shard, end.attempt),
-                    end.end,
-                    now,
-                    &mut router,
-                    trace,
-                ));
+                actions.extend(fanout.on_end((end.shard, end.attempt), end.end, now, &mut router, trace));
                 ready = landed.try_recv().ok();
             }
             let now = self.ports.clock.now();
@@ -128,11 +122,7 @@
             self.act(job, plan, actions, &sender);
         }
         let (next, crowd) = (fanout.next_attempt(), fanout.crowd());
-        FanoutEnd {
-            finished: fanout.finish(),
-            next,
-            crowd,
-        }
+        FanoutEnd { finished: fanout.finish(), next, crowd }
     }
 
     async fn next_landing(&self, landed: &Receiver<Landed>, wake: Instant) -> Option<Landed> {
@@ -143,21 +133,11 @@
         async { landed.recv().await.ok() }.or(timed).await
     }
 
-    fn act(
-        self: &Rc<Self>,
-        job: &Job,
-        plan: &Arc<Plan>,
-        actions: Vec<Action>,
-        sender: &Sender<Landed>,
-    ) {
+    fn act(self: &Rc<Self>, job: &Job, plan: &Arc<Plan>, actions: Vec<Action>, sender: &Sender<Landed>) {
         for action in actions {
             match action {
                 Action::Send(send) => {
-                    let attempt = Attempt {
-                        job: job.clone(),
-                        plan: Arc::clone(plan),
-                        send,
-                    };
+                    let attempt = Attempt { job: job.clone(), plan: Arc::clone(plan), send };
                     self.launch(attempt, sender.clone());
                 }
                 Action::Cancel(cancel) => {
@@ -171,17 +151,13 @@
     fn launch(self: &Rc<Self>, attempt: Attempt, sender: Sender<Landed>) {
         self.count(|counts| match attempt.send.cause {
             Cause::First => counts.first += 1,
-            Cause::Retry | Cause::Hedge => counts.extra += 1,
+            Cause::Retry | Cause::Hedge | Cause::Probe => counts.extra += 1,
         });
         let this = Rc::clone(self);
         let task = async move {
             let end = this.ask(&attempt).await;
             this.learn(&attempt, &end);
-            let landed = Landed {
-                shard: attempt.send.shard,
-                attempt: attempt.send.attempt,
-                end: end.end,
-            };
+            let landed = Landed { shard: attempt.send.shard, attempt: attempt.send.attempt, end: end.end };
             if sender.try_send(landed).is_err() {
                 this.drop_late(&attempt);
             }
@@ -192,16 +168,10 @@
     async fn ask(&self, attempt: &Attempt) -> CallEnd {
         let upstream = Arc::clone(&attempt.send.upstream);
         let now = self.ports.clock.now();
-        let found = self
-            .router
-            .borrow()
-            .searcher(&upstream)
-            .map(|s| (s.spec().address, s.share()));
+        let found = self.router.borrow().searcher(&upstream).map(|s| (s.spec().address, s.share()));
         let Some((address, share)) = found else {
             return CallEnd {
-                end: AttemptEnd::NotSent {
-                    why: Gap::NoReplica,
-                },
+                end: AttemptEnd::NotSent { why: Gap::NoReplica },
                 verdict: Verdict::Declined,
                 report: Report::default(),
             };
@@ -226,34 +196,20 @@
     /// of a changed word.
     fn learn(&self, attempt: &Attempt, end: &CallEnd) {
         let now = self.ports.clock.now();
-        let Send {
-            upstream, start, ..
-        } = &attempt.send;
+        let Send { upstream, start, .. } = &attempt.send;
         let mut router = self.router.borrow_mut();
         router.end(upstream, *start, end.verdict, &end.report, now);
-        if end.verdict == Verdict::Good {
+        if end.verdict == Verdict::Good && attempt.send.cause != Cause::Probe {
             router.sample(&attempt.plan.index, now.saturating_duration_since(*start));
         }
         router.set_idle(upstream, self.ports.upstreams.idle(upstream));
-        let Some(word) = end
-            .report
-            .word
-            .as_ref()
-            .filter(|word| router.hear(upstream, word))
-        else {
+        let Some(word) = end.report.word.as_ref().filter(|word| router.hear(upstream, word)) else {
             return;
         };
         drop(router);
-        let named = NamedWord {
-            upstream: Arc::clone(upstream),
-            word: word.clone(),
-        };
+        let named = NamedWord { upstream: Arc::clone(upstream), word: word.clone() };
         let (draining, held) = (word.draining, word.held.clone().unwrap_or_default());
-        self.duty_trace().emit(Event::UpstreamWord {
-            upstream: Arc::clone(upstream),
-            draining,
-            held,
-        });
+        self.duty_trace().emit(Event::UpstreamWord { upstream: Arc::clone(upstream), draining, held });
         drop(self.control.try_send(ToControl::Word(named)));
     }
 
@@ -266,10 +222,7 @@
             why: Drop::Late,
         };
         let request = Some(Arc::clone(&attempt.job.request));
-        self.telemetry.send(Batch {
-            request,
-            events: vec![(stamp, event)],
-        });
+        self.telemetry.send(Batch { request, events: vec![(stamp, event)] });
     }
 
     /// Returns how long a hedge waits where it is fixed.
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -80,14 +80,7 @@
 impl Handed {
     fn new() -> Self {
         let (sender, ends) = async_channel::bounded(MOST_TRIES);
-        Self {
-            tried: Vec::new(),
-            tasks: Vec::new(),
-            under_way: 0,
-            sent: false,
-            sender,
-            ends,
-        }
+        Self { tried: Vec::new(), tasks: Vec::new(), under_way: 0, sent: false, sender, ends }
     }
 }
 
@@ -147,11 +140,7 @@
     ) -> Result<Answer, PeerError> {
         let mut handed = Handed::new();
         self.start_handing(&mut handed, Arc::clone(host), request, found, trace);
-        let ended = handed
-            .ends
-            .recv()
-            .await
-            .map_err(|_closed| PeerError::Silent)?;
+        let ended = handed.ends.recv().await.map_err(|_closed| PeerError::Silent)?;
         self.note_end(&ended, trace);
         ended.result
     }
@@ -199,12 +188,8 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) {
-        let left = found
-            .deadline
-            .saturating_duration_since(self.ports.clock.now());
-        trace.emit(Event::Forwarded {
-            to: Arc::clone(&host),
-        });
+        let left = found.deadline.saturating_duration_since(self.ports.clock.now());
+        trace.emit(Event::Forwarded { to: Arc::clone(&host) });
         let message = Forward {
             from: Arc::clone(&self.settings.host),
             stamp: trace.stamp(),
@@ -216,27 +201,13 @@
         };
         handed.tried.push(Arc::clone(&host));
         handed.under_way += 1;
-        *self
-            .forwards
-            .borrow_mut()
-            .entry(Arc::clone(&host))
-            .or_default() += 1;
-        let outgoing = Outgoing {
-            worker: Rc::clone(self),
-            host,
-        };
+        *self.forwards.borrow_mut().entry(Arc::clone(&host)).or_default() += 1;
+        let outgoing = Outgoing { worker: Rc::clone(self), host };
         let sender = handed.sender.clone();
         let task = async move {
             let Outgoing { worker, host } = &outgoing;
-            let result = worker
-                .ports
-                .peers
-                .forward(host, &message, left + TRAVEL)
-                .await;
-            let ended = Ended {
-                host: Arc::clone(host),
-                result,
-            };
+            let result = worker.ports.peers.forward(host, &message, left + TRAVEL).await;
+            let ended = Ended { host: Arc::clone(host), result };
             let _ = sender.try_send(ended).is_ok();
         };
         handed.tasks.push(self.executor.spawn(task));
@@ -248,16 +219,9 @@
             Err(PeerError::Unreachable) => (Outcome::NotRun, Code::NoMember),
             Err(PeerError::Silent) => (Outcome::MayHaveRun, Code::PeerSilent),
         };
-        trace.emit(Event::ForwardEnded {
-            to: Arc::clone(&ended.host),
-            outcome,
-            code,
-        });
+        trace.emit(Event::ForwardEnded { to: Arc::clone(&ended.host), outcome, code });
         if ended.result.is_err() {
-            drop(
-                self.control
-                    .try_send(ToControl::Silent(Arc::clone(&ended.host))),
-            );
+            drop(self.control.try_send(ToControl::Silent(Arc::clone(&ended.host))));
         }
     }
 
@@ -278,30 +242,14 @@
         let view = self.view.borrow();
         let cell = view.cells.get(index)?;
         let untried: Vec<&HostId> = cell.iter().filter(|host| !tried.contains(host)).collect();
-        let live: Vec<&HostId> = untried
-            .iter()
-            .copied()
-            .filter(|host| self.is_live(host))
-            .collect();
-        let near: Vec<&HostId> = live
-            .iter()
-            .copied()
-            .filter(|host| self.is_near(host))
-            .collect();
-        let pool = [near, live, untried]
-            .into_iter()
-            .find(|hosts| !hosts.is_empty())?;
+        let live: Vec<&HostId> = untried.iter().copied().filter(|host| self.is_live(host)).collect();
+        let near: Vec<&HostId> = live.iter().copied().filter(|host| self.is_near(host)).collect();
+        let pool = [near, live, untried].into_iter().find(|hosts| !hosts.is_empty())?;
         let mut random = rand::rng();
-        let draws = [
-            random.random_range(0..pool.len()),
-            random.random_range(0..pool.len()),
-        ];
+        let draws = [random.random_range(0..pool.len()), random.random_range(0..pool.len())];
         let forwards = self.forwards.borrow();
         let load = |at: &usize| forwards.get(pool[*at]).copied().unwrap_or(0);
-        draws
-            .iter()
-            .min_by_key(|at| load(at))
-            .map(|at| Arc::clone(pool[*at]))
+        draws.iter().min_by_key(|at| load(at)).map(|at| Arc::clone(pool[*at]))
     }
 
     fn is_live(&self, host: &HostId) -> bool {
@@ -312,9 +260,6 @@
 
     fn is_near(&self, host: &HostId) -> bool {
         let peers = self.peers.borrow();
-        peers
-            .rows
-            .iter()
-            .any(|row| row.host == *host && row.zone == self.settings.zone)
+        peers.rows.iter().any(|row| row.host == *host && row.zone == self.settings.zone)
     }
 }
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -50,8 +50,7 @@
     fn drop(&mut self) {
         let now = self.worker.ports.clock.now();
         let took = now.saturating_duration_since(self.entered);
-        self.worker
-            .leave_gate(&self.index, &self.team, took, self.crowd, now);
+        self.worker.leave_gate(&self.index, &self.team, took, self.crowd, now);
     }
 }
 
@@ -81,20 +80,11 @@
             return;
         }
         let worker = &self.worker;
-        worker
-            .waiters
-            .borrow_mut()
-            .remove(&(Arc::clone(&self.index), self.id));
+        worker.waiters.borrow_mut().remove(&(Arc::clone(&self.index), self.id));
         let called = self.calls.try_recv().ok();
         if matches!(called, Some(Called::Run(_))) {
             let now = worker.ports.clock.now();
-            worker.leave_gate(
-                &self.index,
-                &self.team,
-                Duration::ZERO,
-                Crowd::default(),
-                now,
-            );
+            worker.leave_gate(&self.index, &self.team, Duration::ZERO, Crowd::default(), now);
         } else if let Some(gate) = worker.gates.borrow_mut().get_mut(&self.index) {
             gate.forget(self.id);
         }
@@ -116,9 +106,7 @@
         let now = self.ports.clock.now();
         let entry = {
             let mut gates = self.gates.borrow_mut();
-            let gate = gates
-                .entry(Arc::clone(index))
-                .or_insert_with(|| Gate::new(self.settings.gate));
+            let gate = gates.entry(Arc::clone(index)).or_insert_with(|| Gate::new(self.settings.gate));
             gate.arrive(&arrival, now)
         };
         match entry {
@@ -145,9 +133,7 @@
         id: WaiterId,
     ) -> Result<Place<U, P, C>, GateRefusal> {
         let (sender, calls) = async_channel::bounded(1);
-        self.waiters
-            .borrow_mut()
-            .insert((Arc::clone(index), id), sender);
+        self.waiters.borrow_mut().insert((Arc::clone(index), id), sender);
         let mut waiting = Waiting {
             worker: Rc::clone(self),
             index: Arc::clone(index),
@@ -168,26 +154,13 @@
             }
             Some(Called::Refuse(_, wait)) => {
                 waiting.settled = true;
-                Err(GateRefusal {
-                    code: Code::TooLate,
-                    wait,
-                })
+                Err(GateRefusal { code: Code::TooLate, wait })
             }
-            None => Err(GateRefusal {
-                code: Code::TooLate,
-                wait: Duration::ZERO,
-            }),
+            None => Err(GateRefusal { code: Code::TooLate, wait: Duration::ZERO }),
         }
     }
 
-    fn leave_gate(
-        &self,
-        index: &Arc<str>,
-        team: &Arc<str>,
-        took: Duration,
-        crowd: Crowd,
-        now: Instant,
-    ) {
+    fn leave_gate(&self, index: &Arc<str>, team: &Arc<str>, took: Duration, crowd: Crowd, now: Instant) {
         let called = match self.gates.borrow_mut().get_mut(index) {
             Some(gate) => gate.leave(team, took, crowd, now),
             None => Vec::new(),
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -79,9 +79,7 @@
         let Some(ticket) = issued else {
             return refuse(trace, Code::QueueFull, COME_BACK);
         };
-        trace.emit(Event::TicketIssued {
-            ticket: ticket.to_string(),
-        });
+        trace.emit(Event::TicketIssued { ticket: ticket.to_string() });
         let mut answer = refuse(trace, Code::TicketRequired, Duration::ZERO);
         answer.ticket = Some(ticket.to_string());
         answer
@@ -96,15 +94,11 @@
     ) -> Answer {
         let binding = Binding::new(&request.lookup, &request.query);
         loop {
-            let begin = self
-                .lock_ledger()
-                .begin(ticket, binding, self.ports.clock.now());
+            let begin = self.lock_ledger().begin(ticket, binding, self.ports.clock.now());
             match begin {
                 Begin::Run => return self.run_once(request, found, ticket.number, trace).await,
                 Begin::Replay(answer) => {
-                    trace.emit(Event::TicketReplayed {
-                        ticket: ticket.to_string(),
-                    });
+                    trace.emit(Event::TicketReplayed { ticket: ticket.to_string() });
                     return *answer;
                 }
                 Begin::Refuse(Outcome::NotRun, code) => return refuse(trace, code, Duration::ZERO),
@@ -129,16 +123,12 @@
         let (sender, receiver) = async_channel::bounded(1);
         let this = Rc::clone(self);
         let request = request.clone();
-        let found = Found {
-            plan: std::sync::Arc::clone(&found.plan),
-            ..*found
-        };
+        let found = Found { plan: std::sync::Arc::clone(&found.plan), ..*found };
         let mut own = self.request_trace(trace.request().map(|id| &**id));
         self.running.set(self.running.get() + 1);
         let task = async move {
             let answer = this.run(&request, &found, &mut own).await;
-            this.lock_ledger()
-                .finish(number, &answer, this.ports.clock.now());
+            this.lock_ledger().finish(number, &answer, this.ports.clock.now());
             this.running.set(this.running.get() - 1);
             drop(sender.try_send(answer));
         };
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -75,9 +75,7 @@
         let start = self.ports.clock.now();
         let mut trace = self.request_trace(request.request.as_deref());
         if let Origin::Peer(from) = &request.origin {
-            trace.emit(Event::ForwardTaken {
-                from: Arc::clone(from),
-            });
+            trace.emit(Event::ForwardTaken { from: Arc::clone(from) });
         }
         let answer = self.decide(&request, start, &mut trace).await;
         self.tell(&request, &answer, start, &mut trace);
@@ -88,11 +86,7 @@
     fn tell(&self, request: &LookupRequest, answer: &Answer, start: Instant, trace: &mut Trace<C>) {
         if answer.outcome == Outcome::NotRun {
             let (lookup, retry_after) = (request.lookup.clone(), answer.retry_after);
-            trace.emit(Event::Refused {
-                lookup,
-                code: answer.code,
-                retry_after,
-            });
+            trace.emit(Event::Refused { lookup, code: answer.code, retry_after });
         }
         let took = self.ports.clock.now().saturating_duration_since(start);
         trace.emit(Event::Answered {
@@ -144,17 +138,10 @@
         if view.revision.is_none() {
             return Err(Code::NoConfiguration);
         }
-        let plan = view
-            .lookups
-            .get(request.lookup.as_str())
-            .ok_or(Code::UnknownLookup)?;
+        let plan = view.lookups.get(request.lookup.as_str()).ok_or(Code::UnknownLookup)?;
         let own = Duration::from_millis(plan.lookup.deadline_ms);
         let time = request.limit.map_or(own, |limit| limit.min(own));
-        Ok(Found {
-            plan: Arc::clone(plan),
-            start,
-            deadline: start + time,
-        })
+        Ok(Found { plan: Arc::clone(plan), start, deadline: start + time })
     }
 
     /// Waits for the lease after a pause; a once-only request does not wait,
@@ -199,21 +186,14 @@
         trace: &mut Trace<C>,
     ) -> Answer {
         let lookup = &found.plan.lookup;
-        let arrival = Arrival {
-            urgency: lookup.urgency,
-            team: lookup.team.as_str().into(),
-            deadline: found.deadline,
-        };
+        let arrival =
+            Arrival { urgency: lookup.urgency, team: lookup.team.as_str().into(), deadline: found.deadline };
         let index: Arc<str> = lookup.index.as_str().into();
         let mut place = match self.enter_gate(&index, arrival).await {
             Ok(place) => place,
             Err(refusal) => return refuse(trace, refusal.code, refusal.wait),
         };
-        let waited = self
-            .ports
-            .clock
-            .now()
-            .saturating_duration_since(found.start);
+        let waited = self.ports.clock.now().saturating_duration_since(found.start);
         trace.emit(Event::Admitted {
             lookup: request.lookup.clone(),
             urgency: lookup.urgency,
@@ -245,14 +225,8 @@
                 return (refuse(trace, Code::NoReplica, COME_BACK), Crowd::default());
             };
             let (index, version) = (plan.index.to_string(), plan.version);
-            trace.emit(Event::SnapshotChosen {
-                index,
-                version,
-                shards: plan.shards.len(),
-            });
-            let ended = self
-                .fan_out(job, &plan, self.rules(found), first, trace)
-                .await;
+            trace.emit(Event::SnapshotChosen { index, version, shards: plan.shards.len() });
+            let ended = self.fan_out(job, &plan, self.rules(found), first, trace).await;
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
                 return (answer(trace, &plan, ended.finished), ended.crowd);
@@ -266,10 +240,7 @@
 
     fn choose_snapshot(&self, plan: &LookupPlan) -> Option<Arc<Plan>> {
         let router = self.router.borrow();
-        snapshot::choose(&plan.plans, |upstream, version| {
-            router.usable(upstream, version)
-        })
-        .map(Arc::clone)
+        snapshot::choose(&plan.plans, |upstream, version| router.usable(upstream, version)).map(Arc::clone)
     }
 
     fn rules(&self, found: &Found) -> Rules {
@@ -286,25 +257,13 @@
 
     /// Says whether another snapshot promises more than what was found.
     fn better_elsewhere(&self, finished: &Finished, plan: &Arc<Plan>, found: &Found) -> bool {
-        let unheld = |gap: Gap| {
-            matches!(
-                gap,
-                Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved
-            )
-        };
-        let lost = finished
-            .coverage
-            .missing
-            .iter()
-            .any(|missing| unheld(missing.why));
+        let unheld = |gap: Gap| matches!(gap, Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved);
+        let lost = finished.coverage.missing.iter().any(|missing| unheld(missing.why));
         let time_left = self.ports.clock.now() < found.start + (found.deadline - found.start) / 2;
         let lookup = &found.plan.lookup;
-        let worth = lookup.prefer == Preference::Coverage
-            || finished.coverage.contributed.is_empty()
-            || time_left;
-        let other = self
-            .choose_snapshot(&found.plan)
-            .is_some_and(|next| next.version != plan.version);
+        let worth =
+            lookup.prefer == Preference::Coverage || finished.coverage.contributed.is_empty() || time_left;
+        let other = self.choose_snapshot(&found.plan).is_some_and(|next| next.version != plan.version);
         lookup.repeatable && lost && time_left && worth && other
     }
 }
@@ -318,10 +277,7 @@
 fn answer<C: Clock>(trace: &Trace<C>, plan: &Plan, finished: Finished) -> Answer {
     let request = trace.request().map_or("", |id| id);
     let mut answer = Answer::bare(request, finished.outcome, finished.code);
-    answer.snapshot = Some(SnapshotName {
-        index: plan.index.to_string(),
-        version: plan.version,
-    });
+    answer.snapshot = Some(SnapshotName { index: plan.index.to_string(), version: plan.version });
     answer.coverage = finished.coverage;
     answer.results = finished.parts;
     if answer.outcome == Outcome::NotRun {
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -66,13 +66,7 @@
                 return false;
             }
             let address = searcher.spec().address;
-            (
-                Place {
-                    upstream: Arc::clone(name),
-                    address,
-                },
-                searcher.share(),
-            )
+            (Place { upstream: Arc::clone(name), address }, searcher.share())
         };
         let opening = self.ports.upstreams.warm(&place, share, READY);
         let idle = self.ports.upstreams.idle(name);
@@ -84,16 +78,10 @@
         let view = self.view.borrow();
         let mut names: Vec<UpstreamId> = Vec::new();
         for (name, index) in &view.set.indexes {
-            let member = view
-                .cells
-                .get(name)
-                .is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host));
+            let member =
+                view.cells.get(name).is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host));
             if member {
-                names.extend(
-                    index_upstreams(&view.set, index)
-                        .into_iter()
-                        .map(Arc::clone),
-                );
+                names.extend(index_upstreams(&view.set, index).into_iter().map(Arc::clone));
             }
         }
         names
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -243,7 +243,6 @@
     }
 
     fn status(&self, opened: u64) -> WorkerStatus {
-        let now = self.ports.clock.now();
         let router = self.router.borrow();
         let mut upstreams: Vec<_> = router
             .searchers()
@@ -252,7 +251,7 @@
                 leaving: searcher.is_leaving(),
                 running: searcher.under_way(),
                 window: searcher.window().size(),
-                latency: searcher.observed_time(0.0, now) * 1000.0,
+                latency: searcher.observed_time(0.0) * 1000.0,
                 held: searcher.word().held.clone(),
             })
             .collect();
@@ -280,22 +279,12 @@
         self.numbered.set(number);
         let request: RequestId = match given {
             Some(id) => id.into(),
-            None => format!(
-                "{:x}-{}-{number}",
-                self.settings.incarnation, self.settings.number
-            )
-            .into(),
+            None => format!("{:x}-{}-{number}", self.settings.incarnation, self.settings.number).into(),
         };
         let every = self.settings.detail;
         let detail = every > 0 && number.is_multiple_of(every);
         debug!("request {request} detail {detail}");
-        Trace::new(
-            Some(request),
-            detail,
-            &self.hybrid,
-            self.ports.clock,
-            &self.telemetry,
-        )
+        Trace::new(Some(request), detail, &self.hybrid, self.ports.clock, &self.telemetry)
     }
 
     pub(super) fn count(&self, change: impl FnOnce(&mut Counts)) {
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -72,11 +72,7 @@
     /// # Errors
     ///
     /// Returns why the copy gave no valid answer.
-    fn list(
-        &self,
-        copy: SocketAddr,
-        space: Space,
-    ) -> impl Future<Output = Result<Listing, PlatformError>>;
+    fn list(&self, copy: SocketAddr, space: Space) -> impl Future<Output = Result<Listing, PlatformError>>;
 
     /// Waits up to `wait` for changes after a revision.
     ///
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -112,10 +112,7 @@
             workers: BTreeMap::new(),
             dropped: 0,
         };
-        Self {
-            status: Mutex::new(status),
-            store: Mutex::new(Store::new(keep)),
-        }
+        Self { status: Mutex::new(status), store: Mutex::new(Store::new(keep)) }
     }
 
     /// Returns the status, to read or change it.
--- a/crates/harefield/src/telemetry/duty.rs
+++ b/crates/harefield/src/telemetry/duty.rs
@@ -31,16 +31,9 @@
         status.dropped += dropped;
         (Arc::clone(&status.host), status.incarnation)
     };
-    let overflow = batch
-        .events
-        .first()
-        .filter(|_| dropped > 0)
-        .map(|(stamp, _)| *stamp);
+    let overflow = batch.events.first().filter(|_| dropped > 0).map(|(stamp, _)| *stamp);
     let gap = overflow.map(|stamp| (stamp, None, Event::RingOverflow { dropped }));
-    let events = batch
-        .events
-        .into_iter()
-        .map(|(stamp, event)| (stamp, batch.request.clone(), event));
+    let events = batch.events.into_iter().map(|(stamp, event)| (stamp, batch.request.clone(), event));
     let mut store = board.store();
     for (stamp, request, event) in gap.into_iter().chain(events) {
         measure(&event, metrics);
@@ -48,24 +41,13 @@
             debug!("{request:?} {event:?}");
         }
         let host = Arc::clone(&host);
-        store.push(Record {
-            host,
-            incarnation,
-            stamp,
-            request,
-            event,
-        });
+        store.push(Record { host, incarnation, stamp, request, event });
     }
 }
 
 fn measure(event: &Event, metrics: &Metrics) {
     match event {
-        Event::Answered {
-            outcome,
-            missing,
-            micros,
-            ..
-        } => {
+        Event::Answered { outcome, missing, micros, .. } => {
             let name = match outcome {
                 Outcome::Answered if *missing == 0 => "answered.whole",
                 Outcome::Answered => "answered.partial",
--- a/crates/harefield/src/telemetry/ring.rs
+++ b/crates/harefield/src/telemetry/ring.rs
@@ -31,13 +31,7 @@
 #[must_use]
 pub fn ring() -> (Telemetry, async_channel::Receiver<Batch>) {
     let (sender, receiver) = async_channel::bounded(RING_LENGTH);
-    (
-        Telemetry {
-            sender,
-            dropped: Arc::default(),
-        },
-        receiver,
-    )
+    (Telemetry { sender, dropped: Arc::default() }, receiver)
 }
 
 impl Telemetry {
--- a/crates/harefield/src/telemetry/store.rs
+++ b/crates/harefield/src/telemetry/store.rs
@@ -33,8 +33,7 @@
     #[must_use]
     pub fn takes(&self, record: &Record) -> bool {
         let at = record.stamp.micros;
-        let in_time =
-            self.after.is_none_or(|after| at > after) && self.until.is_none_or(|until| at <= until);
+        let in_time = self.after.is_none_or(|after| at > after) && self.until.is_none_or(|until| at <= until);
         in_time && self.takes_request(record) && self.takes_event(record)
     }
 
@@ -53,12 +52,9 @@
             return false;
         };
         let holds = |name: &str, want: &Option<String>| {
-            want.as_ref()
-                .is_none_or(|want| fields.get(name).and_then(|v| v.as_str()) == Some(want))
+            want.as_ref().is_none_or(|want| fields.get(name).and_then(|v| v.as_str()) == Some(want))
         };
-        holds("kind", &self.kind)
-            && holds("lookup", &self.lookup)
-            && holds("upstream", &self.upstream)
+        holds("kind", &self.kind) && holds("lookup", &self.lookup) && holds("upstream", &self.upstream)
     }
 }
 
@@ -74,11 +70,7 @@
     /// Creates a store of at most `keep` records.
     #[must_use]
     pub fn new(keep: usize) -> Self {
-        Self {
-            records: VecDeque::new(),
-            keep,
-            forgotten: 0,
-        }
+        Self { records: VecDeque::new(), keep, forgotten: 0 }
     }
 
     /// Takes a record; the oldest makes room.
@@ -99,16 +91,9 @@
     /// Returns the selected records in the order of their stamps.
     #[must_use]
     pub fn select(&self, filter: &Filter) -> Vec<Record> {
-        let mut found: Vec<Record> = self
-            .records
-            .iter()
-            .filter(|r| filter.takes(r))
-            .cloned()
-            .collect();
+        let mut found: Vec<Record> = self.records.iter().filter(|r| filter.takes(r)).cloned().collect();
         found.sort_by_key(|record| record.stamp);
-        let surplus = found
-            .len()
-            .saturating_sub(filter.most.unwrap_or(usize::MAX));
+        let surplus = found.len().saturating_sub(filter.most.unwrap_or(usize::MAX));
         found.drain(..surplus);
         found
     }
@@ -116,10 +101,6 @@
     /// Returns the newest stamp.
     #[must_use]
     pub fn newest(&self) -> Stamp {
-        self.records
-            .iter()
-            .map(|record| record.stamp)
-            .max()
-            .unwrap_or_default()
+        self.records.iter().map(|record| record.stamp).max().unwrap_or_default()
     }
 }
--- a/crates/harefield/src/telemetry/trace.rs
+++ b/crates/harefield/src/telemetry/trace.rs
@@ -65,10 +65,7 @@
             return;
         }
         let request = self.request.as_ref().map(Arc::clone);
-        self.telemetry.send(Batch {
-            request,
-            events: std::mem::take(&mut self.events),
-        });
+        self.telemetry.send(Batch { request, events: std::mem::take(&mut self.events) });
     }
 }
 
