--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -14,19 +14,22 @@
 
 use super::wordbook::Wordbook;
 use crate::domain::cell::CellSize;
+use crate::domain::configuration::Configuration;
+use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
-use crate::domain::feed::Configuration;
+use crate::domain::feed::Delta;
 use crate::domain::feed::Feed;
+use crate::domain::feed::Items;
 use crate::domain::feed::News;
-use crate::domain::feed::Offer;
 use crate::domain::hlc::HybridClock;
+use crate::domain::hosts::HostList;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Revision;
 use crate::domain::membership::Membership;
 use crate::domain::membership::Row;
-use crate::domain::view::HostList;
 use crate::domain::view::View;
+use crate::domain::view::ViewSources;
 use crate::domain::word::NamedWord;
 use crate::engine::PeerView;
 use crate::engine::ToControl;
@@ -82,6 +85,7 @@
     pub(super) config: RefCell<Configuration>,
     pub(super) hosts: RefCell<Feed>,
     pub(super) list: RefCell<HostList>,
+    view: RefCell<Arc<View>>,
     pub(super) members: RefCell<Membership>,
     pub(super) words: RefCell<Wordbook>,
     pub(super) workers: Vec<Sender<ToWorker>>,
@@ -116,6 +120,7 @@
             config: RefCell::default(),
             hosts: RefCell::default(),
             list: RefCell::default(),
+            view: RefCell::default(),
             members: RefCell::new(members),
             words: RefCell::default(),
             workers,
@@ -166,7 +171,7 @@
     pub(super) fn learn(&self, space: Space, news: News, from: &str) -> bool {
         let learnt = match space {
             Space::Config => self.config.borrow_mut().learn(news),
-            Space::Hosts => self.hosts.borrow_mut().learn(news),
+            Space::Hosts => self.learn_hosts(news),
         };
         if learnt {
             self.changed(space, from);
@@ -174,6 +179,32 @@
         learnt
     }
 
+    fn learn_hosts(&self, news: News) -> bool {
+        match news {
+            News::Current => false,
+            News::Deltas(deltas) => deltas.iter().filter(|delta| self.apply_hosts(delta)).count() > 0,
+            News::Full { revision, items } => self.replace_hosts(revision, &items),
+        }
+    }
+
+    /// Takes a change of the host list if it fits; returns whether it did.
+    pub(super) fn apply_hosts(&self, delta: &Delta) -> bool {
+        let fits = self.hosts.borrow_mut().apply(delta);
+        if fits {
+            self.list.borrow_mut().apply(&delta.changes);
+        }
+        fits
+    }
+
+    /// Takes a whole host list if it is newer; returns whether it was.
+    pub(super) fn replace_hosts(&self, revision: Revision, items: &Items) -> bool {
+        let newer = self.hosts.borrow_mut().replace(revision, items);
+        if newer {
+            *self.list.borrow_mut() = HostList::parse(self.hosts.borrow().items());
+        }
+        newer
+    }
+
     /// Takes what became of a revision read from the platform.
     pub(super) fn judged(&self, offer: &Offer) {
         match offer {
@@ -201,10 +232,12 @@
                 self.words.borrow_mut().prune(|upstream| set.upstreams.contains_key(upstream));
             }
             Space::Hosts => {
-                let list = HostList::parse(self.hosts.borrow().items());
-                self.emit(Event::HostsListed { revision, leaving: list.leaving().len() });
-                self.members.borrow_mut().prune(&list.daemons());
-                *self.list.borrow_mut() = list;
+                let (leaving, daemons) = {
+                    let list = self.list.borrow();
+                    (list.leaving().len(), list.daemons())
+                };
+                self.emit(Event::HostsListed { revision, leaving });
+                self.members.borrow_mut().prune(&daemons);
             }
         }
         if self.joined.get() {
@@ -215,16 +248,25 @@
 
     /// Works out the view and tells the workers.
     pub(super) fn publish(&self) {
-        let config = self.config.borrow();
-        let listed = self.hosts.borrow().revision();
-        let list = self.list.borrow();
-        let view = View::build(config.revision(), config.set(), listed, &list, self.settings.cell);
-        drop(config);
-        self.tell(&ToWorker::View(Arc::new(view)));
+        let view = Arc::new(self.next_view());
+        *self.view.borrow_mut() = Arc::clone(&view);
+        self.tell(&ToWorker::View(view));
         self.tell_peers();
         self.show_config();
     }
 
+    fn next_view(&self) -> View {
+        let config = self.config.borrow();
+        self.view.borrow().next(&ViewSources {
+            own: &self.settings.own.host,
+            revision: config.revision(),
+            set: config.set(),
+            listed: self.hosts.borrow().revision(),
+            hosts: &self.list.borrow(),
+            size: self.settings.cell,
+        })
+    }
+
     /// Tells every worker; the rings are long enough for what control sends.
     pub(super) fn tell(&self, message: &ToWorker) {
         for worker in &self.workers {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -109,11 +109,11 @@
         let Listing { first, items, .. } = listing;
         match space {
             Space::Config => {
-                let offer = self.config.borrow_mut().offer_all(first, items);
+                let offer = self.config.borrow_mut().offer_all(first, &items);
                 self.judged(&offer);
             }
             Space::Hosts => {
-                let newer = self.hosts.borrow_mut().replace(first, items);
+                let newer = self.replace_hosts(first, &items);
                 if newer {
                     self.changed(Space::Hosts, "platform");
                 }
@@ -139,7 +139,7 @@
                             self.judged(&offer);
                         }
                         Space::Hosts => {
-                            let newer = self.hosts.borrow_mut().apply(delta);
+                            let newer = self.apply_hosts(delta);
                             if newer {
                                 self.changed(Space::Hosts, "platform");
                             }
--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -6,15 +6,16 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::ids::HostId;
+use super::ids::UpstreamId;
 use super::resources::Index;
 use super::resources::ResourceSet;
 use super::view::Cells;
-use super::view::index_upstreams;
 
 /// The share of an upstream's connections that cells use, in percent; the rest
 /// is room for the old and the new cell while views differ.
@@ -41,11 +42,19 @@
     xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(index.as_bytes(), 0))
 }
 
-/// Assigns a cell to each index of a set.
+/// Returns the names of the upstreams that hold any shard of an index.
 #[must_use]
-pub fn assign(set: &ResourceSet, hosts: &[HostId], size: CellSize) -> Cells {
-    let sizes = set.indexes.iter().map(|(name, index)| (Arc::clone(name), index_size(set, index, size)));
-    assign_sizes(&sizes.collect(), hosts)
+pub fn index_upstreams<'a>(set: &'a ResourceSet, index: &Index) -> HashSet<&'a UpstreamId> {
+    let services: HashSet<&Arc<str>> = index.snapshots.iter().flat_map(|s| s.shards.keys()).collect();
+    let services = services.into_iter().filter_map(|name| set.services.get(name));
+    services.flat_map(|service| service.shards.values().flatten()).collect()
+}
+
+/// Returns the size of each index's cell.
+#[must_use]
+pub fn sizes(set: &ResourceSet, size: CellSize) -> BTreeMap<Arc<str>, usize> {
+    let all = set.indexes.iter();
+    all.map(|(name, index)| (Arc::clone(name), index_size(set, index, size))).collect()
 }
 
 /// Assigns cells of the given sizes, so that no host is in many more than its part.
@@ -53,7 +62,7 @@
 /// The bound is the rounded-up mean; only an index that cannot fill its cell
 /// within the bound goes past it.
 #[must_use]
-pub fn assign_sizes(sizes: &BTreeMap<Arc<str>, usize>, hosts: &[HostId]) -> Cells {
+pub fn assign(sizes: &BTreeMap<Arc<str>, usize>, hosts: &[HostId]) -> Cells {
     let places: usize = sizes.values().map(|size| (*size).min(hosts.len())).sum();
     let bound = places.div_ceil(hosts.len().max(1)).max(1);
     let mut held: HashMap<&HostId, usize> = HashMap::new();
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -62,6 +62,7 @@
     NoMember = 2009, 503, "not run: no daemon of the cell could be reached";
     TicketExpired = 2010, 410, "not run: the ticket expired before it was used";
     TeamShare = 2011, 503, "not run: the team's share of the daemon is used up";
+    NotMember = 2012, 503, "not run: the daemon is not a member of the lookup's cell";
     ReplyLost = 3001, 504, "may have run: an upstream was sent the request and its reply was lost";
     DeadlinePassed = 3002, 504, "may have run: the deadline passed with requests under way";
     TicketGone = 3003, 504, "may have run: the daemon that the ticket names is gone";
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -10,8 +10,6 @@
 
 use super::ids::Key;
 use super::ids::Revision;
-use super::resources::Fault;
-use super::resources::ResourceSet;
 
 /// The values of one space at one revision.
 pub type Items = BTreeMap<Key, Arc<str>>;
@@ -77,17 +75,24 @@
     }
 
     /// Takes a whole set of values if it is newer; returns whether it was.
-    pub fn replace(&mut self, revision: Revision, items: Items) -> bool {
+    pub fn replace(&mut self, revision: Revision, items: &Items) -> bool {
         if self.revision.is_some_and(|own| revision <= own) {
             return false;
         }
+        let changes = difference(&self.items, items);
+        self.advance(revision, &changes);
+        true
+    }
+
+    /// Applies changes that lead to a newer revision.
+    pub fn advance(&mut self, revision: Revision, changes: &[Change]) {
+        for change in changes {
+            self.change(change);
+        }
         if let Some(base) = self.revision {
-            let changes = difference(&self.items, &items);
-            self.remember(Delta { base, revision, changes });
+            self.remember(Delta { base, revision, changes: changes.to_vec() });
         }
         self.revision = Some(revision);
-        self.items = items;
-        true
     }
 
     /// Applies a delta if it fits on the newest revision; returns whether it did.
@@ -95,11 +100,7 @@
         if self.revision != Some(delta.base) || delta.revision <= delta.base {
             return false;
         }
-        for change in &delta.changes {
-            self.change(change);
-        }
-        self.revision = Some(delta.revision);
-        self.remember(delta.clone());
+        self.advance(delta.revision, &delta.changes);
         true
     }
 
@@ -107,7 +108,7 @@
     pub fn learn(&mut self, news: News) -> bool {
         match news {
             News::Current => false,
-            News::Full { revision, items } => self.replace(revision, items),
+            News::Full { revision, items } => self.replace(revision, &items),
             News::Deltas(deltas) => deltas.iter().filter(|delta| self.apply(delta)).count() > 0,
         }
     }
@@ -149,7 +150,9 @@
     }
 }
 
-fn difference(old: &Items, new: &Items) -> Vec<Change> {
+/// Returns the changes that lead from `old` to `new`.
+#[must_use]
+pub fn difference(old: &Items, new: &Items) -> Vec<Change> {
     let removed = old
         .keys()
         .filter(|key| !new.contains_key(*key))
@@ -160,118 +163,3 @@
         .map(|(key, value)| Change { key: Arc::clone(key), value: Some(Arc::clone(value)) });
     removed.chain(changed).collect()
 }
-
-/// What became of a revision that was offered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Offer {
-    /// It is in force.
-    Accepted,
-    /// It is refused; the last good one stays in force.
-    Refused(Vec<Fault>),
-    /// It is not newer than what was seen.
-    Old,
-}
-
-/// A revision that was refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// The revision.
-    pub revision: Revision,
-    /// Its faults.
-    pub faults: Vec<Fault>,
-}
-
-/// The configuration: what the platform published, and what is in force.
-///
-/// The two differ while the newest published revision has faults.
-#[derive(Clone, Debug, Default)]
-pub struct Configuration {
-    published: Feed,
-    accepted: Feed,
-    set: Arc<ResourceSet>,
-    refused: Option<Refused>,
-}
-
-impl Configuration {
-    /// Returns the revision in force.
-    #[must_use]
-    pub fn revision(&self) -> Option<Revision> {
-        self.accepted.revision()
-    }
-
-    /// Returns the newest revision seen from the platform, good or not.
-    #[must_use]
-    pub fn seen(&self) -> Option<Revision> {
-        self.published.revision()
-    }
-
-    /// Returns the set in force.
-    #[must_use]
-    pub fn set(&self) -> &Arc<ResourceSet> {
-        &self.set
-    }
-
-    /// Returns the newest refused revision, while it is newer than the one in force.
-    #[must_use]
-    pub fn refused(&self) -> Option<&Refused> {
-        self.refused.as_ref().filter(|r| Some(r.revision) > self.revision())
-    }
-
-    /// Returns what brings a peer at `have` up to date.
-    #[must_use]
-    pub fn since(&self, have: Option<Revision>) -> News {
-        self.accepted.since(have)
-    }
-
-    /// Takes a whole set read from the platform.
-    pub fn offer_all(&mut self, revision: Revision, items: Items) -> Offer {
-        if !self.published.replace(revision, items) {
-            return Offer::Old;
-        }
-        self.judge()
-    }
-
-    /// Takes one change set watched from the platform.
-    pub fn offer(&mut self, delta: &Delta) -> Offer {
-        if !self.published.apply(delta) {
-            return Offer::Old;
-        }
-        self.judge()
-    }
-
-    /// Takes an accepted set that a peer has in force; returns whether it was newer.
-    pub fn learn(&mut self, news: News) -> bool {
-        let mut next = self.accepted.clone();
-        if !next.learn(news) {
-            return false;
-        }
-        let Ok(set) = ResourceSet::parse(next.items()) else {
-            return false;
-        };
-        self.accepted = next;
-        self.set = Arc::new(set);
-        if let Some(revision) = self.accepted.revision() {
-            self.published.replace(revision, self.accepted.items().clone());
-        }
-        true
-    }
-
-    fn judge(&mut self) -> Offer {
-        let Some(revision) = self.published.revision() else {
-            return Offer::Old;
-        };
-        match ResourceSet::parse(self.published.items()) {
-            Ok(set) => {
-                if !self.accepted.replace(revision, self.published.items().clone()) {
-                    return Offer::Old;
-                }
-                self.set = Arc::new(set);
-                Offer::Accepted
-            }
-            Err(faults) => {
-                self.refused = Some(Refused { revision, faults: faults.clone() });
-                Offer::Refused(faults)
-            }
-        }
-    }
-}
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -6,10 +6,12 @@
 pub mod admission;
 pub mod cell;
 pub mod code;
+pub mod configuration;
 pub mod event;
 pub mod fanout;
 pub mod feed;
 pub mod hlc;
+pub mod hosts;
 pub mod ids;
 pub mod lease;
 pub mod membership;
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -1,15 +1,13 @@
 //! The checks that a resource set must pass as a whole.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::hash::Hash;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::kinds::Index;
-use super::kinds::Lookup;
-use super::kinds::Service;
-use super::kinds::Upstream;
 use super::set::ResourceSet;
 use crate::domain::code::Code;
 use crate::domain::ids::Key;
@@ -41,18 +39,40 @@
         Self { set, faults: Vec::new() }
     }
 
-    pub(super) fn run(mut self) -> Vec<Fault> {
-        for (name, upstream) in &self.set.upstreams {
-            self.upstream(name, upstream);
+    /// Checks every resource.
+    pub(super) fn check_all(mut self) -> Vec<Fault> {
+        for name in self.set.upstreams.keys() {
+            self.upstream(name);
         }
-        for (name, service) in &self.set.services {
-            self.service(name, service);
+        for name in self.set.services.keys() {
+            self.service(name);
         }
-        for (name, index) in &self.set.indexes {
-            self.index(name, index);
+        for name in self.set.indexes.keys() {
+            self.index(name);
         }
-        for (name, lookup) in &self.set.lookups {
-            self.lookup(name, lookup);
+        for name in self.set.lookups.keys() {
+            self.lookup(name);
+        }
+        self.faults
+    }
+
+    /// Checks the resources that were changed, and those that name them.
+    pub(super) fn check_touched<'k>(mut self, keys: impl IntoIterator<Item = &'k Key>) -> Vec<Fault> {
+        let mut touched = Touched::default();
+        for key in keys {
+            touched.note(self.set, key);
+        }
+        for name in &touched.upstreams {
+            self.upstream(name);
+        }
+        for name in touched.services(self.set) {
+            self.service(name);
+        }
+        for name in touched.indexes(self.set) {
+            self.index(name);
+        }
+        for name in touched.lookups(self.set) {
+            self.lookup(name);
         }
         self.faults
     }
@@ -62,14 +82,16 @@
         self.faults.push(Fault { key, code, detail });
     }
 
-    fn upstream(&mut self, name: &str, upstream: &Upstream) {
+    fn upstream(&mut self, name: &str) {
+        let Some(upstream) = self.set.upstreams.get(name) else { return };
         if upstream.slots == 0 || upstream.connections == 0 {
             let detail = "slots and connections must be at least 1".to_owned();
             self.fault("upstreams", name, Code::ResourceRange, detail);
         }
     }
 
-    fn service(&mut self, name: &str, service: &Service) {
+    fn service(&mut self, name: &str) {
+        let Some(service) = self.set.services.get(name) else { return };
         if service.shards.is_empty() {
             let detail = "a service needs at least one shard".to_owned();
             self.fault("services", name, Code::ResourceRange, detail);
@@ -88,7 +110,8 @@
         }
     }
 
-    fn index(&mut self, name: &str, index: &Index) {
+    fn index(&mut self, name: &str) {
+        let Some(index) = self.set.indexes.get(name) else { return };
         if index.snapshots.is_empty() {
             let detail = "an index needs at least one snapshot".to_owned();
             self.fault("indexes", name, Code::ResourceRange, detail);
@@ -105,7 +128,7 @@
         }
     }
 
-    fn snapshot_shards(&mut self, name: &str, version: u64, service: &str, shards: &[std::sync::Arc<str>]) {
+    fn snapshot_shards(&mut self, name: &str, version: u64, service: &str, shards: &[Arc<str>]) {
         let Some(found) = self.set.services.get(service) else {
             let detail = format!("snapshot {version} names service {service}, which does not exist");
             self.fault("indexes", name, Code::ResourceReference, detail);
@@ -124,7 +147,8 @@
         }
     }
 
-    fn lookup(&mut self, name: &str, lookup: &Lookup) {
+    fn lookup(&mut self, name: &str) {
+        let Some(lookup) = self.set.lookups.get(name) else { return };
         if lookup.deadline_ms == 0 || lookup.deadline_ms > MAX_DEADLINE_MS {
             let detail = format!("deadline-ms must be from 1 to {MAX_DEADLINE_MS}");
             self.fault("lookups", name, Code::ResourceRange, detail);
@@ -148,3 +172,64 @@
     let mut seen = HashSet::new();
     items.iter().any(|item| !seen.insert(item))
 }
+
+/// The names that a set of changes touches, by kind.
+#[derive(Debug, Default)]
+struct Touched<'k> {
+    upstreams: BTreeSet<&'k str>,
+    services: BTreeSet<&'k str>,
+    indexes: BTreeSet<&'k str>,
+    lookups: BTreeSet<&'k str>,
+    gone: HashSet<&'k str>,
+}
+
+impl<'k> Touched<'k> {
+    fn note(&mut self, set: &ResourceSet, key: &'k Key) {
+        match key.split_once('/') {
+            Some(("upstreams", name)) => {
+                self.upstreams.insert(name);
+                if !set.upstreams.contains_key(name) {
+                    self.gone.insert(name);
+                }
+            }
+            Some(("services", name)) => {
+                self.services.insert(name);
+            }
+            Some(("indexes", name)) => {
+                self.indexes.insert(name);
+            }
+            Some(("lookups", name)) => {
+                self.lookups.insert(name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the services to check: changed, or with a replica that is gone.
+    fn services<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
+        let names_gone = |name: &str| {
+            let replicas = set.services[name].shards.values().flatten();
+            !self.gone.is_empty() && replicas.into_iter().any(|replica| self.gone.contains(&**replica))
+        };
+        let names = set.services.keys().map(|name| &**name);
+        names.filter(|name| self.services.contains(name) || names_gone(name)).collect()
+    }
+
+    /// Returns the indexes to check: changed, or with a service that changed.
+    fn indexes<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
+        let names_changed = |name: &str| {
+            let services = set.indexes[name].snapshots.iter().flat_map(|snapshot| snapshot.shards.keys());
+            !self.services.is_empty()
+                && services.into_iter().any(|service| self.services.contains(&**service))
+        };
+        let names = set.indexes.keys().map(|name| &**name);
+        names.filter(|name| self.indexes.contains(name) || names_changed(name)).collect()
+    }
+
+    /// Returns the lookups to check: changed, or of an index that changed.
+    fn lookups<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
+        let of_changed = |name: &str| self.indexes.contains(set.lookups[name].index.as_str());
+        let names = set.lookups.keys().map(|name| &**name);
+        names.filter(|name| self.lookups.contains(name) || of_changed(name)).collect()
+    }
+}
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -18,6 +18,7 @@
 use crate::domain::ids::Version;
 use crate::domain::lease::Lease;
 use crate::domain::outcome::Gap;
+use crate::domain::view::OwnUpstream;
 use crate::domain::view::View;
 use crate::domain::word::NamedWord;
 use crate::domain::word::Word;
@@ -78,23 +79,23 @@
 
     /// Takes a new view: upstreams come and go, their state otherwise stays.
     pub fn apply(&mut self, view: &View) {
-        let set = &view.set;
-        self.searchers.retain(|name, s| set.upstreams.contains_key(name) || s.under_way() > 0);
-        for (name, spec) in &set.upstreams {
-            let sharers = view.sharers.get(name).copied().unwrap_or(1);
+        let own = &view.upstreams;
+        self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0);
+        for (name, upstream) in own {
+            let OwnUpstream { spec, sharers } = upstream;
             let searcher = self
                 .searchers
                 .entry(Arc::clone(name))
-                .and_modify(|s| s.update(spec, sharers))
-                .or_insert_with(|| Searcher::new(spec.clone(), sharers));
+                .and_modify(|s| s.update(spec, *sharers))
+                .or_insert_with(|| Searcher::new(Arc::clone(spec), *sharers));
             searcher.list(view.leaving.contains(&spec.address));
         }
         for (name, searcher) in &mut self.searchers {
-            if !set.upstreams.contains_key(name) {
+            if !own.contains_key(name) {
                 searcher.list(true);
             }
         }
-        self.paces.retain(|index, _| set.indexes.contains_key(index));
+        self.paces.retain(|index, _| view.cells.contains_key(index));
     }
 
     /// Returns the state of an upstream.
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -1,5 +1,6 @@
 //! What one worker knows of one upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -98,7 +99,7 @@
 /// One upstream, as one worker sees it.
 #[derive(Clone, Debug)]
 pub struct Searcher {
-    spec: Upstream,
+    spec: Arc<Upstream>,
     share: u32,
     window: Window,
     starts: Vec<Instant>,
@@ -118,7 +119,7 @@
 impl Searcher {
     /// Creates the state of an upstream that nothing is known of yet.
     #[must_use]
-    pub fn new(spec: Upstream, sharers: u32) -> Self {
+    pub fn new(spec: Arc<Upstream>, sharers: u32) -> Self {
         let share = connection_share(spec.connections, sharers);
         let window = Window::new(spec.slots, sharers, share);
         Self {
@@ -141,12 +142,12 @@
     }
 
     /// Takes a new specification or number of sharers; a new address starts afresh.
-    pub fn update(&mut self, spec: &Upstream, sharers: u32) {
+    pub fn update(&mut self, spec: &Arc<Upstream>, sharers: u32) {
         if spec.address != self.spec.address {
-            *self = Self::new(spec.clone(), sharers);
+            *self = Self::new(Arc::clone(spec), sharers);
             return;
         }
-        self.spec = spec.clone();
+        self.spec = Arc::clone(spec);
         self.share = connection_share(spec.connections, sharers);
         self.window.resize(self.share);
     }
--- a/crates/harefield/src/domain/view.rs
+++ b/crates/harefield/src/domain/view.rs
@@ -1,5 +1,9 @@
 //! The view that a worker acts on: the set in force, the hosts as listed, and
 //! the plans worked out from both.
+//!
+//! A view holds plans and upstreams only of the cells that its daemon is a
+//! member of; of the others it knows the lookups and who the members are. A new
+//! view shares with the one before whatever did not change.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -7,12 +11,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use super::cell;
 use super::cell::CellSize;
-use super::feed::Items;
+use super::hosts::HostList;
 use super::ids::HostId;
 use super::ids::Revision;
 use super::ids::ShardId;
@@ -21,77 +22,9 @@
 use super::resources::Index;
 use super::resources::Lookup;
 use super::resources::ResourceSet;
+use super::resources::Service;
 use super::resources::Snapshot;
-
-/// Where a host stands in its life, as the platform lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum HostState {
-    /// It serves.
-    Live,
-    /// It is leaving and takes no new work.
-    Leaving,
-}
-
-/// What a host is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum HostRole {
-    /// It runs a daemon of this system; its address is the daemon's peers' address.
-    Harefield,
-    /// It runs an upstream.
-    Upstream,
-}
-
-/// One row of the platform's list of hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct HostRow {
-    /// What the host is for.
-    pub role: HostRole,
-    /// Whether it is live or leaving.
-    pub state: HostState,
-    /// Its availability zone.
-    #[serde(default)]
-    pub zone: String,
-}
-
-/// The platform's list of hosts, by address.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HostList {
-    /// The listed rows; rows that cannot be read are left out.
-    pub rows: BTreeMap<SocketAddr, HostRow>,
-}
-
-impl HostList {
-    /// Reads the list from its keyed JSON values, `hosts/IP:PORT`.
-    #[must_use]
-    pub fn parse(items: &Items) -> Self {
-        let rows = items.iter().filter_map(|(key, value)| {
-            let address = key.strip_prefix("hosts/")?.parse().ok()?;
-            let row = serde_json::from_str(value).ok()?;
-            Some((address, row))
-        });
-        Self { rows: rows.collect() }
-    }
-
-    /// Returns the addresses listed as leaving.
-    #[must_use]
-    pub fn leaving(&self) -> HashSet<SocketAddr> {
-        let rows = self.rows.iter().filter(|(_, row)| row.state == HostState::Leaving);
-        rows.map(|(address, _)| *address).collect()
-    }
-
-    /// Returns the daemons that are listed as live.
-    #[must_use]
-    pub fn daemons(&self) -> Vec<HostId> {
-        let live = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.role == HostRole::Harefield && row.state == HostState::Live);
-        live.map(|(address, _)| address.to_string().into()).collect()
-    }
-}
+use super::resources::Upstream;
 
 /// One shard of a plan, with the replicas that are configured for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,77 +46,176 @@
     pub shards: Vec<ShardPlan>,
 }
 
-/// A lookup with the plans that may answer it, newest snapshot first.
+/// A lookup with the plans that may answer it.
 #[derive(Clone, Debug)]
 pub struct LookupPlan {
     /// The lookup's name.
     pub name: Arc<str>,
     /// The resource.
-    pub lookup: Lookup,
-    /// The plans, newest snapshot first.
+    pub lookup: Arc<Lookup>,
+    /// Whether this daemon may run it.
+    pub member: bool,
+    /// The plans, newest snapshot first; none unless this daemon may run it.
     pub plans: Vec<Arc<Plan>>,
+    /// What the plans were worked out from, to tell whether it changed.
+    sources: Sources,
+}
+
+/// The resources that a lookup's plans were worked out from.
+#[derive(Clone, Debug)]
+struct Sources {
+    index: Arc<Index>,
+    services: Vec<Arc<Service>>,
 }
 
-/// How many members may dial the upstreams of an index, and who they are.
+/// The members of each index's cell.
 pub type Cells = HashMap<Arc<str>, Arc<[HostId]>>;
 
+/// An upstream that this daemon may dial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnUpstream {
+    /// The resource.
+    pub spec: Arc<Upstream>,
+    /// How many members share its limits.
+    pub sharers: u32,
+}
+
+/// What a view is worked out from.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewSources<'a> {
+    /// The daemon that the view is for.
+    pub own: &'a HostId,
+    /// The configuration revision in force.
+    pub revision: Option<Revision>,
+    /// The set in force.
+    pub set: &'a Arc<ResourceSet>,
+    /// The revision of the host list.
+    pub listed: Option<Revision>,
+    /// The host list.
+    pub hosts: &'a HostList,
+    /// How large cells may be.
+    pub size: CellSize,
+}
+
 /// Everything that a request is decided on, immutable.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The configuration revision in force; none before the first.
     pub revision: Option<Revision>,
-    /// The set in force.
-    pub set: Arc<ResourceSet>,
     /// The revision of the host list.
     pub listed: Option<Revision>,
     /// The addresses listed as leaving.
     pub leaving: HashSet<SocketAddr>,
     /// The lookups, by name.
     pub lookups: HashMap<Arc<str>, Arc<LookupPlan>>,
-    /// The cell of each index.
+    /// The cell of each index; empty where no daemon is listed, which makes
+    /// everyone a member.
     pub cells: Cells,
-    /// How many members share each upstream's limits.
-    pub sharers: HashMap<UpstreamId, u32>,
+    /// The upstreams of the cells that this daemon is a member of.
+    pub upstreams: BTreeMap<UpstreamId, OwnUpstream>,
+    daemons: Vec<HostId>,
+    sizes: BTreeMap<Arc<str>, usize>,
 }
 
 impl View {
-    /// Works out the view from the set in force and the hosts as listed.
+    /// Works out the view that follows `self`.
     #[must_use]
-    pub fn build(
-        revision: Option<Revision>,
-        set: &Arc<ResourceSet>,
-        listed: Option<Revision>,
-        hosts: &HostList,
-        size: CellSize,
-    ) -> Self {
-        let lookups = set.lookups.iter().filter_map(|(name, lookup)| {
-            let plan = plan_lookup(set, name, lookup)?;
-            Some((Arc::clone(name), Arc::new(plan)))
-        });
-        let cells = cell::assign(set, &hosts.daemons(), size);
-        let sharers = count_sharers(set, &cells);
+    pub fn next(&self, sources: &ViewSources<'_>) -> Self {
+        let daemons = sources.hosts.daemons();
+        let sizes = cell::sizes(sources.set, sources.size);
+        let cells = if daemons == self.daemons && sizes == self.sizes {
+            self.cells.clone()
+        } else {
+            cell::assign(&sizes, &daemons)
+        };
+        let builder = Builder { sources, cells: &cells, before: self };
+        let lookups = builder.lookups();
+        let upstreams = builder.upstreams();
         Self {
-            revision,
-            set: Arc::clone(set),
-            listed,
-            leaving: hosts.leaving(),
-            lookups: lookups.collect(),
+            revision: sources.revision,
+            listed: sources.listed,
+            leaving: sources.hosts.leaving(),
+            lookups,
             cells,
-            sharers,
+            upstreams,
+            daemons,
+            sizes,
         }
     }
 }
 
-fn plan_lookup(set: &ResourceSet, name: &Arc<str>, lookup: &Lookup) -> Option<LookupPlan> {
-    let (index_name, index) = set.indexes.get_key_value(lookup.index.as_str())?;
-    let mut plans: Vec<_> = index
-        .snapshots
-        .iter()
-        .filter(|snapshot| has_services(snapshot, lookup))
-        .map(|snapshot| Arc::new(plan_snapshot(set, index_name, snapshot, lookup)))
-        .collect();
-    plans.sort_by_key(|plan| std::cmp::Reverse(plan.version));
-    Some(LookupPlan { name: Arc::clone(name), lookup: lookup.clone(), plans })
+/// Works out one view.
+struct Builder<'a> {
+    sources: &'a ViewSources<'a>,
+    cells: &'a Cells,
+    before: &'a View,
+}
+
+impl Builder<'_> {
+    fn is_member(&self, index: &str) -> bool {
+        let cell = self.cells.get(index);
+        cell.is_none_or(|cell| cell.is_empty() || cell.contains(self.sources.own))
+    }
+
+    fn lookups(&self) -> HashMap<Arc<str>, Arc<LookupPlan>> {
+        let all = self.sources.set.lookups.iter();
+        let planned = all.filter_map(|(name, lookup)| {
+            let plan = self.same(name, lookup).or_else(|| self.plan(name, lookup))?;
+            Some((Arc::clone(name), plan))
+        });
+        planned.collect()
+    }
+
+    /// Returns the plan of the view before, if nothing that it was worked out
+    /// from has changed.
+    fn same(&self, name: &Arc<str>, lookup: &Arc<Lookup>) -> Option<Arc<LookupPlan>> {
+        let before = self.before.lookups.get(name)?;
+        let set = self.sources.set;
+        let index = set.indexes.get(lookup.index.as_str())?;
+        let services = services_of(set, index);
+        let same = Arc::ptr_eq(&before.lookup, lookup)
+            && before.member == self.is_member(&lookup.index)
+            && Arc::ptr_eq(&before.sources.index, index)
+            && services.len() == before.sources.services.len()
+            && services.iter().zip(&before.sources.services).all(|(a, b)| Arc::ptr_eq(a, b));
+        same.then(|| Arc::clone(before))
+    }
+
+    fn plan(&self, name: &Arc<str>, lookup: &Arc<Lookup>) -> Option<Arc<LookupPlan>> {
+        let set = self.sources.set;
+        let (index_name, index) = set.indexes.get_key_value(lookup.index.as_str())?;
+        let member = self.is_member(index_name);
+        let fitting = index.snapshots.iter().filter(|snapshot| member && has_services(snapshot, lookup));
+        let mut plans: Vec<_> =
+            fitting.map(|snapshot| Arc::new(plan_snapshot(set, index_name, snapshot, lookup))).collect();
+        plans.sort_by_key(|plan| std::cmp::Reverse(plan.version));
+        let sources = Sources { index: Arc::clone(index), services: services_of(set, index) };
+        let (name, lookup) = (Arc::clone(name), Arc::clone(lookup));
+        Some(Arc::new(LookupPlan { name, lookup, member, plans, sources }))
+    }
+
+    fn upstreams(&self) -> BTreeMap<UpstreamId, OwnUpstream> {
+        let set = self.sources.set;
+        let mut members: BTreeMap<&UpstreamId, HashSet<&HostId>> = BTreeMap::new();
+        for (name, index) in set.indexes.iter().filter(|(name, _)| self.is_member(name)) {
+            let cell = self.cells.get(name).map_or(&[][..], |cell| cell);
+            for upstream in cell::index_upstreams(set, index) {
+                members.entry(upstream).or_default().extend(cell);
+            }
+        }
+        let own = members.into_iter().filter_map(|(name, hosts)| {
+            let spec = Arc::clone(set.upstreams.get(name)?);
+            let sharers = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
+            Some((Arc::clone(name), OwnUpstream { spec, sharers }))
+        });
+        own.collect()
+    }
+}
+
+/// Returns the services of an index, over all its snapshots.
+fn services_of(set: &ResourceSet, index: &Index) -> Vec<Arc<Service>> {
+    let names = index.snapshots.iter().flat_map(|snapshot| snapshot.shards.keys());
+    names.filter_map(|name| set.services.get(name)).map(Arc::clone).collect()
 }
 
 fn has_services(snapshot: &Snapshot, lookup: &Lookup) -> bool {
@@ -203,25 +235,3 @@
     }
     Plan { index: Arc::clone(index), version: snapshot.version, shards }
 }
-
-/// Returns the names of the upstreams that hold any shard of an index.
-#[must_use]
-pub fn index_upstreams<'a>(set: &'a ResourceSet, index: &Index) -> HashSet<&'a UpstreamId> {
-    let services: HashSet<&Arc<str>> = index.snapshots.iter().flat_map(|s| s.shards.keys()).collect();
-    let services = services.into_iter().filter_map(|name| set.services.get(name));
-    services.flat_map(|service| service.shards.values().flatten()).collect()
-}
-
-fn count_sharers(set: &ResourceSet, cells: &Cells) -> HashMap<UpstreamId, u32> {
-    let mut members: HashMap<UpstreamId, HashSet<&HostId>> = HashMap::new();
-    for (name, index) in &set.indexes {
-        let Some(cell) = cells.get(name) else {
-            continue;
-        };
-        for upstream in index_upstreams(set, index) {
-            members.entry(Arc::clone(upstream)).or_default().extend(cell.iter());
-        }
-    }
-    let count = |hosts: HashSet<&HostId>| u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
-    members.into_iter().map(|(name, hosts)| (name, count(hosts))).collect()
-}
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -116,8 +116,8 @@
             handed.under_way -= 1;
             self.note_end(&ended, trace);
             match ended.result {
-                Ok(answer) => return answer,
-                Err(PeerError::Unreachable) => {}
+                Ok(answer) if answer.code != Code::NotMember => return answer,
+                Ok(_) | Err(PeerError::Unreachable) => {}
                 Err(PeerError::Silent) => handed.sent = true,
             }
             if self.may_retry(&handed, found) {
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -69,8 +69,10 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        if request.origin == Origin::Caller && !self.is_member(&found.plan.lookup) {
-            return self.forward(request, found, trace).await;
+        match (found.plan.member, &request.origin) {
+            (true, _) => {}
+            (false, Origin::Caller) => return self.forward(request, found, trace).await,
+            (false, Origin::Peer(_)) => return refuse(trace, Code::NotMember, Duration::ZERO),
         }
         if self.is_stopping() {
             return refuse(trace, Code::Stopping, COME_BACK);
@@ -92,6 +94,9 @@
         ticket: &Ticket,
         trace: &mut Trace<C>,
     ) -> Answer {
+        if !found.plan.member {
+            return refuse(trace, Code::NotMember, Duration::ZERO);
+        }
         let binding = Binding::new(&request.lookup, &request.query);
         loop {
             let begin = self.lock_ledger().begin(ticket, binding, self.ports.clock.now());
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -21,7 +21,6 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::outcome::SnapshotName;
-use crate::domain::resources::Lookup;
 use crate::domain::resources::Preference;
 use crate::domain::snapshot;
 use crate::domain::view::LookupPlan;
@@ -166,16 +165,11 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        if request.origin == Origin::Caller && !self.is_member(&found.plan.lookup) {
-            return self.forward(request, found, trace).await;
+        match (found.plan.member, &request.origin) {
+            (true, _) => self.run(request, found, trace).await,
+            (false, Origin::Caller) => self.forward(request, found, trace).await,
+            (false, Origin::Peer(_)) => refuse(trace, Code::NotMember, Duration::ZERO),
         }
-        self.run(request, found, trace).await
-    }
-
-    pub(super) fn is_member(&self, lookup: &Lookup) -> bool {
-        let view = self.view.borrow();
-        let cell = view.cells.get(lookup.index.as_str());
-        cell.is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host))
     }
 
     /// Runs a request here: the gate, the snapshot, the fan-out.
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -9,7 +9,6 @@
 
 use super::worker::Worker;
 use crate::domain::ids::UpstreamId;
-use crate::domain::view::index_upstreams;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Place;
@@ -37,7 +36,7 @@
     /// is a member of.
     pub async fn keep_warm(self: Rc<Self>) {
         loop {
-            let mut names = self.own_upstreams();
+            let mut names: Vec<UpstreamId> = self.view.borrow().upstreams.keys().map(Arc::clone).collect();
             names.shuffle(&mut rand::rng());
             let mut opened = 0;
             for name in names {
@@ -73,17 +72,4 @@
         self.router.borrow_mut().set_idle(name, idle);
         opening
     }
-
-    fn own_upstreams(&self) -> Vec<UpstreamId> {
-        let view = self.view.borrow();
-        let mut names: Vec<UpstreamId> = Vec::new();
-        for (name, index) in &view.set.indexes {
-            let member =
-                view.cells.get(name).is_none_or(|cell| cell.is_empty() || cell.contains(&self.settings.host));
-            if member {
-                names.extend(index_upstreams(&view.set, index).into_iter().map(Arc::clone));
-            }
-        }
-        names
-    }
 }
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -194,7 +194,7 @@
     fn take_view(&self, view: Arc<View>) {
         self.router.borrow_mut().apply(&view);
         let mut gates = self.gates.borrow_mut();
-        gates.retain(|index, gate| view.set.indexes.contains_key(index) || gate.running() > 0);
+        gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/harefield/tests/decisions/cells.rs
+++ b/crates/harefield/tests/decisions/cells.rs
@@ -10,8 +10,8 @@
 use crate::support::set;
 use harefield::domain::cell::CellSize;
 use harefield::domain::cell::assign;
-use harefield::domain::cell::assign_sizes;
 use harefield::domain::cell::connection_share;
+use harefield::domain::cell::sizes as sizes_of;
 use harefield::domain::ids::HostId;
 use harefield::domain::view::Cells;
 
@@ -47,7 +47,7 @@
     fn sized_and_bounded(indexes in 1_usize..40, count in 1_usize..120, size in 1_usize..30) {
         let sizes = sizes(indexes, size);
         let hosts = hosts(count);
-        let cells = assign_sizes(&sizes, &hosts);
+        let cells = assign(&sizes, &hosts);
         for cell in cells.values() {
             prop_assert_eq!(cell.len(), size.min(count));
             let distinct: BTreeSet<_> = cell.iter().collect();
@@ -58,7 +58,7 @@
         prop_assert!(most <= bound + 1, "{} places, bound {}", most, bound);
         let mut reversed = hosts;
         reversed.reverse();
-        prop_assert_eq!(pairs(&assign_sizes(&sizes, &reversed)), pairs(&cells));
+        prop_assert_eq!(pairs(&assign(&sizes, &reversed)), pairs(&cells));
     }
 
     /// Old and new members together keep within the connections.
@@ -75,16 +75,16 @@
 #[test]
 fn few_hosts_everyone() {
     let set = set(3, 2, &[1]);
-    let cells = assign(&set, &hosts(7), CellSize::default());
+    let cells = assign(&sizes_of(&set, CellSize::default()), &hosts(7));
     assert_eq!(cells["i"].len(), 7, "25 connections are enough for seven");
 }
 
 #[test]
 fn connections_bound_cell() {
     let set = set(3, 2, &[1]);
-    let cells = assign(&set, &hosts(100), CellSize { most: 60, wanted: 1 });
+    let cells = assign(&sizes_of(&set, CellSize { most: 60, wanted: 1 }), &hosts(100));
     assert_eq!(cells["i"].len(), 22, "nine tenths of 25 connections");
-    let cells = assign(&set, &hosts(100), CellSize { most: 60, wanted: 2 });
+    let cells = assign(&sizes_of(&set, CellSize { most: 60, wanted: 2 }), &hosts(100));
     assert_eq!(cells["i"].len(), 11, "two connections for each member");
 }
 
@@ -92,9 +92,9 @@
 fn lost_host_few_moves() {
     let sizes = sizes(190, 14);
     let hosts = hosts(2700);
-    let before = pairs(&assign_sizes(&sizes, &hosts));
+    let before = pairs(&assign(&sizes, &hosts));
     let fewer: Vec<HostId> = hosts.iter().skip(1).cloned().collect();
-    let after = pairs(&assign_sizes(&sizes, &fewer));
+    let after = pairs(&assign(&sizes, &fewer));
     let moved = after.difference(&before).count();
     assert!(moved <= 40, "{moved} new pairs of {}", before.len());
 }
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -11,13 +11,13 @@
 use crate::support::items;
 use crate::support::values;
 use harefield::domain::code::Code;
+use harefield::domain::configuration::Configuration;
+use harefield::domain::configuration::Offer;
 use harefield::domain::feed::Change;
-use harefield::domain::feed::Configuration;
 use harefield::domain::feed::Delta;
 use harefield::domain::feed::Feed;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
-use harefield::domain::feed::Offer;
 use harefield::domain::resources::ResourceSet;
 
 /// The platform's whole history: what each revision changed, and its items.
@@ -103,7 +103,7 @@
                 Step::List(n) => {
                     let at = n % history.states.len();
                     let revision = u64::try_from(at + 1).expect("small");
-                    let _offer = fleet[who].offer_all(revision, history.states[at].clone());
+                    let _offer = fleet[who].offer_all(revision, &history.states[at]);
                 }
                 Step::Hear(n) => {
                     let news = fleet[n % 3].since(fleet[who].revision());
@@ -141,7 +141,7 @@
             let number = u64::try_from(revision).expect("small");
             let mut state = feed.items().clone();
             state.insert(format!("k{}", revision % 7).into(), revision.to_string().into());
-            feed.replace(number, state);
+            feed.replace(number, &state);
             if revision == have {
                 asker = feed.clone();
             }
@@ -153,11 +153,76 @@
     }
 }
 
+/// A change to the set of [`values`], good or bad.
+fn any_change() -> impl Strategy<Value = Change> {
+    let upstream = json!({ "address": "127.0.0.1:9", "zone": "a", "slots": 1, "connections": 1 });
+    let pick = |key: &str, value: Option<Value>| Change {
+        key: key.into(),
+        value: value.map(|value| value.to_string().into()),
+    };
+    let choices = vec![
+        pick("upstreams/u0-0", None),
+        pick("upstreams/u0-0", Some(upstream.clone())),
+        pick("upstreams/u9-9", Some(upstream)),
+        pick("upstreams/u0-1", Some(json!({ "address": "nowhere" }))),
+        pick("services/s", Some(json!({ "shards": { "000": ["u0-1"], "001": ["u1-0"] } }))),
+        pick("services/s", Some(json!({ "shards": { "000": ["u0-0", "u9-9"] } }))),
+        pick("services/s", None),
+        pick("services/t", Some(json!({ "shards": { "0": ["u1-0", "u1-0"] } }))),
+        pick("services/t", None),
+        pick("indexes/i", Some(json!({ "snapshots": [{ "version": 1, "shards": { "s": ["000"] } }] }))),
+        pick("indexes/i", Some(json!({ "snapshots": [] }))),
+        pick("indexes/i", None),
+        pick("lookups/l", None),
+        pick(
+            "lookups/m",
+            Some(
+                json!({ "index": "i", "urgency": "bulk", "deadline-ms": 5, "repeatable": true, "prefer": "time" }),
+            ),
+        ),
+        pick("things/x", Some(json!(1))),
+        pick("things/x", None),
+    ];
+    prop::sample::select(choices)
+}
+
+proptest! {
+    #![proptest_config(cases(500))]
+
+    /// Judging what a change touches comes to the same verdict, and the same
+    /// set, as reading everything anew.
+    #[test]
+    fn touched_is_enough(batches in prop::collection::vec(prop::collection::vec(any_change(), 1..5), 1..8)) {
+        let mut state = items(values(2, 2, &[1]));
+        let mut set = ResourceSet::parse(&state).expect("it is valid");
+        for changes in batches {
+            let mut next = state.clone();
+            for change in &changes {
+                match &change.value {
+                    Some(value) => next.insert(Arc::clone(&change.key), Arc::clone(value)),
+                    None => next.remove(&change.key),
+                };
+            }
+            let mut whole = ResourceSet::parse(&next);
+            let mut touched = set.apply(&changes);
+            if let (Err(a), Err(b)) = (&mut whole, &mut touched) {
+                a.sort_by(|x, y| (&x.key, &x.detail).cmp(&(&y.key, &y.detail)));
+                b.sort_by(|x, y| (&x.key, &x.detail).cmp(&(&y.key, &y.detail)));
+            }
+            prop_assert_eq!(&touched, &whole);
+            if let Ok(good) = touched {
+                set = good;
+                state = next;
+            }
+        }
+    }
+}
+
 #[test]
 fn faulty_between_good() {
     let history = history(&[1, 0]);
     let mut config = Configuration::default();
-    assert_eq!(config.offer_all(1, history.states[0].clone()), Offer::Accepted);
+    assert_eq!(config.offer_all(1, &history.states[0]), Offer::Accepted);
     assert!(matches!(config.offer(&history.delta(1)), Offer::Refused(_)));
     assert_eq!(config.revision(), Some(1), "the last good set stays in force");
     assert_eq!(config.refused().map(|refused| refused.revision), Some(2));
@@ -170,10 +235,10 @@
 fn late_starter() {
     let history = history(&[1]);
     let mut first = Configuration::default();
-    first.offer_all(1, history.states[0].clone());
+    first.offer_all(1, &history.states[0]);
     first.offer(&history.delta(1));
     let mut second = Configuration::default();
-    assert!(matches!(second.offer_all(2, history.states[1].clone()), Offer::Refused(_)));
+    assert!(matches!(second.offer_all(2, &history.states[1]), Offer::Refused(_)));
     assert_eq!(second.revision(), None);
     assert!(second.learn(first.since(None)), "a peer has the last good set");
     assert_eq!(second.revision(), Some(1));
@@ -183,8 +248,8 @@
 fn stale_copy_ignored() {
     let history = history(&[0, 0]);
     let mut config = Configuration::default();
-    config.offer_all(3, history.states[2].clone());
-    assert_eq!(config.offer_all(1, history.states[0].clone()), Offer::Old);
+    config.offer_all(3, &history.states[2]);
+    assert_eq!(config.offer_all(1, &history.states[0]), Offer::Old);
     assert_eq!(config.offer(&history.delta(1)), Offer::Old);
     assert_eq!(config.revision(), Some(3));
     assert!(!config.learn(News::Full { revision: 2, items: history.states[1].clone() }));
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -13,4 +13,5 @@
 mod snapshot;
 mod stamps;
 mod support;
+mod views;
 mod words;
--- a/crates/harefield/tests/decisions/snapshot.rs
+++ b/crates/harefield/tests/decisions/snapshot.rs
@@ -8,10 +8,7 @@
 use crate::support::set;
 use crate::support::values;
 use crate::support::view;
-use harefield::domain::cell::CellSize;
 use harefield::domain::snapshot::choose;
-use harefield::domain::view::HostList;
-use harefield::domain::view::View;
 
 #[test]
 fn newest_held() {
@@ -48,7 +45,7 @@
     ] });
     all.insert("indexes/i".to_owned(), snapshots);
     let set = harefield::domain::resources::ResourceSet::parse(&items(all)).expect("it is valid");
-    let view = View::build(Some(1), &Arc::new(set), None, &HostList::default(), CellSize::default());
+    let view = view(&Arc::new(set));
     let plans = &view.lookups["l"].plans;
     let names = |at: usize| plans[at].shards.iter().map(|s| s.shard.to_string()).collect::<Vec<_>>();
     assert_eq!(names(0), ["s/000", "s/002"], "the newest first, with its own shards");
@@ -70,7 +67,7 @@
     });
     all.insert("lookups/l".to_owned(), lookup);
     let set = harefield::domain::resources::ResourceSet::parse(&items(all)).expect("it is valid");
-    let view = View::build(Some(1), &Arc::new(set), None, &HostList::default(), CellSize::default());
+    let view = view(&Arc::new(set));
     let versions: Vec<u64> = view.lookups["l"].plans.iter().map(|plan| plan.version).collect();
     assert_eq!(versions, [1], "a snapshot without a service asked for cannot answer");
 }
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -12,13 +12,14 @@
 
 use harefield::domain::cell::CellSize;
 use harefield::domain::feed::Items;
+use harefield::domain::hosts::HostList;
 use harefield::domain::ids::UpstreamId;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::routing::Budget;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
-use harefield::domain::view::HostList;
 use harefield::domain::view::View;
+use harefield::domain::view::ViewSources;
 
 /// Returns a configuration that draws the same cases in every run.
 pub fn cases(count: u32) -> Config {
@@ -81,7 +82,14 @@
 
 /// Returns the view of a set in a fleet without listed hosts.
 pub fn view(set: &Arc<ResourceSet>) -> View {
-    View::build(Some(1), set, None, &HostList::default(), CellSize::default())
+    View::default().next(&ViewSources {
+        own: &"127.0.0.1:7200".into(),
+        revision: Some(1),
+        set,
+        listed: None,
+        hosts: &HostList::default(),
+        size: CellSize::default(),
+    })
 }
 
 /// Returns a router that acts on a view.
--- a/crates/harefield/tests/processes/planned_stop.rs
+++ b/crates/harefield/tests/processes/planned_stop.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use crate::support::Daemon;
 use crate::support::PATIENCE;
 use crate::support::World;
 use crate::support::ask;
@@ -51,7 +52,16 @@
 #[test]
 fn forwarded_ends() {
     let mut world = World::start(3, "[routing]\ncell-size = 1\n");
-    world.searchers.change_all(|b| b.service_ms = SLOW);
+    for daemon in 0..3 {
+        world.query(daemon);
+    }
+    let busy = |d: &Daemon| d.status().workers.values().any(|w| w.first > 0);
+    await_true("one member fans out", || world.daemons.iter().any(busy));
+    let member = world.daemons.iter().position(busy).expect("it is there");
+    // Slow enough to be in progress when the stop begins, quick enough that
+    // two in a row fit into the deadline.
+    world.searchers.change_all(|b| b.service_ms = 350.0);
+    let before = world.searchers.tally().ran;
     let askers: Vec<_> = world
         .daemons
         .iter()
@@ -60,10 +70,7 @@
             thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))
         })
         .collect();
-    await_true("they run", || world.searchers.tally().ran >= 6);
-    let busy = |d: &crate::support::Daemon| d.status().workers.values().any(|w| w.first > 0);
-    await_true("one member fans out", || world.daemons.iter().any(busy));
-    let member = world.daemons.iter().position(busy).expect("it is there");
+    await_true("they run", || world.searchers.tally().ran >= before + 6);
     world.daemons[member].signal("TERM");
     for asker in askers {
         let answer = asker.join().expect("no panic").expect("no request is cut");
