Keep room at the gate for urgent requests

Cause: under overload urgent requests waited behind ordinary ones that filled the gate's limit, and then ran beside them. Change: while urgent requests come, others take at most six tenths of the limit; an urgent one enters at once when there is room.

--- a/crates/harefield/src/domain/admission.rs
+++ b/crates/harefield/src/domain/admission.rs
@@ -38,6 +38,13 @@
 /// A request that runs must have this many times the usual time left.
 const ROOM: f64 = 1.5;
 
+/// While urgent requests come, others share this part of the limit with them;
+/// the rest is kept for the urgent ones.
+const SHARED_PART: f64 = 0.6;
+
+/// How long after an urgent request room is kept for the next.
+const URGENT_LIFE: Duration = Duration::from_secs(1);
+
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 1.0;
 const SHRINK: f64 = 0.7;
@@ -101,6 +108,7 @@
     time: f64,
     best: Option<f64>,
     shrunk: Option<Instant>,
+    urgent: Option<Instant>,
     next: WaiterId,
     picks: u32,
 }
@@ -169,6 +177,7 @@
             time: FIRST_TIME,
             best: None,
             shrunk: None,
+            urgent: None,
             next: 0,
             picks: 0,
         }
@@ -194,7 +203,12 @@
 
     /// Decides on a request that arrives at `now`.
     pub fn arrive(&mut self, arrival: &Arrival, now: Instant) -> Entry {
-        if self.waiting() == 0 && self.has_room() {
+        if arrival.urgency == Urgency::Urgent {
+            self.urgent = Some(now);
+        }
+        let reserved = arrival.urgency != Urgency::Urgent && self.is_reserved(now);
+        let first = self.queues[..=class(arrival.urgency)].iter().all(|q| q.waiters.is_empty());
+        if first && self.has_room() && !reserved {
             self.enter(&arrival.team);
             return Entry::Run;
         }
@@ -311,14 +325,23 @@
 
     fn pick(&mut self, now: Instant) -> Option<Waiter> {
         self.picks = self.picks.wrapping_add(1);
-        let order: [usize; 3] = if self.picks.is_multiple_of(BULK_TURN) {
-            [2, 0, 1]
+        let order: &[usize] = if self.is_reserved(now) && self.queues[0].waiters.is_empty() {
+            &[]
+        } else if self.picks.is_multiple_of(BULK_TURN) {
+            &[2, 0, 1]
         } else if self.picks.is_multiple_of(ORDINARY_TURN) {
-            [1, 0, 2]
+            &[1, 0, 2]
         } else {
-            [0, 1, 2]
+            &[0, 1, 2]
         };
-        order.into_iter().find_map(|class| self.pick_from(class, now))
+        order.iter().find_map(|class| self.pick_from(*class, now))
+    }
+
+    /// Returns whether the room left is kept for urgent requests, some of which
+    /// came a moment ago.
+    fn is_reserved(&self, now: Instant) -> bool {
+        let urgent = self.urgent.is_some_and(|at| now.saturating_duration_since(at) <= URGENT_LIFE);
+        urgent && self.total > 0 && number(self.total) + 1.0 > self.limit * SHARED_PART
     }
 
     /// Picks the waiter whose team runs least; the earliest deadline among its own.
--- a/crates/harefield/tests/decisions/admission.rs
+++ b/crates/harefield/tests/decisions/admission.rs
@@ -119,6 +119,21 @@
     assert!(matches!(other, Entry::Wait(_)));
 }
 
+#[test]
+fn room_kept() {
+    let now = Instant::now();
+    let mut gate = Gate::new(LIMITS);
+    let later = at(now, 10_000);
+    assert_eq!(gate.arrive(&arrival(Urgency::Urgent, "t", later), now), Entry::Run);
+    let mut ordinary = 0;
+    while gate.arrive(&arrival(Urgency::Ordinary, "t", later), now) == Entry::Run {
+        ordinary += 1;
+    }
+    assert!(ordinary < 16, "{ordinary}: room is kept while urgent ones come");
+    let urgent = gate.arrive(&arrival(Urgency::Urgent, "t", later), now);
+    assert_eq!(urgent, Entry::Run, "the room is for urgent ones, at once");
+}
+
 #[test]
 fn bad_spell_ends() {
     let now = Instant::now();
