--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -65,16 +65,11 @@
 }
 
 /// Answers one request on the callers' address.
-pub async fn handle<U, P, C>(
+pub async fn handle<U: Upstreams, P: Peers, C: Clock>(
     worker: Rc<Worker<U, P, C>>,
     request: Request<Incoming>,
     limits: RequestLimits,
-) -> Response<Full<Bytes>>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+) -> Response<Full<Bytes>> {
     let mut reply = match read(request, limits).await {
         Ok((body, lookup)) => render(&look_up(&worker, body, lookup).await),
         Err(refused) => render(&refuse(&refused)),
@@ -85,12 +80,11 @@
     reply
 }
 
-async fn look_up<U, P, C>(worker: &Rc<Worker<U, P, C>>, body: Body, lookup: String) -> Answer
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+async fn look_up<U: Upstreams, P: Peers, C: Clock>(
+    worker: &Rc<Worker<U, P, C>>,
+    body: Body,
+    lookup: String,
+) -> Answer {
     let query: Box<str> = body.query.into();
     let request = LookupRequest {
         request: None,
--- a/crates/harefield/src/adapters/http/reply.rs
+++ b/crates/harefield/src/adapters/http/reply.rs
@@ -28,6 +28,18 @@
     make(200, "application/msgpack", body)
 }
 
+/// Makes a reply that is a page.
+#[must_use]
+pub fn html(page: &str) -> Response<Full<Bytes>> {
+    make(200, "text/html; charset=utf-8", page.as_bytes().to_vec())
+}
+
+/// Makes a reply that is a drawing.
+#[must_use]
+pub fn svg(drawing: &str) -> Response<Full<Bytes>> {
+    make(200, "image/svg+xml", drawing.as_bytes().to_vec())
+}
+
 /// Makes a numbered refusal.
 #[must_use]
 pub fn refusal(code: Code, detail: &str) -> Response<Full<Bytes>> {
--- /dev/null
+++ b/crates/harefield/src/adapters/operators/fleet.rs
@@ -0,0 +1,99 @@
+//! Gathering from every daemon that can be reached.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::Operators;
+use crate::adapters::http;
+use crate::domain::event::Record;
+use crate::telemetry::Filter;
+use crate::telemetry::Status;
+
+/// How long another daemon may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// The most bytes of another daemon's answer.
+const MOST_REPLY: usize = 64 << 20;
+
+/// Events of the fleet, merged by hybrid logical time.
+#[derive(Debug, Serialize)]
+pub(super) struct Gathered {
+    /// The operators' addresses that did not answer.
+    pub silent: Vec<SocketAddr>,
+    /// The events.
+    pub records: Vec<Record>,
+}
+
+/// The accounts of all daemons.
+#[derive(Debug, Serialize)]
+pub(super) struct FleetStatus {
+    /// The operators' addresses that did not answer.
+    pub silent: Vec<SocketAddr>,
+    /// What the others said.
+    pub daemons: Vec<Status>,
+}
+
+/// What was gathered from the other daemons.
+struct Answers<T> {
+    silent: Vec<SocketAddr>,
+    answers: Vec<T>,
+}
+
+impl Operators {
+    /// Gathers the selected events of the fleet.
+    pub(super) async fn gather(&self, filter: &Filter) -> Gathered {
+        let query = serde_urlencoded::to_string(filter).unwrap_or_default();
+        let others: Answers<Vec<Record>> = self.ask_others(&format!("/v1/timeline?{query}")).await;
+        let mut records = self.board.store().select(filter);
+        records.extend(others.answers.into_iter().flatten());
+        records.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
+        Gathered { silent: others.silent, records }
+    }
+
+    /// Gathers every daemon's account of itself.
+    pub(super) async fn fleet_status(&self) -> FleetStatus {
+        let others: Answers<Status> = self.ask_others("/v1/status").await;
+        let mut daemons = vec![self.board.status().clone()];
+        daemons.extend(others.answers);
+        FleetStatus { silent: others.silent, daemons }
+    }
+
+    /// Asks every other known daemon, at once.
+    async fn ask_others<T: DeserializeOwned + 'static>(&self, path: &str) -> Answers<T> {
+        let addresses = self.others();
+        let asked = addresses.iter().map(|address| {
+            let (this, address, path) = (self.clone(), *address, path.to_owned());
+            self.executor.spawn(async move { this.ask(address, &path).await })
+        });
+        let tasks: Vec<_> = asked.collect();
+        let mut found = Answers { silent: Vec::new(), answers: Vec::new() };
+        for (address, task) in addresses.into_iter().zip(tasks) {
+            match task.await {
+                Some(answer) => found.answers.push(answer),
+                None => found.silent.push(address),
+            }
+        }
+        found
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        let status = self.board.status();
+        let others = status.peers.iter().filter(|row| row.host != status.host);
+        others.filter_map(|row| row.operators.parse().ok()).collect()
+    }
+
+    async fn ask<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Option<T> {
+        let mut request = Request::get(path).header("host", address.to_string());
+        if let Some(token) = &self.token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        let request = request.body(Full::default()).ok()?;
+        let reply = http::exchange(&self.executor, address, request, MOST_REPLY, ANSWER_LIMIT).await.ok()?;
+        serde_json::from_slice(reply.body()).ok()
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/operators/mod.rs
@@ -0,0 +1,149 @@
+//! The operators' address: status, resources, time line, checks and a page.
+//!
+//! What is asked of the whole fleet is gathered here from the other daemons'
+//! operators' addresses, so that a browser needs to reach one daemon only.
+
+mod fleet;
+mod resources;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_executor::LocalExecutor;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::http;
+use crate::domain::code::Code;
+use crate::domain::feed::Items;
+use crate::domain::ids::Key;
+use crate::domain::resources::Fault;
+use crate::domain::resources::ResourceSet;
+use crate::telemetry::Board;
+use crate::telemetry::Filter;
+use crate::telemetry::waterfall;
+
+/// The page, self-contained.
+const PAGE: &str = include_str!("page.html");
+
+/// The most bytes of a resource set to check.
+const MOST_BODY: usize = 64 << 20;
+
+/// A resource set as a file or a request holds it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetFile {
+    /// The values by key.
+    pub items: BTreeMap<Key, Box<RawValue>>,
+}
+
+impl SetFile {
+    /// Checks the set.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the set.
+    pub fn check(&self) -> Result<ResourceSet, Vec<Fault>> {
+        let items: Items =
+            self.items.iter().map(|(key, value)| (Arc::clone(key), value.get().into())).collect();
+        ResourceSet::parse(&items)
+    }
+}
+
+/// The result of a check.
+#[derive(Debug, Serialize)]
+struct Checked {
+    accepted: bool,
+    faults: Vec<Fault>,
+}
+
+/// Answers operators.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    board: Arc<Board>,
+    token: Option<String>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Operators {
+    /// Creates the adapter on one thread's executor; `token` is asked of
+    /// operators and shown to other daemons.
+    #[must_use]
+    pub fn new(board: Arc<Board>, token: Option<String>, executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self { board, token, executor }
+    }
+
+    /// Answers one request.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, incoming) = request.into_parts();
+        let (method, path) = (head.method.clone(), head.uri.path().to_owned());
+        if (&method, path.as_str()) == (&Method::GET, "/") {
+            return http::html(PAGE);
+        }
+        if !http::shows_token(&head.headers, self.token.as_deref()) {
+            return http::refusal(Code::TokenRequired, "");
+        }
+        let query = head.uri.query().unwrap_or("");
+        match (&method, path.as_str()) {
+            (&Method::POST, "/v1/check") => match http::read(incoming, MOST_BODY).await {
+                Ok(body) => check(&body),
+                Err(_error) => http::refusal(Code::BodyTooLarge, ""),
+            },
+            (&Method::GET, path) => self.get(path, query).await,
+            _ => http::refusal(Code::WrongMethod, ""),
+        }
+    }
+
+    async fn get(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
+        match path {
+            "/v1/status" => http::json(200, &*self.board.status()),
+            "/v1/timeline" => self.timeline(query),
+            "/v1/fleet/status" => http::json(200, &self.fleet_status().await),
+            "/v1/fleet/timeline" => self.fleet_timeline(query).await,
+            "/v1/fleet/waterfall" => self.fleet_waterfall(query).await,
+            "/v1/check" => http::refusal(Code::WrongMethod, ""),
+            path => match path.strip_prefix("/v1/resources/") {
+                Some(rest) => self.resources(rest, query).await,
+                None => http::refusal(Code::UnknownPath, ""),
+            },
+        }
+    }
+
+    fn timeline(&self, query: &str) -> Response<Full<Bytes>> {
+        match serde_urlencoded::from_str::<Filter>(query) {
+            Ok(filter) => http::json(200, &self.board.store().select(&filter)),
+            Err(error) => http::refusal(Code::BadField, &error.to_string()),
+        }
+    }
+
+    async fn fleet_timeline(&self, query: &str) -> Response<Full<Bytes>> {
+        match serde_urlencoded::from_str::<Filter>(query) {
+            Ok(filter) => http::json(200, &self.gather(&filter).await),
+            Err(error) => http::refusal(Code::BadField, &error.to_string()),
+        }
+    }
+
+    async fn fleet_waterfall(&self, query: &str) -> Response<Full<Bytes>> {
+        match serde_urlencoded::from_str::<Filter>(query) {
+            Ok(filter) => http::svg(&waterfall(&self.gather(&filter).await.records)),
+            Err(error) => http::refusal(Code::BadField, &error.to_string()),
+        }
+    }
+}
+
+fn check(body: &Bytes) -> Response<Full<Bytes>> {
+    let file: SetFile = match serde_json::from_slice(body) {
+        Ok(file) => file,
+        Err(error) => return http::refusal(Code::MalformedBody, &error.to_string()),
+    };
+    let faults = file.check().err().unwrap_or_default();
+    http::json(200, &Checked { accepted: faults.is_empty(), faults })
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/operators/resources.rs
@@ -0,0 +1,176 @@
+//! Resources as published, with what this daemon observes of them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Operators;
+use crate::adapters::http;
+use crate::domain::code::Code;
+use crate::domain::ids::Revision;
+use crate::domain::ids::UpstreamId;
+use crate::domain::membership::Row;
+use crate::domain::resources::Fault;
+use crate::telemetry::Status;
+use crate::telemetry::UpstreamStatus;
+
+/// The longest wait of a watch.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// How often a waiting watch looks for a newer revision.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// What is asked of a listing.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+struct Selection {
+    team: Option<String>,
+    after: Option<Revision>,
+    wait_ms: u64,
+}
+
+/// Resources with what is observed of them.
+#[derive(Debug, Serialize)]
+struct Listing {
+    revision: Option<Revision>,
+    refused: Option<Revision>,
+    items: Vec<Item>,
+}
+
+/// One resource.
+#[derive(Debug, Serialize)]
+struct Item {
+    key: String,
+    spec: Value,
+    accepted: bool,
+    faults: Vec<Fault>,
+    conditions: Value,
+}
+
+impl Operators {
+    /// Answers `KIND` or `KIND/NAME`, once the revision is after the one given.
+    pub(super) async fn resources(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
+        let selection: Selection = match serde_urlencoded::from_str(query) {
+            Ok(selection) => selection,
+            Err(error) => return http::refusal(Code::BadField, &error.to_string()),
+        };
+        self.await_revision(&selection).await;
+        let (kind, name) = path.split_once('/').map_or((path, None), |(kind, name)| (kind, Some(name)));
+        let Some(mut items) = self.items(kind) else {
+            return http::refusal(Code::UnknownPath, "services, upstreams, lookups, indexes or hosts");
+        };
+        if let Some(team) = &selection.team {
+            items.retain(|item| item.spec["team"].as_str() == Some(team));
+        }
+        if let Some(name) = name {
+            let key = format!("{kind}/{name}");
+            items.retain(|item| item.key == key);
+            if items.is_empty() {
+                return http::refusal(Code::UnknownPath, &key);
+            }
+        }
+        let config = self.board.status().config.clone();
+        http::json(200, &Listing { revision: config.revision, refused: config.refused, items })
+    }
+
+    async fn await_revision(&self, selection: &Selection) {
+        let until = Instant::now() + Duration::from_millis(selection.wait_ms).min(LONGEST_WAIT);
+        while Instant::now() < until && self.board.status().config.revision <= selection.after {
+            Timer::after(LOOK_EVERY).await;
+        }
+    }
+
+    /// Returns the resources of a kind; none where there is no such kind.
+    fn items(&self, kind: &str) -> Option<Vec<Item>> {
+        let set = self.board.set();
+        let status = self.board.status().clone();
+        let observed = observe(&status);
+        let mut items = match kind {
+            "services" => make(
+                kind,
+                &set.services,
+                |_, service| json!({ "without-replica": bare(&service.shards, &observed) }),
+            ),
+            "upstreams" => make(kind, &set.upstreams, |name, _| condition(observed.get(name).copied())),
+            "indexes" => make(kind, &set.indexes, |_, _| json!({})),
+            "lookups" => make(kind, &set.lookups, |name, _| json!(status.lookups.get(&**name))),
+            "hosts" => hosts(&status),
+            _ => return None,
+        };
+        add_faults(kind, &status, &mut items);
+        Some(items)
+    }
+}
+
+fn make<T: Serialize>(
+    kind: &str,
+    resources: &BTreeMap<Arc<str>, Arc<T>>,
+    conditions: impl Fn(&Arc<str>, &T) -> Value,
+) -> Vec<Item> {
+    let item = |(name, resource): (&Arc<str>, &Arc<T>)| Item {
+        key: format!("{kind}/{name}"),
+        spec: serde_json::to_value(&**resource).unwrap_or_default(),
+        accepted: true,
+        faults: Vec::new(),
+        conditions: conditions(name, resource),
+    };
+    resources.iter().map(item).collect()
+}
+
+/// Adds what is wrong with the newest published revision; a resource that is
+/// only there stands without its spec.
+fn add_faults(kind: &str, status: &Status, items: &mut Vec<Item>) {
+    let prefix = format!("{kind}/");
+    for fault in status.config.faults.iter().filter(|fault| fault.key.starts_with(&prefix)) {
+        let key = fault.key.to_string();
+        if !items.iter().any(|item| item.key == key) {
+            let (spec, conditions) = (Value::Null, json!({}));
+            items.push(Item { key: key.clone(), spec, accepted: false, faults: Vec::new(), conditions });
+        }
+        let found = items.iter_mut().find(|item| item.key == key);
+        if let Some(item) = found {
+            item.accepted = false;
+            item.faults.push(fault.clone());
+        }
+    }
+}
+
+type Observed<'a> = BTreeMap<&'a UpstreamId, &'a UpstreamStatus>;
+
+/// Returns each upstream as one of the workers observes it.
+fn observe(status: &Status) -> Observed<'_> {
+    let all = status.workers.values().flat_map(|worker| &worker.upstreams);
+    all.map(|upstream| (&upstream.upstream, upstream)).collect()
+}
+
+fn condition(observed: Option<&UpstreamStatus>) -> Value {
+    observed.map_or_else(|| json!({ "dialled": false }), |upstream| json!(upstream))
+}
+
+/// Returns the shards that have no replica which takes new work.
+fn bare(shards: &BTreeMap<Arc<str>, Vec<UpstreamId>>, observed: &Observed<'_>) -> Vec<String> {
+    let takes_work = |name: &UpstreamId| observed.get(name).is_none_or(|upstream| !upstream.leaving);
+    let without = shards.iter().filter(|(_, replicas)| !replicas.iter().any(takes_work));
+    without.map(|(shard, _)| shard.to_string()).collect()
+}
+
+fn hosts(status: &Status) -> Vec<Item> {
+    let item = |row: &Row| Item {
+        key: format!("hosts/{}", row.host),
+        spec: json!({ "zone": row.zone, "operators": row.operators }),
+        accepted: true,
+        faults: Vec::new(),
+        conditions: json!({ "state": row.state, "incarnation": row.incarnation }),
+    };
+    status.peers.iter().map(item).collect()
+}
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -18,6 +18,7 @@
 use super::http::Traffic;
 use super::peers::EXCHANGE_PATH;
 use super::peers::FORWARD_PATH;
+use super::peers::ForwardReply;
 use super::peers::PULL_PATH;
 use crate::domain::code::Code;
 use crate::engine::LookupRequest;
@@ -46,16 +47,11 @@
 }
 
 /// Answers one request on the peers' address.
-pub async fn handle<U, P, C>(
+pub async fn handle<U: Upstreams, P: Peers, C: Clock>(
     worker: Rc<Worker<U, P, C>>,
     server: PeerServer,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+) -> Response<Full<Bytes>> {
     let (head, incoming) = request.into_parts();
     if !http::shows_token(&head.headers, server.token.as_deref()) {
         return http::refusal(Code::TokenRequired, "");
@@ -77,12 +73,10 @@
     }
 }
 
-async fn forward<U, P, C>(worker: &Rc<Worker<U, P, C>>, body: &Bytes) -> Response<Full<Bytes>>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+async fn forward<U: Upstreams, P: Peers, C: Clock>(
+    worker: &Rc<Worker<U, P, C>>,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
     let message: Forward = match rmp_serde::from_slice(body) {
         Ok(message) => message,
         Err(error) => return http::refusal(Code::MalformedBody, &error.to_string()),
@@ -93,11 +87,11 @@
         query: message.query.into(),
         ticket: message.ticket,
         limit: Some(Duration::from_millis(message.remaining)),
-        origin: Origin::Peer(message.from),
+        origin: Origin::Peer { host: message.from, stamp: message.stamp },
     };
     let answer = worker.lookup(request).await;
-    let json = serde_json::to_vec(&answer).unwrap_or_default();
-    http::packed(&ByteBuf::from(json))
+    let json = ByteBuf::from(serde_json::to_vec(&answer).unwrap_or_default());
+    http::packed(&ForwardReply { stamp: worker.stamp(), json })
 }
 
 /// Hands a message to the control duty and answers with its reply.
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Bytes;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
@@ -20,10 +21,11 @@
 use super::http::Pool;
 use super::http::Traffic;
 use crate::domain::feed::News;
+use crate::domain::hlc::Stamp;
 use crate::domain::ids::HostId;
-use crate::domain::outcome::Answer;
 use crate::ports::Exchange;
 use crate::ports::Forward;
+use crate::ports::Forwarded;
 use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::Pull;
@@ -43,6 +45,14 @@
 /// How long opening a connection to a daemon may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// A member's answer as it travels: JSON, since it holds the upstreams' replies
+/// as they were sent.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ForwardReply {
+    pub stamp: Stamp,
+    pub json: ByteBuf,
+}
+
 /// Speaks to other daemons by HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpPeers {
@@ -129,9 +139,15 @@
 }
 
 impl Peers for HttpPeers {
-    async fn forward(&self, host: &HostId, message: &Forward, limit: Duration) -> Result<Answer, PeerError> {
-        let (json, _size): (ByteBuf, _) = self.call(host, FORWARD_PATH, pack(message)?, limit).await?;
-        serde_json::from_slice(&json).map_err(|_error| PeerError::Silent)
+    async fn forward(
+        &self,
+        host: &HostId,
+        message: &Forward,
+        limit: Duration,
+    ) -> Result<Forwarded, PeerError> {
+        let (reply, _size): (ForwardReply, _) = self.call(host, FORWARD_PATH, pack(message)?, limit).await?;
+        let answer = serde_json::from_slice(&reply.json).map_err(|_error| PeerError::Silent)?;
+        Ok(Forwarded { answer, stamp: reply.stamp })
     }
 
     async fn exchange(
--- /dev/null
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -0,0 +1,150 @@
+//! Reading the settings file: every fault at once, each with its place.
+
+use std::path::Path;
+use std::time::Duration;
+
+use miette::Diagnostic;
+use miette::LabeledSpan;
+use miette::NamedSource;
+
+use super::sections::Settings;
+use crate::domain::cell::CellSize;
+use crate::domain::code::Code;
+
+/// Every fault of a settings file, with its place.
+#[derive(Debug, thiserror::Error)]
+#[error("{code}: {}", code.text())]
+pub struct SettingsError {
+    code: Code,
+    source_code: NamedSource<String>,
+    labels: Vec<LabeledSpan>,
+}
+
+impl Diagnostic for SettingsError {
+    fn code(&self) -> Option<Box<dyn std::fmt::Display + '_>> {
+        Some(Box::new(self.code))
+    }
+
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&self.source_code)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.labels.iter().cloned()))
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file at once, each with its place.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&name, &text),
+            Err(error) => {
+                let label = LabeledSpan::at(0..0, error.to_string());
+                Err(SettingsError {
+                    code: Code::SettingsUnreadable,
+                    source_code: NamedSource::new(name, String::new()),
+                    labels: vec![label],
+                })
+            }
+        }
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text at once, each with its place.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let mut labels = Vec::new();
+        let settings = parse_past_faults(text, &mut labels);
+        for fault in settings.faults() {
+            labels.push(LabeledSpan::at(0..0, fault));
+        }
+        if labels.is_empty() {
+            return Ok(settings);
+        }
+        let source_code = NamedSource::new(name, text.to_owned());
+        Err(SettingsError { code: Code::SettingsInvalid, source_code, labels })
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let limits = &self.limits;
+        let stated = [
+            (self.host.zone.is_empty(), "host.zone is required"),
+            (self.platform.addresses.is_empty(), "platform.addresses needs at least one address"),
+            (self.platform.readers == 0, "platform.readers must be at least 1"),
+            (self.peers.exchange_ms == 0, "peers.exchange-ms must be at least 1"),
+            (limits.workers == 0 || limits.workers > 64, "limits.workers must be from 1 to 64"),
+            (limits.connections == 0, "limits.connections must be at least 1"),
+            (limits.running < 2, "limits.running must be at least 2"),
+            (limits.waiting < 2, "limits.waiting must be at least 2"),
+            (limits.head_bytes < 1024, "limits.head-bytes must be at least 1024"),
+            (limits.body_bytes == 0, "limits.body-bytes must be at least 1"),
+            (self.routing.cell_size == 0, "routing.cell-size must be at least 1"),
+            (!(0.0..=1.0).contains(&self.routing.extra_load), "routing.extra-load must be from 0 to 1"),
+            (
+                !(0.1..=100.0).contains(&self.routing.hedge_factor),
+                "routing.hedge-factor must be from 0.1 to 100",
+            ),
+            (self.events.keep == 0, "events.keep must be at least 1"),
+        ];
+        stated.iter().filter(|(bad, _)| *bad).map(|(_, text)| (*text).to_owned()).collect()
+    }
+
+    /// Returns how large cells may be.
+    #[must_use]
+    pub fn cell(&self) -> CellSize {
+        CellSize { most: self.routing.cell_size, wanted: self.limits.workers }
+    }
+
+    /// Returns how long a planned stop waits for requests in progress.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_millis(self.stop.limit_ms)
+    }
+}
+
+/// Parses a text, noting each fault and blanking its line, until the rest parses.
+fn parse_past_faults(text: &str, labels: &mut Vec<LabeledSpan>) -> Settings {
+    const MOST_FAULTS: usize = 50;
+    let mut rest = text.to_owned();
+    while labels.len() < MOST_FAULTS {
+        let error = match toml::from_str::<Settings>(&rest) {
+            Ok(settings) => return settings,
+            Err(error) => error,
+        };
+        let span = error.span().unwrap_or(0..0);
+        labels.push(LabeledSpan::at(span.clone(), error.message().to_owned()));
+        if !blank_lines(&mut rest, span) {
+            break;
+        }
+    }
+    Settings::default()
+}
+
+/// Blanks the lines that a span touches; returns whether anything changed.
+fn blank_lines(text: &mut String, span: std::ops::Range<usize>) -> bool {
+    let start = text[..span.start].rfind('\n').map_or(0, |at| at + 1);
+    let end = text[span.end..].find('\n').map_or(text.len(), |at| span.end + at);
+    let blank: String = text[start..end].chars().map(|c| if c == '\n' { '\n' } else { ' ' }).collect();
+    let changed = !text[start..end].trim().is_empty();
+    text.replace_range(start..end, &blank);
+    changed
+}
+
+/// Reads the token in a file's first line.
+///
+/// # Errors
+///
+/// Returns why the file cannot be read.
+pub fn read_token(path: Option<&Path>) -> std::io::Result<Option<String>> {
+    let Some(path) = path else { return Ok(None) };
+    let text = std::fs::read_to_string(path)?;
+    Ok(text.lines().next().map(str::trim).filter(|line| !line.is_empty()).map(str::to_owned))
+}
--- /dev/null
+++ b/crates/harefield/src/adapters/upstreams/protocol.rs
@@ -0,0 +1,112 @@
+//! The upstreams' protocol: headers to and from; `docs/PROTOCOLS.md` has it.
+
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper::header::HeaderMap;
+use serde_json::value::RawValue;
+
+use crate::domain::fanout::AttemptEnd;
+use crate::domain::fanout::Echo;
+use crate::domain::outcome::Gap;
+use crate::domain::routing::Load;
+use crate::domain::routing::Report;
+use crate::domain::routing::Verdict;
+use crate::domain::word::Word;
+use crate::domain::word::WordStamp;
+use crate::ports::Call;
+use crate::ports::CallEnd;
+
+pub(super) fn make_request(call: &Call) -> Request<Full<Bytes>> {
+    let remaining = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
+    let mut request = Request::new(Full::from(Bytes::copy_from_slice(&call.query)));
+    *request.method_mut() = hyper::Method::POST;
+    if let Ok(path) = format!("/v1/shards/{}", call.echo.shard).parse() {
+        *request.uri_mut() = path;
+    }
+    let headers = request.headers_mut();
+    put(headers, "host", &call.place.address.to_string());
+    put(headers, "content-type", "application/json");
+    put(headers, "harefield-request", &call.echo.request);
+    put(headers, "harefield-shard", &call.echo.shard);
+    put(headers, "harefield-snapshot", &call.echo.version.to_string());
+    put(headers, "harefield-remaining-ms", &remaining.to_string());
+    if call.once {
+        put(headers, "harefield-once", "true");
+    }
+    request
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        headers.insert(name, value);
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+pub(super) fn read_echo(headers: &HeaderMap) -> Option<Echo> {
+    Some(Echo {
+        request: text(headers, "harefield-request")?.to_owned(),
+        shard: text(headers, "harefield-shard")?.to_owned(),
+        version: text(headers, "harefield-snapshot")?.parse().ok()?,
+    })
+}
+
+pub(super) fn read_report(headers: &HeaderMap) -> Report {
+    Report { load: read_load(headers), word: read_word(headers) }
+}
+
+fn read_load(headers: &HeaderMap) -> Option<Load> {
+    let (active, queued) = text(headers, "harefield-load")?.split_once('/')?;
+    Some(Load { active: active.parse().ok()?, queued: queued.parse().ok()? })
+}
+
+fn read_word(headers: &HeaderMap) -> Option<Word> {
+    let (start, change) = text(headers, "harefield-word")?.split_once('.')?;
+    let stamp = WordStamp { start: start.parse().ok()?, change: change.parse().ok()? };
+    let draining = text(headers, "harefield-draining") == Some("true");
+    let held = text(headers, "harefield-held")
+        .map(|list| list.split(',').filter_map(|version| version.trim().parse().ok()).collect());
+    Some(Word { stamp, draining, held })
+}
+
+pub(super) fn answered(body: &Bytes, report: Report) -> CallEnd {
+    match serde_json::from_slice::<Box<RawValue>>(body) {
+        Ok(reply) => CallEnd { end: AttemptEnd::Answered(reply), verdict: Verdict::Good, report },
+        Err(_malformed) => lost(Gap::Failed, report),
+    }
+}
+
+/// Reads a refusal; one that does not say that it had not begun may have run.
+pub(super) fn refused(headers: &HeaderMap, report: Report) -> CallEnd {
+    let begun = text(headers, "harefield-begun") != Some("false");
+    let wait = text(headers, "harefield-retry-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+    let (why, verdict) = match text(headers, "harefield-refused") {
+        Some("overloaded" | "connections" | "shedding") => (Gap::Overloaded, Verdict::Full(wait)),
+        Some("draining") => (Gap::Leaving, Verdict::Declined),
+        Some("snapshot") => (Gap::SnapshotMissing, Verdict::Declined),
+        Some("shard") => (Gap::ShardMoved, Verdict::Declined),
+        Some("late" | "cancelled") => (Gap::Late, Verdict::Abandoned),
+        _ => (Gap::Failed, Verdict::Broken),
+    };
+    CallEnd { end: AttemptEnd::Refused { why, begun }, verdict, report }
+}
+
+pub(super) fn unsent(why: Gap) -> CallEnd {
+    let verdict = match why {
+        Gap::Overloaded => Verdict::Full(None),
+        Gap::Unconfirmed => Verdict::Declined,
+        _ => Verdict::Broken,
+    };
+    CallEnd { end: AttemptEnd::NotSent { why }, verdict, report: Report::default() }
+}
+
+pub(super) fn lost(why: Gap, report: Report) -> CallEnd {
+    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Broken };
+    CallEnd { end: AttemptEnd::Lost { why }, verdict, report }
+}
--- a/crates/harefield/src/commands/arguments.rs
+++ b/crates/harefield/src/commands/arguments.rs
@@ -1,6 +1,7 @@
 //! Reading a command line, with `--help` and `--version` everywhere.
 
 use std::ffi::OsString;
+use std::net::SocketAddr;
 
 use lexopt::Arg;
 use lexopt::Parser;
@@ -57,6 +58,12 @@
         self.parser.value()?.string()
     }
 
+    /// Returns the value of the option just read, as an address.
+    pub fn address(&mut self) -> Result<SocketAddr, lexopt::Error> {
+        let text = self.value()?;
+        text.parse().map_err(|_error| format!("{text:?} is no address").into())
+    }
+
     /// Returns the command; none once help was printed.
     pub fn command(&mut self) -> Result<Option<String>, lexopt::Error> {
         match self.next()? {
--- a/crates/harefield/src/commands/explain.rs
+++ b/crates/harefield/src/commands/explain.rs
@@ -26,23 +26,14 @@
     while let Some(argument) = arguments.next()? {
         match argument {
             Argument::Word(word) => options.filter.request = Some(word),
-            Argument::Option(name) if name == "from" => {
-                let text = arguments.value()?;
-                let address =
-                    text.parse().map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
-                options.from.push(address?);
-            }
-            Argument::Option(name) if name == "token-file" => {
-                options.asker = Asker::with_token(&arguments.value()?)?;
-            }
-            Argument::Option(name) => return Err(unknown(&name).into()),
+            Argument::Option(name) => match name.as_str() {
+                "from" => options.from.push(arguments.address()?),
+                "token-file" => options.asker = Asker::with_token(&arguments.value()?)?,
+                other => return Err(unknown(other).into()),
+            },
         }
     }
-    let request = options.filter.request.clone();
-    let request = request.ok_or_else(|| lexopt::Error::from("a REQUEST is needed"))?;
-    if options.from.is_empty() {
-        return Err(lexopt::Error::from("--from IP:PORT is needed").into());
-    }
+    let request = options.need_request()?;
     let fleet = find_fleet(&options.asker, &options.from)?;
     timeline::name_silent(&fleet);
     let records = timeline::gather(&fleet, &options);
--- a/crates/harefield/src/commands/mod.rs
+++ b/crates/harefield/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod fetch;
 mod query;
+mod report;
 mod serve;
 mod status;
 mod timeline;
@@ -26,6 +27,7 @@
   query      ask a daemon and print the answer
   timeline   print the events of all daemons
   explain    tell the story of one request
+  report     draw one request as a file
   status     show every daemon and where they disagree
 
 Options:
@@ -112,6 +114,7 @@
         "query" => query::run(parser),
         "timeline" => timeline::run(parser),
         "explain" => explain::run(parser),
+        "report" => report::run(parser),
         "status" => status::run(parser),
         other => Err(lexopt::Error::from(format!("no command {other:?}")).into()),
     }
--- /dev/null
+++ b/crates/harefield/src/commands/report.rs
@@ -0,0 +1,61 @@
+//! `harefield report`: write one request's waterfall as a file.
+
+use std::path::PathBuf;
+
+use super::Exit;
+use super::Failure;
+use super::Outcome;
+use super::arguments::Argument;
+use super::arguments::Arguments;
+use super::arguments::unknown;
+use super::fetch::Asker;
+use super::fetch::find_fleet;
+use super::timeline;
+use super::timeline::Options;
+use crate::domain::code::Code;
+use crate::telemetry::waterfall;
+
+const HELP: &str = "\
+Usage: harefield report REQUEST --from IP:PORT [--from IP:PORT ...] --out FILE
+
+Draws one request as a waterfall over processes and writes it, with its events,
+as one self-contained HTML file.
+
+Options:
+  --token-file F   the file with the operators' token
+";
+
+pub(super) fn run(mut arguments: Arguments) -> Outcome {
+    arguments.set_help(HELP);
+    let mut options = Options::default();
+    let mut out = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Argument::Word(word) => options.filter.request = Some(word),
+            Argument::Option(name) => match name.as_str() {
+                "from" => options.from.push(arguments.address()?),
+                "out" => out = Some(PathBuf::from(arguments.value()?)),
+                "token-file" => options.asker = Asker::with_token(&arguments.value()?)?,
+                other => return Err(unknown(other).into()),
+            },
+        }
+    }
+    let out = out.ok_or_else(|| lexopt::Error::from("--out FILE is needed"))?;
+    options.need_request()?;
+    let fleet = find_fleet(&options.asker, &options.from)?;
+    timeline::name_silent(&fleet);
+    let records = timeline::gather(&fleet, &options);
+    let origin = records.first().map_or(0, |record| record.stamp.micros);
+    let lines: Vec<String> = records.iter().map(|record| timeline::describe(record, origin)).collect();
+    let page = page(&waterfall(&records), &lines);
+    std::fs::write(&out, page).map_err(|error| {
+        let code = Code::SettingsUnreadable;
+        Failure::new(Exit::Invalid, miette::miette!("{code}: {}: {error}", out.display()))
+    })?;
+    Ok(Exit::Done)
+}
+
+fn page(drawing: &str, lines: &[String]) -> String {
+    let text = lines.join("\n").replace('&', "&amp;").replace('<', "&lt;");
+    format!("<!doctype html><meta charset='utf-8'><title>harefield</title>\n{drawing}\n<pre>{text}</pre>\n")
+}
--- a/crates/harefield/src/commands/status.rs
+++ b/crates/harefield/src/commands/status.rs
@@ -36,12 +36,7 @@
         match name.as_str() {
             "json" => json = true,
             "token-file" => asker = Asker::with_token(&arguments.value()?)?,
-            "from" => {
-                let text = arguments.value()?;
-                let address =
-                    text.parse().map_err(|_error| lexopt::Error::from(format!("{text:?} is no address")));
-                from.push(address?);
-            }
+            "from" => from.push(arguments.address()?),
             other => return Err(unknown(other).into()),
         }
     }
--- a/crates/harefield/src/commands/timeline.rs
+++ b/crates/harefield/src/commands/timeline.rs
@@ -48,6 +48,17 @@
     follow: bool,
 }
 
+impl Options {
+    /// Returns the request that is asked for; some daemon must be named too.
+    pub fn need_request(&self) -> Result<String, lexopt::Error> {
+        let request = self.filter.request.clone().ok_or("a REQUEST is needed")?;
+        if self.from.is_empty() {
+            return Err("--from IP:PORT is needed".into());
+        }
+        Ok(request)
+    }
+}
+
 pub(super) fn run(mut arguments: Arguments) -> Outcome {
     arguments.set_help(HELP);
     let mut options = read(&mut arguments)?;
@@ -77,7 +88,7 @@
         match name.as_str() {
             "json" => options.json = true,
             "follow" => options.follow = true,
-            "from" => options.from.push(number(&arguments.value()?)?),
+            "from" => options.from.push(arguments.address()?),
             "request" => filter.request = Some(arguments.value()?),
             "lookup" => filter.lookup = Some(arguments.value()?),
             "upstream" => filter.upstream = Some(arguments.value()?),
--- a/crates/harefield/src/control/confirm.rs
+++ b/crates/harefield/src/control/confirm.rs
@@ -20,12 +20,7 @@
 /// How many daemons are asked in a round.
 const ASKED: usize = 3;
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Starts a round, unless one is under way.
     pub(super) fn start_confirming(self: &Rc<Self>) {
         if self.confirming.replace(true) {
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -96,12 +96,7 @@
     pub(super) confirming: Cell<bool>,
 }
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Creates the duty of a daemon that knows nothing yet.
     #[must_use]
     pub fn new(
@@ -306,6 +301,7 @@
     fn show_config(&self) {
         let config = self.config.borrow();
         let refused = config.refused();
+        self.board.put_set(Arc::clone(config.set()));
         self.board.status().config = ConfigStatus {
             revision: config.revision(),
             seen: config.seen(),
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -29,12 +29,7 @@
 /// How long a pull may take; a whole configuration may be large.
 const PULL_LIMIT: Duration = Duration::from_secs(3);
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Speaks to a few daemons in each round.
     pub(super) async fn speak(self: Rc<Self>) {
         loop {
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -12,12 +12,7 @@
 use crate::ports::Peers;
 use crate::ports::Platform;
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Takes the workers' messages until their ring is closed.
     pub(super) async fn listen(self: Rc<Self>, inbox: Receiver<ToControl>) {
         while let Ok(message) = inbox.recv().await {
--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -23,12 +23,7 @@
 /// The most daemons asked at the start: enough that one of them is up to date.
 const MOST_ASKED: usize = 16;
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Asks until every copy and daemon has answered or refused, or the time
     /// is up; with no configuration at all, it goes on in the background.
     pub(super) async fn join(self: &Rc<Self>) {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -28,29 +28,31 @@
 /// The longest pause after failures.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
+/// After this many failures in a row a daemon says that it cannot reach the
+/// platform.
+const BLIND_AFTER: u32 = 2;
+
 /// How often a daemon that is not a reader looks whether it has become one.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-/// Says whether `own` is among the `count` readers of its availability zone.
+/// Says whether `own` is among the readers of its availability zone.
 ///
-/// Readers are the live daemons with the highest rendezvous weights, so that
-/// another takes over when one goes.
+/// Readers are the `count` live daemons with the highest rendezvous weights, so
+/// that another takes over when one goes. One that said that it cannot reach
+/// the platform does not count, and calls for one more: where none of them can,
+/// their number doubles until one does.
 #[must_use]
 pub fn is_reader<'a>(own: &Row, rows: impl IntoIterator<Item = &'a Row>, count: usize) -> bool {
     let rank = |host: &HostId| weight("reader", host);
     let mine = rank(&own.host);
-    let ahead = rows.into_iter().filter(|row| {
-        row.host != own.host && row.zone == own.zone && row.state == PeerState::Live && rank(&row.host) > mine
-    });
-    ahead.count() < count
+    let zone = rows.into_iter().filter(|row| row.zone == own.zone && row.host != own.host);
+    let live: Vec<&Row> = zone.filter(|row| row.state == PeerState::Live).collect();
+    let blind = live.iter().filter(|row| row.blind).count();
+    let ahead = live.iter().filter(|row| !row.blind && rank(&row.host) > mine).count();
+    ahead < count + blind
 }
 
-impl<F, P, C> Control<F, P, C>
-where
-    F: Platform + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Holds the watch on one space while this daemon is a reader.
     pub(super) async fn read(self: Rc<Self>, space: Space) {
         let mut turn: usize = 0;
@@ -63,10 +65,14 @@
             let copies = &self.settings.copies;
             let copy = copies[turn % copies.len()];
             match self.read_once(copy, space).await {
-                Ok(()) => failures = 0,
+                Ok(()) => {
+                    failures = 0;
+                    self.say_blind(space, false);
+                }
                 Err(error) => {
                     debug!("platform copy {copy}: {error}");
                     failures = failures.saturating_add(1);
+                    self.say_blind(space, failures >= BLIND_AFTER);
                     turn += 1;
                     self.ports.clock.sleep(pause(failures)).await;
                 }
@@ -74,6 +80,18 @@
         }
     }
 
+    /// Tells the others whether this daemon can reach the platform.
+    fn say_blind(&self, space: Space, blind: bool) {
+        if space != Space::Config {
+            return;
+        }
+        let news = self.members.borrow_mut().set_blind(blind);
+        if news {
+            self.tell_peers();
+            self.relay();
+        }
+    }
+
     fn is_reader(&self) -> bool {
         let members = self.members.borrow();
         is_reader(&self.settings.own, members.rows(), self.settings.readers)
--- a/crates/harefield/src/daemon/operators.rs
+++ b/crates/harefield/src/daemon/operators.rs
@@ -12,7 +12,7 @@
 
 use super::context::Context;
 use crate::adapters::http;
-use crate::adapters::operators;
+use crate::adapters::operators::Operators;
 
 /// The most connections of operators.
 const MOST_OPEN: usize = 256;
@@ -28,7 +28,7 @@
 
 async fn take(
     context: &Context,
-    executor: &LocalExecutor<'static>,
+    executor: &Rc<LocalExecutor<'static>>,
     listener: TcpListener,
     token: Option<&String>,
 ) {
@@ -39,6 +39,7 @@
             return;
         }
     };
+    let operators = Operators::new(Arc::clone(&context.board), token.cloned(), Rc::clone(executor));
     let open = Rc::new(std::cell::Cell::new(0_usize));
     loop {
         let Ok((stream, _from)) = listener.accept().await else {
@@ -48,14 +49,15 @@
         if open.get() >= MOST_OPEN {
             continue;
         }
-        let (context, token, open) = (context.clone(), token.cloned(), Rc::clone(&open));
+        let (context, open) = (context.clone(), Rc::clone(&open));
+        let operators = operators.clone();
         open.set(open.get() + 1);
         let serving = async move {
             let board = Arc::clone(&context.board);
             let traffic = context.traffic.clone();
             let handle = |request| {
                 board.status().control_bytes = traffic.total();
-                operators::handle(Arc::clone(&board), token.clone(), request)
+                operators.handle(request)
             };
             // Operators may watch the stop itself, so it does not end them.
             let (_never, stop) = async_channel::bounded(1);
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -188,6 +188,7 @@
             incarnation: context.incarnation,
             version: 0,
             state: PeerState::Live,
+            blind: false,
         },
         copies: settings.platform.addresses.clone(),
         seeds: settings.peers.seeds.iter().map(|seed| seed.to_string().into()).collect(),
--- /dev/null
+++ b/crates/harefield/src/domain/admission/crowd.rs
@@ -0,0 +1,20 @@
+//! How crowded the upstreams of an index are.
+
+/// A fan-out counts as crowded when this share of its shards, in percent, waited.
+const CROWDED_PERCENT: usize = 10;
+
+/// How many of a fan-out's shards had to wait for room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crowd {
+    /// Shards that waited.
+    pub waited: usize,
+    /// All shards.
+    pub shards: usize,
+}
+
+impl Crowd {
+    /// Returns whether too many waited.
+    pub(super) fn is_crowded(self) -> bool {
+        self.waited > 0 && self.waited * 100 >= self.shards * CROWDED_PERCENT
+    }
+}
--- a/crates/harefield/src/domain/admission.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -1,20 +1,19 @@
-//! Admission: who runs now, who waits, and who is refused at once.
-//!
-//! One gate stands before each index of a worker. Its limit follows what the
-//! upstreams take: it grows while fan-outs find room, and shrinks when their
-//! shards have to wait for it.
+//! The gate before one index.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use super::code::Code;
-use super::resources::Urgency;
-
-/// Numbers the requests that wait at a gate.
-pub type WaiterId = u64;
+use super::crowd::Crowd;
+use super::queue::Arrival;
+use super::queue::GAIN;
+use super::queue::Queue;
+use super::queue::Waiter;
+use super::queue::WaiterId;
+use super::queue::number;
+use crate::domain::code::Code;
+use crate::domain::resources::Urgency;
 
 /// Of this many picks, ordinary requests get one while urgent ones wait.
 const ORDINARY_TURN: u32 = 4;
@@ -22,9 +21,6 @@
 /// Of this many picks, bulk requests get one while others wait.
 const BULK_TURN: u32 = 16;
 
-/// A fan-out counts as crowded when this share of its shards, in percent, waited.
-const CROWDED_PERCENT: usize = 10;
-
 /// A fan-out counts as crowded when it took this many times the best.
 const SLOWER: f64 = 2.0;
 
@@ -47,8 +43,10 @@
 
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 1.0;
+/// Slow fan-outs alone do not shrink the limit below this: it may be an upstream
+/// that is slow, and not a crowd.
+const SLOW_LIMIT: f64 = 2.0;
 const SHRINK: f64 = 0.7;
-const GAIN: f64 = 0.1;
 const FIRST_TIME: f64 = 0.01;
 
 /// Bounds of a gate.
@@ -60,17 +58,6 @@
     pub waiting: usize,
 }
 
-/// A request at a gate.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    /// Its urgency.
-    pub urgency: Urgency,
-    /// The team whose share it uses.
-    pub team: Arc<str>,
-    /// When it must be answered.
-    pub deadline: Instant,
-}
-
 /// What the gate decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Entry {
@@ -91,12 +78,6 @@
     Refuse(WaiterId, Duration),
 }
 
-#[derive(Clone, Debug)]
-struct Waiter {
-    id: WaiterId,
-    arrival: Arrival,
-}
-
 /// The gate before one index.
 #[derive(Debug)]
 pub struct Gate {
@@ -113,45 +94,6 @@
     picks: u32,
 }
 
-/// The requests of one urgency that wait, earliest deadline first.
-#[derive(Debug, Default)]
-struct Queue {
-    waiters: VecDeque<Waiter>,
-    /// Since when it has had waiters that none was called of.
-    since: Option<Instant>,
-    /// The usual time between two calls, in seconds.
-    interval: Option<f64>,
-}
-
-impl Queue {
-    fn insert(&mut self, waiter: Waiter, now: Instant) {
-        if self.waiters.is_empty() {
-            self.since = Some(now);
-        }
-        let deadline = waiter.arrival.deadline;
-        let at = self.waiters.partition_point(|held| held.arrival.deadline <= deadline);
-        self.waiters.insert(at, waiter);
-    }
-
-    /// Takes out a waiter that is called, and learns how often one is.
-    fn call(&mut self, at: usize, now: Instant) -> Option<Waiter> {
-        let waiter = self.waiters.remove(at)?;
-        let since = self.since.replace(now).unwrap_or(now);
-        let took = now.saturating_duration_since(since).as_secs_f64();
-        let held = self.interval.unwrap_or(took);
-        self.interval = Some(held + (took - held) * GAIN);
-        Some(waiter)
-    }
-
-    /// Returns how long one more would wait, by how often one is called. What
-    /// was learnt is not held against a queue that is empty: else one bad spell
-    /// would keep it so.
-    fn wait(&self, usual: f64) -> Duration {
-        let interval = self.interval.filter(|_| !self.waiters.is_empty()).unwrap_or(usual);
-        Duration::from_secs_f64((number(self.waiters.len()) + 1.0) * interval)
-    }
-}
-
 const fn class(urgency: Urgency) -> usize {
     match urgency {
         Urgency::Urgent => 0,
@@ -160,10 +102,6 @@
     }
 }
 
-fn number(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
 impl Gate {
     /// Creates an open gate.
     #[must_use]
@@ -230,8 +168,10 @@
         self.time += (seconds - self.time) * GAIN;
         let best = self.best.map_or(seconds, |best| (best * BEST_DRIFT).min(seconds));
         self.best = Some(best);
-        if crowd.is_crowded() || seconds > best * SLOWER {
-            self.shrink(took, now);
+        if crowd.is_crowded() {
+            self.shrink(LEAST_LIMIT, took, now);
+        } else if seconds > best * SLOWER {
+            self.shrink(SLOW_LIMIT, took, now);
         } else if number(self.total) + 2.0 >= self.limit {
             self.limit = (self.limit + 1.0 / self.limit).min(number(self.limits.running));
         }
@@ -240,11 +180,11 @@
 
     /// Shrinks the limit, at most once in the time of a fan-out: those that ran
     /// side by side tell of one crowd.
-    fn shrink(&mut self, took: Duration, now: Instant) {
+    fn shrink(&mut self, floor: f64, took: Duration, now: Instant) {
         if self.shrunk.is_some_and(|at| now < at) {
             return;
         }
-        self.limit = (self.limit * SHRINK).max(LEAST_LIMIT);
+        self.limit = (self.limit * SHRINK).max(floor.min(self.limit));
         self.shrunk = Some(now + took);
     }
 
@@ -353,18 +293,3 @@
         self.queues[class].call(at, now)
     }
 }
-
-/// How many of a fan-out's shards had to wait for room.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Crowd {
-    /// Shards that waited.
-    pub waited: usize,
-    /// All shards.
-    pub shards: usize,
-}
-
-impl Crowd {
-    fn is_crowded(self) -> bool {
-        self.waited > 0 && self.waited * 100 >= self.shards * CROWDED_PERCENT
-    }
-}
--- /dev/null
+++ b/crates/harefield/src/domain/admission/mod.rs
@@ -0,0 +1,17 @@
+//! Admission: who runs now, who waits, and who is refused at once.
+//!
+//! One gate stands before each index of a worker. Its limit follows what the
+//! upstreams take: it grows while fan-outs find room, and shrinks when their
+//! shards have to wait for it.
+
+mod crowd;
+mod gate;
+mod queue;
+
+pub use crowd::Crowd;
+pub use gate::Called;
+pub use gate::Entry;
+pub use gate::Gate;
+pub use gate::GateLimits;
+pub use queue::Arrival;
+pub use queue::WaiterId;
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -87,7 +87,7 @@
     /// The fan-out is tried again at another snapshot.
     SnapshotAbandoned { version: Version, missing: usize },
     /// The caller was answered.
-    Answered { outcome: Outcome, code: Code, contributed: usize, missing: usize, micros: u64 },
+    Answered { lookup: String, outcome: Outcome, code: Code, contributed: usize, missing: usize, micros: u64 },
     /// The request was handed to a member of the cell.
     Forwarded { to: HostId },
     /// A member answered, or did not.
--- a/crates/harefield/src/domain/membership.rs
+++ b/crates/harefield/src/domain/membership.rs
@@ -57,6 +57,8 @@
     pub version: u64,
     /// Its state.
     pub state: PeerState,
+    /// Whether it said that it cannot reach the platform.
+    pub blind: bool,
 }
 
 impl Row {
@@ -158,6 +160,19 @@
         true
     }
 
+    /// States whether this daemon can reach the platform; returns whether that
+    /// was news.
+    pub fn set_blind(&mut self, blind: bool) -> bool {
+        let Some(known) = self.rows.get_mut(&self.own) else { return false };
+        if known.row.blind == blind {
+            return false;
+        }
+        known.row.version += 1;
+        known.row.blind = blind;
+        known.transmits = TRANSMITS;
+        true
+    }
+
     /// States that this daemon is leaving.
     pub fn leave(&mut self) {
         if let Some(known) = self.rows.get_mut(&self.own) {
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -8,11 +8,11 @@
 use super::budget::Budget;
 use super::pace::Pace;
 use super::policy::Policy;
-use super::searcher::Bar;
-use super::searcher::Report;
+use super::report::Bar;
+use super::report::Report;
+use super::report::Until;
+use super::report::Verdict;
 use super::searcher::Searcher;
-use super::searcher::Until;
-use super::searcher::Verdict;
 use crate::domain::event::Score;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
@@ -144,6 +144,7 @@
         }
         let typical = self.pace(ask.index).mean().as_secs_f64();
         let quickest = self.quickest(ask, typical, now);
+        let weighs = self.policy == Policy::Cost;
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
@@ -156,7 +157,7 @@
             });
             match found {
                 Ok(cost) => {
-                    let rank = Rank { passed_over: self.is_passed_over(name, quickest), cost };
+                    let rank = Rank { passed_over: weighs && self.is_passed_over(name, quickest), cost };
                     if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                         best = Some((rank, Arc::clone(name)));
                     }
@@ -165,7 +166,7 @@
             }
         }
         match best {
-            Some((_, upstream)) if self.worth_waiting(ask, &upstream, typical, now) => {
+            Some((_, upstream)) if weighs && self.worth_waiting(ask, &upstream, typical, now) => {
                 Err(Bar { gap: Gap::Overloaded, until: Until::Soon })
             }
             Some((_, upstream)) => Ok(Choice { upstream, scores }),
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -4,6 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::report::Bar;
+use super::report::Load;
+use super::report::Report;
+use super::report::Until;
+use super::report::Verdict;
 use super::window::Window;
 use crate::domain::cell::connection_share;
 use crate::domain::ids::Version;
@@ -27,6 +32,10 @@
 const STEP_UP: f64 = 1.1;
 const STEP_DOWN: f64 = 1.3;
 
+/// A reply that was given up is taken to have needed at most this many times
+/// the time that it was given.
+const ABANDONED_MOST: f64 = 2.0;
+
 /// How fast the best observed time is forgotten: by this factor with each reply.
 const BEST_DRIFT: f64 = 1.01;
 
@@ -46,59 +55,6 @@
 /// How long a load report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(200);
 
-/// What an upstream reports of its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests it runs.
-    pub active: u32,
-    /// Requests that wait for a slot.
-    pub queued: u32,
-}
-
-/// What one attempt showed of an upstream.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// The load that the reply carried.
-    pub load: Option<Load>,
-    /// The upstream's word that the reply carried.
-    pub word: Option<Word>,
-}
-
-/// When an upstream that may not be asked now may be asked again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Until {
-    /// When a request under way ends.
-    Soon,
-    /// At this time.
-    At(Instant),
-    /// Not while the facts stay as they are.
-    Never,
-}
-
-/// Why an upstream may not be asked, and until when.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bar {
-    /// The reason, as the gap it would leave.
-    pub gap: Gap,
-    /// Until when it holds.
-    pub until: Until,
-}
-
-/// How one attempt ended, as far as routing is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It was answered.
-    Good,
-    /// It was refused since the upstream is full, until then if it said.
-    Full(Option<Duration>),
-    /// It was refused for a reason that says nothing of the upstream's load.
-    Declined,
-    /// It was given up; the time so far is the least that it would have taken.
-    Abandoned,
-    /// No connection could be had, or it was lost.
-    Broken,
-}
-
 /// One upstream, as one worker sees it.
 #[derive(Clone, Debug)]
 pub struct Searcher {
@@ -299,11 +255,15 @@
         });
     }
 
-    /// The time so far counts only where it is more than was observed.
+    /// The time so far is the least that the reply would have taken: it moves
+    /// the observed time up, past itself, but never down.
     fn abandoned(&mut self, took: f64) {
-        if self.observed.is_none_or(|old| took > old) {
-            self.observe(took);
-        }
+        let most = took * ABANDONED_MOST;
+        self.observed = Some(match self.observed {
+            None => took,
+            Some(old) if old < most => (old * STEP_UP).min(most),
+            Some(old) => old,
+        });
     }
 
     fn full(&mut self, wait: Option<Duration>, now: Instant) {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -85,12 +85,7 @@
     pub crowd: Crowd,
 }
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Runs one fan-out to its end.
     pub(super) async fn fan_out(
         self: &Rc<Self>,
@@ -198,7 +193,14 @@
         let now = self.ports.clock.now();
         let Send { upstream, start, .. } = &attempt.send;
         let mut router = self.router.borrow_mut();
+        let before = router.searcher(upstream).map(|s| s.window().size());
         router.end(upstream, *start, end.verdict, &end.report, now);
+        let window = router.searcher(upstream).map(|s| s.window().size());
+        if let (Some(before), Some(window)) = (before, window)
+            && window.floor() < before.floor()
+        {
+            self.duty_trace().emit(Event::LimitChanged { upstream: Arc::clone(upstream), window });
+        }
         if end.verdict == Verdict::Good && attempt.send.cause != Cause::Probe {
             router.sample(&attempt.plan.index, now.saturating_duration_since(*start));
         }
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -56,22 +56,12 @@
 }
 
 /// Counts a request as handed to a daemon until dropped.
-struct Outgoing<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+struct Outgoing<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
     host: HostId,
 }
 
-impl<U, P, C> Drop for Outgoing<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Drop for Outgoing<U, P, C> {
     fn drop(&mut self) {
         self.worker.forget_forward(&self.host);
     }
@@ -84,12 +74,7 @@
     }
 }
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Hands a request to a member of the cell, and to others where that one
     /// fails or, for repeatable requests and within a budget, is slow.
     ///
@@ -207,6 +192,10 @@
         let task = async move {
             let Outgoing { worker, host } = &outgoing;
             let result = worker.ports.peers.forward(host, &message, left + TRAVEL).await;
+            let result = result.map(|forwarded| {
+                worker.receive(forwarded.stamp);
+                forwarded.answer
+            });
             let ended = Ended { host: Arc::clone(host), result };
             let _ = sender.try_send(ended).is_ok();
         };
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -28,12 +28,7 @@
 }
 
 /// A place inside a gate, given back when dropped.
-pub(super) struct Place<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+pub(super) struct Place<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
     index: Arc<str>,
     team: Arc<str>,
@@ -41,12 +36,7 @@
     pub crowd: Crowd,
 }
 
-impl<U, P, C> Drop for Place<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Drop for Place<U, P, C> {
     fn drop(&mut self) {
         let now = self.worker.ports.clock.now();
         let took = now.saturating_duration_since(self.entered);
@@ -55,12 +45,7 @@
 }
 
 /// A place in a gate's queue, given up when dropped.
-struct Waiting<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+struct Waiting<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
     index: Arc<str>,
     team: Arc<str>,
@@ -69,12 +54,7 @@
     settled: bool,
 }
 
-impl<U, P, C> Drop for Waiting<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Drop for Waiting<U, P, C> {
     fn drop(&mut self) {
         if self.settled {
             return;
@@ -91,12 +71,7 @@
     }
 }
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Enters the gate of an index, waiting for room where that can still do.
     pub(super) async fn enter_gate(
         self: &Rc<Self>,
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::domain::feed::News;
+use crate::domain::hlc::Stamp;
 use crate::domain::ids::HostId;
 use crate::domain::membership::Row;
 use crate::domain::view::View;
@@ -19,7 +20,12 @@
     /// A caller.
     Caller,
     /// Another daemon, which counts on this one to run it.
-    Peer(HostId),
+    Peer {
+        /// The daemon.
+        host: HostId,
+        /// When it handed the request on, in hybrid logical time.
+        stamp: Stamp,
+    },
 }
 
 /// A request as a worker takes it.
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -31,12 +31,7 @@
 /// When to come back for a ticket from another daemon.
 const COME_BACK: Duration = Duration::from_millis(50);
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Takes a once-only request: issues its ticket, hands it to the daemon
     /// that its ticket names, or runs it.
     pub(super) async fn once(
@@ -72,7 +67,7 @@
         match (found.plan.member, &request.origin) {
             (true, _) => {}
             (false, Origin::Caller) => return self.forward(request, found, trace).await,
-            (false, Origin::Peer(_)) => return refuse(trace, Code::NotMember, Duration::ZERO),
+            (false, Origin::Peer { .. }) => return refuse(trace, Code::NotMember, Duration::ZERO),
         }
         if self.is_stopping() {
             return refuse(trace, Code::Stopping, COME_BACK);
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -16,6 +16,7 @@
 use crate::domain::event::Sink;
 use crate::domain::fanout::Finished;
 use crate::domain::fanout::Rules;
+use crate::domain::hlc::Stamp;
 use crate::domain::ids::AttemptId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
@@ -28,6 +29,7 @@
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
+use crate::telemetry::Batch;
 use crate::telemetry::Trace;
 
 /// How long a repeatable request waits for a confirmation after a pause.
@@ -43,11 +45,15 @@
 /// went away first.
 struct Progress<'a, U, P, C> {
     worker: &'a Worker<U, P, C>,
+    gone: Option<Batch>,
 }
 
 impl<U, P, C> Drop for Progress<'_, U, P, C> {
     fn drop(&mut self) {
         self.worker.running.set(self.worker.running.get() - 1);
+        if let Some(batch) = self.gone.take() {
+            self.worker.telemetry.send(batch);
+        }
     }
 }
 
@@ -58,30 +64,39 @@
     pub deadline: Instant,
 }
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Takes a request and answers it.
     ///
     /// Dropping the future gives the request up; a once-only request that has
     /// begun goes on and its outcome stays with its ticket.
     pub async fn lookup(self: &Rc<Self>, request: LookupRequest) -> Answer {
         self.running.set(self.running.get() + 1);
-        let progress = Progress { worker: self };
         let start = self.ports.clock.now();
         let mut trace = self.request_trace(request.request.as_deref());
-        if let Origin::Peer(from) = &request.origin {
-            trace.emit(Event::ForwardTaken { from: Arc::clone(from) });
+        if let Origin::Peer { host, stamp } = &request.origin {
+            self.receive(*stamp);
+            trace.emit(Event::ForwardTaken { from: Arc::clone(host) });
         }
+        let gone = Event::CallerGone { lookup: request.lookup.clone() };
+        let gone = Batch { request: trace.request().map(Arc::clone), events: vec![(trace.stamp(), gone)] };
+        let mut progress = Progress { worker: self, gone: Some(gone) };
         let answer = self.decide(&request, start, &mut trace).await;
         self.tell(&request, &answer, start, &mut trace);
-        drop(progress);
+        progress.gone = None;
         answer
     }
 
+    /// Takes the stamp of a message from another daemon.
+    pub(super) fn receive(&self, stamp: Stamp) {
+        self.hybrid.borrow_mut().receive(self.ports.clock.wall(), stamp);
+    }
+
+    /// Returns a stamp for a message to another daemon.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        self.hybrid.borrow_mut().tick(self.ports.clock.wall())
+    }
+
     fn tell(&self, request: &LookupRequest, answer: &Answer, start: Instant, trace: &mut Trace<C>) {
         if answer.outcome == Outcome::NotRun {
             let (lookup, retry_after) = (request.lookup.clone(), answer.retry_after);
@@ -89,6 +104,7 @@
         }
         let took = self.ports.clock.now().saturating_duration_since(start);
         trace.emit(Event::Answered {
+            lookup: request.lookup.clone(),
             outcome: answer.outcome,
             code: answer.code,
             contributed: answer.coverage.contributed.len(),
@@ -168,7 +184,7 @@
         match (found.plan.member, &request.origin) {
             (true, _) => self.run(request, found, trace).await,
             (false, Origin::Caller) => self.forward(request, found, trace).await,
-            (false, Origin::Peer(_)) => refuse(trace, Code::NotMember, Duration::ZERO),
+            (false, Origin::Peer { .. }) => refuse(trace, Code::NotMember, Duration::ZERO),
         }
     }
 
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -26,12 +26,7 @@
 /// How long the duty rests when every upstream had what it needs.
 const REST: Duration = Duration::from_millis(100);
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Keeps connections ready to the upstreams of the cells that this daemon
     /// is a member of.
     pub async fn keep_warm(self: Rc<Self>) {
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -120,12 +120,7 @@
     pub extra: u64,
 }
 
-impl<U, P, C> Worker<U, P, C>
-where
-    U: Upstreams + Clone + 'static,
-    P: Peers + Clone + 'static,
-    C: Clock + Copy + 'static,
-{
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Creates a worker that knows nothing yet.
     #[must_use]
     pub fn new(
--- a/crates/harefield/src/ports/clock.rs
+++ b/crates/harefield/src/ports/clock.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 /// Tells the time and waits for it.
-pub trait Clock {
+pub trait Clock: Copy + 'static {
     /// Returns the monotonic time.
     fn now(&self) -> Instant;
 
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -9,6 +9,7 @@
 pub use clock::Clock;
 pub use peers::Exchange;
 pub use peers::Forward;
+pub use peers::Forwarded;
 pub use peers::Mark;
 pub use peers::PeerError;
 pub use peers::Peers;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -35,6 +35,15 @@
     pub remaining: u64,
 }
 
+/// A member's answer to a request that was handed on.
+#[derive(Clone, Debug)]
+pub struct Forwarded {
+    /// The answer.
+    pub answer: Answer,
+    /// When it left, in hybrid logical time.
+    pub stamp: Stamp,
+}
+
 /// How far a daemon is in one space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
@@ -82,7 +91,7 @@
 }
 
 /// Speaks to other daemons.
-pub trait Peers {
+pub trait Peers: Clone + 'static {
     /// Hands a request to another daemon and awaits the answer.
     ///
     /// # Errors
@@ -93,7 +102,7 @@
         host: &HostId,
         message: &Forward,
         limit: Duration,
-    ) -> impl Future<Output = Result<Answer, PeerError>>;
+    ) -> impl Future<Output = Result<Forwarded, PeerError>>;
 
     /// Tells a daemon what is known here and hears what is known there.
     ///
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -66,7 +66,7 @@
 }
 
 /// Reads and watches one copy of the platform's service.
-pub trait Platform {
+pub trait Platform: Clone + 'static {
     /// Reads a whole space.
     ///
     /// # Errors
--- a/crates/harefield/src/ports/upstreams.rs
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -50,7 +50,7 @@
 }
 
 /// Asks upstreams.
-pub trait Upstreams {
+pub trait Upstreams: Clone + 'static {
     /// Sends a call once and awaits its reply.
     ///
     /// `permit` is asked right before the first byte is written; where it
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -1,6 +1,7 @@
 //! What the duties last said of themselves, for operators.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,6 +10,7 @@
 use serde::Serialize;
 
 use super::store::Store;
+use super::tally::LookupStatus;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
@@ -16,6 +18,7 @@
 use crate::domain::ids::Version;
 use crate::domain::membership::Row;
 use crate::domain::resources::Fault;
+use crate::domain::resources::ResourceSet;
 
 /// The configuration as one daemon has it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +90,8 @@
     pub control_bytes: u64,
     /// Its workers.
     pub workers: BTreeMap<usize, WorkerStatus>,
+    /// What became of each lookup's requests.
+    pub lookups: BTreeMap<String, LookupStatus>,
     /// Events dropped since a ring was full.
     pub dropped: u64,
 }
@@ -96,6 +101,7 @@
 #[derive(Debug)]
 pub struct Board {
     status: Mutex<Status>,
+    set: Mutex<Arc<ResourceSet>>,
     store: Mutex<Store>,
 }
 
@@ -110,9 +116,10 @@
             peers: Vec::new(),
             control_bytes: 0,
             workers: BTreeMap::new(),
+            lookups: BTreeMap::new(),
             dropped: 0,
         };
-        Self { status: Mutex::new(status), store: Mutex::new(Store::new(keep)) }
+        Self { status: Mutex::new(status), set: Mutex::default(), store: Mutex::new(Store::new(keep)) }
     }
 
     /// Returns the status, to read or change it.
@@ -120,6 +127,17 @@
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the set in force.
+    #[must_use]
+    pub fn set(&self) -> Arc<ResourceSet> {
+        Arc::clone(&self.set.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes the set that came into force.
+    pub fn put_set(&self, set: Arc<ResourceSet>) {
+        *self.set.lock().unwrap_or_else(PoisonError::into_inner) = set;
+    }
+
     /// Returns the records, to read or add to them.
     pub fn store(&self) -> MutexGuard<'_, Store> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/harefield/src/telemetry/duty.rs
+++ b/crates/harefield/src/telemetry/duty.rs
@@ -1,12 +1,15 @@
 //! The telemetry thread's duty.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use log::debug;
 
 use super::board::Board;
 use super::ring::Batch;
 use super::ring::Telemetry;
+use super::tally::Ended;
+use super::tally::Tallies;
 use crate::adapters::metrics::Metrics;
 use crate::domain::event::Event;
 use crate::domain::event::Record;
@@ -19,13 +22,18 @@
     board: Arc<Board>,
     metrics: Metrics,
 ) {
+    let mut tallies = Tallies::new(Instant::now());
     while let Ok(batch) = receiver.recv().await {
         let dropped = telemetry.take_dropped();
-        store(&board, batch, dropped, &metrics);
+        for (_, event) in &batch.events {
+            measure(event, &metrics);
+            tally(event, &mut tallies, &board);
+        }
+        store(&board, batch, dropped);
     }
 }
 
-fn store(board: &Board, batch: Batch, dropped: u64, metrics: &Metrics) {
+fn store(board: &Board, batch: Batch, dropped: u64) {
     let (host, incarnation) = {
         let mut status = board.status();
         status.dropped += dropped;
@@ -36,7 +44,6 @@
     let events = batch.events.into_iter().map(|(stamp, event)| (stamp, batch.request.clone(), event));
     let mut store = board.store();
     for (stamp, request, event) in gap.into_iter().chain(events) {
-        measure(&event, metrics);
         if !event.is_detail() {
             debug!("{request:?} {event:?}");
         }
@@ -45,6 +52,14 @@
     }
 }
 
+fn tally(event: &Event, tallies: &mut Tallies, board: &Board) {
+    let Event::Answered { lookup, outcome, contributed, missing, micros, .. } = event else { return };
+    let (outcome, contributed, missing, micros) = (*outcome, *contributed, *missing, *micros);
+    let ended = Ended { outcome, contributed, missing, micros };
+    let status = tallies.take(lookup, &ended, Instant::now());
+    board.status().lookups.insert(lookup.clone(), status);
+}
+
 fn measure(event: &Event, metrics: &Metrics) {
     match event {
         Event::Answered { outcome, missing, micros, .. } => {
--- a/crates/harefield/src/telemetry/mod.rs
+++ b/crates/harefield/src/telemetry/mod.rs
@@ -7,7 +7,9 @@
 mod duty;
 mod ring;
 mod store;
+mod tally;
 mod trace;
+mod waterfall;
 
 pub use board::Board;
 pub use board::ConfigStatus;
@@ -20,4 +22,7 @@
 pub use ring::ring;
 pub use store::Filter;
 pub use store::Store;
+pub use tally::LookupStatus;
+pub use tally::Tallies;
 pub use trace::Trace;
+pub use waterfall::waterfall;
--- a/crates/harefield/tests/decisions/members.rs
+++ b/crates/harefield/tests/decisions/members.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 
 use crate::support::cases;
+use harefield::control::is_reader;
 use harefield::domain::membership::MOST_ROWS;
 use harefield::domain::membership::Membership;
 use harefield::domain::membership::PeerState;
@@ -16,6 +17,7 @@
         incarnation,
         version,
         state,
+        blind: false,
     }
 }
 
@@ -106,3 +108,25 @@
     members.prune(&[row(2, 1, 0, PeerState::Live).host]);
     assert_eq!(members.peers(), vec![row(2, 1, 0, PeerState::Live).host]);
 }
+
+/// Returns which of ten daemons read, the first `blind` of the ranking being
+/// unable to reach the platform.
+fn readers(blind: usize) -> usize {
+    let mut rows: Vec<Row> = (0..10).map(|n| row(n, 1, 0, PeerState::Live)).collect();
+    rows.sort_by_key(|row| std::cmp::Reverse(harefield::domain::cell::weight("reader", &row.host)));
+    for row in rows.iter_mut().take(blind) {
+        row.blind = true;
+    }
+    rows.iter().filter(|own| !own.blind && is_reader(own, &rows, 2)).count()
+}
+
+#[test]
+fn readers_few() {
+    assert_eq!(readers(0), 2);
+}
+
+#[test]
+fn readers_double() {
+    assert_eq!(readers(2), 4, "two that cannot reach the platform call for four others");
+    assert_eq!(readers(6), 4, "all that are left");
+}
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -127,6 +127,21 @@
     assert!(searcher.observed_time(0.0) < 0.0095, "{}", searcher.observed_time(0.0));
 }
 
+#[test]
+fn given_up_counts() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[0], 8, 30, now, &Report::default());
+    for _ in 0..30 {
+        router.begin(&names[0], now);
+        router.end(&names[0], now, Verdict::Abandoned, &Report::default(), at(now, 20));
+    }
+    let searcher = router.searcher(&names[0]).expect("it is known");
+    let observed = searcher.observed_time(0.0);
+    assert!(observed > 0.030, "{observed}: hedges that win must not hide how slow it is");
+    assert!(observed <= 0.040, "{observed}");
+}
+
 #[test]
 fn equal_shared() {
     let now = Instant::now();
--- a/crates/harefield/tests/decisions/views.rs
+++ b/crates/harefield/tests/decisions/views.rs
@@ -2,17 +2,17 @@
 
 use std::sync::Arc;
 
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::items;
+use crate::support::values;
 use harefield::domain::cell::CellSize;
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::HostId;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::view::View;
 use harefield::domain::view::ViewSources;
-use serde_json::Value;
-use serde_json::json;
-
-use crate::support::items;
-use crate::support::values;
 
 fn hosts(count: u16) -> HostList {
     let row = |state: &str| json!({ "role": "harefield", "state": state, "zone": "a" });
--- /dev/null
+++ b/crates/harefield/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the control duty of several daemons over a network that can be cut,
+//! on one thread, with fakes at the ports.
+
+mod split;
+mod support;
--- /dev/null
+++ b/crates/harefield/tests/fleet/support.rs
@@ -0,0 +1,270 @@
+//! Daemons' control duties joined by a network that can be cut.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+
+use harefield::adapters::clock::SystemClock;
+use harefield::control::Control;
+use harefield::control::ControlPorts;
+use harefield::control::ControlSettings;
+use harefield::domain::cell::CellSize;
+use harefield::domain::feed::Change;
+use harefield::domain::feed::Delta;
+use harefield::domain::feed::Items;
+use harefield::domain::feed::News;
+use harefield::domain::ids::HostId;
+use harefield::domain::ids::Revision;
+use harefield::domain::membership::PeerState;
+use harefield::domain::membership::Row;
+use harefield::engine::ToControl;
+use harefield::ports::Exchange;
+use harefield::ports::Forward;
+use harefield::ports::Forwarded;
+use harefield::ports::Listing;
+use harefield::ports::PeerError;
+use harefield::ports::Peers;
+use harefield::ports::Platform;
+use harefield::ports::PlatformError;
+use harefield::ports::Pull;
+use harefield::ports::Space;
+use harefield::ports::Watched;
+use harefield::telemetry;
+use harefield::telemetry::Board;
+
+/// How long anything that should happen may take: far longer than it does.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What daemons and the platform share in the test.
+#[derive(Debug, Default)]
+struct Shared {
+    inboxes: BTreeMap<HostId, Sender<ToControl>>,
+    cut: BTreeSet<(usize, usize)>,
+    blind: BTreeSet<usize>,
+    log: Vec<(Revision, Change)>,
+    revision: Revision,
+}
+
+/// The network and the platform, as one daemon reaches them.
+#[derive(Clone, Debug)]
+pub struct Link {
+    own: usize,
+    shared: Rc<RefCell<Shared>>,
+}
+
+fn host(number: usize) -> HostId {
+    format!("127.0.0.1:{}", 7200 + number).into()
+}
+
+fn number(host: &HostId) -> usize {
+    let port = host.rsplit(':').next().and_then(|text| text.parse::<usize>().ok());
+    port.expect("hosts are numbered by port") - 7200
+}
+
+impl Link {
+    fn reach(&self, to: &HostId) -> Result<Sender<ToControl>, PeerError> {
+        let shared = self.shared.borrow();
+        let cut = shared.cut.contains(&(self.own, number(to)));
+        let inbox = shared.inboxes.get(to).filter(|_| !cut);
+        inbox.cloned().ok_or(PeerError::Unreachable)
+    }
+
+    async fn call<R>(&self, to: &HostId, wrap: impl FnOnce(Sender<R>) -> ToControl) -> Result<R, PeerError> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let inbox = self.reach(to)?;
+        inbox.try_send(wrap(sender)).map_err(|_full| PeerError::Silent)?;
+        receiver.recv().await.map_err(|_gone| PeerError::Silent)
+    }
+}
+
+impl Peers for Link {
+    async fn forward(&self, _: &HostId, _: &Forward, _: Duration) -> Result<Forwarded, PeerError> {
+        Err(PeerError::Unreachable)
+    }
+
+    async fn exchange(&self, host: &HostId, message: &Exchange, _: Duration) -> Result<Exchange, PeerError> {
+        let said = Box::new(message.clone());
+        self.call(host, |reply| ToControl::Exchange(said, reply)).await
+    }
+
+    async fn pull(&self, host: &HostId, message: Pull, _: Duration) -> Result<News, PeerError> {
+        self.call(host, |reply| ToControl::Pull(message, reply)).await
+    }
+}
+
+impl Platform for Link {
+    async fn list(&self, _: SocketAddr, space: Space) -> Result<Listing, PlatformError> {
+        let shared = self.shared.borrow();
+        if shared.blind.contains(&self.own) {
+            return Err(PlatformError::Unreachable);
+        }
+        if space == Space::Hosts {
+            return Ok(Listing::default());
+        }
+        let mut items = Items::new();
+        for (_, change) in &shared.log {
+            match &change.value {
+                Some(value) => items.insert(Arc::clone(&change.key), Arc::clone(value)),
+                None => items.remove(&change.key),
+            };
+        }
+        Ok(Listing { first: shared.revision, last: shared.revision, items })
+    }
+
+    async fn watch(
+        &self,
+        _: SocketAddr,
+        space: Space,
+        after: Revision,
+        _: Duration,
+    ) -> Result<Watched, PlatformError> {
+        Timer::after(Duration::from_millis(20)).await;
+        let shared = self.shared.borrow();
+        if shared.blind.contains(&self.own) {
+            return Err(PlatformError::Unreachable);
+        }
+        let newer = shared.log.iter().filter(|(revision, _)| space == Space::Config && *revision > after);
+        let deltas = newer.map(|(revision, change)| Delta {
+            base: revision - 1,
+            revision: *revision,
+            changes: vec![change.clone()],
+        });
+        Ok(Watched::Deltas(deltas.collect()))
+    }
+}
+
+/// Several daemons' control duties.
+pub struct Fleet {
+    executor: Rc<LocalExecutor<'static>>,
+    shared: Rc<RefCell<Shared>>,
+    boards: Vec<Arc<Board>>,
+    newest: RefCell<Vec<Option<Revision>>>,
+}
+
+impl Fleet {
+    /// Starts daemons that know each other as seeds.
+    pub fn start(count: usize) -> Self {
+        let executor: Rc<LocalExecutor<'static>> = Rc::default();
+        let shared = Rc::default();
+        let mut fleet = Self { executor, shared, boards: Vec::new(), newest: RefCell::default() };
+        fleet.publish("indexes/i", r#"{"snapshots":[{"version":1,"shards":{}}]}"#);
+        for own in 0..count {
+            fleet.add(own, count);
+        }
+        fleet.newest = RefCell::new(vec![None; count]);
+        fleet
+    }
+
+    fn add(&mut self, own: usize, count: usize) {
+        let (control, inbox) = async_channel::bounded(1024);
+        self.shared.borrow_mut().inboxes.insert(host(own), control);
+        let link = Link { own, shared: Rc::clone(&self.shared) };
+        let board = Arc::new(Board::new(host(own), 1, 10));
+        let settings = ControlSettings {
+            own: Row {
+                host: host(own),
+                zone: "a".into(),
+                operators: "127.0.0.1:1".into(),
+                incarnation: 1,
+                version: 0,
+                state: PeerState::Live,
+                blind: false,
+            },
+            copies: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
+            seeds: (0..count).map(host).collect(),
+            exchange: Duration::from_millis(50),
+            join: Duration::from_millis(200),
+            watch: Duration::from_millis(20),
+            readers: 2,
+            cell: CellSize::default(),
+        };
+        let ports = ControlPorts { platform: link.clone(), peers: link, clock: SystemClock };
+        let (events, _batches) = telemetry::ring();
+        let duty =
+            Control::new(settings, ports, Rc::clone(&self.executor), Vec::new(), events, Arc::clone(&board));
+        let (ready, _) = async_channel::bounded(1);
+        self.executor.spawn(duty.run(inbox, ready)).detach();
+        self.boards.push(board);
+    }
+
+    /// Publishes one value as one revision, and returns it.
+    pub fn publish(&self, key: &str, value: &str) -> Revision {
+        let mut shared = self.shared.borrow_mut();
+        shared.revision += 1;
+        let revision = shared.revision;
+        shared.log.push((revision, Change { key: key.into(), value: Some(value.into()) }));
+        revision
+    }
+
+    /// Says which daemons cannot reach the platform.
+    pub fn blind(&self, daemons: impl IntoIterator<Item = usize>) {
+        self.shared.borrow_mut().blind = daemons.into_iter().collect();
+    }
+
+    /// Cuts every link between two groups, one way or both.
+    pub fn cut(&self, from: &[usize], to: &[usize], both: bool) {
+        let mut shared = self.shared.borrow_mut();
+        for a in from {
+            for b in to {
+                shared.cut.insert((*a, *b));
+                if both {
+                    shared.cut.insert((*b, *a));
+                }
+            }
+        }
+    }
+
+    /// Mends every link.
+    pub fn heal(&self) {
+        self.shared.borrow_mut().cut.clear();
+    }
+
+    /// Returns the revision in force on each daemon; none of them goes back.
+    pub fn revisions(&self) -> Vec<Option<Revision>> {
+        let now: Vec<_> = self.boards.iter().map(|board| board.status().config.revision).collect();
+        let mut newest = self.newest.borrow_mut();
+        for (own, (before, after)) in newest.iter().zip(&now).enumerate() {
+            assert!(after >= before, "daemon {own} went back from {before:?} to {after:?}");
+        }
+        newest.clone_from(&now);
+        now
+    }
+
+    /// Lets the fleet run for a time.
+    pub fn run_for(&self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            async_io::block_on(self.executor.run(Timer::after(Duration::from_millis(10))));
+            self.revisions();
+        }
+    }
+
+    /// Lets the fleet run until the daemons named have a revision in force.
+    pub fn await_revision(&self, daemons: impl IntoIterator<Item = usize>, revision: Revision) {
+        let daemons: Vec<usize> = daemons.into_iter().collect();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            self.run_for(Duration::from_millis(10));
+            let revisions = self.revisions();
+            if daemons.iter().all(|own| revisions[*own] >= Some(revision)) {
+                return;
+            }
+            assert!(Instant::now() < until, "{revisions:?} do not reach {revision}");
+        }
+    }
+
+    /// Returns how one daemon sees another.
+    pub fn sees(&self, own: usize, other: usize) -> Option<PeerState> {
+        let status = self.boards[own].status();
+        status.peers.iter().find(|row| row.host == host(other)).map(|row| row.state)
+    }
+}
--- a/crates/harefield/tests/processes/forwarding.rs
+++ b/crates/harefield/tests/processes/forwarding.rs
@@ -9,7 +9,9 @@
 use crate::support::ask;
 use crate::support::await_true;
 use harefield::domain::code::Code;
+use harefield::domain::event::Cause;
 use harefield::domain::event::Event;
+use harefield::domain::event::Record;
 use harefield::domain::outcome::Outcome;
 
 const SMALL_CELL: &str = "[routing]\ncell-size = 2\n";
@@ -126,8 +128,9 @@
     for answer in answers {
         let query = format!("request={}", answer.request);
         let records: Vec<_> = world.daemons.iter().flat_map(|d| d.timeline(&query)).collect();
-        let sent = records.iter().filter(|r| matches!(r.event, Event::Sent { .. })).count();
-        assert_eq!(sent, 3, "the story holds every shard's request");
+        let first = |r: &&Record| matches!(r.event, Event::Sent { cause: Cause::First, .. });
+        let sent = records.iter().filter(first).count();
+        assert_eq!(sent, 3, "the story holds every shard's first request");
         handed += records.iter().filter(|r| matches!(r.event, Event::ForwardTaken { .. })).count();
     }
     assert_eq!(handed, 2);
--- a/crates/standin/src/bin/standin.rs
+++ b/crates/standin/src/bin/standin.rs
@@ -15,6 +15,7 @@
 use standin::experiment;
 use standin::experiment::Experiment;
 use standin::experiment::Outcome;
+use standin::fleet::Fleet;
 use standin::load;
 use standin::load::Load;
 use standin::load::Mix;
@@ -30,6 +31,9 @@
                     --daemon IP:PORT ... --operator IP:PORT ... --peer IP:PORT ... --pids FILE
                     [--seconds N] [--seed N] [--scale N]
   standin table     FILE
+  standin fleet     --layout small --base-port N --listen IP:PORT --operator IP:PORT ...
+                    --peer IP:PORT ... --pids FILE [--upstreams N] [--made-daemons N]
+                    [--seconds N] [--rate N]
   standin tell      --admin IP:PORT PATH BODY
 
 Layouts: small, caroni, licence. Searchers listen on 127.0.0.1 from the base
@@ -46,6 +50,7 @@
         Some("load") => run_load(&options),
         Some("experiment") => run_experiment(&options),
         Some("table") => print_table(&options),
+        Some("fleet") => run_fleet(&options),
         Some("tell") => tell(&options),
         _ => {
             print!("{HELP}");
@@ -217,6 +222,24 @@
     Ok(())
 }
 
+fn run_fleet(options: &Options) -> Result<(), Failure> {
+    let layout = options.layout()?;
+    let _searchers = start_searchers(options, &layout)?;
+    let platform = start_platform(options, &layout, "peer")?;
+    let pids: String = options.one("pids", None)?;
+    let fleet = Fleet {
+        platform,
+        operators: parse_all(options.all("operator"))?,
+        pids: parse_all(&read_words(&pids)?)?,
+        upstreams: options.one("upstreams", Some(0))?,
+        daemons: options.one("made-daemons", Some(0))?,
+        time: Duration::from_secs_f64(options.one("seconds", Some(15.0))?),
+        rate: options.one("rate", Some(0.4))?,
+    };
+    println!("{}", serde_json::to_string(&fleet.run())?);
+    Ok(())
+}
+
 fn tell(options: &Options) -> Result<(), Failure> {
     let to = options.one("admin", None)?;
     let word = |at: usize| options.words.get(at).map_or("", String::as_str);
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 
 use super::behaviour::Fault;
+use super::fleet::add_thread_times;
 use super::layout::Layout;
 use super::load;
 use super::load::Figures;
@@ -122,6 +123,9 @@
     pub refused_connections: u64,
     /// Calls to the platform a second.
     pub calls: f64,
+    /// Processor time of the daemons' workers for each shard request, in
+    /// microseconds.
+    pub micros: f64,
 }
 
 /// Counts of all daemons.
@@ -142,12 +146,14 @@
         self.await_daemons();
         self.searchers.change_all(|b| b.service_ms = SERVICE_MS);
         self.prepare();
+        let busy = self.worker_seconds();
         let (sent, tally, (calls, begun)) = (self.sent(), self.searchers.tally(), self.platform.calls());
         let lookups = thread::scope(|scope| {
             scope.spawn(|| self.happen());
             load::run(&self.load())
         });
         let (calls_after, ended) = self.platform.calls();
+        let busy = self.worker_seconds() - busy;
         let opened = self.searchers.tally().opened - tally.opened;
         let refused = self.searchers.tally().refused_connections - tally.refused_connections;
         self.signal_all(Signal::CONT);
@@ -157,6 +163,8 @@
             scenario: self.scenario,
             variant: self.variant.clone(),
             lookups,
+            micros: busy * 1e6
+                / f64::from(u32::try_from(after.first - sent.first).unwrap_or(u32::MAX).max(1)),
             extra: part(after.extra - sent.extra, after.first - sent.first),
             opened,
             refused_connections: refused,
@@ -285,6 +293,15 @@
         }
     }
 
+    /// Returns the processor time of all daemons' workers, in seconds.
+    fn worker_seconds(&self) -> f64 {
+        let mut times = BTreeMap::new();
+        for pid in &self.pids {
+            add_thread_times(*pid, &mut times);
+        }
+        times.iter().filter(|(name, _)| name.starts_with("worker")).map(|(_, time)| time).sum()
+    }
+
     fn sent(&self) -> Sent {
         let mut sent = Sent::default();
         for workers in self.operators.iter().filter_map(|address| status(*address)) {
@@ -310,8 +327,8 @@
 /// Writes outcomes as a table, one row a scenario, variant and lookup.
 #[must_use]
 pub fn table(outcomes: &[Outcome]) -> String {
-    let mut text = "| scenario | variant | lookup | sent | p50 | p99 | p99.9 | whole | partial | refused | unknown | failed | coverage | extra | opened | too many |\n".to_owned();
-    text += "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+    let mut text = "| scenario | variant | lookup | sent | p50 | p99 | p99.9 | whole | partial | refused | unknown | failed | coverage | extra | opened | too many | worker µs |\n".to_owned();
+    text += "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
     for outcome in outcomes {
         for (lookup, f) in &outcome.lookups {
             text += &row(outcome, lookup, f);
@@ -339,6 +356,7 @@
         format!("{:.2}%", outcome.extra * 100.0),
         outcome.opened.to_string(),
         outcome.refused_connections.to_string(),
+        format!("{:.0}", outcome.micros),
     ];
     format!("| {} |\n", cells.join(" | "))
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod behaviour;
 pub mod experiment;
+pub mod fleet;
 mod layout;
 pub mod load;
 mod net;
