Stand-ins change slots while they run and report late; stop searchers mid-way

Cause: slots were fixed at the start, and load reports could lie but not lag. Change: slots are granted from the present setting; lag-ms; the demo stops both replicas of a shard while the lookup runs; a scenario without service time. A try that failed, and is not in: one timer for all calls and a timer kept between steps of a fan-out, to spare reactor wake-ups.

--- a/bench.sh
+++ b/bench.sh
@@ -2,7 +2,7 @@
 # Runs the experiments of docs/MEASUREMENTS.md: every scenario against every
 # variant of the daemons' settings, one fleet at a time.
 #
-#   bench.sh caroni|licence [SECONDS] [SCENARIOS] [VARIANTS] [SCALE]
+#   [COUNT=6] bench.sh caroni|licence [SECONDS] [SCENARIOS] [VARIANTS] [SCALE]
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -11,7 +11,7 @@
 scenarios=${3:-"steady slow stragglers lost cold shedding lying overload new-snapshot frozen-daemon zone-gone platform-gone"}
 variants=${4:-"chosen random fixed"}
 scale=${5:-1}
-count=6
+count=${COUNT:-6}
 
 cargo build --quiet --release --workspace --locked
 bin="${CARGO_TARGET_DIR:-target}/release"
@@ -75,4 +75,5 @@
         for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; wait "$pid" 2>/dev/null || true; done
     done
 done
+cp "$work/results" "${RESULTS:-/dev/null}"
 "$bin/standin" table "$work/results"
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -56,6 +56,8 @@
     pub shed_ms: Option<u64>,
     /// The queue length that it reports instead of the true one.
     pub lie_queued: Option<u32>,
+    /// How old its load reports may be, in milliseconds.
+    pub lag_ms: f64,
     /// The snapshot versions that it holds.
     pub held: Vec<u64>,
     /// The shards that it holds; all where empty.
@@ -82,6 +84,7 @@
             cold_requests: 0,
             shed_ms: None,
             lie_queued: None,
+            lag_ms: 0.0,
             held: vec![1],
             shards: Vec::new(),
             frozen: false,
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -59,24 +59,8 @@
     ZoneGone,
     /// The platform goes, half-way.
     PlatformGone,
-}
-
-impl Scenario {
-    /// Every scenario.
-    pub const ALL: [Self; 12] = [
-        Self::Steady,
-        Self::Slow,
-        Self::Stragglers,
-        Self::Lost,
-        Self::Cold,
-        Self::Shedding,
-        Self::Lying,
-        Self::Overload,
-        Self::NewSnapshot,
-        Self::FrozenDaemon,
-        Self::ZoneGone,
-        Self::PlatformGone,
-    ];
+    /// Searchers that take no time, to see what a daemon costs by itself.
+    Instant,
 }
 
 /// An experiment's world and size.
@@ -234,6 +218,11 @@
                 b.straggle_percent = 1.0;
                 b.straggle_ms = 100.0;
             }),
+            Scenario::Instant => self.searchers.change_all(|b| {
+                b.service_ms = 0.0;
+                b.spread = 0.0;
+                b.latency_ms = 0.0;
+            }),
             Scenario::Shedding => self.each_first(|b| b.shed_ms = Some(500)),
             Scenario::Lying => {
                 self.searchers.change_all(|b| b.lie_queued = Some(50));
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::stream;
@@ -76,6 +75,8 @@
     pub active: u32,
     pub queued: u32,
     pub counts: Counts,
+    waiting: VecDeque<Sender<Slot>>,
+    reported: Option<(Instant, u32, u32)>,
     cancelled: HashSet<String>,
     previous: String,
     random: SmallRng,
@@ -86,8 +87,6 @@
 pub(crate) struct Searcher {
     start: u64,
     state: Mutex<State>,
-    free: Receiver<()>,
-    slots: Sender<()>,
 }
 
 /// What a request asks, from its headers.
@@ -99,14 +98,14 @@
 }
 
 /// A slot, given back when dropped.
-struct Slot<'a> {
-    searcher: &'a Searcher,
+struct Slot {
+    searcher: Arc<Searcher>,
 }
 
-impl Drop for Slot<'_> {
+impl Drop for Slot {
     fn drop(&mut self) {
         self.searcher.lock().active -= 1;
-        let _ = self.searcher.slots.try_send(());
+        self.searcher.grant();
     }
 }
 
@@ -121,12 +120,22 @@
     }
 }
 
+impl State {
+    /// Returns the load that is reported: late or a lie, where told so.
+    fn report(&mut self) -> (u32, u32) {
+        let now = Instant::now();
+        let lag = millis(self.behaviour.lag_ms);
+        let (at, active, queued) = match self.reported {
+            Some(held) if now.saturating_duration_since(held.0) < lag => held,
+            _ => (now, self.active, self.queued),
+        };
+        self.reported = Some((at, active, queued));
+        (active, self.behaviour.lie_queued.unwrap_or(queued))
+    }
+}
+
 impl Searcher {
     pub fn new(behaviour: Behaviour, start: u64, seed: u64) -> Arc<Self> {
-        let (slots, free) = async_channel::bounded(behaviour.slots.max(1));
-        for _ in 0..behaviour.slots.max(1) {
-            let _ = slots.try_send(());
-        }
         let state = State {
             behaviour,
             change: 1,
@@ -134,11 +143,13 @@
             active: 0,
             queued: 0,
             counts: Counts::default(),
+            waiting: VecDeque::new(),
+            reported: None,
             cancelled: HashSet::new(),
             previous: "none".to_owned(),
             random: SmallRng::seed_from_u64(seed),
         };
-        Arc::new(Self { start, state: Mutex::new(state), free, slots })
+        Arc::new(Self { start, state: Mutex::new(state) })
     }
 
     pub fn lock(&self) -> MutexGuard<'_, State> {
@@ -146,14 +157,20 @@
     }
 
     /// Changes the behaviour; the searcher's word is stamped anew.
-    pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
+    pub fn change(self: &Arc<Self>, change: impl FnOnce(&mut Behaviour)) {
         let mut state = self.lock();
         change(&mut state.behaviour);
         state.change += 1;
+        drop(state);
+        self.grant();
     }
 
     /// Answers one request; `over` says that its connection is one too many.
-    pub async fn answer(&self, request: Request<Incoming>, over: bool) -> Result<SearcherReply, Close> {
+    pub async fn answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        over: bool,
+    ) -> Result<SearcherReply, Close> {
         self.thaw().await;
         if self.lock().behaviour.fault == Fault::Gone {
             return Err(Close);
@@ -178,7 +195,12 @@
         reply
     }
 
-    async fn serve(&self, asked: &Asked, query: &[u8], over: bool) -> Result<SearcherReply, Close> {
+    async fn serve(
+        self: &Arc<Self>,
+        asked: &Asked,
+        query: &[u8],
+        over: bool,
+    ) -> Result<SearcherReply, Close> {
         if let Some(refusal) = self.refusal(asked, over) {
             return Ok(self.refuse(asked, refusal, false));
         }
@@ -219,17 +241,39 @@
         }
     }
 
-    async fn wait_for_slot(&self, asked: &Asked) -> Option<Slot<'_>> {
-        self.lock().queued += 1;
+    async fn wait_for_slot(self: &Arc<Self>, asked: &Asked) -> Option<Slot> {
+        let (sender, granted) = async_channel::bounded(1);
+        self.enqueue(sender);
         let queued = Queued { searcher: self };
-        let _ = self.free.recv().await;
+        self.grant();
+        let slot = granted.recv().await.ok()?;
         drop(queued);
-        self.lock().active += 1;
-        let slot = Slot { searcher: self };
         let gone = self.lock().cancelled.contains(&asked.request);
         (!gone && Instant::now() < asked.deadline).then_some(slot)
     }
 
+    fn enqueue(&self, sender: Sender<Slot>) {
+        let mut state = self.lock();
+        state.queued += 1;
+        state.waiting.push_back(sender);
+    }
+
+    /// Gives free slots to those who wait, in order.
+    fn grant(self: &Arc<Self>) {
+        loop {
+            let next = {
+                let mut state = self.lock();
+                let free = usize::try_from(state.active).unwrap_or(usize::MAX) < state.behaviour.slots;
+                let next = if free { state.waiting.pop_front() } else { None };
+                state.active += u32::from(next.is_some());
+                next
+            };
+            let Some(waiting) = next else { return };
+            // One that went away drops its slot, which is granted again.
+            let _ = waiting.try_send(Slot { searcher: Arc::clone(self) }).is_ok();
+        }
+    }
+
     /// Counts an execution and draws its time.
     fn begin(&self, asked: &Asked) -> Duration {
         let mut state = self.lock();
@@ -307,13 +351,13 @@
 
     /// Adds the echo and the searcher's own word and load.
     fn dress(&self, mut reply: SearcherReply, request: &str, shard: &str, version: u64) -> SearcherReply {
-        let state = self.lock();
-        let queued = state.behaviour.lie_queued.unwrap_or(state.queued);
+        let mut state = self.lock();
+        let (active, queued) = state.report();
         let held: Vec<String> = state.behaviour.held.iter().map(ToString::to_string).collect();
         put(&mut reply, "harefield-request", request);
         put(&mut reply, "harefield-shard", shard);
         put(&mut reply, "harefield-snapshot", &version.to_string());
-        put(&mut reply, "harefield-load", &format!("{}/{queued}", state.active));
+        put(&mut reply, "harefield-load", &format!("{active}/{queued}"));
         put(&mut reply, "harefield-word", &format!("{}.{}", self.start, state.change));
         put(&mut reply, "harefield-draining", &state.behaviour.draining.to_string());
         put(&mut reply, "harefield-held", &held.join(","));
--- a/demo.sh
+++ b/demo.sh
@@ -52,11 +52,16 @@
 echo "== every searcher answers: the coverage is whole"
 "$bin/harefield" query --to 127.0.0.1:17101 parcels '{"street":"Mill Lane","number":7}'
 
-echo "== both replicas of one shard stop answering while the lookup runs"
-"$bin/standin" tell --admin 127.0.0.1:17891 /searchers/parcels-01-0 '{"frozen":true}' >/dev/null
-"$bin/standin" tell --admin 127.0.0.1:17891 /searchers/parcels-01-1 '{"frozen":true}' >/dev/null
+echo "== both replicas of one shard stop while the lookup runs"
+tell() { "$bin/standin" tell --admin 127.0.0.1:17891 "$@" >/dev/null; }
+tell '/searchers/*' '{"service-ms":300}'
+"$bin/harefield" query --to 127.0.0.1:17102 parcels '{"street":"Mill Lane","number":7}' >"$work/partial" &
+query=$!
+sleep 0.1
+tell /searchers/parcels-01-0 '{"frozen":true}'
+tell /searchers/parcels-01-1 '{"frozen":true}'
 status=0
-"$bin/harefield" query --to 127.0.0.1:17102 parcels '{"street":"Mill Lane","number":7}' >"$work/partial" || status=$?
+wait "$query" || status=$?
 cat "$work/partial"
 [ "$status" -eq 6 ] || { echo "expected a partial answer, exit 6, not $status" >&2; exit 1; }
 
