Halve what control says; leave dead upstreams alone; guards shown by mutants

Causes: - fleet.sh: at 40 daemons control took 17.4 KB/s with 0.4 changes a second, close to the 18 KB/s allowed: news were relayed with whole digests. - fleet.sh with made-up upstreams: connections opened ahead of need to dead upstreams were tried again at once (warming::dead_left_alone: 175 tries in 0.9 s, seen failing first). - mutants.sh: taking out the wait of a planned stop was not noticed, since the linger outlasted the requests; the tests now linger 50 ms. Change: news are relayed as marks alone, one other daemon is spoken to each second; a pause that doubles after a failed opening.

--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -171,7 +171,7 @@
         let (this, place) = (self.clone(), place.clone());
         let open = async move {
             let opened = this.open(&place, share).await;
-            this.with_pool(&place, |pool| pool.warming = pool.warming.saturating_sub(1));
+            this.with_pool(&place, |pool| pool.warmed(opened.is_ok()));
             if let Ok(connection) = opened {
                 this.give_back(&place, connection);
             }
--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use super::HttpUpstreams;
 use crate::adapters::http;
@@ -14,6 +15,13 @@
 /// How long opening a connection may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// The first pause after a connection could not be opened ahead of need; it
+/// doubles with each further failure.
+const COOLING: Duration = Duration::from_millis(250);
+
+/// The longest such pause.
+const LONGEST_COOLING: Duration = Duration::from_secs(8);
+
 /// The connections to one upstream.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -21,11 +29,29 @@
     pub idle: Vec<Connection>,
     pub open: u32,
     pub warming: usize,
+    /// Until when no connection is opened ahead of need, after that failed.
+    pub cooling: Option<Instant>,
+    pub strikes: u32,
 }
 
 impl Pool {
     fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Vec::new(), open: 0, warming: 0 }
+        Self { address, idle: Vec::new(), open: 0, warming: 0, cooling: None, strikes: 0 }
+    }
+}
+
+impl Pool {
+    /// Takes how opening a connection ahead of need went.
+    pub(super) fn warmed(&mut self, opened: bool) {
+        self.warming = self.warming.saturating_sub(1);
+        if opened {
+            self.strikes = 0;
+            self.cooling = None;
+            return;
+        }
+        let doubled = COOLING.saturating_mul(1 << self.strikes.min(10));
+        self.cooling = Some(Instant::now() + doubled.min(LONGEST_COOLING));
+        self.strikes = self.strikes.saturating_add(1);
     }
 }
 
@@ -85,7 +111,8 @@
     pub(super) fn has_room(&self, place: &Place, share: u32) -> bool {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(Arc::clone(&place.upstream)).or_insert_with(|| Pool::new(place.address));
-        let room = pool.open < share;
+        let cooling = pool.cooling.is_some_and(|until| Instant::now() < until);
+        let room = pool.open < share && !cooling;
         pool.warming += usize::from(room);
         room
     }
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -237,7 +237,7 @@
         }
         if self.joined.get() {
             self.publish();
-            self.relay();
+            self.relay_marks();
         }
     }
 
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -21,7 +21,7 @@
 const RELAY_WIDTH: usize = 3;
 
 /// How many daemons are spoken to in one round.
-const ROUND_WIDTH: usize = 2;
+const ROUND_WIDTH: usize = 1;
 
 /// How long one exchange may take.
 pub(super) const EXCHANGE_LIMIT: Duration = Duration::from_millis(800);
@@ -46,10 +46,20 @@
         }
     }
 
-    /// Tells a few daemons at once that there is news.
+    /// Tells a few daemons at once how far this one is, and no more: they pull
+    /// what is newer.
+    pub(super) fn relay_marks(&self) {
+        self.relay_to(|this, _host| this.bare_message());
+    }
+
+    /// Tells a few daemons at once what is known here.
     pub(super) fn relay(&self) {
+        self.relay_to(Self::message);
+    }
+
+    fn relay_to(&self, make: impl Fn(&Self, &HostId) -> Exchange) {
         for host in self.draw_peers(RELAY_WIDTH) {
-            let message = self.message(&host);
+            let message = make(self, &host);
             let peers = self.ports.peers.clone();
             let told = async move {
                 let _reply = peers.exchange(&host, &message, EXCHANGE_LIMIT).await;
@@ -121,13 +131,20 @@
         if !rows.iter().any(|row| row.host == *host) {
             rows.extend(members.row(host).cloned());
         }
+        drop(members);
+        let words = self.words.borrow_mut().digest();
+        Exchange { rows, words, ..self.bare_message() }
+    }
+
+    /// Returns a message that says only how far this daemon is.
+    pub(super) fn bare_message(&self) -> Exchange {
         Exchange {
             from: Arc::clone(&self.settings.own.host),
             incarnation: self.settings.own.incarnation,
             stamp: self.hybrid.borrow_mut().tick(self.ports.clock.wall()),
             marks: self.marks(),
-            rows,
-            words: self.words.borrow_mut().digest(),
+            rows: Vec::new(),
+            words: Vec::new(),
         }
     }
 }
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -44,8 +44,8 @@
     /// Answers with what is known, then takes what was said.
     fn answer_exchange(self: &Rc<Self>, said: Exchange, reply: &async_channel::Sender<Exchange>) {
         let known = self.members.borrow().row(&said.from).is_some();
-        let mut answer = self.message(&said.from);
-        if !known {
+        let mut answer = if said.rows.is_empty() { self.bare_message() } else { self.message(&said.from) };
+        if !known && !said.rows.is_empty() {
             answer.words = self.words.borrow().all();
         }
         drop(reply.try_send(answer));
--- a/crates/harefield/tests/fleet/main.rs
+++ b/crates/harefield/tests/fleet/main.rs
@@ -3,3 +3,4 @@
 
 mod split;
 mod support;
+mod warming;
--- /dev/null
+++ b/crates/harefield/tests/fleet/warming.rs
@@ -0,0 +1,31 @@
+//! Connections opened ahead of need to an upstream that is not there.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+
+use harefield::adapters::upstreams::HttpUpstreams;
+use harefield::ports::Place;
+use harefield::ports::Upstreams;
+
+#[test]
+fn dead_left_alone() {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let upstreams = HttpUpstreams::new(Rc::clone(&executor));
+    // A port that was just free refuses connections.
+    let listener = std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = listener.local_addr().expect("it has an address");
+    drop(listener);
+    let place = Place { upstream: "gone".into(), address };
+    let begun = Instant::now();
+    let mut tries = 0;
+    while begun.elapsed() < Duration::from_millis(900) {
+        tries += u32::from(upstreams.warm(&place, 3, 2));
+        async_io::block_on(executor.run(Timer::after(Duration::from_millis(5))));
+    }
+    assert!((1..=6).contains(&tries), "{tries} tries in 0.9 s");
+}
--- a/crates/harefield/tests/processes/planned_stop.rs
+++ b/crates/harefield/tests/processes/planned_stop.rs
@@ -18,9 +18,12 @@
 
 const SLOW: f64 = 600.0;
 
+/// So short that requests in progress outlast it.
+const SHORT_LINGER: &str = "[stop]\nlinger-ms = 50\n";
+
 #[test]
 fn in_progress_ends() {
-    let mut world = World::start(1, "");
+    let mut world = World::start(1, SHORT_LINGER);
     world.searchers.change_all(|b| b.service_ms = SLOW);
     let to = world.daemons[0].addresses.callers;
     let askers: Vec<_> =
@@ -51,7 +54,7 @@
 
 #[test]
 fn forwarded_ends() {
-    let mut world = World::start(3, "[routing]\ncell-size = 1\n");
+    let mut world = World::start(3, &format!("[routing]\ncell-size = 1\n{SHORT_LINGER}"));
     for daemon in 0..3 {
         world.query(daemon);
     }
@@ -137,7 +140,7 @@
 
 #[test]
 fn once_only_goes_on() {
-    let mut world = World::start(1, "");
+    let mut world = World::start(1, SHORT_LINGER);
     let refused = world.ask(0, "parcels-once", &json!({ "query": 1 }));
     let ticket = refused.ticket.expect("a ticket");
     world.searchers.change_all(|b| b.service_ms = SLOW);
