--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -36,6 +36,9 @@
 /// When to come back where no member could be reached.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// How often a request is handed on again while views of the cell differ.
+const AGREE_EVERY: Duration = Duration::from_millis(20);
+
 /// Spare time that the member's answer has to travel.
 const TRAVEL: Duration = Duration::from_millis(50);
 
@@ -51,6 +54,7 @@
     tasks: Vec<Task<()>>,
     under_way: usize,
     sent: bool,
+    disagreed: bool,
     sender: Sender<Ended>,
     ends: Receiver<Ended>,
 }
@@ -70,7 +74,15 @@
 impl Handed {
     fn new() -> Self {
         let (sender, ends) = async_channel::bounded(MOST_TRIES);
-        Self { tried: Vec::new(), tasks: Vec::new(), under_way: 0, sent: false, sender, ends }
+        Self {
+            tried: Vec::new(),
+            tasks: Vec::new(),
+            under_way: 0,
+            sent: false,
+            disagreed: false,
+            sender,
+            ends,
+        }
     }
 }
 
@@ -85,6 +97,24 @@
         request: &LookupRequest,
         found: &Found,
         trace: &mut Trace<C>,
+    ) -> Answer {
+        let give_up = found.start + found.deadline.saturating_duration_since(found.start) / 2;
+        loop {
+            let answer = self.forward_once(request, found, trace).await;
+            // Those asked have another view of the cell: one of the two is
+            // about to change, and nothing has run.
+            if answer.code != Code::NotMember || self.ports.clock.now() >= give_up {
+                return answer;
+            }
+            self.ports.clock.sleep(AGREE_EVERY).await;
+        }
+    }
+
+    async fn forward_once(
+        self: &Rc<Self>,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
     ) -> Answer {
         let mut handed = Handed::new();
         self.spare.borrow_mut().earn();
@@ -102,7 +132,8 @@
             self.note_end(&ended, trace);
             match ended.result {
                 Ok(answer) if answer.code != Code::NotMember => return answer,
-                Ok(_) | Err(PeerError::Unreachable) => {}
+                Ok(_) => handed.disagreed = true,
+                Err(PeerError::Unreachable) => {}
                 Err(PeerError::Silent) => handed.sent = true,
             }
             if self.may_retry(&handed, found) {
@@ -112,7 +143,8 @@
         if handed.sent {
             return Answer::may_have_run(trace.request().map_or("", |id| id), Code::PeerSilent);
         }
-        refuse(trace, Code::NoMember, COME_BACK)
+        let code = if handed.disagreed { Code::NotMember } else { Code::NoMember };
+        refuse(trace, code, COME_BACK)
     }
 
     /// Hands a request to one daemon and no other.
