--- a/crates/harefield/tests/processes/time_line.rs
+++ b/crates/harefield/tests/processes/time_line.rs
@@ -31,6 +31,22 @@
     }
 }
 
+#[test]
+fn report_file() {
+    let world = World::start(2, "");
+    let answer = world.query(0);
+    thread::sleep(Duration::from_millis(200));
+    let from = world.daemons[1].addresses.operators.to_string();
+    let out = std::env::temp_dir().join(format!("harefield-report-{}.html", std::process::id()));
+    let path = out.to_str().expect("it is text");
+    assert_eq!(run(&["report", &answer.request, "--from", &from, "--out", path]).0, Some(0));
+    let page = std::fs::read_to_string(&out).expect("it was written");
+    drop(std::fs::remove_file(&out));
+    for word in ["<svg", "parcels-00/0", "reply-taken", "answered"] {
+        assert!(page.contains(word), "{word}");
+    }
+}
+
 #[test]
 fn merged_in_order() {
     let world = World::start(3, "");
@@ -78,7 +94,7 @@
     for arguments in [&["bogus"][..], &["serve"], &["query", "--nope"], &["timeline"], &["explain"]] {
         assert_eq!(run(arguments).0, Some(2), "{arguments:?}");
     }
-    for command in ["serve", "check", "query", "timeline", "explain", "status"] {
+    for command in ["serve", "check", "query", "timeline", "explain", "report", "status"] {
         let (code, text) = run(&[command, "--help"]);
         assert_eq!(code, Some(0));
         assert!(text.starts_with("Usage: harefield"), "{text}");
