Say once which replicas are untried; one status call in the stand-ins

Cause: read over: the filter for untried replicas stood four times in the router, asking a daemon for its status twice in the stand-ins, and a stamp was made by hand beside the worker's own. Left for next time: the host list's learning stands beside Feed::learn, and the command line gathers a fleet beside the operators' address.

--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -53,6 +53,14 @@
     pub index: &'a Arc<str>,
 }
 
+impl<'a> Ask<'a> {
+    /// Returns the replicas that were not tried.
+    fn untried(&self) -> impl Iterator<Item = &'a UpstreamId> {
+        let tried = self.tried;
+        self.replicas.iter().filter(move |name| !tried.contains(name))
+    }
+}
+
 /// Routes the requests of one worker.
 #[derive(Debug)]
 pub struct Router {
@@ -148,7 +156,7 @@
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
-        for name in ask.replicas.iter().filter(|name| !ask.tried.contains(name)) {
+        for name in ask.untried() {
             let found = self.score(name, ask.version, typical, now);
             scores.push(Score {
                 upstream: Arc::clone(name),
@@ -182,8 +190,7 @@
             let barred = searcher.admits(ask.version, now).err();
             barred.is_some_and(|bar| bar.until == Until::Soon)
         };
-        let untried = ask.replicas.iter().filter(|name| !ask.tried.contains(name));
-        let mut quicker = untried.filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
+        let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
         quicker.any(|searcher| chosen.passed_over(searcher.observed_time(typical)))
     }
 
@@ -197,8 +204,7 @@
 
     /// Returns the least observed time of the replicas that may be asked.
     fn quickest(&self, ask: &Ask<'_>, typical: f64, now: Instant) -> f64 {
-        let untried = ask.replicas.iter().filter(|name| !ask.tried.contains(name));
-        let found = untried.filter_map(|name| self.searchers.get(name));
+        let found = ask.untried().filter_map(|name| self.searchers.get(name));
         let open = found.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
         open.map(|s| s.observed_time(typical)).fold(f64::INFINITY, f64::min)
     }
@@ -219,7 +225,7 @@
                 s.passed_over(other) && s.probe_due(now) && s.admits(ask.version, now).is_ok()
             })
         };
-        let others = ask.replicas.iter().filter(|name| *name != chosen && !ask.tried.contains(name));
+        let others = ask.untried().filter(|name| *name != chosen);
         others.filter(due).map(Arc::clone).next()
     }
 
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -216,7 +216,7 @@
     }
 
     fn drop_late(&self, attempt: &Attempt) {
-        let stamp = self.hybrid.borrow_mut().tick(self.ports.clock.wall());
+        let stamp = self.stamp();
         let event = Event::ReplyDropped {
             shard: attempt.shard(),
             upstream: Arc::clone(&attempt.send.upstream),
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -11,16 +11,15 @@
 use rustix::process::kill_process;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_json::Value;
 
 use super::behaviour::Fault;
 use super::fleet::add_thread_times;
+use super::fleet::status;
 use super::layout::Layout;
 use super::load;
 use super::load::Figures;
 use super::load::Load;
 use super::load::Mix;
-use super::net::Client;
 use super::platform::Platform;
 use super::searchers::Searchers;
 
@@ -303,11 +302,6 @@
     }
 }
 
-fn status(operator: SocketAddr) -> Option<Value> {
-    let reply = Client::once(operator, "GET", "/v1/status", "", Duration::from_secs(2));
-    serde_json::from_slice(&reply?.1).ok()
-}
-
 fn part(some: u64, all: u64) -> f64 {
     let exact = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     if all == 0 { 0.0 } else { exact(some) / exact(all) }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -200,7 +200,8 @@
     }
 }
 
-fn status(operator: SocketAddr) -> Option<Value> {
+/// Returns a daemon's account of itself; none where it does not answer.
+pub(crate) fn status(operator: SocketAddr) -> Option<Value> {
     let reply = Client::once(operator, "GET", "/v1/status", "", Duration::from_secs(5));
     serde_json::from_slice(&reply?.1).ok()
 }
