Refuse a connection only once its request has begun

Cause: a connection beyond the limit was answered before anything was read from it. A client that was slow to send met bytes on a connection where no request was waiting, and dropped it: overload::connections_bounded failed once in the whole test run, and in 4 of 25 runs beside 16 busy processes.

Ruled out: the limit on the time of a refusal (1 s; the failures came at once).

Change: the refusal waits for the first bytes. New test overload::refusal_awaits_request, seen failing before.

--- a/crates/harefield/src/daemon/accept.rs
+++ b/crates/harefield/src/daemon/accept.rs
@@ -138,7 +138,8 @@
     Ok(())
 }
 
-/// Answers without understanding what was sent, but reads it: closing a socket
+/// Answers without understanding what was sent, once something was: an answer
+/// before its request belongs to none. The rest is read, too: closing a socket
 /// with unread bytes would take the answer back.
 async fn refuse(stream: TcpStream) -> std::io::Result<()> {
     let answer = Answer::not_run("", Code::TooManyConnections, Some(COME_BACK));
@@ -149,9 +150,12 @@
         body.len()
     );
     let mut stream = Async::new(stream)?;
+    let mut unread = [0_u8; 4096];
+    if stream.read(&mut unread).await? == 0 {
+        return Ok(());
+    }
     stream.write_all((head + &body).as_bytes()).await?;
     stream.get_ref().shutdown(Shutdown::Write)?;
-    let mut unread = [0_u8; 4096];
     while stream.read(&mut unread).await? > 0 {}
     Ok(())
 }
--- a/crates/harefield/tests/processes/overload.rs
+++ b/crates/harefield/tests/processes/overload.rs
@@ -1,5 +1,7 @@
 //! Refusals under overload are early and say when to come back.
 
+use std::io::Read;
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -53,6 +55,25 @@
     });
 }
 
+#[test]
+fn refusal_awaits_request() {
+    // An answer that comes before its request belongs to none.
+    let world = World::start(1, "[limits]\nconnections = 4\n");
+    let to = world.daemons[0].addresses.callers;
+    let _held: Vec<_> = (0..4).map(|_| std::net::TcpStream::connect(to).expect("it listens")).collect();
+    thread::sleep(Duration::from_millis(200));
+    let mut late = std::net::TcpStream::connect(to).expect("it listens");
+    late.set_read_timeout(Some(Duration::from_millis(300))).expect("a timeout can be set");
+    let mut byte = [0_u8; 1];
+    assert!(late.read(&mut byte).is_err(), "nothing comes before the request");
+    late.write_all(b"POST /v1/lookups/parcels HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n")
+        .expect("it is sent");
+    late.set_read_timeout(Some(crate::support::PATIENCE)).expect("a timeout can be set");
+    let mut answer = String::new();
+    late.read_to_string(&mut answer).expect("the answer comes");
+    assert!(answer.contains("HF2008"), "{answer}");
+}
+
 #[test]
 fn searcher_limit_kept() {
     // Three daemons under load keep within the searchers' connections.
