--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -15,7 +15,7 @@
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::HostId;
 use harefield::domain::resources::ResourceSet;
-use harefield::domain::routing::Budget;
+use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
 use harefield::domain::view::Cells;
@@ -151,7 +151,7 @@
     let third = second.next(&sources(&own, &changed, &hosts));
     let listed = millis(begun);
 
-    let mut router = Router::new(Policy::Cost, Budget::new(0.05), 1, Instant::now());
+    let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 1, Instant::now());
     router.apply(&second);
     let begun = Instant::now();
     router.apply(&third);
--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -10,9 +10,11 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use serde::Deserialize;
 use serde_json::error::Category;
 use serde_json::value::RawValue;
@@ -21,6 +23,7 @@
 use super::http::BodyError;
 use crate::domain::code::Code;
 use crate::domain::outcome::Answer;
+use crate::domain::query::Query;
 use crate::engine::LookupRequest;
 use crate::engine::Origin;
 use crate::engine::Worker;
@@ -89,7 +92,7 @@
     let request = LookupRequest {
         request: None,
         lookup,
-        query: Arc::from(query.as_bytes()),
+        query: Query::Json(Arc::from(query.as_bytes())),
         ticket: body.ticket,
         limit: body.deadline_ms.map(Duration::from_millis),
         origin: Origin::Caller,
@@ -101,8 +104,7 @@
 
 async fn read(request: Request<Incoming>, limits: RequestLimits) -> Result<(Body, String), Refused> {
     let (head, incoming) = request.into_parts();
-    let size: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    if size + head.uri.path().len() > limits.head {
+    if head_bytes(&head) > limits.head {
         return Err(Code::HeadTooLarge.into());
     }
     let lookup = head.uri.path().strip_prefix(LOOKUPS).filter(|name| !name.is_empty() && !name.contains('/'));
@@ -110,17 +112,7 @@
     if head.method != Method::POST {
         return Err(Code::WrongMethod.into());
     }
-    let expired = async {
-        Timer::after(limits.time).await;
-        None
-    };
-    let read = async { Some(http::read(incoming, limits.body).await) }.or(expired).await;
-    let bytes = match read {
-        None => return Err(Code::SlowBody.into()),
-        Some(Err(BodyError::TooLarge)) => return Err(Code::BodyTooLarge.into()),
-        Some(Err(BodyError::CutShort)) => return Err(Code::MalformedBody.into()),
-        Some(Ok(bytes)) => bytes,
-    };
+    let bytes = read_body(incoming, limits).await?;
     let body: Body = serde_json::from_slice(&bytes).map_err(|error| Refused {
         code: if error.classify() == Category::Data { Code::BadField } else { Code::MalformedBody },
         detail: error.to_string(),
@@ -131,6 +123,35 @@
     Ok((body, lookup))
 }
 
+/// Returns how many bytes a request's head takes, about.
+#[must_use]
+pub fn head_bytes(head: &Parts) -> usize {
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    headers.sum::<usize>() + head.uri.path().len()
+}
+
+/// Reads a whole body within the limits.
+///
+/// # Errors
+///
+/// Returns what the body breaks.
+pub async fn read_body(incoming: Incoming, limits: RequestLimits) -> Result<Bytes, Code> {
+    if incoming.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let expired = async {
+        Timer::after(limits.time).await;
+        None
+    };
+    let read = async { Some(http::read(incoming, limits.body).await) }.or(expired).await;
+    match read {
+        None => Err(Code::SlowBody),
+        Some(Err(BodyError::TooLarge)) => Err(Code::BodyTooLarge),
+        Some(Err(BodyError::CutShort)) => Err(Code::MalformedBody),
+        Some(Ok(bytes)) => Ok(bytes),
+    }
+}
+
 /// A request that was never taken ran nowhere.
 fn refuse(refused: &Refused) -> Answer {
     let mut answer = Answer::not_run("", refused.code, None);
--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -42,6 +42,12 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the connection can carry no more requests.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and awaits the head of its reply.
     ///
     /// # Errors
--- a/crates/harefield/src/adapters/operators/mod.rs
+++ b/crates/harefield/src/adapters/operators/mod.rs
@@ -85,8 +85,10 @@
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, incoming) = request.into_parts();
         let (method, path) = (head.method.clone(), head.uri.path().to_owned());
-        if (&method, path.as_str()) == (&Method::GET, "/") {
-            return http::html(PAGE);
+        match (&method, path.as_str()) {
+            (&Method::GET, "/") => return http::html(PAGE),
+            (&Method::GET, "/ready") => return self.ready(),
+            _ => {}
         }
         if !http::shows_token(&head.headers, self.token.as_deref()) {
             return http::refusal(Code::TokenRequired, "");
@@ -102,6 +104,19 @@
         }
     }
 
+    /// Says whether new connections of callers are welcome; asked by balancers,
+    /// which show no token.
+    fn ready(&self) -> Response<Full<Bytes>> {
+        let status = self.board.status();
+        if status.stopping {
+            return http::refusal(Code::Stopping, "");
+        }
+        if status.config.revision.is_none() {
+            return http::refusal(Code::NoConfiguration, "");
+        }
+        http::json(200, &status.config.revision)
+    }
+
     async fn get(&self, path: &str, query: &str) -> Response<Full<Bytes>> {
         match path {
             "/v1/status" => http::json(200, &*self.board.status()),
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -21,6 +21,7 @@
 use super::peers::ForwardReply;
 use super::peers::PULL_PATH;
 use crate::domain::code::Code;
+use crate::domain::query::Query;
 use crate::engine::LookupRequest;
 use crate::engine::Origin;
 use crate::engine::ToControl;
@@ -84,7 +85,7 @@
     let request = LookupRequest {
         request: Some(message.request),
         lookup: message.lookup,
-        query: message.query.into(),
+        query: Query::Json(message.query.into()),
         ticket: message.ticket,
         limit: Some(Duration::from_millis(message.remaining)),
         origin: Origin::Peer { host: message.from, stamp: message.stamp },
--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -126,7 +126,11 @@
         let path = format!("/v1/{}/watch?after={after}&wait-ms={}", space.name(), wait.as_millis());
         let changes: Option<Changes> = self.get(copy, &path, wait + READ_LIMIT).await?;
         Ok(match changes {
-            Some(changes) => Watched::Deltas(group(after, changes.changes)),
+            Some(changes) => {
+                let deltas = group(after, changes.changes);
+                let at = deltas.last().map_or(after, |delta| delta.revision);
+                Watched::Changes { deltas, at }
+            }
             None => Watched::Compacted,
         })
     }
--- a/crates/harefield/src/adapters/settings/load.rs
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -43,7 +43,10 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let name = path.display().to_string();
         match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&name, &text),
+            Ok(text) => {
+                let settings = Self::parse(&name, &text)?;
+                Ok(Self { source: Some(path.to_owned()), ..settings })
+            }
             Err(error) => {
                 let label = LabeledSpan::at(0..0, error.to_string());
                 Err(SettingsError {
--- a/crates/harefield/src/adapters/settings/mod.rs
+++ b/crates/harefield/src/adapters/settings/mod.rs
@@ -12,6 +12,7 @@
 pub use sections::LogSettings;
 pub use sections::MetricSettings;
 pub use sections::PeerSettings;
+pub use sections::PlatformKind;
 pub use sections::PlatformSettings;
 pub use sections::Routing;
 pub use sections::Settings;
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -1,7 +1,9 @@
 //! The sections of the settings file, with their defaults.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use serde::Deserialize;
 
@@ -32,6 +34,9 @@
     pub metrics: MetricSettings,
     /// What is logged.
     pub log: LogSettings,
+    /// The file that the settings came from.
+    #[serde(skip)]
+    pub source: Option<PathBuf>,
 }
 
 /// Where the host stands.
@@ -42,6 +47,8 @@
     pub zone: String,
     /// The region.
     pub region: String,
+    /// The region of each availability zone; empty where all is near.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 /// The addresses that are listened on; a port of 0 takes a free one.
@@ -63,12 +70,25 @@
     }
 }
 
+/// A kind of platform, with the protocols that go with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlatformKind {
+    /// The product's own protocols, `docs/PROTOCOLS.md`.
+    #[default]
+    Own,
+    /// The users' machines, `docs/PLATFORM.md`.
+    Store,
+}
+
 /// The platform's copies.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
 pub struct PlatformSettings {
     /// The addresses of its copies; at least one.
     pub addresses: Vec<SocketAddr>,
+    /// Which platform it is, and with it what callers and upstreams speak.
+    pub kind: PlatformKind,
     /// How long one watch waits, in milliseconds.
     pub watch_ms: u64,
     /// How many daemons of an availability zone hold the watch.
@@ -77,7 +97,7 @@
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self { addresses: Vec::new(), watch_ms: 20_000, readers: 2 }
+        Self { addresses: Vec::new(), kind: PlatformKind::Own, watch_ms: 20_000, readers: 2 }
     }
 }
 
@@ -93,11 +113,14 @@
     pub join_ms: u64,
     /// A file whose first line is the token that peers show each other.
     pub token_file: Option<PathBuf>,
+    /// How many daemons are taken to share the fleet's bounds before more are
+    /// known.
+    pub daemons: u32,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self { seeds: Vec::new(), exchange_ms: 1000, join_ms: 2000, token_file: None }
+        Self { seeds: Vec::new(), exchange_ms: 1000, join_ms: 2000, token_file: None, daemons: 1 }
     }
 }
 
@@ -146,6 +169,12 @@
     pub policy: Policy,
     /// Extra requests allowed for each needed one.
     pub extra_load: f64,
+    /// What the fleet may send to one service on top of that within ten
+    /// seconds, in requests; where set, budgets are kept for each service.
+    pub extra_slack: Option<f64>,
+    /// What is kept of a lookup's objective for the answer's way back, in
+    /// milliseconds.
+    pub margin_ms: u64,
     /// Whether slow requests are hedged.
     pub hedge: bool,
     /// A hedge is due after this many times the slow pace.
@@ -165,6 +194,8 @@
         Self {
             policy: Policy::Cost,
             extra_load: 0.05,
+            extra_slack: None,
+            margin_ms: 10,
             hedge: true,
             hedge_factor: 1.2,
             fixed_ms: None,
--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -1,10 +1,12 @@
-//! The upstreams by HTTP: one pool of connections a searcher, owned by one worker.
+//! The upstreams by HTTP: one pool of connections a searcher, owned by one
+//! worker; what is said on them is a [`Protocol`].
 
 mod pool;
 mod protocol;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt::Debug;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -14,44 +16,68 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
+use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 
 use self::pool::Pool;
-use self::protocol::answered;
-use self::protocol::lost;
-use self::protocol::make_request;
-use self::protocol::read_echo;
-use self::protocol::read_report;
-use self::protocol::refused;
-use self::protocol::unsent;
+use self::pool::Seat;
 use super::http;
 use super::http::Connection;
-use crate::domain::fanout::verify;
+use crate::domain::fanout::AttemptEnd;
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
 use crate::domain::routing::Report;
+use crate::domain::routing::Verdict;
 use crate::ports::Call;
 use crate::ports::CallEnd;
 use crate::ports::Place;
 use crate::ports::Upstreams;
 
+pub use self::protocol::OwnProtocol;
+
 /// The most bytes of one shard's reply.
 const MOST_REPLY: usize = 4 << 20;
 
+/// What a reply amounts to.
+#[derive(Debug)]
+pub struct Reading {
+    /// How the call ended.
+    pub end: CallEnd,
+    /// Whether the connection may carry another request.
+    pub keep: bool,
+}
+
+/// What is said to upstreams: requests made, replies read.
+pub trait Protocol: Clone + Debug + 'static {
+    /// Makes the request of a call.
+    fn request(&self, call: &Call) -> Request<Full<Bytes>>;
+
+    /// Reads a whole reply.
+    fn read(&self, call: &Call, reply: Response<Bytes>) -> Reading;
+
+    /// Reads what the head of a reply says of the upstream.
+    fn report(&self, headers: &HeaderMap) -> Report;
+
+    /// Makes the request by which an upstream is told that a reply is no
+    /// longer wanted; none where the protocol has no word for it.
+    fn cancel(&self, place: &Place, request: &str) -> Option<Request<Full<Bytes>>>;
+}
+
 /// Asks upstreams by HTTP.
 #[derive(Clone, Debug)]
-pub struct HttpUpstreams {
+pub struct HttpUpstreams<W> {
+    protocol: W,
     executor: Rc<LocalExecutor<'static>>,
     pools: Rc<RefCell<HashMap<UpstreamId, Pool>>>,
     opened: Rc<std::cell::Cell<u64>>,
 }
 
-impl HttpUpstreams {
+impl<W: Protocol> HttpUpstreams<W> {
     /// Creates the adapter of one worker, without connections.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
-        Self { executor, pools: Rc::default(), opened: Rc::default() }
+    pub fn new(protocol: W, executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self { protocol, executor, pools: Rc::default(), opened: Rc::default() }
     }
 
     /// Returns how many connections were opened.
@@ -63,62 +89,57 @@
     /// Sends on an idle connection first; one found dead before a byte was
     /// written is replaced by a new one.
     async fn converse(&self, call: &Call, permit: impl Fn() -> bool) -> CallEnd {
-        let mut request = make_request(call);
+        let mut request = self.protocol.request(call);
         loop {
-            let idle = self.take_idle(call);
+            let idle = self.take_idle(&call.place);
             let reused = idle.is_some();
             let opened = match idle {
-                Some(connection) => Ok(connection),
+                Some(held) => Ok(held),
                 None => self.open(&call.place, call.share).await,
             };
-            let mut connection = match opened {
-                Ok(connection) => connection,
+            let (seat, mut connection) = match opened {
+                Ok(held) => held,
                 Err(why) => return unsent(why),
             };
             if !permit() {
-                self.give_back(&call.place, connection);
+                seat.give_back(connection);
                 return unsent(Gap::Unconfirmed);
             }
             match connection.send(request).await {
-                Ok(reply) => return self.finish(call, connection, reply).await,
-                Err(Some(unwritten)) if reused => {
-                    self.release(&call.place);
-                    request = unwritten;
-                }
-                Err(Some(_unwritten)) => {
-                    self.release(&call.place);
-                    return unsent(Gap::Unreachable);
-                }
-                Err(None) => {
-                    self.release(&call.place);
-                    return lost(Gap::ReplyLost, Report::default());
-                }
+                Ok(reply) => return self.finish(call, seat, connection, reply).await,
+                Err(Some(unwritten)) if reused => request = unwritten,
+                Err(Some(_unwritten)) => return unsent(Gap::Unreachable),
+                Err(None) => return lost(Gap::ReplyLost, Report::default()),
             }
         }
     }
 
-    async fn finish(&self, call: &Call, connection: Connection, reply: Response<Incoming>) -> CallEnd {
+    async fn finish(
+        &self,
+        call: &Call,
+        seat: Seat,
+        connection: Connection,
+        reply: Response<Incoming>,
+    ) -> CallEnd {
         let (head, body) = reply.into_parts();
-        let report = read_report(&head.headers);
-        let whole = http::read(body, MOST_REPLY).await;
-        let Ok(whole) = whole else {
-            self.release(&call.place);
-            return lost(Gap::ReplyLost, report);
+        let Ok(whole) = http::read(body, MOST_REPLY).await else {
+            return lost(Gap::ReplyLost, self.protocol.report(&head.headers));
         };
-        let echoed = read_echo(&head.headers);
-        if let Err(gap) = verify(&call.echo, echoed.as_ref()) {
-            self.release(&call.place);
-            return lost(gap, report);
-        }
-        self.give_back(&call.place, connection);
-        if head.status == StatusCode::OK {
-            return answered(&whole, report);
+        let closes = closes(&head.headers);
+        let reading = self.protocol.read(call, Response::from_parts(head, whole));
+        if reading.keep && !closes {
+            seat.give_back(connection);
         }
-        refused(&head.headers, report)
+        reading.end
     }
 }
 
-impl Upstreams for HttpUpstreams {
+fn closes(headers: &HeaderMap) -> bool {
+    let said = headers.get(hyper::header::CONNECTION).and_then(|value| value.to_str().ok());
+    said.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
+
+impl<W: Protocol> Upstreams for HttpUpstreams<W> {
     async fn ask(&self, call: Call, permit: impl Fn() -> bool) -> CallEnd {
         let limit = call.remaining + call.drain;
         let expired = async {
@@ -126,39 +147,25 @@
             None
         };
         let ended = async { Some(self.converse(&call, permit).await) }.or(expired).await;
-        ended.unwrap_or_else(|| {
-            self.release(&call.place);
-            lost(Gap::ReplyLost, Report::default())
-        })
+        ended.unwrap_or_else(|| lost(Gap::ReplyLost, Report::default()))
     }
 
     fn cancel(&self, upstream: &UpstreamId, request: &str) {
-        let taken = {
-            let mut pools = self.pools.borrow_mut();
-            let Some(pool) = pools.get_mut(upstream) else {
-                return;
-            };
-            pool.idle.pop().map(|connection| (connection, pool.address))
-        };
-        let Some((mut connection, address)) = taken else {
+        let Some(address) = self.pools.borrow().get(upstream).map(|pool| pool.address) else {
             return;
         };
         let place = Place { upstream: Arc::clone(upstream), address };
-        let path = format!("/v1/requests/{request}");
-        let this = self.clone();
+        let Some(message) = self.protocol.cancel(&place, request) else {
+            return;
+        };
+        let Some((seat, mut connection)) = self.take_idle(&place) else {
+            return;
+        };
         let send = async move {
-            let request = Request::delete(path).header("host", address.to_string());
-            let Ok(request) = request.body(Full::default()) else {
-                return;
-            };
-            let kept = match connection.send(request).await {
-                Ok(reply) => http::read(reply.into_body(), MOST_REPLY).await.is_ok(),
-                Err(_) => false,
-            };
-            if kept {
-                this.give_back(&place, connection);
-            } else {
-                this.release(&place);
+            if let Ok(reply) = connection.send(message).await
+                && http::read(reply.into_body(), MOST_REPLY).await.is_ok()
+            {
+                seat.give_back(connection);
             }
         };
         self.executor.spawn(send).detach();
@@ -172,8 +179,8 @@
         let open = async move {
             let opened = this.open(&place, share).await;
             this.with_pool(&place, |pool| pool.warmed(opened.is_ok()));
-            if let Ok(connection) = opened {
-                this.give_back(&place, connection);
+            if let Ok((seat, connection)) = opened {
+                seat.give_back(connection);
             }
         };
         self.executor.spawn(open).detach();
@@ -184,3 +191,21 @@
         self.pools.borrow().get(upstream).map_or(0, |pool| pool.idle.len())
     }
 }
+
+/// Makes the end of a call of which nothing was written.
+#[must_use]
+pub fn unsent(why: Gap) -> CallEnd {
+    let verdict = match why {
+        Gap::Overloaded => Verdict::Full(None),
+        Gap::Unconfirmed => Verdict::Declined,
+        _ => Verdict::Broken,
+    };
+    CallEnd { end: AttemptEnd::NotSent { why }, verdict, report: Report::default() }
+}
+
+/// Makes the end of a call that was written and brought no usable reply.
+#[must_use]
+pub fn lost(why: Gap, report: Report) -> CallEnd {
+    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Broken };
+    CallEnd { end: AttemptEnd::Lost { why }, verdict, report }
+}
--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -1,15 +1,19 @@
 //! The connections to each upstream, within its share.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::HttpUpstreams;
+use super::Protocol;
 use crate::adapters::http;
 use crate::adapters::http::Connection;
+use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
-use crate::ports::Call;
 use crate::ports::Place;
 
 /// How long opening a connection may take.
@@ -22,6 +26,8 @@
 /// The longest such pause.
 const LONGEST_COOLING: Duration = Duration::from_secs(8);
 
+type Pools = Rc<RefCell<HashMap<UpstreamId, Pool>>>;
+
 /// The connections to one upstream.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -55,17 +61,58 @@
     }
 }
 
-impl HttpUpstreams {
-    pub(super) fn take_idle(&self, call: &Call) -> Option<Connection> {
+/// A place that a connection takes up at its upstream, given up when dropped
+/// unless the connection was given back for reuse.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pools: Pools,
+    place: Place,
+    kept: bool,
+}
+
+impl Seat {
+    /// Keeps the connection for the next request.
+    pub(super) fn give_back(mut self, connection: Connection) {
+        self.kept = change(&self.pools, &self.place, |pool| pool.idle.push(connection));
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if !self.kept {
+            change(&self.pools, &self.place, |pool| pool.open = pool.open.saturating_sub(1));
+        }
+    }
+}
+
+/// Changes the pool of a place, unless it has moved to another address;
+/// returns whether it did.
+fn change(pools: &Pools, place: &Place, change: impl FnOnce(&mut Pool)) -> bool {
+    let mut pools = pools.borrow_mut();
+    match pools.get_mut(&place.upstream).filter(|pool| pool.address == place.address) {
+        Some(pool) => {
+            change(pool);
+            true
+        }
+        None => false,
+    }
+}
+
+impl<W: Protocol> HttpUpstreams<W> {
+    fn seat(&self, place: &Place) -> Seat {
+        Seat { pools: Rc::clone(&self.pools), place: place.clone(), kept: false }
+    }
+
+    pub(super) fn take_idle(&self, place: &Place) -> Option<(Seat, Connection)> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(&call.place.upstream)?;
-        if pool.address != call.place.address {
+        let pool = pools.get_mut(&place.upstream)?;
+        if pool.address != place.address {
             pool.idle.clear();
             return None;
         }
         while let Some(connection) = pool.idle.pop() {
             if connection.is_ready() {
-                return Some(connection);
+                return Some((self.seat(place), connection));
             }
             pool.open = pool.open.saturating_sub(1);
         }
@@ -73,7 +120,7 @@
     }
 
     /// Reserves a place for one more connection within the share.
-    pub(super) fn reserve(&self, place: &Place, share: u32) -> bool {
+    fn reserve(&self, place: &Place, share: u32) -> Option<Seat> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(Arc::clone(&place.upstream)).or_insert_with(|| Pool::new(place.address));
         if pool.address != place.address {
@@ -81,30 +128,24 @@
         }
         let room = pool.open < share;
         pool.open += u32::from(room);
-        room
+        room.then(|| self.seat(place))
     }
 
     /// Changes the pool of a place, unless it has moved to another address.
-    pub(super) fn with_pool(&self, place: &Place, change: impl FnOnce(&mut Pool)) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&place.upstream)
-            && pool.address == place.address
-        {
-            change(pool);
-        }
-    }
-
-    pub(super) fn release(&self, place: &Place) {
-        self.with_pool(place, |pool| pool.open = pool.open.saturating_sub(1));
+    pub(super) fn with_pool(&self, place: &Place, with: impl FnOnce(&mut Pool)) {
+        change(&self.pools, place, with);
     }
 
-    pub(super) fn give_back(&self, place: &Place, connection: Connection) {
-        self.with_pool(place, |pool| pool.idle.push(connection));
-    }
-
-    /// Returns how many connections are idle or being opened ahead of need.
+    /// Returns how many connections are idle or being opened ahead of need;
+    /// idle ones that the upstream closed are forgotten.
     pub(super) fn ready(&self, place: &Place) -> usize {
-        let pools = self.pools.borrow();
-        pools.get(&place.upstream).map_or(0, |pool| pool.idle.len() + pool.warming)
+        let mut pools = self.pools.borrow_mut();
+        let Some(pool) = pools.get_mut(&place.upstream) else { return 0 };
+        let before = pool.idle.len();
+        pool.idle.retain(|connection| !connection.is_closed());
+        let closed = u32::try_from(before - pool.idle.len()).unwrap_or(u32::MAX);
+        pool.open = pool.open.saturating_sub(closed);
+        pool.idle.len() + pool.warming
     }
 
     /// Notes that a connection is opened ahead of need, where the share has room.
@@ -117,19 +158,11 @@
         room
     }
 
-    pub(super) async fn open(&self, place: &Place, share: u32) -> Result<Connection, Gap> {
-        if !self.reserve(place, share) {
-            return Err(Gap::Overloaded);
-        }
-        match http::connect(&self.executor, place.address, CONNECT_LIMIT).await {
-            Ok(connection) => {
-                self.opened.set(self.opened.get() + 1);
-                Ok(connection)
-            }
-            Err(_unopened) => {
-                self.release(place);
-                Err(Gap::Unreachable)
-            }
-        }
+    pub(super) async fn open(&self, place: &Place, share: u32) -> Result<(Seat, Connection), Gap> {
+        let seat = self.reserve(place, share).ok_or(Gap::Overloaded)?;
+        let opened = http::connect(&self.executor, place.address, CONNECT_LIMIT).await;
+        let connection = opened.map_err(|_unopened| Gap::Unreachable)?;
+        self.opened.set(self.opened.get() + 1);
+        Ok((seat, connection))
     }
 }
--- a/crates/harefield/src/adapters/upstreams/protocol.rs
+++ b/crates/harefield/src/adapters/upstreams/protocol.rs
@@ -1,16 +1,24 @@
-//! The upstreams' protocol: headers to and from; `docs/PROTOCOLS.md` has it.
+//! The product's own protocol to upstreams: JSON, and headers to and from;
+//! `docs/PROTOCOLS.md` has it.
 
 use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::header::HeaderMap;
 use serde_json::value::RawValue;
 
+use super::Protocol;
+use super::Reading;
+use super::lost;
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::Echo;
+use crate::domain::fanout::verify;
 use crate::domain::outcome::Gap;
+use crate::domain::reply::Reply;
 use crate::domain::routing::Load;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
@@ -18,10 +26,43 @@
 use crate::domain::word::WordStamp;
 use crate::ports::Call;
 use crate::ports::CallEnd;
+use crate::ports::Place;
 
-pub(super) fn make_request(call: &Call) -> Request<Full<Bytes>> {
+/// The product's own protocol.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnProtocol;
+
+impl Protocol for OwnProtocol {
+    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        make_request(call)
+    }
+
+    fn read(&self, call: &Call, reply: Response<Bytes>) -> Reading {
+        let report = read_report(reply.headers());
+        if let Err(gap) = verify(&call.echo, read_echo(reply.headers()).as_ref()) {
+            return Reading { end: lost(gap, report), keep: false };
+        }
+        let end = if reply.status() == StatusCode::OK {
+            answered(reply.body(), report)
+        } else {
+            refused(reply.headers(), report)
+        };
+        Reading { end, keep: true }
+    }
+
+    fn report(&self, headers: &HeaderMap) -> Report {
+        read_report(headers)
+    }
+
+    fn cancel(&self, place: &Place, request: &str) -> Option<Request<Full<Bytes>>> {
+        let message = Request::delete(format!("/v1/requests/{request}"));
+        message.header("host", place.address.to_string()).body(Full::default()).ok()
+    }
+}
+
+fn make_request(call: &Call) -> Request<Full<Bytes>> {
     let remaining = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
-    let mut request = Request::new(Full::from(Bytes::copy_from_slice(&call.query)));
+    let mut request = Request::new(Full::from(Bytes::copy_from_slice(call.query.json())));
     *request.method_mut() = hyper::Method::POST;
     if let Ok(path) = format!("/v1/shards/{}", call.echo.shard).parse() {
         *request.uri_mut() = path;
@@ -49,7 +90,7 @@
     headers.get(name)?.to_str().ok()
 }
 
-pub(super) fn read_echo(headers: &HeaderMap) -> Option<Echo> {
+fn read_echo(headers: &HeaderMap) -> Option<Echo> {
     Some(Echo {
         request: text(headers, "harefield-request")?.to_owned(),
         shard: text(headers, "harefield-shard")?.to_owned(),
@@ -57,7 +98,7 @@
     })
 }
 
-pub(super) fn read_report(headers: &HeaderMap) -> Report {
+fn read_report(headers: &HeaderMap) -> Report {
     Report { load: read_load(headers), word: read_word(headers) }
 }
 
@@ -75,15 +116,17 @@
     Some(Word { stamp, draining, held })
 }
 
-pub(super) fn answered(body: &Bytes, report: Report) -> CallEnd {
+fn answered(body: &Bytes, report: Report) -> CallEnd {
     match serde_json::from_slice::<Box<RawValue>>(body) {
-        Ok(reply) => CallEnd { end: AttemptEnd::Answered(reply), verdict: Verdict::Good, report },
+        Ok(reply) => {
+            CallEnd { end: AttemptEnd::Answered(Reply::Json(reply)), verdict: Verdict::Good, report }
+        }
         Err(_malformed) => lost(Gap::Failed, report),
     }
 }
 
 /// Reads a refusal; one that does not say that it had not begun may have run.
-pub(super) fn refused(headers: &HeaderMap, report: Report) -> CallEnd {
+fn refused(headers: &HeaderMap, report: Report) -> CallEnd {
     let begun = text(headers, "harefield-begun") != Some("false");
     let wait = text(headers, "harefield-retry-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
     let (why, verdict) = match text(headers, "harefield-refused") {
@@ -96,17 +139,3 @@
     };
     CallEnd { end: AttemptEnd::Refused { why, begun }, verdict, report }
 }
-
-pub(super) fn unsent(why: Gap) -> CallEnd {
-    let verdict = match why {
-        Gap::Overloaded => Verdict::Full(None),
-        Gap::Unconfirmed => Verdict::Declined,
-        _ => Verdict::Broken,
-    };
-    CallEnd { end: AttemptEnd::NotSent { why }, verdict, report: Report::default() }
-}
-
-pub(super) fn lost(why: Gap, report: Report) -> CallEnd {
-    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Broken };
-    CallEnd { end: AttemptEnd::Lost { why }, verdict, report }
-}
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -94,6 +94,10 @@
     pub(super) board: Arc<Board>,
     pub(super) joined: Cell<bool>,
     pub(super) confirming: Cell<bool>,
+    /// Daemons to ask besides those that are known.
+    pub(super) seeds: RefCell<Vec<HostId>>,
+    /// The revision of the platform up to which nothing is missing here.
+    pub(super) cursor: Cell<Revision>,
 }
 
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
@@ -108,6 +112,7 @@
         board: Arc<Board>,
     ) -> Rc<Self> {
         let members = Membership::new(settings.own.clone());
+        let seeds = RefCell::new(settings.seeds.clone());
         Rc::new(Self {
             settings,
             ports,
@@ -124,6 +129,8 @@
             board,
             joined: Cell::new(false),
             confirming: Cell::new(false),
+            seeds,
+            cursor: Cell::new(0),
         })
     }
 
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -71,7 +71,7 @@
     pub(super) fn draw_peers(&self, count: usize) -> Vec<HostId> {
         let mut peers = self.members.borrow().peers();
         let listed = self.list.borrow().daemons();
-        let known: Vec<HostId> = self.settings.seeds.iter().chain(&listed).map(Arc::clone).collect();
+        let known: Vec<HostId> = self.seeds.borrow().iter().chain(&listed).map(Arc::clone).collect();
         for host in known {
             if host != self.settings.own.host && !peers.contains(&host) {
                 peers.push(host);
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -33,6 +33,7 @@
             }
             ToControl::Woke => self.start_confirming(),
             ToControl::Silent(host) => self.unanswered(&host),
+            ToControl::Seeds(seeds) => *self.seeds.borrow_mut() = seeds,
             ToControl::Stop => {
                 self.members.borrow_mut().leave();
                 self.tell(&ToWorker::Stop);
--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -58,7 +58,7 @@
                 warn!("platform copy {copy}: {error}");
                 return;
             }
-            if !self.settings.seeds.is_empty() {
+            if !self.seeds.borrow().is_empty() {
                 return;
             }
             self.ports.clock.sleep(AGAIN).await;
@@ -71,7 +71,8 @@
         }
         let listed = self.list.borrow().daemons();
         let known = self.members.borrow().peers();
-        let all = self.settings.seeds.iter().chain(&listed).chain(&known);
+        let seeds = self.seeds.borrow();
+        let all = seeds.iter().chain(&listed).chain(&known);
         let other = |host: &&HostId| **host != self.settings.own.host && !asked.contains(*host);
         all.into_iter().find(other).map(Arc::clone)
     }
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -10,6 +10,7 @@
 
 use super::duty::Control;
 use crate::domain::cell::weight;
+use crate::domain::feed::Delta;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Revision;
 use crate::domain::membership::PeerState;
@@ -32,6 +33,10 @@
 /// platform.
 const BLIND_AFTER: u32 = 2;
 
+/// The pause after news before the watch is held again: upstreams that register
+/// one by one then come together, and each call costs.
+const FOLD_PAUSE: Duration = Duration::from_millis(150);
+
 /// How often a daemon that is not a reader looks whether it has become one.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
@@ -98,10 +103,14 @@
     }
 
     async fn read_once(self: &Rc<Self>, copy: SocketAddr, space: Space) -> Result<(), PlatformError> {
-        match self.seen(space) {
-            None => self.list(copy, space).await,
-            Some(after) => self.watch(copy, space, after, self.settings.watch).await,
+        let Some(seen) = self.seen(space) else {
+            return self.list(copy, space).await;
+        };
+        self.watch(copy, space, seen, self.settings.watch).await?;
+        if self.seen(space) > Some(seen) {
+            self.ports.clock.sleep(FOLD_PAUSE).await;
         }
+        Ok(())
     }
 
     fn seen(&self, space: Space) -> Option<Revision> {
@@ -147,10 +156,14 @@
         after: Revision,
         wait: Duration,
     ) -> Result<(), PlatformError> {
+        let after = match space {
+            Space::Config => after.max(self.cursor.get()),
+            Space::Hosts => after,
+        };
         match self.ports.platform.watch(copy, space, after, wait).await? {
             Watched::Compacted => self.list(copy, space).await,
-            Watched::Deltas(deltas) => {
-                for delta in &deltas {
+            Watched::Changes { deltas, at } => {
+                for delta in &rebase(deltas, self.seen(space)) {
                     match space {
                         Space::Config => {
                             let offer = self.config.borrow_mut().offer(delta);
@@ -164,20 +177,40 @@
                         }
                     }
                 }
+                self.looked(space, at);
                 Ok(())
             }
         }
     }
+
+    /// Notes that nothing else has changed up to a revision, if what changed
+    /// before it was taken.
+    fn looked(&self, space: Space, at: Revision) {
+        if space == Space::Config {
+            self.cursor.set(self.cursor.get().max(at));
+        }
+    }
+}
+
+/// Puts watched changes on top of what is held: a daemon may have heard of the
+/// first of them elsewhere, and revisions that changed nothing are left out.
+fn rebase(mut deltas: Vec<Delta>, held: Option<Revision>) -> Vec<Delta> {
+    deltas.retain(|delta| Some(delta.revision) > held);
+    if let (Some(first), Some(held)) = (deltas.first_mut(), held) {
+        first.base = held;
+    }
+    deltas
 }
 
 /// Applies watched changes to a listing whose pages differ in revision.
 fn catch_up(listing: &mut Listing, watched: Watched) -> Result<(), PlatformError> {
-    let Watched::Deltas(deltas) = watched else {
+    let Watched::Changes { deltas, at } = watched else {
         return Err(PlatformError::Malformed("changes are gone while listing".to_owned()));
     };
-    if deltas.is_empty() {
+    if deltas.is_empty() && at <= listing.first {
         return Err(PlatformError::Malformed("a page is newer than all changes".to_owned()));
     }
+    let reached = at;
     for delta in deltas {
         for change in delta.changes {
             match change.value {
@@ -187,6 +220,7 @@
         }
         listing.first = delta.revision;
     }
+    listing.first = listing.first.max(reached);
     Ok(())
 }
 
--- a/crates/harefield/src/daemon/mod.rs
+++ b/crates/harefield/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 
 mod accept;
 mod context;
+mod edge;
 mod operators;
 mod start;
 mod threads;
--- a/crates/harefield/src/daemon/operators.rs
+++ b/crates/harefield/src/daemon/operators.rs
@@ -56,7 +56,10 @@
             let board = Arc::clone(&context.board);
             let traffic = context.traffic.clone();
             let handle = |request| {
-                board.status().control_bytes = traffic.total();
+                let mut status = board.status();
+                status.control_bytes = traffic.total();
+                status.stopping = context.stop.is_closed();
+                drop(status);
                 operators.handle(request)
             };
             // Operators may watch the stop itself, so it does not end them.
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -24,12 +24,16 @@
 use super::accept;
 use super::context::Addresses;
 use super::context::Context;
+use super::edge::Edge;
+use super::edge::OwnEdge;
+use super::edge::StoreEdge;
 use super::operators;
 use super::threads;
 use crate::adapters::clock::SystemClock;
 use crate::adapters::http::Traffic;
 use crate::adapters::logs;
 use crate::adapters::metrics::Metrics;
+use crate::adapters::settings::PlatformKind;
 use crate::adapters::settings::Settings;
 use crate::adapters::settings::read_token;
 use crate::domain::code::Code;
@@ -112,20 +116,46 @@
     let host: HostId = addresses.peers.to_string().into();
     logs::start(settings.log.level, Arc::clone(&host))
         .unwrap_or_else(|_started| warn!("logging was started before"));
-    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = signals.map_err(|source| DaemonError::System { what: "signals".to_owned(), source })?;
     let (stop_sender, stop) = async_channel::bounded(1);
     let (control, inbox) = async_channel::bounded(INBOX);
     let (telemetry, batches) = telemetry::ring();
     let context = make_context(settings, addresses, host, stop, control, telemetry)?;
-    let workers = start_threads(&context, listeners, inbox, batches)?;
+    let workers = match context.settings.platform.kind {
+        PlatformKind::Own => start_threads::<OwnEdge>(&context, listeners, inbox, batches)?,
+        PlatformKind::Store => start_threads::<StoreEdge>(&context, listeners, inbox, batches)?,
+    };
     note(&context, Event::Started { version: env!("CARGO_PKG_VERSION").to_owned() });
     ready(&addresses);
     info!("ready: callers {}, peers {}", addresses.callers, addresses.peers);
-    async_io::block_on(signals.next());
+    async_io::block_on(await_stop(&context, &mut signals));
     Ok(conduct_stop(&context, &stop_sender, &workers, signals))
 }
 
+/// Waits for a planned stop; takes changed settings meanwhile.
+async fn await_stop(context: &Context, signals: &mut Signals) {
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        reload(context);
+    }
+}
+
+/// Takes what may change while a daemon runs: the daemons to ask.
+fn reload(context: &Context) {
+    let Some(path) = &context.settings.source else {
+        return;
+    };
+    match Settings::load(path) {
+        Ok(settings) => {
+            let seeds: Vec<HostId> =
+                settings.peers.seeds.iter().map(|seed| seed.to_string().into()).collect();
+            info!("settings read again: {} daemons to ask", seeds.len());
+            drop(context.control.try_send(ToControl::Seeds(seeds)));
+        }
+        Err(error) => warn!("the changed settings are not valid and the old ones stay: {error}"),
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address).map_err(|source| DaemonError::Bind { address, source })
 }
@@ -173,7 +203,7 @@
 }
 
 /// Starts every duty's thread; returns those that a planned stop waits for.
-fn start_threads(
+fn start_threads<E: Edge>(
     context: &Context,
     listeners: Listeners,
     inbox: Receiver<ToControl>,
@@ -203,13 +233,13 @@
         let own = context.clone();
         let name = format!("worker-{number}");
         waited.push(spawn(&name, move || {
-            threads::run_worker(&own, number, &connections, heard);
+            threads::run_worker::<E>(&own, number, &connections, heard);
         })?);
     }
     let (joined, wait) = async_channel::bounded(1);
     let own = context.clone();
     spawn("control", move || {
-        threads::run_control(&own, messages, inbox, joined);
+        threads::run_control::<E>(&own, messages, inbox, joined);
     })?;
     let own = context.clone();
     let (callers, peers) = (listeners.callers, listeners.peers);
@@ -244,7 +274,8 @@
     let limit = context.settings.stop_limit();
     let ended = |workers: &[JoinHandle<()>]| workers.iter().all(JoinHandle::is_finished);
     while !ended(workers) {
-        let again = async_io::block_on(future::poll_once(signals.next())).is_some();
+        let signal = async_io::block_on(future::poll_once(signals.next()));
+        let again = signal.is_some_and(|signal| !matches!(signal, Some(Ok(Signal::Hup))));
         if again || begun.elapsed() > limit {
             warn!("the stop ends with {} connections open", running());
             note(context, Event::StopEnded { cut: running() });
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -15,14 +15,14 @@
 use super::context::Arrived;
 use super::context::Context;
 use super::context::Side;
-use crate::adapters::callers;
+use super::edge::Edge;
+use super::edge::HttpWorker;
 use crate::adapters::callers::RequestLimits;
 use crate::adapters::clock::SystemClock;
 use crate::adapters::http;
 use crate::adapters::peer_server;
 use crate::adapters::peer_server::PeerServer;
 use crate::adapters::peers::HttpPeers;
-use crate::adapters::platform::HttpPlatform;
 use crate::adapters::upstreams::HttpUpstreams;
 use crate::control::Control;
 use crate::control::ControlPorts;
@@ -30,14 +30,13 @@
 use crate::domain::admission::GateLimits;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
+use crate::domain::routing::Places;
 use crate::engine::Ports;
 use crate::engine::ToControl;
 use crate::engine::ToWorker;
 use crate::engine::Worker;
 use crate::engine::WorkerSettings;
 
-type HttpWorker = Worker<HttpUpstreams, HttpPeers, SystemClock>;
-
 /// How often a stopping worker looks whether all is done.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
@@ -53,14 +52,14 @@
 }
 
 /// Runs a worker until a planned stop has let its requests end.
-pub(super) fn run_worker(
+pub(super) fn run_worker<E: Edge>(
     context: &Context,
     number: usize,
     arrivals: &Receiver<Arrived>,
     messages: Receiver<ToWorker>,
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let upstreams = HttpUpstreams::new(Rc::clone(&executor));
+    let upstreams = HttpUpstreams::new(E::protocol(), Rc::clone(&executor));
     let peers = HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone());
     let ports = Ports { upstreams: upstreams.clone(), peers, clock: SystemClock };
     let worker = Worker::new(
@@ -76,15 +75,15 @@
     executor.spawn(Rc::clone(&worker).keep_warm()).detach();
     let board = Arc::clone(&context.board);
     executor.spawn(Rc::clone(&worker).report(board, move || upstreams.opened())).detach();
-    async_io::block_on(executor.run(take_connections(context, &executor, &worker, arrivals)));
+    async_io::block_on(executor.run(take_connections::<E>(context, &executor, &worker, arrivals)));
 }
 
 /// Serves connections until the accept thread ends, then waits for requests
 /// and connections in progress.
-async fn take_connections(
+async fn take_connections<E: Edge>(
     context: &Context,
     executor: &Rc<LocalExecutor<'static>>,
-    worker: &Rc<HttpWorker>,
+    worker: &Rc<HttpWorker<E::Protocol>>,
     arrivals: &Receiver<Arrived>,
 ) {
     let open = Rc::new(std::cell::Cell::new(0_usize));
@@ -92,7 +91,7 @@
         let (context, worker, open) = (context.clone(), Rc::clone(worker), Rc::clone(&open));
         open.set(open.get() + 1);
         let serving = async move {
-            serve(&context, worker, arrived).await;
+            serve::<E>(&context, worker, arrived).await;
             open.set(open.get() - 1);
         };
         executor.spawn(serving).detach();
@@ -102,7 +101,7 @@
     }
 }
 
-async fn serve(context: &Context, worker: Rc<HttpWorker>, arrived: Arrived) {
+async fn serve<E: Edge>(context: &Context, worker: Rc<HttpWorker<E::Protocol>>, arrived: Arrived) {
     let _open = Open { context };
     let Ok(stream) = Async::<TcpStream>::new(arrived.stream) else {
         return;
@@ -111,7 +110,7 @@
     match arrived.side {
         Side::Callers => {
             let limited = request_limits(context);
-            let handle = |request| callers::handle(Rc::clone(&worker), request, limited);
+            let handle = |request| E::answer(Rc::clone(&worker), request, limited);
             http::serve(stream, limits, stop, linger, handle).await;
         }
         Side::Peers => {
@@ -146,6 +145,10 @@
         gate: GateLimits { running: settings.limits.running, waiting: settings.limits.waiting },
         policy: routing.policy,
         extra: routing.extra_load,
+        slack: routing.extra_slack,
+        daemons: settings.peers.daemons,
+        places: Places { zone: settings.host.zone.as_str().into(), regions: settings.host.regions.clone() },
+        margin: Duration::from_millis(routing.margin_ms),
         hedge: routing.hedge.then_some(routing.hedge_factor),
         fixed: routing.fixed_ms.map(Duration::from_millis),
         drain: Duration::from_millis(routing.drain_ms),
@@ -155,7 +158,7 @@
 }
 
 /// Runs the control duty until the daemon ends.
-pub(super) fn run_control(
+pub(super) fn run_control<E: Edge>(
     context: &Context,
     workers: Vec<Sender<ToWorker>>,
     inbox: Receiver<ToControl>,
@@ -163,7 +166,7 @@
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let ports = ControlPorts {
-        platform: HttpPlatform::new(Rc::clone(&executor), context.traffic.clone()),
+        platform: E::platform(Rc::clone(&executor), context.traffic.clone()),
         peers: HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone()),
         clock: SystemClock,
     };
--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -13,14 +13,20 @@
 
 use super::ids::HostId;
 use super::ids::UpstreamId;
+use super::ids::shard_id;
 use super::resources::Index;
 use super::resources::ResourceSet;
+use super::resources::Upstream;
 use super::view::Cells;
 
 /// The share of an upstream's connections that cells use, in percent; the rest
 /// is room for the old and the new cell while views differ.
 const USED_PERCENT: usize = 90;
 
+/// The connections that an upstream is taken to take where nobody says: the
+/// least that the users' upstreams take today.
+const UNSAID_CONNECTIONS: u32 = 25;
+
 /// How large cells may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CellSize {
@@ -46,8 +52,25 @@
 #[must_use]
 pub fn index_upstreams<'a>(set: &'a ResourceSet, index: &Index) -> HashSet<&'a UpstreamId> {
     let services: HashSet<&Arc<str>> = index.snapshots.iter().flat_map(|s| s.shards.keys()).collect();
-    let services = services.into_iter().filter_map(|name| set.services.get(name));
-    services.flat_map(|service| service.shards.values().flatten()).collect()
+    let mut names = HashSet::new();
+    for (name, service) in services.into_iter().filter_map(|name| set.services.get_key_value(name)) {
+        for shard in service.shards.keys() {
+            names.extend(set.replicas(&shard_id(name, shard)));
+        }
+    }
+    names
+}
+
+/// Returns how many connections an upstream takes: by its own word, or else
+/// the least of what the services say that it holds shards of.
+#[must_use]
+pub fn connections(set: &ResourceSet, upstream: &Upstream) -> u32 {
+    if upstream.connections > 0 {
+        return upstream.connections;
+    }
+    let services = upstream.holds.iter().filter_map(|shard| shard.split_once('/'));
+    let said = services.filter_map(|(service, _)| set.services.get(service)?.connections);
+    said.min().unwrap_or(UNSAID_CONNECTIONS).max(1)
 }
 
 /// Returns the size of each index's cell.
@@ -94,7 +117,7 @@
 
 fn index_size(set: &ResourceSet, index: &Index, size: CellSize) -> usize {
     let limits = index_upstreams(set, index).into_iter().filter_map(|name| set.upstreams.get(name));
-    let least = limits.map(|u| usize::try_from(u.connections).unwrap_or(usize::MAX)).min();
+    let least = limits.map(|u| usize::try_from(connections(set, u)).unwrap_or(usize::MAX)).min();
     let fits =
         least.unwrap_or(usize::MAX) / 100 * USED_PERCENT + least.unwrap_or(0) % 100 * USED_PERCENT / 100;
     (fits / size.wanted.max(1)).clamp(1, size.most.max(1))
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -68,6 +68,8 @@
     TicketGone = 3003, 504, "may have run: the daemon that the ticket names is gone";
     PeerSilent = 3004, 504, "may have run: a daemon was sent the request and did not answer";
     OutcomeForgotten = 3005, 504, "may have run: the ticket was used and its outcome is no longer held";
+    TooFewShards = 3006, 504, "ran in part: fewer shards contributed than the lookup asks for";
+    UpstreamFailed = 3007, 502, "ran: the upstream replied that it failed";
     ResourceMalformed = 4001, 422, "a resource is not valid JSON of its kind";
     ResourceUnknownKind = 4002, 422, "a key names no kind of resource";
     ResourceReference = 4003, 422, "a resource names another that does not exist";
--- a/crates/harefield/src/domain/fanout/cut.rs
+++ b/crates/harefield/src/domain/fanout/cut.rs
@@ -1,8 +1,10 @@
 //! When the answer is given although shards are missing.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::domain::ratio;
 use crate::domain::resources::Preference;
 
 /// A time-first answer is cut early once this share of the shards, in percent,
@@ -15,6 +17,8 @@
 /// The rules that one request is answered by.
 #[derive(Clone, Debug)]
 pub struct Rules {
+    /// The kind of request, for its pace.
+    pub kind: Arc<str>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// Whether time or coverage goes first.
@@ -27,21 +31,43 @@
     pub hedge: Option<f64>,
     /// A fixed delay before hedges instead; a baseline for measurements.
     pub fixed: Option<Duration>,
+    /// When an answer that has enough shards is given, though others are
+    /// awaited; none for the preference's own rule.
+    pub objective: Option<Instant>,
+    /// The least share of the shards that makes an answer.
+    pub least_share: f64,
+    /// The most attempts on one shard, probes aside.
+    pub attempts: u32,
 }
 
+/// The most attempts on one shard where the lookup names no number.
+pub const MOST_ATTEMPTS: u32 = 6;
+
 impl Rules {
     /// Returns when the answer is cut, given how many of `total` shards have
     /// contributed.
     ///
+    /// Where an objective is set, that is the objective once enough shards are in.
     /// Where coverage goes first, or the request runs only once, that is the
     /// deadline. Where time goes first, waiting for the last stragglers ends
     /// half-way, once nearly all shards have contributed.
     #[must_use]
     pub fn cut_at(&self, contributed: usize, total: usize) -> Instant {
+        if let Some(objective) = self.objective {
+            let enough = contributed >= self.least(total);
+            return if enough { objective.min(self.deadline) } else { self.deadline };
+        }
         let enough = contributed * 100 >= total * ENOUGH_PERCENT;
         if self.prefer == Preference::Time && self.repeatable && enough {
             return self.start + self.deadline.saturating_duration_since(self.start) / EARLY_PART;
         }
         self.deadline
     }
+
+    /// Returns how many of `total` shards make an answer; at least one.
+    #[must_use]
+    pub fn least(&self, total: usize) -> usize {
+        let share = |count: usize| ratio(count, total);
+        (1..=total).find(|count| share(*count) >= self.least_share).unwrap_or(total).max(1)
+    }
 }
--- a/crates/harefield/src/domain/fanout/judge.rs
+++ b/crates/harefield/src/domain/fanout/judge.rs
@@ -5,6 +5,7 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::outcome::Part;
+use crate::domain::reply::Reply;
 
 /// What a finished fan-out found.
 #[derive(Debug)]
@@ -17,6 +18,8 @@
     pub coverage: Coverage,
     /// Their contributions.
     pub parts: Vec<Part>,
+    /// What an upstream replied that failed, where it is the caller's business.
+    pub failure: Option<Reply>,
 }
 
 /// How a fan-out ended, besides its coverage.
@@ -28,6 +31,8 @@
     pub cut: bool,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// How many shards make an answer.
+    pub least: usize,
 }
 
 /// Says what became of a request.
@@ -35,10 +40,13 @@
     if coverage.whole {
         return (Outcome::Answered, Code::Whole);
     }
-    let some = !coverage.contributed.is_empty();
+    let some = coverage.contributed.len() >= ending.least;
     if some && (ending.repeatable || !ending.ran) {
         return (Outcome::Answered, Code::Partial);
     }
+    if !some && !coverage.contributed.is_empty() {
+        return (Outcome::MayHaveRun, Code::TooFewShards);
+    }
     if ending.ran && ending.cut {
         return (Outcome::MayHaveRun, Code::DeadlinePassed);
     }
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use serde_json::value::RawValue;
-
 use super::cut::Rules;
 use super::judge::Ending;
 use super::judge::Finished;
@@ -26,12 +24,10 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Missing;
 use crate::domain::outcome::Part;
+use crate::domain::reply::Reply;
 use crate::domain::routing::Router;
 use crate::domain::view::Plan;
 
-/// The most attempts on one shard.
-const MOST_ATTEMPTS: u32 = 6;
-
 /// The fan-out of one request at one snapshot.
 #[derive(Debug)]
 pub struct Fanout {
@@ -82,7 +78,9 @@
     pub fn start(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = Step::new(now, router, sink);
         for shard in 0..self.shards.len() {
-            self.attempt(shard, Cause::First, &mut step);
+            if self.shards[shard].is_open() {
+                self.attempt(shard, Cause::First, &mut step);
+            }
         }
         step.actions
     }
@@ -141,6 +139,7 @@
         let mut coverage = Coverage::default();
         let mut parts = Vec::new();
         let mut ran = false;
+        let mut failure = None;
         for (plan, shard) in self.plan.shards.iter().zip(self.shards) {
             let name = Arc::clone(&plan.shard);
             let may_have_run = shard.may_have_run();
@@ -149,14 +148,16 @@
                 parts.push(Part { shard: name, reply });
                 continue;
             }
+            failure = failure.or(shard.failure);
             ran |= may_have_run;
             let why = shard.gap.unwrap_or(Gap::NotAsked);
             coverage.missing.push(Missing { shard: name, why, ran: may_have_run });
         }
         coverage.whole = coverage.missing.is_empty();
-        let ending = Ending { ran, cut: self.cut, repeatable: self.rules.repeatable };
+        let least = self.rules.least(self.plan.shards.len());
+        let ending = Ending { ran, cut: self.cut, repeatable: self.rules.repeatable, least };
         let (outcome, code) = judge(&coverage, ending);
-        Finished { outcome, code, coverage, parts }
+        Finished { outcome, code, coverage, parts, failure }
     }
 
     pub(super) fn name(&self, shard: usize) -> ShardId {
@@ -194,7 +195,7 @@
         }
     }
 
-    fn contribute<S: Sink>(&mut self, shard: usize, body: Box<RawValue>, step: &mut Step<'_, S>) {
+    fn contribute<S: Sink>(&mut self, shard: usize, body: Reply, step: &mut Step<'_, S>) {
         self.shards[shard].part = Some(body);
         self.contributed += 1;
         self.open -= 1;
@@ -214,6 +215,7 @@
     }
 
     fn cut<S: Sink>(&mut self, step: &mut Step<'_, S>) {
+        self.cut = true;
         let awaited = self.open;
         for shard in 0..self.shards.len() {
             if !self.shards[shard].is_open() {
@@ -225,7 +227,6 @@
             }
             self.close(shard, Gap::NotAsked, step);
         }
-        self.cut = true;
         step.emit(Event::AnswerCut { contributed: self.contributed, awaited });
     }
 
@@ -236,6 +237,15 @@
         self.open -= 1;
         let why = state.gap.unwrap_or(gap);
         step.emit(Event::ShardMissing { shard: name, why, ran: state.may_have_run() });
+        self.give_up_early(step);
+    }
+
+    /// Ends the fan-out once too few shards are left to make an answer.
+    fn give_up_early<S: Sink>(&mut self, step: &mut Step<'_, S>) {
+        let least = self.rules.least(self.plan.shards.len());
+        if self.rules.repeatable && !self.cut && self.open > 0 && self.contributed + self.open < least {
+            self.cut(step);
+        }
     }
 
     fn after_failure<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
@@ -243,7 +253,7 @@
         if state.is_awaited() {
             return;
         }
-        let spent = state.sent >= MOST_ATTEMPTS;
+        let spent = state.sent >= self.rules.attempts;
         let once = !self.rules.repeatable && state.ran;
         if spent || once {
             self.close(shard, Gap::Failed, step);
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -12,6 +12,7 @@
 mod step;
 mod verify;
 
+pub use cut::MOST_ATTEMPTS;
 pub use cut::Rules;
 pub use judge::Finished;
 pub use machine::Fanout;
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -42,7 +42,10 @@
             chosen = self.choose(shard, step);
         }
         match chosen {
-            Ok(_) if cause == Cause::Retry && !step.router.budget().spend_retry() => {
+            Ok(_)
+                if cause == Cause::Retry
+                    && !step.router.budget(&self.plan.shards[shard].shard).spend_retry() =>
+            {
                 self.close(shard, Gap::Overloaded, step);
             }
             Ok(choice) => {
@@ -57,11 +60,14 @@
     /// Sends a second attempt, the first being slow, where the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
         self.shards[shard].hedge = Hedge::Off;
+        if self.shards[shard].sent >= self.rules.attempts {
+            return;
+        }
         let Ok(choice) = self.choose(shard, step) else {
             self.shards[shard].hedge = Hedge::Due(step.now + POLL_EVERY);
             return;
         };
-        if self.rules.fixed.is_none() && !step.router.budget().spend_hedge() {
+        if self.rules.fixed.is_none() && !step.router.budget(&self.plan.shards[shard].shard).spend_hedge() {
             step.emit(Event::HedgeDenied { shard: self.name(shard) });
             self.shards[shard].hedge = Hedge::Due(step.now + DENIED_EVERY);
             return;
@@ -80,7 +86,7 @@
         let tried = self.shards[shard].tried();
         let due = step.router.probe(&self.ask(shard, &tried), chosen, step.now);
         let Some(upstream) = due else { return };
-        if step.router.budget().spend_probe() {
+        if step.router.budget(&self.plan.shards[shard].shard).spend_probe() {
             let choice = Choice { upstream, scores: Vec::new() };
             self.send(shard, choice, Cause::Probe, step);
         }
@@ -91,7 +97,7 @@
             replicas: &self.plan.shards[shard].replicas,
             tried,
             version: self.plan.version,
-            index: &self.plan.index,
+            kind: &self.rules.kind,
         }
     }
 
@@ -128,7 +134,7 @@
         self.next += 1;
         step.router.begin(&upstream, start);
         if cause == Cause::First {
-            step.router.budget().earn();
+            step.router.budget(&self.plan.shards[shard].shard).earn();
         }
         if self.shards[shard].hedge != Hedge::Sent {
             let due = self.hedge_time(start, step.router);
@@ -150,7 +156,7 @@
         if let Some(fixed) = self.rules.fixed {
             return Some(now + fixed);
         }
-        let slow = router.pace(&self.plan.index).slow();
+        let slow = router.pace(&self.rules.kind).slow();
         self.rules.hedge.map(|factor| now + slow.mul_f64(factor))
     }
 }
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -2,12 +2,11 @@
 
 use std::time::Instant;
 
-use serde_json::value::RawValue;
-
 use crate::domain::event::Cause;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
+use crate::domain::reply::Reply;
 
 /// A request to an upstream that is to be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub enum AttemptEnd {
     /// The upstream answered this request, whole, at the snapshot asked for.
-    Answered(Box<RawValue>),
+    Answered(Reply),
     /// The upstream refused; `begun` says whether it had begun to run it.
     Refused {
         /// Why, as the gap it leaves.
@@ -54,6 +53,8 @@
         /// Whether the upstream had begun.
         begun: bool,
     },
+    /// The upstream ran it, and replied that it failed.
+    Failed(Reply),
     /// Nothing was written to the upstream.
     NotSent {
         /// Why not.
@@ -72,6 +73,7 @@
     pub fn gap(&self) -> Option<Gap> {
         match self {
             Self::Answered(_) => None,
+            Self::Failed(_) => Some(Gap::Failed),
             Self::Refused { why, .. } | Self::NotSent { why } | Self::Lost { why } => Some(*why),
         }
     }
@@ -80,7 +82,7 @@
     #[must_use]
     pub fn may_have_run(&self) -> bool {
         match self {
-            Self::Answered(_) | Self::Lost { .. } => true,
+            Self::Answered(_) | Self::Failed(_) | Self::Lost { .. } => true,
             Self::Refused { begun, .. } => *begun,
             Self::NotSent { .. } => false,
         }
@@ -120,7 +122,9 @@
     /// How many attempts were sent.
     pub sent: u32,
     /// The contribution.
-    pub part: Option<Box<RawValue>>,
+    pub part: Option<Reply>,
+    /// What an upstream replied that said that it failed.
+    pub failure: Option<Reply>,
     /// The latest reason that it did not contribute.
     pub gap: Option<Gap>,
     /// Whether an attempt that brought nothing may have run.
@@ -173,6 +177,9 @@
     pub fn note_failure(&mut self, upstream: &UpstreamId, end: &AttemptEnd) {
         self.ran |= end.may_have_run();
         self.gap = end.gap();
+        if let AttemptEnd::Failed(reply) = end {
+            self.failure = Some(reply.clone());
+        }
         let unfit = matches!(
             end.gap(),
             Some(Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved | Gap::Leaving)
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -28,3 +28,9 @@
 
 /// Names a resource within its space, such as `services/north`.
 pub type Key = Arc<str>;
+
+/// Returns the id of a service's shard.
+#[must_use]
+pub fn shard_id(service: &str, shard: &str) -> ShardId {
+    format!("{service}/{shard}").into()
+}
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -15,10 +15,20 @@
 pub mod ids;
 pub mod lease;
 pub mod membership;
+pub mod merge;
 pub mod once;
 pub mod outcome;
+pub mod query;
+pub mod reply;
 pub mod resources;
 pub mod routing;
 pub mod snapshot;
 pub mod view;
 pub mod word;
+
+/// Returns a part as a share of the whole; all of nothing is 1.
+#[must_use]
+pub fn ratio(part: usize, whole: usize) -> f64 {
+    let exact = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+    if whole == 0 { 1.0 } else { exact(part) / exact(whole) }
+}
--- a/crates/harefield/src/domain/outcome.rs
+++ b/crates/harefield/src/domain/outcome.rs
@@ -2,11 +2,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_json::value::RawValue;
 
 use super::code::Code;
 use super::ids::ShardId;
 use super::ids::Version;
+use super::reply::Reply;
 
 /// The three things that can have become of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,7 +81,7 @@
     /// The shard.
     pub shard: ShardId,
     /// The upstream's reply, as sent.
-    pub reply: Box<RawValue>,
+    pub reply: Reply,
 }
 
 /// The whole answer to one request.
@@ -111,6 +111,12 @@
     /// A ticket for a once-only request that came without one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ticket: Option<String>,
+    /// What an upstream replied that failed; only for opaque requests.
+    #[serde(skip)]
+    pub failure: Option<Reply>,
+    /// How many records are kept where the contributions are to be merged.
+    #[serde(skip)]
+    pub merge: Option<usize>,
 }
 
 /// Names one snapshot of one index.
@@ -137,6 +143,8 @@
             results: Vec::new(),
             retry_after: None,
             ticket: None,
+            failure: None,
+            merge: None,
         }
     }
 
--- /dev/null
+++ b/crates/harefield/src/domain/query.rs
@@ -0,0 +1,42 @@
+//! What a caller asks: JSON on the own interface, an opaque request on others.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::reply::Header;
+
+/// A request whose method, path and body mean something to the upstreams only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ByteQuery {
+    /// The caller's own id of this request, handed on as it came.
+    pub id: Arc<str>,
+    /// The HTTP method.
+    pub method: Arc<str>,
+    /// Path and query string.
+    pub target: Arc<str>,
+    /// The headers that belong to the upstreams.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What a caller asks.
+#[derive(Clone, Debug)]
+pub enum Query {
+    /// JSON, as sent; a once-only one needs a ticket.
+    Json(Arc<[u8]>),
+    /// An opaque request, which is known by its caller's own id.
+    Bytes(Arc<ByteQuery>),
+}
+
+impl Query {
+    /// Returns the JSON text; empty where the query is an opaque request.
+    #[must_use]
+    pub fn json(&self) -> &[u8] {
+        match self {
+            Self::Json(json) => json,
+            Self::Bytes(_) => &[],
+        }
+    }
+}
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -62,6 +62,9 @@
         for key in keys {
             touched.note(self.set, key);
         }
+        if touched.catalogs {
+            return self.check_all();
+        }
         for name in &touched.upstreams {
             self.upstream(name);
         }
@@ -84,7 +87,8 @@
 
     fn upstream(&mut self, name: &str) {
         let Some(upstream) = self.set.upstreams.get(name) else { return };
-        if upstream.slots == 0 || upstream.connections == 0 {
+        let unsaid = upstream.connections == 0 && upstream.holds.is_empty();
+        if upstream.slots == 0 || unsaid {
             let detail = "slots and connections must be at least 1".to_owned();
             self.fault("upstreams", name, Code::ResourceRange, detail);
         }
@@ -153,6 +157,22 @@
             let detail = format!("deadline-ms must be from 1 to {MAX_DEADLINE_MS}");
             self.fault("lookups", name, Code::ResourceRange, detail);
         }
+        if !(0.0..=1.0).contains(&lookup.least_share) {
+            let detail = "least-share must be from 0 to 1".to_owned();
+            self.fault("lookups", name, Code::ResourceRange, detail);
+        }
+        if lookup.attempts == Some(0) {
+            self.fault("lookups", name, Code::ResourceRange, "attempts must be at least 1".to_owned());
+        }
+        if !lookup.split.is_empty() && lookup.split.iter().all(|part| part.weight == 0) {
+            self.fault("lookups", name, Code::ResourceRange, "a split needs a weight over 0".to_owned());
+        }
+        for part in &lookup.split {
+            if !self.set.indexes.contains_key(part.index.as_str()) {
+                let detail = format!("split names index {}, which does not exist", part.index);
+                self.fault("lookups", name, Code::ResourceReference, detail);
+            }
+        }
         let Some(index) = self.set.indexes.get(lookup.index.as_str()) else {
             let detail = format!("index {} does not exist", lookup.index);
             self.fault("lookups", name, Code::ResourceReference, detail);
@@ -181,6 +201,8 @@
     indexes: BTreeSet<&'k str>,
     lookups: BTreeSet<&'k str>,
     gone: HashSet<&'k str>,
+    /// A catalog changed, and with it any number of resources.
+    catalogs: bool,
 }
 
 impl<'k> Touched<'k> {
@@ -201,6 +223,7 @@
             Some(("lookups", name)) => {
                 self.lookups.insert(name);
             }
+            Some(("catalogs", _)) => self.catalogs = true,
             _ => {}
         }
     }
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -1,4 +1,4 @@
-//! The four kinds of resource, as published in JSON.
+//! The kinds of resource, as published in JSON.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 
@@ -17,8 +18,12 @@
     /// The team that owns the service.
     #[serde(default)]
     pub team: String,
-    /// The replicas of each shard, by upstream name.
+    /// The replicas of each shard, by upstream name; upstreams may name
+    /// themselves besides, by what they hold.
     pub shards: BTreeMap<Arc<str>, Vec<UpstreamId>>,
+    /// How many connections each upstream takes that does not say so itself.
+    #[serde(default)]
+    pub connections: Option<u32>,
 }
 
 /// One searcher behind the query tier.
@@ -31,11 +36,19 @@
     pub zone: Arc<str>,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// How many connections it takes in all.
+    /// How many connections it takes in all; 0 for as many as its service says.
+    #[serde(default)]
     pub connections: u32,
     /// What a new connection costs, in milliseconds.
     #[serde(default = "default_connect_ms")]
     pub connect_ms: u32,
+    /// The shards that it holds by its own word, besides those whose service
+    /// lists it.
+    #[serde(default)]
+    pub holds: Vec<ShardId>,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 const fn default_connect_ms() -> u32 {
@@ -64,9 +77,29 @@
     Coverage,
 }
 
-/// A kind of request that callers may make.
+/// A place in callers' paths that leads to a lookup.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Entry {
+    /// The name that callers address, in lower case and without a port.
+    pub host: Arc<str>,
+    /// How the path begins; the longest prefix that fits wins.
+    pub prefix: Arc<str>,
+}
+
+/// A part of a lookup's requests that goes to another index.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Split {
+    /// The index.
+    pub index: String,
+    /// Its part, relative to the others' weights.
+    pub weight: u32,
+}
+
+/// A kind of request that callers may make.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Lookup {
     /// The team that owns the lookup.
     #[serde(default)]
@@ -84,6 +117,26 @@
     pub repeatable: bool,
     /// Whether time or coverage goes first.
     pub prefer: Preference,
+    /// Where callers' paths lead to it.
+    #[serde(default)]
+    pub entries: Vec<Entry>,
+    /// The time within which an answer is wanted, in milliseconds; an answer
+    /// that has enough shards by then does not wait for more.
+    #[serde(default)]
+    pub objective_ms: Option<u64>,
+    /// The least share of the shards that makes an answer, 0 to 1.
+    #[serde(default)]
+    pub least_share: f64,
+    /// How many records are kept where the shards' records are merged; none
+    /// where the one shard's reply is handed back as it is.
+    #[serde(default)]
+    pub merge: Option<usize>,
+    /// The most upstreams asked for one shard; none for the engine's own bound.
+    #[serde(default)]
+    pub attempts: Option<u32>,
+    /// The indexes that requests are divided over; `index` alone where empty.
+    #[serde(default)]
+    pub split: Vec<Split>,
 }
 
 /// A versioned index over services.
@@ -106,3 +159,34 @@
     /// The shards of each service at this version.
     pub shards: BTreeMap<Arc<str>, Vec<Arc<str>>>,
 }
+
+/// Services, indexes and lookups that are published together, under one key:
+/// all of them change at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Catalog {
+    /// The services by name.
+    #[serde(default)]
+    pub services: BTreeMap<Arc<str>, Service>,
+    /// The indexes by name.
+    #[serde(default)]
+    pub indexes: BTreeMap<Arc<str>, Index>,
+    /// The lookups by name.
+    #[serde(default)]
+    pub lookups: BTreeMap<Arc<str>, Lookup>,
+    /// Bounds on callers' requests.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// Bounds on what callers may send, where they are published.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Bounds {
+    /// The most bytes of a request's head.
+    #[serde(default)]
+    pub head_bytes: Option<usize>,
+    /// The most bytes of a request's body.
+    #[serde(default)]
+    pub body_bytes: Option<usize>,
+}
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -8,11 +8,15 @@
 
 pub use check::Fault;
 pub use check::MAX_VALUE_BYTES;
+pub use kinds::Bounds;
+pub use kinds::Catalog;
+pub use kinds::Entry;
 pub use kinds::Index;
 pub use kinds::Lookup;
 pub use kinds::Preference;
 pub use kinds::Service;
 pub use kinds::Snapshot;
+pub use kinds::Split;
 pub use kinds::Upstream;
 pub use kinds::Urgency;
 pub use set::ResourceSet;
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -8,6 +8,8 @@
 use super::check::Checker;
 use super::check::Fault;
 use super::check::MAX_VALUE_BYTES;
+use super::kinds::Bounds;
+use super::kinds::Catalog;
 use super::kinds::Index;
 use super::kinds::Lookup;
 use super::kinds::Service;
@@ -15,10 +17,12 @@
 use crate::domain::code::Code;
 use crate::domain::feed::Change;
 use crate::domain::ids::Key;
+use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
 
 /// Every resource of one revision, by kind and name; sets share what they have
 /// in common.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResourceSet {
     /// The services.
     pub services: BTreeMap<Arc<str>, Arc<Service>>,
@@ -28,6 +32,10 @@
     pub lookups: BTreeMap<Arc<str>, Arc<Lookup>>,
     /// The indexes.
     pub indexes: BTreeMap<Arc<str>, Arc<Index>>,
+    /// The catalogs, whose resources stand above as well.
+    pub catalogs: BTreeMap<Arc<str>, Arc<Catalog>>,
+    /// The upstreams that hold each shard by their own word.
+    pub holders: BTreeMap<ShardId, Arc<[UpstreamId]>>,
 }
 
 impl ResourceSet {
@@ -72,16 +80,95 @@
         }
         match key.split_once('/') {
             Some(("services", name)) => put(&mut self.services, key, name, value),
-            Some(("upstreams", name)) => put(&mut self.upstreams, key, name, value),
+            Some(("upstreams", name)) => self.put_upstream(key, name, value),
             Some(("lookups", name)) => put(&mut self.lookups, key, name, value),
             Some(("indexes", name)) => put(&mut self.indexes, key, name, value),
+            Some(("catalogs", name)) => self.put_catalog(key, name, value),
             _ if value.is_none() => Ok(()),
             _ => {
-                let detail = "expected services/, upstreams/, lookups/ or indexes/".to_owned();
+                let detail = "expected services/, upstreams/, lookups/, indexes/ or catalogs/".to_owned();
                 Err(Fault { key: Arc::clone(key), code: Code::ResourceUnknownKind, detail })
             }
         }
     }
+
+    fn put_upstream(&mut self, key: &Key, name: &str, value: Option<&str>) -> Result<(), Fault> {
+        let before = self.upstreams.get(name).map(Arc::clone);
+        put(&mut self.upstreams, key, name, value)?;
+        let after = self.upstreams.get(name).map(Arc::clone);
+        let held =
+            |upstream: &Option<Arc<Upstream>>| upstream.as_ref().map_or(Vec::new(), |u| u.holds.clone());
+        let (old, new) = (held(&before), held(&after));
+        if old == new {
+            return Ok(());
+        }
+        for shard in old {
+            self.change_holders(&shard, |names| names.retain(|held| &**held != name));
+        }
+        for shard in new {
+            self.change_holders(&shard, |names| names.push(name.into()));
+        }
+        Ok(())
+    }
+
+    fn change_holders(&mut self, shard: &ShardId, change: impl FnOnce(&mut Vec<UpstreamId>)) {
+        let mut names = self.holders.get(shard).map_or(Vec::new(), |held| held.to_vec());
+        change(&mut names);
+        names.sort_unstable();
+        if names.is_empty() {
+            self.holders.remove(shard);
+        } else {
+            self.holders.insert(Arc::clone(shard), names.into());
+        }
+    }
+
+    /// Puts a catalog's resources in the place of those that it had before;
+    /// what did not change stays the same value.
+    fn put_catalog(&mut self, key: &Key, name: &str, value: Option<&str>) -> Result<(), Fault> {
+        let before = self.catalogs.get(name).map(Arc::clone).unwrap_or_default();
+        put(&mut self.catalogs, key, name, value)?;
+        let after = self.catalogs.get(name).map(Arc::clone).unwrap_or_default();
+        replace(&mut self.services, &before.services, &after.services);
+        replace(&mut self.indexes, &before.indexes, &after.indexes);
+        replace(&mut self.lookups, &before.lookups, &after.lookups);
+        Ok(())
+    }
+
+    /// Returns the replicas of a shard: those that its service lists and those
+    /// that hold it by their own word.
+    pub fn replicas(&self, shard: &ShardId) -> impl Iterator<Item = &UpstreamId> {
+        let listed =
+            shard.split_once('/').and_then(|(service, name)| self.services.get(service)?.shards.get(name));
+        let held = self.holders.get(shard).map_or(&[][..], |names| names);
+        let fresh = move |name: &&UpstreamId| listed.is_none_or(|listed| !listed.contains(name));
+        listed.into_iter().flatten().chain(held.iter().filter(fresh))
+    }
+
+    /// Returns the bounds on callers' requests: of each, the least published.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        let all = || self.catalogs.values().map(|catalog| catalog.bounds);
+        Bounds {
+            head_bytes: all().filter_map(|bounds| bounds.head_bytes).min(),
+            body_bytes: all().filter_map(|bounds| bounds.body_bytes).min(),
+        }
+    }
+}
+
+/// Takes out what a catalog held before and puts in what it holds now.
+fn replace<T: Clone + PartialEq>(
+    map: &mut BTreeMap<Arc<str>, Arc<T>>,
+    before: &BTreeMap<Arc<str>, T>,
+    after: &BTreeMap<Arc<str>, T>,
+) {
+    for name in before.keys().filter(|name| !after.contains_key(*name)) {
+        map.remove(name);
+    }
+    for (name, value) in after {
+        if map.get(name).is_none_or(|held| **held != *value) {
+            map.insert(Arc::clone(name), Arc::new(value.clone()));
+        }
+    }
 }
 
 fn put<T: DeserializeOwned>(
--- a/crates/harefield/src/domain/routing/budget.rs
+++ b/crates/harefield/src/domain/routing/budget.rs
@@ -1,4 +1,9 @@
-//! One budget for all extra load: hedges and retries.
+//! Budgets of extra load: hedges, probes and retries.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::domain::ids::ShardId;
 
 /// The most that unspent earnings add up to, in requests.
 const MOST: f64 = 64.0;
@@ -9,6 +14,20 @@
 /// How far retries may overdraw the budget, in requests.
 const RESERVE: f64 = 256.0;
 
+/// The part of a fleet's slack that its daemons use together; the rest is for
+/// daemons that start anew with a full hand.
+const USED_SLACK: f64 = 0.8;
+
+/// The part of the allowed share that is earned, so that the share holds in
+/// any window, whatever its edges.
+const USED_SHARE: f64 = 0.9;
+
+/// The least that a budget may add up to, in requests: one hedge at a time.
+const LEAST_MOST: f64 = 1.0;
+
+/// The part of the slack that a daemon starts with.
+const FIRST_PART: f64 = 0.25;
+
 /// Earns a share of every first request and spends it on extra ones.
 ///
 /// A hedge needs earnings in hand. A retry replaces work that is known to have
@@ -18,18 +37,37 @@
 pub struct Budget {
     share: f64,
     tokens: f64,
+    most: f64,
+    reserve: f64,
+    floor: f64,
 }
 
 impl Budget {
     /// Creates a budget that earns `share` of a request with every first one.
     #[must_use]
     pub fn new(share: f64) -> Self {
-        Self { share, tokens: MOST / 4.0 }
+        Self { share, tokens: MOST / 4.0, most: MOST, reserve: RESERVE, floor: PROBE_FLOOR }
+    }
+
+    /// Creates a budget that never spends more than it earned and `most`: what
+    /// leaves within any window stays under its share of the first requests
+    /// plus `most`.
+    #[must_use]
+    pub fn strict(share: f64, most: f64) -> Self {
+        let first = (most * FIRST_PART).max(LEAST_MOST);
+        Self { share: share * USED_SHARE, tokens: first, most, reserve: 0.0, floor: most / 2.0 }
+    }
+
+    /// Takes a new bound on unspent earnings.
+    pub fn bound(&mut self, most: f64) {
+        self.most = most;
+        self.floor = most / 2.0;
+        self.tokens = self.tokens.min(most);
     }
 
     /// Earns the share of one first request.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.share).min(MOST);
+        self.tokens = (self.tokens + self.share).min(self.most);
     }
 
     /// Spends one hedge; returns whether it may be sent.
@@ -40,12 +78,12 @@
     /// Spends one probe, which must leave enough in hand for hedges; returns
     /// whether it may be sent.
     pub fn spend_probe(&mut self) -> bool {
-        self.spend(PROBE_FLOOR)
+        self.spend(self.floor.max(1.0))
     }
 
     /// Spends one retry; returns whether it may be sent.
     pub fn spend_retry(&mut self) -> bool {
-        self.spend(1.0 - RESERVE)
+        self.spend(1.0 - self.reserve)
     }
 
     fn spend(&mut self, floor: f64) -> bool {
@@ -56,3 +94,62 @@
         true
     }
 }
+
+/// What the whole fleet may send to one service beyond its first requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetSlack {
+    /// The share of the first requests.
+    pub share: f64,
+    /// What may come on top within a window, in requests.
+    pub slack: f64,
+}
+
+/// The budgets of one worker: one for all that it asks, or one a service where
+/// the fleet as a whole is bound for each service.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    all: Budget,
+    fleet: Option<FleetSlack>,
+    daemons: u32,
+    services: HashMap<Arc<str>, Budget>,
+}
+
+impl Budgets {
+    /// Creates one budget for all.
+    #[must_use]
+    pub fn one(share: f64) -> Self {
+        Self { all: Budget::new(share), fleet: None, daemons: 1, services: HashMap::new() }
+    }
+
+    /// Creates budgets by service, of which each of `daemons` daemons has its part.
+    #[must_use]
+    pub fn by_service(fleet: FleetSlack, daemons: u32) -> Self {
+        Self { all: Budget::new(fleet.share), fleet: Some(fleet), daemons, services: HashMap::new() }
+    }
+
+    /// Takes how many daemons share what the fleet may send.
+    pub fn share_with(&mut self, daemons: u32) {
+        self.daemons = daemons;
+        let Some(fleet) = self.fleet else { return };
+        let most = part(fleet, daemons);
+        for budget in self.services.values_mut() {
+            budget.bound(most);
+        }
+    }
+
+    /// Returns the budget that a shard's attempts are paid from.
+    pub fn of(&mut self, shard: &ShardId) -> &mut Budget {
+        let Some(fleet) = self.fleet else { return &mut self.all };
+        let service = shard.split_once('/').map_or(&**shard, |(service, _)| service);
+        if !self.services.contains_key(service) {
+            let budget = Budget::strict(fleet.share, part(fleet, self.daemons));
+            self.services.insert(service.into(), budget);
+        }
+        self.services.get_mut(service).unwrap_or(&mut self.all)
+    }
+}
+
+/// Returns a daemon's part of the fleet's slack.
+fn part(fleet: FleetSlack, daemons: u32) -> f64 {
+    (fleet.slack * USED_SLACK / f64::from(daemons.max(1))).max(LEAST_MOST)
+}
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod pace;
+mod places;
 mod policy;
 mod report;
 mod router;
@@ -9,7 +10,11 @@
 mod window;
 
 pub use budget::Budget;
+pub use budget::Budgets;
+pub use budget::FleetSlack;
 pub use pace::Pace;
+pub use places::Distance;
+pub use places::Places;
 pub use policy::Policy;
 pub use report::Bar;
 pub use report::Load;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -6,14 +6,19 @@
 use std::time::Instant;
 
 use super::budget::Budget;
+use super::budget::Budgets;
 use super::pace::Pace;
+use super::places::Distance;
+use super::places::Places;
 use super::policy::Policy;
 use super::report::Bar;
 use super::report::Report;
 use super::report::Until;
 use super::report::Verdict;
 use super::searcher::Searcher;
+use crate::domain::cell::connection_share;
 use crate::domain::event::Score;
+use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 use crate::domain::lease::Lease;
@@ -32,11 +37,12 @@
     pub scores: Vec<Score>,
 }
 
-/// How a candidate ranks: those that failed last, or take much longer than the
-/// quickest, come after all others.
+/// How a candidate ranks: those that failed last, fell silent, or take much
+/// longer than the quickest, come after all others; then the nearer ones lead.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
     passed_over: bool,
+    distance: Distance,
     cost: f64,
 }
 
@@ -49,8 +55,8 @@
     pub tried: &'a [UpstreamId],
     /// The snapshot's version.
     pub version: Version,
-    /// The index, for its pace.
-    pub index: &'a Arc<str>,
+    /// The kind of request, for its pace.
+    pub kind: &'a Arc<str>,
 }
 
 impl<'a> Ask<'a> {
@@ -67,7 +73,9 @@
     searchers: HashMap<UpstreamId, Searcher>,
     paces: HashMap<Arc<str>, Pace>,
     policy: Policy,
-    budget: Budget,
+    budgets: Budgets,
+    places: Places,
+    fleet: u32,
     lease: Lease,
     seed: u64,
 }
@@ -75,36 +83,53 @@
 impl Router {
     /// Creates a router without upstreams.
     #[must_use]
-    pub fn new(policy: Policy, budget: Budget, seed: u64, now: Instant) -> Self {
+    pub fn new(policy: Policy, budgets: Budgets, seed: u64, now: Instant) -> Self {
         Self {
             searchers: HashMap::new(),
             paces: HashMap::new(),
             policy,
-            budget,
+            budgets,
+            places: Places::default(),
+            fleet: 1,
             lease: Lease::new(now),
             seed,
         }
     }
 
+    /// Takes where this daemon and the availability zones are.
+    #[must_use]
+    pub fn at(mut self, places: Places) -> Self {
+        self.places = places;
+        self
+    }
+
+    /// Takes how many daemons there are: they share budgets and, where every
+    /// daemon is a member of every cell, connections.
+    pub fn share_with(&mut self, daemons: u32) {
+        self.fleet = daemons.max(1);
+        self.budgets.share_with(self.fleet);
+    }
+
     /// Takes a new view: upstreams come and go, their state otherwise stays.
     pub fn apply(&mut self, view: &View) {
         let own = &view.upstreams;
         self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0);
         for (name, upstream) in own {
-            let OwnUpstream { spec, sharers } = upstream;
+            let OwnUpstream { spec, sharers, connections } = upstream;
+            let share = connection_share(*connections, (*sharers).max(self.fleet));
             let searcher = self
                 .searchers
                 .entry(Arc::clone(name))
-                .and_modify(|s| s.update(spec, *sharers))
-                .or_insert_with(|| Searcher::new(Arc::clone(spec), *sharers));
-            searcher.list(view.leaving.contains(&spec.address));
+                .and_modify(|s| s.update(spec, share))
+                .or_insert_with(|| Searcher::new(Arc::clone(spec), *sharers, share));
+            searcher.list(spec.leaving || view.leaving.contains(&spec.address));
         }
         for (name, searcher) in &mut self.searchers {
             if !own.contains_key(name) {
                 searcher.list(true);
             }
         }
-        self.paces.retain(|index, _| view.cells.contains_key(index));
+        self.paces.retain(|kind, _| view.lookups.contains_key(kind));
     }
 
     /// Returns the state of an upstream.
@@ -129,10 +154,10 @@
         &mut self.lease
     }
 
-    /// Returns the pace of an index.
+    /// Returns the pace of a kind of request.
     #[must_use]
-    pub fn pace(&self, index: &Arc<str>) -> Pace {
-        self.paces.get(index).cloned().unwrap_or_default()
+    pub fn pace(&self, kind: &Arc<str>) -> Pace {
+        self.paces.get(kind).cloned().unwrap_or_default()
     }
 
     /// Returns whether an upstream may serve a version, load aside.
@@ -150,7 +175,7 @@
         if !self.lease.held(now) {
             return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
-        let typical = self.pace(ask.index).mean().as_secs_f64();
+        let typical = self.pace(ask.kind).mean().as_secs_f64();
         let quickest = self.quickest(ask, typical, now);
         let weighs = self.policy == Policy::Cost;
         let mut scores = Vec::with_capacity(ask.replicas.len());
@@ -165,7 +190,7 @@
             });
             match found {
                 Ok(cost) => {
-                    let rank = Rank { passed_over: weighs && self.is_passed_over(name, quickest), cost };
+                    let rank = self.rank(name, cost, (quickest, typical), now);
                     if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                         best = Some((rank, Arc::clone(name)));
                     }
@@ -188,7 +213,7 @@
         let Some(chosen) = self.searchers.get(chosen) else { return false };
         let full = |searcher: &Searcher| {
             let barred = searcher.admits(ask.version, now).err();
-            barred.is_some_and(|bar| bar.until == Until::Soon)
+            barred.is_some_and(|bar| bar.until == Until::Soon) && !searcher.is_silent(typical, now)
         };
         let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
         quicker.any(|searcher| chosen.passed_over(searcher.observed_time(typical)))
@@ -209,15 +234,22 @@
         open.map(|s| s.observed_time(typical)).fold(f64::INFINITY, f64::min)
     }
 
-    fn is_passed_over(&self, name: &UpstreamId, quickest: f64) -> bool {
-        self.searchers.get(name).is_some_and(|s| s.passed_over(quickest))
+    /// Ranks a replica beside the `quickest`, where a request of its kind takes
+    /// `typical` seconds.
+    fn rank(&self, name: &UpstreamId, cost: f64, (quickest, typical): (f64, f64), now: Instant) -> Rank {
+        let found = self.searchers.get(name).filter(|_| self.policy == Policy::Cost);
+        let Some(searcher) = found else {
+            return Rank { passed_over: false, distance: Distance::Near, cost };
+        };
+        let passed_over = searcher.passed_over(quickest) || searcher.is_silent(typical, now);
+        Rank { passed_over, distance: self.places.distance(&searcher.spec().zone), cost }
     }
 
     /// Returns a replica that is passed over and should be looked at, by an
     /// extra request beside the one to the replica chosen.
     #[must_use]
     pub fn probe(&self, ask: &Ask<'_>, chosen: &UpstreamId, now: Instant) -> Option<UpstreamId> {
-        let typical = self.pace(ask.index).mean().as_secs_f64();
+        let typical = self.pace(ask.kind).mean().as_secs_f64();
         let other = self.searchers.get(chosen).map_or(typical, |s| s.observed_time(typical));
         let due = |name: &&UpstreamId| {
             let found = self.searchers.get(*name);
@@ -257,9 +289,9 @@
         }
     }
 
-    /// Takes a good reply's time into the index's pace.
-    pub fn sample(&mut self, index: &Arc<str>, took: Duration) {
-        self.paces.entry(Arc::clone(index)).or_default().sample(took);
+    /// Takes a good reply's time into the pace of its kind of request.
+    pub fn sample(&mut self, kind: &Arc<str>, took: Duration) {
+        self.paces.entry(Arc::clone(kind)).or_default().sample(took);
     }
 
     /// Takes an upstream's word; returns whether it was news.
@@ -281,9 +313,9 @@
         }
     }
 
-    /// Returns the budget of extra load.
-    pub fn budget(&mut self) -> &mut Budget {
-        &mut self.budget
+    /// Returns the budget that extra load on a shard is paid from.
+    pub fn budget(&mut self, shard: &ShardId) -> &mut Budget {
+        self.budgets.of(shard)
     }
 }
 
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -10,7 +10,6 @@
 use super::report::Until;
 use super::report::Verdict;
 use super::window::Window;
-use crate::domain::cell::connection_share;
 use crate::domain::ids::Version;
 use crate::domain::outcome::Gap;
 use crate::domain::resources::Upstream;
@@ -52,6 +51,14 @@
 /// The least time between probes of a replica that is passed over.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 
+/// A request that is out for this many times its usual time shows a pause: of
+/// the users' requests one in some hundred takes as long by itself.
+const SILENT_FACTOR: f64 = 3.0;
+
+/// The least time that shows a pause, in seconds; the users' searchers pause for
+/// 150 to 250 ms.
+const SILENT_LEAST: f64 = 0.06;
+
 /// How long a load report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(200);
 
@@ -78,8 +85,7 @@
 impl Searcher {
     /// Creates the state of an upstream that nothing is known of yet.
     #[must_use]
-    pub fn new(spec: Arc<Upstream>, sharers: u32) -> Self {
-        let share = connection_share(spec.connections, sharers);
+    pub fn new(spec: Arc<Upstream>, sharers: u32, share: u32) -> Self {
         let window = Window::new(spec.slots, sharers, share);
         Self {
             spec,
@@ -100,14 +106,15 @@
         }
     }
 
-    /// Takes a new specification or number of sharers; a new address starts afresh.
-    pub fn update(&mut self, spec: &Arc<Upstream>, sharers: u32) {
+    /// Takes a new specification or share of the connections; a new address
+    /// starts afresh.
+    pub fn update(&mut self, spec: &Arc<Upstream>, share: u32) {
         if spec.address != self.spec.address {
-            *self = Self::new(Arc::clone(spec), sharers);
+            *self = Self::new(Arc::clone(spec), 1, share);
             return;
         }
         self.spec = Arc::clone(spec);
-        self.share = connection_share(spec.connections, sharers);
+        self.share = share;
         self.window.resize(self.share);
     }
 
@@ -320,6 +327,15 @@
         quiet && self.starts.is_empty()
     }
 
+    /// Returns whether it has not answered for so long that it must be paused
+    /// or gone: beyond any usual time of a request, which takes `typical`
+    /// seconds.
+    #[must_use]
+    pub fn is_silent(&self, typical: f64, now: Instant) -> bool {
+        let usual = self.observed_time(typical).max(typical);
+        self.oldest_age(now) > (usual * SILENT_FACTOR).max(SILENT_LEAST)
+    }
+
     fn oldest_age(&self, now: Instant) -> f64 {
         let oldest = self.starts.iter().min();
         oldest.map_or(0.0, |start| now.saturating_duration_since(*start).as_secs_f64())
--- a/crates/harefield/src/domain/snapshot.rs
+++ b/crates/harefield/src/domain/snapshot.rs
@@ -4,6 +4,7 @@
 
 use super::ids::UpstreamId;
 use super::ids::Version;
+use super::ratio;
 use super::view::Plan;
 
 /// Chooses the newest snapshot that every shard can be asked at; where there
@@ -39,8 +40,3 @@
         .count();
     ratio(can, plan.shards.len())
 }
-
-fn ratio(part: usize, whole: usize) -> f64 {
-    let exact = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
-    if whole == 0 { 1.0 } else { exact(part) / exact(whole) }
-}
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -8,6 +8,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_executor::Task;
 use futures_lite::FutureExt;
 
 use super::message::ToControl;
@@ -28,6 +29,7 @@
 use crate::domain::ids::RequestId;
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
+use crate::domain::query::Query;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
 use crate::domain::view::Plan;
@@ -52,7 +54,8 @@
 #[derive(Clone)]
 pub(super) struct Job {
     pub request: RequestId,
-    pub query: Arc<[u8]>,
+    pub kind: Arc<str>,
+    pub query: Query,
     pub deadline: Instant,
     pub once: bool,
 }
@@ -78,6 +81,26 @@
     }
 }
 
+/// An attempt under way, which is taken off its upstream's account when its
+/// task is dropped half-way.
+struct Underway<'a, U: Upstreams, P: Peers, C: Clock> {
+    worker: &'a Worker<U, P, C>,
+    attempt: &'a Attempt,
+    settled: bool,
+}
+
+impl<U: Upstreams, P: Peers, C: Clock> std::ops::Drop for Underway<'_, U, P, C> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let Send { upstream, start, .. } = &self.attempt.send;
+        let now = self.worker.ports.clock.now();
+        let mut router = self.worker.router.borrow_mut();
+        router.end(upstream, *start, Verdict::Declined, &Report::default(), now);
+    }
+}
+
 /// The result of one fan-out.
 pub(super) struct FanoutEnd {
     pub finished: Finished,
@@ -100,7 +123,9 @@
         let mut fanout = Fanout::new(Arc::clone(plan), rules, first);
         let now = self.ports.clock.now();
         let actions = fanout.start(now, &mut self.router.borrow_mut(), trace);
-        self.act(job, plan, actions, &sender);
+        // Dropped with this future when the caller goes away, which ends them.
+        let mut tasks = Vec::with_capacity(actions.len());
+        tasks.extend(self.act(job, plan, actions, &sender));
         while !fanout.is_done() {
             let wake = fanout.next_wake();
             let next = self.next_landing(&landed, wake).await;
@@ -114,8 +139,10 @@
             }
             let now = self.ports.clock.now();
             actions.extend(fanout.on_time(now, &mut self.router.borrow_mut(), trace));
-            self.act(job, plan, actions, &sender);
+            tasks.extend(self.act(job, plan, actions, &sender));
         }
+        // What is still out keeps its connection, and shows how its upstream does.
+        tasks.into_iter().for_each(Task::detach);
         let (next, crowd) = (fanout.next_attempt(), fanout.crowd());
         FanoutEnd { finished: fanout.finish(), next, crowd }
     }
@@ -128,12 +155,19 @@
         async { landed.recv().await.ok() }.or(timed).await
     }
 
-    fn act(self: &Rc<Self>, job: &Job, plan: &Arc<Plan>, actions: Vec<Action>, sender: &Sender<Landed>) {
+    fn act(
+        self: &Rc<Self>,
+        job: &Job,
+        plan: &Arc<Plan>,
+        actions: Vec<Action>,
+        sender: &Sender<Landed>,
+    ) -> Vec<Task<()>> {
+        let mut tasks = Vec::new();
         for action in actions {
             match action {
                 Action::Send(send) => {
                     let attempt = Attempt { job: job.clone(), plan: Arc::clone(plan), send };
-                    self.launch(attempt, sender.clone());
+                    tasks.push(self.launch(attempt, sender.clone()));
                 }
                 Action::Cancel(cancel) => {
                     let name = format!("{}.{}", job.request, cancel.attempt);
@@ -141,23 +175,26 @@
                 }
             }
         }
+        tasks
     }
 
-    fn launch(self: &Rc<Self>, attempt: Attempt, sender: Sender<Landed>) {
+    fn launch(self: &Rc<Self>, attempt: Attempt, sender: Sender<Landed>) -> Task<()> {
         self.count(|counts| match attempt.send.cause {
             Cause::First => counts.first += 1,
             Cause::Retry | Cause::Hedge | Cause::Probe => counts.extra += 1,
         });
         let this = Rc::clone(self);
         let task = async move {
+            let mut underway = Underway { worker: &this, attempt: &attempt, settled: false };
             let end = this.ask(&attempt).await;
+            underway.settled = true;
             this.learn(&attempt, &end);
             let landed = Landed { shard: attempt.send.shard, attempt: attempt.send.attempt, end: end.end };
             if sender.try_send(landed).is_err() {
                 this.drop_late(&attempt);
             }
         };
-        self.executor.spawn(task).detach();
+        self.executor.spawn(task)
     }
 
     async fn ask(&self, attempt: &Attempt) -> CallEnd {
@@ -178,7 +215,7 @@
             remaining: attempt.job.deadline.saturating_duration_since(now),
             drain: self.settings.drain,
             once: attempt.job.once,
-            query: Arc::clone(&attempt.job.query),
+            query: attempt.job.query.clone(),
         };
         let permit = || {
             let now = self.ports.clock.now();
@@ -202,7 +239,7 @@
             self.duty_trace().emit(Event::LimitChanged { upstream: Arc::clone(upstream), window });
         }
         if end.verdict == Verdict::Good && attempt.send.cause != Cause::Probe {
-            router.sample(&attempt.plan.index, now.saturating_duration_since(*start));
+            router.sample(&attempt.job.kind, now.saturating_duration_since(*start));
         }
         router.set_idle(upstream, self.ports.upstreams.idle(upstream));
         let Some(word) = end.report.word.as_ref().filter(|word| router.hear(upstream, word)) else {
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -23,6 +23,7 @@
 use crate::domain::membership::PeerState;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
+use crate::domain::query::Query;
 use crate::ports::Clock;
 use crate::ports::Forward;
 use crate::ports::PeerError;
@@ -116,6 +117,9 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
+        if matches!(request.query, Query::Bytes(_)) {
+            return refuse(trace, Code::NotMember, COME_BACK);
+        }
         let mut handed = Handed::new();
         self.spare.borrow_mut().earn();
         self.hand_on(&mut handed, request, found, trace);
@@ -212,7 +216,7 @@
             stamp: trace.stamp(),
             request: trace.request().map(ToString::to_string).unwrap_or_default(),
             lookup: request.lookup.clone(),
-            query: request.query.to_vec(),
+            query: request.query.json().to_vec(),
             ticket: request.ticket.clone(),
             remaining: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -9,6 +9,7 @@
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::HostId;
 use crate::domain::membership::Row;
+use crate::domain::query::Query;
 use crate::domain::view::View;
 use crate::domain::word::NamedWord;
 use crate::ports::Exchange;
@@ -35,8 +36,8 @@
     pub request: Option<String>,
     /// The lookup.
     pub lookup: String,
-    /// The query, as JSON.
-    pub query: Arc<[u8]>,
+    /// The query.
+    pub query: Query,
     /// The ticket of a once-only request.
     pub ticket: Option<String>,
     /// A bound on the time it may take, besides the lookup's.
@@ -85,6 +86,8 @@
     Word(NamedWord),
     /// A worker woke from a pause and wants its knowledge confirmed.
     Woke,
+    /// The settings name other daemons to ask.
+    Seeds(Vec<HostId>),
     /// A daemon did not answer a request handed to it.
     Silent(HostId),
     /// A planned stop has begun.
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -92,7 +92,7 @@
         if !found.plan.member {
             return refuse(trace, Code::NotMember, Duration::ZERO);
         }
-        let binding = Binding::new(&request.lookup, &request.query);
+        let binding = Binding::new(&request.lookup, request.query.json());
         loop {
             let begin = self.lock_ledger().begin(ticket, binding, self.ports.clock.now());
             match begin {
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -15,6 +15,7 @@
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
 use crate::domain::fanout::Finished;
+use crate::domain::fanout::MOST_ATTEMPTS;
 use crate::domain::fanout::Rules;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::AttemptId;
@@ -22,6 +23,7 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::outcome::SnapshotName;
+use crate::domain::query::Query;
 use crate::domain::resources::Preference;
 use crate::domain::snapshot;
 use crate::domain::view::LookupPlan;
@@ -62,6 +64,8 @@
     pub plan: Arc<LookupPlan>,
     pub start: Instant,
     pub deadline: Instant,
+    /// When an answer with enough shards is given.
+    pub objective: Option<Instant>,
 }
 
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
@@ -124,7 +128,7 @@
             Ok(found) => found,
             Err(code) => return refuse(trace, code, COME_BACK),
         };
-        if found.plan.lookup.repeatable {
+        if found.plan.lookup.repeatable || matches!(request.query, Query::Bytes(_)) {
             return self.run_or_forward(request, &found, trace).await;
         }
         self.once(request, &found, trace).await
@@ -154,9 +158,39 @@
             return Err(Code::NoConfiguration);
         }
         let plan = view.lookups.get(request.lookup.as_str()).ok_or(Code::UnknownLookup)?;
+        let plan = self.part_of(plan);
         let own = Duration::from_millis(plan.lookup.deadline_ms);
         let time = request.limit.map_or(own, |limit| limit.min(own));
-        Ok(Found { plan: Arc::clone(plan), start, deadline: start + time })
+        let objective = plan.lookup.objective_ms.map(|millis| {
+            let used = request.limit.map_or(Duration::ZERO, |left| self.used_time(&plan.name, left));
+            start + answer_time(Duration::from_millis(millis), used, self.settings.margin)
+        });
+        Ok(Found { plan, start, deadline: start + time, objective })
+    }
+
+    /// Picks the part of a divided lookup whose turn it is, so that each gets
+    /// its share of any few requests.
+    fn part_of(&self, plan: &Arc<LookupPlan>) -> Arc<LookupPlan> {
+        let total: i64 = plan.parts.iter().map(|part| i64::from(part.weight)).sum();
+        let mut turns = self.turns.borrow_mut();
+        let turns = turns.entry(Arc::clone(&plan.name)).or_default();
+        turns.resize(plan.parts.len(), 0);
+        for (turn, part) in turns.iter_mut().zip(&plan.parts) {
+            *turn += i64::from(part.weight);
+        }
+        let next = turns.iter().enumerate().max_by_key(|(_, turn)| **turn).map(|(at, _)| at);
+        let Some(next) = next else { return Arc::clone(plan) };
+        turns[next] -= total;
+        Arc::clone(&plan.parts[next].plan)
+    }
+
+    /// Returns how much of its caller's time a request had used when it came:
+    /// what is left lacks that much of the most that any of its kind came with.
+    fn used_time(&self, name: &Arc<str>, left: Duration) -> Duration {
+        let mut fullest = self.fullest.borrow_mut();
+        let most = fullest.entry(Arc::clone(name)).or_default();
+        *most = left.max(*most);
+        most.saturating_sub(left)
     }
 
     /// Waits for the lease after a pause; a once-only request does not wait,
@@ -211,7 +245,8 @@
         });
         let job = Job {
             request: trace.request().map(Arc::clone).unwrap_or_default(),
-            query: Arc::clone(&request.query),
+            kind: Arc::clone(&found.plan.name),
+            query: request.query.clone(),
             deadline: found.deadline,
             once: !lookup.repeatable,
         };
@@ -239,7 +274,9 @@
             let ended = self.fan_out(job, &plan, self.rules(found), first, trace).await;
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
-                return (answer(trace, &plan, ended.finished), ended.crowd);
+                let mut answer = answer(trace, &plan, ended.finished);
+                answer.merge = found.plan.lookup.merge;
+                return (answer, ended.crowd);
             }
             let missing = ended.finished.coverage.missing.len();
             trace.emit(Event::SnapshotAbandoned { version, missing });
@@ -262,6 +299,10 @@
             deadline: found.deadline,
             hedge: self.settings.hedge,
             fixed: self.fixed_hedge(),
+            kind: Arc::clone(&found.plan.name),
+            objective: found.objective,
+            least_share: lookup.least_share,
+            attempts: lookup.attempts.unwrap_or(MOST_ATTEMPTS),
         }
     }
 
@@ -278,6 +319,15 @@
     }
 }
 
+/// Returns how long an answer may take so that it is back within its objective:
+/// less what was used before, and less a margin for the way back. Where the
+/// objective can no longer be met, what is left of it has no meaning, and the
+/// answer has the whole objective to gather shards.
+fn answer_time(objective: Duration, used: Duration, margin: Duration) -> Duration {
+    let left = objective.saturating_sub(used + margin);
+    if left.is_zero() { objective } else { left }
+}
+
 pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
     let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
     let request = trace.request().map_or("", |id| id);
@@ -290,6 +340,7 @@
     answer.snapshot = Some(SnapshotName { index: plan.index.to_string(), version: plan.version });
     answer.coverage = finished.coverage;
     answer.results = finished.parts;
+    answer.failure = finished.failure;
     if answer.outcome == Outcome::NotRun {
         answer.retry_after = u64::try_from(COME_BACK.as_millis()).ok();
     }
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -21,6 +21,7 @@
 use crate::domain::admission::Gate;
 use crate::domain::admission::GateLimits;
 use crate::domain::admission::WaiterId;
+use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
 use crate::domain::hlc::HybridClock;
@@ -30,7 +31,11 @@
 use crate::domain::lease::RENEW_EVERY;
 use crate::domain::lease::Renewal;
 use crate::domain::once::Ledger;
+use crate::domain::resources::Bounds;
 use crate::domain::routing::Budget;
+use crate::domain::routing::Budgets;
+use crate::domain::routing::FleetSlack;
+use crate::domain::routing::Places;
 use crate::domain::routing::Policy;
 use crate::domain::routing::Router;
 use crate::domain::view::View;
@@ -63,6 +68,15 @@
     pub policy: Policy,
     /// Extra requests allowed for each needed one.
     pub extra: f64,
+    /// What the whole fleet may send to one service on top within a window,
+    /// where that is bound; budgets are then kept for each service.
+    pub slack: Option<f64>,
+    /// How many daemons are taken to share it before any is known.
+    pub daemons: u32,
+    /// Where this daemon and the availability zones are.
+    pub places: Places,
+    /// What is kept of an objective for the answer's way back.
+    pub margin: Duration,
     /// After how many times the slow pace a hedge is due; none for no hedges.
     pub hedge: Option<f64>,
     /// A fixed delay before hedges instead.
@@ -106,6 +120,12 @@
     pub(super) running: Cell<usize>,
     pub(super) stopping: Cell<bool>,
     pub(super) counts: Cell<Counts>,
+    /// Whose turn it is in each divided lookup.
+    pub(super) turns: RefCell<HashMap<Arc<str>, Vec<i64>>>,
+    /// The most time that any request of a lookup came with.
+    pub(super) fullest: RefCell<HashMap<Arc<str>, Duration>>,
+    /// The most daemons that were ever known at once.
+    known: Cell<u32>,
     numbered: Cell<u64>,
 }
 
@@ -131,9 +151,14 @@
         control: Sender<ToControl>,
         telemetry: Telemetry,
     ) -> Rc<Self> {
-        let budget = Budget::new(settings.extra);
+        let budgets = match settings.slack {
+            Some(slack) => Budgets::by_service(FleetSlack { share: settings.extra, slack }, settings.daemons),
+            None => Budgets::one(settings.extra),
+        };
         let spare = Budget::new(settings.extra);
-        let router = Router::new(settings.policy, budget, settings.seed, ports.clock.now());
+        let router = Router::new(settings.policy, budgets, settings.seed, ports.clock.now());
+        let router = router.at(settings.places.clone());
+        let known = settings.daemons;
         Rc::new(Self {
             settings,
             executor,
@@ -152,6 +177,9 @@
             running: Cell::new(0),
             stopping: Cell::new(false),
             counts: Cell::default(),
+            turns: RefCell::default(),
+            fullest: RefCell::default(),
+            known: Cell::new(known),
             numbered: Cell::new(0),
         })
     }
@@ -180,16 +208,27 @@
         match message {
             ToWorker::View(view) => self.take_view(view),
             ToWorker::Words(words) => self.router.borrow_mut().hear_all(&words),
-            ToWorker::Peers(peers) => *self.peers.borrow_mut() = peers,
+            ToWorker::Peers(peers) => self.take_peers(peers),
             ToWorker::Confirmed(confirmed) => self.confirm(confirmed.asked),
             ToWorker::Stop => self.stopping.set(true),
         }
     }
 
+    fn take_peers(&self, peers: Arc<PeerView>) {
+        let known = u32::try_from(peers.rows.len()).unwrap_or(u32::MAX);
+        self.known.set(self.known.get().max(known));
+        if self.settings.slack.is_some() {
+            self.router.borrow_mut().share_with(self.known.get());
+        }
+        *self.peers.borrow_mut() = peers;
+    }
+
     fn take_view(&self, view: Arc<View>) {
         self.router.borrow_mut().apply(&view);
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
+        self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.fullest.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         *self.view.borrow_mut() = view;
     }
 
@@ -263,6 +302,25 @@
         }
     }
 
+    /// Returns the lookup that a caller's path leads to.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn lookup_at(&self, host: &str, path: &str) -> Result<Arc<str>, Code> {
+        let view = self.view.borrow();
+        if view.revision.is_none() {
+            return Err(Code::NoConfiguration);
+        }
+        let plan = view.lookup_at(host, path).ok_or(Code::UnknownLookup)?;
+        Ok(Arc::clone(&plan.name))
+    }
+
+    /// Returns the bounds on callers' requests, as published.
+    pub fn bounds(&self) -> Bounds {
+        self.view.borrow().bounds
+    }
+
     /// Returns a trace for what concerns no request.
     pub(super) fn duty_trace(&self) -> Trace<C> {
         Trace::new(None, true, &self.hybrid, self.ports.clock, &self.telemetry)
--- a/crates/harefield/src/lib.rs
+++ b/crates/harefield/src/lib.rs
@@ -6,7 +6,7 @@
 //! `domain` holds the decisions, `ports` the small traits that they need,
 //! `adapters` the surroundings, `engine` a worker running requests, `control`
 //! the duty that keeps configuration and membership, `telemetry` the time
-//! line, and `commands` the command line.
+//! line, `platform` the users' machines, and `commands` the command line.
 
 pub mod adapters;
 pub mod domain;
@@ -16,4 +16,5 @@
 pub mod control;
 pub mod daemon;
 pub mod engine;
+pub mod platform;
 pub mod telemetry;
--- /dev/null
+++ b/crates/harefield/src/platform/documents.rs
@@ -0,0 +1,223 @@
+//! The documents that the store holds, decoded into the product's resources.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::domain::ids::shard_id;
+use crate::domain::resources::Bounds;
+use crate::domain::resources::Catalog;
+use crate::domain::resources::Entry;
+use crate::domain::resources::Index;
+use crate::domain::resources::Lookup;
+use crate::domain::resources::Preference;
+use crate::domain::resources::Service;
+use crate::domain::resources::Snapshot;
+use crate::domain::resources::Split;
+use crate::domain::resources::Upstream;
+use crate::domain::resources::Urgency;
+
+/// The one shard that each of the users' services is.
+const SHARD: &str = "all";
+
+/// The version of the one snapshot that each index has: a changed set of
+/// services is another index.
+const VERSION: u64 = 1;
+
+/// Routes of at most this rank are urgent; 0 is the highest rank.
+const URGENT_RANK: u32 = 1;
+
+/// Routes of at most this rank are ordinary, those beyond it bulk work.
+const ORDINARY_RANK: u32 = 2;
+
+/// The newest configuration in whole.
+#[derive(Debug, Deserialize)]
+struct Published {
+    routes: Vec<Route>,
+    #[serde(default)]
+    services: Vec<ServiceLimits>,
+    #[serde(default)]
+    limits: ClientLimits,
+}
+
+/// A kind of request.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Route {
+    name: Arc<str>,
+    host: String,
+    path_prefix: Arc<str>,
+    /// The one service that runs it, unless one of the next two stands.
+    service: Option<Arc<str>>,
+    /// Services that its requests are divided over.
+    traffic_split: Option<Vec<Part>>,
+    /// The shards: every one of these services is asked.
+    fanout_services: Option<Vec<Arc<str>>>,
+    /// `safe` where a request may run more than once.
+    kind: String,
+    timeout_ms: u64,
+    target_latency_ms: Option<u64>,
+    #[serde(default)]
+    priority: u32,
+    attempts: Option<u32>,
+    /// How many records an answer holds.
+    result_limit: Option<usize>,
+    /// A name that misleads: the least share of the shards that makes an
+    /// answer, and no version.
+    oldest_version: Option<f64>,
+}
+
+/// A part of a route's requests.
+#[derive(Debug, Deserialize)]
+struct Part {
+    service: Arc<str>,
+    weight: f64,
+}
+
+/// What holds for all upstreams of a service.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceLimits {
+    name: Arc<str>,
+    connection_limit: Option<u32>,
+}
+
+/// Bounds on what a client may send.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ClientLimits {
+    header_bytes: Option<usize>,
+    body_bytes: Option<usize>,
+}
+
+/// An upstream's own entry; its key holds its id.
+#[derive(Debug, Deserialize)]
+struct Registered {
+    service: Arc<str>,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: Arc<str>,
+    #[serde(default)]
+    slots: u32,
+    /// `ready`, or `draining` where it takes no new work.
+    state: String,
+}
+
+/// Weights come as fractions too; they are kept in these parts of one.
+const WEIGHT_PARTS: f64 = 1000.0;
+
+/// Decodes the configuration.
+///
+/// # Errors
+///
+/// Returns why the document is not one.
+pub fn catalog_of(document: &[u8]) -> Result<Catalog, serde_json::Error> {
+    let published: Published = serde_json::from_slice(document)?;
+    let mut catalog = Catalog {
+        bounds: Bounds { head_bytes: published.limits.header_bytes, body_bytes: published.limits.body_bytes },
+        ..Catalog::default()
+    };
+    for limits in published.services {
+        let service = service(limits.connection_limit);
+        catalog.services.insert(limits.name, service);
+    }
+    for route in published.routes {
+        let name = Arc::clone(&route.name);
+        if let Some(lookup) = lookup(route, &mut catalog) {
+            catalog.lookups.insert(name, lookup);
+        }
+    }
+    Ok(catalog)
+}
+
+/// Decodes an upstream's entry.
+///
+/// # Errors
+///
+/// Returns why the document is not one.
+pub fn upstream_of(document: &[u8]) -> Result<Upstream, serde_json::Error> {
+    let registered: Registered = serde_json::from_slice(document)?;
+    Ok(Upstream {
+        address: registered.address,
+        zone: registered.zone,
+        slots: registered.slots.max(1),
+        connections: 0,
+        connect_ms: 0,
+        holds: vec![shard_id(&registered.service, SHARD)],
+        leaving: registered.state != "ready",
+    })
+}
+
+fn service(connections: Option<u32>) -> Service {
+    let shards = BTreeMap::from([(SHARD.into(), Vec::new())]);
+    Service { team: String::new(), shards, connections }
+}
+
+/// Decodes a route, and adds the indexes that it asks; none where it names no
+/// service.
+fn lookup(route: Route, catalog: &mut Catalog) -> Option<Lookup> {
+    let (index, split) = if let Some(services) = &route.fanout_services {
+        (add_index(services, catalog)?, Vec::new())
+    } else if let Some(parts) = &route.traffic_split {
+        let split = parts.iter().filter_map(|part| {
+            let index = add_index(std::slice::from_ref(&part.service), catalog)?;
+            Some(Split { index, weight: weight(part.weight) })
+        });
+        let split: Vec<Split> = split.collect();
+        (split.first()?.index.clone(), split)
+    } else {
+        (add_index(&[route.service?], catalog)?, Vec::new())
+    };
+    Some(Lookup {
+        team: String::new(),
+        index,
+        services: Vec::new(),
+        urgency: urgency(route.priority),
+        deadline_ms: route.timeout_ms,
+        repeatable: route.kind == "safe",
+        prefer: Preference::Coverage,
+        entries: vec![Entry { host: route.host.to_ascii_lowercase().into(), prefix: route.path_prefix }],
+        objective_ms: route.target_latency_ms,
+        least_share: route.oldest_version.unwrap_or(0.0),
+        merge: route.fanout_services.map(|_| route.result_limit.unwrap_or(usize::MAX)),
+        attempts: route.attempts,
+        split,
+    })
+}
+
+fn weight(weight: f64) -> u32 {
+    let parts = (weight * WEIGHT_PARTS).round().clamp(0.0, f64::from(u32::MAX / 2));
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "it was clamped")]
+    let parts = parts as u32;
+    parts
+}
+
+fn urgency(rank: u32) -> Urgency {
+    if rank <= URGENT_RANK {
+        Urgency::Urgent
+    } else if rank <= ORDINARY_RANK {
+        Urgency::Ordinary
+    } else {
+        Urgency::Bulk
+    }
+}
+
+/// Adds the index over a set of services, and its services where no limits
+/// name them; routes over the same set share it.
+fn add_index(services: &[Arc<str>], catalog: &mut Catalog) -> Option<String> {
+    let first = services.first()?;
+    let name = match services {
+        [_] => first.to_string(),
+        _ => format!("fan-out-{:016x}", xxh3_64(services.join(",").as_bytes())),
+    };
+    for service_name in services {
+        catalog.services.entry(Arc::clone(service_name)).or_insert_with(|| service(None));
+    }
+    let shards = services.iter().map(|name| (Arc::clone(name), vec![SHARD.into()])).collect();
+    let snapshots = vec![Snapshot { version: VERSION, shards }];
+    catalog.indexes.insert(name.as_str().into(), Index { team: String::new(), snapshots });
+    Some(name)
+}
--- /dev/null
+++ b/crates/harefield/src/platform/headers.rs
@@ -0,0 +1,83 @@
+//! Header names of the users' platform, and which headers are handed on.
+
+use std::sync::Arc;
+
+use hyper::body::Bytes;
+use hyper::header::HeaderMap;
+
+use crate::domain::reply::Header;
+
+/// Names one attempt of a client; the product's caller's id.
+pub(super) const CALLER_ID: &str = "attempt-id";
+
+/// How long the client waits, in milliseconds.
+pub(super) const TIME_LEFT: &str = "deadline-remaining";
+
+/// The upstream that alone may run the request.
+pub(super) const EXPECTED: &str = "expect-instance";
+
+/// The upstream's signature over its reply.
+pub(super) const SIGNATURE: &str = "server-seal";
+
+/// Present where an upstream did not run a request and never will.
+pub(super) const NOT_RUN: &str = "not-executed";
+
+/// An upstream's load: requests running, requests waiting, slots.
+pub(super) const LOAD: &str = "server-load";
+
+/// The signatures of the shards' replies that an answer was merged from.
+pub(super) const SIGNATURES: &str = "part-seals";
+
+/// How many shards an answer lacks.
+pub(super) const MISSING: &str = "missing-parts";
+
+/// Headers that belong to one connection or that are set anew on each.
+const OF_CONNECTION: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    TIME_LEFT,
+    EXPECTED,
+];
+
+/// Returns the text of a header.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns the headers that are handed on: all but those of the connection.
+pub(super) fn handed_on(headers: &HeaderMap) -> Vec<Header> {
+    let named = text(headers, "connection").unwrap_or("");
+    let named: Vec<String> = named.split(',').map(|name| name.trim().to_ascii_lowercase()).collect();
+    let kept = headers.iter().filter(|(name, _)| {
+        let name = name.as_str();
+        !OF_CONNECTION.contains(&name) && !named.iter().any(|other| other == name)
+    });
+    kept.map(|(name, value)| (Arc::from(name.as_str()), Bytes::copy_from_slice(value.as_bytes()))).collect()
+}
+
+/// Adds headers that were handed on to a message.
+pub(super) fn put_all(to: &mut HeaderMap, headers: &[Header]) {
+    for (name, value) in headers {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        let value = hyper::header::HeaderValue::from_maybe_shared(value.clone());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            to.append(name, value);
+        }
+    }
+}
+
+/// Sets one header.
+pub(super) fn put(to: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        to.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/platform/mod.rs
@@ -0,0 +1,17 @@
+//! The users' platform: its names, formats and calls, and nothing that decides.
+//!
+//! What comes in is decoded once into the product's own resources, requests
+//! and replies; `docs/PLATFORM.md` maps the names. Settings come through the
+//! template `deploy/settings.toml`.
+
+mod callers;
+mod documents;
+mod headers;
+mod store;
+mod upstreams;
+
+pub use callers::handle;
+pub use documents::catalog_of;
+pub use documents::upstream_of;
+pub use store::HttpStore;
+pub use upstreams::SignedProtocol;
--- /dev/null
+++ b/crates/harefield/src/platform/store.rs
@@ -0,0 +1,248 @@
+//! The platform's store: the one client for it, which reads and watches.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use log::warn;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::documents::catalog_of;
+use super::documents::upstream_of;
+use crate::adapters::http;
+use crate::adapters::http::Traffic;
+use crate::domain::feed::Change;
+use crate::domain::feed::Delta;
+use crate::domain::ids::Key;
+use crate::domain::ids::Revision;
+use crate::ports::Listing;
+use crate::ports::Platform;
+use crate::ports::PlatformError;
+use crate::ports::Space;
+use crate::ports::Watched;
+
+/// The key of the configuration.
+const CONFIG_KEY: &str = "op/config";
+
+/// The prefix of the upstreams' entries.
+const UPSTREAMS_PREFIX: &str = "servers/";
+
+/// The product's key of what the configuration holds.
+const CATALOG_KEY: &str = "catalogs/operator";
+
+/// The most bytes of one reply: a page holds about a megabyte of values, in a
+/// text that is a third longer.
+const MOST_REPLY: usize = 8 << 20;
+
+/// How long a read may take, beyond the wait of a watch; the store answers in 4 ms
+/// as a rule, and in some 240 ms where it is slow.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+
+/// One value, or that it was taken away.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Item {
+    /// A name that misleads: the item's key, which everyone may read.
+    private_key: String,
+    /// The bytes, in base64.
+    #[serde(default)]
+    value: Option<String>,
+    revision: Revision,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+/// The answer to a read of one key.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct One {
+    #[serde(flatten)]
+    item: Item,
+    store_revision: Revision,
+}
+
+/// A page of a prefix.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    items: Vec<Item>,
+    truncated: bool,
+    store_revision: Revision,
+}
+
+/// The answer to a watch.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Events {
+    events: Vec<Item>,
+    store_revision: Revision,
+}
+
+/// Reads the store by HTTP. It lists no hosts: daemons find each other.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    executor: Rc<LocalExecutor<'static>>,
+    traffic: Traffic,
+}
+
+impl HttpStore {
+    /// Creates the client on one thread's executor; `traffic` counts its bytes.
+    #[must_use]
+    pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic) -> Self {
+        Self { executor, traffic }
+    }
+
+    /// Reads what stands under a path; none where it is gone or not there.
+    async fn get<R: DeserializeOwned>(
+        &self,
+        copy: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<Option<R>, PlatformError> {
+        let request = Request::get(path).header("host", copy.to_string()).body(Full::default());
+        let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
+        let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
+        self.traffic.count(0, reply.body().len());
+        match reply.status() {
+            StatusCode::OK => {}
+            StatusCode::GONE | StatusCode::NOT_FOUND => return Ok(None),
+            _ => return Err(PlatformError::Unreachable),
+        }
+        let parsed = serde_json::from_slice(reply.body());
+        parsed.map(Some).map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+
+    async fn list_config(&self, copy: SocketAddr) -> Result<Listing, PlatformError> {
+        let path = format!("/-/kv-key?privateKey={CONFIG_KEY}");
+        let config: Option<One> = self.get(copy, &path, READ_LIMIT).await?;
+        let config = config.ok_or_else(|| PlatformError::Malformed("nothing is published yet".to_owned()))?;
+        let revision = config.store_revision;
+        let mut listing = Listing { first: revision, last: revision, ..Listing::default() };
+        put(&mut listing, &config.item);
+        let mut after = String::new();
+        loop {
+            let path = format!("/-/kv-range?pathPrefix={UPSTREAMS_PREFIX}{after}");
+            let page: Option<Page> = self.get(copy, &path, READ_LIMIT).await?;
+            let page = page.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
+            listing.first = listing.first.min(page.store_revision);
+            listing.last = listing.last.max(page.store_revision);
+            let last = page.items.last().map(|item| item.private_key.clone());
+            page.items.iter().for_each(|item| put(&mut listing, item));
+            match last.filter(|_| page.truncated) {
+                Some(key) => after = format!("&after={key}"),
+                None => return Ok(listing),
+            }
+        }
+    }
+}
+
+fn put(listing: &mut Listing, item: &Item) {
+    if let Some(Change { key, value: Some(value) }) = change_of(item) {
+        listing.items.insert(key, value);
+    }
+}
+
+impl Platform for HttpStore {
+    async fn list(&self, copy: SocketAddr, space: Space) -> Result<Listing, PlatformError> {
+        match space {
+            Space::Config => self.list_config(copy).await,
+            Space::Hosts => Ok(Listing::default()),
+        }
+    }
+
+    async fn watch(
+        &self,
+        copy: SocketAddr,
+        space: Space,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watched, PlatformError> {
+        if space == Space::Hosts {
+            Timer::after(wait).await;
+            return Ok(Watched::Changes { deltas: Vec::new(), at: after });
+        }
+        let path = format!("/-/kv-watch?pathPrefix=&after={after}&waitMs={}", wait.as_millis());
+        let events: Option<Events> = self.get(copy, &path, wait + READ_LIMIT).await?;
+        Ok(match events {
+            Some(Events { events, store_revision: at }) => {
+                Watched::Changes { deltas: group(after, events), at }
+            }
+            None => Watched::Compacted,
+        })
+    }
+}
+
+/// Groups events into one delta a revision, each on top of the one before.
+fn group(after: Revision, events: Vec<Item>) -> Vec<Delta> {
+    let mut grouped: BTreeMap<Revision, Vec<Change>> = BTreeMap::new();
+    for item in events.into_iter().filter(|item| item.revision > after) {
+        let revision = item.revision;
+        if let Some(change) = change_of(&item) {
+            grouped.entry(revision).or_default().push(change);
+        }
+    }
+    let mut base = after;
+    let deltas = grouped.into_iter().map(|(revision, changes)| {
+        let delta = Delta { base, revision, changes };
+        base = revision;
+        delta
+    });
+    deltas.collect()
+}
+
+/// Decodes an item into a change of the product's resources; none where it is
+/// none of the product's business, or cannot be read.
+fn change_of(item: &Item) -> Option<Change> {
+    let key: Key = if item.private_key == CONFIG_KEY {
+        CATALOG_KEY.into()
+    } else {
+        let id = item.private_key.strip_prefix(UPSTREAMS_PREFIX)?;
+        format!("upstreams/{id}").into()
+    };
+    if item.tombstone {
+        return Some(Change { key, value: None });
+    }
+    match decode(item) {
+        Ok(value) => Some(Change { key, value: Some(value.into()) }),
+        Err(error) => {
+            warn!(
+                "{} at revision {} cannot be read and is left out: {error}",
+                item.private_key, item.revision
+            );
+            None
+        }
+    }
+}
+
+/// Why an item cannot be read.
+#[derive(Debug, thiserror::Error)]
+enum DecodeError {
+    #[error("it has no value")]
+    Empty,
+    #[error("{0}")]
+    Base64(#[from] base64::DecodeError),
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// Decodes an item's value into a resource's JSON.
+fn decode(item: &Item) -> Result<String, DecodeError> {
+    let text = item.value.as_deref().ok_or(DecodeError::Empty)?;
+    let bytes = STANDARD.decode(text)?;
+    let json = if item.private_key == CONFIG_KEY {
+        serde_json::to_string(&catalog_of(&bytes)?)?
+    } else {
+        serde_json::to_string(&upstream_of(&bytes)?)?
+    };
+    Ok(json)
+}
--- /dev/null
+++ b/crates/harefield/src/platform/upstreams.rs
@@ -0,0 +1,129 @@
+//! The protocol of the users' upstreams: opaque requests, signed replies.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::header::HeaderMap;
+
+use super::headers;
+use super::headers::text;
+use crate::adapters::upstreams::Protocol;
+use crate::adapters::upstreams::Reading;
+use crate::adapters::upstreams::lost;
+use crate::domain::fanout::AttemptEnd;
+use crate::domain::outcome::Gap;
+use crate::domain::query::Query;
+use crate::domain::reply::ByteReply;
+use crate::domain::reply::Reply;
+use crate::domain::routing::Load;
+use crate::domain::routing::Report;
+use crate::domain::routing::Verdict;
+use crate::ports::Call;
+use crate::ports::CallEnd;
+use crate::ports::Place;
+
+/// The protocol of the users' upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SignedProtocol;
+
+impl Protocol for SignedProtocol {
+    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        let Query::Bytes(query) = &call.query else {
+            return Request::new(Full::default());
+        };
+        let mut request = Request::new(Full::new(query.body.clone()));
+        if let Ok(method) = query.method.parse() {
+            *request.method_mut() = method;
+        }
+        if let Ok(target) = query.target.parse() {
+            *request.uri_mut() = target;
+        }
+        let left = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX).max(1);
+        headers::put_all(request.headers_mut(), &query.headers);
+        headers::put(request.headers_mut(), headers::TIME_LEFT, &left.to_string());
+        headers::put(request.headers_mut(), headers::EXPECTED, &call.place.upstream);
+        request
+    }
+
+    fn read(&self, call: &Call, reply: Response<Bytes>) -> Reading {
+        let report = self.report(reply.headers());
+        if !is_own(call, reply.headers()) {
+            return Reading { end: lost(Gap::ReplyCrossed, report), keep: false };
+        }
+        if let Some(end) = refused(&reply, &report) {
+            return Reading { end, keep: true };
+        }
+        let status = reply.status();
+        let answered = status.is_success();
+        if is_encoded(reply.headers()) || (answered && text(reply.headers(), headers::SIGNATURE).is_none()) {
+            return Reading { end: lost(Gap::Failed, report), keep: false };
+        }
+        let reply = Reply::Bytes(Arc::new(reply_of(reply)));
+        let (end, verdict) = if answered {
+            (AttemptEnd::Answered(reply), Verdict::Good)
+        } else {
+            (AttemptEnd::Failed(reply), verdict_of(status))
+        };
+        Reading { end: CallEnd { end, verdict, report }, keep: true }
+    }
+
+    fn report(&self, headers: &HeaderMap) -> Report {
+        let load = text(headers, headers::LOAD).and_then(|text| {
+            let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>());
+            Some(Load { active: numbers.next()?.ok()?, queued: numbers.next()?.ok()? })
+        });
+        Report { load, word: None }
+    }
+
+    /// Closing the connection is the only word for it; see `keep`.
+    fn cancel(&self, _place: &Place, _request: &str) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+}
+
+/// Says whether a reply is the one to this call: a late one to an earlier
+/// request carries that one's id.
+fn is_own(call: &Call, headers: &HeaderMap) -> bool {
+    let Query::Bytes(query) = &call.query else { return false };
+    text(headers, headers::CALLER_ID).is_none_or(|id| *id == *query.id)
+}
+
+fn is_encoded(headers: &HeaderMap) -> bool {
+    headers.contains_key(hyper::header::CONTENT_ENCODING)
+}
+
+/// Reads a refusal of what was not run; none where the reply is none.
+fn refused(reply: &Response<Bytes>, report: &Report) -> Option<CallEnd> {
+    let status = reply.status();
+    if !reply.headers().contains_key(headers::NOT_RUN) && status != StatusCode::MISDIRECTED_REQUEST {
+        return None;
+    }
+    let wait = text(reply.headers(), "retry-after").and_then(|seconds| seconds.parse::<f64>().ok());
+    let wait = wait.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    let (why, verdict) = match status {
+        StatusCode::MISDIRECTED_REQUEST => (Gap::Leaving, Verdict::Broken),
+        _ => (Gap::Overloaded, Verdict::Full(wait)),
+    };
+    let end = AttemptEnd::Refused { why, begun: false };
+    Some(CallEnd { end, verdict, report: report.clone() })
+}
+
+fn verdict_of(status: StatusCode) -> Verdict {
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => Verdict::Abandoned,
+        status if status.is_server_error() => Verdict::Broken,
+        _ => Verdict::Good,
+    }
+}
+
+fn reply_of(reply: Response<Bytes>) -> ByteReply {
+    let signature = text(reply.headers(), headers::SIGNATURE).map(Arc::from);
+    let handed_on = headers::handed_on(reply.headers());
+    let status = reply.status().as_u16();
+    ByteReply { status, headers: handed_on, body: reply.into_body(), signature }
+}
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -48,8 +48,13 @@
 /// What a watch returned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
-    /// The changes since, one delta a revision; none where nothing changed.
-    Deltas(Vec<Delta>),
+    /// What changed since.
+    Changes {
+        /// One delta a revision; none where nothing changed.
+        deltas: Vec<Delta>,
+        /// The revision up to which nothing else changed.
+        at: Revision,
+    },
     /// The platform no longer has the changes since; list again.
     Compacted,
 }
--- a/crates/harefield/src/ports/upstreams.rs
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -1,12 +1,12 @@
 //! The port to the upstreams.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::Echo;
 use crate::domain::ids::UpstreamId;
+use crate::domain::query::Query;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
 
@@ -34,8 +34,8 @@
     pub drain: Duration,
     /// Whether the request must not run twice.
     pub once: bool,
-    /// The query, as JSON.
-    pub query: Arc<[u8]>,
+    /// The query.
+    pub query: Query,
 }
 
 /// How a call ended.
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -88,6 +88,9 @@
     pub peers: Vec<Row>,
     /// Bytes that control has sent and received since the start.
     pub control_bytes: u64,
+    /// Whether a planned stop has begun.
+    #[serde(default)]
+    pub stopping: bool,
     /// Its workers.
     pub workers: BTreeMap<usize, WorkerStatus>,
     /// What became of each lookup's requests.
@@ -115,6 +118,7 @@
             config: ConfigStatus::default(),
             peers: Vec::new(),
             control_bytes: 0,
+            stopping: false,
             workers: BTreeMap::new(),
             lookups: BTreeMap::new(),
             dropped: 0,
--- a/crates/harefield/tests/decisions/fanout.rs
+++ b/crates/harefield/tests/decisions/fanout.rs
@@ -23,11 +23,13 @@
 use harefield::domain::fanout::Echo;
 use harefield::domain::fanout::Fanout;
 use harefield::domain::fanout::Finished;
+use harefield::domain::fanout::MOST_ATTEMPTS;
 use harefield::domain::fanout::Rules;
 use harefield::domain::fanout::Send;
 use harefield::domain::fanout::verify;
 use harefield::domain::outcome::Gap;
 use harefield::domain::outcome::Outcome;
+use harefield::domain::reply::Reply;
 use harefield::domain::resources::Preference;
 use harefield::domain::routing::Report;
 use harefield::domain::routing::Router;
@@ -93,8 +95,18 @@
         let start = Instant::now();
         let view = view(&set(shards, replicas, &[7]));
         let plan = Arc::clone(&view.lookups["l"].plans[0]);
-        let rules =
-            Rules { repeatable, prefer, start, deadline: at(start, 100), hedge: Some(1.0), fixed: None };
+        let rules = Rules {
+            kind: "l".into(),
+            repeatable,
+            prefer,
+            start,
+            deadline: at(start, 100),
+            hedge: Some(1.0),
+            fixed: None,
+            objective: None,
+            least_share: 0.0,
+            attempts: MOST_ATTEMPTS,
+        };
         let mut world = Self {
             fanout: Fanout::new(Arc::clone(&plan), rules, 0),
             router: router(&view, start),
@@ -164,7 +176,7 @@
         }
         let place = place % self.flying.len();
         let body = body_of(&self.flying[place]);
-        self.end(place, AttemptEnd::Answered(body), Verdict::Good);
+        self.end(place, AttemptEnd::Answered(Reply::Json(body)), Verdict::Good);
     }
 
     fn take(&mut self, step: Step) {
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -15,7 +15,7 @@
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::UpstreamId;
 use harefield::domain::resources::ResourceSet;
-use harefield::domain::routing::Budget;
+use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
 use harefield::domain::view::View;
@@ -94,7 +94,7 @@
 
 /// Returns a router that acts on a view.
 pub fn router(view: &View, now: Instant) -> Router {
-    let mut router = Router::new(Policy::Cost, Budget::new(0.05), 7, now);
+    let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 7, now);
     router.apply(view);
     router
 }
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -138,7 +138,7 @@
             revision: *revision,
             changes: vec![change.clone()],
         });
-        Ok(Watched::Deltas(deltas.collect()))
+        Ok(Watched::Changes { deltas: deltas.collect(), at: shared.revision })
     }
 }
 
--- a/crates/harefield/tests/fleet/warming.rs
+++ b/crates/harefield/tests/fleet/warming.rs
@@ -9,13 +9,14 @@
 use async_io::Timer;
 
 use harefield::adapters::upstreams::HttpUpstreams;
+use harefield::adapters::upstreams::OwnProtocol;
 use harefield::ports::Place;
 use harefield::ports::Upstreams;
 
 #[test]
 fn dead_left_alone() {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let upstreams = HttpUpstreams::new(Rc::clone(&executor));
+    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor));
     // A port that was just free refuses connections.
     let listener = std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
     let address = listener.local_addr().expect("it has an address");
