Count probes as attempts

A probe of a replica that is passed over did not count as an attempt.

Ruled out: retries and hedges, which were counted.

Change: every upstream asked counts; no probe where it would be one too many. Test fanout::attempts_kept, seen failing before (3 attempts of 2).

--- a/crates/harefield/src/domain/fanout/cut.rs
+++ b/crates/harefield/src/domain/fanout/cut.rs
@@ -36,7 +36,7 @@
     pub objective: Option<Instant>,
     /// The least share of the shards that makes an answer.
     pub least_share: f64,
-    /// The most attempts on one shard, probes aside.
+    /// The most attempts on one shard, probes included.
     pub attempts: u32,
 }
 
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -59,7 +59,7 @@
     #[must_use]
     pub fn crowd(&self) -> Crowd {
         let waited = self.shards.iter().filter(|shard| shard.waited).count();
-        Crowd { waited, shards: self.shards.len() }
+        Crowd { waited, shards: self.shards.len(), objective: self.rules.objective.is_some() }
     }
 
     /// Returns the number that the next attempt would have.
@@ -253,7 +253,7 @@
         if state.is_awaited() {
             return;
         }
-        let spent = state.sent >= self.rules.attempts;
+        let spent = !self.may_send(shard);
         let once = !self.rules.repeatable && state.ran;
         if spent || once {
             self.close(shard, Gap::Failed, step);
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -60,7 +60,7 @@
     /// Sends a second attempt, the first being slow, where the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
         self.shards[shard].hedge = Hedge::Off;
-        if self.shards[shard].sent >= self.rules.attempts {
+        if !self.may_send(shard) {
             return;
         }
         let Ok(choice) = self.choose(shard, step) else {
@@ -80,7 +80,7 @@
     /// time to look how it does, off the path of the request.
     fn probe<S: Sink>(&mut self, shard: usize, chosen: &UpstreamId, step: &mut Step<'_, S>) {
         let hedges = self.rules.hedge.is_some() && self.rules.fixed.is_none();
-        if !self.rules.repeatable || !hedges {
+        if !self.rules.repeatable || !hedges || !self.may_send(shard) {
             return;
         }
         let tried = self.shards[shard].tried();
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns whether one more upstream may be asked for a shard; probes count.
+    pub(super) fn may_send(&self, shard: usize) -> bool {
+        self.shards[shard].sent < self.rules.attempts
+    }
+
     fn ask<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> Ask<'a> {
         Ask {
             replicas: &self.plan.shards[shard].replicas,
@@ -142,7 +147,7 @@
         }
         let name = self.name(shard);
         let state = &mut self.shards[shard];
-        state.sent += u32::from(cause != Cause::Probe);
+        state.sent += 1;
         state.flights.push(Flight { attempt, upstream: Arc::clone(&upstream), start, cause });
         step.emit(Event::ReplicaChosen { shard: Arc::clone(&name), upstream: Arc::clone(&upstream), scores });
         step.emit(Event::Sent { shard: name, upstream: Arc::clone(&upstream), attempt, cause });
--- a/crates/harefield/tests/decisions/fanout.rs
+++ b/crates/harefield/tests/decisions/fanout.rs
@@ -92,13 +92,24 @@
 
 impl World {
     fn new(shards: usize, replicas: usize, repeatable: bool, prefer: Preference) -> Self {
+        Self::with(shards, replicas, repeatable, |rules, _| rules.prefer = prefer)
+    }
+
+    /// Begins a fan-out whose rules and router a test has changed.
+    fn with(
+        shards: usize,
+        replicas: usize,
+        repeatable: bool,
+        change: impl FnOnce(&mut Rules, &mut Router),
+    ) -> Self {
         let start = Instant::now();
         let view = view(&set(shards, replicas, &[7]));
         let plan = Arc::clone(&view.lookups["l"].plans[0]);
-        let rules = Rules {
+        let mut router = router(&view, start);
+        let mut rules = Rules {
             kind: "l".into(),
             repeatable,
-            prefer,
+            prefer: Preference::Coverage,
             start,
             deadline: at(start, 100),
             hedge: Some(1.0),
@@ -107,9 +118,11 @@
             least_share: 0.0,
             attempts: MOST_ATTEMPTS,
         };
+        change(&mut rules, &mut router);
+        let start = rules.start;
         let mut world = Self {
             fanout: Fanout::new(Arc::clone(&plan), rules, 0),
-            router: router(&view, start),
+            router,
             plan,
             now: start,
             start,
@@ -409,3 +422,97 @@
     assert_eq!(verify(&asked, Some(&other)), Err(Gap::SnapshotWrong));
     assert_eq!(verify(&asked, None), Err(Gap::ReplyCrossed));
 }
+
+/// Makes replica 1 of every shard one that takes much longer, seen a second ago.
+fn slow_second(shards: usize, rules: &mut Rules, router: &mut Router) {
+    let past = rules.start;
+    for shard in 0..shards {
+        for (number, millis) in [(0, 4), (1, 60)] {
+            let name = replica(shard, number);
+            for _ in 0..20 {
+                router.begin(&name, past);
+                router.end(&name, past, Verdict::Good, &Report::default(), at(past, millis));
+            }
+        }
+    }
+    for step in 1..=10 {
+        router.lease_mut().renew(at(past, step * 100));
+    }
+    rules.start = at(past, 1000);
+    rules.deadline = at(past, 1100);
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    /// No more upstreams are asked for a shard than the lookup allows, probes
+    /// included.
+    #[test]
+    fn attempts_kept(steps in proptest::collection::vec(step(), 0..40), attempts in 1_u32..4) {
+        let mut world = World::with(6, 3, true, |rules, router| {
+            slow_second(6, rules, router);
+            rules.attempts = attempts;
+        });
+        for step in steps {
+            if world.fanout.is_done() {
+                break;
+            }
+            world.take(step);
+        }
+        for shard in 0..6 {
+            let sent = world.sent.iter().filter(|send| send.shard == shard).count();
+            prop_assert!(sent <= usize::try_from(attempts).expect("it is small"), "{} attempts", sent);
+        }
+    }
+}
+
+#[test]
+fn objective_cuts() {
+    let objective = |rules: &mut Rules, least| {
+        rules.objective = Some(at(rules.start, 50));
+        rules.least_share = least;
+    };
+    let mut world = World::with(20, 2, true, |rules, _| objective(rules, 0.89));
+    for _ in 0..17 {
+        world.answer(0);
+    }
+    world.pass(Duration::from_millis(50));
+    assert!(!world.fanout.is_done(), "17 of 20 are too few");
+    world.answer(0);
+    world.pass(Duration::ZERO);
+    assert!(world.fanout.is_done(), "18 of 20 are enough, and it is time");
+    let finished = world.fanout.finish();
+    assert_eq!(finished.outcome, Outcome::Answered);
+    assert_eq!(finished.coverage.contributed.len(), 18);
+    assert_eq!(finished.coverage.missing.len(), 2);
+}
+
+#[test]
+fn objective_waits_for_all() {
+    let mut world = World::with(20, 2, true, |rules, _| {
+        rules.objective = Some(at(rules.start, 50));
+        rules.least_share = 0.5;
+    });
+    for _ in 0..19 {
+        world.answer(0);
+    }
+    world.pass(Duration::from_millis(49));
+    assert!(!world.fanout.is_done(), "there is time for the last");
+    world.pass(Duration::from_millis(1));
+    assert!(world.fanout.is_done());
+}
+
+#[test]
+fn hopeless_ends_early() {
+    let mut world = World::with(4, 1, true, |rules, _| {
+        rules.least_share = 0.75;
+        rules.attempts = 1;
+    });
+    for _ in 0..2 {
+        assert!(!world.fanout.is_done());
+        world.end(0, AttemptEnd::Lost { why: Gap::ReplyLost }, Verdict::Broken);
+    }
+    assert!(world.fanout.is_done(), "two of four are lost, and three are needed");
+    let finished = world.fanout.finish();
+    assert_eq!(finished.outcome, Outcome::MayHaveRun);
+}
