Take stragglers for no crowd

The log of one daemon shows requests that waited 160 to 310 ms at the gate before any shard was asked. The gate shrinks when a fan-out takes twice the best time, which here each pause of a searcher does, and a mix of quick and slow kinds besides.

Ruled out: the cut (those admitted at once were cut at 90 ms), the searchers' queues (replies of 6 ms while requests waited).

Change: the time of a fan-out that goes by an objective narrows nothing; shards that wait for room still do. Test admission::objective_not_crowd, seen failing.

--- a/crates/harefield/src/domain/admission/crowd.rs
+++ b/crates/harefield/src/domain/admission/crowd.rs
@@ -10,6 +10,9 @@
     pub waited: usize,
     /// All shards.
     pub shards: usize,
+    /// Whether the fan-out went by an objective: its time then tells of its
+    /// slowest shards and its cut, and not of a crowd.
+    pub objective: bool,
 }
 
 impl Crowd {
--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -170,7 +170,7 @@
         self.best = Some(best);
         if crowd.is_crowded() {
             self.shrink(LEAST_LIMIT, took, now);
-        } else if seconds > best * SLOWER {
+        } else if seconds > best * SLOWER && !crowd.objective {
             self.shrink(SLOW_LIMIT, took, now);
         } else if number(self.total) + 2.0 >= self.limit {
             self.limit = (self.limit + 1.0 / self.limit).min(number(self.limits.running));
--- a/crates/harefield/tests/decisions/admission.rs
+++ b/crates/harefield/tests/decisions/admission.rs
@@ -146,12 +146,27 @@
     assert!(matches!(entry, Entry::Wait(_)), "a long wait once does not refuse for ever: {entry:?}");
 }
 
+#[test]
+fn objective_not_crowd() {
+    // A fan-out that goes by an objective takes as long as its slowest shards
+    // and its cut allow; that alone narrows nothing.
+    let now = Instant::now();
+    let (mut gate, running) = full_gate(now);
+    let before = gate.limit();
+    let crowd = Crowd { waited: 0, shards: 20, objective: true };
+    for number in 0..running {
+        let took = Duration::from_millis(if number == 0 { 10 } else { 190 });
+        gate.leave(&"t".into(), took, crowd, at(now, 200));
+    }
+    assert!(gate.limit() >= before, "{} {before}", gate.limit());
+}
+
 #[test]
 fn limit_follows_crowd() {
     let now = Instant::now();
     let (mut gate, _) = full_gate(now);
     let before = gate.limit();
-    let crowd = Crowd { waited: 5, shards: 20 };
+    let crowd = Crowd { waited: 5, shards: 20, objective: false };
     gate.leave(&"t".into(), Duration::from_millis(10), crowd, now);
     assert!(gate.limit() < before);
     let shrunk = gate.limit();
@@ -207,7 +222,7 @@
                 }
                 Step::Leave(n, waited) if !running.is_empty() => {
                     let team = running.swap_remove(n % running.len());
-                    let crowd = Crowd { waited, shards: 20 };
+                    let crowd = Crowd { waited, shards: 20, objective: false };
                     for called in gate.leave(&team, Duration::from_millis(20), crowd, now) {
                         let (Called::Run(id) | Called::Refuse(id, _)) = called;
                         let team = waiting.remove(&id).expect("it was waiting");
