Log every decision to standard output, bounded and off the path

Lines go through a bounded ring to a thread of its own; what is too much is dropped and counted.

How much of its time a request had used is told from the median of what its kind comes with, and not from the most: a few clients are patient.

--- a/crates/harefield/src/adapters/logs.rs
+++ b/crates/harefield/src/adapters/logs.rs
@@ -1,12 +1,43 @@
-//! Logs as JSON lines, by fern.
+//! Logs as JSON lines on standard output, by fern.
+//!
+//! Whoever logs puts a line into a bounded ring; a thread of its own writes
+//! them out. A full ring, or more lines than may be written, drops and counts
+//! them: a request never waits for its log.
 
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use async_channel::Receiver;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use crate::domain::ids::HostId;
 
+/// The target of lines that hold one event as JSON.
+pub const EVENTS: &str = "event";
+
+/// How many lines the ring holds: a few seconds of the most that is written.
+const RING_LENGTH: usize = 4096;
+
+/// How many lines a second are written for long: some 100 kB, far more than a
+/// daemon of today says, and far less than it would take to be slowed by.
+const LINES_PER_SECOND: f64 = 400.0;
+
+/// How many lines may come at once on top of that.
+const BURST: f64 = 2_000.0;
+
+/// The most bytes written at once; a pipe takes that many whole or not at all.
+const PIECE: usize = 4096;
+
+/// The pause between writes, so that lines go out together.
+const WRITE_EVERY: Duration = Duration::from_millis(100);
+
 #[derive(Serialize)]
 struct Line<'a> {
     #[serde(rename = "time-ms")]
@@ -14,28 +45,114 @@
     level: &'a str,
     host: &'a str,
     target: &'a str,
-    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    event: Option<&'a RawValue>,
 }
 
-/// Starts logging to standard error, one JSON object a line.
+/// Says how many lines were not written.
+#[derive(Serialize)]
+struct Dropped {
+    level: &'static str,
+    target: &'static str,
+    #[serde(rename = "dropped-lines")]
+    lines: u64,
+}
+
+/// Starts logging to standard output, one JSON object a line.
 ///
 /// # Errors
 ///
 /// Returns an error where logging was started before.
 pub fn start(level: log::LevelFilter, host: HostId) -> Result<(), log::SetLoggerError> {
-    fern::Dispatch::new()
-        .level(level)
-        .format(move |out, message, record| {
-            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-            let line = Line {
-                time,
-                level: record.level().as_str(),
-                host: &host,
-                target: record.target(),
-                message: message.to_string(),
-            };
-            out.finish(format_args!("{}", serde_json::to_string(&line).unwrap_or_default()));
-        })
-        .chain(std::io::stderr())
-        .apply()
+    let (sender, lines) = async_channel::bounded::<String>(RING_LENGTH);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&dropped);
+    let ring = fern::Output::call(move |record| {
+        if sender.try_send(render(record, &host)).is_err() {
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    fern::Dispatch::new().level(level).chain(ring).apply()?;
+    let writer = Writer { lines, dropped, tokens: BURST, filled: Instant::now() };
+    let started = std::thread::Builder::new().name("log".to_owned()).spawn(move || writer.run());
+    if let Err(error) = started {
+        eprintln!("no thread for the log, nothing is logged: {error}");
+    }
+    Ok(())
+}
+
+fn render(record: &log::Record<'_>, host: &str) -> String {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let text = record.args().to_string();
+    let event: Option<&RawValue> =
+        (record.target() == EVENTS).then(|| serde_json::from_str(&text).ok()).flatten();
+    let message = event.is_none().then(|| text.clone());
+    let (level, target) = (record.level().as_str(), record.target());
+    serde_json::to_string(&Line { time, level, host, target, message, event }).unwrap_or_default()
+}
+
+/// Writes lines out, within what may be written.
+struct Writer {
+    lines: Receiver<String>,
+    dropped: Arc<AtomicU64>,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Writer {
+    fn run(mut self) {
+        while let Ok(line) = self.lines.recv_blocking() {
+            self.fill();
+            if self.write_all(line).is_err() {
+                // Nobody reads any more; the ring fills up and is counted.
+                return;
+            }
+            std::thread::sleep(WRITE_EVERY);
+        }
+    }
+
+    /// Writes a line and all others that wait, in pieces of whole lines.
+    fn write_all(&mut self, first: String) -> std::io::Result<()> {
+        let mut text = String::with_capacity(PIECE);
+        let mut next = Some(first);
+        while let Some(line) = next {
+            if !text.is_empty() && text.len() + line.len() >= PIECE {
+                write_piece(&mut text)?;
+            }
+            self.take(&line, &mut text);
+            next = self.lines.try_recv().ok();
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = Dropped { level: "WARN", target: "log", lines: dropped };
+            text.push_str(&serde_json::to_string(&line).unwrap_or_default());
+            text.push('\n');
+        }
+        write_piece(&mut text)
+    }
+
+    fn fill(&mut self) {
+        let now = Instant::now();
+        let earned = now.saturating_duration_since(self.filled).as_secs_f64() * LINES_PER_SECOND;
+        self.tokens = (self.tokens + earned).min(BURST);
+        self.filled = now;
+    }
+
+    fn take(&mut self, line: &str, text: &mut String) {
+        if self.tokens < 1.0 {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.tokens -= 1.0;
+        text.push_str(line);
+        text.push('\n');
+    }
+}
+
+fn write_piece(text: &mut String) -> std::io::Result<()> {
+    let written = std::io::stdout().lock().write_all(text.as_bytes());
+    text.clear();
+    written
 }
--- a/crates/harefield/src/commands/serve.rs
+++ b/crates/harefield/src/commands/serve.rs
@@ -15,8 +15,8 @@
 const HELP: &str = "\
 Usage: harefield serve --settings FILE
 
-Runs a daemon. Prints one JSON line with its addresses once it serves; logs go
-to standard error. SIGTERM begins a planned stop, a second one ends it at once.
+Runs a daemon. Its log goes to standard output, one JSON object a line; so does
+one line with its addresses, once it serves. SIGTERM begins a planned stop, a second one ends it at once.
 ";
 
 pub(super) fn run(mut arguments: Arguments) -> Outcome {
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -19,6 +19,7 @@
 pub mod once;
 pub mod outcome;
 pub mod query;
+pub mod recent;
 pub mod reply;
 pub mod resources;
 pub mod routing;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -185,12 +185,12 @@
     }
 
     /// Returns how much of its caller's time a request had used when it came:
-    /// what is left lacks that much of the most that any of its kind came with.
+    /// what is left lacks that much of what its kind usually comes with.
     fn used_time(&self, name: &Arc<str>, left: Duration) -> Duration {
-        let mut fullest = self.fullest.borrow_mut();
-        let most = fullest.entry(Arc::clone(name)).or_default();
-        *most = left.max(*most);
-        most.saturating_sub(left)
+        let mut patience = self.patience.borrow_mut();
+        let usual = patience.entry(Arc::clone(name)).or_default();
+        usual.take(left);
+        usual.median().saturating_sub(left)
     }
 
     /// Waits for the lease after a pause; a once-only request does not wait,
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -31,6 +31,7 @@
 use crate::domain::lease::RENEW_EVERY;
 use crate::domain::lease::Renewal;
 use crate::domain::once::Ledger;
+use crate::domain::recent::Recent;
 use crate::domain::resources::Bounds;
 use crate::domain::routing::Budget;
 use crate::domain::routing::Budgets;
@@ -122,8 +123,8 @@
     pub(super) counts: Cell<Counts>,
     /// Whose turn it is in each divided lookup.
     pub(super) turns: RefCell<HashMap<Arc<str>, Vec<i64>>>,
-    /// The most time that any request of a lookup came with.
-    pub(super) fullest: RefCell<HashMap<Arc<str>, Duration>>,
+    /// The time that requests of each lookup usually come with.
+    pub(super) patience: RefCell<HashMap<Arc<str>, Recent>>,
     /// The most daemons that were ever known at once.
     known: Cell<u32>,
     numbered: Cell<u64>,
@@ -178,7 +179,7 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             turns: RefCell::default(),
-            fullest: RefCell::default(),
+            patience: RefCell::default(),
             known: Cell::new(known),
             numbered: Cell::new(0),
         })
@@ -228,7 +229,7 @@
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
-        self.fullest.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.patience.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/harefield/src/telemetry/duty.rs
+++ b/crates/harefield/src/telemetry/duty.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use log::debug;
+use log::Level;
+use log::log;
+use log::log_enabled;
 
 use super::board::Board;
 use super::ring::Batch;
 use super::ring::Telemetry;
 use super::tally::Ended;
 use super::tally::Tallies;
+use crate::adapters::logs::EVENTS;
 use crate::adapters::metrics::Metrics;
 use crate::domain::event::Event;
 use crate::domain::event::Record;
@@ -44,11 +47,18 @@
     let events = batch.events.into_iter().map(|(stamp, event)| (stamp, batch.request.clone(), event));
     let mut store = board.store();
     for (stamp, request, event) in gap.into_iter().chain(events) {
-        if !event.is_detail() {
-            debug!("{request:?} {event:?}");
-        }
-        let host = Arc::clone(&host);
-        store.push(Record { host, incarnation, stamp, request, event });
+        let record = Record { host: Arc::clone(&host), incarnation, stamp, request, event };
+        say(&record);
+        store.push(record);
+    }
+}
+
+/// Logs a record: details for those who ask for them, the rest always.
+fn say(record: &Record) {
+    let level = if record.event.is_detail() { Level::Debug } else { Level::Info };
+    if log_enabled!(target: EVENTS, level) {
+        let json = serde_json::to_string(record).unwrap_or_default();
+        log!(target: EVENTS, level, "{json}");
     }
 }
 
--- a/crates/harefield/tests/processes/support.rs
+++ b/crates/harefield/tests/processes/support.rs
@@ -57,11 +57,14 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        let mut line = String::new();
         let out = child.stdout.take().expect("its output is piped");
-        BufReader::new(out).read_line(&mut line).expect("it says that it is ready");
+        let mut lines = BufReader::new(out).lines().map(|line| line.expect("it is text"));
+        // Log lines come before and after the one with the addresses.
+        let ready = lines.find_map(|line| serde_json::from_str(&line).ok());
+        let addresses = ready.expect("it says where it listens");
         drop(std::fs::remove_file(&path));
-        let addresses = serde_json::from_str(&line).expect("it says where it listens");
+        // Its log is read on, so that it never meets a closed pipe.
+        std::thread::spawn(move || lines.for_each(drop));
         Self { child, addresses }
     }
 
--- a/demo.sh
+++ b/demo.sh
@@ -45,8 +45,8 @@
     pids+=($!)
 done
 for n in 1 2 3; do
-    for _ in $(seq 100); do [ -s "$work/ready-$n" ] && break; sleep 0.1; done
-    [ -s "$work/ready-$n" ] || { echo "daemon $n did not start:" >&2; cat "$work/log-$n" >&2; exit 1; }
+    for _ in $(seq 100); do grep -q '^{"callers"' "$work/ready-$n" && break; sleep 0.1; done
+    grep -q '^{"callers"' "$work/ready-$n" || { echo "daemon $n did not start:" >&2; cat "$work/ready-$n" "$work/log-$n" >&2; exit 1; }
 done
 
 echo "== every searcher answers: the coverage is whole"
