--- a/crates/harefield/src/adapters/http/mod.rs
+++ b/crates/harefield/src/adapters/http/mod.rs
@@ -19,6 +19,7 @@
 pub use reply::html;
 pub use reply::json;
 pub use reply::packed;
+pub use reply::packed_short;
 pub use reply::refusal;
 pub use reply::svg;
 pub use server::ServerLimits;
--- a/crates/harefield/src/adapters/http/reply.rs
+++ b/crates/harefield/src/adapters/http/reply.rs
@@ -28,6 +28,12 @@
     make(200, "application/msgpack", body)
 }
 
+/// Makes a `MessagePack` reply whose fields go by their places.
+pub fn packed_short<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = rmp_serde::to_vec(value).unwrap_or_default();
+    make(200, "application/msgpack", body)
+}
+
 /// Makes a reply that is a page.
 #[must_use]
 pub fn html(page: &str) -> Response<Full<Bytes>> {
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -19,6 +19,7 @@
 use super::peers::EXCHANGE_PATH;
 use super::peers::FORWARD_PATH;
 use super::peers::ForwardReply;
+use super::peers::GROUP_PATH;
 use super::peers::PULL_PATH;
 use crate::domain::code::Code;
 use crate::domain::query::Query;
@@ -29,6 +30,7 @@
 use crate::ports::Clock;
 use crate::ports::Exchange;
 use crate::ports::Forward;
+use crate::ports::Group;
 use crate::ports::Peers;
 use crate::ports::Pull;
 use crate::ports::Upstreams;
@@ -65,6 +67,7 @@
     };
     match head.uri.path() {
         FORWARD_PATH => forward(&worker, &body).await,
+        GROUP_PATH => group(&worker, &body).await,
         EXCHANGE_PATH => {
             ask_control(&server, &body, |said: Exchange, reply| ToControl::Exchange(Box::new(said), reply))
                 .await
@@ -95,6 +98,16 @@
     http::packed(&ForwardReply { stamp: worker.stamp(), json })
 }
 
+async fn group<U: Upstreams, P: Peers, C: Clock>(
+    worker: &Rc<Worker<U, P, C>>,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
+    match rmp_serde::from_slice::<Group>(body) {
+        Ok(message) => http::packed_short(&worker.group(message).await),
+        Err(error) => http::refusal(Code::MalformedBody, &error.to_string()),
+    }
+}
+
 /// Hands a message to the control duty and answers with its reply.
 async fn ask_control<M, R>(
     server: &PeerServer,
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -26,6 +26,8 @@
 use crate::ports::Exchange;
 use crate::ports::Forward;
 use crate::ports::Forwarded;
+use crate::ports::Group;
+use crate::ports::GroupReply;
 use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::Pull;
@@ -33,6 +35,9 @@
 /// The path of requests handed on.
 pub const FORWARD_PATH: &str = "/v1/forward";
 
+/// The path of groups of shards.
+pub const GROUP_PATH: &str = "/v1/group";
+
 /// The path of exchanges.
 pub const EXCHANGE_PATH: &str = "/v1/exchange";
 
@@ -150,6 +155,13 @@
         Ok(Forwarded { answer, stamp: reply.stamp })
     }
 
+    async fn group(&self, host: &HostId, message: &Group, limit: Duration) -> Result<GroupReply, PeerError> {
+        // Fields go by their places: these messages cross between regions.
+        let body = rmp_serde::to_vec(message).map_err(|_error| PeerError::Unreachable)?;
+        let (reply, _size) = self.call(host, GROUP_PATH, body, limit).await?;
+        Ok(reply)
+    }
+
     async fn exchange(
         &self,
         host: &HostId,
--- a/crates/harefield/src/domain/admission/crowd.rs
+++ b/crates/harefield/src/domain/admission/crowd.rs
@@ -3,6 +3,10 @@
 /// A fan-out counts as crowded when this share of its shards, in percent, waited.
 const CROWDED_PERCENT: usize = 10;
 
+/// The same for a fan-out that goes by an objective, and is answered without
+/// some shards: a few that wait are searchers that pause, and no crowd.
+const OBJECTIVE_PERCENT: usize = 50;
+
 /// How many of a fan-out's shards had to wait for room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Crowd {
@@ -18,6 +22,7 @@
 impl Crowd {
     /// Returns whether too many waited.
     pub(super) fn is_crowded(self) -> bool {
-        self.waited > 0 && self.waited * 100 >= self.shards * CROWDED_PERCENT
+        let percent = if self.objective { OBJECTIVE_PERCENT } else { CROWDED_PERCENT };
+        self.waited > 0 && self.waited * 100 >= self.shards * percent
     }
 }
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -70,6 +70,14 @@
     Waiting { shard: ShardId, why: Gap },
     /// A request to an upstream left.
     Sent { shard: ShardId, upstream: UpstreamId, attempt: AttemptId, cause: Cause },
+    /// A group of shards was handed to a daemon beside their replicas.
+    GroupSent { to: HostId, shards: usize, attempt: AttemptId },
+    /// That daemon answered, or did not.
+    GroupEnded { to: HostId, attempt: AttemptId, contributed: usize, missing: usize, micros: u64, way: u64 },
+    /// A group was taken back from a daemon that did not answer.
+    GroupRevoked { from: HostId, attempt: AttemptId },
+    /// A group of shards came from another daemon.
+    GroupTaken { from: HostId, shards: usize, gather: Option<u64> },
     /// A hedge was due but the budget of extra load is used up.
     HedgeDenied { shard: ShardId },
     /// A reply was taken into the answer.
--- a/crates/harefield/src/domain/fanout/cut.rs
+++ b/crates/harefield/src/domain/fanout/cut.rs
@@ -36,6 +36,8 @@
     pub objective: Option<Instant>,
     /// The least share of the shards that makes an answer.
     pub least_share: f64,
+    /// Whether far shards are handed on in groups.
+    pub grouped: bool,
     /// The most attempts on one shard, probes included.
     pub attempts: u32,
 }
--- /dev/null
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -0,0 +1,293 @@
+//! Groups of far shards that are handed to a daemon beside their replicas.
+//!
+//! One message and one merged answer cross between regions in place of one
+//! request and one reply a shard. A group is a first attempt on each of its
+//! shards; what the daemon brings of them counts as their contributions, and
+//! what it does not bring is tried directly, within the attempts and budgets.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::machine::Fanout;
+use super::shard::Action;
+use super::shard::AttemptEnd;
+use super::shard::Flight;
+use super::shard::Hedge;
+use super::step::Step;
+use crate::domain::event::Cause;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::ids::AttemptId;
+use crate::domain::ids::HostId;
+use crate::domain::outcome::Gap;
+use crate::domain::reply::Reply;
+use crate::domain::routing::RelayVerdict;
+use crate::domain::routing::Router;
+
+/// The fewest shards that are worth handing on: one alone costs as many bytes
+/// either way, and a hop more.
+const LEAST_GROUP: usize = 2;
+
+/// What is kept of the time for reading and merging a group's answer.
+const MERGE_TIME: Duration = Duration::from_millis(3);
+
+/// A group is revoked after this many times its slow pace: what is slow there is
+/// hedged there, so only a daemon that is gone shows here.
+const REVOKE_FACTOR: f64 = 1.6;
+
+/// A group is revoked at the latest this long after its answer was due.
+const OVERDUE: Duration = Duration::from_millis(10);
+
+/// The pause between revoking a group and asking its shards directly: the
+/// daemon, if it lives, is to end its own attempts first.
+const REVOKE_PAUSE: Duration = Duration::from_millis(3);
+
+/// A group of shards that is to be handed to a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hand {
+    /// The daemon.
+    pub host: HostId,
+    /// The attempt's number, which its shards share.
+    pub attempt: AttemptId,
+    /// The shards' places in the plan.
+    pub shards: Vec<usize>,
+    /// When it was decided.
+    pub start: Instant,
+    /// How long the daemon may gather before it answers with what it has; none
+    /// where nothing is due before the deadline.
+    pub gather: Option<Duration>,
+}
+
+/// What a daemon brought of one shard.
+#[derive(Clone, Debug)]
+pub enum Brought {
+    /// Its contribution.
+    Part(Reply),
+    /// Nothing.
+    Missing {
+        /// Why.
+        why: Gap,
+        /// Whether it may have run there.
+        ran: bool,
+        /// How many upstreams it was sent to there.
+        sent: u32,
+    },
+}
+
+/// How a group ended.
+#[derive(Clone, Debug)]
+pub enum GroupEnd {
+    /// What the daemon brought of each shard, by its place in the plan.
+    Brought(Vec<(usize, Brought)>),
+    /// Nothing was sent to any upstream.
+    NotSent,
+    /// The daemon was sent the group, and did not answer.
+    Silent,
+}
+
+impl Fanout {
+    /// Hands far shards on in groups; returns the shards that are left.
+    pub(super) fn hand_on<S: Sink>(&mut self, step: &mut Step<'_, S>) -> Vec<usize> {
+        let all: Vec<usize> = (0..self.shards.len()).collect();
+        if !self.rules.grouped {
+            return all;
+        }
+        let mut regions: BTreeMap<usize, Vec<Arc<str>>> = BTreeMap::new();
+        for shard in all.iter().copied() {
+            let replicas = &self.plan.shards[shard].replicas;
+            if let Some(found) = step.router.far_regions(replicas, &self.rules.kind, step.now) {
+                regions.insert(shard, found);
+            }
+        }
+        let mut direct: Vec<usize> = all.into_iter().filter(|shard| !regions.contains_key(shard)).collect();
+        while let Some((region, shards)) = largest(&regions, step.router, &self.rules.kind, step.now) {
+            for shard in &shards {
+                regions.remove(shard);
+            }
+            match step.router.pick_relay(&region, &self.rules.kind, step.now) {
+                Some(host) => self.hand(host, &region, shards, step),
+                None => direct.extend(shards),
+            }
+        }
+        direct.extend(regions.into_keys());
+        direct.sort_unstable();
+        direct
+    }
+
+    fn hand<S: Sink>(&mut self, host: HostId, region: &str, shards: Vec<usize>, step: &mut Step<'_, S>) {
+        let (attempt, start) = (self.next, step.now);
+        self.next += 1;
+        let way = step.router.relays().way_to(region);
+        let gather = self
+            .rules
+            .objective
+            .map(|objective| objective.saturating_duration_since(start).saturating_sub(way + MERGE_TIME));
+        let slow = step.router.relays().pace(&self.rules.kind).slow().mul_f64(REVOKE_FACTOR);
+        let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + OVERDUE);
+        let revoke = start + slow.min(due);
+        step.router.relays_mut().begin(&host, start);
+        for shard in &shards {
+            step.router.budget(&self.plan.shards[*shard].shard).earn();
+            let state = &mut self.shards[*shard];
+            state.sent += 1;
+            state.hedge = Hedge::Due(revoke);
+            state.flights.push(Flight { attempt, upstream: Arc::clone(&host), start, cause: Cause::First });
+        }
+        step.emit(Event::GroupSent { to: Arc::clone(&host), shards: shards.len(), attempt });
+        let hand = Hand { host, attempt, shards, start, gather };
+        self.handed.push(hand.clone());
+        step.actions.push(Action::Hand(hand));
+    }
+
+    /// Takes a group back from a daemon that does not answer, and asks its
+    /// shards directly; returns whether the shard was in a group.
+    pub(super) fn revoke<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) -> bool {
+        let holds = |hand: &Hand| self.shards[shard].flights.iter().any(|f| f.attempt == hand.attempt);
+        let Some(at) = self.handed.iter().position(holds) else { return false };
+        let hand = self.handed.swap_remove(at);
+        step.router.relays_mut().end(
+            &hand.host,
+            &self.rules.kind,
+            hand.start,
+            RelayVerdict::Silent,
+            step.now,
+        );
+        step.emit(Event::GroupRevoked { from: Arc::clone(&hand.host), attempt: hand.attempt });
+        for shard in hand.shards.iter().copied() {
+            if self.land(shard, hand.attempt).is_none() {
+                continue;
+            }
+            let state = &mut self.shards[shard];
+            state.ran = true;
+            state.hedge = Hedge::Off;
+            if state.is_open() && !state.is_awaited() {
+                state.retry_at = Some(step.now + REVOKE_PAUSE);
+            }
+        }
+        step.actions.push(Action::Revoke(hand.attempt));
+        true
+    }
+
+    /// Takes the end of a group.
+    pub fn on_group_end(
+        &mut self,
+        hand: &Hand,
+        end: &GroupEnd,
+        now: Instant,
+        router: &mut Router,
+        sink: &mut impl Sink,
+    ) -> Vec<Action> {
+        let mut step = Step::new(now, router, sink);
+        match end {
+            GroupEnd::Brought(all) => {
+                for (shard, brought) in all {
+                    self.take_brought(*shard, hand, brought, &mut step);
+                }
+            }
+            GroupEnd::NotSent => {
+                for shard in &hand.shards {
+                    self.take_unsent(*shard, hand, &mut step);
+                }
+            }
+            GroupEnd::Silent => {
+                let lost = AttemptEnd::Lost { why: Gap::ReplyLost };
+                for shard in &hand.shards {
+                    self.end_in_group(*shard, hand, lost.clone(), &mut step);
+                }
+            }
+        }
+        step.actions
+    }
+
+    fn take_brought<S: Sink>(
+        &mut self,
+        shard: usize,
+        hand: &Hand,
+        brought: &Brought,
+        step: &mut Step<'_, S>,
+    ) {
+        let end = match brought {
+            Brought::Part(reply) if self.has_part(shard) => return self.replace_part(shard, hand, reply),
+            Brought::Part(reply) => AttemptEnd::Answered(reply.clone()),
+            Brought::Missing { ran: false, .. } => return self.take_unsent(shard, hand, step),
+            Brought::Missing { why, ran: true, sent } => {
+                // What the daemon sent counts among the shard's attempts.
+                if let Some(state) = self.shards.get_mut(shard) {
+                    state.sent = state.sent.saturating_add(sent.saturating_sub(1));
+                }
+                AttemptEnd::Lost { why: *why }
+            }
+        };
+        self.end_in_group(shard, hand, end, step);
+    }
+
+    fn has_part(&self, shard: usize) -> bool {
+        self.shards.get(shard).is_some_and(|state| state.part.is_some())
+    }
+
+    /// Puts a group's part in the place of one that a hedge brought: the records
+    /// of a group are merged, so its parts count together or not at all.
+    fn replace_part(&mut self, shard: usize, hand: &Hand, reply: &Reply) {
+        if self.land(shard, hand.attempt).is_some() {
+            self.shards[shard].part = Some(reply.clone());
+        }
+    }
+
+    /// Takes a part of a shard that was given up before its group came.
+    fn reopen(&mut self, shard: usize, hand: &Hand, reply: &Reply) {
+        if self.land(shard, hand.attempt).is_some() {
+            self.shards[shard].part = Some(reply.clone());
+            self.contributed += 1;
+        }
+    }
+
+    /// Takes a shard that nothing was sent for: it is asked as for the first time.
+    fn take_unsent<S: Sink>(&mut self, shard: usize, hand: &Hand, step: &mut Step<'_, S>) {
+        if self.land(shard, hand.attempt).is_none() {
+            return;
+        }
+        let state = &mut self.shards[shard];
+        state.sent = state.sent.saturating_sub(1);
+        if state.is_open() && !state.is_awaited() {
+            self.attempt(shard, Cause::First, step);
+        }
+    }
+
+    fn end_in_group<S: Sink>(&mut self, shard: usize, hand: &Hand, end: AttemptEnd, step: &mut Step<'_, S>) {
+        // One that was given up may yet contribute: parts count together.
+        if let AttemptEnd::Answered(reply) = &end
+            && let Some(state) = self.shards.get(shard)
+            && !state.is_open()
+        {
+            return self.reopen(shard, hand, reply);
+        }
+        if let Some(flight) = self.land(shard, hand.attempt) {
+            self.take_end(shard, flight, end, step);
+        }
+    }
+}
+
+/// Returns the region in which most far shards have replicas, with those
+/// shards; none where no region has enough. Which of equals is drawn.
+fn largest(
+    regions: &BTreeMap<usize, Vec<Arc<str>>>,
+    router: &mut Router,
+    kind: &Arc<str>,
+    now: Instant,
+) -> Option<(Arc<str>, Vec<usize>)> {
+    let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+    for region in regions.values().flatten() {
+        *counts.entry(region).or_default() += 1;
+    }
+    let usable = router.relays().regions(kind, now);
+    counts.retain(|region, count| *count >= LEAST_GROUP && usable.contains(region));
+    let most = counts.values().copied().max()?;
+    let equal: Vec<&Arc<str>> =
+        counts.iter().filter(|(_, count)| **count == most).map(|(region, _)| *region).collect();
+    let region = Arc::clone(equal[router.draw_below(equal.len())]);
+    let held = regions.iter().filter(|(_, held)| held.contains(&region));
+    let shards = held.map(|(shard, _)| *shard).collect();
+    Some((region, shards))
+}
--- a/crates/harefield/src/domain/fanout/judge.rs
+++ b/crates/harefield/src/domain/fanout/judge.rs
@@ -20,6 +20,8 @@
     pub parts: Vec<Part>,
     /// What an upstream replied that failed, where it is the caller's business.
     pub failure: Option<Reply>,
+    /// How many upstreams each missing shard was sent to, in the same order.
+    pub sent: Vec<u32>,
 }
 
 /// How a fan-out ended, besides its coverage.
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::cut::Rules;
+use super::groups::Hand;
 use super::judge::Ending;
 use super::judge::Finished;
 use super::judge::judge;
@@ -35,7 +36,9 @@
     pub(super) rules: Rules,
     pub(super) shards: Vec<Shard>,
     pub(super) next: AttemptId,
-    contributed: usize,
+    pub(super) contributed: usize,
+    /// The groups that are out.
+    pub(super) handed: Vec<Hand>,
     open: usize,
     cut: bool,
 }
@@ -46,7 +49,7 @@
     pub fn new(plan: Arc<Plan>, rules: Rules, first: AttemptId) -> Self {
         let shards: Vec<_> = plan.shards.iter().map(|_| Shard::default()).collect();
         let open = shards.len();
-        Self { plan, rules, shards, next: first, contributed: 0, open, cut: false }
+        Self { plan, rules, shards, next: first, contributed: 0, handed: Vec::new(), open, cut: false }
     }
 
     /// Returns the plan.
@@ -77,7 +80,7 @@
     /// Asks every shard for the first time.
     pub fn start(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = Step::new(now, router, sink);
-        for shard in 0..self.shards.len() {
+        for shard in self.hand_on(&mut step) {
             if self.shards[shard].is_open() {
                 self.attempt(shard, Cause::First, &mut step);
             }
@@ -140,6 +143,7 @@
         let mut parts = Vec::new();
         let mut ran = false;
         let mut failure = None;
+        let mut sent = Vec::new();
         for (plan, shard) in self.plan.shards.iter().zip(self.shards) {
             let name = Arc::clone(&plan.shard);
             let may_have_run = shard.may_have_run();
@@ -150,6 +154,7 @@
             }
             failure = failure.or(shard.failure);
             ran |= may_have_run;
+            sent.push(shard.sent);
             let why = shard.gap.unwrap_or(Gap::NotAsked);
             coverage.missing.push(Missing { shard: name, why, ran: may_have_run });
         }
@@ -157,20 +162,26 @@
         let least = self.rules.least(self.plan.shards.len());
         let ending = Ending { ran, cut: self.cut, repeatable: self.rules.repeatable, least };
         let (outcome, code) = judge(&coverage, ending);
-        Finished { outcome, code, coverage, parts, failure }
+        Finished { outcome, code, coverage, parts, failure, sent }
     }
 
     pub(super) fn name(&self, shard: usize) -> ShardId {
         Arc::clone(&self.plan.shards[shard].shard)
     }
 
-    fn land(&mut self, shard: usize, attempt: AttemptId) -> Option<Flight> {
+    pub(super) fn land(&mut self, shard: usize, attempt: AttemptId) -> Option<Flight> {
         let flights = &mut self.shards.get_mut(shard)?.flights;
         let at = flights.iter().position(|flight| flight.attempt == attempt)?;
         Some(flights.swap_remove(at))
     }
 
-    fn take_end<S: Sink>(&mut self, shard: usize, flight: Flight, end: AttemptEnd, step: &mut Step<'_, S>) {
+    pub(super) fn take_end<S: Sink>(
+        &mut self,
+        shard: usize,
+        flight: Flight,
+        end: AttemptEnd,
+        step: &mut Step<'_, S>,
+    ) {
         let Flight { attempt, upstream, start, .. } = flight;
         let name = self.name(shard);
         if !self.shards[shard].is_open() {
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -5,6 +5,7 @@
 //! what to do next.
 
 mod cut;
+mod groups;
 mod judge;
 mod machine;
 mod sending;
@@ -14,6 +15,9 @@
 
 pub use cut::MOST_ATTEMPTS;
 pub use cut::Rules;
+pub use groups::Brought;
+pub use groups::GroupEnd;
+pub use groups::Hand;
 pub use judge::Finished;
 pub use machine::Fanout;
 pub use shard::Action;
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -25,7 +25,7 @@
 const POLL_EVERY: Duration = Duration::from_millis(1);
 
 /// How often a hedge that the budget denied asks again.
-const DENIED_EVERY: Duration = Duration::from_millis(2);
+const DENIED_EVERY: Duration = Duration::from_millis(10);
 
 impl Fanout {
     pub(super) fn retry<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
@@ -59,17 +59,25 @@
 
     /// Sends a second attempt, the first being slow, where the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
-        self.shards[shard].hedge = Hedge::Off;
+        let before = std::mem::take(&mut self.shards[shard].hedge);
+        if self.revoke(shard, step) {
+            return;
+        }
         if !self.may_send(shard) {
             return;
         }
         let Ok(choice) = self.choose(shard, step) else {
-            self.shards[shard].hedge = Hedge::Due(step.now + POLL_EVERY);
+            self.shards[shard].hedge = match before {
+                Hedge::Denied(_) => Hedge::Denied(step.now + POLL_EVERY),
+                _ => Hedge::Due(step.now + POLL_EVERY),
+            };
             return;
         };
         if self.rules.fixed.is_none() && !step.router.budget(&self.plan.shards[shard].shard).spend_hedge() {
-            step.emit(Event::HedgeDenied { shard: self.name(shard) });
-            self.shards[shard].hedge = Hedge::Due(step.now + DENIED_EVERY);
+            if !matches!(before, Hedge::Denied(_)) {
+                step.emit(Event::HedgeDenied { shard: self.name(shard) });
+            }
+            self.shards[shard].hedge = Hedge::Denied(step.now + DENIED_EVERY);
             return;
         }
         self.shards[shard].hedge = Hedge::Sent;
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::groups::Hand;
 use crate::domain::event::Cause;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::UpstreamId;
@@ -37,6 +38,10 @@
 pub enum Action {
     /// Send a request to an upstream.
     Send(Send),
+    /// Hand a group of shards to a daemon.
+    Hand(Hand),
+    /// Take a group back from its daemon.
+    Revoke(AttemptId),
     /// Tell an upstream that a reply is no longer wanted.
     Cancel(Cancel),
 }
@@ -106,6 +111,8 @@
     Off,
     /// One is due at this time.
     Due(Instant),
+    /// One was due, the budget denied it, and it is asked for again at this time.
+    Denied(Instant),
     /// One was sent; there is no second.
     Sent,
 }
@@ -156,7 +163,7 @@
     /// Returns when a hedge is due.
     pub fn hedge_at(&self) -> Option<Instant> {
         match self.hedge {
-            Hedge::Due(at) => Some(at),
+            Hedge::Due(at) | Hedge::Denied(at) => Some(at),
             Hedge::Off | Hedge::Sent => None,
         }
     }
--- a/crates/harefield/src/domain/query.rs
+++ b/crates/harefield/src/domain/query.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::reply::Header;
 
 /// A request whose method, path and body mean something to the upstreams only.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ByteQuery {
     /// The caller's own id of this request, handed on as it came.
     pub id: Arc<str>,
--- /dev/null
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -0,0 +1,158 @@
+//! Daemons beside the replicas of far shards: which one is handed a group of
+//! them, and which are left alone for a while.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::pace::Pace;
+use crate::domain::ids::HostId;
+
+/// The first pause after a daemon did not answer; it doubles with each further
+/// one.
+const BACKOFF: Duration = Duration::from_millis(500);
+
+/// The longest such pause.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
+
+/// A daemon is silent once a group is out for this many times the usual time.
+const SILENT_FACTOR: f64 = 2.5;
+
+/// The least time that shows that a daemon is silent: a pause of its replicas is
+/// not its own, and it waits for them up to the time that it was given.
+const SILENT_LEAST: Duration = Duration::from_millis(150);
+
+/// The way to a region before it was measured, there and back.
+const FIRST_WAY: Duration = Duration::from_millis(24);
+
+/// How fast what was learnt follows what is seen.
+const GAIN: f64 = 0.2;
+
+/// One daemon that groups may be handed to.
+#[derive(Clone, Debug)]
+struct Relay {
+    region: Arc<str>,
+    live: bool,
+    starts: Vec<Instant>,
+    failures: u32,
+    retry: Option<Instant>,
+}
+
+/// How a group that was handed to a daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayVerdict {
+    /// It answered; the time that the message and the answer travelled.
+    Answered(Duration),
+    /// It answered that it does not take the group.
+    Declined,
+    /// It did not answer.
+    Silent,
+    /// Nobody waits for it any more.
+    Abandoned,
+}
+
+/// The daemons that groups of shards may be handed to.
+#[derive(Clone, Debug, Default)]
+pub struct Relays {
+    hosts: BTreeMap<HostId, Relay>,
+    paces: HashMap<Arc<str>, Pace>,
+    ways: HashMap<Arc<str>, Duration>,
+}
+
+impl Relays {
+    /// Takes the daemons of other regions as they are seen now.
+    pub fn update(&mut self, seen: impl IntoIterator<Item = (HostId, Arc<str>, bool)>) {
+        let mut hosts = BTreeMap::new();
+        for (host, region, live) in seen {
+            let relay = match self.hosts.remove(&host) {
+                Some(known) => Relay { region, live, ..known },
+                None => Relay { region, live, starts: Vec::new(), failures: 0, retry: None },
+            };
+            hosts.insert(host, relay);
+        }
+        self.hosts = hosts;
+    }
+
+    /// Returns the regions that have a daemon to hand groups to.
+    #[must_use]
+    pub fn regions(&self, kind: &Arc<str>, now: Instant) -> Vec<Arc<str>> {
+        let mut regions: Vec<Arc<str>> =
+            self.usable(kind, now).map(|(_, relay)| Arc::clone(&relay.region)).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions
+    }
+
+    /// Returns the daemons of a region with the fewest groups under way.
+    #[must_use]
+    pub fn least_busy(&self, region: &str, kind: &Arc<str>, now: Instant) -> Vec<HostId> {
+        let found: Vec<_> = self.usable(kind, now).filter(|(_, relay)| *relay.region == *region).collect();
+        let least = found.iter().map(|(_, relay)| relay.starts.len()).min();
+        let equal = found.into_iter().filter(|(_, relay)| Some(relay.starts.len()) == least);
+        equal.map(|(host, _)| Arc::clone(host)).collect()
+    }
+
+    fn usable(&self, kind: &Arc<str>, now: Instant) -> impl Iterator<Item = (&HostId, &Relay)> {
+        let usual = self.pace(kind).mean();
+        let silent_after = usual.mul_f64(SILENT_FACTOR).max(SILENT_LEAST);
+        self.hosts.iter().filter(move |(_, relay)| {
+            let oldest = relay.starts.iter().min();
+            let silent = oldest.is_some_and(|start| now.saturating_duration_since(*start) > silent_after);
+            relay.live && !silent && relay.retry.is_none_or(|at| now >= at)
+        })
+    }
+
+    /// Returns how long a message and its answer travel to a region and back.
+    #[must_use]
+    pub fn way_to(&self, region: &str) -> Duration {
+        self.ways.get(region).copied().unwrap_or(FIRST_WAY)
+    }
+
+    /// Returns the pace of groups of a kind of request.
+    #[must_use]
+    pub fn pace(&self, kind: &Arc<str>) -> Pace {
+        self.paces.get(kind).cloned().unwrap_or_default()
+    }
+
+    /// Notes a group that leaves for a daemon.
+    pub fn begin(&mut self, host: &HostId, now: Instant) {
+        if let Some(relay) = self.hosts.get_mut(host) {
+            relay.starts.push(now);
+        }
+    }
+
+    /// Notes how the group that left at `start` ended.
+    pub fn end(
+        &mut self,
+        host: &HostId,
+        kind: &Arc<str>,
+        start: Instant,
+        verdict: RelayVerdict,
+        now: Instant,
+    ) {
+        let took = now.saturating_duration_since(start);
+        if let RelayVerdict::Answered(_) = verdict {
+            self.paces.entry(Arc::clone(kind)).or_default().sample(took);
+        }
+        let Some(relay) = self.hosts.get_mut(host) else { return };
+        if let Some(at) = relay.starts.iter().position(|held| *held == start) {
+            relay.starts.swap_remove(at);
+        }
+        match verdict {
+            RelayVerdict::Answered(way) => {
+                relay.failures = 0;
+                relay.retry = None;
+                let held = self.ways.entry(Arc::clone(&relay.region)).or_insert(way);
+                *held = held.mul_f64(1.0 - GAIN) + way.mul_f64(GAIN);
+            }
+            RelayVerdict::Silent | RelayVerdict::Declined => {
+                let doubled = BACKOFF.saturating_mul(1 << relay.failures.min(10));
+                relay.retry = Some(now + doubled.min(LONGEST_BACKOFF));
+                relay.failures = relay.failures.saturating_add(1);
+            }
+            RelayVerdict::Abandoned => {}
+        }
+    }
+}
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -11,6 +11,7 @@
 use super::places::Distance;
 use super::places::Places;
 use super::policy::Policy;
+use super::relays::Relays;
 use super::report::Bar;
 use super::report::Report;
 use super::report::Until;
@@ -18,6 +19,7 @@
 use super::searcher::Searcher;
 use crate::domain::cell::connection_share;
 use crate::domain::event::Score;
+use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
@@ -75,6 +77,7 @@
     policy: Policy,
     budgets: Budgets,
     places: Places,
+    relays: Relays,
     fleet: u32,
     lease: Lease,
     seed: u64,
@@ -90,6 +93,7 @@
             policy,
             budgets,
             places: Places::default(),
+            relays: Relays::default(),
             fleet: 1,
             lease: Lease::new(now),
             seed,
@@ -110,6 +114,71 @@
         self.budgets.share_with(self.fleet);
     }
 
+    /// Takes the daemons as they are seen now, with their availability zones
+    /// and whether they are live; those of other regions are handed groups.
+    pub fn see_daemons<'a>(&mut self, seen: impl IntoIterator<Item = (&'a HostId, &'a str, bool)>) {
+        let places = &self.places;
+        let far = seen.into_iter().filter(|(_, zone, _)| places.distance(zone) == Distance::Far);
+        let relays = far.filter_map(|(host, zone, live)| {
+            Some((Arc::clone(host), Arc::clone(places.regions.get(zone)?), live))
+        });
+        self.relays.update(relays);
+    }
+
+    /// Returns the daemons that groups may be handed to.
+    #[must_use]
+    pub fn relays(&self) -> &Relays {
+        &self.relays
+    }
+
+    /// Returns the daemons that groups may be handed to, to note what they did.
+    pub fn relays_mut(&mut self) -> &mut Relays {
+        &mut self.relays
+    }
+
+    /// Picks a daemon of a region to hand a group to.
+    pub fn pick_relay(&mut self, region: &str, kind: &Arc<str>, now: Instant) -> Option<HostId> {
+        let found = self.relays.least_busy(region, kind, now);
+        let at = self.draw_below(found.len());
+        found.into_iter().nth(at)
+    }
+
+    /// Returns the regions of the replicas that may be asked, where all of them
+    /// are far; none where one is nearer, or none may be asked.
+    #[must_use]
+    pub fn far_regions(
+        &self,
+        replicas: &[UpstreamId],
+        kind: &Arc<str>,
+        now: Instant,
+    ) -> Option<Vec<Arc<str>>> {
+        let typical = self.pace(kind).mean().as_secs_f64();
+        let mut regions: Vec<Arc<str>> = Vec::new();
+        for searcher in replicas.iter().filter_map(|name| self.searchers.get(name)) {
+            let usable = searcher.may_serve_any() && !searcher.is_backed_off(now);
+            if !usable || searcher.on_probation() || searcher.is_silent(typical, now) {
+                continue;
+            }
+            let zone = &searcher.spec().zone;
+            if self.places.distance(zone) != Distance::Far {
+                return None;
+            }
+            regions.extend(self.places.regions.get(zone).map(Arc::clone));
+        }
+        regions.sort_unstable();
+        regions.dedup();
+        (!regions.is_empty()).then_some(regions)
+    }
+
+    /// Draws a number below `count`, which is at least 1.
+    pub fn draw_below(&mut self, count: usize) -> usize {
+        let draw = self.draw();
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "it is a small count")]
+        #[expect(clippy::cast_precision_loss, reason = "it is a small count")]
+        let at = (draw * count as f64) as usize;
+        at.min(count.saturating_sub(1))
+    }
+
     /// Takes a new view: upstreams come and go, their state otherwise stays.
     pub fn apply(&mut self, view: &View) {
         let own = &view.upstreams;
@@ -176,7 +245,6 @@
             return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
         let typical = self.pace(ask.kind).mean().as_secs_f64();
-        let quickest = self.quickest(ask, typical, now);
         let weighs = self.policy == Policy::Cost;
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
@@ -190,7 +258,7 @@
             });
             match found {
                 Ok(cost) => {
-                    let rank = self.rank(name, cost, (quickest, typical), now);
+                    let rank = self.rank(name, cost, ask, typical, now);
                     if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                         best = Some((rank, Arc::clone(name)));
                     }
@@ -216,7 +284,7 @@
             barred.is_some_and(|bar| bar.until == Until::Soon) && !searcher.is_silent(typical, now)
         };
         let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
-        quicker.any(|searcher| chosen.passed_over(searcher.observed_time(typical)))
+        quicker.any(|searcher| chosen.passed_over(searcher, typical))
     }
 
     fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
@@ -227,34 +295,38 @@
         Ok(self.policy.cost(searcher, typical, draw, now))
     }
 
-    /// Returns the least observed time of the replicas that may be asked.
-    fn quickest(&self, ask: &Ask<'_>, typical: f64, now: Instant) -> f64 {
-        let found = ask.untried().filter_map(|name| self.searchers.get(name));
-        let open = found.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
-        open.map(|s| s.observed_time(typical)).fold(f64::INFINITY, f64::min)
-    }
-
-    /// Ranks a replica beside the `quickest`, where a request of its kind takes
-    /// `typical` seconds.
-    fn rank(&self, name: &UpstreamId, cost: f64, (quickest, typical): (f64, f64), now: Instant) -> Rank {
+    /// Ranks a replica beside the others that may be asked.
+    fn rank(&self, name: &UpstreamId, cost: f64, ask: &Ask<'_>, typical: f64, now: Instant) -> Rank {
         let found = self.searchers.get(name).filter(|_| self.policy == Policy::Cost);
         let Some(searcher) = found else {
             return Rank { passed_over: false, distance: Distance::Near, cost };
         };
-        let passed_over = searcher.passed_over(quickest) || searcher.is_silent(typical, now);
-        Rank { passed_over, distance: self.places.distance(&searcher.spec().zone), cost }
+        let others =
+            ask.untried().filter(|other| *other != name).filter_map(|other| self.searchers.get(other));
+        let mut good = others.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
+        let slow = searcher.on_probation() || good.any(|other| searcher.passed_over(other, typical));
+        let passed_over = slow || searcher.is_silent(typical, now);
+        Rank { passed_over, distance: self.distance(searcher), cost }
+    }
+
+    fn distance(&self, searcher: &Searcher) -> Distance {
+        self.places.distance(&searcher.spec().zone)
     }
 
     /// Returns a replica that is passed over and should be looked at, by an
-    /// extra request beside the one to the replica chosen.
+    /// extra request beside the one to the replica chosen. One that is farther
+    /// than that would not be asked anyway.
     #[must_use]
     pub fn probe(&self, ask: &Ask<'_>, chosen: &UpstreamId, now: Instant) -> Option<UpstreamId> {
         let typical = self.pace(ask.kind).mean().as_secs_f64();
-        let other = self.searchers.get(chosen).map_or(typical, |s| s.observed_time(typical));
+        let chosen_one = self.searchers.get(chosen)?;
         let due = |name: &&UpstreamId| {
             let found = self.searchers.get(*name);
             found.is_some_and(|s| {
-                s.passed_over(other) && s.probe_due(now) && s.admits(ask.version, now).is_ok()
+                self.distance(s) <= self.distance(chosen_one)
+                    && s.passed_over(chosen_one, typical)
+                    && s.probe_due(now)
+                    && s.admits(ask.version, now).is_ok()
             })
         };
         let others = ask.untried().filter(|name| *name != chosen);
@@ -284,11 +356,26 @@
         report: &Report,
         now: Instant,
     ) {
+        let way = self.searchers.get(name).map_or(0.0, |searcher| self.way(searcher));
         if let Some(searcher) = self.searchers.get_mut(name) {
+            searcher.set_way(way);
             searcher.end(start, verdict, report, now);
         }
     }
 
+    /// Returns how long a request and its reply travel to an upstream and back,
+    /// in seconds.
+    fn way(&self, searcher: &Searcher) -> f64 {
+        let zone = &searcher.spec().zone;
+        match self.places.distance(zone) {
+            Distance::Near | Distance::Region => 0.0,
+            Distance::Far => {
+                let region = self.places.regions.get(zone);
+                region.map_or(0.0, |region| self.relays.way_to(region).as_secs_f64())
+            }
+        }
+    }
+
     /// Takes a good reply's time into the pace of its kind of request.
     pub fn sample(&mut self, kind: &Arc<str>, took: Duration) {
         self.paces.entry(Arc::clone(kind)).or_default().sample(took);
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -35,6 +35,9 @@
 /// the time that it was given.
 const ABANDONED_MOST: f64 = 2.0;
 
+/// At least this part of a reply's time is taken to be the upstream's own.
+const LEAST_OWN_PART: f64 = 0.1;
+
 /// How fast the best observed time is forgotten: by this factor with each reply.
 const BEST_DRIFT: f64 = 1.01;
 
@@ -74,6 +77,7 @@
     load: Option<(Load, Instant)>,
     heard: Option<Instant>,
     probation: bool,
+    way: f64,
     word: Word,
     listed: bool,
     shed: Option<Instant>,
@@ -97,6 +101,7 @@
             load: None,
             heard: None,
             probation: false,
+            way: 0.0,
             word: Word::default(),
             listed: false,
             shed: None,
@@ -209,18 +214,31 @@
         Ok(())
     }
 
+    /// Returns whether the upstream takes new work, load and versions aside.
+    #[must_use]
+    pub fn may_serve_any(&self) -> bool {
+        !self.is_leaving()
+    }
+
     /// Notes that a request leaves at `now`.
     pub fn begin(&mut self, now: Instant) {
         self.starts.push(now);
     }
 
+    /// Takes how long a request and its reply travel, in seconds: it is taken
+    /// off their time, so that what is observed is the upstream's own time.
+    pub fn set_way(&mut self, way: f64) {
+        self.way = way;
+    }
+
     /// Notes how the request that left at `start` ended.
     pub fn end(&mut self, start: Instant, verdict: Verdict, report: &Report, now: Instant) {
         let under_way = self.under_way();
         if let Some(at) = self.starts.iter().position(|s| *s == start) {
             self.starts.swap_remove(at);
         }
-        let took = now.saturating_duration_since(start).as_secs_f64();
+        let whole = now.saturating_duration_since(start).as_secs_f64();
+        let took = (whole - self.way).max(whole * LEAST_OWN_PART);
         self.heard = Some(now);
         self.load = report.load.filter(|load| self.believes(*load, took)).map(|load| (load, now));
         match verdict {
@@ -293,10 +311,10 @@
     /// stands in for what was not observed or is long past.
     #[must_use]
     pub fn expected(&self, typical: f64, now: Instant) -> f64 {
-        let base = self.observed_time(typical).max(self.oldest_age(now));
+        let base = self.observed_time(typical).max(self.oldest_age(now) - self.way);
         let ahead = f64::from(u32::try_from(self.under_way()).unwrap_or(u32::MAX));
         let wait = base * ahead / f64::from(self.spec.slots.max(1));
-        base * self.reported_factor(now) + wait + self.connect_time()
+        base * self.reported_factor(now) + wait + self.connect_time() + self.way
     }
 
     /// Returns the observed time of a request, in seconds; `typical` where
@@ -312,11 +330,14 @@
         self.probation
     }
 
-    /// Returns whether it is passed over beside a replica that takes `other`
-    /// seconds: it failed last, or takes much longer.
+    /// Returns whether it is passed over beside another replica: it failed last,
+    /// or takes much longer by itself and longer with the way. A request takes
+    /// `typical` seconds where nothing was observed yet.
     #[must_use]
-    pub fn passed_over(&self, other: f64) -> bool {
-        self.probation || self.observed.is_some_and(|own| own > other * PASSED_OVER)
+    pub fn passed_over(&self, other: &Self, typical: f64) -> bool {
+        let quick = other.observed_time(typical);
+        let slower = |own: f64| own > quick * PASSED_OVER && own + self.way > quick + other.way;
+        self.probation || self.observed.is_some_and(slower)
     }
 
     /// Returns whether nothing was heard of it for a while, so that a probe may
@@ -333,7 +354,7 @@
     #[must_use]
     pub fn is_silent(&self, typical: f64, now: Instant) -> bool {
         let usual = self.observed_time(typical).max(typical);
-        self.oldest_age(now) > (usual * SILENT_FACTOR).max(SILENT_LEAST)
+        self.oldest_age(now) - self.way > (usual * SILENT_FACTOR).max(SILENT_LEAST)
     }
 
     fn oldest_age(&self, now: Instant) -> f64 {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -23,6 +23,8 @@
 use crate::domain::fanout::Echo;
 use crate::domain::fanout::Fanout;
 use crate::domain::fanout::Finished;
+use crate::domain::fanout::GroupEnd;
+use crate::domain::fanout::Hand;
 use crate::domain::fanout::Rules;
 use crate::domain::fanout::Send;
 use crate::domain::ids::AttemptId;
@@ -44,10 +46,26 @@
 use crate::telemetry::Trace;
 
 /// The end of an attempt, on its way to the fan-out.
-struct Landed {
-    shard: usize,
-    attempt: AttemptId,
-    end: AttemptEnd,
+pub(super) enum Landed {
+    /// Of one shard.
+    Shard { shard: usize, attempt: AttemptId, end: AttemptEnd },
+    /// Of a group of shards.
+    Group(Hand, GroupEnd),
+}
+
+/// The tasks of one fan-out; dropped, they end where they are.
+#[derive(Default)]
+struct Tasks {
+    attempts: Vec<Task<()>>,
+    groups: Vec<(AttemptId, Task<()>)>,
+}
+
+impl Tasks {
+    /// Lets what is still out go on by itself.
+    fn detach(self) {
+        self.attempts.into_iter().for_each(Task::detach);
+        self.groups.into_iter().for_each(|(_, task)| task.detach());
+    }
 }
 
 /// What all attempts of a request share.
@@ -58,6 +76,8 @@
     pub query: Query,
     pub deadline: Instant,
     pub once: bool,
+    /// How many records are kept where replies are merged.
+    pub merge: Option<usize>,
 }
 
 /// One attempt, as its task carries it.
@@ -120,12 +140,12 @@
     ) -> FanoutEnd {
         let ring = plan.shards.len().max(1) * 4;
         let (sender, landed) = async_channel::bounded(ring);
-        let mut fanout = Fanout::new(Arc::clone(plan), rules, first);
+        let mut fanout = Fanout::new(Arc::clone(plan), rules.clone(), first);
         let now = self.ports.clock.now();
         let actions = fanout.start(now, &mut self.router.borrow_mut(), trace);
         // Dropped with this future when the caller goes away, which ends them.
-        let mut tasks = Vec::with_capacity(actions.len());
-        tasks.extend(self.act(job, plan, actions, &sender));
+        let mut tasks = Tasks::default();
+        self.act(job, plan, &rules, actions, (&sender, &mut tasks));
         while !fanout.is_done() {
             let wake = fanout.next_wake();
             let next = self.next_landing(&landed, wake).await;
@@ -134,15 +154,20 @@
             while let Some(end) = ready {
                 let now = self.ports.clock.now();
                 let mut router = self.router.borrow_mut();
-                actions.extend(fanout.on_end((end.shard, end.attempt), end.end, now, &mut router, trace));
+                actions.extend(match end {
+                    Landed::Shard { shard, attempt, end } => {
+                        fanout.on_end((shard, attempt), end, now, &mut router, trace)
+                    }
+                    Landed::Group(hand, end) => fanout.on_group_end(&hand, &end, now, &mut router, trace),
+                });
                 ready = landed.try_recv().ok();
             }
             let now = self.ports.clock.now();
             actions.extend(fanout.on_time(now, &mut self.router.borrow_mut(), trace));
-            tasks.extend(self.act(job, plan, actions, &sender));
+            self.act(job, plan, &rules, actions, (&sender, &mut tasks));
         }
         // What is still out keeps its connection, and shows how its upstream does.
-        tasks.into_iter().for_each(Task::detach);
+        tasks.detach();
         let (next, crowd) = (fanout.next_attempt(), fanout.crowd());
         FanoutEnd { finished: fanout.finish(), next, crowd }
     }
@@ -159,23 +184,28 @@
         self: &Rc<Self>,
         job: &Job,
         plan: &Arc<Plan>,
+        rules: &Rules,
         actions: Vec<Action>,
-        sender: &Sender<Landed>,
-    ) -> Vec<Task<()>> {
-        let mut tasks = Vec::new();
+        (sender, tasks): (&Sender<Landed>, &mut Tasks),
+    ) {
         for action in actions {
             match action {
                 Action::Send(send) => {
                     let attempt = Attempt { job: job.clone(), plan: Arc::clone(plan), send };
-                    tasks.push(self.launch(attempt, sender.clone()));
+                    tasks.attempts.push(self.launch(attempt, sender.clone()));
+                }
+                Action::Hand(hand) => {
+                    let number = hand.attempt;
+                    let task = self.launch_group(job, plan, rules, hand, sender.clone());
+                    tasks.groups.push((number, task));
                 }
+                Action::Revoke(number) => tasks.groups.retain(|(held, _)| *held != number),
                 Action::Cancel(cancel) => {
                     let name = format!("{}.{}", job.request, cancel.attempt);
                     self.ports.upstreams.cancel(&cancel.upstream, &name);
                 }
             }
         }
-        tasks
     }
 
     fn launch(self: &Rc<Self>, attempt: Attempt, sender: Sender<Landed>) -> Task<()> {
@@ -189,7 +219,8 @@
             let end = this.ask(&attempt).await;
             underway.settled = true;
             this.learn(&attempt, &end);
-            let landed = Landed { shard: attempt.send.shard, attempt: attempt.send.attempt, end: end.end };
+            let (shard, number) = (attempt.send.shard, attempt.send.attempt);
+            let landed = Landed::Shard { shard, attempt: number, end: end.end };
             if sender.try_send(landed).is_err() {
                 this.drop_late(&attempt);
             }
--- /dev/null
+++ b/crates/harefield/src/engine/group.rs
@@ -0,0 +1,280 @@
+//! Groups of far shards: handed to a daemon beside their replicas, and taken
+//! from daemons of other regions.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use async_executor::Task;
+
+use super::attempt::Job;
+use super::attempt::Landed;
+use super::run::Found;
+use super::worker::Worker;
+use crate::domain::admission::Arrival;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::fanout::Brought;
+use crate::domain::fanout::Finished;
+use crate::domain::fanout::GroupEnd;
+use crate::domain::fanout::Hand;
+use crate::domain::fanout::Rules;
+use crate::domain::ids::ShardId;
+use crate::domain::merge::greatest;
+use crate::domain::outcome::Gap;
+use crate::domain::query::ByteQuery;
+use crate::domain::query::Query;
+use crate::domain::reply::ByteReply;
+use crate::domain::reply::Reply;
+use crate::domain::routing::RelayVerdict;
+use crate::domain::view::LookupPlan;
+use crate::domain::view::Plan;
+use crate::ports::Clock;
+use crate::ports::Group;
+use crate::ports::GroupGap;
+use crate::ports::GroupPart;
+use crate::ports::GroupReply;
+use crate::ports::PeerError;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+use crate::telemetry::Batch;
+
+/// Spare time that a group's answer has to travel past its deadline.
+const TRAVEL: Duration = Duration::from_millis(50);
+
+/// A group under way, which is taken off its daemon's account when its task is
+/// dropped half-way.
+struct Underway<'a, U: Upstreams, P: Peers, C: Clock> {
+    worker: &'a Worker<U, P, C>,
+    kind: &'a Arc<str>,
+    hand: &'a Hand,
+    settled: bool,
+}
+
+impl<U: Upstreams, P: Peers, C: Clock> Drop for Underway<'_, U, P, C> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.worker.end_relay(self.kind, self.hand, RelayVerdict::Abandoned);
+        }
+    }
+}
+
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
+    /// Hands a group to its daemon as a task of its own.
+    pub(super) fn launch_group(
+        self: &Rc<Self>,
+        job: &Job,
+        plan: &Arc<Plan>,
+        rules: &Rules,
+        hand: Hand,
+        sender: Sender<Landed>,
+    ) -> Task<()> {
+        let message = self.group_message(job, plan, rules, &hand);
+        let (this, job) = (Rc::clone(self), job.clone());
+        let task = async move {
+            let mut underway = Underway { worker: &this, kind: &job.kind, hand: &hand, settled: false };
+            let left = job.deadline.saturating_duration_since(this.ports.clock.now());
+            let result = this.ports.peers.group(&hand.host, &message, left + TRAVEL).await;
+            underway.settled = true;
+            let (verdict, end) = this.group_end(&hand, result);
+            this.end_relay(&job.kind, &hand, verdict);
+            this.note_group(&job, &hand, verdict, &end);
+            let _ = sender.try_send(Landed::Group(hand.clone(), end)).is_ok();
+        };
+        self.executor.spawn(task)
+    }
+
+    fn group_message(&self, job: &Job, plan: &Plan, rules: &Rules, hand: &Hand) -> Group {
+        let left = job.deadline.saturating_duration_since(self.ports.clock.now());
+        let others = plan.shards.len() - hand.shards.len();
+        let query = match &job.query {
+            Query::Bytes(query) => (**query).clone(),
+            Query::Json(_) => ByteQuery::default(),
+        };
+        Group {
+            from: Arc::clone(&self.settings.host),
+            stamp: self.stamp(),
+            request: job.request.to_string(),
+            lookup: job.kind.to_string(),
+            index: plan.index.to_string(),
+            shards: hand.shards.iter().map(|at| Arc::clone(&plan.shards[*at].shard)).collect(),
+            query,
+            most: job.merge.unwrap_or(usize::MAX),
+            needed: rules.least(plan.shards.len()).saturating_sub(others),
+            remaining: micros(left),
+            gather: hand.gather.map(micros),
+        }
+    }
+
+    fn end_relay(&self, kind: &Arc<str>, hand: &Hand, verdict: RelayVerdict) {
+        let now = self.ports.clock.now();
+        self.router.borrow_mut().relays_mut().end(&hand.host, kind, hand.start, verdict, now);
+    }
+
+    fn group_end(&self, hand: &Hand, result: Result<GroupReply, PeerError>) -> (RelayVerdict, GroupEnd) {
+        let reply = match result {
+            Ok(reply) if !reply.declined => reply,
+            Ok(_declined) => return (RelayVerdict::Declined, GroupEnd::NotSent),
+            Err(PeerError::Unreachable) => return (RelayVerdict::Silent, GroupEnd::NotSent),
+            Err(PeerError::Silent) => return (RelayVerdict::Silent, GroupEnd::Silent),
+        };
+        self.receive(reply.stamp);
+        let total = self.ports.clock.now().saturating_duration_since(hand.start);
+        let way = total.saturating_sub(Duration::from_micros(reply.took));
+        (RelayVerdict::Answered(way), GroupEnd::Brought(brought(hand, reply)))
+    }
+
+    fn note_group(&self, job: &Job, hand: &Hand, verdict: RelayVerdict, end: &GroupEnd) {
+        let parts = match end {
+            GroupEnd::Brought(all) => {
+                all.iter().filter(|(_, brought)| matches!(brought, Brought::Part(_))).count()
+            }
+            GroupEnd::NotSent | GroupEnd::Silent => 0,
+        };
+        let way = match verdict {
+            RelayVerdict::Answered(way) => micros(way),
+            RelayVerdict::Declined | RelayVerdict::Silent | RelayVerdict::Abandoned => 0,
+        };
+        let took = self.ports.clock.now().saturating_duration_since(hand.start);
+        let event = Event::GroupEnded {
+            to: Arc::clone(&hand.host),
+            attempt: hand.attempt,
+            contributed: parts,
+            missing: hand.shards.len() - parts,
+            micros: micros(took),
+            way,
+        };
+        let request = Some(Arc::clone(&job.request));
+        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
+    }
+
+    /// Takes a group from another daemon: asks its shards, and answers with what
+    /// they brought when its time is up.
+    ///
+    /// Dropping the future gives the group up, as when that daemon goes away.
+    pub async fn group(self: &Rc<Self>, group: Group) -> GroupReply {
+        let start = self.ports.clock.now();
+        self.receive(group.stamp);
+        let mut trace = self.request_trace(Some(&group.request));
+        trace.emit(Event::GroupTaken {
+            from: Arc::clone(&group.from),
+            shards: group.shards.len(),
+            gather: group.gather,
+        });
+        let Some((found, plan)) = self.find_group(&group, start) else {
+            return self.declined();
+        };
+        let lookup = &found.plan.lookup;
+        let arrival =
+            Arrival { urgency: lookup.urgency, team: lookup.team.as_str().into(), deadline: found.deadline };
+        let Ok(mut place) = self.enter_gate(&plan.index, arrival).await else {
+            return self.declined();
+        };
+        let job = Job {
+            request: group.request.as_str().into(),
+            kind: Arc::clone(&found.plan.name),
+            query: Query::Bytes(Arc::new(group.query)),
+            deadline: found.deadline,
+            once: false,
+            merge: Some(group.most),
+        };
+        let least_share = crate::domain::ratio(group.needed, group.shards.len());
+        let rules = Rules { least_share, grouped: false, ..self.rules(&found) };
+        let ended = self.fan_out(&job, &plan, rules, 0, &mut trace).await;
+        place.crowd = ended.crowd;
+        drop(place);
+        let took = self.ports.clock.now().saturating_duration_since(start);
+        self.group_reply(&group.shards, &ended.finished, group.most, took)
+    }
+
+    fn declined(&self) -> GroupReply {
+        GroupReply { stamp: self.stamp(), declined: true, ..GroupReply::default() }
+    }
+
+    /// Finds the plan of a group; none where this daemon holds another view of
+    /// the lookup's shards, does not trust its own, or is stopping.
+    fn find_group(&self, group: &Group, start: Instant) -> Option<(Found, Arc<Plan>)> {
+        let now = self.ports.clock.now();
+        if self.is_stopping() || !self.router.borrow().lease().held(now) {
+            return None;
+        }
+        let view = self.view.borrow();
+        let plan = view.lookups.get(group.lookup.as_str())?;
+        let parts = plan.parts.iter().map(|part| &part.plan);
+        let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
+        let shards = subset(plan, &group.shards)?;
+        let found = Found {
+            plan: Arc::clone(plan),
+            start,
+            deadline: start + Duration::from_micros(group.remaining),
+            objective: group.gather.map(|time| start + Duration::from_micros(time)),
+        };
+        Some((found, Arc::new(shards)))
+    }
+
+    fn group_reply(
+        &self,
+        shards: &[ShardId],
+        finished: &Finished,
+        most: usize,
+        took: Duration,
+    ) -> GroupReply {
+        let bodies = finished.parts.iter().filter_map(|part| part.reply.bytes()).map(|reply| &*reply.body);
+        let records = greatest(bodies, most);
+        let place = |shard: &ShardId| shards.iter().position(|name| name == shard);
+        let parts = finished.parts.iter().filter_map(|part| {
+            let signature = part.reply.bytes()?.signature.as_ref().map(Arc::clone)?;
+            Some(GroupPart { at: place(&part.shard)?, signature })
+        });
+        let missing = finished.coverage.missing.iter().zip(&finished.sent).filter_map(|(missing, sent)| {
+            Some(GroupGap { at: place(&missing.shard)?, why: missing.why, ran: missing.ran, sent: *sent })
+        });
+        GroupReply {
+            stamp: self.stamp(),
+            declined: false,
+            took: micros(took),
+            parts: parts.collect(),
+            missing: missing.collect(),
+            records: serde_bytes::ByteBuf::from(records),
+        }
+    }
+}
+
+/// Returns a plan of the named shards alone; none where one is not known.
+fn subset(plan: &LookupPlan, names: &[ShardId]) -> Option<Plan> {
+    let whole = plan.plans.first()?;
+    let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
+    let shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
+    Some(Plan { index: Arc::clone(&whole.index), version: whole.version, shards })
+}
+
+/// Sorts a reply by the shards of the group, each once. The merged records go
+/// with the first part.
+fn brought(hand: &Hand, reply: GroupReply) -> Vec<(usize, Brought)> {
+    let mut records = Some(reply.records.into_vec());
+    let mut all: Vec<Option<Brought>> = hand.shards.iter().map(|_| None).collect();
+    for part in reply.parts {
+        let Some(slot) = all.get_mut(part.at).filter(|slot| slot.is_none()) else { continue };
+        let body = records.take().unwrap_or_default();
+        let reply = ByteReply {
+            status: 200,
+            body: body.into(),
+            signature: Some(part.signature),
+            ..Default::default()
+        };
+        *slot = Some(Brought::Part(Reply::Bytes(Arc::new(reply))));
+    }
+    for gap in reply.missing {
+        let Some(slot) = all.get_mut(gap.at).filter(|slot| slot.is_none()) else { continue };
+        *slot = Some(Brought::Missing { why: gap.why, ran: gap.ran, sent: gap.sent });
+    }
+    let unsaid = Brought::Missing { why: Gap::ReplyLost, ran: true, sent: u32::MAX };
+    let places = hand.shards.iter().copied();
+    places.zip(all.into_iter().map(|brought| brought.unwrap_or_else(|| unsaid.clone()))).collect()
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod forward;
 mod gate;
+mod group;
 mod message;
 mod once;
 mod run;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -249,6 +249,7 @@
             query: request.query.clone(),
             deadline: found.deadline,
             once: !lookup.repeatable,
+            merge: lookup.merge,
         };
         let (answer, crowd) = self.fan_out_twice(&job, found, trace).await;
         place.crowd = crowd;
@@ -271,7 +272,9 @@
             };
             let (index, version) = (plan.index.to_string(), plan.version);
             trace.emit(Event::SnapshotChosen { index, version, shards: plan.shards.len() });
-            let ended = self.fan_out(job, &plan, self.rules(found), first, trace).await;
+            let grouped = is_mergeable(job);
+            let rules = Rules { grouped, ..self.rules(found) };
+            let ended = self.fan_out(job, &plan, rules, first, trace).await;
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
                 let mut answer = answer(trace, &plan, ended.finished);
@@ -290,7 +293,7 @@
         snapshot::choose(&plan.plans, |upstream, version| router.usable(upstream, version)).map(Arc::clone)
     }
 
-    fn rules(&self, found: &Found) -> Rules {
+    pub(super) fn rules(&self, found: &Found) -> Rules {
         let lookup = &found.plan.lookup;
         Rules {
             repeatable: lookup.repeatable,
@@ -302,6 +305,7 @@
             kind: Arc::clone(&found.plan.name),
             objective: found.objective,
             least_share: lookup.least_share,
+            grouped: false,
             attempts: lookup.attempts.unwrap_or(MOST_ATTEMPTS),
         }
     }
@@ -319,6 +323,12 @@
     }
 }
 
+/// Says whether a request's shards may be handed on in groups: their records are
+/// merged on the way, and what is lost with a daemon may be asked again.
+fn is_mergeable(job: &Job) -> bool {
+    job.merge.is_some() && !job.once && matches!(job.query, Query::Bytes(_))
+}
+
 /// Returns how long an answer may take so that it is back within its objective:
 /// less what was used before, and less a margin for the way back. Where the
 /// objective can no longer be met, what is left of it has no meaning, and the
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -30,6 +30,7 @@
 use crate::domain::ids::RequestId;
 use crate::domain::lease::RENEW_EVERY;
 use crate::domain::lease::Renewal;
+use crate::domain::membership::PeerState;
 use crate::domain::once::Ledger;
 use crate::domain::recent::Recent;
 use crate::domain::resources::Bounds;
@@ -221,6 +222,8 @@
         if self.settings.slack.is_some() {
             self.router.borrow_mut().share_with(self.known.get());
         }
+        let seen = peers.rows.iter().map(|row| (&row.host, &*row.zone, row.state == PeerState::Live));
+        self.router.borrow_mut().see_daemons(seen.filter(|(host, ..)| **host != self.settings.host));
         *self.peers.borrow_mut() = peers;
     }
 
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -1,9 +1,11 @@
 //! The port to the other daemons.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 
 use super::platform::Space;
 use crate::domain::feed::News;
@@ -11,8 +13,11 @@
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
+use crate::domain::ids::ShardId;
 use crate::domain::membership::Row;
 use crate::domain::outcome::Answer;
+use crate::domain::outcome::Gap;
+use crate::domain::query::ByteQuery;
 use crate::domain::word::NamedWord;
 
 /// A request handed to another daemon.
@@ -44,6 +49,72 @@
     pub stamp: Stamp,
 }
 
+/// A group of shards handed to a daemon beside their replicas.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Group {
+    /// The daemon that hands it on.
+    pub from: HostId,
+    /// When it left, in hybrid logical time.
+    pub stamp: Stamp,
+    /// The request's id.
+    pub request: String,
+    /// The lookup.
+    pub lookup: String,
+    /// The index that the shards are of, as the daemon that hands it on sees it.
+    pub index: String,
+    /// The shards.
+    pub shards: Vec<ShardId>,
+    /// The query.
+    pub query: ByteQuery,
+    /// How many records are kept of all shards together.
+    pub most: usize,
+    /// How many shards must be in before the answer goes out short of some.
+    pub needed: usize,
+    /// The time left, in microseconds.
+    pub remaining: u64,
+    /// After this time an answer with enough shards goes out, in microseconds.
+    pub gather: Option<u64>,
+}
+
+/// A shard of a group that contributed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GroupPart {
+    /// Its place in the group.
+    pub at: usize,
+    /// The upstream's signature over its reply.
+    pub signature: Arc<str>,
+}
+
+/// A shard of a group that did not contribute.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct GroupGap {
+    /// Its place in the group.
+    pub at: usize,
+    /// Why.
+    pub why: Gap,
+    /// Whether the request may have run there.
+    pub ran: bool,
+    /// How many upstreams it was sent to.
+    pub sent: u32,
+}
+
+/// What a group's shards brought.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct GroupReply {
+    /// When it left, in hybrid logical time.
+    pub stamp: Stamp,
+    /// Whether the daemon did not take the group; nothing was sent then.
+    pub declined: bool,
+    /// How long the daemon took, in microseconds.
+    pub took: u64,
+    /// The shards that contributed.
+    pub parts: Vec<GroupPart>,
+    /// The shards that did not.
+    pub missing: Vec<GroupGap>,
+    /// The greatest records of all that contributed.
+    pub records: ByteBuf,
+}
+
 /// How far a daemon is in one space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
@@ -104,6 +175,18 @@
         limit: Duration,
     ) -> impl Future<Output = Result<Forwarded, PeerError>>;
 
+    /// Hands a group of shards to another daemon and awaits what they bring.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the group had been sent when it failed.
+    fn group(
+        &self,
+        host: &HostId,
+        message: &Group,
+        limit: Duration,
+    ) -> impl Future<Output = Result<GroupReply, PeerError>>;
+
     /// Tells a daemon what is known here and hears what is known there.
     ///
     /// # Errors
--- a/crates/harefield/tests/decisions/fanout.rs
+++ b/crates/harefield/tests/decisions/fanout.rs
@@ -115,6 +115,7 @@
             hedge: Some(1.0),
             fixed: None,
             objective: None,
+            grouped: false,
             least_share: 0.0,
             attempts: MOST_ATTEMPTS,
         };
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -30,6 +30,8 @@
 use harefield::ports::Exchange;
 use harefield::ports::Forward;
 use harefield::ports::Forwarded;
+use harefield::ports::Group;
+use harefield::ports::GroupReply;
 use harefield::ports::Listing;
 use harefield::ports::PeerError;
 use harefield::ports::Peers;
@@ -91,6 +93,10 @@
         Err(PeerError::Unreachable)
     }
 
+    async fn group(&self, _: &HostId, _: &Group, _: Duration) -> Result<GroupReply, PeerError> {
+        Err(PeerError::Unreachable)
+    }
+
     async fn exchange(&self, host: &HostId, message: &Exchange, _: Duration) -> Result<Exchange, PeerError> {
         let said = Box::new(message.clone());
         self.call(host, |reply| ToControl::Exchange(said, reply)).await
