--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -206,6 +206,6 @@
 /// Makes the end of a call that was written and brought no usable reply.
 #[must_use]
 pub fn lost(why: Gap, report: Report) -> CallEnd {
-    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Broken };
+    let verdict = if why == Gap::SnapshotWrong { Verdict::Declined } else { Verdict::Lost };
     CallEnd { end: AttemptEnd::Lost { why }, verdict, report }
 }
--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -33,11 +33,15 @@
 /// What is kept of the time for reading and merging a group's answer.
 const MERGE_TIME: Duration = Duration::from_millis(3);
 
-/// A group is revoked after this many times its slow pace: what is slow there is
-/// hedged there, so only a daemon that is gone shows here.
+/// A group without an objective is revoked after this many times its slow pace:
+/// what is slow there is hedged there, so only a daemon that is gone shows here.
 const REVOKE_FACTOR: f64 = 1.6;
 
-/// A group is revoked at the latest this long after its answer was due.
+/// A daemon has at least this long, the way aside: longer than the users'
+/// searchers usually take, and than one hedge there.
+const LEAST_PATIENCE: Duration = Duration::from_millis(50);
+
+/// A group with an objective is revoked this long after its answer was due.
 const OVERDUE: Duration = Duration::from_millis(10);
 
 /// The pause between revoking a group and asking its shards directly: the
@@ -125,8 +129,9 @@
             .objective
             .map(|objective| objective.saturating_duration_since(start).saturating_sub(way + MERGE_TIME));
         let slow = step.router.relays().pace(&self.rules.kind).slow().mul_f64(REVOKE_FACTOR);
+        let slow = slow.max(way + LEAST_PATIENCE);
         let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + OVERDUE);
-        let revoke = start + slow.min(due);
+        let revoke = start + due.max(way + LEAST_PATIENCE);
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
             step.router.budget(&self.plan.shards[*shard].shard).earn();
--- a/crates/harefield/src/domain/routing/budget.rs
+++ b/crates/harefield/src/domain/routing/budget.rs
@@ -25,8 +25,15 @@
 /// The least that a budget may add up to, in requests: one hedge at a time.
 const LEAST_MOST: f64 = 1.0;
 
+/// The part of a strict budget that hedges leave for retries, which replace what
+/// is known to be lost.
+const KEPT_FOR_RETRIES: f64 = 0.3;
+
+/// The part of a strict budget that probes leave for hedges and retries.
+const KEPT_FOR_HEDGES: f64 = 0.6;
+
 /// The part of the slack that a daemon starts with.
-const FIRST_PART: f64 = 0.25;
+const FIRST_PART: f64 = 0.5;
 
 /// Earns a share of every first request and spends it on extra ones.
 ///
@@ -39,14 +46,15 @@
     tokens: f64,
     most: f64,
     reserve: f64,
-    floor: f64,
+    hedges: f64,
+    probes: f64,
 }
 
 impl Budget {
     /// Creates a budget that earns `share` of a request with every first one.
     #[must_use]
     pub fn new(share: f64) -> Self {
-        Self { share, tokens: MOST / 4.0, most: MOST, reserve: RESERVE, floor: PROBE_FLOOR }
+        Self { share, tokens: MOST / 4.0, most: MOST, reserve: RESERVE, hedges: 1.0, probes: PROBE_FLOOR }
     }
 
     /// Creates a budget that never spends more than it earned and `most`: what
@@ -55,13 +63,17 @@
     #[must_use]
     pub fn strict(share: f64, most: f64) -> Self {
         let first = (most * FIRST_PART).max(LEAST_MOST);
-        Self { share: share * USED_SHARE, tokens: first, most, reserve: 0.0, floor: most / 2.0 }
+        let mut budget =
+            Self { share: share * USED_SHARE, tokens: first, most, reserve: 0.0, hedges: 1.0, probes: 1.0 };
+        budget.bound(most);
+        budget
     }
 
     /// Takes a new bound on unspent earnings.
     pub fn bound(&mut self, most: f64) {
         self.most = most;
-        self.floor = most / 2.0;
+        self.hedges = (most * KEPT_FOR_RETRIES).max(1.0);
+        self.probes = (most * KEPT_FOR_HEDGES).max(1.0);
         self.tokens = self.tokens.min(most);
     }
 
@@ -72,13 +84,13 @@
 
     /// Spends one hedge; returns whether it may be sent.
     pub fn spend_hedge(&mut self) -> bool {
-        self.spend(1.0)
+        self.spend(self.hedges)
     }
 
     /// Spends one probe, which must leave enough in hand for hedges; returns
     /// whether it may be sent.
     pub fn spend_probe(&mut self) -> bool {
-        self.spend(self.floor.max(1.0))
+        self.spend(self.probes)
     }
 
     /// Spends one retry; returns whether it may be sent.
--- a/crates/harefield/src/domain/routing/pace.rs
+++ b/crates/harefield/src/domain/routing/pace.rs
@@ -21,6 +21,10 @@
     slow: f64,
 }
 
+/// The part of an objective that a request is taken to need before any sample;
+/// the users' objectives are 4 to 30 times the work.
+const FIRST_PART: f64 = 0.25;
+
 impl Default for Pace {
     fn default() -> Self {
         Self { mean: FIRST.as_secs_f64(), slow: FIRST.as_secs_f64() }
@@ -28,6 +32,14 @@
 }
 
 impl Pace {
+    /// Creates the pace of a kind of request before its first sample: a part of
+    /// the time within which its answers are wanted.
+    #[must_use]
+    pub fn expected(objective: Duration) -> Self {
+        let first = objective.as_secs_f64() * FIRST_PART;
+        Self { mean: first, slow: first }
+    }
+
     /// Takes one reply's time.
     pub fn sample(&mut self, took: Duration) {
         let took = took.as_secs_f64();
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -133,7 +133,9 @@
         now: Instant,
     ) {
         let took = now.saturating_duration_since(start);
-        if let RelayVerdict::Answered(_) = verdict {
+        // One that was given up would have taken longer still: else only the
+        // quick ones would ever count.
+        if let RelayVerdict::Answered(_) | RelayVerdict::Silent = verdict {
             self.paces.entry(Arc::clone(kind)).or_default().sample(took);
         }
         let Some(relay) = self.hosts.get_mut(host) else { return };
--- a/crates/harefield/src/domain/routing/report.rs
+++ b/crates/harefield/src/domain/routing/report.rs
@@ -55,6 +55,8 @@
     Declined,
     /// It was given up; the time so far is the least that it would have taken.
     Abandoned,
-    /// No connection could be had, or it was lost.
+    /// It was sent, and its reply was lost or no use.
+    Lost,
+    /// No connection could be had, or the upstream failed.
     Broken,
 }
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -199,6 +199,12 @@
             }
         }
         self.paces.retain(|kind, _| view.lookups.contains_key(kind));
+        for (kind, plan) in &view.lookups {
+            if let Some(millis) = plan.lookup.objective_ms {
+                let first = || Pace::expected(Duration::from_millis(millis));
+                self.paces.entry(Arc::clone(kind)).or_insert_with(first);
+            }
+        }
     }
 
     /// Returns the state of an upstream.
@@ -284,7 +290,7 @@
             barred.is_some_and(|bar| bar.until == Until::Soon) && !searcher.is_silent(typical, now)
         };
         let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
-        quicker.any(|searcher| chosen.passed_over(searcher, typical))
+        quicker.any(|searcher| chosen.is_slower(searcher, typical))
     }
 
     fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -18,6 +18,10 @@
 /// The first pause after a failure; it doubles with each further one.
 const BACKOFF: Duration = Duration::from_millis(100);
 
+/// An upstream that loses this many replies in a row is left alone for a while;
+/// the users' upstreams lose one in twenty at times.
+const LOST_IN_ROW: u32 = 3;
+
 /// The longest pause after failures.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
@@ -246,6 +250,7 @@
             Verdict::Full(wait) => self.full(wait, now),
             Verdict::Declined => {}
             Verdict::Abandoned => self.abandoned(took),
+            Verdict::Lost => self.lost(now),
             Verdict::Broken => self.broken(now),
         }
     }
@@ -300,6 +305,15 @@
         self.probation = true;
     }
 
+    /// A reply that was lost says little by itself; several in a row do.
+    fn lost(&mut self, now: Instant) {
+        if self.failures + 1 >= LOST_IN_ROW {
+            self.broken(now);
+        } else {
+            self.failures += 1;
+        }
+    }
+
     fn broken(&mut self, now: Instant) {
         let doubled = BACKOFF.saturating_mul(1 << self.failures.min(10));
         self.retry = Some(now + doubled.min(LONGEST_BACKOFF));
@@ -335,9 +349,16 @@
     /// `typical` seconds where nothing was observed yet.
     #[must_use]
     pub fn passed_over(&self, other: &Self, typical: f64) -> bool {
+        self.probation || self.is_slower(other, typical)
+    }
+
+    /// Returns whether it takes much longer than another replica by itself, and
+    /// longer with the way.
+    #[must_use]
+    pub fn is_slower(&self, other: &Self, typical: f64) -> bool {
         let quick = other.observed_time(typical);
         let slower = |own: f64| own > quick * PASSED_OVER && own + self.way > quick + other.way;
-        self.probation || self.observed.is_some_and(slower)
+        self.observed.is_some_and(slower)
     }
 
     /// Returns whether nothing was heard of it for a while, so that a probe may
