Keep the gate open above a daemon's usual load

What waits there has lost its objective before it begins.

Change: fan-outs with an objective shrink the gate to 12 at least.

--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -46,6 +46,10 @@
 /// Slow fan-outs alone do not shrink the limit below this: it may be an upstream
 /// that is slow, and not a crowd.
 const SLOW_LIMIT: f64 = 2.0;
+/// Fan-outs that go by an objective are answered without the shards that have no
+/// room, so what waits before them only comes late: the limit stays above what a
+/// daemon of today runs at once under load.
+const OBJECTIVE_LIMIT: f64 = 12.0;
 const SHRINK: f64 = 0.7;
 const FIRST_TIME: f64 = 0.01;
 
@@ -169,7 +173,8 @@
         let best = self.best.map_or(seconds, |best| (best * BEST_DRIFT).min(seconds));
         self.best = Some(best);
         if crowd.is_crowded() {
-            self.shrink(LEAST_LIMIT, took, now);
+            let floor = if crowd.objective { OBJECTIVE_LIMIT } else { LEAST_LIMIT };
+            self.shrink(floor, took, now);
         } else if seconds > best * SLOWER && !crowd.objective {
             self.shrink(SLOW_LIMIT, took, now);
         } else if number(self.total) + 2.0 >= self.limit {
