--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -150,7 +150,7 @@
             step.router.budget(&self.plan.shards[shard].shard).earn();
         }
         if self.shards[shard].hedge != Hedge::Sent {
-            let due = self.hedge_time(start, step.router);
+            let due = self.hedge_time(start + step.router.way_to(&upstream), step.router);
             self.shards[shard].hedge = due.map_or(Hedge::Off, Hedge::Due);
         }
         let name = self.name(shard);
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -362,7 +362,7 @@
         report: &Report,
         now: Instant,
     ) {
-        let way = self.searchers.get(name).map_or(0.0, |searcher| self.way(searcher));
+        let way = self.way_to(name).as_secs_f64();
         if let Some(searcher) = self.searchers.get_mut(name) {
             searcher.set_way(way);
             searcher.end(start, verdict, report, now);
@@ -382,9 +382,18 @@
         }
     }
 
-    /// Takes a good reply's time into the pace of its kind of request.
-    pub fn sample(&mut self, kind: &Arc<str>, took: Duration) {
-        self.paces.entry(Arc::clone(kind)).or_default().sample(took);
+    /// Takes a good reply's time into the pace of its kind of request, less its
+    /// way.
+    pub fn sample(&mut self, kind: &Arc<str>, name: &UpstreamId, took: Duration) {
+        let own = took.saturating_sub(self.way_to(name));
+        self.paces.entry(Arc::clone(kind)).or_default().sample(own);
+    }
+
+    /// Returns how long a request and its reply travel to an upstream and back.
+    #[must_use]
+    pub fn way_to(&self, name: &UpstreamId) -> Duration {
+        let way = self.searchers.get(name).map_or(0.0, |searcher| self.way(searcher));
+        Duration::from_secs_f64(way)
     }
 
     /// Takes an upstream's word; returns whether it was news.
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -270,7 +270,7 @@
             self.duty_trace().emit(Event::LimitChanged { upstream: Arc::clone(upstream), window });
         }
         if end.verdict == Verdict::Good && attempt.send.cause != Cause::Probe {
-            router.sample(&attempt.job.kind, now.saturating_duration_since(*start));
+            router.sample(&attempt.job.kind, upstream, now.saturating_duration_since(*start));
         }
         router.set_idle(upstream, self.ports.upstreams.idle(upstream));
         let Some(word) = end.report.word.as_ref().filter(|word| router.hear(upstream, word)) else {
