--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -3,7 +3,9 @@
 //! One message and one merged answer cross between regions in place of one
 //! request and one reply a shard. A group is a first attempt on each of its
 //! shards; what the daemon brings of them counts as their contributions, and
-//! what it does not bring is tried directly, within the attempts and budgets.
+//! what it does not bring is tried directly, within the attempts and budgets. No
+//! shard is asked directly while its group is out: the group's records are
+//! merged, so its parts count together or not at all.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -214,7 +216,6 @@
         step: &mut Step<'_, S>,
     ) {
         let end = match brought {
-            Brought::Part(reply) if self.has_part(shard) => return self.replace_part(shard, hand, reply),
             Brought::Part(reply) => AttemptEnd::Answered(reply.clone()),
             Brought::Missing { ran: false, .. } => return self.take_unsent(shard, hand, step),
             Brought::Missing { why, ran: true, sent } => {
@@ -228,26 +229,6 @@
         self.end_in_group(shard, hand, end, step);
     }
 
-    fn has_part(&self, shard: usize) -> bool {
-        self.shards.get(shard).is_some_and(|state| state.part.is_some())
-    }
-
-    /// Puts a group's part in the place of one that a hedge brought: the records
-    /// of a group are merged, so its parts count together or not at all.
-    fn replace_part(&mut self, shard: usize, hand: &Hand, reply: &Reply) {
-        if self.land(shard, hand.attempt).is_some() {
-            self.shards[shard].part = Some(reply.clone());
-        }
-    }
-
-    /// Takes a part of a shard that was given up before its group came.
-    fn reopen(&mut self, shard: usize, hand: &Hand, reply: &Reply) {
-        if self.land(shard, hand.attempt).is_some() {
-            self.shards[shard].part = Some(reply.clone());
-            self.contributed += 1;
-        }
-    }
-
     /// Takes a shard that nothing was sent for: it is asked as for the first time.
     fn take_unsent<S: Sink>(&mut self, shard: usize, hand: &Hand, step: &mut Step<'_, S>) {
         if self.land(shard, hand.attempt).is_none() {
@@ -261,13 +242,6 @@
     }
 
     fn end_in_group<S: Sink>(&mut self, shard: usize, hand: &Hand, end: AttemptEnd, step: &mut Step<'_, S>) {
-        // One that was given up may yet contribute: parts count together.
-        if let AttemptEnd::Answered(reply) = &end
-            && let Some(state) = self.shards.get(shard)
-            && !state.is_open()
-        {
-            return self.reopen(shard, hand, reply);
-        }
         if let Some(flight) = self.land(shard, hand.attempt) {
             self.take_end(shard, flight, end, step);
         }
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -36,7 +36,7 @@
     pub(super) rules: Rules,
     pub(super) shards: Vec<Shard>,
     pub(super) next: AttemptId,
-    pub(super) contributed: usize,
+    contributed: usize,
     /// The groups that are out.
     pub(super) handed: Vec<Hand>,
     open: usize,
--- /dev/null
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -0,0 +1,267 @@
+//! Groups of far shards handed to a daemon beside their replicas.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use harefield::domain::event::Cause;
+use harefield::domain::event::Event;
+use harefield::domain::fanout::Action;
+use harefield::domain::fanout::AttemptEnd;
+use harefield::domain::fanout::Brought;
+use harefield::domain::fanout::Fanout;
+use harefield::domain::fanout::GroupEnd;
+use harefield::domain::fanout::Hand;
+use harefield::domain::fanout::Rules;
+use harefield::domain::fanout::Send;
+use harefield::domain::ids::HostId;
+use harefield::domain::outcome::Gap;
+use harefield::domain::outcome::Outcome;
+use harefield::domain::reply::ByteReply;
+use harefield::domain::reply::Reply;
+use harefield::domain::resources::Preference;
+use harefield::domain::resources::ResourceSet;
+use harefield::domain::routing::Distance;
+use harefield::domain::routing::Places;
+use harefield::domain::routing::RelayVerdict;
+use harefield::domain::routing::Router;
+
+use crate::support::at;
+use crate::support::items;
+use crate::support::router;
+use crate::support::values;
+use crate::support::view;
+
+/// How many shards there are; the first two have a replica beside the daemon.
+const SHARDS: usize = 6;
+
+/// A fan-out of a daemon in zone `a`; zone `b` is in another region.
+struct World {
+    fanout: Fanout,
+    router: Router,
+    now: Instant,
+    events: Vec<Event>,
+    hands: Vec<Hand>,
+    sends: Vec<Send>,
+    revoked: usize,
+}
+
+fn places() -> Places {
+    let regions = [("a", "r1"), ("b", "r2"), ("c", "r1")].map(|(zone, region)| (zone.into(), region.into()));
+    Places { zone: "a".into(), regions: BTreeMap::from(regions) }
+}
+
+fn host() -> HostId {
+    "10.0.0.2:7200".into()
+}
+
+impl World {
+    fn start(live: bool) -> Self {
+        let now = Instant::now();
+        let mut values = values(SHARDS, 2, &[7]);
+        for (key, value) in &mut values {
+            let far = key.starts_with("upstreams/u")
+                && !key.starts_with("upstreams/u0-")
+                && !key.starts_with("upstreams/u1-");
+            if far {
+                value["zone"] = "b".into();
+            }
+        }
+        let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
+        let view = view(&set);
+        let mut router = router(&view, now).at(places());
+        router.see_daemons([(&host(), "b", live)]);
+        let rules = Rules {
+            kind: "l".into(),
+            repeatable: true,
+            prefer: Preference::Coverage,
+            start: now,
+            deadline: at(now, 2000),
+            hedge: Some(1000.0),
+            fixed: None,
+            objective: Some(at(now, 200)),
+            least_share: 0.6,
+            grouped: true,
+            attempts: 2,
+        };
+        let fanout = Fanout::new(Arc::clone(&view.lookups["l"].plans[0]), rules, 0);
+        let mut world = Self {
+            fanout,
+            router,
+            now,
+            events: Vec::new(),
+            hands: Vec::new(),
+            sends: Vec::new(),
+            revoked: 0,
+        };
+        let actions = world.fanout.start(now, &mut world.router, &mut world.events);
+        world.act(actions);
+        world
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(send) => self.sends.push(send),
+                Action::Hand(hand) => self.hands.push(hand),
+                Action::Revoke(_) => self.revoked += 1,
+                Action::Cancel(_) => {}
+            }
+        }
+    }
+
+    fn end_group(&mut self, end: &GroupEnd) {
+        let hand = self.hands[0].clone();
+        let actions = self.fanout.on_group_end(&hand, end, self.now, &mut self.router, &mut self.events);
+        self.act(actions);
+    }
+
+    fn answer(&mut self, send: &Send, text: &str) {
+        let end = AttemptEnd::Answered(part(text));
+        let place = (send.shard, send.attempt);
+        let actions = self.fanout.on_end(place, end, self.now, &mut self.router, &mut self.events);
+        self.act(actions);
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(100) {
+            self.now += Duration::from_millis(millis.min(100));
+            self.router.lease_mut().renew(self.now);
+        }
+        let actions = self.fanout.on_time(self.now, &mut self.router, &mut self.events);
+        self.act(actions);
+    }
+
+    fn brought(&self, parts: usize, missing: &Brought) -> GroupEnd {
+        let shards = self.hands[0].shards.iter().enumerate();
+        let all = shards.map(|(number, shard)| {
+            let brought = if number < parts { Brought::Part(part("group")) } else { missing.clone() };
+            (*shard, brought)
+        });
+        GroupEnd::Brought(all.collect())
+    }
+}
+
+fn part(text: &str) -> Reply {
+    let reply = ByteReply { status: 200, signature: Some(text.into()), ..ByteReply::default() };
+    Reply::Bytes(Arc::new(reply))
+}
+
+fn signature(reply: &Reply) -> &str {
+    reply.bytes().and_then(|reply| reply.signature.as_deref()).unwrap_or("")
+}
+
+#[test]
+fn far_shards_grouped() {
+    let world = World::start(true);
+    assert_eq!(world.hands.len(), 1);
+    assert_eq!(world.hands[0].shards, [2, 3, 4, 5]);
+    assert_eq!(world.hands[0].host, host());
+    let direct: Vec<usize> = world.sends.iter().map(|send| send.shard).collect();
+    assert_eq!(direct, [0, 1], "those beside the daemon are asked directly");
+}
+
+#[test]
+fn nobody_to_hand_to() {
+    let world = World::start(false);
+    assert!(world.hands.is_empty());
+    assert_eq!(world.sends.len(), SHARDS);
+}
+
+#[test]
+fn whole_group_contributes() {
+    let mut world = World::start(true);
+    for send in world.sends.clone() {
+        world.answer(&send, "direct");
+    }
+    let missing = Brought::Missing { why: Gap::Late, ran: true, sent: 2 };
+    let end = world.brought(4, &missing);
+    world.end_group(&end);
+    assert!(world.fanout.is_done());
+    let finished = world.fanout.finish();
+    assert_eq!((finished.outcome, finished.parts.len()), (Outcome::Answered, SHARDS));
+}
+
+#[test]
+fn unsent_asked_afresh() {
+    let mut world = World::start(true);
+    world.end_group(&GroupEnd::NotSent);
+    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
+    assert_eq!(again, [2, 3, 4, 5].map(|shard| (shard, Cause::First)));
+}
+
+#[test]
+fn spent_not_asked_again() {
+    let mut world = World::start(true);
+    let missing = Brought::Missing { why: Gap::Late, ran: true, sent: 2 };
+    let end = world.brought(3, &missing);
+    world.end_group(&end);
+    assert_eq!(world.sends.len(), 2, "the daemon used both attempts of the shard");
+}
+
+#[test]
+fn one_attempt_left() {
+    let mut world = World::start(true);
+    let missing = Brought::Missing { why: Gap::ReplyLost, ran: true, sent: 1 };
+    let end = world.brought(3, &missing);
+    world.end_group(&end);
+    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
+    assert_eq!(again, [(5, Cause::Retry)]);
+}
+
+#[test]
+fn overdue_revoked_first() {
+    // The shards of a group are asked directly only once it was taken back, so
+    // that no more upstreams run the request than the lookup allows.
+    let mut world = World::start(true);
+    world.pass(150);
+    assert_eq!((world.revoked, world.sends.len()), (0, 2), "its answer is not yet due");
+    world.pass(100);
+    assert_eq!((world.revoked, world.sends.len()), (1, 2));
+    world.pass(5);
+    assert_eq!(world.sends.len(), SHARDS);
+    let end = world.brought(4, &Brought::Part(part("group")));
+    world.end_group(&end);
+    for send in world.sends.clone() {
+        world.answer(&send, "direct");
+    }
+    let finished = world.fanout.finish();
+    assert!(
+        finished.parts.iter().all(|part| signature(&part.reply) == "direct"),
+        "what was revoked is not taken"
+    );
+}
+
+#[test]
+fn part_of_group_brought() {
+    let mut world = World::start(true);
+    let missing = Brought::Missing { why: Gap::ReplyLost, ran: true, sent: 2 };
+    let end = world.brought(3, &missing);
+    world.end_group(&end);
+    let finished = world.fanout.finish();
+    let from_group = finished.parts.iter().filter(|part| signature(&part.reply) == "group").count();
+    assert_eq!(from_group, 3);
+}
+
+#[test]
+fn silent_daemon_left_alone() {
+    let mut world = World::start(true);
+    let (kind, start) = ("l".into(), world.now);
+    world.pass(300);
+    assert!(world.router.pick_relay("r2", &kind, world.now).is_none(), "it has not answered for long");
+    world.router.relays_mut().end(&host(), &kind, start, RelayVerdict::Silent, world.now);
+    assert!(world.router.pick_relay("r2", &kind, world.now).is_none(), "it is left alone for a while");
+    let later = at(world.now, 1000);
+    assert_eq!(world.router.pick_relay("r2", &kind, later), Some(host()));
+}
+
+#[test]
+fn distances_by_region() {
+    let places = places();
+    assert_eq!(places.distance("a"), Distance::Near);
+    assert_eq!(places.distance("c"), Distance::Region);
+    assert_eq!(places.distance("b"), Distance::Far);
+    assert_eq!(places.distance("unknown"), Distance::Far);
+    assert_eq!(Places::default().distance("b"), Distance::Near, "without regions all is near");
+}
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod own_answer;
 mod planned_stop;
+mod site;
 mod snapshot;
 mod support;
 mod time_line;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod searcher;
 mod searchers;
+mod site;
 
 pub use admin::serve_admin;
 pub use behaviour::Behaviour;
@@ -26,3 +27,6 @@
 pub use platform::Platform;
 pub use searchers::Searchers;
 pub use searchers::Tally;
+pub use site::Manner;
+pub use site::SignedSearcher;
+pub use site::SiteStore;
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,280 @@
+//! A stand-in for the users' machines: their store, and upstreams that sign
+//! their replies. `docs/PLATFORM.md` has the protocols.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+
+use super::net;
+use super::net::Reply;
+
+/// How often a waiting watch looks for changes.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// Bytes of one record.
+const RECORD_BYTES: usize = 16;
+
+#[derive(Debug, Default)]
+struct Store {
+    revision: u64,
+    /// Each change with its revision; none where the key was taken away.
+    log: Vec<(u64, String, Option<String>)>,
+    down: bool,
+}
+
+/// The users' store.
+#[derive(Clone, Debug)]
+pub struct SiteStore {
+    state: Arc<Mutex<Store>>,
+    address: SocketAddr,
+}
+
+impl SiteStore {
+    /// Starts an empty store.
+    ///
+    /// # Panics
+    ///
+    /// Panics where no address can be listened on.
+    #[must_use]
+    pub fn start() -> Self {
+        let listener = net::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = net::local(&listener);
+        let state: Arc<Mutex<Store>> = Arc::default();
+        let shared = Arc::clone(&state);
+        net::serve_on_thread(listener, move || move |request| read(Arc::clone(&shared), request));
+        Self { state, address }
+    }
+
+    /// Returns where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Puts a value, or takes it away.
+    pub fn put(&self, key: &str, value: Option<&Value>) {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        let text = value.map(|value| STANDARD.encode(value.to_string()));
+        state.log.push((revision, key.to_owned(), text));
+    }
+
+    /// Says whether it answers.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.state).down = down;
+    }
+}
+
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn read(state: Arc<Mutex<Store>>, request: Request<Incoming>) -> Reply {
+    let query: BTreeMap<String, String> =
+        serde_urlencoded::from_str(request.uri().query().unwrap_or("")).unwrap_or_default();
+    if lock(&state).down {
+        return net::json(503, &json!({}));
+    }
+    match request.uri().path() {
+        "/-/kv-key" => one(&lock(&state), query.get("privateKey").map_or("", |key| key)),
+        "/-/kv-range" => range(&lock(&state), query.get("pathPrefix").map_or("", |prefix| prefix)),
+        "/-/kv-watch" => watch(&state, &query).await,
+        _ => net::json(404, &json!({})),
+    }
+}
+
+fn items(store: &Store) -> BTreeMap<&str, (u64, &str)> {
+    let mut items = BTreeMap::new();
+    for (revision, key, value) in &store.log {
+        match value {
+            Some(value) => items.insert(key.as_str(), (*revision, value.as_str())),
+            None => items.remove(key.as_str()),
+        };
+    }
+    items
+}
+
+fn one(store: &Store, key: &str) -> Reply {
+    match items(store).get(key) {
+        Some((revision, value)) => {
+            let at = store.revision;
+            let item =
+                json!({ "privateKey": key, "value": value, "revision": revision, "storeRevision": at });
+            net::json(200, &item)
+        }
+        None => net::json(404, &json!({})),
+    }
+}
+
+fn range(store: &Store, prefix: &str) -> Reply {
+    let found: Vec<Value> = items(store)
+        .into_iter()
+        .filter(|(key, _)| key.starts_with(prefix))
+        .map(|(key, (revision, value))| json!({ "privateKey": key, "value": value, "revision": revision }))
+        .collect();
+    net::json(200, &json!({ "items": found, "truncated": false, "storeRevision": store.revision }))
+}
+
+async fn watch(state: &Mutex<Store>, query: &BTreeMap<String, String>) -> Reply {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let (after, wait) = (number("after"), number("waitMs"));
+    for _ in 0..=(wait / 10) {
+        {
+            let store = lock(state);
+            let newer: Vec<Value> =
+                store.log.iter().filter(|(revision, ..)| *revision > after).map(event).collect();
+            if !newer.is_empty() || store.down {
+                return net::json(200, &json!({ "events": newer, "storeRevision": store.revision }));
+            }
+        }
+        Timer::after(LOOK_EVERY).await;
+    }
+    let at = lock(state).revision;
+    net::json(200, &json!({ "events": [], "storeRevision": at }))
+}
+
+fn event((revision, key, value): &(u64, String, Option<String>)) -> Value {
+    match value {
+        Some(value) => json!({ "privateKey": key, "value": value, "revision": revision }),
+        None => json!({ "privateKey": key, "revision": revision, "tombstone": true }),
+    }
+}
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// It answers.
+    #[default]
+    Good,
+    /// It refuses before it runs anything.
+    Shed,
+    /// It runs the request and fails.
+    Fail,
+    /// It answers under another request's id.
+    Crossed,
+    /// It answers without a signature.
+    Unsigned,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    manner: Manner,
+    delay: Duration,
+    runs: Vec<String>,
+}
+
+/// An upstream that signs its replies.
+#[derive(Clone, Debug)]
+pub struct SignedSearcher {
+    shared: Arc<Mutex<Shared>>,
+    id: String,
+    address: SocketAddr,
+}
+
+impl SignedSearcher {
+    /// Starts an upstream whose part holds the records given, each made of one
+    /// byte that is repeated.
+    ///
+    /// # Panics
+    ///
+    /// Panics where no address can be listened on.
+    #[must_use]
+    pub fn start(id: &str, records: &[u8]) -> Self {
+        let listener = net::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = net::local(&listener);
+        let shared: Arc<Mutex<Shared>> = Arc::default();
+        let body: Vec<u8> = records.iter().flat_map(|byte| [*byte; RECORD_BYTES]).collect();
+        let own = Self { shared, id: id.to_owned(), address };
+        let served = own.clone();
+        net::serve_on_thread(listener, move || {
+            move |request| {
+                let (searcher, body) = (served.clone(), body.clone());
+                async move { searcher.answer(&request, body).await }
+            }
+        });
+        own
+    }
+
+    /// Returns its entry in the store, as a service's upstream.
+    #[must_use]
+    pub fn entry(&self, service: &str, state: &str) -> Value {
+        json!({
+            "service": service, "address": self.address.to_string(), "zone": "hall", "version": "v1",
+            "slots": 2, "state": state, "coldRemainingMs": 0, "sequence": 1,
+        })
+    }
+
+    /// Returns its key in the store.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// Sets how it behaves, and how long it takes.
+    pub fn set(&self, manner: Manner, delay: Duration) {
+        let mut shared = lock(&self.shared);
+        shared.manner = manner;
+        shared.delay = delay;
+    }
+
+    /// Returns the ids of the requests that it ran, in order.
+    #[must_use]
+    pub fn runs(&self) -> Vec<String> {
+        lock(&self.shared).runs.clone()
+    }
+
+    async fn answer(&self, request: &Request<Incoming>, body: Vec<u8>) -> Reply {
+        let header = |name: &str| {
+            request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+        };
+        let (manner, delay) = {
+            let shared = lock(&self.shared);
+            (shared.manner, shared.delay)
+        };
+        if header("expect-instance") != self.id {
+            return reply(StatusCode::MISDIRECTED_REQUEST, &[("instance-id", &self.id)], Vec::new());
+        }
+        if manner == Manner::Shed {
+            return reply(StatusCode::SERVICE_UNAVAILABLE, &[("not-executed", "1")], Vec::new());
+        }
+        let id = header("attempt-id");
+        lock(&self.shared).runs.push(id.clone());
+        Timer::after(delay).await;
+        let seal = format!("{}.{id}", self.id);
+        let (status, id, seal) = match manner {
+            Manner::Fail => (StatusCode::INTERNAL_SERVER_ERROR, id, seal),
+            Manner::Crossed => (StatusCode::OK, "another".to_owned(), seal),
+            Manner::Unsigned => return reply(StatusCode::OK, &[("attempt-id", &id)], body),
+            Manner::Good | Manner::Shed => (StatusCode::OK, id, seal),
+        };
+        reply(status, &[("attempt-id", &id), ("server-seal", &seal), ("x-own", "kept")], body)
+    }
+}
+
+fn reply(status: StatusCode, headers: &[(&'static str, &str)], body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Full::from(Bytes::from(body)));
+    *reply.status_mut() = status;
+    for (name, value) in headers {
+        if let Ok(value) = value.parse() {
+            reply.headers_mut().insert(*name, value);
+        }
+    }
+    reply
+}
