Keep groups and direct attempts to the same replicas

Where a shard has three replicas for a while (searchers that are replaced or added), a daemon had asked two of them when its group was revoked, and a third was asked directly.

Ruled out: probes and retries of one daemon, which are counted.

Change: of a shard with more replicas than attempts, the group names those that may be asked, and whoever asks keeps to them. Test groups::same_replicas_after_revoke.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -23,6 +23,7 @@
 use crate::domain::event::Sink;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::HostId;
+use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
 use crate::domain::reply::Reply;
 use crate::domain::routing::RelayVerdict;
@@ -61,6 +62,9 @@
     pub shards: Vec<usize>,
     /// When it was decided.
     pub start: Instant,
+    /// Of shards with more replicas than attempts, those that may be asked: this
+    /// daemon and that one stay within the attempts together, whoever asks.
+    pub only: Vec<(usize, Vec<UpstreamId>)>,
     /// How long the daemon may gather before it answers with what it has; none
     /// where nothing is due before the deadline.
     pub gather: Option<Duration>,
@@ -134,6 +138,7 @@
         let slow = slow.max(way + LEAST_PATIENCE);
         let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + OVERDUE);
         let revoke = start + due.max(way + LEAST_PATIENCE);
+        let only = self.narrow(&shards, region, step);
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
             step.router.budget(&self.plan.shards[*shard].shard).earn();
@@ -143,11 +148,31 @@
             state.flights.push(Flight { attempt, upstream: Arc::clone(&host), start, cause: Cause::First });
         }
         step.emit(Event::GroupSent { to: Arc::clone(&host), shards: shards.len(), attempt });
-        let hand = Hand { host, attempt, shards, start, gather };
+        let hand = Hand { host, attempt, shards, start, only, gather };
         self.handed.push(hand.clone());
         step.actions.push(Action::Hand(hand));
     }
 
+    /// Narrows shards with more replicas than attempts to the best of them.
+    fn narrow<S: Sink>(
+        &mut self,
+        shards: &[usize],
+        region: &str,
+        step: &Step<'_, S>,
+    ) -> Vec<(usize, Vec<UpstreamId>)> {
+        let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
+        let mut all = Vec::new();
+        for shard in shards.iter().copied() {
+            let replicas = &self.plan.shards[shard].replicas;
+            if replicas.len() > most {
+                let best = step.router.best(replicas, region, most, step.now);
+                self.shards[shard].only = Some(best.clone());
+                all.push((shard, best));
+            }
+        }
+        all
+    }
+
     /// Takes a group back from a daemon that does not answer, and asks its
     /// shards directly; returns whether the shard was in a group.
     pub(super) fn revoke<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) -> bool {
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -107,7 +107,7 @@
 
     fn ask<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> Ask<'a> {
         Ask {
-            replicas: &self.plan.shards[shard].replicas,
+            replicas: self.shards[shard].only.as_deref().unwrap_or(&self.plan.shards[shard].replicas),
             tried,
             version: self.plan.version,
             kind: &self.rules.kind,
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -122,6 +122,8 @@
 pub(super) struct Shard {
     /// Attempts under way.
     pub flights: Vec<Flight>,
+    /// The only replicas that may be asked; none for all.
+    pub only: Option<Vec<UpstreamId>>,
     /// Replicas that failed and are passed over until all have.
     pub failed: Vec<UpstreamId>,
     /// Replicas that cannot serve this request at all.
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -170,6 +170,26 @@
         (!regions.is_empty()).then_some(regions)
     }
 
+    /// Returns the `most` best of some replicas: those that may be asked first,
+    /// then those of a region, then the quicker ones.
+    #[must_use]
+    pub fn best(&self, replicas: &[UpstreamId], region: &str, most: usize, now: Instant) -> Vec<UpstreamId> {
+        let mut ranked: Vec<_> = replicas
+            .iter()
+            .map(|name| {
+                let found = self.searchers.get(name);
+                let usable = found.is_some_and(|s| {
+                    s.may_serve_any() && !s.is_backed_off(now) && !s.on_probation() && !s.is_silent(0.0, now)
+                });
+                let there = found.and_then(|s| self.places.regions.get(&s.spec().zone));
+                let elsewhere = there.is_none_or(|there| **there != *region);
+                (!usable, elsewhere, found.map_or(f64::INFINITY, |s| s.observed_time(0.0)), name)
+            })
+            .collect();
+        ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        ranked.into_iter().take(most).map(|(.., name)| Arc::clone(name)).collect()
+    }
+
     /// Draws a number below `count`, which is at least 1.
     pub fn draw_below(&mut self, count: usize) -> usize {
         let draw = self.draw();
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -22,6 +22,7 @@
 use crate::domain::fanout::Hand;
 use crate::domain::fanout::Rules;
 use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
 use crate::domain::merge::greatest;
 use crate::domain::outcome::Gap;
 use crate::domain::query::ByteQuery;
@@ -99,6 +100,7 @@
             request: job.request.to_string(),
             lookup: job.kind.to_string(),
             index: plan.index.to_string(),
+            only: narrowed(hand),
             shards: hand.shards.iter().map(|at| Arc::clone(&plan.shards[*at].shard)).collect(),
             query,
             most: job.merge.unwrap_or(usize::MAX),
@@ -204,7 +206,10 @@
         let plan = view.lookups.get(group.lookup.as_str())?;
         let parts = plan.parts.iter().map(|part| &part.plan);
         let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
-        let shards = subset(plan, &group.shards)?;
+        let mut shards = subset(plan, &group.shards)?;
+        for (at, only) in &group.only {
+            shards.shards.get_mut(*at)?.replicas.retain(|name| only.contains(name));
+        }
         let found = Found {
             plan: Arc::clone(plan),
             start,
@@ -242,6 +247,12 @@
     }
 }
 
+/// Returns the replicas that may be asked, by the shards' places in the group.
+fn narrowed(hand: &Hand) -> Vec<(usize, Vec<UpstreamId>)> {
+    let place = |shard: usize| hand.shards.iter().position(|other| *other == shard);
+    hand.only.iter().filter_map(|(shard, only)| Some((place(*shard)?, only.clone()))).collect()
+}
+
 /// Returns a plan of the named shards alone; none where one is not known.
 fn subset(plan: &LookupPlan, names: &[ShardId]) -> Option<Plan> {
     let whole = plan.plans.first()?;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -14,6 +14,7 @@
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
 use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
 use crate::domain::membership::Row;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
@@ -64,6 +65,9 @@
     pub index: String,
     /// The shards.
     pub shards: Vec<ShardId>,
+    /// Of some shards, by their places in the group, the only replicas that may
+    /// be asked.
+    pub only: Vec<(usize, Vec<UpstreamId>)>,
     /// The query.
     pub query: ByteQuery,
     /// How many records are kept of all shards together.
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -58,8 +58,12 @@
 
 impl World {
     fn start(live: bool) -> Self {
+        Self::with(live, 2)
+    }
+
+    fn with(live: bool, replicas: usize) -> Self {
         let now = Instant::now();
-        let mut values = values(SHARDS, 2, &[7]);
+        let mut values = values(SHARDS, replicas, &[7]);
         for (key, value) in &mut values {
             let far = key.starts_with("upstreams/u")
                 && !key.starts_with("upstreams/u0-")
@@ -233,6 +237,23 @@
     );
 }
 
+#[test]
+fn same_replicas_after_revoke() {
+    // With three replicas and two attempts, whoever asks keeps to the same two.
+    let mut world = World::with(true, 3);
+    let only = world.hands[0].only.clone();
+    assert_eq!(only.len(), 4);
+    assert!(only.iter().all(|(_, replicas)| replicas.len() == 2));
+    world.pass(250);
+    world.pass(5);
+    let again: Vec<Send> = world.sends[2..].to_vec();
+    assert_eq!(again.len(), 4);
+    for send in again {
+        let (_, replicas) = only.iter().find(|(shard, _)| *shard == send.shard).expect("it was narrowed");
+        assert!(replicas.contains(&send.upstream), "{}", send.upstream);
+    }
+}
+
 #[test]
 fn part_of_group_brought() {
     let mut world = World::start(true);
