Pay for what a group's upstreams refused

A shard that an upstream refused for the daemon of a group counted as not sent, so it was asked again as for the first time, free and earning; and both daemons earned for a group's shards.

Ruled out: retries and hedges of one daemon, which a property test bounds in any window (merging::strict_in_any_window).

Change: what was sent there and refused is a retry here; only the daemon that asks the upstreams first earns. Tests groups::refused_there_is_a_retry and groups_earn_nothing_here, both seen failing.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -141,7 +141,6 @@
         let only = self.narrow(&shards, region, step);
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
-            step.router.budget(&self.plan.shards[*shard].shard).earn();
             let state = &mut self.shards[*shard];
             state.sent += 1;
             state.hedge = Hedge::Due(revoke);
@@ -242,13 +241,17 @@
     ) {
         let end = match brought {
             Brought::Part(reply) => AttemptEnd::Answered(reply.clone()),
-            Brought::Missing { ran: false, .. } => return self.take_unsent(shard, hand, step),
-            Brought::Missing { why, ran: true, sent } => {
+            Brought::Missing { ran: false, sent: 0, .. } => return self.take_unsent(shard, hand, step),
+            Brought::Missing { why, ran, sent } => {
                 // What the daemon sent counts among the shard's attempts.
                 if let Some(state) = self.shards.get_mut(shard) {
                     state.sent = state.sent.saturating_add(sent.saturating_sub(1));
                 }
-                AttemptEnd::Lost { why: *why }
+                if *ran {
+                    AttemptEnd::Lost { why: *why }
+                } else {
+                    AttemptEnd::Refused { why: *why, begun: false }
+                }
             }
         };
         self.end_in_group(shard, hand, end, step);
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -16,20 +16,23 @@
 use harefield::domain::fanout::Rules;
 use harefield::domain::fanout::Send;
 use harefield::domain::ids::HostId;
+use harefield::domain::ids::ShardId;
 use harefield::domain::outcome::Gap;
 use harefield::domain::outcome::Outcome;
 use harefield::domain::reply::ByteReply;
 use harefield::domain::reply::Reply;
 use harefield::domain::resources::Preference;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Distance;
+use harefield::domain::routing::FleetSlack;
 use harefield::domain::routing::Places;
+use harefield::domain::routing::Policy;
 use harefield::domain::routing::RelayVerdict;
 use harefield::domain::routing::Router;
 
 use crate::support::at;
 use crate::support::items;
-use crate::support::router;
 use crate::support::values;
 use crate::support::view;
 
@@ -58,10 +61,10 @@
 
 impl World {
     fn start(live: bool) -> Self {
-        Self::with(live, 2)
+        Self::with(live, 2, Budgets::one(0.05))
     }
 
-    fn with(live: bool, replicas: usize) -> Self {
+    fn with(live: bool, replicas: usize, budgets: Budgets) -> Self {
         let now = Instant::now();
         let mut values = values(SHARDS, replicas, &[7]);
         for (key, value) in &mut values {
@@ -74,7 +77,8 @@
         }
         let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
         let view = view(&set);
-        let mut router = router(&view, now).at(places());
+        let mut router = Router::new(Policy::Cost, budgets, 7, now).at(places());
+        router.apply(&view);
         router.see_daemons([(&host(), "b", live)]);
         let rules = Rules {
             kind: "l".into(),
@@ -214,6 +218,30 @@
     assert_eq!(again, [(5, Cause::Retry)]);
 }
 
+#[test]
+fn refused_there_is_a_retry() {
+    // An upstream that refused was asked all the same: asking again is extra load.
+    let mut world = World::start(true);
+    let missing = Brought::Missing { why: Gap::Overloaded, ran: false, sent: 1 };
+    let end = world.brought(3, &missing);
+    world.end_group(&end);
+    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
+    assert_eq!(again, [(5, Cause::Retry)]);
+}
+
+#[test]
+fn groups_earn_nothing_here() {
+    // The daemon that asks the upstreams first earns for them, and it alone.
+    let retries = |live: bool| {
+        let fleet = FleetSlack { share: 1.0, slack: 10.5 };
+        let mut world = World::with(live, 2, Budgets::by_service(fleet, 1));
+        let far: ShardId = "s/002".into();
+        (0..100).take_while(|_| world.router.budget(&far).spend_retry()).count()
+    };
+    let (handed, direct) = (retries(true), retries(false));
+    assert!(handed < direct, "{handed} {direct}");
+}
+
 #[test]
 fn overdue_revoked_first() {
     // The shards of a group are asked directly only once it was taken back, so
@@ -240,7 +268,7 @@
 #[test]
 fn same_replicas_after_revoke() {
     // With three replicas and two attempts, whoever asks keeps to the same two.
-    let mut world = World::with(true, 3);
+    let mut world = World::with(true, 3, Budgets::one(0.05));
     let only = world.hands[0].only.clone();
     assert_eq!(only.len(), 4);
     assert!(only.iter().all(|(_, replicas)| replicas.len() == 2));
