--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -355,3 +355,25 @@
     }
     assert_eq!(gone.runs().len(), before, "one that leaves while the store is well is gone at once");
 }
+
+#[test]
+fn caller_gone_stops_work() {
+    let site = Site::start();
+    for searcher in site.searchers.values() {
+        searcher.set(Manner::Good, Duration::from_millis(800));
+    }
+    for (path, id) in [("/all/x", "gone-1"), ("/one/x", "gone-2")] {
+        let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("it is sent");
+        await_true("it runs", || site.runs(id) > 0);
+        drop(stream);
+    }
+    std::thread::sleep(Duration::from_millis(1500));
+    let finished = |id: &str| site.searchers.values().any(|s| s.finished().iter().any(|run| run == id));
+    assert!(!finished("gone-1") && !finished("gone-2"), "nobody works for a caller that left");
+    assert_eq!(site.ask("/one/x", "stays").status, 200);
+    assert!(finished("stays"));
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -178,6 +178,7 @@
     manner: Manner,
     delay: Duration,
     runs: Vec<String>,
+    finished: Vec<String>,
 }
 
 /// An upstream that signs its replies.
@@ -240,6 +241,13 @@
         lock(&self.shared).runs.clone()
     }
 
+    /// Returns the ids of the requests that it worked on to the end: a request
+    /// whose connection closes is dropped.
+    #[must_use]
+    pub fn finished(&self) -> Vec<String> {
+        lock(&self.shared).finished.clone()
+    }
+
     async fn answer(&self, request: &Request<Incoming>, body: Vec<u8>) -> Reply {
         let header = |name: &str| {
             request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
@@ -257,6 +265,7 @@
         let id = header("attempt-id");
         lock(&self.shared).runs.push(id.clone());
         Timer::after(delay).await;
+        lock(&self.shared).finished.push(id.clone());
         let seal = format!("{}.{id}", self.id);
         let (status, id, seal) = match manner {
             Manner::Fail => (StatusCode::INTERNAL_SERVER_ERROR, id, seal),
