--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -335,6 +335,12 @@
         Rank { passed_over, distance: self.distance(searcher), cost }
     }
 
+    /// Returns whether an upstream stands in another region.
+    #[must_use]
+    pub fn is_far(&self, searcher: &Searcher) -> bool {
+        self.distance(searcher) == Distance::Far
+    }
+
     fn distance(&self, searcher: &Searcher) -> Distance {
         self.places.distance(&searcher.spec().zone)
     }
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -14,9 +14,13 @@
 use crate::ports::Place;
 use crate::ports::Upstreams;
 
-/// How many connections to each upstream are kept ready.
+/// How many connections to each upstream in the own region are kept ready.
 const READY: usize = 2;
 
+/// How many to each upstream in another region, which is asked directly only
+/// where a group cannot be.
+const READY_FAR: usize = 1;
+
 /// How often some are opened.
 const OPEN_EVERY: Duration = Duration::from_millis(10);
 
@@ -50,7 +54,7 @@
     /// Opens one connection to an upstream where it needs one.
     fn warm(&self, name: &UpstreamId) -> bool {
         let now = self.ports.clock.now();
-        let (place, share) = {
+        let (place, share, want) = {
             let router = self.router.borrow();
             let Some(searcher) = router.searcher(name) else {
                 return false;
@@ -60,9 +64,10 @@
                 return false;
             }
             let address = searcher.spec().address;
-            (Place { upstream: Arc::clone(name), address }, searcher.share())
+            let want = if router.is_far(searcher) { READY_FAR } else { READY };
+            (Place { upstream: Arc::clone(name), address }, searcher.share(), want)
         };
-        let opening = self.ports.upstreams.warm(&place, share, READY);
+        let opening = self.ports.upstreams.warm(&place, share, want);
         let idle = self.ports.upstreams.idle(name);
         self.router.borrow_mut().set_idle(name, idle);
         opening
