Take own limits on connections for no word of an upstream

An attempt that found no free connection here counted as a refusal by the upstream, and halved the window of requests under way there.

Change: it counts as no word. Test warming::own_limit_says_nothing.

--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -196,8 +196,8 @@
 #[must_use]
 pub fn unsent(why: Gap) -> CallEnd {
     let verdict = match why {
-        Gap::Overloaded => Verdict::Full(None),
-        Gap::Unconfirmed => Verdict::Declined,
+        // No connection was free here, which says nothing of the upstream.
+        Gap::Overloaded | Gap::Unconfirmed => Verdict::Declined,
         _ => Verdict::Broken,
     };
     CallEnd { end: AttemptEnd::NotSent { why }, verdict, report: Report::default() }
--- a/crates/harefield/tests/fleet/warming.rs
+++ b/crates/harefield/tests/fleet/warming.rs
@@ -10,6 +10,9 @@
 
 use harefield::adapters::upstreams::HttpUpstreams;
 use harefield::adapters::upstreams::OwnProtocol;
+use harefield::adapters::upstreams::unsent;
+use harefield::domain::outcome::Gap;
+use harefield::domain::routing::Verdict;
 use harefield::ports::Place;
 use harefield::ports::Upstreams;
 
@@ -30,3 +33,10 @@
     }
     assert!((1..=6).contains(&tries), "{tries} tries in 0.9 s");
 }
+
+#[test]
+fn own_limit_says_nothing() {
+    // That no connection was free here is no word of the upstream's.
+    assert_eq!(unsent(Gap::Overloaded).verdict, Verdict::Declined);
+    assert_eq!(unsent(Gap::Unreachable).verdict, Verdict::Broken);
+}
