Split the view into plans, routes and the builder

domain/view.rs held four jobs. The plans (ShardPlan, Plan, LookupPlan, Weighted, Sources) moved to view/plan.rs, the path prefixes to view/routes.rs and the Builder to view/builder.rs; View and what it is worked out from stay in view/mod.rs, which exports the same names as before.

Behaviour is unchanged.

--- /dev/null
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -0,0 +1,122 @@
+//! The view that a worker acts on: the set in force, the hosts as listed, and
+//! the plans worked out from both.
+//!
+//! A view holds plans and upstreams only of the cells that its daemon is a
+//! member of; of the others it knows the lookups and who the members are. A new
+//! view shares with the one before whatever did not change.
+
+mod builder;
+mod plan;
+mod routes;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use self::builder::Builder;
+pub use self::plan::LookupPlan;
+pub use self::plan::Plan;
+pub use self::plan::ShardPlan;
+pub use self::plan::Weighted;
+use self::routes::Routes;
+use super::cell;
+use super::cell::CellSize;
+use super::hosts::HostList;
+use super::ids::HostId;
+use super::ids::Revision;
+use super::ids::UpstreamId;
+use super::resources::Bounds;
+use super::resources::ResourceSet;
+use super::resources::Upstream;
+
+/// The members of each index's cell.
+pub type Cells = HashMap<Arc<str>, Arc<[HostId]>>;
+
+/// An upstream that this daemon may dial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnUpstream {
+    /// The resource.
+    pub spec: Arc<Upstream>,
+    /// How many members share its limits.
+    pub sharers: u32,
+    /// How many connections it takes in all.
+    pub connections: u32,
+}
+
+/// What a view is worked out from.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewSources<'a> {
+    /// The daemon that the view is for.
+    pub own: &'a HostId,
+    /// The configuration revision in force.
+    pub revision: Option<Revision>,
+    /// The set in force.
+    pub set: &'a Arc<ResourceSet>,
+    /// The revision of the host list.
+    pub listed: Option<Revision>,
+    /// The host list.
+    pub hosts: &'a HostList,
+    /// How large cells may be.
+    pub size: CellSize,
+}
+
+/// Everything that a request is decided on, immutable.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration revision in force; none before the first.
+    pub revision: Option<Revision>,
+    /// The revision of the host list.
+    pub listed: Option<Revision>,
+    /// The addresses listed as leaving.
+    pub leaving: HashSet<SocketAddr>,
+    /// The lookups, by name.
+    pub lookups: HashMap<Arc<str>, Arc<LookupPlan>>,
+    /// The cell of each index; empty where no daemon is listed, which makes
+    /// everyone a member.
+    pub cells: Cells,
+    /// The upstreams of the cells that this daemon is a member of.
+    pub upstreams: BTreeMap<UpstreamId, OwnUpstream>,
+    /// Bounds on callers' requests, as published.
+    pub bounds: Bounds,
+    routes: Routes,
+    daemons: Vec<HostId>,
+    sizes: BTreeMap<Arc<str>, usize>,
+}
+
+impl View {
+    /// Works out the view that follows `self`.
+    #[must_use]
+    pub fn next(&self, sources: &ViewSources<'_>) -> Self {
+        let daemons = sources.hosts.daemons();
+        let sizes = cell::sizes(sources.set, sources.size);
+        let cells = if daemons == self.daemons && sizes == self.sizes {
+            self.cells.clone()
+        } else {
+            cell::assign(&sizes, &daemons)
+        };
+        let builder = Builder::new(sources, &cells, self);
+        let lookups = builder.lookups();
+        let upstreams = builder.upstreams();
+        let routes = Routes::new(&lookups);
+        Self {
+            routes,
+            bounds: sources.set.bounds(),
+            revision: sources.revision,
+            listed: sources.listed,
+            leaving: sources.hosts.leaving(),
+            lookups,
+            cells,
+            upstreams,
+            daemons,
+            sizes,
+        }
+    }
+
+    /// Returns the lookup that a caller's path leads to, by the longest prefix.
+    #[must_use]
+    pub fn lookup_at(&self, host: &str, path: &str) -> Option<&Arc<LookupPlan>> {
+        self.routes.lookup_at(host, path)
+    }
+}
--- /dev/null
+++ b/crates/harefield/src/domain/view/plan.rs
@@ -0,0 +1,86 @@
+//! The plans of a lookup: which shards of which snapshots answer it.
+
+use std::sync::Arc;
+
+use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
+use crate::domain::ids::Version;
+use crate::domain::resources::Index;
+use crate::domain::resources::Lookup;
+use crate::domain::resources::Service;
+
+/// One shard of a plan, with the replicas that are configured for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShardPlan {
+    /// The shard.
+    pub shard: ShardId,
+    /// Its replicas.
+    pub replicas: Vec<UpstreamId>,
+}
+
+/// The shards of one snapshot that a lookup asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The index.
+    pub index: Arc<str>,
+    /// The snapshot's version.
+    pub version: Version,
+    /// The shards, in a stable order.
+    pub shards: Vec<ShardPlan>,
+}
+
+/// A lookup with the plans that may answer it.
+#[derive(Clone, Debug)]
+pub struct LookupPlan {
+    /// The lookup's name.
+    pub name: Arc<str>,
+    /// The resource.
+    pub lookup: Arc<Lookup>,
+    /// Whether this daemon may run it.
+    pub member: bool,
+    /// The plans, newest snapshot first; none unless this daemon may run it.
+    pub plans: Vec<Arc<Plan>>,
+    /// The parts that its requests are divided over, with their weights; none
+    /// where all go by its own plans.
+    pub parts: Vec<Weighted>,
+    /// What the plans were worked out from, to tell whether it changed.
+    pub(super) sources: Sources,
+}
+
+/// One part of a lookup's requests.
+#[derive(Clone, Debug)]
+pub struct Weighted {
+    /// Its weight, relative to the other parts'.
+    pub weight: u32,
+    /// How it is answered.
+    pub plan: Arc<LookupPlan>,
+}
+
+/// The upstreams that hold a shard by their own word; none where none does.
+pub(super) type Holders = Option<Arc<[UpstreamId]>>;
+
+/// The resources that a lookup's plans were worked out from.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sources {
+    pub(super) indexes: Vec<Arc<Index>>,
+    pub(super) services: Vec<Arc<Service>>,
+    pub(super) holders: Vec<Holders>,
+}
+
+impl Sources {
+    /// Returns whether nothing was replaced, not even by an equal value.
+    pub(super) fn same(&self, other: &Self) -> bool {
+        let same_holders = |(a, b): (&Holders, &Holders)| match (a, b) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (a, b) => a.is_none() && b.is_none(),
+        };
+        same_values(&self.indexes, &other.indexes)
+            && same_values(&self.services, &other.services)
+            && self.holders.len() == other.holders.len()
+            && self.holders.iter().zip(&other.holders).all(same_holders)
+    }
+}
+
+fn same_values<T>(own: &[Arc<T>], other: &[Arc<T>]) -> bool {
+    own.len() == other.len() && own.iter().zip(other).all(|(a, b)| Arc::ptr_eq(a, b))
+}
