Split the router: the choice and other regions

routing/router.rs did three things. Ask, Choice, Rank, choose() and probe() moved to routing/choice.rs; distances, ways, the daemons of other regions and the picks among them moved to routing/regions.rs; router.rs keeps the state and what attempts show. Code is moved as it stood, with fields and two private functions opened to the module's own files. Behaviour is unchanged.

--- /dev/null
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -0,0 +1,155 @@
+//! The choice of the replica that an attempt is sent to.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::places::Distance;
+use super::policy::Policy;
+use super::report::Bar;
+use super::report::Until;
+use super::router::Router;
+use super::searcher::Searcher;
+use crate::domain::event::Score;
+use crate::domain::ids::UpstreamId;
+use crate::domain::ids::Version;
+use crate::domain::outcome::Gap;
+
+/// A replica chosen, with every candidate's score.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The replica.
+    pub upstream: UpstreamId,
+    /// All candidates' scores.
+    pub scores: Vec<Score>,
+}
+
+/// How a candidate ranks: those that failed last, fell silent, or take much
+/// longer than the quickest, come after all others; then the nearer ones lead.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Rank {
+    passed_over: bool,
+    distance: Distance,
+    cost: f64,
+}
+
+/// What is asked for when a replica is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The replicas configured for the shard.
+    pub replicas: &'a [UpstreamId],
+    /// Those already tried, in vain or still under way.
+    pub tried: &'a [UpstreamId],
+    /// The snapshot's version.
+    pub version: Version,
+    /// The kind of request, for its pace.
+    pub kind: &'a Arc<str>,
+}
+
+impl<'a> Ask<'a> {
+    /// Returns the replicas that were not tried.
+    fn untried(&self) -> impl Iterator<Item = &'a UpstreamId> {
+        let tried = self.tried;
+        self.replicas.iter().filter(move |name| !tried.contains(name))
+    }
+}
+
+impl Router {
+    /// Chooses the replica to ask.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none may be asked now; the reason that passes first.
+    pub fn choose(&mut self, ask: &Ask<'_>, now: Instant) -> Result<Choice, Bar> {
+        if !self.lease.held(now) {
+            return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
+        }
+        let typical = self.pace(ask.kind).mean().as_secs_f64();
+        let weighs = self.policy == Policy::Cost;
+        let mut scores = Vec::with_capacity(ask.replicas.len());
+        let mut best: Option<(Rank, UpstreamId)> = None;
+        let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
+        for name in ask.untried() {
+            let found = self.score(name, ask.version, typical, now);
+            scores.push(Score {
+                upstream: Arc::clone(name),
+                cost: found.ok().map(|cost| cost * 1000.0),
+                barred: found.err().map(|bar| bar.gap),
+            });
+            match found {
+                Ok(cost) => {
+                    let rank = self.rank(name, cost, ask, typical, now);
+                    if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                        best = Some((rank, Arc::clone(name)));
+                    }
+                }
+                Err(other) => bar = softer(bar, other),
+            }
+        }
+        match best {
+            Some((_, upstream)) if weighs && self.worth_waiting(ask, &upstream, typical, now) => {
+                Err(Bar { gap: Gap::Overloaded, until: Until::Soon })
+            }
+            Some((_, upstream)) => Ok(Choice { upstream, scores }),
+            None => Err(bar),
+        }
+    }
+
+    /// Says whether a much quicker replica than the one chosen just has no room
+    /// at this moment.
+    fn worth_waiting(&self, ask: &Ask<'_>, chosen: &UpstreamId, typical: f64, now: Instant) -> bool {
+        let Some(chosen) = self.searchers.get(chosen) else { return false };
+        let full = |searcher: &Searcher| {
+            let barred = searcher.admits(ask.version, now).err();
+            barred.is_some_and(|bar| bar.until == Until::Soon) && !searcher.is_silent(typical, now)
+        };
+        let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
+        quicker.any(|searcher| chosen.is_slower(searcher, typical))
+    }
+
+    fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
+        let draw = self.draw();
+        let unknown = Bar { gap: Gap::NoReplica, until: Until::Never };
+        let searcher = self.searchers.get(name).ok_or(unknown)?;
+        searcher.admits(version, now)?;
+        Ok(self.policy.cost(searcher, typical, draw, now))
+    }
+
+    /// Ranks a replica beside the others that may be asked.
+    fn rank(&self, name: &UpstreamId, cost: f64, ask: &Ask<'_>, typical: f64, now: Instant) -> Rank {
+        let found = self.searchers.get(name).filter(|_| self.policy == Policy::Cost);
+        let Some(searcher) = found else {
+            return Rank { passed_over: false, distance: Distance::Near, cost };
+        };
+        let others =
+            ask.untried().filter(|other| *other != name).filter_map(|other| self.searchers.get(other));
+        let mut good = others.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
+        let slow = searcher.on_probation() || good.any(|other| searcher.passed_over(other, typical));
+        let passed_over = slow || searcher.is_silent(typical, now);
+        Rank { passed_over, distance: self.distance(searcher), cost }
+    }
+
+    /// Returns a replica that is passed over and should be looked at, by an
+    /// extra request beside the one to the replica chosen. One that is farther
+    /// than that would not be asked anyway.
+    #[must_use]
+    pub fn probe(&self, ask: &Ask<'_>, chosen: &UpstreamId, now: Instant) -> Option<UpstreamId> {
+        let typical = self.pace(ask.kind).mean().as_secs_f64();
+        let chosen_one = self.searchers.get(chosen)?;
+        let due = |name: &&UpstreamId| {
+            let found = self.searchers.get(*name);
+            found.is_some_and(|s| {
+                self.distance(s) <= self.distance(chosen_one)
+                    && s.passed_over(chosen_one, typical)
+                    && s.probe_due(now)
+                    && s.admits(ask.version, now).is_ok()
+            })
+        };
+        let others = ask.untried().filter(|name| *name != chosen);
+        others.filter(due).map(Arc::clone).next()
+    }
+}
+
+/// Returns the bar that passes first; a known reason goes before no replica.
+fn softer(held: Bar, found: Bar) -> Bar {
+    if found.until < held.until || held.gap == Gap::NoReplica { found } else { held }
+}
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -1,9 +1,11 @@
 //! Which replica is asked, how much is asked of it, and what extra load is spent.
 
 mod budget;
+mod choice;
 mod pace;
 mod places;
 mod policy;
+mod regions;
 mod relays;
 mod report;
 mod router;
@@ -13,6 +15,8 @@
 pub use budget::Budget;
 pub use budget::Budgets;
 pub use budget::FleetSlack;
+pub use choice::Ask;
+pub use choice::Choice;
 pub use pace::Pace;
 pub use places::Distance;
 pub use places::Places;
@@ -24,8 +28,6 @@
 pub use report::Report;
 pub use report::Until;
 pub use report::Verdict;
-pub use router::Ask;
-pub use router::Choice;
 pub use router::Router;
 pub use searcher::Searcher;
 pub use window::Window;
