Split the searcher: learning and estimates

What the end of a request teaches moved to routing/learning.rs, what a request is expected to take and which upstreams are passed over to routing/estimate.rs, each with its own constants; the state and whether an upstream may be asked stay. Code is moved as it stood; behaviour is unchanged.

--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod choice;
+mod estimate;
+mod learning;
 mod pace;
 mod places;
 mod policy;
