Split the worker and the life of a request

engine/worker.rs held the worker's state, what it takes from the control duty and what it tells the board: the latter two moved to engine/updates.rs and engine/status.rs. From engine/run.rs the finding of a request's plan (Found, find_confirmed() and what it calls, answer_time()) moved to engine/find.rs. Code is moved as it stood; behaviour is unchanged.

--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -11,9 +11,9 @@
 use futures_lite::FutureExt;
 use rand::Rng;
 
+use super::find::Found;
 use super::message::LookupRequest;
 use super::message::ToControl;
-use super::run::Found;
 use super::run::refuse;
 use super::worker::Worker;
 use crate::domain::code::Code;
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::Job;
 use super::attempt::Landed;
-use super::run::Found;
+use super::find::Found;
 use super::worker::Worker;
 use crate::domain::admission::Arrival;
 use crate::domain::event::Event;
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -4,12 +4,15 @@
 //! a request; once-only requests share one ledger between workers.
 
 mod attempt;
+mod find;
 mod forward;
 mod gate;
 mod group;
 mod message;
 mod once;
 mod run;
+mod status;
+mod updates;
 mod warm;
 mod worker;
 
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -5,9 +5,9 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use super::find::Found;
 use super::message::LookupRequest;
 use super::message::Origin;
-use super::run::Found;
 use super::run::refuse;
 use super::worker::Worker;
 use crate::domain::code::Code;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -1,4 +1,4 @@
-//! The life of one request in a worker.
+//! The life of one request in a worker, from its plan to its answer.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use super::attempt::Job;
+use super::find::Found;
 use super::message::LookupRequest;
 use super::message::Origin;
 use super::worker::Worker;
@@ -34,12 +35,6 @@
 use crate::telemetry::Batch;
 use crate::telemetry::Trace;
 
-/// How long a repeatable request waits for a confirmation after a pause.
-const CONFIRM_WAIT: Duration = Duration::from_millis(500);
-
-/// How often it looks whether the confirmation came.
-const CONFIRM_POLL: Duration = Duration::from_millis(2);
-
 /// When a refused caller may come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
 
@@ -59,15 +54,6 @@
     }
 }
 
-/// A request that found its plan.
-pub(super) struct Found {
-    pub plan: Arc<LookupPlan>,
-    pub start: Instant,
-    pub deadline: Instant,
-    /// When an answer with enough shards is given.
-    pub objective: Option<Instant>,
-}
-
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Takes a request and answers it.
     ///
@@ -134,81 +120,6 @@
         self.once(request, &found, trace).await
     }
 
-    /// Finds the plan of a request. After a pause it is found again, since
-    /// what was in force before may no longer be.
-    async fn find_confirmed(&self, request: &LookupRequest, start: Instant) -> Result<Found, Code> {
-        let found = self.find(request, start)?;
-        if self.is_confirmed() {
-            return Ok(found);
-        }
-        if !self.wait_confirmed(&found).await {
-            return Err(Code::Unconfirmed);
-        }
-        self.find(request, start)
-    }
-
-    fn is_confirmed(&self) -> bool {
-        let now = self.ports.clock.now();
-        self.router.borrow().lease().held(now)
-    }
-
-    fn find(&self, request: &LookupRequest, start: Instant) -> Result<Found, Code> {
-        let view = self.view.borrow();
-        if view.revision.is_none() {
-            return Err(Code::NoConfiguration);
-        }
-        let plan = view.lookups.get(request.lookup.as_str()).ok_or(Code::UnknownLookup)?;
-        let plan = self.part_of(plan);
-        let own = Duration::from_millis(plan.lookup.deadline_ms);
-        let time = request.limit.map_or(own, |limit| limit.min(own));
-        let objective = plan.lookup.objective_ms.map(|millis| {
-            let used = request.limit.map_or(Duration::ZERO, |left| self.used_time(&plan.name, left));
-            start + answer_time(Duration::from_millis(millis), used, self.settings.margin)
-        });
-        Ok(Found { plan, start, deadline: start + time, objective })
-    }
-
-    /// Picks the part of a divided lookup whose turn it is, so that each gets
-    /// its share of any few requests.
-    fn part_of(&self, plan: &Arc<LookupPlan>) -> Arc<LookupPlan> {
-        let total: i64 = plan.parts.iter().map(|part| i64::from(part.weight)).sum();
-        let mut turns = self.turns.borrow_mut();
-        let turns = turns.entry(Arc::clone(&plan.name)).or_default();
-        turns.resize(plan.parts.len(), 0);
-        for (turn, part) in turns.iter_mut().zip(&plan.parts) {
-            *turn += i64::from(part.weight);
-        }
-        let next = turns.iter().enumerate().max_by_key(|(_, turn)| **turn).map(|(at, _)| at);
-        let Some(next) = next else { return Arc::clone(plan) };
-        turns[next] -= total;
-        Arc::clone(&plan.parts[next].plan)
-    }
-
-    /// Returns how much of its caller's time a request had used when it came:
-    /// what is left lacks that much of what its kind usually comes with.
-    fn used_time(&self, name: &Arc<str>, left: Duration) -> Duration {
-        let mut patience = self.patience.borrow_mut();
-        let usual = patience.entry(Arc::clone(name)).or_default();
-        usual.take(left);
-        usual.median().saturating_sub(left)
-    }
-
-    /// Waits for the lease after a pause; a once-only request does not wait,
-    /// since its bytes may be older than the pause.
-    async fn wait_confirmed(&self, found: &Found) -> bool {
-        let until = found.deadline.min(found.start + CONFIRM_WAIT);
-        loop {
-            if self.is_confirmed() {
-                return true;
-            }
-            let now = self.ports.clock.now();
-            if now >= until || !found.plan.lookup.repeatable {
-                return false;
-            }
-            self.ports.clock.sleep(CONFIRM_POLL).await;
-        }
-    }
-
     async fn run_or_forward(
         self: &Rc<Self>,
         request: &LookupRequest,
@@ -329,15 +240,6 @@
     job.merge.is_some() && !job.once && matches!(job.query, Query::Bytes(_))
 }
 
-/// Returns how long an answer may take so that it is back within its objective:
-/// less what was used before, and less a margin for the way back. Where the
-/// objective can no longer be met, what is left of it has no meaning, and the
-/// answer has the whole objective to gather shards.
-fn answer_time(objective: Duration, used: Duration, margin: Duration) -> Duration {
-    let left = objective.saturating_sub(used + margin);
-    if left.is_zero() { objective } else { left }
-}
-
 pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
     let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
     let request = trace.request().map_or("", |id| id);
--- /dev/null
+++ b/crates/harefield/src/engine/updates.rs
@@ -0,0 +1,96 @@
+//! What a worker takes from the control duty, and the lease on what it knows.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_channel::Receiver;
+
+use super::message::PeerView;
+use super::message::ToControl;
+use super::message::ToWorker;
+use super::worker::Worker;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::lease::RENEW_EVERY;
+use crate::domain::lease::Renewal;
+use crate::domain::membership::PeerState;
+use crate::domain::view::View;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
+    /// Takes messages from the control duty until its ring is closed.
+    pub async fn listen(self: Rc<Self>, messages: Receiver<ToWorker>) {
+        while let Ok(message) = messages.recv().await {
+            self.take(message);
+        }
+    }
+
+    /// Takes one message from the control duty.
+    pub fn take(&self, message: ToWorker) {
+        match message {
+            ToWorker::View(view) => self.take_view(view),
+            ToWorker::Words(words) => self.router.borrow_mut().hear_all(&words),
+            ToWorker::Peers(peers) => self.take_peers(peers),
+            ToWorker::Confirmed(confirmed) => self.confirm(confirmed.asked),
+            ToWorker::Stop => self.stopping.set(true),
+        }
+    }
+
+    fn take_peers(&self, peers: Arc<PeerView>) {
+        let known = u32::try_from(peers.rows.len()).unwrap_or(u32::MAX);
+        self.known.set(self.known.get().max(known));
+        if self.settings.slack.is_some() {
+            self.router.borrow_mut().share_with(self.known.get());
+        }
+        let seen = peers.rows.iter().map(|row| (&row.host, &*row.zone, row.state == PeerState::Live));
+        self.router.borrow_mut().see_daemons(seen.filter(|(host, ..)| **host != self.settings.host));
+        *self.peers.borrow_mut() = peers;
+    }
+
+    fn take_view(&self, view: Arc<View>) {
+        self.router.borrow_mut().apply(&view);
+        let mut gates = self.gates.borrow_mut();
+        gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
+        self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.patience.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        *self.view.borrow_mut() = view;
+    }
+
+    /// Renews the lease on a short timer; asks for a confirmation after a pause.
+    pub async fn keep_lease(self: Rc<Self>) {
+        loop {
+            self.renew();
+            self.ports.clock.sleep(RENEW_EVERY).await;
+        }
+    }
+
+    /// Renews the lease once.
+    pub fn renew(&self) {
+        let now = self.ports.clock.now();
+        let renewal = self.router.borrow_mut().lease_mut().renew(now);
+        if let Renewal::Lapsed(gap) = renewal {
+            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            self.duty_trace().emit(Event::Paused { millis });
+        }
+        if !self.router.borrow().lease().held(now) {
+            drop(self.control.try_send(ToControl::Woke));
+        }
+    }
+
+    fn confirm(&self, asked: Instant) {
+        let now = self.ports.clock.now();
+        let mut router = self.router.borrow_mut();
+        let before = router.lease().held(now);
+        router.lease_mut().confirm(asked, now);
+        let after = router.lease().held(now);
+        drop(router);
+        if after && !before {
+            let took = now.saturating_duration_since(asked);
+            let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            self.duty_trace().emit(Event::Confirmed { millis });
+        }
+    }
+}
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -1,4 +1,7 @@
-//! The state of one worker and its small duties beside requests.
+//! The state of one worker.
+//!
+//! What it takes from the control duty stands in `updates`, what it tells the
+//! board in `status`, and the life of a request in `run`.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -7,30 +10,22 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
-use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use log::debug;
 
 use super::message::PeerView;
 use super::message::ToControl;
-use super::message::ToWorker;
 use crate::domain::admission::Called;
 use crate::domain::admission::Gate;
 use crate::domain::admission::GateLimits;
 use crate::domain::admission::WaiterId;
 use crate::domain::code::Code;
-use crate::domain::event::Event;
-use crate::domain::event::Sink;
 use crate::domain::hlc::HybridClock;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
-use crate::domain::lease::RENEW_EVERY;
-use crate::domain::lease::Renewal;
-use crate::domain::membership::PeerState;
 use crate::domain::once::Ledger;
 use crate::domain::recent::Recent;
 use crate::domain::resources::Bounds;
@@ -44,14 +39,8 @@
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
-use crate::telemetry::Board;
 use crate::telemetry::Telemetry;
 use crate::telemetry::Trace;
-use crate::telemetry::UpstreamStatus;
-use crate::telemetry::WorkerStatus;
-
-/// How often a worker reports to the board.
-const REPORT_EVERY: Duration = Duration::from_millis(500);
 
 /// What a worker is told when it is made.
 #[derive(Clone, Debug)]
@@ -127,7 +116,7 @@
     /// The time that requests of each lookup usually come with.
     pub(super) patience: RefCell<HashMap<Arc<str>, Recent>>,
     /// The most daemons that were ever known at once.
-    known: Cell<u32>,
+    pub(super) known: Cell<u32>,
     numbered: Cell<u64>,
 }
 
@@ -198,114 +187,6 @@
         self.stopping.get()
     }
 
-    /// Takes messages from the control duty until its ring is closed.
-    pub async fn listen(self: Rc<Self>, messages: Receiver<ToWorker>) {
-        while let Ok(message) = messages.recv().await {
-            self.take(message);
-        }
-    }
-
-    /// Takes one message from the control duty.
-    pub fn take(&self, message: ToWorker) {
-        match message {
-            ToWorker::View(view) => self.take_view(view),
-            ToWorker::Words(words) => self.router.borrow_mut().hear_all(&words),
-            ToWorker::Peers(peers) => self.take_peers(peers),
-            ToWorker::Confirmed(confirmed) => self.confirm(confirmed.asked),
-            ToWorker::Stop => self.stopping.set(true),
-        }
-    }
-
-    fn take_peers(&self, peers: Arc<PeerView>) {
-        let known = u32::try_from(peers.rows.len()).unwrap_or(u32::MAX);
-        self.known.set(self.known.get().max(known));
-        if self.settings.slack.is_some() {
-            self.router.borrow_mut().share_with(self.known.get());
-        }
-        let seen = peers.rows.iter().map(|row| (&row.host, &*row.zone, row.state == PeerState::Live));
-        self.router.borrow_mut().see_daemons(seen.filter(|(host, ..)| **host != self.settings.host));
-        *self.peers.borrow_mut() = peers;
-    }
-
-    fn take_view(&self, view: Arc<View>) {
-        self.router.borrow_mut().apply(&view);
-        let mut gates = self.gates.borrow_mut();
-        gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
-        self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
-        self.patience.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
-        *self.view.borrow_mut() = view;
-    }
-
-    /// Renews the lease on a short timer; asks for a confirmation after a pause.
-    pub async fn keep_lease(self: Rc<Self>) {
-        loop {
-            self.renew();
-            self.ports.clock.sleep(RENEW_EVERY).await;
-        }
-    }
-
-    /// Renews the lease once.
-    pub fn renew(&self) {
-        let now = self.ports.clock.now();
-        let renewal = self.router.borrow_mut().lease_mut().renew(now);
-        if let Renewal::Lapsed(gap) = renewal {
-            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
-            self.duty_trace().emit(Event::Paused { millis });
-        }
-        if !self.router.borrow().lease().held(now) {
-            drop(self.control.try_send(ToControl::Woke));
-        }
-    }
-
-    fn confirm(&self, asked: Instant) {
-        let now = self.ports.clock.now();
-        let mut router = self.router.borrow_mut();
-        let before = router.lease().held(now);
-        router.lease_mut().confirm(asked, now);
-        let after = router.lease().held(now);
-        drop(router);
-        if after && !before {
-            let took = now.saturating_duration_since(asked);
-            let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-            self.duty_trace().emit(Event::Confirmed { millis });
-        }
-    }
-
-    /// Reports to the board from time to time.
-    pub async fn report(self: Rc<Self>, board: Arc<Board>, opened: impl Fn() -> u64) {
-        loop {
-            let status = self.status(opened());
-            board.status().workers.insert(self.settings.number, status);
-            self.ports.clock.sleep(REPORT_EVERY).await;
-        }
-    }
-
-    fn status(&self, opened: u64) -> WorkerStatus {
-        let router = self.router.borrow();
-        let mut upstreams: Vec<_> = router
-            .searchers()
-            .map(|(name, searcher)| UpstreamStatus {
-                upstream: Arc::clone(name),
-                leaving: searcher.is_leaving(),
-                running: searcher.under_way(),
-                window: searcher.window().size(),
-                latency: searcher.observed_time(0.0) * 1000.0,
-                held: searcher.word().held.clone(),
-            })
-            .collect();
-        upstreams.sort_by(|a, b| a.upstream.cmp(&b.upstream));
-        let counts = self.counts.get();
-        WorkerStatus {
-            running: self.running(),
-            waiting: self.gates.borrow().values().map(Gate::waiting).sum(),
-            answered: counts.answered,
-            first: counts.first,
-            extra: counts.extra,
-            opened,
-            upstreams,
-        }
-    }
-
     /// Returns the lookup that a caller's path leads to.
     ///
     /// # Errors
