--- a/crates/harefield/src/adapters/clock.rs
+++ b/crates/harefield/src/adapters/clock.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 
+use crate::domain::time::micros;
 use crate::ports::Clock;
 
 /// The machine's clock.
@@ -19,7 +20,7 @@
 
     fn wall(&self) -> u64 {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+        micros(since)
     }
 
     async fn sleep_until(&self, at: Instant) {
--- a/crates/harefield/src/adapters/upstreams/protocol.rs
+++ b/crates/harefield/src/adapters/upstreams/protocol.rs
@@ -22,6 +22,7 @@
 use crate::domain::routing::Load;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
+use crate::domain::time::millis;
 use crate::domain::word::Word;
 use crate::domain::word::WordStamp;
 use crate::ports::Call;
@@ -61,7 +62,7 @@
 }
 
 fn make_request(call: &Call) -> Request<Full<Bytes>> {
-    let remaining = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
+    let remaining = millis(call.remaining);
     let mut request = Request::new(Full::from(Bytes::copy_from_slice(call.query.json())));
     *request.method_mut() = hyper::Method::POST;
     if let Ok(path) = format!("/v1/shards/{}", call.echo.shard).parse() {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -17,6 +17,7 @@
 use crate::domain::ids::Revision;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
+use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Listing;
 use crate::ports::Peers;
@@ -102,7 +103,7 @@
             let now = self.ports.clock.now();
             self.regained.set(Some(now));
             let gap = now.saturating_duration_since(since);
-            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            let millis = millis(gap);
             self.emit(Event::PlatformRegained { millis });
         }
     }
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -41,6 +41,7 @@
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::once::Ledger;
+use crate::domain::time::millis;
 use crate::engine::ToControl;
 use crate::ports::Clock;
 use crate::telemetry;
@@ -197,7 +198,7 @@
 fn new_incarnation() -> Incarnation {
     const RANDOM_BITS: u32 = 20;
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let millis = millis(since);
     (millis << RANDOM_BITS) | u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS))
 }
 
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -27,6 +27,7 @@
 use crate::domain::outcome::Part;
 use crate::domain::reply::Reply;
 use crate::domain::routing::Router;
+use crate::domain::time::micros;
 use crate::domain::view::Plan;
 
 /// The fan-out of one request at one snapshot.
@@ -193,7 +194,7 @@
         match end {
             AttemptEnd::Answered(body) => {
                 let took = step.now.saturating_duration_since(start);
-                let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+                let micros = micros(took);
                 step.emit(Event::ReplyTaken { shard: name, upstream, attempt, micros });
                 self.contribute(shard, body, step);
             }
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -24,6 +24,7 @@
 pub mod resources;
 pub mod routing;
 pub mod snapshot;
+pub mod time;
 pub mod view;
 pub mod word;
 
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -24,6 +24,7 @@
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
 use crate::domain::query::Query;
+use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Forward;
 use crate::ports::PeerError;
@@ -218,7 +219,7 @@
             lookup: request.lookup.clone(),
             query: request.query.json().to_vec(),
             ticket: request.ticket.clone(),
-            remaining: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            remaining: millis(left),
         };
         handed.tried.push(Arc::clone(&host));
         handed.under_way += 1;
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -30,6 +30,7 @@
 use crate::domain::reply::ByteReply;
 use crate::domain::reply::Reply;
 use crate::domain::routing::RelayVerdict;
+use crate::domain::time::micros;
 use crate::domain::view::LookupPlan;
 use crate::domain::view::Plan;
 use crate::ports::Clock;
@@ -285,7 +286,3 @@
     let places = hand.shards.iter().copied();
     places.zip(all.into_iter().map(|brought| brought.unwrap_or_else(|| unsaid.clone()))).collect()
 }
-
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -27,6 +27,8 @@
 use crate::domain::query::Query;
 use crate::domain::resources::Preference;
 use crate::domain::snapshot;
+use crate::domain::time::micros;
+use crate::domain::time::millis;
 use crate::domain::view::LookupPlan;
 use crate::domain::view::Plan;
 use crate::ports::Clock;
@@ -99,7 +101,7 @@
             code: answer.code,
             contributed: answer.coverage.contributed.len(),
             missing: answer.coverage.missing.len(),
-            micros: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+            micros: micros(took),
         });
         self.count(|counts| counts.answered += 1);
     }
@@ -152,7 +154,7 @@
         trace.emit(Event::Admitted {
             lookup: request.lookup.clone(),
             urgency: lookup.urgency,
-            waited: u64::try_from(waited.as_micros()).unwrap_or(u64::MAX),
+            waited: micros(waited),
         });
         let job = Job {
             request: trace.request().map(Arc::clone).unwrap_or_default(),
@@ -241,7 +243,7 @@
 }
 
 pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
-    let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
+    let wait = millis(wait).max(1);
     let request = trace.request().map_or("", |id| id);
     Answer::not_run(request, code, Some(wait))
 }
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -15,6 +15,7 @@
 use crate::domain::lease::RENEW_EVERY;
 use crate::domain::lease::Renewal;
 use crate::domain::membership::PeerState;
+use crate::domain::time::millis;
 use crate::domain::view::View;
 use crate::ports::Clock;
 use crate::ports::Peers;
@@ -72,7 +73,7 @@
         let now = self.ports.clock.now();
         let renewal = self.router.borrow_mut().lease_mut().renew(now);
         if let Renewal::Lapsed(gap) = renewal {
-            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            let millis = millis(gap);
             self.duty_trace().emit(Event::Paused { millis });
         }
         if !self.router.borrow().lease().held(now) {
@@ -89,7 +90,7 @@
         drop(router);
         if after && !before {
             let took = now.saturating_duration_since(asked);
-            let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            let millis = millis(took);
             self.duty_trace().emit(Event::Confirmed { millis });
         }
     }
--- a/crates/harefield/src/platform/upstreams.rs
+++ b/crates/harefield/src/platform/upstreams.rs
@@ -23,6 +23,7 @@
 use crate::domain::routing::Load;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
+use crate::domain::time::millis;
 use crate::ports::Call;
 use crate::ports::CallEnd;
 use crate::ports::Place;
@@ -43,7 +44,7 @@
         if let Ok(target) = query.target.parse() {
             *request.uri_mut() = target;
         }
-        let left = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX).max(1);
+        let left = millis(call.remaining).max(1);
         headers::put_all(request.headers_mut(), &query.headers);
         headers::put(request.headers_mut(), headers::TIME_LEFT, &left.to_string());
         headers::put(request.headers_mut(), headers::EXPECTED, &call.place.upstream);
