Split the fan-out's tests

The world around a fan-out (Step, step(), World, almost_whole()) moved to world.rs, the tests of preferences, objectives and the least share (time_first_cut, objective_cuts, objective_waits_for_all, hopeless_ends_early) to objectives.rs.

--- /dev/null
+++ b/crates/harefield/tests/decisions/objectives.rs
@@ -0,0 +1,75 @@
+//! When a fan-out ends before every shard has answered: preferences, objectives
+//! and the least share.
+
+use std::time::Duration;
+
+use crate::support::at;
+use crate::world::World;
+use crate::world::almost_whole;
+use harefield::domain::fanout::AttemptEnd;
+use harefield::domain::fanout::Rules;
+use harefield::domain::outcome::Gap;
+use harefield::domain::outcome::Outcome;
+use harefield::domain::resources::Preference;
+use harefield::domain::routing::Verdict;
+
+#[test]
+fn time_first_cut() {
+    let mut early = almost_whole(20, Preference::Time);
+    early.pass(Duration::from_millis(60));
+    assert!(early.fanout.is_done(), "most contributed, half the time is over");
+    let mut patient = almost_whole(20, Preference::Coverage);
+    patient.pass(Duration::from_millis(60));
+    assert!(!patient.fanout.is_done(), "coverage goes first");
+}
+
+#[test]
+fn objective_cuts() {
+    let objective = |rules: &mut Rules, least| {
+        rules.objective = Some(at(rules.start, 50));
+        rules.least_share = least;
+    };
+    let mut world = World::with(20, 2, true, |rules, _| objective(rules, 0.89));
+    for _ in 0..17 {
+        world.answer(0);
+    }
+    world.pass(Duration::from_millis(50));
+    assert!(!world.fanout.is_done(), "17 of 20 are too few");
+    world.answer(0);
+    world.pass(Duration::ZERO);
+    assert!(world.fanout.is_done(), "18 of 20 are enough, and it is time");
+    let finished = world.fanout.finish();
+    assert_eq!(finished.outcome, Outcome::Answered);
+    assert_eq!(finished.coverage.contributed.len(), 18);
+    assert_eq!(finished.coverage.missing.len(), 2);
+}
+
+#[test]
+fn objective_waits_for_all() {
+    let mut world = World::with(20, 2, true, |rules, _| {
+        rules.objective = Some(at(rules.start, 50));
+        rules.least_share = 0.5;
+    });
+    for _ in 0..19 {
+        world.answer(0);
+    }
+    world.pass(Duration::from_millis(49));
+    assert!(!world.fanout.is_done(), "there is time for the last");
+    world.pass(Duration::from_millis(1));
+    assert!(world.fanout.is_done());
+}
+
+#[test]
+fn hopeless_ends_early() {
+    let mut world = World::with(4, 1, true, |rules, _| {
+        rules.least_share = 0.75;
+        rules.attempts = 1;
+    });
+    for _ in 0..2 {
+        assert!(!world.fanout.is_done());
+        world.end(0, AttemptEnd::Lost { why: Gap::ReplyLost }, Verdict::Broken);
+    }
+    assert!(world.fanout.is_done(), "two of four are lost, and three are needed");
+    let finished = world.fanout.finish();
+    assert_eq!(finished.outcome, Outcome::MayHaveRun);
+}
