--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -6,8 +6,8 @@
 //! view shares with the one before whatever did not change.
 
 mod builder;
+mod paths;
 mod plan;
-mod routes;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,11 +16,11 @@
 use std::sync::Arc;
 
 use self::builder::Builder;
+use self::paths::Paths;
 pub use self::plan::LookupPlan;
 pub use self::plan::Plan;
 pub use self::plan::ShardPlan;
 pub use self::plan::Weighted;
-use self::routes::Routes;
 use super::cell;
 use super::cell::CellSize;
 use super::hosts::HostList;
@@ -80,7 +80,7 @@
     pub upstreams: BTreeMap<UpstreamId, OwnUpstream>,
     /// Bounds on callers' requests, as published.
     pub bounds: Bounds,
-    routes: Routes,
+    paths: Paths,
     daemons: Vec<HostId>,
     sizes: BTreeMap<Arc<str>, usize>,
 }
@@ -99,9 +99,9 @@
         let builder = Builder::new(sources, &cells, self);
         let lookups = builder.lookups();
         let upstreams = builder.upstreams();
-        let routes = Routes::new(&lookups);
+        let paths = Paths::new(&lookups);
         Self {
-            routes,
+            paths,
             bounds: sources.set.bounds(),
             revision: sources.revision,
             listed: sources.listed,
@@ -117,6 +117,6 @@
     /// Returns the lookup that a caller's path leads to, by the longest prefix.
     #[must_use]
     pub fn lookup_at(&self, host: &str, path: &str) -> Option<&Arc<LookupPlan>> {
-        self.routes.lookup_at(host, path)
+        self.paths.lookup_at(host, path)
     }
 }
--- a/crates/harefield/src/domain/view/routes.rs
+++ b/crates/harefield/src/domain/view/paths.rs
@@ -8,36 +8,36 @@
 
 /// A path prefix that leads to a lookup.
 #[derive(Clone, Debug)]
-struct Route {
+struct PathPrefix {
     prefix: Arc<str>,
     plan: Arc<LookupPlan>,
 }
 
 /// The path prefixes under each host name, the longest first.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Routes {
-    by_host: HashMap<Arc<str>, Vec<Route>>,
+pub(super) struct Paths {
+    by_host: HashMap<Arc<str>, Vec<PathPrefix>>,
 }
 
-impl Routes {
+impl Paths {
     /// Sorts the lookups' entries by host name, the longest prefix first.
     pub(super) fn new(lookups: &HashMap<Arc<str>, Arc<LookupPlan>>) -> Self {
-        let mut by_host: HashMap<Arc<str>, Vec<Route>> = HashMap::new();
+        let mut by_host: HashMap<Arc<str>, Vec<PathPrefix>> = HashMap::new();
         for plan in lookups.values() {
             for entry in &plan.lookup.entries {
-                let route = Route { prefix: Arc::clone(&entry.prefix), plan: Arc::clone(plan) };
-                by_host.entry(Arc::clone(&entry.host)).or_default().push(route);
+                let found = PathPrefix { prefix: Arc::clone(&entry.prefix), plan: Arc::clone(plan) };
+                by_host.entry(Arc::clone(&entry.host)).or_default().push(found);
             }
         }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| Reverse(route.prefix.len()));
+        for prefixes in by_host.values_mut() {
+            prefixes.sort_by_key(|found| Reverse(found.prefix.len()));
         }
         Self { by_host }
     }
 
     /// Returns the lookup that a path leads to, by the longest prefix.
     pub(super) fn lookup_at(&self, host: &str, path: &str) -> Option<&Arc<LookupPlan>> {
-        let routes = self.by_host.get(host)?;
-        routes.iter().find(|route| path.starts_with(&*route.prefix)).map(|route| &route.plan)
+        let prefixes = self.by_host.get(host)?;
+        prefixes.iter().find(|found| path.starts_with(&*found.prefix)).map(|found| &found.plan)
     }
 }
