Say once when an upstream is healthy; drop leftovers

The two picks among far replicas (far_regions() and best()) tested the same four conditions each: Searcher::is_healthy() does it for both, and may_serve_any(), which no other used, goes. Worker::fixed_hedge() only handed a setting to the one place that reads it. Local names that hid millis() and micros() go too. Behaviour is unchanged.

--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -103,8 +103,7 @@
             let now = self.ports.clock.now();
             self.regained.set(Some(now));
             let gap = now.saturating_duration_since(since);
-            let millis = millis(gap);
-            self.emit(Event::PlatformRegained { millis });
+            self.emit(Event::PlatformRegained { millis: millis(gap) });
         }
     }
 
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -198,8 +198,7 @@
 fn new_incarnation() -> Incarnation {
     const RANDOM_BITS: u32 = 20;
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let millis = millis(since);
-    (millis << RANDOM_BITS) | u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS))
+    (millis(since) << RANDOM_BITS) | u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS))
 }
 
 /// Starts every duty's thread; returns those that a planned stop waits for.
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -194,8 +194,7 @@
         match end {
             AttemptEnd::Answered(body) => {
                 let took = step.now.saturating_duration_since(start);
-                let micros = micros(took);
-                step.emit(Event::ReplyTaken { shard: name, upstream, attempt, micros });
+                step.emit(Event::ReplyTaken { shard: name, upstream, attempt, micros: micros(took) });
                 self.contribute(shard, body, step);
             }
             failed => {
--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -81,6 +81,14 @@
         self.oldest_age(now) - self.way > (usual * SILENT_FACTOR).max(SILENT_LEAST)
     }
 
+    /// Returns whether it takes new work and nothing speaks against it, load and
+    /// versions aside: no failure last, and no silence beyond any usual time.
+    #[must_use]
+    pub fn is_healthy(&self, typical: f64, now: Instant) -> bool {
+        let usable = !self.is_leaving() && !self.is_backed_off(now);
+        usable && !self.on_probation() && !self.is_silent(typical, now)
+    }
+
     fn oldest_age(&self, now: Instant) -> f64 {
         let oldest = self.starts.iter().min();
         oldest.map_or(0.0, |start| now.saturating_duration_since(*start).as_secs_f64())
--- a/crates/harefield/src/domain/routing/regions.rs
+++ b/crates/harefield/src/domain/routing/regions.rs
@@ -54,8 +54,7 @@
         let typical = self.pace(kind).mean().as_secs_f64();
         let mut regions: Vec<Arc<str>> = Vec::new();
         for searcher in replicas.iter().filter_map(|name| self.searchers.get(name)) {
-            let usable = searcher.may_serve_any() && !searcher.is_backed_off(now);
-            if !usable || searcher.on_probation() || searcher.is_silent(typical, now) {
+            if !searcher.is_healthy(typical, now) {
                 continue;
             }
             let zone = &searcher.spec().zone;
@@ -77,9 +76,7 @@
             .iter()
             .map(|name| {
                 let found = self.searchers.get(name);
-                let usable = found.is_some_and(|s| {
-                    s.may_serve_any() && !s.is_backed_off(now) && !s.on_probation() && !s.is_silent(0.0, now)
-                });
+                let usable = found.is_some_and(|s| s.is_healthy(0.0, now));
                 let there = found.and_then(|s| self.places.regions.get(&s.spec().zone));
                 let elsewhere = there.is_none_or(|there| **there != *region);
                 (!usable, elsewhere, found.map_or(f64::INFINITY, |s| s.observed_time(0.0)), name)
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -164,12 +164,6 @@
         Ok(())
     }
 
-    /// Returns whether the upstream takes new work, load and versions aside.
-    #[must_use]
-    pub fn may_serve_any(&self) -> bool {
-        !self.is_leaving()
-    }
-
     /// Notes that a request leaves at `now`.
     pub fn begin(&mut self, now: Instant) {
         self.starts.push(now);
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -3,7 +3,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -294,9 +293,4 @@
         let request = Some(Arc::clone(&attempt.job.request));
         self.telemetry.send(Batch { request, events: vec![(stamp, event)] });
     }
-
-    /// Returns how long a hedge waits where it is fixed.
-    pub(super) fn fixed_hedge(&self) -> Option<Duration> {
-        self.settings.fixed
-    }
 }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -214,7 +214,7 @@
             start: found.start,
             deadline: found.deadline,
             hedge: self.settings.hedge,
-            fixed: self.fixed_hedge(),
+            fixed: self.settings.fixed,
             kind: Arc::clone(&found.plan.name),
             objective: found.objective,
             least_share: lookup.least_share,
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -73,8 +73,7 @@
         let now = self.ports.clock.now();
         let renewal = self.router.borrow_mut().lease_mut().renew(now);
         if let Renewal::Lapsed(gap) = renewal {
-            let millis = millis(gap);
-            self.duty_trace().emit(Event::Paused { millis });
+            self.duty_trace().emit(Event::Paused { millis: millis(gap) });
         }
         if !self.router.borrow().lease().held(now) {
             drop(self.control.try_send(ToControl::Woke));
@@ -90,8 +89,7 @@
         drop(router);
         if after && !before {
             let took = now.saturating_duration_since(asked);
-            let millis = millis(took);
-            self.duty_trace().emit(Event::Confirmed { millis });
+            self.duty_trace().emit(Event::Confirmed { millis: millis(took) });
         }
     }
 }
