--- a/crates/harefield/src/adapters/mod.rs
+++ b/crates/harefield/src/adapters/mod.rs
@@ -10,5 +10,6 @@
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
+pub mod reading;
 pub mod settings;
 pub mod upstreams;
--- /dev/null
+++ b/crates/harefield/src/adapters/reading.rs
@@ -0,0 +1,88 @@
+//! What the clients of a platform share: they read JSON from one of its copies,
+//! and put what changed in order.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+
+use super::http;
+use super::http::Traffic;
+use crate::domain::feed::Change;
+use crate::domain::feed::Delta;
+use crate::domain::ids::Revision;
+use crate::ports::PlatformError;
+
+/// The most bytes of one reply: a page holds about a megabyte of values, in the
+/// users' store as a text that is a third longer.
+const MOST_REPLY: usize = 8 << 20;
+
+/// How long a read may take, beyond the wait of a watch; the users' store answers
+/// in 4 ms as a rule, and in some 240 ms where it is slow.
+pub const READ_LIMIT: Duration = Duration::from_secs(2);
+
+/// Reads JSON by HTTP from a copy of the platform.
+#[derive(Clone, Debug)]
+pub struct JsonReader {
+    executor: Rc<LocalExecutor<'static>>,
+    traffic: Traffic,
+    gone: &'static [StatusCode],
+}
+
+impl JsonReader {
+    /// Creates a reader on one thread's executor; `traffic` counts its bytes, and
+    /// the statuses of `gone` say that there is nothing to read.
+    #[must_use]
+    pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic, gone: &'static [StatusCode]) -> Self {
+        Self { executor, traffic, gone }
+    }
+
+    /// Reads what stands under a path; none where it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Unreachable` where the copy does not answer within `limit`, or
+    /// answers with an error, and `Malformed` where its answer cannot be read.
+    pub async fn get<R: DeserializeOwned>(
+        &self,
+        copy: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<Option<R>, PlatformError> {
+        let request = Request::get(path).header("host", copy.to_string()).body(Full::default());
+        let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
+        let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
+        self.traffic.count(0, reply.body().len());
+        match reply.status() {
+            StatusCode::OK => {}
+            status if self.gone.contains(&status) => return Ok(None),
+            _ => return Err(PlatformError::Unreachable),
+        }
+        let parsed = serde_json::from_slice(reply.body());
+        parsed.map(Some).map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+}
+
+/// Groups changes that came after a revision into one delta a revision, each on
+/// top of the one before.
+#[must_use]
+pub fn deltas(after: Revision, changes: impl IntoIterator<Item = (Revision, Change)>) -> Vec<Delta> {
+    let mut grouped: BTreeMap<Revision, Vec<Change>> = BTreeMap::new();
+    for (revision, change) in changes {
+        grouped.entry(revision).or_default().push(change);
+    }
+    let mut base = after;
+    let deltas = grouped.into_iter().map(|(revision, changes)| {
+        let delta = Delta { base, revision, changes };
+        base = revision;
+        delta
+    });
+    deltas.collect()
+}
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -1,6 +1,5 @@
 //! The platform's store: the one client for it, which reads and watches.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,19 +8,17 @@
 use async_io::Timer;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use http_body_util::Full;
-use hyper::Request;
 use hyper::StatusCode;
 use log::warn;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 
 use super::documents::catalog_of;
 use super::documents::upstream_of;
-use crate::adapters::http;
 use crate::adapters::http::Traffic;
+use crate::adapters::reading::JsonReader;
+use crate::adapters::reading::READ_LIMIT;
+use crate::adapters::reading::deltas;
 use crate::domain::feed::Change;
-use crate::domain::feed::Delta;
 use crate::domain::ids::Key;
 use crate::domain::ids::Revision;
 use crate::ports::Listing;
@@ -39,14 +36,6 @@
 /// The product's key of what the configuration holds.
 const CATALOG_KEY: &str = "catalogs/operator";
 
-/// The most bytes of one reply: a page holds about a megabyte of values, in a
-/// text that is a third longer.
-const MOST_REPLY: usize = 8 << 20;
-
-/// How long a read may take, beyond the wait of a watch; the store answers in 4 ms
-/// as a rule, and in some 240 ms where it is slow.
-const READ_LIMIT: Duration = Duration::from_secs(2);
-
 /// One value, or that it was taken away.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -90,41 +79,19 @@
 /// Reads the store by HTTP. It lists no hosts: daemons find each other.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
-    executor: Rc<LocalExecutor<'static>>,
-    traffic: Traffic,
+    reader: JsonReader,
 }
 
 impl HttpStore {
     /// Creates the client on one thread's executor; `traffic` counts its bytes.
     #[must_use]
     pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic) -> Self {
-        Self { executor, traffic }
-    }
-
-    /// Reads what stands under a path; none where it is gone or not there.
-    async fn get<R: DeserializeOwned>(
-        &self,
-        copy: SocketAddr,
-        path: &str,
-        limit: Duration,
-    ) -> Result<Option<R>, PlatformError> {
-        let request = Request::get(path).header("host", copy.to_string()).body(Full::default());
-        let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
-        let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
-        self.traffic.count(0, reply.body().len());
-        match reply.status() {
-            StatusCode::OK => {}
-            StatusCode::GONE | StatusCode::NOT_FOUND => return Ok(None),
-            _ => return Err(PlatformError::Unreachable),
-        }
-        let parsed = serde_json::from_slice(reply.body());
-        parsed.map(Some).map_err(|error| PlatformError::Malformed(error.to_string()))
+        Self { reader: JsonReader::new(executor, traffic, &[StatusCode::GONE, StatusCode::NOT_FOUND]) }
     }
 
     async fn list_config(&self, copy: SocketAddr) -> Result<Listing, PlatformError> {
         let path = format!("/-/kv-key?privateKey={CONFIG_KEY}");
-        let config: Option<One> = self.get(copy, &path, READ_LIMIT).await?;
+        let config: Option<One> = self.reader.get(copy, &path, READ_LIMIT).await?;
         let config = config.ok_or_else(|| PlatformError::Malformed("nothing is published yet".to_owned()))?;
         let revision = config.store_revision;
         let mut listing = Listing { first: revision, last: revision, ..Listing::default() };
@@ -132,7 +99,7 @@
         let mut after = String::new();
         loop {
             let path = format!("/-/kv-range?pathPrefix={UPSTREAMS_PREFIX}{after}");
-            let page: Option<Page> = self.get(copy, &path, READ_LIMIT).await?;
+            let page: Option<Page> = self.reader.get(copy, &path, READ_LIMIT).await?;
             let page = page.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
             listing.first = listing.first.min(page.store_revision);
             listing.last = listing.last.max(page.store_revision);
@@ -172,34 +139,18 @@
             return Ok(Watched::Changes { deltas: Vec::new(), at: after });
         }
         let path = format!("/-/kv-watch?pathPrefix=&after={after}&waitMs={}", wait.as_millis());
-        let events: Option<Events> = self.get(copy, &path, wait + READ_LIMIT).await?;
+        let events: Option<Events> = self.reader.get(copy, &path, wait + READ_LIMIT).await?;
         Ok(match events {
             Some(Events { events, store_revision: at }) => {
-                Watched::Changes { deltas: group(after, events), at }
+                let newer = events.iter().filter(|item| item.revision > after);
+                let changes = newer.filter_map(|item| Some((item.revision, change_of(item)?)));
+                Watched::Changes { deltas: deltas(after, changes), at }
             }
             None => Watched::Compacted,
         })
     }
 }
 
-/// Groups events into one delta a revision, each on top of the one before.
-fn group(after: Revision, events: Vec<Item>) -> Vec<Delta> {
-    let mut grouped: BTreeMap<Revision, Vec<Change>> = BTreeMap::new();
-    for item in events.into_iter().filter(|item| item.revision > after) {
-        let revision = item.revision;
-        if let Some(change) = change_of(&item) {
-            grouped.entry(revision).or_default().push(change);
-        }
-    }
-    let mut base = after;
-    let deltas = grouped.into_iter().map(|(revision, changes)| {
-        let delta = Delta { base, revision, changes };
-        base = revision;
-        delta
-    });
-    deltas.collect()
-}
-
 /// Decodes an item into a change of the product's resources; none where it is
 /// none of the product's business, or cannot be read.
 fn change_of(item: &Item) -> Option<Change> {
