Part the two ends of a group

engine/group.rs held both how a daemon hands far shards on and what the daemon that takes them does. The latter (Worker::group(), find_group(), group_reply(), declined(), subset()) moved to engine/relay.rs. Code is moved as it stood; behaviour is unchanged.

--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod group;
 mod message;
 mod once;
+mod relay;
 mod run;
 mod status;
 mod updates;
--- /dev/null
+++ b/crates/harefield/src/engine/relay.rs
@@ -0,0 +1,134 @@
+//! Groups of shards taken from daemons of other regions: this daemon asks their
+//! replicas beside it, and answers with the merged records.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::attempt::Job;
+use super::find::Found;
+use super::worker::Worker;
+use crate::domain::admission::Arrival;
+use crate::domain::event::Event;
+use crate::domain::event::Sink;
+use crate::domain::fanout::Finished;
+use crate::domain::fanout::Rules;
+use crate::domain::ids::ShardId;
+use crate::domain::merge::greatest;
+use crate::domain::query::Query;
+use crate::domain::ratio;
+use crate::domain::time::micros;
+use crate::domain::view::LookupPlan;
+use crate::domain::view::Plan;
+use crate::ports::Clock;
+use crate::ports::Group;
+use crate::ports::GroupGap;
+use crate::ports::GroupPart;
+use crate::ports::GroupReply;
+use crate::ports::Peers;
+use crate::ports::Upstreams;
+
+impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
+    /// Takes a group from another daemon: asks its shards, and answers with what
+    /// they brought when its time is up.
+    ///
+    /// Dropping the future gives the group up, as when that daemon goes away.
+    pub async fn group(self: &Rc<Self>, group: Group) -> GroupReply {
+        let start = self.ports.clock.now();
+        self.receive(group.stamp);
+        let mut trace = self.request_trace(Some(&group.request));
+        trace.emit(Event::GroupTaken {
+            from: Arc::clone(&group.from),
+            shards: group.shards.len(),
+            gather: group.gather,
+        });
+        let Some((found, plan)) = self.find_group(&group, start) else {
+            return self.declined();
+        };
+        let lookup = &found.plan.lookup;
+        let arrival =
+            Arrival { urgency: lookup.urgency, team: lookup.team.as_str().into(), deadline: found.deadline };
+        let Ok(mut place) = self.enter_gate(&plan.index, arrival).await else {
+            return self.declined();
+        };
+        let job = Job {
+            request: group.request.as_str().into(),
+            kind: Arc::clone(&found.plan.name),
+            query: Query::Bytes(Arc::new(group.query)),
+            deadline: found.deadline,
+            once: false,
+            merge: Some(group.most),
+        };
+        let least_share = ratio(group.needed, group.shards.len());
+        let rules = Rules { least_share, grouped: false, ..self.rules(&found) };
+        let ended = self.fan_out(&job, &plan, rules, 0, &mut trace).await;
+        place.crowd = ended.crowd;
+        drop(place);
+        let took = self.ports.clock.now().saturating_duration_since(start);
+        self.group_reply(&group.shards, &ended.finished, group.most, took)
+    }
+
+    fn declined(&self) -> GroupReply {
+        GroupReply { stamp: self.stamp(), declined: true, ..GroupReply::default() }
+    }
+
+    /// Finds the plan of a group; none where this daemon holds another view of
+    /// the lookup's shards, does not trust its own, or is stopping.
+    fn find_group(&self, group: &Group, start: Instant) -> Option<(Found, Arc<Plan>)> {
+        let now = self.ports.clock.now();
+        if self.is_stopping() || !self.router.borrow().lease().held(now) {
+            return None;
+        }
+        let view = self.view.borrow();
+        let plan = view.lookups.get(group.lookup.as_str())?;
+        let parts = plan.parts.iter().map(|part| &part.plan);
+        let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
+        let mut shards = subset(plan, &group.shards)?;
+        for (at, only) in &group.only {
+            shards.shards.get_mut(*at)?.replicas.retain(|name| only.contains(name));
+        }
+        let found = Found {
+            plan: Arc::clone(plan),
+            start,
+            deadline: start + Duration::from_micros(group.remaining),
+            objective: group.gather.map(|time| start + Duration::from_micros(time)),
+        };
+        Some((found, Arc::new(shards)))
+    }
+
+    fn group_reply(
+        &self,
+        shards: &[ShardId],
+        finished: &Finished,
+        most: usize,
+        took: Duration,
+    ) -> GroupReply {
+        let bodies = finished.parts.iter().filter_map(|part| part.reply.bytes()).map(|reply| &*reply.body);
+        let records = greatest(bodies, most);
+        let place = |shard: &ShardId| shards.iter().position(|name| name == shard);
+        let parts = finished.parts.iter().filter_map(|part| {
+            let signature = part.reply.bytes()?.signature.as_ref().map(Arc::clone)?;
+            Some(GroupPart { at: place(&part.shard)?, signature })
+        });
+        let missing = finished.coverage.missing.iter().zip(&finished.sent).filter_map(|(missing, sent)| {
+            Some(GroupGap { at: place(&missing.shard)?, why: missing.why, ran: missing.ran, sent: *sent })
+        });
+        GroupReply {
+            stamp: self.stamp(),
+            declined: false,
+            took: micros(took),
+            parts: parts.collect(),
+            missing: missing.collect(),
+            records: serde_bytes::ByteBuf::from(records),
+        }
+    }
+}
+
+/// Returns a plan of the named shards alone; none where one is not known.
+fn subset(plan: &LookupPlan, names: &[ShardId]) -> Option<Plan> {
+    let whole = plan.plans.first()?;
+    let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
+    let shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
+    Some(Plan { index: Arc::clone(&whole.index), version: whole.version, shards })
+}
