--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -141,13 +141,20 @@
         self.act(actions);
     }
 
-    fn brought(&self, parts: usize, missing: &Brought) -> GroupEnd {
+    /// Ends the group with `parts` contributions, and `missing` for the other shards.
+    fn bring(&mut self, parts: usize, missing: &Brought) {
         let shards = self.hands[0].shards.iter().enumerate();
         let all = shards.map(|(number, shard)| {
             let brought = if number < parts { Brought::Part(part("group")) } else { missing.clone() };
             (*shard, brought)
         });
-        GroupEnd::Brought(all.collect())
+        let end = GroupEnd::Brought(all.collect());
+        self.end_group(&end);
+    }
+
+    /// Returns what was asked directly beyond the two shards beside the daemon.
+    fn asked_later(&self) -> Vec<(usize, Cause)> {
+        self.sends[2..].iter().map(|send| (send.shard, send.cause)).collect()
     }
 }
 
@@ -184,8 +191,7 @@
         world.answer(&send, "direct");
     }
     let missing = Brought::Missing { why: Gap::Late, ran: true, sent: 2 };
-    let end = world.brought(4, &missing);
-    world.end_group(&end);
+    world.bring(4, &missing);
     assert!(world.fanout.is_done());
     let finished = world.fanout.finish();
     assert_eq!((finished.outcome, finished.parts.len()), (Outcome::Answered, SHARDS));
@@ -195,16 +201,14 @@
 fn unsent_asked_afresh() {
     let mut world = World::start(true);
     world.end_group(&GroupEnd::NotSent);
-    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
-    assert_eq!(again, [2, 3, 4, 5].map(|shard| (shard, Cause::First)));
+    assert_eq!(world.asked_later(), [2, 3, 4, 5].map(|shard| (shard, Cause::First)));
 }
 
 #[test]
 fn spent_not_asked_again() {
     let mut world = World::start(true);
     let missing = Brought::Missing { why: Gap::Late, ran: true, sent: 2 };
-    let end = world.brought(3, &missing);
-    world.end_group(&end);
+    world.bring(3, &missing);
     assert_eq!(world.sends.len(), 2, "the daemon used both attempts of the shard");
 }
 
@@ -212,10 +216,8 @@
 fn one_attempt_left() {
     let mut world = World::start(true);
     let missing = Brought::Missing { why: Gap::ReplyLost, ran: true, sent: 1 };
-    let end = world.brought(3, &missing);
-    world.end_group(&end);
-    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
-    assert_eq!(again, [(5, Cause::Retry)]);
+    world.bring(3, &missing);
+    assert_eq!(world.asked_later(), [(5, Cause::Retry)]);
 }
 
 #[test]
@@ -223,10 +225,8 @@
     // An upstream that refused was asked all the same: asking again is extra load.
     let mut world = World::start(true);
     let missing = Brought::Missing { why: Gap::Overloaded, ran: false, sent: 1 };
-    let end = world.brought(3, &missing);
-    world.end_group(&end);
-    let again: Vec<(usize, Cause)> = world.sends[2..].iter().map(|send| (send.shard, send.cause)).collect();
-    assert_eq!(again, [(5, Cause::Retry)]);
+    world.bring(3, &missing);
+    assert_eq!(world.asked_later(), [(5, Cause::Retry)]);
 }
 
 #[test]
@@ -253,8 +253,7 @@
     assert_eq!((world.revoked, world.sends.len()), (1, 2));
     world.pass(5);
     assert_eq!(world.sends.len(), SHARDS);
-    let end = world.brought(4, &Brought::Part(part("group")));
-    world.end_group(&end);
+    world.bring(4, &Brought::Part(part("group")));
     for send in world.sends.clone() {
         world.answer(&send, "direct");
     }
@@ -286,8 +285,7 @@
 fn part_of_group_brought() {
     let mut world = World::start(true);
     let missing = Brought::Missing { why: Gap::ReplyLost, ran: true, sent: 2 };
-    let end = world.brought(3, &missing);
-    world.end_group(&end);
+    world.bring(3, &missing);
     let finished = world.fanout.finish();
     let from_group = finished.parts.iter().filter(|part| signature(&part.reply) == "group").count();
     assert_eq!(from_group, 3);
