Part the tests of merging, budgets and medians

tests/decisions/merging.rs held three themes: strict budgets moved to budgets.rs, the median of recent times to recent.rs, word for word.

--- /dev/null
+++ b/crates/harefield/tests/decisions/budgets.rs
@@ -0,0 +1,53 @@
+//! Strict budgets of extra load, by service.
+
+use proptest::prelude::*;
+
+use harefield::domain::routing::Budget;
+use harefield::domain::routing::Budgets;
+use harefield::domain::routing::FleetSlack;
+
+use crate::support::cases;
+
+proptest! {
+    #![proptest_config(cases(200))]
+
+    /// In any window, a strict budget spends less than its share and its most.
+    #[test]
+    fn strict_in_any_window(steps in proptest::collection::vec(0_u8..4, 0..400), most in 1.0_f64..20.0) {
+        let mut budget = Budget::strict(0.2, most);
+        let mut spent = Vec::new();
+        let mut first = Vec::new();
+        for step in steps {
+            first.push(u32::from(step == 0));
+            let sent = match step {
+                0 => { budget.earn(); false }
+                1 => budget.spend_hedge(),
+                2 => budget.spend_retry(),
+                _ => budget.spend_probe(),
+            };
+            spent.push(u32::from(sent));
+        }
+        for from in 0..spent.len() {
+            let extra: u32 = spent[from..].iter().sum();
+            let needed: u32 = first[from..].iter().sum();
+            prop_assert!(f64::from(extra) <= 0.2 * f64::from(needed) + most + 1e-9);
+        }
+    }
+}
+
+#[test]
+fn budgets_by_service() {
+    let mut budgets = Budgets::by_service(FleetSlack { share: 0.2, slack: 50.0 }, 10);
+    let (one, other) = ("s1/all".into(), "s2/all".into());
+    while budgets.of(&one).spend_retry() {}
+    assert!(budgets.of(&other).spend_retry(), "one service does not spend what is another's");
+    budgets.share_with(50);
+    let mut sent = 0;
+    for _ in 0..1000 {
+        budgets.of(&one).earn();
+    }
+    while budgets.of(&one).spend_retry() {
+        sent += 1;
+    }
+    assert_eq!(sent, 1, "fifty daemons share fifty, and some is kept for those that start");
+}
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without I/O and in virtual time.
 
 mod admission;
+mod budgets;
 mod cells;
 mod codes;
 mod configuration;
@@ -11,6 +12,7 @@
 mod merging;
 mod objectives;
 mod once;
+mod recent;
 mod routing;
 mod settings;
 mod snapshot;
