Double pauses in one place; share the time an answer travels

Four places doubled a pause with each failure up to a longest one (the platform reader, upstreams, relays and connections opened ahead): domain/backoff.rs does it for all. The reader capped at 8 doublings and not 10; 250 ms pass its longest pause of 4 s after 4, so its pauses are the same. TRAVEL, 50 ms, stood in engine/forward.rs and engine/group.rs; the former's is used by both. Behaviour is unchanged.

--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -12,6 +12,7 @@
 use super::Protocol;
 use crate::adapters::http;
 use crate::adapters::http::Connection;
+use crate::domain::backoff::backoff;
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
 use crate::ports::Place;
@@ -55,8 +56,7 @@
             self.cooling = None;
             return;
         }
-        let doubled = COOLING.saturating_mul(1 << self.strikes.min(10));
-        self.cooling = Some(Instant::now() + doubled.min(LONGEST_COOLING));
+        self.cooling = Some(Instant::now() + backoff(COOLING, self.strikes, LONGEST_COOLING));
         self.strikes = self.strikes.saturating_add(1);
     }
 }
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use super::duty::Control;
+use crate::domain::backoff::backoff;
 use crate::domain::cell::weight;
 use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
@@ -254,6 +255,5 @@
 }
 
 fn pause(failures: u32) -> Duration {
-    let doubled = BACKOFF.saturating_mul(1 << failures.min(8)).min(LONGEST_BACKOFF);
-    doubled.mul_f64(rand::rng().random_range(0.5..1.0))
+    backoff(BACKOFF, failures, LONGEST_BACKOFF).mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -4,6 +4,7 @@
 //! and random numbers are handed in, so that every decision can be replayed.
 
 pub mod admission;
+pub mod backoff;
 pub mod cell;
 pub mod code;
 pub mod configuration;
--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -7,6 +7,7 @@
 use super::report::Report;
 use super::report::Verdict;
 use super::searcher::Searcher;
+use crate::domain::backoff::backoff;
 
 /// The first pause after a failure; it doubles with each further one.
 const BACKOFF: Duration = Duration::from_millis(100);
@@ -126,8 +127,7 @@
     }
 
     fn broken(&mut self, now: Instant) {
-        let doubled = BACKOFF.saturating_mul(1 << self.failures.min(10));
-        self.retry = Some(now + doubled.min(LONGEST_BACKOFF));
+        self.retry = Some(now + backoff(BACKOFF, self.failures, LONGEST_BACKOFF));
         self.probation = true;
         self.failures = self.failures.saturating_add(1);
     }
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use super::pace::Pace;
+use crate::domain::backoff::backoff;
 use crate::domain::ids::HostId;
 
 /// The first pause after a daemon did not answer; it doubles with each further
@@ -150,8 +151,7 @@
                 *held = held.mul_f64(1.0 - GAIN) + way.mul_f64(GAIN);
             }
             RelayVerdict::Silent | RelayVerdict::Declined => {
-                let doubled = BACKOFF.saturating_mul(1 << relay.failures.min(10));
-                relay.retry = Some(now + doubled.min(LONGEST_BACKOFF));
+                relay.retry = Some(now + backoff(BACKOFF, relay.failures, LONGEST_BACKOFF));
                 relay.failures = relay.failures.saturating_add(1);
             }
             RelayVerdict::Abandoned => {}
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -41,8 +41,8 @@
 /// How often a request is handed on again while views of the cell differ.
 const AGREE_EVERY: Duration = Duration::from_millis(20);
 
-/// Spare time that the member's answer has to travel.
-const TRAVEL: Duration = Duration::from_millis(50);
+/// Spare time that another daemon's answer has to travel past the deadline.
+pub(super) const TRAVEL: Duration = Duration::from_millis(50);
 
 /// How a request handed to one daemon ended.
 struct Ended {
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::Job;
 use super::attempt::Landed;
+use super::forward::TRAVEL;
 use super::worker::Worker;
 use crate::domain::event::Event;
 use crate::domain::fanout::Brought;
@@ -33,9 +34,6 @@
 use crate::ports::Upstreams;
 use crate::telemetry::Batch;
 
-/// Spare time that a group's answer has to travel past its deadline.
-const TRAVEL: Duration = Duration::from_millis(50);
-
 /// A group under way, which is taken off its daemon's account when its task is
 /// dropped half-way.
 struct Underway<'a, U: Upstreams, P: Peers, C: Clock> {
