Say what constants, pool fields and new words mean

Constants stand at the head of their files with their unit and meaning (gate, pace, cut, metrics, documents); the log's ring holds some ten seconds of lines at 400 a second, not a few. Gate::leave() named parameters that it has no more. Pool::has_room() also counted an opening: it is begin_warming() now, beside end_warming(). Behaviour is unchanged.

--- a/crates/harefield/src/adapters/logs.rs
+++ b/crates/harefield/src/adapters/logs.rs
@@ -22,7 +22,7 @@
 /// The target of lines that hold one event as JSON.
 pub const EVENTS: &str = "event";
 
-/// How many lines the ring holds: a few seconds of the most that is written.
+/// How many lines the ring holds: some ten seconds of what is written for long.
 const RING_LENGTH: usize = 4096;
 
 /// How many lines a second are written for long: some 100 kB, far more than a
--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -34,6 +34,9 @@
 /// The name under which further lookups are counted.
 const OTHERS: &str = "others";
 
+/// The name of requests that every shard contributed to.
+const WHOLE: &str = "whole";
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Kind {
     kind: String,
@@ -64,15 +67,6 @@
     lookups: Mutex<HashSet<String>>,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// The name of requests that every shard contributed to.
-const WHOLE: &str = "whole";
-
 fn count(family: &Kinds, name: &str) {
     family.get_or_create(&Kind { kind: name.to_owned() }).inc();
 }
@@ -201,3 +195,9 @@
         text
     }
 }
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -172,13 +172,13 @@
     }
 
     fn warm(&self, place: &Place, share: u32, want: usize) -> bool {
-        if self.ready(place) >= want || !self.has_room(place, share) {
+        if self.ready(place) >= want || !self.begin_warming(place, share) {
             return false;
         }
         let (this, place) = (self.clone(), place.clone());
         let open = async move {
             let opened = this.open(&place, share).await;
-            this.with_pool(&place, |pool| pool.warmed(opened.is_ok()));
+            this.with_pool(&place, |pool| pool.end_warming(opened.is_ok()));
             if let Ok((seat, connection)) = opened {
                 seat.give_back(connection);
             }
--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -33,11 +33,15 @@
 #[derive(Debug)]
 pub(super) struct Pool {
     pub address: SocketAddr,
+    /// Open connections that carry no request.
     pub idle: Vec<Connection>,
+    /// How many connections are open or being opened.
     pub open: u32,
+    /// How many are being opened ahead of need.
     pub warming: usize,
     /// Until when no connection is opened ahead of need, after that failed.
     pub cooling: Option<Instant>,
+    /// How many openings ahead of need failed in a row.
     pub strikes: u32,
 }
 
@@ -45,11 +49,9 @@
     fn new(address: SocketAddr) -> Self {
         Self { address, idle: Vec::new(), open: 0, warming: 0, cooling: None, strikes: 0 }
     }
-}
 
-impl Pool {
     /// Takes how opening a connection ahead of need went.
-    pub(super) fn warmed(&mut self, opened: bool) {
+    pub(super) fn end_warming(&mut self, opened: bool) {
         self.warming = self.warming.saturating_sub(1);
         if opened {
             self.strikes = 0;
@@ -148,8 +150,9 @@
         pool.idle.len() + pool.warming
     }
 
-    /// Notes that a connection is opened ahead of need, where the share has room.
-    pub(super) fn has_room(&self, place: &Place, share: u32) -> bool {
+    /// Notes that a connection is opened ahead of need; returns whether one may be:
+    /// where the share has room, and none failed a moment ago.
+    pub(super) fn begin_warming(&self, place: &Place, share: u32) -> bool {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(Arc::clone(&place.upstream)).or_insert_with(|| Pool::new(place.address));
         let cooling = pool.cooling.is_some_and(|until| Instant::now() < until);
--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -41,16 +41,26 @@
 /// How long after an urgent request room is kept for the next.
 const URGENT_LIFE: Duration = Duration::from_secs(1);
 
+/// The limit of a gate that nothing is known of yet, in requests at once.
 const FIRST_LIMIT: f64 = 16.0;
+
+/// The least limit that a crowd leaves, in requests at once.
 const LEAST_LIMIT: f64 = 1.0;
-/// Slow fan-outs alone do not shrink the limit below this: it may be an upstream
-/// that is slow, and not a crowd.
+
+/// Slow fan-outs alone do not shrink the limit below this, in requests at once:
+/// it may be an upstream that is slow, and not a crowd.
 const SLOW_LIMIT: f64 = 2.0;
-/// Fan-outs that go by an objective are answered without the shards that have no
-/// room, so what waits before them only comes late: the limit stays above what a
-/// daemon of today runs at once under load.
+
+/// Crowds of fan-outs that go by an objective do not shrink the limit below this,
+/// in requests at once: they are answered without the shards that have no room, so
+/// what waits before them only comes late. It is above what a daemon of today runs
+/// at once under load.
 const OBJECTIVE_LIMIT: f64 = 12.0;
+
+/// A limit shrinks by this factor.
 const SHRINK: f64 = 0.7;
+
+/// The usual time of a fan-out before the first has ended, in seconds.
 const FIRST_TIME: f64 = 0.01;
 
 /// Bounds of a gate.
@@ -164,8 +174,8 @@
         Entry::Wait(id)
     }
 
-    /// Takes the end of a request that ran for `took`, `waited` of whose
-    /// `shards` had to wait for room; returns who leaves the queue.
+    /// Takes the end of a request that ran for `took`; `crowd` tells how many of its
+    /// shards had to wait for room. Returns who leaves the queue.
     pub fn leave(&mut self, team: &Arc<str>, took: Duration, crowd: Crowd, now: Instant) -> Vec<Called> {
         self.exit(team);
         let seconds = took.as_secs_f64();
--- a/crates/harefield/src/domain/fanout/cut.rs
+++ b/crates/harefield/src/domain/fanout/cut.rs
@@ -14,6 +14,9 @@
 /// A time-first answer may be cut after this part of its time.
 const EARLY_PART: u32 = 2;
 
+/// The most attempts on one shard where the lookup names no number.
+pub const MOST_ATTEMPTS: u32 = 6;
+
 /// The rules that one request is answered by.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -42,9 +45,6 @@
     pub attempts: u32,
 }
 
-/// The most attempts on one shard where the lookup names no number.
-pub const MOST_ATTEMPTS: u32 = 6;
-
 impl Rules {
     /// Returns when the answer is cut, given how many of `total` shards have
     /// contributed.
--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -27,6 +27,8 @@
 /// rest where 27 of 100 replies are faster; a replica that does well again is
 /// believed sooner than one that does badly.
 const STEP_UP: f64 = 1.1;
+
+/// The same down, see [`STEP_UP`].
 const STEP_DOWN: f64 = 1.3;
 
 /// A reply that was given up is taken to have needed at most this many times
--- a/crates/harefield/src/domain/routing/pace.rs
+++ b/crates/harefield/src/domain/routing/pace.rs
@@ -14,17 +14,17 @@
 /// The pace before the first sample.
 const FIRST: Duration = Duration::from_millis(10);
 
-/// The observed pace of one index's shard requests.
+/// The part of an objective that a request is taken to need before any sample;
+/// the users' objectives are 4 to 30 times the work.
+const FIRST_PART: f64 = 0.25;
+
+/// The observed pace of one kind of request.
 #[derive(Clone, Debug)]
 pub struct Pace {
     mean: f64,
     slow: f64,
 }
 
-/// The part of an objective that a request is taken to need before any sample;
-/// the users' objectives are 4 to 30 times the work.
-const FIRST_PART: f64 = 0.25;
-
 impl Default for Pace {
     fn default() -> Self {
         Self { mean: FIRST.as_secs_f64(), slow: FIRST.as_secs_f64() }
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -33,6 +33,9 @@
 /// Routes of at most this rank are ordinary, those beyond it bulk work.
 const ORDINARY_RANK: u32 = 2;
 
+/// Weights come as fractions too; they are kept in these parts of one.
+const WEIGHT_PARTS: f64 = 1000.0;
+
 /// The newest configuration in whole.
 #[derive(Debug, Deserialize)]
 struct Published {
@@ -106,9 +109,6 @@
     state: String,
 }
 
-/// Weights come as fractions too; they are kept in these parts of one.
-const WEIGHT_PARTS: f64 = 1000.0;
-
 /// Decodes the configuration.
 ///
 /// # Errors
