Name fields and constants by what they are

Worker::patience is time_limits, the times that requests come with; tell() in run.rs, which shares its name with the control duty's, is note_answer(); Control::looked() is advance_cursor(); CLOSE and AT_ONCE in lapsed.rs are OUTAGE_SPAN and OUTAGE_COUNT. Behaviour is unchanged.

--- a/crates/harefield/src/control/lapsed.rs
+++ b/crates/harefield/src/control/lapsed.rs
@@ -25,10 +25,10 @@
 
 /// This many upstreams that vanish at once show an outage that went unnoticed:
 /// a watch may hang through it.
-const AT_ONCE: usize = 3;
+const OUTAGE_COUNT: usize = 3;
 
-/// How close together that is.
-const CLOSE: Duration = Duration::from_millis(300);
+/// Within this time of each other upstreams count as vanished at once.
+const OUTAGE_SPAN: Duration = Duration::from_millis(300);
 
 /// The upstreams that stay in the view for a while.
 #[derive(Debug, Default)]
@@ -49,9 +49,9 @@
             .filter(|(name, upstream)| !set.upstreams.contains_key(*name) && !upstream.leaving)
             .map(|(name, upstream)| (Arc::clone(name), Arc::clone(upstream)))
             .collect();
-        self.vanished.retain(|at| now.saturating_duration_since(*at) < CLOSE);
+        self.vanished.retain(|at| now.saturating_duration_since(*at) < OUTAGE_SPAN);
         self.vanished.extend(gone.iter().map(|_| now));
-        if away || self.vanished.len() >= AT_ONCE {
+        if away || self.vanished.len() >= OUTAGE_COUNT {
             self.kept.extend(gone.into_iter().map(|(name, upstream)| (name, (upstream, now + GRACE))));
         }
         self.shown.clone_from(&set.upstreams);
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -187,7 +187,7 @@
             Watched::Compacted => self.list(copy, space).await,
             Watched::Changes { deltas, at } => {
                 self.take_deltas(space, &rebase(deltas, self.seen(space)));
-                self.looked(space, at);
+                self.advance_cursor(space, at);
                 Ok(())
             }
         }
@@ -215,7 +215,7 @@
 
     /// Notes that nothing else has changed up to a revision, if what changed
     /// before it was taken.
-    fn looked(&self, space: Space, at: Revision) {
+    fn advance_cursor(&self, space: Space, at: Revision) {
         if space == Space::Config {
             self.cursor.set(self.cursor.get().max(at));
         }
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -85,8 +85,8 @@
     /// Returns how much of its caller's time a request had used when it came:
     /// what is left lacks that much of what its kind usually comes with.
     fn used_time(&self, name: &Arc<str>, left: Duration) -> Duration {
-        let mut patience = self.patience.borrow_mut();
-        let usual = patience.entry(Arc::clone(name)).or_default();
+        let mut time_limits = self.time_limits.borrow_mut();
+        let usual = time_limits.entry(Arc::clone(name)).or_default();
         usual.take(left);
         usual.median().saturating_sub(left)
     }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -73,7 +73,7 @@
         let gone = Batch { request: trace.request().map(Arc::clone), events: vec![(trace.stamp(), gone)] };
         let mut progress = Progress { worker: self, gone: Some(gone) };
         let answer = self.decide(&request, start, &mut trace).await;
-        self.tell(&request, &answer, start, &mut trace);
+        self.note_answer(&request, &answer, start, &mut trace);
         progress.gone = None;
         answer
     }
@@ -89,7 +89,7 @@
         self.hybrid.borrow_mut().tick(self.ports.clock.wall())
     }
 
-    fn tell(&self, request: &LookupRequest, answer: &Answer, start: Instant, trace: &mut Trace<C>) {
+    fn note_answer(&self, request: &LookupRequest, answer: &Answer, start: Instant, trace: &mut Trace<C>) {
         if answer.outcome == Outcome::NotRun {
             let (lookup, retry_after) = (request.lookup.clone(), answer.retry_after);
             trace.emit(Event::Refused { lookup, code: answer.code, retry_after });
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -56,7 +56,7 @@
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
-        self.patience.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.time_limits.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -114,7 +114,7 @@
     /// Whose turn it is in each divided lookup.
     pub(super) turns: RefCell<HashMap<Arc<str>, Vec<i64>>>,
     /// The time that requests of each lookup usually come with.
-    pub(super) patience: RefCell<HashMap<Arc<str>, Recent>>,
+    pub(super) time_limits: RefCell<HashMap<Arc<str>, Recent>>,
     /// The most daemons that were ever known at once.
     pub(super) known: Cell<u32>,
     numbered: Cell<u64>,
@@ -169,7 +169,7 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             turns: RefCell::default(),
-            patience: RefCell::default(),
+            time_limits: RefCell::default(),
             known: Cell::new(known),
             numbered: Cell::new(0),
         })
