Call signatures signatures in the stand-in and its tests

The users' header names one a seal; the project's word is signature. Names of variables only; what goes over the wire and what is asserted are unchanged.

--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -146,9 +146,9 @@
     let answer = site.ask("/all/x?y=1", "r1");
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body, records(&[9, 8, 7, 3]), "the greatest four of all shards, falling");
-    let mut seals: Vec<&str> = answer.header("part-seals").split(", ").collect();
-    seals.sort_unstable();
-    assert_eq!(seals, ["i-s1.r1", "i-s2.r1", "i-s3.r1"]);
+    let mut signatures: Vec<&str> = answer.header("part-seals").split(", ").collect();
+    signatures.sort_unstable();
+    assert_eq!(signatures, ["i-s1.r1", "i-s2.r1", "i-s3.r1"]);
     assert_eq!(answer.header("missing-parts"), "0");
 }
 
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -266,14 +266,14 @@
         lock(&self.shared).runs.push(id.clone());
         Timer::after(delay).await;
         lock(&self.shared).finished.push(id.clone());
-        let seal = format!("{}.{id}", self.id);
-        let (status, id, seal) = match manner {
-            Manner::Fail => (StatusCode::INTERNAL_SERVER_ERROR, id, seal),
-            Manner::Crossed => (StatusCode::OK, "another".to_owned(), seal),
+        let signature = format!("{}.{id}", self.id);
+        let (status, id, signature) = match manner {
+            Manner::Fail => (StatusCode::INTERNAL_SERVER_ERROR, id, signature),
+            Manner::Crossed => (StatusCode::OK, "another".to_owned(), signature),
             Manner::Unsigned => return reply(StatusCode::OK, &[("attempt-id", &id)], body),
-            Manner::Good | Manner::Shed => (StatusCode::OK, id, seal),
+            Manner::Good | Manner::Shed => (StatusCode::OK, id, signature),
         };
-        reply(status, &[("attempt-id", &id), ("server-seal", &seal), ("x-own", "kept")], body)
+        reply(status, &[("attempt-id", &id), ("server-seal", &signature), ("x-own", "kept")], body)
     }
 }
 
