--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use super::duty::Control;
+use crate::domain::backoff::backoff;
 use crate::domain::cell::weight;
 use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
@@ -17,6 +18,7 @@
 use crate::domain::ids::Revision;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
+use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Listing;
 use crate::ports::Peers;
@@ -102,8 +104,7 @@
             let now = self.ports.clock.now();
             self.regained.set(Some(now));
             let gap = now.saturating_duration_since(since);
-            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
-            self.emit(Event::PlatformRegained { millis });
+            self.emit(Event::PlatformRegained { millis: millis(gap) });
         }
     }
 
@@ -186,7 +187,7 @@
             Watched::Compacted => self.list(copy, space).await,
             Watched::Changes { deltas, at } => {
                 self.take_deltas(space, &rebase(deltas, self.seen(space)));
-                self.looked(space, at);
+                self.advance_cursor(space, at);
                 Ok(())
             }
         }
@@ -214,7 +215,7 @@
 
     /// Notes that nothing else has changed up to a revision, if what changed
     /// before it was taken.
-    fn looked(&self, space: Space, at: Revision) {
+    fn advance_cursor(&self, space: Space, at: Revision) {
         if space == Space::Config {
             self.cursor.set(self.cursor.get().max(at));
         }
@@ -254,6 +255,5 @@
 }
 
 fn pause(failures: u32) -> Duration {
-    let doubled = BACKOFF.saturating_mul(1 << failures.min(8)).min(LONGEST_BACKOFF);
-    doubled.mul_f64(rand::rng().random_range(0.5..1.0))
+    backoff(BACKOFF, failures, LONGEST_BACKOFF).mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -11,9 +11,9 @@
 use futures_lite::FutureExt;
 use rand::Rng;
 
+use super::find::Found;
 use super::message::LookupRequest;
 use super::message::ToControl;
-use super::run::Found;
 use super::run::refuse;
 use super::worker::Worker;
 use crate::domain::code::Code;
@@ -24,6 +24,7 @@
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
 use crate::domain::query::Query;
+use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Forward;
 use crate::ports::PeerError;
@@ -40,8 +41,8 @@
 /// How often a request is handed on again while views of the cell differ.
 const AGREE_EVERY: Duration = Duration::from_millis(20);
 
-/// Spare time that the member's answer has to travel.
-const TRAVEL: Duration = Duration::from_millis(50);
+/// Spare time that another daemon's answer has to travel past the deadline.
+pub(super) const TRAVEL: Duration = Duration::from_millis(50);
 
 /// How a request handed to one daemon ended.
 struct Ended {
@@ -218,7 +219,7 @@
             lookup: request.lookup.clone(),
             query: request.query.json().to_vec(),
             ticket: request.ticket.clone(),
-            remaining: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            remaining: millis(left),
         };
         handed.tried.push(Arc::clone(&host));
         handed.under_way += 1;
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without I/O and in virtual time.
 
 mod admission;
+mod budgets;
 mod cells;
 mod codes;
 mod configuration;
@@ -9,7 +10,9 @@
 mod lease;
 mod members;
 mod merging;
+mod objectives;
 mod once;
+mod recent;
 mod routing;
 mod settings;
 mod snapshot;
@@ -17,3 +20,4 @@
 mod support;
 mod views;
 mod words;
+mod world;
