--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -45,7 +45,7 @@
         let settings = format!(
             "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
-             [peers]\njoin-ms = 200\n[routing]\nextra-load = 0.2\nextra-slack = 50\n",
+             [peers]\njoin-ms = 200\n[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\nextra-slack = 50\n",
             store.address()
         );
         Self { daemon: Daemon::start(&settings), store, searchers: BTreeMap::new() }
@@ -73,7 +73,8 @@
             .iter()
             .map(|name| json!({ "name": name, "connectionLimit": 26 }))
             .collect();
-        let config = json!({ "version": version, "routes": routes, "services": services, "limits": {} });
+        let config =
+            json!({ "version": version, "routes": routes, "services": services, "limits": limits() });
         self.store.put("op/config", Some(&config));
     }
 
@@ -99,6 +100,11 @@
     }
 }
 
+/// Bounds on callers' requests, as published.
+fn limits() -> Value {
+    json!({ "headerBytes": 2048, "bodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 })
+}
+
 fn routes() -> Vec<Value> {
     vec![
         json!({
@@ -122,6 +128,10 @@
     stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
     let head = format!("GET {path} HTTP/1.1\r\nHost: x.example\r\n{headers}Connection: close\r\n\r\n");
     stream.write_all(head.as_bytes()).expect("it is sent");
+    read_answer(stream)
+}
+
+fn read_answer(mut stream: TcpStream) -> Answer {
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).expect("it is answered");
     let end = bytes.windows(4).position(|four| four == b"\r\n\r\n").expect("it has a head");
@@ -377,3 +387,27 @@
     assert_eq!(site.ask("/one/x", "stays").status, 200);
     assert!(finished("stays"));
 }
+
+/// Sends the bytes of a request and keeps the connection open.
+fn send(site: &Site, bytes: &[u8]) -> Answer {
+    let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
+    stream.write_all(bytes).expect("it is sent");
+    read_answer(stream)
+}
+
+#[test]
+fn bounds_kept() {
+    let site = Site::start();
+    let post = |length: usize, body: &str| {
+        let head = "POST /one/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: big\r\nConnection: close\r\n";
+        format!("{head}Content-Length: {length}\r\n\r\n{body}")
+    };
+    assert_eq!(send(&site, post(1200, &"x".repeat(1200)).as_bytes()).status, 413);
+    assert_eq!(send(&site, post(900, &"x".repeat(900)).as_bytes()).status, 200);
+    assert_eq!(send(&site, post(900, "too little").as_bytes()).status, 408, "the body does not come");
+    let long = format!("X-Long: {}\r\n", "x".repeat(3000));
+    assert_eq!(ask(site.daemon.addresses.callers, "/one/x", &long).status, 431);
+    assert_eq!(send(&site, b"no request at all\r\n\r\n").status, 400);
+    assert_eq!(site.runs("big"), 1, "what was refused did not run");
+}
