Wait for the own watch before pulling from another daemon

Cause: bytes between regions are the dearest price. Each change of the configuration was pulled from the first daemon that had it, though each daemon here holds a watch that brings the same news a moment later.

Change: a daemon whose own watch works waits 400 ms before it pulls; not while it joins or confirms after a pause, and not while the store does not answer it.

--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -26,6 +26,11 @@
 /// How long one exchange may take.
 pub(super) const EXCHANGE_LIMIT: Duration = Duration::from_millis(800);
 
+/// How long a daemon that holds the watch waits before it pulls what another one
+/// has already: the same news is on its way, and a configuration may be large. It
+/// is a small part of the 3 s within which a change is to be in force.
+const PULL_PATIENCE: Duration = Duration::from_millis(400);
+
 /// How long a pull may take; a whole configuration may be large.
 const PULL_LIMIT: Duration = Duration::from_secs(3);
 
@@ -104,6 +109,9 @@
     }
 
     async fn pull_newer(self: &Rc<Self>, host: &HostId, mark: Mark) {
+        if mark.revision > self.revision(mark.space) && self.hears_platform() {
+            self.ports.clock.sleep(PULL_PATIENCE).await;
+        }
         let have = self.revision(mark.space);
         if mark.revision <= have {
             return;
@@ -114,6 +122,12 @@
         }
     }
 
+    /// Returns whether this daemon holds the watch itself and it works, so that
+    /// the platform tells it what others have told first.
+    fn hears_platform(&self) -> bool {
+        self.joined.get() && !self.confirming.get() && self.is_reader() && !self.was_away()
+    }
+
     /// Notes that a daemon did not answer.
     pub(super) fn unanswered(&self, host: &HostId) {
         let news = self.members.borrow_mut().suspect(host);
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -120,7 +120,7 @@
         }
     }
 
-    fn is_reader(&self) -> bool {
+    pub(super) fn is_reader(&self) -> bool {
         let members = self.members.borrow();
         is_reader(&self.settings.own, members.rows(), self.settings.readers)
     }
