--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -72,11 +72,13 @@
     Sent { shard: ShardId, upstream: UpstreamId, attempt: AttemptId, cause: Cause },
     /// A group of shards was handed to a daemon beside their replicas.
     GroupSent { to: HostId, shards: usize, attempt: AttemptId },
-    /// That daemon answered, or did not.
+    /// That daemon answered, or did not; `micros` is the whole time and `way` the part
+    /// of it that the message and the answer travelled, both in microseconds.
     GroupEnded { to: HostId, attempt: AttemptId, contributed: usize, missing: usize, micros: u64, way: u64 },
     /// A group was taken back from a daemon that did not answer.
     GroupRevoked { from: HostId, attempt: AttemptId },
-    /// A group of shards came from another daemon.
+    /// A group of shards came from another daemon, which wants an answer after
+    /// `gather` microseconds; none before the deadline.
     GroupTaken { from: HostId, shards: usize, gather: Option<u64> },
     /// A hedge was due but the budget of extra load is used up.
     HedgeDenied { shard: ShardId },
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -2,7 +2,8 @@
 //! replies count, and when the answer is given.
 //!
 //! A state machine without I/O. It is told what happened and when, and says
-//! what to do next.
+//! what to do next: `machine` takes what happened, `sending` decides on attempts,
+//! `groups` on shards of other regions, `cut` and `judge` on the answer.
 
 mod cut;
 mod groups;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -1,4 +1,9 @@
 //! Which replica is asked, how much is asked of it, and what extra load is spent.
+//!
+//! A `Router` holds one `Searcher` for each upstream: `learning` takes in what ended
+//! requests show, `estimate` and `policy` say what the next would cost, `choice` picks,
+//! `window` bounds what is under way. `regions`, `places` and `relays` are about
+//! upstreams and daemons that are far; `budget` pays for extra load.
 
 mod budget;
 mod choice;
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -1,5 +1,10 @@
 //! A worker: runs the requests of its connections on one thread.
 //!
+//! `run` holds the life of a request: `find` finds its plan, `gate` lets it in,
+//! `attempt` carries out its fan-out, with `group` and `relay` for shards of other
+//! regions; `forward` and `once` are for requests that another daemon runs, and for
+//! those that run once. `updates`, `status` and `warm` are its duties beside them.
+//!
 //! Everything here is generic over the ports and holds no lock on the path of
 //! a request; once-only requests share one ledger between workers.
 
