--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -12,6 +12,8 @@
 mod own_answer;
 mod planned_stop;
 mod site;
+mod site_store;
+mod site_support;
 mod snapshot;
 mod support;
 mod time_line;
--- /dev/null
+++ b/crates/harefield/tests/processes/site_store.rs
@@ -0,0 +1,128 @@
+//! The users' store: configurations, entries that drain, vanish or lapse, and a
+//! store that is away.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::site_support::Site;
+use crate::site_support::ask;
+use crate::site_support::routes;
+use crate::support::await_true;
+
+#[test]
+fn unknown_told_apart() {
+    let site = Site::bare();
+    assert_eq!(site.ask("/all/x", "r1").status, 503, "no configuration is known yet");
+    assert!(!site.is_ready());
+    drop(site);
+    let site = Site::start();
+    assert_eq!(site.ask("/none/x", "r1").status, 404);
+    let nameless = ask(site.daemon.addresses.callers, "/all/x", "");
+    assert_eq!(nameless.status, 400, "a request without an id");
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let mut site = Site::start();
+    site.add("s9", "i-s9", &[1]);
+    let mut more = routes();
+    more.push(json!({
+        "name": "deep", "host": "x.example", "pathPrefix": "/all/deep/", "kind": "safe", "timeoutMs": 1000,
+        "targetLatencyMs": 300, "priority": 2, "attempts": 2, "service": "s9",
+    }));
+    site.publish(2, &more);
+    await_true("the new route is in force", || {
+        site.ask("/all/deep/x", "r1").header("server-seal") == "i-s9.r1"
+    });
+    site.publish(3, &routes()[1..]);
+    await_true("a dropped route is gone", || site.ask("/all/x", "r2").status == 404);
+}
+
+#[test]
+fn draining_left_alone() {
+    let mut site = Site::start();
+    site.add("one", "i-two", &[5]);
+    let leaving = site.searchers["i-one"].clone();
+    site.store.put(&leaving.key(), Some(&leaving.entry("one", "draining")));
+    await_true("the other one serves alone", || {
+        let before = leaving.runs().len();
+        (0..10).all(|_| site.ask("/one/x", "r1").status == 200) && leaving.runs().len() == before
+    });
+    let before = leaving.runs().len();
+    for _ in 0..20 {
+        assert_eq!(site.ask("/one/x", "r2").status, 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+    site.store.put("servers/i-two", None);
+    await_true("nobody is left", || site.ask("/one/x", "r3").status == 503);
+}
+
+#[test]
+fn store_gone_serves_on() {
+    let site = Site::start();
+    site.store.set_down(true);
+    for _ in 0..20 {
+        assert_eq!(site.ask("/all/x", "r1").status, 200);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(site.is_ready());
+    site.store.set_down(false);
+    site.publish(2, &routes()[1..]);
+    await_true("it hears again", || site.ask("/all/x", "r2").status == 404);
+}
+
+#[test]
+fn lapsed_entries_kept() {
+    // While the store is away its entries lapse; those that live are back soon
+    // after its return, and are not missed until then.
+    let site = Site::start();
+    site.store.set_down(true);
+    await_true("the store is missed", || site.metric("harefield_events_total{kind=\"platform-lost\"}"));
+    for id in ["i-s1", "i-s2", "i-s3", "i-one"] {
+        site.store.put(&site.searchers[id].key(), None);
+    }
+    site.store.set_down(false);
+    await_true("the store is back", || site.metric("harefield_events_total{kind=\"platform-regained\"}"));
+    for number in 0..20 {
+        assert_eq!(site.ask("/all/x", &format!("r{number}")).header("missing-parts"), "0", "{number}");
+        std::thread::sleep(Duration::from_millis(40));
+    }
+    for id in ["i-s1", "i-s2", "i-s3"] {
+        let searcher = &site.searchers[id];
+        let service = id.trim_start_matches("i-");
+        site.store.put(&searcher.key(), Some(&searcher.entry(service, "ready")));
+    }
+    await_true("what did not come back is gone", || site.ask("/one/x", "late").status == 503);
+    assert_eq!(site.ask("/all/x", "last").header("missing-parts"), "0");
+}
+
+#[test]
+fn one_gone_at_once() {
+    let mut site = Site::start();
+    site.add("one", "i-two", &[5]);
+    site.store.put("servers/i-one", None);
+    let gone = site.searchers["i-one"].clone();
+    std::thread::sleep(Duration::from_secs(1));
+    let before = gone.runs().len();
+    for _ in 0..20 {
+        assert_eq!(site.ask("/one/x", "r1").status, 200);
+    }
+    assert_eq!(gone.runs().len(), before, "one that leaves while the store is well is gone at once");
+}
+
+#[test]
+fn outage_unnoticed() {
+    // Several entries that vanish within a moment are an outage that no call met,
+    // also where the first of them came alone.
+    let site = Site::start();
+    for id in ["i-s1", "i-s2", "i-s3"] {
+        site.store.put(&site.searchers[id].key(), None);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    for number in 0..10 {
+        assert_eq!(site.ask("/all/x", &format!("r{number}")).header("missing-parts"), "0", "{number}");
+    }
+    await_true("those that stay away are gone", || site.ask("/all/x", "late").status == 503);
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -0,0 +1,157 @@
+//! A daemon on the users' machines, beside stand-ins of their store and of
+//! upstreams that sign their replies, told what to do by a test.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use serde_json::Value;
+use serde_json::json;
+use standin::SignedSearcher;
+use standin::SiteStore;
+
+use crate::support::Daemon;
+use crate::support::PATIENCE;
+use crate::support::await_true;
+
+/// An answer as it came.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value)
+    }
+}
+
+/// A store, upstreams by service, and one daemon.
+pub struct Site {
+    pub store: SiteStore,
+    pub searchers: BTreeMap<String, SignedSearcher>,
+    pub daemon: Daemon,
+}
+
+impl Site {
+    /// Starts a daemon that knows no configuration yet.
+    pub fn bare() -> Self {
+        let store = SiteStore::start();
+        let settings = format!(
+            "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
+             [peers]\njoin-ms = 200\n[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\nextra-slack = 50\n",
+            store.address()
+        );
+        Self { daemon: Daemon::start(&settings), store, searchers: BTreeMap::new() }
+    }
+
+    /// Starts three shards `s1` to `s3`, one upstream each, and a service `one`.
+    pub fn start() -> Self {
+        let mut site = Self::bare();
+        for (service, records) in [("s1", [9, 1]), ("s2", [8, 2]), ("s3", [7, 3]), ("one", [5, 5])] {
+            site.add(service, &format!("i-{service}"), &records);
+        }
+        site.publish(1, &routes());
+        site.await_ready();
+        site
+    }
+
+    pub fn add(&mut self, service: &str, id: &str, records: &[u8]) {
+        let searcher = SignedSearcher::start(id, records);
+        self.store.put(&searcher.key(), Some(&searcher.entry(service, "ready")));
+        self.searchers.insert(id.to_owned(), searcher);
+    }
+
+    pub fn publish(&self, version: u64, routes: &[Value]) {
+        let services: Vec<Value> = ["s1", "s2", "s3", "one"]
+            .iter()
+            .map(|name| json!({ "name": name, "connectionLimit": 26 }))
+            .collect();
+        let config =
+            json!({ "version": version, "routes": routes, "services": services, "limits": limits() });
+        self.store.put("op/config", Some(&config));
+    }
+
+    pub fn ask(&self, path: &str, id: &str) -> Answer {
+        ask(self.daemon.addresses.callers, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n"))
+    }
+
+    pub fn is_ready(&self) -> bool {
+        ask(self.daemon.addresses.operators, "/ready", "").status == 200
+    }
+
+    pub fn await_ready(&self) {
+        await_true("it is ready and serves", || self.is_ready() && self.ask("/all/x", "r0").status == 200);
+    }
+
+    pub fn metric(&self, name: &str) -> bool {
+        let answer = ask(self.daemon.addresses.operators, "/metrics", "");
+        String::from_utf8_lossy(&answer.body).contains(name)
+    }
+
+    pub fn runs(&self, id: &str) -> usize {
+        self.searchers.values().map(|s| s.runs().iter().filter(|run| *run == id).count()).sum()
+    }
+}
+
+/// Bounds on callers' requests, as published.
+pub fn limits() -> Value {
+    json!({ "headerBytes": 2048, "bodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 })
+}
+
+pub fn routes() -> Vec<Value> {
+    vec![
+        json!({
+            "name": "all", "host": "x.example", "pathPrefix": "/all/", "kind": "safe", "timeoutMs": 1000,
+            "targetLatencyMs": 300, "priority": 1, "attempts": 2, "fanoutServices": ["s1", "s2", "s3"],
+            "resultLimit": 4, "oldestVersion": 0.6,
+        }),
+        json!({
+            "name": "one", "host": "x.example", "pathPrefix": "/one/", "kind": "safe", "timeoutMs": 1000,
+            "targetLatencyMs": 300, "priority": 2, "attempts": 2, "service": "one",
+        }),
+        json!({
+            "name": "once", "host": "x.example", "pathPrefix": "/one/once/", "kind": "unsafe",
+            "timeoutMs": 1000, "targetLatencyMs": 300, "priority": 2, "attempts": 2, "service": "one",
+        }),
+    ]
+}
+
+pub fn ask(to: std::net::SocketAddr, path: &str, headers: &str) -> Answer {
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
+    let head = format!("GET {path} HTTP/1.1\r\nHost: x.example\r\n{headers}Connection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("it is sent");
+    read_answer(stream)
+}
+
+pub fn read_answer(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).expect("it is answered");
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n").expect("it has a head");
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let status = lines.next().and_then(|line| line.split(' ').nth(1)).and_then(|text| text.parse().ok());
+    let headers = lines.filter_map(|line| line.split_once(": "));
+    Answer {
+        status: status.expect("it has a status"),
+        headers: headers.map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned())).collect(),
+        body: bytes[end + 4..].to_vec(),
+    }
+}
+
+pub fn records(bytes: &[u8]) -> Vec<u8> {
+    bytes.iter().flat_map(|byte| [*byte; 16]).collect()
+}
+
+/// Sends the bytes of a request and keeps the connection open.
+pub fn send(site: &Site, bytes: &[u8]) -> Answer {
+    let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
+    stream.write_all(bytes).expect("it is sent");
+    read_answer(stream)
+}
