Pass over an upstream that refuses, beside one that takes its requests

The nearest replica stayed the first choice, and its refusals used up the budget of retries, so too few shards were left. A refusal without a time to come back left no mark.

Ruled out: the gate and the store (neither shows in those seconds).

Change: a refusal puts a replica behind those that answer, until it answers a probe. Test routing::shedding_passed_over, seen failing.

--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -112,6 +112,8 @@
 
     fn full(&mut self, wait: Option<Duration>, now: Instant) {
         self.window.shrink();
+        // Beside one that takes its requests it is passed over until it answers.
+        self.probation = true;
         let Some(wait) = wait else { return };
         let doubled = wait.saturating_mul(1 << self.failures.min(4));
         self.shed = Some(now + wait.max(doubled.min(LONGEST_BACKOFF)).min(LONGEST_SHED));
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -309,3 +309,18 @@
     assert!(pace.mean() > Duration::from_millis(6) && pace.mean() < Duration::from_millis(10));
     assert!(pace.slow() > Duration::from_millis(20), "{:?}", pace.slow());
 }
+
+#[test]
+fn shedding_passed_over() {
+    // One that refuses a part of its requests, and says nothing of when to come
+    // back, is passed over beside one that takes them, until a probe is answered.
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[0], 4, 20, now, &Report::default());
+    serve(&mut router, &names[1], 4, 20, now, &Report::default());
+    router.begin(&names[0], at(now, 10));
+    router.end(&names[0], at(now, 10), Verdict::Full(None), &Report::default(), at(now, 11));
+    for _ in 0..20 {
+        assert_eq!(choose(&mut router, &names, at(now, 12)), Ok(Arc::clone(&names[1])));
+    }
+}
