--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -32,6 +32,7 @@
 use crate::domain::membership::Membership;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
+use crate::domain::routing::Places;
 use crate::domain::view::View;
 use crate::domain::view::ViewSources;
 use crate::domain::word::NamedWord;
@@ -65,6 +66,8 @@
     pub watch: Duration,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
+    /// Where this daemon and the availability zones are.
+    pub places: Places,
     /// How large cells may be.
     pub cell: CellSize,
     /// Whether the platform lists the daemons; else cells are assigned among
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -10,6 +10,7 @@
 use super::duty::Control;
 use crate::domain::event::Event;
 use crate::domain::ids::HostId;
+use crate::domain::routing::Distance;
 use crate::ports::Clock;
 use crate::ports::Exchange;
 use crate::ports::Mark;
@@ -34,6 +35,23 @@
 /// How long a pull may take; a whole configuration may be large.
 const PULL_LIMIT: Duration = Duration::from_secs(3);
 
+/// How often the daemon that is spoken to may stand in another availability zone of
+/// the region, or anywhere: of ten daemons in a zone that speak once a second, two
+/// bring news from the region and one from beyond.
+const REGION_SHARE: f64 = 0.2;
+const ANYWHERE_SHARE: f64 = 0.1;
+
+/// Turns a number drawn from 0..1 into how far away the next daemon may be.
+fn draw_reach(draw: f64) -> Distance {
+    if draw < ANYWHERE_SHARE {
+        Distance::Far
+    } else if draw < ANYWHERE_SHARE + REGION_SHARE {
+        Distance::Region
+    } else {
+        Distance::Near
+    }
+}
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Speaks to a few daemons in each round.
     pub(super) async fn speak(self: Rc<Self>) {
@@ -82,7 +100,29 @@
                 peers.push(host);
             }
         }
-        peers.choose_multiple(&mut rand::rng(), count).map(Arc::clone).collect()
+        self.draw_near(peers, count)
+    }
+
+    /// Draws daemons, most of them from the own availability zone: bytes between
+    /// zones, and more so between regions, are dear. Few from elsewhere do, since
+    /// each zone has daemons that hold the watch.
+    fn draw_near(&self, mut peers: Vec<HostId>, count: usize) -> Vec<HostId> {
+        let mut random = rand::rng();
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !peers.is_empty() {
+            let reach = draw_reach(random.random());
+            let within: Vec<usize> = (0..peers.len()).filter(|at| self.reaches(&peers[*at], reach)).collect();
+            let at =
+                within.choose(&mut random).copied().unwrap_or_else(|| random.random_range(0..peers.len()));
+            drawn.push(peers.swap_remove(at));
+        }
+        drawn
+    }
+
+    fn reaches(&self, host: &HostId, reach: Distance) -> bool {
+        let members = self.members.borrow();
+        let row = members.row(host);
+        row.is_none_or(|row| self.settings.places.distance(&row.zone) <= reach)
     }
 
     /// Speaks to one daemon and takes what it has that is newer; returns
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -148,7 +148,7 @@
         extra: routing.extra_load,
         slack: routing.extra_slack,
         daemons: settings.peers.daemons,
-        places: Places { zone: settings.host.zone.as_str().into(), regions: settings.host.regions.clone() },
+        places: places(context),
         margin: Duration::from_millis(routing.margin_ms),
         hedge: routing.hedge.then_some(routing.hedge_factor),
         fixed: routing.fixed_ms.map(Duration::from_millis),
@@ -158,6 +158,11 @@
     }
 }
 
+fn places(context: &Context) -> Places {
+    let host = &context.settings.host;
+    Places { zone: host.zone.as_str().into(), regions: host.regions.clone() }
+}
+
 /// Runs the control duty until the daemon ends.
 pub(super) fn run_control<E: Edge>(
     context: &Context,
@@ -201,6 +206,7 @@
         join: Duration::from_millis(settings.peers.join_ms),
         watch: Duration::from_millis(settings.platform.watch_ms),
         readers: settings.platform.readers,
+        places: places(context),
         cell: settings.cell(),
         listed: settings.platform.kind == PlatformKind::Own,
     }
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -14,8 +14,10 @@
 /// The values of one space at one revision.
 pub type Items = BTreeMap<Key, Arc<str>>;
 
-/// How many deltas a feed remembers for its peers.
-pub const LOG_LENGTH: usize = 64;
+/// How many deltas a feed remembers for its peers: a second of registrations where
+/// all upstreams start at once, which is some 70 a second at the users' largest
+/// site, and as much again; one that is farther behind is sent everything.
+pub const LOG_LENGTH: usize = 256;
 
 /// A new value for a key, or its removal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -26,6 +26,7 @@
 use harefield::domain::ids::Revision;
 use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
+use harefield::domain::routing::Places;
 use harefield::engine::ToControl;
 use harefield::ports::Exchange;
 use harefield::ports::Forward;
@@ -193,6 +194,7 @@
             watch: Duration::from_millis(20),
             readers: 2,
             cell: CellSize::default(),
+            places: Places::default(),
             listed: true,
         };
         let ports = ControlPorts { platform: link.clone(), peers: link, clock: SystemClock };
