--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -1,6 +1,6 @@
 //! Groups of far shards that are handed to a daemon beside their replicas.
 //!
-//! One message and one merged answer cross between regions in place of one
+//! One message and one merged answer cross between zones in place of one
 //! request and one reply a shard. A group is a first attempt on each of its
 //! shards; what the daemon brings of them counts as their contributions, and
 //! what it does not bring is tried directly, within the attempts and budgets. No
@@ -104,32 +104,32 @@
         if !self.rules.grouped {
             return all;
         }
-        let mut regions: BTreeMap<usize, Vec<Arc<str>>> = BTreeMap::new();
+        let mut zones: BTreeMap<usize, Vec<Arc<str>>> = BTreeMap::new();
         for shard in all.iter().copied() {
             let replicas = &self.plan.shards[shard].replicas;
-            if let Some(found) = step.router.far_regions(replicas, &self.rules.kind, step.now) {
-                regions.insert(shard, found);
+            if let Some(found) = step.router.away_zones(replicas, &self.rules.kind, step.now) {
+                zones.insert(shard, found);
             }
         }
-        let mut direct: Vec<usize> = all.into_iter().filter(|shard| !regions.contains_key(shard)).collect();
-        while let Some((region, shards)) = largest(&regions, &self.plan.index, &self.rules.kind, step) {
+        let mut direct: Vec<usize> = all.into_iter().filter(|shard| !zones.contains_key(shard)).collect();
+        while let Some((zone, shards)) = largest(&zones, &self.plan.index, &self.rules.kind, step) {
             for shard in &shards {
-                regions.remove(shard);
+                zones.remove(shard);
             }
-            match step.router.pick_relay(&self.plan.index, &region, &self.rules.kind, step.now) {
-                Some(host) => self.hand(host, &region, shards, step),
+            match step.router.pick_relay(&self.plan.index, &zone, &self.rules.kind, step.now) {
+                Some(host) => self.hand(host, &zone, shards, step),
                 None => direct.extend(shards),
             }
         }
-        direct.extend(regions.into_keys());
+        direct.extend(zones.into_keys());
         direct.sort_unstable();
         direct
     }
 
-    fn hand<S: Sink>(&mut self, host: HostId, region: &str, shards: Vec<usize>, step: &mut Step<'_, S>) {
+    fn hand<S: Sink>(&mut self, host: HostId, zone: &str, shards: Vec<usize>, step: &mut Step<'_, S>) {
         let (attempt, start) = (self.next, step.now);
         self.next += 1;
-        let way = step.router.relays().way_to(region);
+        let way = step.router.relays().way_to(zone);
         let gather = self
             .rules
             .objective
@@ -138,7 +138,7 @@
         let slow = slow.max(way + LEAST_PATIENCE);
         let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + OVERDUE);
         let revoke = start + due.max(way + LEAST_PATIENCE);
-        let only = self.narrow(&shards, region, step);
+        let only = self.narrow(&shards, zone, step);
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
             let state = &mut self.shards[*shard];
@@ -156,7 +156,7 @@
     fn narrow<S: Sink>(
         &mut self,
         shards: &[usize],
-        region: &str,
+        zone: &str,
         step: &Step<'_, S>,
     ) -> Vec<(usize, Vec<UpstreamId>)> {
         let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
@@ -164,7 +164,7 @@
         for shard in shards.iter().copied() {
             let replicas = &self.plan.shards[shard].replicas;
             if replicas.len() > most {
-                let best = step.router.best(replicas, region, most, step.now);
+                let best = step.router.best(replicas, zone, most, step.now);
                 self.shards[shard].only = Some(best.clone());
                 all.push((shard, best));
             }
@@ -276,25 +276,25 @@
     }
 }
 
-/// Returns the region in which most far shards have replicas, with those
-/// shards; none where no region has enough. Which of equals is drawn.
+/// Returns the zone in which most far shards have replicas, with those
+/// shards; none where no zone has enough. Which of equals is drawn.
 fn largest<S: Sink>(
-    regions: &BTreeMap<usize, Vec<Arc<str>>>,
+    zones: &BTreeMap<usize, Vec<Arc<str>>>,
     index: &str,
     kind: &Arc<str>,
     step: &mut Step<'_, S>,
 ) -> Option<(Arc<str>, Vec<usize>)> {
     let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
-    for region in regions.values().flatten() {
-        *counts.entry(region).or_default() += 1;
+    for zone in zones.values().flatten() {
+        *counts.entry(zone).or_default() += 1;
     }
-    let usable = step.router.relay_regions(index, kind, step.now);
-    counts.retain(|region, count| *count >= LEAST_GROUP && usable.contains(region));
+    let usable = step.router.relay_zones(index, kind, step.now);
+    counts.retain(|zone, count| *count >= LEAST_GROUP && usable.contains(zone));
     let most = counts.values().copied().max()?;
     let equal: Vec<&Arc<str>> =
-        counts.iter().filter(|(_, count)| **count == most).map(|(region, _)| *region).collect();
-    let region = Arc::clone(equal[step.router.draw_below(equal.len())]);
-    let held = regions.iter().filter(|(_, held)| held.contains(&region));
+        counts.iter().filter(|(_, count)| **count == most).map(|(zone, _)| *zone).collect();
+    let zone = Arc::clone(equal[step.router.draw_below(equal.len())]);
+    let held = zones.iter().filter(|(_, held)| held.contains(&zone));
     let shards = held.map(|(shard, _)| *shard).collect();
-    Some((region, shards))
+    Some((zone, shards))
 }
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -32,6 +32,7 @@
 pub use policy::Policy;
 pub use relays::RelayVerdict;
 pub use relays::Relays;
+pub use relays::Seen;
 pub use report::Bar;
 pub use report::Load;
 pub use report::Report;
--- a/crates/harefield/src/domain/routing/regions.rs
+++ b/crates/harefield/src/domain/routing/regions.rs
@@ -1,5 +1,6 @@
-//! What a router knows of other regions: how far upstreams are, how long the way
-//! there takes, and which daemons there may be handed groups of shards.
+//! What a router knows of other availability zones: how far upstreams are, how
+//! long the way there takes, and which daemons there may be handed groups of
+//! shards.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 
 use super::places::Distance;
 use super::relays::Relays;
+use super::relays::Seen;
 use super::router::Router;
 use super::searcher::Searcher;
 use crate::domain::ids::HostId;
@@ -14,12 +16,15 @@
 
 impl Router {
     /// Takes the daemons as they are seen now, with their availability zones
-    /// and whether they are live; those of other regions are handed groups.
-    pub fn see_daemons<'a>(&mut self, seen: impl IntoIterator<Item = (&'a HostId, &'a str, bool)>) {
+    /// and whether they are live; those of other zones are handed groups.
+    pub fn see_daemons<'a>(&mut self, seen: impl IntoIterator<Item = (&'a HostId, &'a Arc<str>, bool)>) {
         let places = &self.places;
-        let far = seen.into_iter().filter(|(_, zone, _)| places.distance(zone) == Distance::Far);
-        let relays = far.filter_map(|(host, zone, live)| {
-            Some((Arc::clone(host), Arc::clone(places.regions.get(zone)?), live))
+        let away = seen.into_iter().filter(|(_, zone, _)| places.distance(zone) != Distance::Near);
+        let relays = away.map(|(host, zone, live)| Seen {
+            host: Arc::clone(host),
+            zone: Arc::clone(zone),
+            far: places.distance(zone) == Distance::Far,
+            live,
         });
         self.relays.update(relays);
     }
@@ -35,56 +40,54 @@
         &mut self.relays
     }
 
-    /// Returns the regions that have a daemon to hand groups of an index to.
+    /// Returns the availability zones that have a daemon to hand groups of an index to.
     #[must_use]
-    pub fn relay_regions(&self, index: &str, kind: &Arc<str>, now: Instant) -> Vec<Arc<str>> {
-        self.relays.regions(kind, now, |host| self.is_member(index, host))
+    pub fn relay_zones(&self, index: &str, kind: &Arc<str>, now: Instant) -> Vec<Arc<str>> {
+        self.relays.zones(kind, now, |host| self.is_member(index, host))
     }
 
-    /// Picks a daemon of a region to hand a group of an index to.
-    pub fn pick_relay(&mut self, index: &str, region: &str, kind: &Arc<str>, now: Instant) -> Option<HostId> {
-        let found = self.relays.least_busy(region, kind, now, |host| self.is_member(index, host));
+    /// Picks a daemon of an availability zone to hand a group of an index to.
+    pub fn pick_relay(&mut self, index: &str, zone: &str, kind: &Arc<str>, now: Instant) -> Option<HostId> {
+        let found = self.relays.least_busy(zone, kind, now, |host| self.is_member(index, host));
         let at = self.draw_below(found.len());
         found.into_iter().nth(at)
     }
 
-    /// Returns the regions of the replicas that may be asked, where all of them
-    /// are far; none where one is nearer, or none may be asked.
+    /// Returns the availability zones of the nearest replicas that may be asked;
+    /// none where one is in the own zone, or none may be asked.
     #[must_use]
-    pub fn far_regions(
+    pub fn away_zones(
         &self,
         replicas: &[UpstreamId],
         kind: &Arc<str>,
         now: Instant,
     ) -> Option<Vec<Arc<str>>> {
         let typical = self.pace(kind).mean().as_secs_f64();
-        let mut regions: Vec<Arc<str>> = Vec::new();
-        for searcher in replicas.iter().filter_map(|name| self.searchers.get(name)) {
-            if !searcher.is_healthy(typical, now) {
-                continue;
-            }
-            let zone = &searcher.spec().zone;
-            if self.places.distance(zone) != Distance::Far {
-                return None;
-            }
-            regions.extend(self.places.regions.get(zone).map(Arc::clone));
+        let known = replicas.iter().filter_map(|name| self.searchers.get(name));
+        let healthy = known.filter(|searcher| searcher.is_healthy(typical, now));
+        let placed: Vec<_> =
+            healthy.map(|searcher| (self.distance(searcher), &searcher.spec().zone)).collect();
+        let nearest = placed.iter().map(|(distance, _)| *distance).min()?;
+        if nearest == Distance::Near {
+            return None;
         }
-        regions.sort_unstable();
-        regions.dedup();
-        (!regions.is_empty()).then_some(regions)
+        let there = placed.into_iter().filter(|(distance, _)| *distance == nearest);
+        let mut zones: Vec<Arc<str>> = there.map(|(_, zone)| Arc::clone(zone)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        Some(zones)
     }
 
     /// Returns the `most` best of some replicas: those that may be asked first,
-    /// then those of a region, then the quicker ones.
+    /// then those of an availability zone, then the quicker ones.
     #[must_use]
-    pub fn best(&self, replicas: &[UpstreamId], region: &str, most: usize, now: Instant) -> Vec<UpstreamId> {
+    pub fn best(&self, replicas: &[UpstreamId], zone: &str, most: usize, now: Instant) -> Vec<UpstreamId> {
         let mut ranked: Vec<_> = replicas
             .iter()
             .map(|name| {
                 let found = self.searchers.get(name);
                 let usable = found.is_some_and(|s| s.is_healthy(0.0, now));
-                let there = found.and_then(|s| self.places.regions.get(&s.spec().zone));
-                let elsewhere = there.is_none_or(|there| **there != *region);
+                let elsewhere = found.is_none_or(|s| *s.spec().zone != *zone);
                 (!usable, elsewhere, found.map_or(f64::INFINITY, |s| s.observed_time(0.0)), name)
             })
             .collect();
@@ -92,10 +95,10 @@
         ranked.into_iter().take(most).map(|(.., name)| Arc::clone(name)).collect()
     }
 
-    /// Returns whether an upstream stands in another region.
+    /// Returns whether an upstream stands in another availability zone.
     #[must_use]
-    pub fn is_far(&self, searcher: &Searcher) -> bool {
-        self.distance(searcher) == Distance::Far
+    pub fn is_away(&self, searcher: &Searcher) -> bool {
+        self.distance(searcher) != Distance::Near
     }
 
     pub(super) fn distance(&self, searcher: &Searcher) -> Distance {
@@ -108,10 +111,7 @@
         let zone = &searcher.spec().zone;
         match self.places.distance(zone) {
             Distance::Near | Distance::Region => 0.0,
-            Distance::Far => {
-                let region = self.places.regions.get(zone);
-                region.map_or(0.0, |region| self.relays.way_to(region).as_secs_f64())
-            }
+            Distance::Far => self.relays.way_to(zone).as_secs_f64(),
         }
     }
 
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -1,4 +1,4 @@
-//! Daemons beside the replicas of far shards: which one is handed a group of
+//! Daemons beside the replicas of shards of other availability zones: which one is handed a group of
 //! them, and which are left alone for a while.
 
 use std::collections::BTreeMap;
@@ -25,16 +25,33 @@
 /// not its own, and it waits for them up to the time that it was given.
 const SILENT_LEAST: Duration = Duration::from_millis(150);
 
-/// The way to a region before it was measured, there and back.
-const FIRST_WAY: Duration = Duration::from_millis(24);
+/// The way to an availability zone of another region before it was measured, there
+/// and back: the users' regions lie 8 and 12 ms apart.
+const FIRST_FAR_WAY: Duration = Duration::from_millis(24);
+
+/// The same for one of the own region: up to 0.9 ms each way, and the messages.
+const FIRST_WAY: Duration = Duration::from_millis(4);
 
 /// How fast what was learnt follows what is seen.
 const GAIN: f64 = 0.2;
 
+/// A daemon of another availability zone as it is seen.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The daemon.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether that is in another region.
+    pub far: bool,
+    /// Whether it is seen to answer.
+    pub live: bool,
+}
+
 /// One daemon that groups may be handed to.
 #[derive(Clone, Debug)]
 struct Relay {
-    region: Arc<str>,
+    zone: Arc<str>,
     live: bool,
     starts: Vec<Instant>,
     failures: u32,
@@ -63,41 +80,42 @@
 }
 
 impl Relays {
-    /// Takes the daemons of other regions as they are seen now.
-    pub fn update(&mut self, seen: impl IntoIterator<Item = (HostId, Arc<str>, bool)>) {
+    /// Takes the daemons of other availability zones as they are seen now.
+    pub fn update(&mut self, seen: impl IntoIterator<Item = Seen>) {
         let mut hosts = BTreeMap::new();
-        for (host, region, live) in seen {
+        for Seen { host, zone, far, live } in seen {
+            self.ways.entry(Arc::clone(&zone)).or_insert(if far { FIRST_FAR_WAY } else { FIRST_WAY });
             let relay = match self.hosts.remove(&host) {
-                Some(known) => Relay { region, live, ..known },
-                None => Relay { region, live, starts: Vec::new(), failures: 0, retry: None },
+                Some(known) => Relay { zone, live, ..known },
+                None => Relay { zone, live, starts: Vec::new(), failures: 0, retry: None },
             };
             hosts.insert(host, relay);
         }
         self.hosts = hosts;
     }
 
-    /// Returns the regions that have a daemon to hand groups to, of those that may
+    /// Returns the availability zones that have a daemon to hand groups to, of those that may
     /// be handed one.
     #[must_use]
-    pub fn regions(&self, kind: &Arc<str>, now: Instant, may: impl Fn(&HostId) -> bool) -> Vec<Arc<str>> {
+    pub fn zones(&self, kind: &Arc<str>, now: Instant, may: impl Fn(&HostId) -> bool) -> Vec<Arc<str>> {
         let usable = self.usable(kind, now).filter(|(host, _)| may(host));
-        let mut regions: Vec<Arc<str>> = usable.map(|(_, relay)| Arc::clone(&relay.region)).collect();
-        regions.sort_unstable();
-        regions.dedup();
-        regions
+        let mut zones: Vec<Arc<str>> = usable.map(|(_, relay)| Arc::clone(&relay.zone)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
     }
 
-    /// Returns the daemons of a region with the fewest groups under way, of those
+    /// Returns the daemons of an availability zone with the fewest groups under way, of those
     /// that may be handed one.
     #[must_use]
     pub fn least_busy(
         &self,
-        region: &str,
+        zone: &str,
         kind: &Arc<str>,
         now: Instant,
         may: impl Fn(&HostId) -> bool,
     ) -> Vec<HostId> {
-        let there = |host: &HostId, relay: &Relay| *relay.region == *region && may(host);
+        let there = |host: &HostId, relay: &Relay| *relay.zone == *zone && may(host);
         let found: Vec<_> = self.usable(kind, now).filter(|(host, relay)| there(host, relay)).collect();
         let least = found.iter().map(|(_, relay)| relay.starts.len()).min();
         let equal = found.into_iter().filter(|(_, relay)| Some(relay.starts.len()) == least);
@@ -114,10 +132,11 @@
         })
     }
 
-    /// Returns how long a message and its answer travel to a region and back.
+    /// Returns how long a message and its answer travel to an availability zone and
+    /// back.
     #[must_use]
-    pub fn way_to(&self, region: &str) -> Duration {
-        self.ways.get(region).copied().unwrap_or(FIRST_WAY)
+    pub fn way_to(&self, zone: &str) -> Duration {
+        self.ways.get(zone).copied().unwrap_or(FIRST_FAR_WAY)
     }
 
     /// Returns the pace of groups of a kind of request.
@@ -156,7 +175,7 @@
             RelayVerdict::Answered(way) => {
                 relay.failures = 0;
                 relay.retry = None;
-                let held = self.ways.entry(Arc::clone(&relay.region)).or_insert(way);
+                let held = self.ways.entry(Arc::clone(&relay.zone)).or_insert(way);
                 *held = held.mul_f64(1.0 - GAIN) + way.mul_f64(GAIN);
             }
             RelayVerdict::Silent | RelayVerdict::Declined => {
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -1,4 +1,4 @@
-//! Groups of far shards, handed to a daemon beside their replicas; what that
+//! Groups of shards of other availability zones, handed to a daemon beside their replicas; what that
 //! daemon does with them stands in `relay`.
 
 use std::rc::Rc;
--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -66,11 +66,9 @@
         let peers = self.peers.borrow();
         let Some(row) = peers.row(host) else { return TIME_BACK };
         let router = self.router.borrow();
-        match self.settings.places.regions.get(&row.zone) {
-            Some(region) if self.distance_to(Some(row)) == Distance::Far => {
-                TIME_BACK + router.relays().way_to(region)
-            }
-            _ => TIME_BACK,
+        match self.distance_to(Some(row)) {
+            Distance::Far => TIME_BACK + router.relays().way_to(&row.zone),
+            Distance::Near | Distance::Region => TIME_BACK,
         }
     }
 
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `run` holds the life of a request: `find` finds its plan, `gate` lets it in,
 //! `attempt` carries out its fan-out, with `group` and `relay` for shards of other
-//! regions; `forward`, with `members`, and `once` are for requests that another daemon
+//! availability zones; `forward`, with `members`, and `once` are for requests that another daemon
 //! runs, and for those that run once. `updates`, `status` and `warm` are its duties beside them.
 //!
 //! Everything here is generic over the ports and holds no lock on the path of
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -1,4 +1,4 @@
-//! Groups of shards taken from daemons of other regions: this daemon asks their
+//! Groups of shards taken from daemons of other availability zones: this daemon asks their
 //! replicas beside it, and answers with the merged records.
 
 use std::rc::Rc;
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -48,7 +48,7 @@
             self.router.borrow_mut().share_with(self.known.get());
             self.spare.borrow_mut().bound(rerun_part(slack, self.known.get()));
         }
-        let seen = peers.rows.iter().map(|row| (&row.host, &*row.zone, row.state == PeerState::Live));
+        let seen = peers.rows.iter().map(|row| (&row.host, &row.zone, row.state == PeerState::Live));
         self.router.borrow_mut().see_daemons(seen.filter(|(host, ..)| **host != self.settings.host));
         *self.peers.borrow_mut() = peers;
     }
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -14,12 +14,12 @@
 use crate::ports::Place;
 use crate::ports::Upstreams;
 
-/// How many connections to each upstream in the own region are kept ready.
+/// How many connections to each upstream in the own availability zone are kept ready.
 const READY: usize = 2;
 
-/// How many to each upstream in another region, which is asked directly only
+/// How many to each upstream in another availability zone, which is asked directly only
 /// where a group cannot be.
-const READY_FAR: usize = 1;
+const READY_AWAY: usize = 1;
 
 /// How long a new worker waits first: until it knows most of the fleet it takes
 /// itself for a member of cells that it is not in. Daemons speak to each other once
@@ -70,7 +70,7 @@
                 return false;
             }
             let address = searcher.spec().address;
-            let want = if router.is_far(searcher) { READY_FAR } else { READY };
+            let want = if router.is_away(searcher) { READY_AWAY } else { READY };
             (Place { upstream: Arc::clone(name), address }, searcher.share(), want)
         };
         let opening = self.ports.upstreams.warm(&place, share, want);
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -79,7 +79,7 @@
         let view = view(&set);
         let mut router = Router::new(Policy::Cost, budgets, 7, now).at(places());
         router.apply(&view);
-        router.see_daemons([(&host(), "b", live)]);
+        router.see_daemons([(&host(), &"b".into(), live)]);
         let rules = Rules {
             kind: "l".into(),
             repeatable: true,
@@ -297,11 +297,11 @@
     let mut world = World::start(true);
     let (kind, start) = ("l".into(), world.now);
     world.pass(300);
-    assert!(world.router.pick_relay("i", "r2", &kind, world.now).is_none(), "it has not answered for long");
+    assert!(world.router.pick_relay("i", "b", &kind, world.now).is_none(), "it has not answered for long");
     world.router.relays_mut().end(&host(), &kind, start, RelayVerdict::Silent, world.now);
-    assert!(world.router.pick_relay("i", "r2", &kind, world.now).is_none(), "it is left alone for a while");
+    assert!(world.router.pick_relay("i", "b", &kind, world.now).is_none(), "it is left alone for a while");
     let later = at(world.now, 1000);
-    assert_eq!(world.router.pick_relay("i", "r2", &kind, later), Some(host()));
+    assert_eq!(world.router.pick_relay("i", "b", &kind, later), Some(host()));
 }
 
 #[test]
