Hand no second member a request that bounds its attempts

Ruled out: retries within one member, which count attempts. Change: lookups with bounded attempts are not hedged over members.

--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -177,9 +177,14 @@
         async { handed.ends.recv().await.ok() }.or(timed).await
     }
 
+    /// Says whether a request may be handed to a second member while the first has
+    /// it: not where its lookup bounds the upstreams asked, since the two members
+    /// would choose theirs apart.
     fn may_hedge(&self, found: &Found) -> bool {
         let in_time = self.ports.clock.now() < found.deadline;
-        in_time && found.plan.lookup.repeatable && self.spare.borrow_mut().spend_hedge()
+        let lookup = &found.plan.lookup;
+        let may = lookup.repeatable && lookup.attempts.is_none();
+        in_time && may && self.spare.borrow_mut().spend_hedge()
     }
 
     fn may_retry(&self, handed: &Handed, found: &Found) -> bool {
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -12,6 +12,7 @@
 mod own_answer;
 mod planned_stop;
 mod site;
+mod site_cells;
 mod site_store;
 mod site_support;
 mod snapshot;
--- /dev/null
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -0,0 +1,138 @@
+//! Cells smaller than the fleet on the users' machines: opaque requests are handed
+//! to members.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use standin::Manner;
+
+use crate::site_support::Site;
+use crate::site_support::ask;
+use crate::site_support::records;
+use crate::support::Daemon;
+use crate::support::await_true;
+use harefield::adapters::http::Traffic;
+use harefield::adapters::peers::HttpPeers;
+use harefield::domain::code::Code;
+use harefield::domain::hlc::Stamp;
+use harefield::domain::outcome::Outcome;
+use harefield::domain::query::ByteQuery;
+use harefield::ports::Forward;
+use harefield::ports::Peers;
+
+fn ask_at(daemon: &Daemon, path: &str, id: &str, millis: u64) -> crate::site_support::Answer {
+    ask(daemon.addresses.callers, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: {millis}\r\n"))
+}
+
+/// Says whether a daemon asks upstreams itself.
+fn asks(daemon: &Daemon) -> bool {
+    daemon.status().workers.values().any(|worker| !worker.upstreams.is_empty())
+}
+
+fn members(site: &Site) -> usize {
+    site.daemons().filter(|daemon| asks(daemon)).count()
+}
+
+#[test]
+fn handed_whole() {
+    let site = Site::start_cells(4, 1);
+    await_true("one is the member", || members(&site) == 1);
+    for (number, daemon) in site.daemons().enumerate() {
+        let id = format!("w{number}");
+        let answer = ask_at(daemon, "/all/x", &id, 2000);
+        assert_eq!((answer.status, answer.header("missing-parts")), (200, "0"));
+        assert_eq!(answer.body, records(&[9, 8, 7, 3]));
+        assert_eq!(answer.header("part-seals").split(", ").count(), 3);
+        assert_eq!(site.runs(&id), 3, "each shard is asked once");
+        let answer = ask_at(daemon, "/one/x", &format!("o{number}"), 2000);
+        assert_eq!((answer.status, answer.header("x-own")), (200, "kept"));
+        assert_eq!(answer.body, records(&[5, 5]));
+    }
+}
+
+#[test]
+fn partial_when_handed() {
+    let site = Site::start_cells(3, 1);
+    site.searchers["i-s2"].set(Manner::Shed, Duration::ZERO);
+    for (number, daemon) in site.daemons().enumerate() {
+        let answer = ask_at(daemon, "/all/x", &format!("p{number}"), 2000);
+        let said = String::from_utf8_lossy(&answer.body);
+        assert_eq!((answer.status, answer.header("missing-parts")), (200, "1"), "daemon {number}: {said}");
+        assert_eq!(answer.body, records(&[9, 7, 3, 1]));
+    }
+}
+
+#[test]
+fn unsafe_handed_once() {
+    let site = Site::start_cells(3, 1);
+    for searcher in site.searchers.values() {
+        searcher.set(Manner::Good, Duration::from_millis(600));
+    }
+    for (number, daemon) in site.daemons().enumerate() {
+        let id = format!("u{number}");
+        assert_eq!(ask_at(daemon, "/one/once/x", &id, 900).status, 200);
+        assert_eq!(site.runs(&id), 1);
+    }
+}
+
+#[test]
+fn attempts_over_members() {
+    // A request that is slow at one member is not handed to the other: together
+    // they would ask more upstreams than the attempts of its lookup.
+    let mut site = Site::start_cells(3, 2);
+    for id in ["i-one2", "i-one3"] {
+        site.add("one", id, &[5, 5]);
+    }
+    for searcher in site.searchers.values() {
+        searcher.set(Manner::Good, Duration::from_secs(3));
+    }
+    for (number, daemon) in site.daemons().enumerate() {
+        let id = format!("a{number}");
+        assert_eq!(ask_at(daemon, "/one/x", &id, 900).status, 504);
+        assert!(site.runs(&id) <= 2, "{} runs", site.runs(&id));
+        let id = format!("b{number}");
+        assert_eq!(ask_at(daemon, "/all/x", &id, 900).status, 504);
+        assert_eq!(site.runs(&id), 3, "once at the one upstream of each shard");
+    }
+}
+
+#[test]
+fn newer_view_declined() {
+    let site = Site::start();
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let message = |revision| Forward {
+        from: "127.0.0.1:1".into(),
+        stamp: Stamp { micros: 0, count: 0 },
+        request: "n1".to_owned(),
+        lookup: "all".to_owned(),
+        query: Vec::new(),
+        opaque: Some(ByteQuery {
+            id: "n1".into(),
+            method: "GET".into(),
+            target: "/all/x".into(),
+            headers: vec![("attempt-id".into(), "n1".into())],
+            ..Default::default()
+        }),
+        ticket: None,
+        remaining: 1000,
+        gather: None,
+        revision: Some(revision),
+        again: false,
+    };
+    let host = site.daemon.addresses.peers.to_string().into();
+    let hand = |revision| {
+        let message = message(revision);
+        let (peers, host) = (peers.clone(), Arc::clone(&host));
+        async_io::block_on(executor.run(async move {
+            let handed = peers.forward(&host, &message, Duration::from_secs(5)).await;
+            handed.expect("it answers").answer
+        }))
+    };
+    let declined = hand(1_000_000);
+    assert_eq!((declined.outcome, declined.code), (Outcome::NotRun, Code::OlderView));
+    assert_eq!(site.runs("n1"), 0);
+    assert_eq!(hand(1).code, Code::Whole);
+}
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -29,35 +29,69 @@
     }
 }
 
-/// A store, upstreams by service, and one daemon.
+/// A store, upstreams by service, and daemons, the first of which is asked.
 pub struct Site {
     pub store: SiteStore,
     pub searchers: BTreeMap<String, SignedSearcher>,
     pub daemon: Daemon,
+    /// Daemons beside the first.
+    pub others: Vec<Daemon>,
 }
 
 impl Site {
     /// Starts a daemon that knows no configuration yet.
     pub fn bare() -> Self {
         let store = SiteStore::start();
-        let settings = format!(
-            "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
-             [peers]\njoin-ms = 200\n[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\nextra-slack = 50\n",
-            store.address()
-        );
-        Self { daemon: Daemon::start(&settings), store, searchers: BTreeMap::new() }
+        let daemon = Daemon::start(&settings(&store, "", ""));
+        Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() }
+    }
+
+    /// Starts daemons beside the first, which know it and have further settings of
+    /// their routing.
+    pub fn join(&mut self, count: usize, routing: &str) {
+        let seed = format!("seeds = [\"{}\"]\n", self.daemon.addresses.peers);
+        for _ in 0..count {
+            self.others.push(Daemon::start(&settings(&self.store, &seed, routing)));
+        }
     }
 
     /// Starts three shards `s1` to `s3`, one upstream each, and a service `one`.
     pub fn start() -> Self {
         let mut site = Self::bare();
+        site.fill();
+        site
+    }
+
+    /// Starts as many daemons, of which `members` may ask the upstreams of an index.
+    pub fn start_cells(count: usize, members: usize) -> Self {
+        let store = SiteStore::start();
+        let routing = format!("cell-size = {members}\n");
+        let daemon = Daemon::start(&settings(&store, "", &routing));
+        let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
+        site.join(count - 1, &routing);
+        site.fill();
+        let known = |daemon: &Daemon| daemon.status().peers.len() == count;
+        await_true("they know each other", || site.daemons().all(known));
+        let serves = |daemon: &Daemon| {
+            let headers = "Attempt-Id: r0\r\nDeadline-Remaining: 2000\r\n";
+            ask(daemon.addresses.callers, "/all/x", headers).status == 200
+        };
+        await_true("all have the configuration", || site.daemons().all(serves));
+        site
+    }
+
+    /// Returns all daemons, the first one first.
+    pub fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        std::iter::once(&self.daemon).chain(&self.others)
+    }
+
+    fn fill(&mut self) {
+        let site = self;
         for (service, records) in [("s1", [9, 1]), ("s2", [8, 2]), ("s3", [7, 3]), ("one", [5, 5])] {
             site.add(service, &format!("i-{service}"), &records);
         }
         site.publish(1, &routes());
         site.await_ready();
-        site
     }
 
     pub fn add(&mut self, service: &str, id: &str, records: &[u8]) {
@@ -98,6 +132,16 @@
     }
 }
 
+fn settings(store: &SiteStore, peers: &str, routing: &str) -> String {
+    format!(
+        "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+         operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
+         [peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\n\
+         extra-slack = 50\n{routing}",
+        store.address()
+    )
+}
+
 /// Bounds on callers' requests, as published.
 pub fn limits() -> Value {
     json!({ "headerBytes": 2048, "bodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 })
