Let a strong daemon be in more cells than a weak one

Cause: two cells of two over two strong and eight weak daemons put the second one on weak daemons alone: the bound rounded a strong one's part to one. Found by cells::strong_first, which failed first. Change: a strong daemon may be in as many cells as keep it no busier than the weakest in one. Tests of cells by zone, members' budgets, groups in a region.

--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -136,16 +136,19 @@
 }
 
 /// Assigns cells among some daemons, each of which is in no more cells than its
-/// capacity's part of all places, rounded up.
+/// capacity's part of all places, rounded up; a strong one may be in as many as keep
+/// it no busier than the weakest would be in one.
 fn assign_among<'a>(
     sizes: impl Iterator<Item = (&'a Arc<str>, usize)> + Clone,
     hosts: &[&Candidate],
 ) -> Vec<(&'a Arc<str>, Vec<HostId>)> {
     let places: usize = sizes.clone().map(|(_, size)| size.min(hosts.len())).sum();
     let carried: u64 = hosts.iter().map(|host| u64::from(host.capacity.max(1))).sum();
+    let weakest = hosts.iter().map(|host| host.capacity.max(1)).min().unwrap_or(1);
     let bound = |host: &Candidate| {
-        let part = places as u64 * u64::from(host.capacity.max(1));
-        usize::try_from(part.div_ceil(carried.max(1))).unwrap_or(usize::MAX).max(1)
+        let capacity = u64::from(host.capacity.max(1));
+        let part = (places as u64 * capacity).div_ceil(carried.max(1));
+        usize::try_from(part.max(capacity / u64::from(weakest))).unwrap_or(usize::MAX).max(1)
     };
     let mut held: HashMap<&HostId, usize> = HashMap::new();
     let mut cells = Vec::new();
--- a/crates/harefield/tests/decisions/budgets.rs
+++ b/crates/harefield/tests/decisions/budgets.rs
@@ -5,6 +5,7 @@
 use harefield::domain::routing::Budget;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::FleetSlack;
+use harefield::domain::routing::rerun_part;
 
 use crate::support::cases;
 
@@ -51,3 +52,30 @@
     }
     assert_eq!(sent, 1, "fifty daemons share fifty, and some is kept for those that start");
 }
+
+/// Returns how much is in hand for a service after much was earned.
+fn in_hand(budgets: &mut Budgets, shard: &str) -> u32 {
+    let shard = shard.into();
+    for _ in 0..10_000 {
+        budgets.of(&shard).earn();
+    }
+    let mut sent = 0;
+    while budgets.of(&shard).spend_retry() {
+        sent += 1;
+    }
+    sent
+}
+
+#[test]
+fn members_share_slack() {
+    let fleet = FleetSlack { share: 0.2, slack: 160.0 };
+    let mut budgets = Budgets::by_service(fleet, 60);
+    budgets.share_services(["s"].into_iter(), 12);
+    let member = in_hand(&mut budgets, "s/all");
+    assert_eq!(member, 8, "three fifths of the slack over twelve members");
+    let reruns = rerun_part(fleet.slack, 60) * 60.0;
+    assert!(f64::from(member) * 12.0 + reruns <= fleet.slack, "{reruns} for requests handed on again");
+    budgets.share_services(["s"].into_iter(), 6);
+    assert_eq!(in_hand(&mut budgets, "s/all"), 8, "members that are not seen now may spend all the same");
+    assert_eq!(in_hand(&mut budgets, "other/all"), 2, "four fifths over all sixty");
+}
--- a/crates/harefield/tests/decisions/cells.rs
+++ b/crates/harefield/tests/decisions/cells.rs
@@ -8,8 +8,10 @@
 
 use crate::support::cases;
 use crate::support::set;
+use harefield::domain::cell::Candidate;
 use harefield::domain::cell::CellSize;
 use harefield::domain::cell::assign;
+use harefield::domain::cell::assign_by_zone;
 use harefield::domain::cell::connection_share;
 use harefield::domain::cell::sizes as sizes_of;
 use harefield::domain::ids::HostId;
@@ -19,6 +21,22 @@
     (0..count).map(|n| format!("10.0.{}.{}:7200", n / 250, n % 250).into()).collect()
 }
 
+/// Makes a fleet of `strong` daemons of half a core and `weak` ones of an eighth in
+/// each of some availability zones.
+fn fleet(zones: usize, strong: usize, weak: usize) -> Vec<Candidate> {
+    let one = |zone: usize, n: usize| Candidate {
+        host: format!("10.{zone}.0.{n}:7200").into(),
+        zone: format!("zone-{zone}").into(),
+        capacity: if n < strong { 500 } else { 125 },
+        live: true,
+    };
+    (0..zones).flat_map(|zone| (0..strong + weak).map(move |n| one(zone, n))).collect()
+}
+
+fn is_strong(fleet: &[Candidate], host: &HostId) -> bool {
+    fleet.iter().any(|candidate| candidate.host == *host && candidate.capacity == 500)
+}
+
 fn sizes(count: usize, size: usize) -> BTreeMap<Arc<str>, usize> {
     (0..count).map(|n| (format!("index-{n:03}").into(), size)).collect()
 }
@@ -61,6 +79,29 @@
         prop_assert_eq!(pairs(&assign(&sizes, &reversed)), pairs(&cells));
     }
 
+    /// Each availability zone has its part of every cell, or all its daemons; those
+    /// that are seen not to answer are no part of it, and views of one fleet agree.
+    #[test]
+    fn zones_alike(zones in 1_usize..5, weak in 1_usize..12, size in 1_usize..20, silent in 0_usize..6) {
+        let mut fleet = fleet(zones, 2, weak);
+        for candidate in fleet.iter_mut().take(silent) {
+            candidate.live = false;
+        }
+        let live = fleet.iter().filter(|candidate| candidate.live).count();
+        let cells = assign_by_zone(&sizes(3, size), &fleet);
+        let part = if live <= size { usize::MAX } else { (size / zones).max(1) };
+        for cell in cells.values() {
+            for zone in 0..zones {
+                let inside = |c: &&Candidate| c.live && *c.zone == *format!("zone-{zone}");
+                let there = fleet.iter().filter(inside).count();
+                let members = fleet.iter().filter(inside).filter(|c| cell.contains(&c.host)).count();
+                prop_assert_eq!(members, part.min(there));
+            }
+        }
+        fleet.reverse();
+        prop_assert_eq!(pairs(&assign_by_zone(&sizes(3, size), &fleet)), pairs(&cells));
+    }
+
     /// Old and new members together keep within the connections.
     #[test]
     fn share_fits(connections in 1_u32..200, sharers in 1_u32..300) {
@@ -98,3 +139,30 @@
     let moved = after.difference(&before).count();
     assert!(moved <= 40, "{moved} new pairs of {}", before.len());
 }
+
+#[test]
+fn strong_first() {
+    let fleet = fleet(6, 2, 8);
+    let cells = assign_by_zone(&sizes(2, 15), &fleet);
+    for cell in cells.values() {
+        assert_eq!(cell.len(), 12, "two of each availability zone");
+        assert!(cell.iter().all(|host| is_strong(&fleet, host)));
+    }
+}
+
+#[test]
+fn silent_strong_kept() {
+    let mut fleet = fleet(1, 2, 8);
+    fleet[0].live = false;
+    let cells = assign_by_zone(&sizes(1, 2), &fleet);
+    let cell = &cells["index-000"];
+    assert_eq!(cell.len(), 3, "it may live all the same, and one joins the other");
+    assert!(cell.contains(&fleet[0].host) && cell.contains(&fleet[1].host));
+}
+
+#[test]
+fn small_fleet_everyone() {
+    let fleet = fleet(3, 1, 1);
+    let cells = assign_by_zone(&sizes(2, 7), &fleet);
+    assert!(cells.values().all(|cell| cell.len() == 6), "the connections are enough for all six");
+}
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -65,6 +65,11 @@
     }
 
     fn with(live: bool, replicas: usize, budgets: Budgets) -> Self {
+        Self::placed("b", live, replicas, budgets)
+    }
+
+    /// Starts with the shards but the first two, and the other daemon, in `zone`.
+    fn placed(zone: &str, live: bool, replicas: usize, budgets: Budgets) -> Self {
         let now = Instant::now();
         let mut values = values(SHARDS, replicas, &[7]);
         for (key, value) in &mut values {
@@ -72,14 +77,14 @@
                 && !key.starts_with("upstreams/u0-")
                 && !key.starts_with("upstreams/u1-");
             if far {
-                value["zone"] = "b".into();
+                value["zone"] = zone.into();
             }
         }
         let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
         let view = view(&set);
         let mut router = Router::new(Policy::Cost, budgets, 7, now).at(places());
         router.apply(&view);
-        router.see_daemons([(&host(), &"b".into(), live)]);
+        router.see_daemons([(&host(), &zone.into(), live)]);
         let rules = Rules {
             kind: "l".into(),
             repeatable: true,
@@ -178,6 +183,13 @@
     assert_eq!(direct, [0, 1], "those beside the daemon are asked directly");
 }
 
+#[test]
+fn region_shards_grouped() {
+    let world = World::placed("c", true, 2, Budgets::one(0.05));
+    assert_eq!(world.hands.len(), 1, "bytes between availability zones of a region cost too");
+    assert_eq!(world.hands[0].shards, [2, 3, 4, 5]);
+}
+
 #[test]
 fn nobody_to_hand_to() {
     let world = World::start(false);
