Add a fault soak: daemons as processes, proxies, signals, seeded

crates/soak starts daemons behind loopback proxies with stand-ins of the users' store and upstreams; draws kills, pauses, planned stops, reloads, cuts one way and both, resets, delays, a store that is down or forgets, upstreams that misbehave, leave or vanish, changes and new sets of shards; and checks the promises by what callers and upstreams saw. The daemon's name may differ from where it listens (listen.known-as).

--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -73,8 +73,11 @@
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
-    /// For other daemons; also the daemon's name, so it must be reachable.
+    /// For other daemons.
     pub peers: SocketAddr,
+    /// The address that other daemons reach that one at, which is also the daemon's
+    /// name; the same where none is given.
+    pub known_as: Option<SocketAddr>,
     /// For operators.
     pub operators: SocketAddr,
 }
@@ -82,7 +85,7 @@
 impl Default for Listen {
     fn default() -> Self {
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        Self { callers: at(7100), peers: at(7200), operators: at(7300) }
+        Self { callers: at(7100), peers: at(7200), known_as: None, operators: at(7300) }
     }
 }
 
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -113,7 +113,7 @@
         peers: local(&listeners.peers)?,
         operators: local(&listeners.operators)?,
     };
-    let host: HostId = addresses.peers.to_string().into();
+    let host: HostId = settings.listen.known_as.unwrap_or(addresses.peers).to_string().into();
     logs::start(settings.log.level, Arc::clone(&host))
         .unwrap_or_else(|_started| warn!("logging was started before"));
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,122 @@
+//! Callers: they send requests on kept connections to whichever daemon, and write
+//! down what became of each.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::client::Connection;
+use crate::client::Ending;
+use crate::ledger::Ledger;
+use crate::ledger::Request;
+use crate::ledger::Route;
+use crate::world::World;
+
+/// What a caller says it waits.
+const DEADLINE: Duration = Duration::from_millis(1500);
+
+/// How long it waits in truth: a daemon may not hold a request longer than its
+/// route's 1,000 ms and half a second; the rest is for a busy machine.
+const WAIT: Duration = Duration::from_millis(3500);
+
+/// The most requests that are sent on one connection.
+const MOST_KEPT: u32 = 20;
+
+/// How often each daemon is asked for the version in force.
+const WATCH_EVERY: Duration = Duration::from_millis(120);
+
+/// What all callers share.
+#[derive(Clone, Debug)]
+pub(crate) struct Calling {
+    pub world: Arc<World>,
+    pub ledger: Arc<Ledger>,
+    pub done: Arc<AtomicBool>,
+    pub seed: u64,
+}
+
+impl Calling {
+    /// Starts callers of any daemon, and one for each daemon that asks for the
+    /// version in force.
+    pub fn start(&self, callers: u64) -> Vec<JoinHandle<()>> {
+        let any = (0..callers).map(|number| {
+            let this = self.clone();
+            std::thread::spawn(move || this.call(number))
+        });
+        let watchers = (0..self.world.nodes.len()).map(|node| {
+            let this = self.clone();
+            std::thread::spawn(move || this.watch(node))
+        });
+        any.chain(watchers).collect()
+    }
+
+    fn is_done(&self) -> bool {
+        self.done.load(Ordering::SeqCst)
+    }
+
+    fn call(&self, number: u64) {
+        let mut random = StdRng::seed_from_u64(self.seed ^ (number + 1).wrapping_mul(0x9e37_79b9));
+        let mut asked = 0;
+        while !self.is_done() {
+            let daemon = random.random_range(0..self.world.nodes.len());
+            let Some(mut connection) = Connection::open(self.world.nodes[daemon].callers) else {
+                std::thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            for _ in 0..random.random_range(1..=MOST_KEPT) {
+                let route = match random.random_range(0..10) {
+                    0..6 => Route::All,
+                    6..8 => Route::One,
+                    _ => Route::Once,
+                };
+                asked += 1;
+                let id = format!("c{number}n{asked}");
+                if self.is_done() || !self.ask(&mut connection, daemon, route, id) {
+                    break;
+                }
+                std::thread::sleep(Duration::from_millis(random.random_range(2..25)));
+            }
+        }
+    }
+
+    fn watch(&self, daemon: usize) {
+        let mut asked = 0;
+        while !self.is_done() {
+            std::thread::sleep(WATCH_EVERY);
+            asked += 1;
+            if let Some(mut connection) = Connection::open(self.world.nodes[daemon].callers) {
+                self.ask(&mut connection, daemon, Route::Version, format!("w{daemon}n{asked}"));
+            }
+        }
+    }
+
+    /// Sends one request; returns whether the connection may carry another.
+    fn ask(&self, connection: &mut Connection, daemon: usize, route: Route, id: String) -> bool {
+        let path = match route {
+            Route::All => "/all/x",
+            Route::One => "/one/x",
+            Route::Once => "/one/once/x",
+            Route::Version => "/version/x",
+        };
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: {}\r\n\r\n",
+            DEADLINE.as_millis()
+        );
+        let node = &self.world.nodes[daemon];
+        let (life, sent) = (node.life(), Instant::now());
+        let ending = connection.ask(&head, WAIT);
+        let kept = match &ending {
+            Ending::Answered(answer) => !answer.header("connection").eq_ignore_ascii_case("close"),
+            _ => false,
+        };
+        let request = Request { id, route, daemon, life, sent, ended: Instant::now(), ending };
+        self.ledger.pages().requests.push(request);
+        kept
+    }
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,249 @@
+//! What goes wrong: drawn one after the other from the seed, each on a thread of
+//! its own, so that they overlap.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rustix::process::Signal;
+use standin::Manner as Conduct;
+
+use crate::ledger::Kind;
+use crate::ledger::Leaving;
+use crate::ledger::Ledger;
+use crate::proxy::Manner;
+use crate::proxy::Proxy;
+use crate::world::Node;
+use crate::world::World;
+
+/// How long a daemon is given after its start or wake before it is counted as well.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// How long a planned stop may take: the limit of 5.5 s, and a busy machine.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+
+/// How long an upstream serves on after it said that it leaves.
+const SERVES_ON: Duration = Duration::from_millis(3800);
+
+/// One thing that goes wrong.
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    Pause(usize),
+    Stop(usize),
+    Reload(usize),
+    StoreLink(usize, Link),
+    StoreDown,
+    StoreForgets,
+    PeerLink(usize, Link),
+    UpstreamLink(String, Link),
+    Conduct(String, Conduct, Duration),
+    Drain(String),
+    Vanish(String),
+    Change,
+    Reshard(usize),
+}
+
+/// What is done to a way.
+#[derive(Clone, Copy, Debug)]
+enum Link {
+    Is(Manner),
+    Reset,
+}
+
+/// Draws and carries out what goes wrong.
+#[derive(Clone, Debug)]
+pub(crate) struct Faults {
+    pub world: Arc<World>,
+    pub ledger: Arc<Ledger>,
+}
+
+impl Faults {
+    /// Lets things go wrong until `until`; returns what is still under way.
+    pub fn run(&self, seed: u64, until: Instant) -> Vec<JoinHandle<()>> {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut under_way = Vec::new();
+        while Instant::now() < until {
+            let fault = self.draw(&mut random);
+            let time = Duration::from_millis(random.random_range(100..2200));
+            println!("fault {fault:?} for {time:?}");
+            let this = self.clone();
+            under_way.push(std::thread::spawn(move || this.carry_out(fault, time)));
+            std::thread::sleep(Duration::from_millis(random.random_range(30..600)));
+        }
+        under_way
+    }
+
+    fn draw(&self, random: &mut StdRng) -> Fault {
+        let node = random.random_range(0..self.world.nodes.len());
+        let present = self.world.present();
+        let upstream = present.choose(random).cloned().unwrap_or_default();
+        match random.random_range(0..24) {
+            0 => Fault::Kill(node),
+            1 | 2 => Fault::Pause(node),
+            3 | 4 => Fault::Stop(node),
+            5 => Fault::Reload(node),
+            6 | 7 => Fault::StoreLink(node, draw_link(random)),
+            8 => Fault::StoreDown,
+            9 => Fault::StoreForgets,
+            10 | 11 => Fault::PeerLink(node, draw_link(random)),
+            12..15 => Fault::UpstreamLink(upstream, draw_link(random)),
+            15..18 => {
+                let conducts =
+                    [Conduct::Shed, Conduct::Fail, Conduct::Crossed, Conduct::Unsigned, Conduct::Good];
+                let delay = Duration::from_millis(random.random_range(0..500));
+                Fault::Conduct(upstream, *conducts.choose(random).unwrap_or(&Conduct::Good), delay)
+            }
+            18 | 19 => Fault::Drain(upstream),
+            20 => Fault::Vanish(upstream),
+            21 | 22 => Fault::Change,
+            _ => Fault::Reshard(random.random_range(4..9)),
+        }
+    }
+
+    fn carry_out(&self, fault: Fault, time: Duration) {
+        match fault {
+            Fault::Kill(node) => self.on_process(node, Kind::Daemon(node), |held| {
+                held.kill();
+                std::thread::sleep(time);
+                self.world.restart(held);
+                std::thread::sleep(SETTLE);
+            }),
+            Fault::Pause(node) => self.on_process(node, Kind::Daemon(node), |held| {
+                held.signal(Signal::STOP);
+                std::thread::sleep(time);
+                held.signal(Signal::CONT);
+                std::thread::sleep(SETTLE);
+            }),
+            Fault::Stop(node) => self.on_process(node, Kind::Stop(node), |held| {
+                held.signal(Signal::TERM);
+                if !held.await_end(STOP_LIMIT) {
+                    println!("daemon {node} did not end in time");
+                    held.kill();
+                }
+                std::thread::sleep(time);
+                self.world.restart(held);
+                std::thread::sleep(SETTLE);
+            }),
+            Fault::Reload(node) => self.world.nodes[node].signal(Signal::HUP),
+            Fault::StoreLink(node, link) => {
+                self.on_link(Kind::Store, &self.world.nodes[node].store, link, time);
+            }
+            Fault::StoreDown => self.during(Kind::Store, || {
+                self.world.store.set_down(true);
+                std::thread::sleep(time);
+                self.world.store.set_down(false);
+            }),
+            Fault::StoreForgets => self.world.store.forget(),
+            Fault::PeerLink(node, link) => {
+                self.on_link(Kind::Peers, &self.world.nodes[node].peers, link, time);
+            }
+            Fault::UpstreamLink(name, link) => {
+                if let Some(upstream) = self.world.upstream(&name) {
+                    self.on_link(Kind::Upstreams, &upstream.proxy, link, time);
+                }
+            }
+            Fault::Conduct(name, conduct, delay) => {
+                if let Some(upstream) = self.world.upstream(&name) {
+                    upstream.inner.set(conduct, delay);
+                    std::thread::sleep(time);
+                    upstream.inner.set(Conduct::Good, Duration::ZERO);
+                }
+            }
+            Fault::Drain(name) => self.replace(&name, true),
+            Fault::Vanish(name) => self.replace(&name, false),
+            Fault::Change => {
+                self.world.publish(None, &self.ledger);
+            }
+            Fault::Reshard(count) => self.reshard(count, time),
+        }
+    }
+
+    /// Does something to a daemon's process, unless something is done to it.
+    fn on_process(&self, node: usize, kind: Kind, act: impl FnOnce(&Node)) {
+        let held = &self.world.nodes[node];
+        if held.busy.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.during(kind, || act(held));
+        held.busy.store(false, Ordering::SeqCst);
+    }
+
+    fn on_link(&self, kind: Kind, proxy: &Proxy, link: Link, time: Duration) {
+        self.during(kind, || match link {
+            Link::Is(manner) => {
+                proxy.set(manner);
+                std::thread::sleep(time);
+                proxy.set(Manner::Pass);
+            }
+            Link::Reset => proxy.reset(),
+        });
+    }
+
+    fn during(&self, kind: Kind, act: impl FnOnce()) {
+        let number = self.ledger.begin(kind);
+        act();
+        self.ledger.end(number);
+    }
+
+    /// Lets an upstream leave, by its own word or without any, and another one of
+    /// its service take its place.
+    fn replace(&self, name: &str, says: bool) {
+        let Some(upstream) = self.world.upstream(name) else { return };
+        // What belongs to one version alone has no replica.
+        if upstream.service.starts_with("version-") || !self.world.take_leave(name) {
+            return;
+        }
+        self.world.add(&upstream.service, upstream.zone, &upstream.records);
+        if says {
+            std::thread::sleep(Duration::from_millis(300));
+            self.leave(&[name.to_owned()]);
+        } else {
+            upstream.proxy.set(Manner::Refuse);
+            upstream.proxy.reset();
+            self.world.unlist(name);
+        }
+    }
+
+    fn leave(&self, names: &[String]) {
+        for name in names {
+            self.world.list(name, "draining");
+            self.ledger.pages().leaving.push(Leaving { id: name.clone(), at: Instant::now() });
+        }
+        std::thread::sleep(SERVES_ON);
+        for name in names {
+            self.world.unlist(name);
+        }
+    }
+
+    fn reshard(&self, count: usize, time: Duration) {
+        let next = self.world.make_shards(count);
+        std::thread::sleep(time);
+        let before = self.world.publish(Some(next), &self.ledger);
+        // The old upstreams leave once the new version is due everywhere.
+        std::thread::sleep(Duration::from_secs(3));
+        let of_before = |name: &String| {
+            self.world.upstream(name).is_some_and(|upstream| before.contains(&upstream.service))
+        };
+        let leaving: Vec<String> = self.world.present().into_iter().filter(of_before).collect();
+        let leaving: Vec<String> = leaving.into_iter().filter(|name| self.world.take_leave(name)).collect();
+        self.leave(&leaving);
+    }
+}
+
+fn draw_link(random: &mut StdRng) -> Link {
+    match random.random_range(0..6) {
+        0 => Link::Reset,
+        1 => Link::Is(Manner::Refuse),
+        2 => Link::Is(Manner::Delay(Duration::from_millis(random.random_range(5..150)))),
+        3 => Link::Is(Manner::Silent { there: true, back: false }),
+        4 => Link::Is(Manner::Silent { there: false, back: true }),
+        _ => Link::Is(Manner::Silent { there: true, back: true }),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/ledger.rs
@@ -0,0 +1,125 @@
+//! What callers saw, and what was done to the world meanwhile.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::client::Ending;
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// All shards, merged.
+    All,
+    /// One upstream; may be repeated.
+    One,
+    /// One upstream; must not run twice.
+    Once,
+    /// The upstream that belongs to the version in force.
+    Version,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub id: String,
+    pub route: Route,
+    /// The daemon that it was sent to.
+    pub daemon: usize,
+    /// Which of that daemon's processes.
+    pub life: u64,
+    pub sent: Instant,
+    pub ended: Instant,
+    pub ending: Ending,
+}
+
+/// What a disturbance strikes, for the checks that make allowance for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A daemon was paused or killed.
+    Daemon(usize),
+    /// A daemon is stopped as planned.
+    Stop(usize),
+    /// What daemons say to each other.
+    Peers,
+    /// The store, for one daemon or all.
+    Store,
+    /// Upstreams, or the way to them.
+    Upstreams,
+}
+
+/// A time in which something was disturbed.
+#[derive(Clone, Debug)]
+pub(crate) struct Disturbance {
+    pub kind: Kind,
+    pub from: Instant,
+    /// Open until it is over.
+    pub until: Option<Instant>,
+}
+
+/// A configuration as it was accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct Published {
+    pub version: u64,
+    pub at: Instant,
+    /// The services of the merged route.
+    pub shards: Vec<String>,
+}
+
+/// An upstream that was declared to be leaving.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    pub id: String,
+    pub at: Instant,
+}
+
+/// Everything that was written down.
+#[derive(Debug, Default)]
+pub(crate) struct Pages {
+    pub requests: Vec<Request>,
+    pub disturbances: Vec<Disturbance>,
+    pub published: Vec<Published>,
+    pub leaving: Vec<Leaving>,
+}
+
+impl Pages {
+    /// Says whether anything of the kinds chosen was disturbed between two
+    /// moments, or within `after` before.
+    pub fn disturbed(
+        &self,
+        from: Instant,
+        until: Instant,
+        after: Duration,
+        of: impl Fn(Kind) -> bool,
+    ) -> bool {
+        let touches = |d: &Disturbance| d.from <= until && d.until.is_none_or(|end| end + after >= from);
+        self.disturbances.iter().any(|d| of(d.kind) && touches(d))
+    }
+}
+
+/// What all threads write to.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    pages: Mutex<Pages>,
+}
+
+impl Ledger {
+    /// Returns everything that was written down until now.
+    pub fn pages(&self) -> MutexGuard<'_, Pages> {
+        self.pages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a disturbance begins; returns its number.
+    pub fn begin(&self, kind: Kind) -> usize {
+        let mut pages = self.pages();
+        pages.disturbances.push(Disturbance { kind, from: Instant::now(), until: None });
+        pages.disturbances.len() - 1
+    }
+
+    /// Notes that a disturbance is over.
+    pub fn end(&self, number: usize) {
+        self.pages().disturbances[number].until = Some(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,80 @@
+//! The `soak` program: plays seeds one after the other, and says which promises broke.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use soak::Soak;
+use soak::play;
+
+const HELP: &str = "\
+soak: harefield's daemons as processes, with faults from outside
+
+Usage: soak [--seed N] [--count N] [--seconds N] [--daemons N] [--callers N]
+            [--shards N] [--program FILE] [--folder DIR]
+
+Plays `count` seeds from `seed` on, each for `seconds` and what its faults take to
+end. Logs of seeds that broke a promise stay in the folder. Ends with 1 where one did.
+";
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> Result<ExitCode, Failure> {
+    let Some((first, count)) = read()? else {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let mut failed = Vec::new();
+    for seed in first.seed..first.seed + count {
+        let folder = first.folder.join(format!("seed-{seed}"));
+        let soak = Soak { seed, folder: folder.clone(), ..first.clone() };
+        let report = play(&soak);
+        println!("seed {seed}: {} of {} requests served", report.served, report.requests);
+        for broken in &report.broken {
+            println!("seed {seed}: BROKEN {broken}");
+        }
+        if report.broken.is_empty() {
+            std::fs::remove_dir_all(&folder)?;
+        } else {
+            failed.push(seed);
+        }
+    }
+    println!("{count} seeds, {} with a promise broken: {failed:?}", failed.len());
+    Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn read() -> Result<Option<(Soak, u64)>, Failure> {
+    let beside = std::env::current_exe()?.with_file_name("harefield");
+    let mut soak = Soak {
+        seed: 1,
+        time: Duration::from_secs(12),
+        daemons: 5,
+        callers: 8,
+        shards: 6,
+        program: beside,
+        folder: PathBuf::from("target/soak"),
+    };
+    let mut count = 1;
+    let mut parser = Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("seed") => soak.seed = parser.value()?.parse()?,
+            Arg::Long("count") => count = parser.value()?.parse()?,
+            Arg::Long("seconds") => soak.time = Duration::from_secs(parser.value()?.parse()?),
+            Arg::Long("daemons") => soak.daemons = parser.value()?.parse()?,
+            Arg::Long("callers") => soak.callers = parser.value()?.parse()?,
+            Arg::Long("shards") => soak.shards = parser.value()?.parse()?,
+            Arg::Long("program") => soak.program = parser.value()?.into(),
+            Arg::Long("folder") => soak.folder = parser.value()?.into(),
+            Arg::Long("help") | Arg::Short('h') => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if soak.daemons == 0 || soak.shards == 0 || soak.callers == 0 {
+        return Err("--daemons, --callers and --shards must be at least 1".into());
+    }
+    Ok(Some((soak, count)))
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,191 @@
+//! A loopback proxy before one address, which delays, resets, silences or refuses
+//! what goes through it.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+
+/// How often held bytes look whether they may go on.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// Bytes read at a time.
+const CHUNK: usize = 16 << 10;
+
+/// What a proxy does to what goes through it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Manner {
+    /// It hands everything on.
+    #[default]
+    Pass,
+    /// It hands everything on later.
+    Delay(Duration),
+    /// It holds bytes in some directions, and new connections with them.
+    Silent {
+        /// Whether what callers send is held.
+        there: bool,
+        /// Whether what is answered is held.
+        back: bool,
+    },
+    /// It closes new connections at once.
+    Refuse,
+}
+
+#[derive(Debug)]
+struct State {
+    manner: Manner,
+    target: SocketAddr,
+    /// Closed and replaced to end all connections.
+    alive: (Sender<()>, Receiver<()>),
+}
+
+/// A proxy; it serves until the process ends.
+#[derive(Clone, Debug)]
+pub(crate) struct Proxy {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+}
+
+/// A proxy's listener on its way to the thread that serves it.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    listener: TcpListener,
+    proxy: Proxy,
+}
+
+#[derive(Clone, Copy)]
+enum Way {
+    There,
+    Back,
+}
+
+impl Proxy {
+    /// Opens a proxy before an address, on the thread that serves all proxies.
+    pub fn open(target: SocketAddr, serving: &Sender<Opened>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let state = State { manner: Manner::Pass, target, alive: async_channel::bounded(1) };
+        let proxy = Self { state: Arc::new(Mutex::new(state)), address };
+        let opened = Opened { listener, proxy: proxy.clone() };
+        serving.send_blocking(opened).expect("the proxies' thread runs");
+        proxy
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what it does from now on.
+    pub fn set(&self, manner: Manner) {
+        self.lock().manner = manner;
+    }
+
+    /// Ends all connections.
+    pub fn reset(&self) {
+        let mut state = self.lock();
+        state.alive.0.close();
+        state.alive = async_channel::bounded(1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn manner(&self) -> Manner {
+        self.lock().manner
+    }
+
+    async fn serve(self, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+        let listener = Async::new(listener).expect("it can be polled");
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(LOOK_EVERY).await;
+                continue;
+            };
+            executor.spawn(self.clone().carry(stream)).detach();
+        }
+    }
+
+    async fn carry(self, caller: Async<TcpStream>) {
+        if self.manner() == Manner::Refuse {
+            return;
+        }
+        let (target, alive) = {
+            let state = self.lock();
+            (state.target, state.alive.1.clone())
+        };
+        let carried = async {
+            self.pause(Way::There).await;
+            let Ok(upstream) = Async::<TcpStream>::connect(target).await else { return };
+            let there = self.copy(&caller, &upstream, Way::There);
+            let back = self.copy(&upstream, &caller, Way::Back);
+            futures_lite::future::zip(there, back).await;
+        };
+        let ended = async {
+            let _ = alive.recv().await;
+        };
+        carried.or(ended).await;
+    }
+
+    async fn copy(&self, from: &Async<TcpStream>, to: &Async<TcpStream>, way: Way) {
+        let (mut reader, mut writer) = (from, to);
+        let mut chunk = vec![0; CHUNK];
+        while let Ok(count) = reader.read(&mut chunk).await {
+            self.pause(way).await;
+            if count == 0 || writer.write_all(&chunk[..count]).await.is_err() {
+                break;
+            }
+        }
+        // The other side learns that no more comes.
+        let _ = to.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+
+    async fn pause(&self, way: Way) {
+        loop {
+            let held = match (self.manner(), way) {
+                (Manner::Delay(time), _) => {
+                    Timer::after(time).await;
+                    return;
+                }
+                (Manner::Silent { there, .. }, Way::There) => there,
+                (Manner::Silent { back, .. }, Way::Back) => back,
+                (Manner::Pass | Manner::Refuse, _) => false,
+            };
+            if !held {
+                return;
+            }
+            Timer::after(LOOK_EVERY).await;
+        }
+    }
+}
+
+/// Starts the thread that serves all proxies.
+pub(crate) fn start() -> Sender<Opened> {
+    let (sender, opened) = async_channel::unbounded::<Opened>();
+    let serve = move || {
+        let executor: Rc<LocalExecutor<'static>> = Rc::default();
+        let accept = async {
+            while let Ok(Opened { listener, proxy }) = opened.recv().await {
+                executor.spawn(proxy.serve(listener, Rc::clone(&executor))).detach();
+            }
+        };
+        async_io::block_on(executor.run(accept));
+    };
+    std::thread::Builder::new().name("proxies".to_owned()).spawn(serve).expect("a thread can be started");
+    sender
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -30,3 +30,4 @@
 pub use site::Manner;
 pub use site::SignedSearcher;
 pub use site::SiteStore;
+pub use site::entry_at;
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use base64::Engine;
@@ -35,6 +36,8 @@
     revision: u64,
     /// Each change with its revision; none where the key was taken away.
     log: Vec<(u64, String, Option<String>)>,
+    /// Changes up to this revision are no longer told to watches.
+    forgotten: u64,
     down: bool,
 }
 
@@ -76,6 +79,12 @@
         state.log.push((revision, key.to_owned(), text));
     }
 
+    /// Forgets what changed until now: watches that are behind are told so.
+    pub fn forget(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.revision;
+    }
+
     /// Says whether it answers.
     pub fn set_down(&self, down: bool) {
         lock(&self.state).down = down;
@@ -138,6 +147,9 @@
     for _ in 0..=(wait / 10) {
         {
             let store = lock(state);
+            if after < store.forgotten {
+                return net::json(410, &json!({}));
+            }
             let newer: Vec<Value> =
                 store.log.iter().filter(|(revision, ..)| *revision > after).map(event).collect();
             if !newer.is_empty() || store.down {
@@ -177,7 +189,7 @@
 struct Shared {
     manner: Manner,
     delay: Duration,
-    runs: Vec<String>,
+    runs: Vec<(Instant, String)>,
     finished: Vec<String>,
 }
 
@@ -216,10 +228,7 @@
     /// Returns its entry in the store, as a service's upstream.
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> Value {
-        json!({
-            "service": service, "address": self.address.to_string(), "zone": "hall", "version": "v1",
-            "slots": 2, "state": state, "coldRemainingMs": 0, "sequence": 1,
-        })
+        entry_at(self.address, "hall", service, state)
     }
 
     /// Returns its key in the store.
@@ -238,9 +247,27 @@
     /// Returns the ids of the requests that it ran, in order.
     #[must_use]
     pub fn runs(&self) -> Vec<String> {
+        lock(&self.shared).runs.iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Returns when each request that it ran came, with its id, in order.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
         lock(&self.shared).runs.clone()
     }
 
+    /// Returns its own name.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the ids of the requests that it worked on to the end: a request
     /// whose connection closes is dropped.
     #[must_use]
@@ -263,7 +290,7 @@
             return reply(StatusCode::SERVICE_UNAVAILABLE, &[("not-executed", "1")], Vec::new());
         }
         let id = header("attempt-id");
-        lock(&self.shared).runs.push(id.clone());
+        lock(&self.shared).runs.push((Instant::now(), id.clone()));
         Timer::after(delay).await;
         lock(&self.shared).finished.push(id.clone());
         let signature = format!("{}.{id}", self.id);
@@ -277,6 +304,15 @@
     }
 }
 
+/// Returns the entry of an upstream that is reached at an address.
+#[must_use]
+pub fn entry_at(address: SocketAddr, zone: &str, service: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": zone, "version": "v1",
+        "slots": 2, "state": state, "coldRemainingMs": 0, "sequence": 1,
+    })
+}
+
 fn reply(status: StatusCode, headers: &[(&'static str, &str)], body: Vec<u8>) -> Reply {
     let mut reply = Response::new(Full::from(Bytes::from(body)));
     *reply.status_mut() = status;
