End the wait for a handed request without spinning

Cause: a daemon that is paused past the deadline of a request that it has handed on found both its times passed at its wake, and asked for the next end again and again without ever letting its executor run: the worker hung for good. Ruled out: the lease (its confirmation was never asked for), the control duty (it went on). Change: once the time of the second member has passed, only ends are awaited. Test: forwarding::paused_while_handed, seen failing (40 s, never served again) and passing.

--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -126,10 +126,11 @@
         let mut handed = Handed::new();
         self.spare.borrow_mut().earn();
         self.hand_on(&mut handed, request, found, trace);
-        let mut hedge_at = found.start + found.deadline.saturating_duration_since(found.start) / 2;
+        // Once that time has passed, only ends are awaited, which come by themselves.
+        let mut hedge_at = Some(found.start + found.deadline.saturating_duration_since(found.start) / 2);
         while handed.under_way > 0 {
             let Some(ended) = self.next_end(&handed, hedge_at).await else {
-                hedge_at = found.deadline + TRAVEL * 2;
+                hedge_at = None;
                 if self.may_hedge(found) {
                     self.hand_on(&mut handed, request, found, trace);
                 }
@@ -169,9 +170,13 @@
         ended.result
     }
 
-    async fn next_end(&self, handed: &Handed, until: Instant) -> Option<Ended> {
+    /// Returns the next end; none where `until` passes first.
+    async fn next_end(&self, handed: &Handed, until: Option<Instant>) -> Option<Ended> {
         let timed = async {
-            self.ports.clock.sleep_until(until).await;
+            match until {
+                Some(until) => self.ports.clock.sleep_until(until).await,
+                None => std::future::pending().await,
+            }
             None
         };
         async { handed.ends.recv().await.ok() }.or(timed).await
--- a/crates/harefield/tests/processes/forwarding.rs
+++ b/crates/harefield/tests/processes/forwarding.rs
@@ -79,6 +79,30 @@
     }
 }
 
+#[test]
+fn paused_while_handed() {
+    // A daemon that is paused past the deadline of what it has handed on serves again.
+    let world = World::start(3, "[routing]\ncell-size = 1\n");
+    for daemon in 0..3 {
+        world.query(daemon);
+    }
+    await_true("they report", || members(&world).len() == 1);
+    let inside = members(&world)[0];
+    let outside = (0..3).find(|n| *n != inside).expect("two are outside");
+    world.searchers.change_all(|b| b.service_ms = 2500.0);
+    let to = world.daemons[outside].addresses.callers;
+    let asker = thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })));
+    await_true("it runs", || world.searchers.tally().ran > 9);
+    world.daemons[outside].signal("STOP");
+    thread::sleep(Duration::from_millis(3000));
+    world.daemons[outside].signal("CONT");
+    drop(asker.join().expect("no panic"));
+    world.searchers.change_all(|b| b.service_ms = 1.0);
+    await_true("it serves", || {
+        ask(to, "parcels", &json!({ "query": 2 })).is_some_and(|answer| answer.code == Code::Whole)
+    });
+}
+
 #[test]
 fn ticket_of_member() {
     let world = World::start(4, "[routing]\ncell-size = 1\n");
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,22 +13,25 @@
 const HELP: &str = "\
 soak: harefield's daemons as processes, with faults from outside
 
-Usage: soak [--seed N] [--count N] [--seconds N] [--daemons N] [--callers N]
-            [--shards N] [--program FILE] [--folder DIR]
+Usage: soak [--seed N] [--count N] [--kept] [--seconds N] [--daemons N]
+            [--callers N] [--shards N] [--program FILE] [--folder DIR]
 
-Plays `count` seeds from `seed` on, each for `seconds` and what its faults take to
-end. Logs of seeds that broke a promise stay in the folder. Ends with 1 where one did.
+Plays `count` seeds from `seed` on, or those kept in seeds.txt, each for `seconds` and
+what its faults take to end. Logs of seeds that broke a promise stay in the folder. Ends with 1 where one did.
 ";
 
+/// The seeds that broke a promise once, with their causes.
+const SEEDS: &str = include_str!("../seeds.txt");
+
 type Failure = Box<dyn std::error::Error>;
 
 fn main() -> Result<ExitCode, Failure> {
-    let Some((first, count)) = read()? else {
+    let Some((first, seeds)) = read()? else {
         print!("{HELP}");
         return Ok(ExitCode::SUCCESS);
     };
     let mut failed = Vec::new();
-    for seed in first.seed..first.seed + count {
+    for seed in seeds.iter().copied() {
         let folder = first.folder.join(format!("seed-{seed}"));
         let soak = Soak { seed, folder: folder.clone(), ..first.clone() };
         let report = play(&soak);
@@ -42,11 +45,18 @@
             failed.push(seed);
         }
     }
-    println!("{count} seeds, {} with a promise broken: {failed:?}", failed.len());
+    println!("{} seeds, {} with a promise broken: {failed:?}", seeds.len(), failed.len());
     Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn read() -> Result<Option<(Soak, u64)>, Failure> {
+/// Returns the seeds that broke a promise once.
+fn kept() -> Result<Vec<u64>, Failure> {
+    let lines = SEEDS.lines().filter(|line| !line.starts_with('#'));
+    let numbers = lines.map(|line| line.split(' ').next().unwrap_or("").parse());
+    Ok(numbers.collect::<Result<_, _>>()?)
+}
+
+fn read() -> Result<Option<(Soak, Vec<u64>)>, Failure> {
     let beside = std::env::current_exe()?.with_file_name("harefield");
     let mut soak = Soak {
         seed: 1,
@@ -58,10 +68,12 @@
         folder: PathBuf::from("target/soak"),
     };
     let mut count = 1;
+    let mut only_kept = false;
     let mut parser = Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("seed") => soak.seed = parser.value()?.parse()?,
+            Arg::Long("kept") => only_kept = true,
             Arg::Long("count") => count = parser.value()?.parse()?,
             Arg::Long("seconds") => soak.time = Duration::from_secs(parser.value()?.parse()?),
             Arg::Long("daemons") => soak.daemons = parser.value()?.parse()?,
@@ -76,5 +88,6 @@
     if soak.daemons == 0 || soak.shards == 0 || soak.callers == 0 {
         return Err("--daemons, --callers and --shards must be at least 1".into());
     }
-    Ok(Some((soak, count)))
+    let seeds = if only_kept { kept()? } else { (soak.seed..soak.seed + count).collect() };
+    Ok(Some((soak, seeds)))
 }
