--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -112,6 +112,8 @@
     pub(super) lapsed: RefCell<Lapsed>,
     /// Whether a task waits to take them out.
     pub(super) lapsing: Cell<bool>,
+    /// When news were last pulled from another daemon.
+    pub(super) pulled: Cell<Option<Instant>>,
     /// When the platform last came back.
     pub(super) regained: Cell<Option<Instant>>,
     /// Since when the platform has not answered; none while it does.
@@ -153,6 +155,7 @@
             seeds,
             lapsed: RefCell::default(),
             lapsing: Cell::new(false),
+            pulled: Cell::new(None),
             regained: Cell::new(None),
             lost: Cell::new(None),
             cursor: Cell::new(0),
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -8,6 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::duty::Control;
+use super::reader::FOLD_PAUSE;
 use crate::domain::event::Event;
 use crate::domain::ids::HostId;
 use crate::domain::routing::Distance;
@@ -152,16 +153,25 @@
         if mark.revision > self.revision(mark.space) && self.hears_platform() {
             self.ports.clock.sleep(PULL_PATIENCE).await;
         }
+        self.await_pull_turn().await;
         let have = self.revision(mark.space);
         if mark.revision <= have {
             return;
         }
+        self.pulled.set(Some(self.ports.clock.now()));
         let pull = Pull { space: mark.space, have };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_LIMIT).await {
             self.learn(mark.space, news, host);
         }
     }
 
+    /// Waits until some time after the last pull: each pull brings all news there
+    /// are, and each makes a new view.
+    async fn await_pull_turn(&self) {
+        let Some(last) = self.pulled.get().filter(|_| self.joined.get()) else { return };
+        self.ports.clock.sleep_until(last + FOLD_PAUSE).await;
+    }
+
     /// Returns whether this daemon holds the watch itself and it works, so that
     /// the platform tells it what others have told first.
     fn hears_platform(&self) -> bool {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -40,7 +40,7 @@
 /// The pause after news before the watch is held again: upstreams that register
 /// one by one then come together, and each call costs. It is a tenth of the 3 s
 /// within which a change is to be in force.
-const FOLD_PAUSE: Duration = Duration::from_millis(300);
+pub(super) const FOLD_PAUSE: Duration = Duration::from_millis(300);
 
 /// How often a daemon that is not a reader looks whether it has become one.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
@@ -196,24 +196,26 @@
 
     /// Takes changes in order; what they lead to is told once.
     fn take_deltas(self: &Rc<Self>, space: Space, deltas: &[Delta]) {
-        let mut newer = false;
-        for delta in deltas {
-            if space == Space::Hosts {
-                newer |= self.apply_hosts(delta);
-                continue;
-            }
-            let offer = self.config.borrow_mut().offer(delta);
-            match offer {
-                Offer::Accepted => newer = true,
-                Offer::Old => {}
-                Offer::Refused(_) => self.judged(&offer),
-            }
-        }
+        let newer = match space {
+            Space::Config => self.offer_deltas(deltas),
+            Space::Hosts => deltas.iter().filter(|delta| self.apply_hosts(delta)).count() > 0,
+        };
         if newer {
             self.changed(space, "platform");
         }
     }
 
+    /// Offers changes of the configuration; returns whether any was accepted.
+    fn offer_deltas(self: &Rc<Self>, deltas: &[Delta]) -> bool {
+        let offers = self.config.borrow_mut().offer_many(deltas);
+        for offer in &offers {
+            if let Offer::Refused(_) = offer {
+                self.judged(offer);
+            }
+        }
+        offers.contains(&Offer::Accepted)
+    }
+
     /// Notes that nothing else has changed up to a revision, if what changed
     /// before it was taken.
     fn advance_cursor(&self, space: Space, at: Revision) {
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -96,11 +96,45 @@
         self.judge(delta.revision)
     }
 
+    /// Takes several change sets watched from the platform, in order; returns what
+    /// became of each, or of all at once where the last one is accepted.
+    pub fn offer_many(&mut self, deltas: &[Delta]) -> Vec<Offer> {
+        let follows = self.pending.is_empty() && self.seen == self.revision();
+        if follows && self.accept_many(deltas) {
+            return vec![Offer::Accepted];
+        }
+        deltas.iter().map(|delta| self.offer(delta)).collect()
+    }
+
+    /// Puts what a chain of deltas leads to in force, where it fits on the set in
+    /// force and has no faults: the set is worked out once for all of them.
+    fn accept_many(&mut self, deltas: &[Delta]) -> bool {
+        let mut at = self.revision();
+        let fits = deltas.iter().all(|delta| {
+            let fits = at == Some(delta.base) && delta.revision > delta.base;
+            at = Some(delta.revision);
+            fits
+        });
+        if deltas.is_empty() || !fits {
+            return false;
+        }
+        let changes: Vec<Change> = deltas.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
+        let Ok(set) = self.set.apply(&changes) else { return false };
+        self.set = Arc::new(set);
+        for delta in deltas {
+            self.accepted.advance(delta.revision, &delta.changes);
+        }
+        self.seen = self.revision();
+        true
+    }
+
     /// Takes accepted sets that a peer has in force; returns whether any was newer.
     pub fn learn(&mut self, news: News) -> bool {
         let learnt = match news {
             News::Current => false,
-            News::Deltas(deltas) => deltas.iter().filter(|delta| self.learn_delta(delta)).count() > 0,
+            News::Deltas(deltas) => {
+                self.accept_many(&deltas) || deltas.iter().filter(|delta| self.learn_delta(delta)).count() > 0
+            }
             News::Full { revision, items } => self.learn_all(revision, &items),
         };
         if learnt {
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -68,6 +68,8 @@
 enum Step {
     /// A copy of the platform answers a watch with one revision.
     Watch(usize),
+    /// A copy answers a watch with several, from one revision on.
+    WatchMany(usize, usize),
     /// A copy, up to date or stale, is listed whole.
     List(usize),
     /// The daemon hears from another one.
@@ -77,6 +79,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         4 => any::<usize>().prop_map(Step::Watch),
+        4 => (any::<usize>(), 1_usize..6).prop_map(|(from, count)| Step::WatchMany(from, count)),
         2 => any::<usize>().prop_map(Step::List),
         3 => any::<usize>().prop_map(Step::Hear),
     ]
@@ -100,6 +103,17 @@
                 Step::Watch(n) => {
                     let _offer = fleet[who].offer(&history.delta(n % history.changes.len()));
                 }
+                Step::WatchMany(n, count) => {
+                    let from = n % history.changes.len();
+                    let until = (from + count).min(history.changes.len());
+                    let deltas: Vec<Delta> = (from..until).map(|at| history.delta(at)).collect();
+                    let mut alone = fleet[who].clone();
+                    let _offers = fleet[who].offer_many(&deltas);
+                    deltas.iter().for_each(|delta| drop(alone.offer(delta)));
+                    prop_assert_eq!(fleet[who].revision(), alone.revision());
+                    prop_assert_eq!(fleet[who].seen(), alone.seen());
+                    prop_assert_eq!(fleet[who].set(), alone.set());
+                }
                 Step::List(n) => {
                     let at = n % history.states.len();
                     let revision = u64::try_from(at + 1).expect("small");
