--- a/crates/harefield/src/daemon/accept.rs
+++ b/crates/harefield/src/daemon/accept.rs
@@ -61,7 +61,7 @@
     let both = async {
         taking.await;
     };
-    async_io::block_on(executor.run(both.or(stopping)));
+    future::block_on(executor.run(both.or(stopping)));
     for worker in workers {
         worker.close();
     }
--- a/crates/harefield/src/daemon/operators.rs
+++ b/crates/harefield/src/daemon/operators.rs
@@ -8,6 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_io::Timer;
+use futures_lite::future;
 use log::warn;
 
 use super::context::Context;
@@ -23,7 +24,7 @@
 /// Answers operators until the daemon ends.
 pub(super) fn run(context: &Context, listener: TcpListener, token: Option<&String>) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    async_io::block_on(executor.run(take(context, &executor, listener, token)));
+    future::block_on(executor.run(take(context, &executor, listener, token)));
 }
 
 async fn take(
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -129,7 +129,7 @@
     note(&context, Event::Started { version: env!("CARGO_PKG_VERSION").to_owned() });
     ready(&addresses);
     info!("ready: callers {}, peers {}", addresses.callers, addresses.peers);
-    async_io::block_on(await_stop(&context, &mut signals));
+    future::block_on(await_stop(&context, &mut signals));
     Ok(conduct_stop(&context, &stop_sender, &workers, signals))
 }
 
@@ -212,7 +212,7 @@
         .map_err(|source| DaemonError::System { what: "events.token-file".to_owned(), source })?;
     let (board, telemetry) = (Arc::clone(&context.board), context.telemetry.clone());
     spawn("telemetry", move || {
-        async_io::block_on(telemetry::run(batches, telemetry, board));
+        future::block_on(telemetry::run(batches, telemetry, board));
     })?;
     let own = context.clone();
     let listener = listeners.operators;
@@ -244,7 +244,7 @@
     spawn("accept", move || {
         accept::run(&own, callers, peers, &arrivals, &opened);
     })?;
-    let _ = async_io::block_on(wait.recv());
+    let _ = future::block_on(wait.recv());
     open.close();
     Ok(waited)
 }
@@ -271,7 +271,7 @@
     let limit = context.settings.stop_limit();
     let ended = |workers: &[JoinHandle<()>]| workers.iter().all(JoinHandle::is_finished);
     while !ended(workers) {
-        let signal = async_io::block_on(future::poll_once(signals.next()));
+        let signal = future::block_on(future::poll_once(signals.next()));
         let again = signal.is_some_and(|signal| !matches!(signal, Some(Ok(Signal::Hup))));
         if again || begun.elapsed() > limit {
             warn!("the stop ends with {} connections open", running());
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -11,6 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_io::Timer;
+use futures_lite::future;
 
 use super::context::Arrived;
 use super::context::Context;
@@ -184,7 +185,7 @@
         context.telemetry.clone(),
         Arc::clone(&context.board),
     );
-    async_io::block_on(executor.run(control.run(inbox, ready)));
+    future::block_on(executor.run(control.run(inbox, ready)));
 }
 
 fn control_settings(context: &Context) -> ControlSettings {
