--- a/crates/standin/src/bin/standin.rs
+++ b/crates/standin/src/bin/standin.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use lexopt::Arg;
@@ -19,6 +21,7 @@
 use standin::load;
 use standin::load::Load;
 use standin::load::Mix;
+use standin::plot;
 
 const HELP: &str = "\
 standin: stand-ins for harefield's platform and searchers
@@ -34,6 +37,7 @@
   standin fleet     --layout small --base-port N --listen IP:PORT --operator IP:PORT ...
                     --peer IP:PORT ... --pids FILE [--upstreams N] [--made-daemons N]
                     [--seconds N] [--rate N]
+  standin plot      JOURNAL --site NAME --out DIR
   standin tell      --admin IP:PORT PATH BODY
 
 Layouts: small, caroni, licence. Searchers listen on 127.0.0.1 from the base
@@ -50,6 +54,7 @@
         Some("load") => run_load(&options),
         Some("experiment") => run_experiment(&options),
         Some("table") => print_table(&options),
+        Some("plot") => draw(&options),
         Some("fleet") => run_fleet(&options),
         Some("tell") => tell(&options),
         _ => {
@@ -222,6 +227,17 @@
     Ok(())
 }
 
+/// Draws what the days of a site were worth, and where the worth went.
+fn draw(options: &Options) -> Result<(), Failure> {
+    let folder = options.words.get(1).ok_or("the JOURNAL is needed")?;
+    let (site, out): (String, PathBuf) = (options.one("site", None)?, options.one("out", None)?);
+    let runs = plot::read(Path::new(folder), &site)?;
+    std::fs::create_dir_all(&out)?;
+    plot::draw_worth(&runs, &format!("{site}: worth, run by run"), &out.join(format!("{site}-worth.svg")))?;
+    let title = format!("{site}: where the worth went, newest runs");
+    plot::draw_prices(&runs, &title, &out.join(format!("{site}-prices.svg")))
+}
+
 fn run_fleet(options: &Options) -> Result<(), Failure> {
     let layout = options.layout()?;
     let _searchers = start_searchers(options, &layout)?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 mod net;
 mod platform;
+pub mod plot;
 mod searcher;
 mod searchers;
 mod site;
