--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -122,8 +122,9 @@
 
     fn reaches(&self, host: &HostId, reach: Distance) -> bool {
         let members = self.members.borrow();
-        let row = members.row(host);
-        row.is_none_or(|row| self.settings.places.distance(&row.zone) <= reach)
+        // One that is not known yet, such as a seed, may stand anywhere.
+        let zone = members.row(host).map_or("", |row| &row.zone);
+        self.settings.places.distance(zone) <= reach
     }
 
     /// Speaks to one daemon and takes what it has that is newer; returns
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -296,7 +296,7 @@
         let signature = format!("{}.{id}", self.id);
         let (status, id, signature) = match manner {
             Manner::Fail => (StatusCode::INTERNAL_SERVER_ERROR, id, signature),
-            Manner::Crossed => (StatusCode::OK, "another".to_owned(), signature),
+            Manner::Crossed => (StatusCode::OK, "another".to_owned(), format!("{}.another", self.id)),
             Manner::Unsigned => return reply(StatusCode::OK, &[("attempt-id", &id)], body),
             Manner::Good | Manner::Shed => (StatusCode::OK, id, signature),
         };
