Split the soak's long modules by what they do

A daemon's process and settings, the configuration, and the draw of faults each get a module; the checks get one for each matter. Settings are written once, with seeds and zone in hand. What is drawn and checked is as before.

--- /dev/null
+++ b/crates/harefield/tests/soak/checks/extra.rs
@@ -0,0 +1,81 @@
+//! What is sent again stays within its bounds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Broken;
+use super::Checks;
+use super::float;
+use crate::world::SLACK;
+
+/// The window of the extra load.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// The extra load allowed, as a share of the requests.
+const EXTRA_SHARE: f64 = 0.2;
+
+/// What ran at an upstream of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Arrival {
+    at: Instant,
+    /// Whether the service had run the same request before.
+    extra: bool,
+}
+
+impl Checks<'_> {
+    /// What is sent again stays within a share of the requests and the slack.
+    pub(super) fn extra_load(&mut self) {
+        let mut by_service: BTreeMap<&str, Vec<Arrival>> = BTreeMap::new();
+        for runs in self.runs.values() {
+            let first = self.first_runs(runs);
+            for (name, at) in runs {
+                let service = self.service_of(name);
+                let extra = first.get(service) != Some(at);
+                by_service.entry(service).or_default().push(Arrival { at: *at, extra });
+            }
+        }
+        for (service, mut arrivals) in by_service {
+            arrivals.sort_unstable();
+            if let Some((extra, needed)) = over_bound(&arrivals) {
+                let what = format!("{service}: {extra} beside {needed}");
+                self.broken.push(Broken { promise: "extra load", what });
+            }
+        }
+    }
+
+    /// Returns when each service first ran a request.
+    fn first_runs(&self, runs: &[(String, Instant)]) -> BTreeMap<&str, Instant> {
+        let mut first = BTreeMap::new();
+        for (name, at) in runs {
+            let held = first.entry(self.service_of(name)).or_insert(*at);
+            *held = (*held).min(*at);
+        }
+        first
+    }
+}
+
+/// Returns how many arrivals are extra and how many needed at the first moment at
+/// which the window holds too many extra ones; none where it never does.
+fn over_bound(arrivals: &[Arrival]) -> Option<(usize, usize)> {
+    let mut from = 0;
+    for (at, newest) in arrivals.iter().enumerate() {
+        while newest.at - arrivals[from].at > WINDOW {
+            from += 1;
+        }
+        let extra = arrivals[from..=at].iter().filter(|arrival| arrival.extra).count();
+        let needed = needed_until(newest.at, &arrivals[..=at]);
+        if float(extra) > EXTRA_SHARE * float(needed) + SLACK {
+            return Some((extra, needed));
+        }
+    }
+    None
+}
+
+/// Returns how many arrivals up to a moment pay for what is extra in its window:
+/// those of the window before count too.
+fn needed_until(moment: Instant, arrivals: &[Arrival]) -> usize {
+    let earliest = moment.checked_sub(WINDOW * 2);
+    let counts = |held: &&Arrival| !held.extra && earliest.is_none_or(|earliest| held.at >= earliest);
+    arrivals.iter().filter(counts).count()
+}
--- /dev/null
+++ b/crates/harefield/tests/soak/checks/versions.rs
@@ -0,0 +1,67 @@
+//! A published change is in force in time, and stays.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use super::AFTER;
+use super::Broken;
+use super::Checks;
+use super::IN_FORCE;
+use crate::client::Ending;
+use crate::ledger::Kind;
+use crate::ledger::Request;
+use crate::ledger::Route;
+
+impl Checks<'_> {
+    /// A configuration is in force within seconds, and no process goes back.
+    pub(super) fn versions(&mut self) {
+        let mut newest: HashMap<(usize, u64), (u64, Instant)> = HashMap::new();
+        let mut asked: Vec<&Request> =
+            self.pages.requests.iter().filter(|request| request.route == Route::Version).collect();
+        asked.sort_by_key(|request| request.sent);
+        for request in asked {
+            let Some(version) = self.version_of(request) else { continue };
+            let held = newest.entry((request.daemon, request.life)).or_insert((version, request.ended));
+            if version < held.0 && request.sent > held.1 {
+                let what = format!("version {version} after {}", held.0);
+                self.note("never reverts", request, &what);
+            }
+            if version > held.0 {
+                *held = (version, request.ended);
+            }
+            self.in_force(request, version);
+        }
+    }
+
+    fn in_force(&mut self, request: &Request, version: u64) {
+        let due = self.pages.published.iter().filter(|p| p.at + IN_FORCE < request.sent);
+        let Some(due) = due.max_by_key(|published| published.version) else { return };
+        let excused = |kind| matches!(kind, Kind::Store) || kind == Kind::Daemon(request.daemon);
+        if version < due.version && !self.pages.disturbed(due.at, request.sent, AFTER, excused) {
+            let what = format!("version {version} where {} is due", due.version);
+            self.note("in force", request, &what);
+        }
+    }
+
+    fn version_of(&self, request: &Request) -> Option<u64> {
+        let Ending::Answered(answer) = &request.ending else { return None };
+        let (name, _) = answer.header("server-seal").split_once('.')?;
+        self.upstreams.get(name)?.service.strip_prefix("version-")?.parse().ok()
+    }
+
+    /// An upstream that is leaving gets no new work after seconds.
+    pub(super) fn leaving(&mut self) {
+        for leaving in &self.pages.leaving {
+            let Some(upstream) = self.upstreams.get(&leaving.id) else { continue };
+            for (at, id) in upstream.inner.arrivals() {
+                let excused = |kind| matches!(kind, Kind::Store | Kind::Daemon(_));
+                let late = at > leaving.at + IN_FORCE;
+                if late && !self.pages.disturbed(leaving.at, at, AFTER, excused) {
+                    let after = at.duration_since(leaving.at);
+                    let what = format!("{id} at {} after {after:?}", leaving.id);
+                    self.broken.push(Broken { promise: "leaving", what });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/harefield/tests/soak/configuration.rs
@@ -0,0 +1,51 @@
+//! The configuration as the users' operators publish it.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::world::ATTEMPTS;
+use crate::world::LEAST_SHARE;
+use crate::world::RECORDS;
+
+/// The connections that each upstream takes.
+const CONNECTIONS: u64 = 26;
+
+/// Returns a version of the configuration, with the shards of its merged route and
+/// every service that there is.
+pub(crate) fn configuration(version: u64, shards: &[String], services: &BTreeSet<&str>) -> Value {
+    let services: Vec<Value> =
+        services.iter().map(|name| json!({ "name": name, "connectionLimit": CONNECTIONS })).collect();
+    json!({ "version": version, "routes": routes(version, shards), "services": services, "limits": limits() })
+}
+
+fn routes(version: u64, shards: &[String]) -> [Value; 4] {
+    let mut all = route("all", "/all/", "safe", 1);
+    all["fanoutServices"] = json!(shards);
+    all["resultLimit"] = json!(RECORDS);
+    all["oldestVersion"] = json!(LEAST_SHARE);
+    let own = format!("version-{version}");
+    [
+        all,
+        on_service(route("one", "/one/", "safe", 2), "plain"),
+        on_service(route("once", "/one/once/", "unsafe", 2), "plain"),
+        on_service(route("version", "/version/", "safe", 2), &own),
+    ]
+}
+
+fn on_service(mut route: Value, service: &str) -> Value {
+    route["service"] = service.into();
+    route
+}
+
+fn route(name: &str, path: &str, kind: &str, priority: u64) -> Value {
+    json!({
+        "name": name, "host": "x.example", "pathPrefix": path, "kind": kind, "timeoutMs": 1000,
+        "targetLatencyMs": 300, "priority": priority, "attempts": ATTEMPTS,
+    })
+}
+
+fn limits() -> Value {
+    json!({ "headerBytes": 8192, "bodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 })
+}
--- /dev/null
+++ b/crates/harefield/tests/soak/draw.rs
@@ -0,0 +1,95 @@
+//! What goes wrong, as it is drawn from the seed.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use standin::Manner as Conduct;
+
+use crate::proxy::Manner;
+
+/// How an upstream may behave for a while.
+const CONDUCTS: [Conduct; 5] =
+    [Conduct::Shed, Conduct::Fail, Conduct::Crossed, Conduct::Unsigned, Conduct::Good];
+
+/// One thing that goes wrong.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// A daemon is killed, and starts again.
+    Kill(usize),
+    /// A daemon is paused.
+    Pause(usize),
+    /// A daemon is stopped as planned, and starts again.
+    Stop(usize),
+    /// A daemon is told to reload.
+    Reload(usize),
+    /// A daemon's way to the store is disturbed.
+    StoreLink(usize, Link),
+    /// The store is away.
+    StoreDown,
+    /// The store forgets its past.
+    StoreForgets,
+    /// The way to a daemon is disturbed for the others.
+    PeerLink(usize, Link),
+    /// The way to an upstream is disturbed.
+    UpstreamLink(String, Link),
+    /// An upstream behaves in another way, and is slow by some time.
+    Conduct(String, Conduct, Duration),
+    /// An upstream says that it leaves, and another one takes its place.
+    Drain(String),
+    /// An upstream is gone at once, and another one takes its place.
+    Vanish(String),
+    /// A new version of the configuration is published.
+    Change,
+    /// The same, with a new set of as many shards.
+    Reshard(usize),
+}
+
+/// What is done to a way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Link {
+    /// Its proxy does this for a while.
+    Is(Manner),
+    /// All its connections end.
+    Reset,
+}
+
+/// Draws what goes wrong next, at one of so many daemons or one of the upstreams
+/// present.
+pub(crate) fn draw(random: &mut StdRng, nodes: usize, present: &[String]) -> Fault {
+    let node = random.random_range(0..nodes);
+    let upstream = present.choose(random).cloned().unwrap_or_default();
+    match random.random_range(0..24) {
+        0 => Fault::Kill(node),
+        1 | 2 => Fault::Pause(node),
+        3 | 4 => Fault::Stop(node),
+        5 => Fault::Reload(node),
+        6 | 7 => Fault::StoreLink(node, draw_link(random)),
+        8 => Fault::StoreDown,
+        9 => Fault::StoreForgets,
+        10 | 11 => Fault::PeerLink(node, draw_link(random)),
+        12..15 => Fault::UpstreamLink(upstream, draw_link(random)),
+        15..18 => draw_conduct(random, upstream),
+        18 | 19 => Fault::Drain(upstream),
+        20 => Fault::Vanish(upstream),
+        21 | 22 => Fault::Change,
+        _ => Fault::Reshard(random.random_range(4..9)),
+    }
+}
+
+fn draw_conduct(random: &mut StdRng, upstream: String) -> Fault {
+    let delay = Duration::from_millis(random.random_range(0..500));
+    Fault::Conduct(upstream, *CONDUCTS.choose(random).unwrap_or(&Conduct::Good), delay)
+}
+
+fn draw_link(random: &mut StdRng) -> Link {
+    match random.random_range(0..6) {
+        0 => Link::Reset,
+        1 => Link::Is(Manner::Refuse),
+        2 => Link::Is(Manner::Delay(Duration::from_millis(random.random_range(5..150)))),
+        3 => Link::Is(Manner::Silent { there: true, back: false }),
+        4 => Link::Is(Manner::Silent { there: false, back: true }),
+        _ => Link::Is(Manner::Silent { there: true, back: true }),
+    }
+}
--- a/crates/harefield/tests/soak/faults.rs
+++ b/crates/harefield/tests/soak/faults.rs
@@ -1,5 +1,5 @@
-//! What goes wrong: drawn one after the other from the seed, each on a thread of
-//! its own, so that they overlap.
+//! Doing what goes wrong: one thing after the other, each on a thread of its own, so
+//! that they overlap.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -10,16 +10,18 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rustix::process::Signal;
 use standin::Manner as Conduct;
 
+use crate::draw::Fault;
+use crate::draw::Link;
+use crate::draw::draw;
 use crate::ledger::Kind;
 use crate::ledger::Leaving;
 use crate::ledger::Ledger;
+use crate::node::Node;
 use crate::proxy::Manner;
 use crate::proxy::Proxy;
-use crate::world::Node;
 use crate::world::World;
 
 /// How long a daemon is given after its start or wake before it is counted as well.
@@ -31,32 +33,6 @@
 /// How long an upstream serves on after it said that it leaves.
 const SERVES_ON: Duration = Duration::from_millis(3800);
 
-/// One thing that goes wrong.
-#[derive(Clone, Debug)]
-enum Fault {
-    Kill(usize),
-    Pause(usize),
-    Stop(usize),
-    Reload(usize),
-    StoreLink(usize, Link),
-    StoreDown,
-    StoreForgets,
-    PeerLink(usize, Link),
-    UpstreamLink(String, Link),
-    Conduct(String, Conduct, Duration),
-    Drain(String),
-    Vanish(String),
-    Change,
-    Reshard(usize),
-}
-
-/// What is done to a way.
-#[derive(Clone, Copy, Debug)]
-enum Link {
-    Is(Manner),
-    Reset,
-}
-
 /// Draws and carries out what goes wrong.
 #[derive(Clone, Debug)]
 pub(crate) struct Faults {
@@ -70,7 +46,7 @@
         let mut random = StdRng::seed_from_u64(seed);
         let mut under_way = Vec::new();
         while Instant::now() < until {
-            let fault = self.draw(&mut random);
+            let fault = draw(&mut random, self.world.nodes.len(), &self.world.present());
             let time = Duration::from_millis(random.random_range(100..2200));
             println!("fault {fault:?} for {time:?}");
             let this = self.clone();
@@ -80,33 +56,6 @@
         under_way
     }
 
-    fn draw(&self, random: &mut StdRng) -> Fault {
-        let node = random.random_range(0..self.world.nodes.len());
-        let present = self.world.present();
-        let upstream = present.choose(random).cloned().unwrap_or_default();
-        match random.random_range(0..24) {
-            0 => Fault::Kill(node),
-            1 | 2 => Fault::Pause(node),
-            3 | 4 => Fault::Stop(node),
-            5 => Fault::Reload(node),
-            6 | 7 => Fault::StoreLink(node, draw_link(random)),
-            8 => Fault::StoreDown,
-            9 => Fault::StoreForgets,
-            10 | 11 => Fault::PeerLink(node, draw_link(random)),
-            12..15 => Fault::UpstreamLink(upstream, draw_link(random)),
-            15..18 => {
-                let conducts =
-                    [Conduct::Shed, Conduct::Fail, Conduct::Crossed, Conduct::Unsigned, Conduct::Good];
-                let delay = Duration::from_millis(random.random_range(0..500));
-                Fault::Conduct(upstream, *conducts.choose(random).unwrap_or(&Conduct::Good), delay)
-            }
-            18 | 19 => Fault::Drain(upstream),
-            20 => Fault::Vanish(upstream),
-            21 | 22 => Fault::Change,
-            _ => Fault::Reshard(random.random_range(4..9)),
-        }
-    }
-
     fn carry_out(&self, fault: Fault, time: Duration) {
         match fault {
             Fault::Kill(node) => self.on_process(node, Kind::Daemon(node), |held| {
@@ -236,14 +185,3 @@
         self.leave(&leaving);
     }
 }
-
-fn draw_link(random: &mut StdRng) -> Link {
-    match random.random_range(0..6) {
-        0 => Link::Reset,
-        1 => Link::Is(Manner::Refuse),
-        2 => Link::Is(Manner::Delay(Duration::from_millis(random.random_range(5..150)))),
-        3 => Link::Is(Manner::Silent { there: true, back: false }),
-        4 => Link::Is(Manner::Silent { there: false, back: true }),
-        _ => Link::Is(Manner::Silent { there: true, back: true }),
-    }
-}
--- a/crates/harefield/tests/soak/ledger.rs
+++ b/crates/harefield/tests/soak/ledger.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::client::Ending;
+use crate::locked::lock;
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,7 +108,7 @@
 impl Ledger {
     /// Returns everything that was written down until now.
     pub fn pages(&self) -> MutexGuard<'_, Pages> {
-        self.pages.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pages)
     }
 
     /// Notes that a disturbance begins; returns its number.
--- /dev/null
+++ b/crates/harefield/tests/soak/locked.rs
@@ -0,0 +1,10 @@
+//! State that threads share.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+/// Locks shared state, also where a thread panicked with it in hand.
+pub(crate) fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -1,16 +1,21 @@
 //! A randomized soak: daemons as processes on loopback, stand-ins of the users'
 //! store and upstreams, and faults from outside, all drawn from one seed.
 //!
-//! `world` starts processes and stand-ins, with a `proxy` before each of them;
-//! `faults` draws what goes wrong and does it; `callers` send requests and write
-//! down what they saw in the `ledger`; `checks` compares that with what the
-//! upstreams saw. Without arguments one short seed is played, as CI does.
+//! `world` starts processes, each a `node`, and stand-ins, with a `proxy` before each
+//! of them, and publishes the `configuration`; `draw` draws what goes wrong and
+//! `faults` does it; `callers` send requests and write down what they saw in the
+//! `ledger`; `checks` compares that with what the upstreams saw. Without arguments
+//! one short seed is played, as CI does.
 
 mod callers;
 mod checks;
 mod client;
+mod configuration;
+mod draw;
 mod faults;
 mod ledger;
+mod locked;
+mod node;
 mod proxy;
 mod run;
 mod world;
--- /dev/null
+++ b/crates/harefield/tests/soak/node.rs
@@ -0,0 +1,165 @@
+//! One daemon of a soak: its process, its settings, and a proxy before it and before
+//! its way to the store.
+
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use standin::SiteStore;
+
+use crate::locked::lock;
+use crate::proxy::Opened;
+use crate::proxy::Proxy;
+use crate::world::SLACK;
+use crate::world::ZONES;
+
+/// How many daemons dial the upstreams of an index.
+const CELL_SIZE: usize = 3;
+
+/// How long one question whether a daemon is ready may take.
+const READY_WAIT: Duration = Duration::from_secs(1);
+
+/// One daemon.
+#[derive(Debug)]
+pub(crate) struct Node {
+    /// Which of the daemons it is.
+    number: usize,
+    child: Mutex<Option<Child>>,
+    settings: PathBuf,
+    log: PathBuf,
+    pub callers: SocketAddr,
+    operators: SocketAddr,
+    /// Before its peers' address.
+    pub peers: Proxy,
+    /// Before the store, for this daemon alone.
+    pub store: Proxy,
+    /// Counts its processes.
+    life: AtomicU64,
+    /// Whether something is done to its process.
+    pub busy: AtomicBool,
+}
+
+impl Node {
+    /// Opens the proxies before a daemon and the store; settings and logs go to
+    /// `folder`.
+    pub fn open(number: usize, store: &SiteStore, serving: &Sender<Opened>, folder: &Path) -> Self {
+        let [callers, peers, operators] = addresses(number);
+        Self {
+            number,
+            child: Mutex::default(),
+            settings: folder.join(format!("daemon-{number}.toml")),
+            log: folder.join(format!("daemon-{number}.log")),
+            callers,
+            operators,
+            peers: Proxy::open(peers, serving),
+            store: Proxy::open(store.address(), serving),
+            life: AtomicU64::new(0),
+            busy: AtomicBool::new(false),
+        }
+    }
+
+    /// Writes its settings, with the daemons that it asks at the start.
+    pub fn write_settings(&self, seeds: &[SocketAddr]) {
+        let [callers, peers, operators] = addresses(self.number);
+        let zone = ZONES[self.number % ZONES.len()];
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            "[host]\nzone = \"{zone}\"\n[host.regions]\nz1 = \"r1\"\nz2 = \"r1\"\nz3 = \"r2\"\n\
+             [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nknown-as = \"{}\"\noperators = \"{operators}\"\n\
+             [platform]\nkind = \"store\"\naddresses = [\"{}\"]\nwatch-ms = 1000\nreaders = 1\n\
+             [peers]\nseeds = [{}]\nexchange-ms = 300\njoin-ms = 1000\ndaemons = 5\n\
+             [routing]\nextra-load = 0.2\nextra-slack = {SLACK}\ncell-size = {CELL_SIZE}\n\
+             [stop]\nlinger-ms = 500\nlimit-ms = 5500\n[events]\ndetail-every = 1\n",
+            self.peers.address(),
+            self.store.address(),
+            seeds.join(","),
+        );
+        std::fs::write(&self.settings, text).expect("settings can be written");
+    }
+
+    /// Returns the number of the process that runs now.
+    pub fn life(&self) -> u64 {
+        self.life.load(Ordering::SeqCst)
+    }
+
+    /// Starts its process, unless one runs.
+    pub fn start(&self, program: &Path) {
+        let mut child = lock(&self.child);
+        if child.is_some() {
+            return;
+        }
+        self.life.fetch_add(1, Ordering::SeqCst);
+        let log = File::options().create(true).append(true).open(&self.log).expect("the log can be opened");
+        let errors = log.try_clone().expect("the log can be shared");
+        let started = Command::new(program)
+            .args(["serve", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::from(errors))
+            .spawn();
+        *child = Some(started.expect("the daemon's program is there"));
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &*lock(&self.child)
+            && let Some(pid) = Pid::from_raw(i32::try_from(child.id()).unwrap_or(0))
+        {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits until its process has ended; returns whether it did in time.
+    pub fn await_end(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        let mut child = lock(&self.child);
+        let Some(running) = child.as_mut() else { return true };
+        while running.try_wait().is_ok_and(|ended| ended.is_none()) {
+            if Instant::now() > until {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        *child = None;
+        true
+    }
+
+    /// Ends its process at once.
+    pub fn kill(&self) {
+        if let Some(mut child) = lock(&self.child).take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Says whether its process says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let asked = standin::Client::once(self.operators, "GET", "/ready", "", READY_WAIT);
+        asked.is_some_and(|(status, _)| status == 200)
+    }
+}
+
+/// Returns the addresses of a daemon, which it keeps over restarts: loopback ones of
+/// this soak alone, on ports that no connection is opened from.
+fn addresses(number: usize) -> [SocketAddr; 3] {
+    let own = std::process::id();
+    let octet = |number: u32| u8::try_from(number % 250 + 1).unwrap_or(1);
+    let last = octet(u32::try_from(number).unwrap_or(0));
+    let ip = Ipv4Addr::new(127, octet(own / 250), octet(own), last);
+    [7100, 7200, 7300].map(|port| SocketAddr::from((ip, port)))
+}
--- a/crates/harefield/tests/soak/proxy.rs
+++ b/crates/harefield/tests/soak/proxy.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -20,6 +19,8 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 
+use crate::locked::lock;
+
 /// How often held bytes look whether they may go on.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
@@ -103,7 +104,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     fn manner(&self) -> Manner {
