Name the zones module truly, and part one budget from all of a worker

regions.rs was about availability zones; it is zones.rs. budget.rs held a budget and how the fleet's slack is divided; the latter is budgets.rs. The router's floor says now whose floor it is. No behaviour changes.

--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -2,28 +2,29 @@
 //!
 //! A `Router` holds one `Searcher` for each upstream: `learning` takes in what ended
 //! requests show, `estimate` and `policy` say what the next would cost, `choice` picks,
-//! `window` bounds what is under way. `regions`, `places` and `relays` are about
-//! upstreams and daemons that are far; `budget` pays for extra load.
+//! `window` bounds what is under way. `zones`, `places` and `relays` are about upstreams
+//! and daemons of other availability zones; `budget` and `budgets` pay for extra load.
 
 mod budget;
+mod budgets;
 mod choice;
 mod estimate;
 mod learning;
 mod pace;
 mod places;
 mod policy;
-mod regions;
 mod relays;
 mod report;
 mod router;
 mod searcher;
 mod window;
+mod zones;
 
 pub use budget::Budget;
-pub use budget::Budgets;
-pub use budget::FleetSlack;
-pub use budget::RERUN_SHARE;
-pub use budget::rerun_part;
+pub use budgets::Budgets;
+pub use budgets::FleetSlack;
+pub use budgets::RERUN_SHARE;
+pub use budgets::rerun_part;
 pub use choice::Ask;
 pub use choice::Choice;
 pub use pace::Pace;
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -1,5 +1,5 @@
-//! Daemons beside the replicas of shards of other availability zones: which one is handed a group of
-//! them, and which are left alone for a while.
+//! Daemons beside the replicas of shards of other availability zones: which one is
+//! handed a group of them, and which are left alone for a while.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -94,8 +94,8 @@
         self.hosts = hosts;
     }
 
-    /// Returns the availability zones that have a daemon to hand groups to, of those that may
-    /// be handed one.
+    /// Returns the availability zones that have a daemon to hand groups to, of those
+    /// that may be handed one.
     #[must_use]
     pub fn zones(&self, kind: &Arc<str>, now: Instant, may: impl Fn(&HostId) -> bool) -> Vec<Arc<str>> {
         let usable = self.usable(kind, now).filter(|(host, _)| may(host));
@@ -105,8 +105,8 @@
         zones
     }
 
-    /// Returns the daemons of an availability zone with the fewest groups under way, of those
-    /// that may be handed one.
+    /// Returns the daemons of an availability zone with the fewest groups under way,
+    /// of those that may be handed one.
     #[must_use]
     pub fn least_busy(
         &self,
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -1,7 +1,7 @@
 //! The router of one worker: every upstream's state, and what attempts show of it.
 //!
-//! How a replica is chosen stands in `choice`, what concerns other regions in
-//! `regions`.
+//! How a replica is chosen stands in `choice`, what concerns other availability
+//! zones in `zones`.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -9,8 +9,8 @@
 use std::time::Instant;
 
 use super::budget::Budget;
-use super::budget::Budgets;
-use super::budget::service_of;
+use super::budgets::Budgets;
+use super::budgets::service_of;
 use super::pace::Pace;
 use super::places::Places;
 use super::policy::Policy;
@@ -40,7 +40,8 @@
     budgets: Budgets,
     pub(super) places: Places,
     pub(super) relays: Relays,
-    floor: u32,
+    /// How many daemons share connections at the least.
+    least_sharers: u32,
     cells: Cells,
     pub(super) lease: Lease,
     seed: u64,
@@ -57,7 +58,7 @@
             budgets,
             places: Places::default(),
             relays: Relays::default(),
-            floor: 1,
+            least_sharers: 1,
             cells: Cells::default(),
             lease: Lease::new(now),
             seed,
@@ -74,7 +75,7 @@
     /// Takes how many daemons share connections at the least, whatever is known.
     #[must_use]
     pub fn sharing(mut self, daemons: u32) -> Self {
-        self.floor = daemons.max(1);
+        self.least_sharers = daemons.max(1);
         self
     }
 
@@ -98,7 +99,7 @@
         self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0);
         for (name, upstream) in own {
             let OwnUpstream { spec, sharers, connections } = upstream;
-            let sharers = (*sharers).max(self.floor);
+            let sharers = (*sharers).max(self.least_sharers);
             let share = connection_share(*connections, sharers);
             self.budgets.share_services(services_of(spec), sharers);
             let searcher = self
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -1,5 +1,5 @@
-//! Groups of shards of other availability zones, handed to a daemon beside their replicas; what that
-//! daemon does with them stands in `relay`.
+//! Groups of shards of other availability zones, handed to a daemon beside their
+//! replicas; what that daemon does with them stands in `relay`.
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -1,5 +1,5 @@
-//! Groups of shards taken from daemons of other availability zones: this daemon asks their
-//! replicas beside it, and answers with the merged records.
+//! Groups of shards taken from daemons of other availability zones: this daemon asks
+//! their replicas beside it, and answers with the merged records.
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -14,11 +14,12 @@
 use crate::ports::Place;
 use crate::ports::Upstreams;
 
-/// How many connections to each upstream in the own availability zone are kept ready.
+/// How many connections to each upstream in the own availability zone are kept
+/// ready.
 const READY: usize = 2;
 
-/// How many to each upstream in another availability zone, which is asked directly only
-/// where a group cannot be.
+/// How many to each upstream in another availability zone, which is asked directly
+/// only where a group cannot be.
 const READY_AWAY: usize = 1;
 
 /// How long a new worker waits first: until it knows most of the fleet it takes
