Part one handing from the tries over members of a cell

forward.rs tried members and also carried each message; the latter is handing.rs. Half of a request's time is worked out in one place, and picking a member and merging travelling records are functions of their own. No behaviour changes.

--- a/crates/harefield/src/adapters/opaque.rs
+++ b/crates/harefield/src/adapters/opaque.rs
@@ -41,11 +41,7 @@
         let bytes = |part: &Part| Some((Arc::clone(&part.shard), (**part.reply.bytes()?).clone()));
         let mut parts: Vec<(ShardId, ByteReply)> = answer.results.iter().filter_map(bytes).collect();
         if let Some(most) = answer.merge {
-            let mut records = Bytes::from(greatest(parts.iter().map(|(_, reply)| &*reply.body), most));
-            for (_, reply) in &mut parts {
-                reply.headers.clear();
-                reply.body = std::mem::take(&mut records);
-            }
+            merge(&mut parts, most);
         }
         Self {
             outcome: answer.outcome,
@@ -76,3 +72,12 @@
         answer
     }
 }
+
+/// Merges the records of all parts into the first, which alone carries any then.
+fn merge(parts: &mut [(ShardId, ByteReply)], most: usize) {
+    let mut records = Bytes::from(greatest(parts.iter().map(|(_, reply)| &*reply.body), most));
+    for (_, reply) in parts {
+        reply.headers.clear();
+        reply.body = std::mem::take(&mut records);
+    }
+}
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -30,6 +30,13 @@
     pub again: bool,
 }
 
+impl Found {
+    /// Returns when half of the time until the deadline is over.
+    pub fn halfway(&self) -> Instant {
+        self.start + self.deadline.saturating_duration_since(self.start) / 2
+    }
+}
+
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Finds the plan of a request. After a pause it is found again, since
     /// what was in force before may no longer be.
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::Job;
 use super::attempt::Landed;
-use super::forward::TRAVEL;
+use super::handing::TRAVEL;
 use super::worker::Worker;
 use crate::domain::event::Event;
 use crate::domain::fanout::Brought;
--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use rand::Rng;
 
@@ -25,32 +24,30 @@
 const TIME_BACK: Duration = Duration::from_millis(4);
 
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
-    /// Takes one request less as handed to a daemon.
-    pub(super) fn forget_forward(&self, host: &HostId, start: Instant) {
-        let mut forwards = self.forwards.borrow_mut();
-        let Some(starts) = forwards.get_mut(host) else { return };
-        if let Some(at) = starts.iter().position(|held| *held == start) {
-            starts.swap_remove(at);
-        }
-        if starts.is_empty() {
-            forwards.remove(host);
-        }
-    }
-
     /// Picks a member: not known to be gone nor silent, the nearest there is, the
     /// one of two with fewer requests handed to it.
     pub(super) fn pick_member(&self, index: &str, tried: &[HostId]) -> Option<HostId> {
         let view = self.view.borrow();
         let cell = view.cells.get(index)?;
-        let peers = self.peers.borrow();
         let untried = cell.iter().filter(|host| !tried.contains(host) && **host != self.settings.host);
-        let seen: Vec<(&HostId, Option<&Row>)> = untried.map(|host| (host, peers.row(host))).collect();
-        let live = seen.iter().filter(|(host, row)| is_live(*row) && !self.is_silent(host));
-        let nearest = live.clone().map(|(_, row)| self.distance_to(*row)).min();
-        let near: Vec<&HostId> =
-            live.filter(|(_, row)| Some(self.distance_to(*row)) == nearest).map(|(host, _)| *host).collect();
-        let any: Vec<&HostId> = seen.iter().map(|(host, _)| *host).collect();
-        let pool = if near.is_empty() { any } else { near };
+        let untried: Vec<&HostId> = untried.collect();
+        let near = self.nearest_live(&untried);
+        self.less_busy(if near.is_empty() { &untried } else { &near })
+    }
+
+    /// Returns those daemons, neither known to be gone nor silent, that are nearest.
+    fn nearest_live<'a>(&self, hosts: &[&'a HostId]) -> Vec<&'a HostId> {
+        let peers = self.peers.borrow();
+        let seen = hosts.iter().map(|host| (*host, peers.row(host)));
+        let live = seen.filter(|(host, row)| is_live(*row) && !self.is_silent(host));
+        let placed: Vec<_> = live.map(|(host, row)| (host, self.distance_to(row))).collect();
+        let nearest = placed.iter().map(|(_, distance)| *distance).min();
+        let near = placed.into_iter().filter(|(_, distance)| Some(*distance) == nearest);
+        near.map(|(host, _)| host).collect()
+    }
+
+    /// Draws two daemons and returns the one with fewer requests handed to it.
+    fn less_busy(&self, pool: &[&HostId]) -> Option<HostId> {
         if pool.is_empty() {
             return None;
         }
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! `run` holds the life of a request: `find` finds its plan, `gate` lets it in,
 //! `attempt` carries out its fan-out, with `group` and `relay` for shards of other
-//! availability zones; `forward`, with `members`, and `once` are for requests that another daemon
-//! runs, and for those that run once. `updates`, `status` and `warm` are its duties beside them.
+//! availability zones; `forward`, with `members` and `handing`, is for requests that
+//! another daemon runs, `once` for those that run once. `updates`, `status` and `warm`
+//! are its duties beside them.
 //!
 //! Everything here is generic over the ports and holds no lock on the path of
 //! a request; once-only requests share one ledger between workers.
@@ -13,6 +14,7 @@
 mod forward;
 mod gate;
 mod group;
+mod handing;
 mod members;
 mod message;
 mod once;
