Show no edition older than one that another daemon answered under

Cause: an entry hands one request to a member that has a newer configuration than itself, and the next to one that has its own: through it callers see the configuration go back. Ruled out: the member's own view (one worker, one view, only forward). Change: answers carry the edition that they were given under; the entry asks for no older one after that, declines what is handed to it meanwhile, and runs nothing itself until its own edition has caught up, for half a second at most (HF2013 then). Editions are the catalogs' versions, so that what upstreams say of themselves does not hold requests up. Test: site_editions::seen_stays_seen, seen failing with the note taken out.

--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -96,13 +96,14 @@
     } else {
         Travelling::Json(ByteBuf::from(serde_json::to_vec(&answer).unwrap_or_default()))
     };
-    http::packed_short(&ForwardReply { stamp: worker.stamp(), answer })
+    // A newer edition may have come into force while the request ran: that is safe to say.
+    http::packed_short(&ForwardReply { stamp: worker.stamp(), edition: worker.edition(), answer })
 }
 
 fn handed_request(message: Forward) -> LookupRequest {
     let terms = Terms {
         gather: message.gather.map(Duration::from_micros),
-        revision: message.revision,
+        edition: message.edition,
         again: message.again,
     };
     LookupRequest {
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -23,6 +23,7 @@
 use super::opaque::OpaqueAnswer;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
+use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::ports::Exchange;
 use crate::ports::Forward;
@@ -55,6 +56,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct ForwardReply {
     pub stamp: Stamp,
+    pub edition: Edition,
     pub answer: Travelling,
 }
 
@@ -163,7 +165,7 @@
             Travelling::Json(json) => serde_json::from_slice(&json).map_err(|_error| PeerError::Silent)?,
             Travelling::Opaque(answer) => answer.into_answer(&message.request),
         };
-        Ok(Forwarded { answer, stamp: reply.stamp })
+        Ok(Forwarded { answer, stamp: reply.stamp, edition: reply.edition })
     }
 
     async fn group(&self, host: &HostId, message: &Group, limit: Duration) -> Result<GroupReply, PeerError> {
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -34,3 +34,7 @@
 pub fn shard_id(service: &str, shard: &str) -> ShardId {
     format!("{service}/{shard}").into()
 }
+
+/// Orders what operators published as a whole; what upstreams say of themselves does
+/// not change it, as it changes revisions.
+pub type Edition = u64;
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::domain::ids::Edition;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
@@ -177,6 +178,9 @@
     /// Bounds on callers' requests.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Rises with each catalog that takes the place of this one.
+    #[serde(default)]
+    pub edition: Edition,
 }
 
 /// Bounds on what callers may send, where they are published.
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -16,6 +16,7 @@
 use super::kinds::Upstream;
 use crate::domain::code::Code;
 use crate::domain::feed::Change;
+use crate::domain::ids::Edition;
 use crate::domain::ids::Key;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
@@ -160,6 +161,13 @@
         listed.into_iter().flatten().chain(held.iter().filter(fresh))
     }
 
+    /// Returns the edition of all catalogs together; none where there are none.
+    #[must_use]
+    pub fn edition(&self) -> Option<Edition> {
+        let all = || self.catalogs.values().map(|catalog| catalog.edition);
+        (!self.catalogs.is_empty()).then(|| all().sum())
+    }
+
     /// Returns the bounds on callers' requests: of each, the least published.
     #[must_use]
     pub fn bounds(&self) -> Bounds {
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -25,6 +25,7 @@
 use super::cell::Candidate;
 use super::cell::CellSize;
 use super::hosts::HostList;
+use super::ids::Edition;
 use super::ids::HostId;
 use super::ids::Revision;
 use super::ids::UpstreamId;
@@ -70,6 +71,9 @@
 pub struct View {
     /// The configuration revision in force; none before the first.
     pub revision: Option<Revision>,
+    /// What operators published, in order: the catalogs' edition, or the revision
+    /// where there are none. No daemon goes back in it.
+    pub edition: Edition,
     /// The revision of the host list.
     pub listed: Option<Revision>,
     /// The addresses listed as leaving.
@@ -111,6 +115,7 @@
             paths,
             bounds: sources.set.bounds(),
             revision: sources.revision,
+            edition: sources.set.edition().or(sources.revision).unwrap_or_default(),
             listed: sources.listed,
             leaving: sources.hosts.leaving(),
             lookups,
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -47,7 +47,7 @@
     ) -> Result<Found, Code> {
         let found = self.find(request, start)?;
         if self.is_confirmed() {
-            return Ok(found);
+            return self.find_current(request, found).await;
         }
         if !self.wait_confirmed(&found).await {
             return Err(Code::Unconfirmed);
@@ -55,6 +55,23 @@
         self.find(request, start)
     }
 
+    /// Finds the plan again where callers have seen a newer edition here than the one
+    /// in force, which is on its way: nothing runs here under the older one.
+    async fn find_current(&self, request: &LookupRequest, found: Found) -> Result<Found, Code> {
+        let is_current = || self.edition() >= self.seen_edition.get();
+        if is_current() || !found.plan.member {
+            return Ok(found);
+        }
+        let until = found.deadline.min(found.start + CONFIRM_WAIT);
+        while !is_current() {
+            if self.ports.clock.now() >= until {
+                return Err(Code::OlderView);
+            }
+            self.ports.clock.sleep(CONFIRM_POLL).await;
+        }
+        self.find(request, found.start)
+    }
+
     fn is_confirmed(&self) -> bool {
         let now = self.ports.clock.now();
         self.router.borrow().lease().held(now)
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -18,6 +18,7 @@
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
+use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
@@ -26,6 +27,7 @@
 use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Forward;
+use crate::ports::Forwarded;
 use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -139,6 +141,7 @@
             let result = worker.ports.peers.forward(host, &message, left + TRAVEL).await;
             let result = result.map(|forwarded| {
                 worker.receive(forwarded.stamp);
+                worker.note_edition(&forwarded);
                 forwarded.answer
             });
             let ended = Ended { host: Arc::clone(host), result };
@@ -172,11 +175,24 @@
             opaque,
             ticket: request.ticket.clone(),
             remaining: millis(found.deadline.saturating_duration_since(now)),
-            revision: self.view.borrow().revision,
+            edition: self.newest_edition(),
             again: !handed.tried.is_empty(),
         }
     }
 
+    /// Returns the newest edition that a request of this daemon may have run under.
+    pub(super) fn newest_edition(&self) -> Edition {
+        self.view.borrow().edition.max(self.seen_edition.get())
+    }
+
+    /// Notes the edition that another daemon ran a request of this one under: callers
+    /// have seen it here, and must not see an older one here any more.
+    fn note_edition(&self, forwarded: &Forwarded) {
+        if !is_elsewhere(forwarded.answer.code) {
+            self.seen_edition.set(self.seen_edition.get().max(forwarded.edition));
+        }
+    }
+
     /// Notes how a handing ended, and whether the daemon was silent.
     pub(super) fn note_end(&self, ended: &Ended, trace: &mut Trace<C>) {
         let (outcome, code) = match &ended.result {
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -7,8 +7,8 @@
 
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
+use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
-use crate::domain::ids::Revision;
 use crate::domain::membership::Row;
 use crate::domain::query::Query;
 use crate::domain::view::View;
@@ -37,8 +37,8 @@
 pub struct Terms {
     /// After this time an answer with enough shards goes out.
     pub gather: Option<Duration>,
-    /// The configuration that the request was let in under.
-    pub revision: Option<Revision>,
+    /// The least edition that the request may run under.
+    pub edition: Edition,
     /// Whether another daemon was handed the request before: all that is sent
     /// for it is extra load.
     pub again: bool,
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -24,6 +24,7 @@
 use crate::domain::admission::WaiterId;
 use crate::domain::code::Code;
 use crate::domain::hlc::HybridClock;
+use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
@@ -119,6 +120,8 @@
     pub(super) turns: RefCell<HashMap<Arc<str>, Vec<i64>>>,
     /// The time that requests of each lookup usually come with.
     pub(super) time_limits: RefCell<HashMap<Arc<str>, Recent>>,
+    /// The newest edition that other daemons ran requests of this one under.
+    pub(super) seen_edition: Cell<Edition>,
     /// The most daemons that were ever known at once.
     pub(super) known: Cell<u32>,
     numbered: Cell<u64>,
@@ -177,6 +180,7 @@
             counts: Cell::default(),
             turns: RefCell::default(),
             time_limits: RefCell::default(),
+            seen_edition: Cell::default(),
             known: Cell::new(known),
             numbered: Cell::new(0),
         })
@@ -208,6 +212,12 @@
         Ok(Arc::clone(&plan.name))
     }
 
+    /// Returns the edition in force here.
+    #[must_use]
+    pub fn edition(&self) -> Edition {
+        self.view.borrow().edition
+    }
+
     /// Returns the bounds on callers' requests, as published.
     pub fn bounds(&self) -> Bounds {
         self.view.borrow().bounds
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -39,6 +39,8 @@
 /// The newest configuration in whole.
 #[derive(Debug, Deserialize)]
 struct Published {
+    /// Rises with each one published, by uneven steps.
+    version: u64,
     routes: Vec<Route>,
     #[serde(default)]
     services: Vec<ServiceLimits>,
@@ -118,6 +120,7 @@
     let published: Published = serde_json::from_slice(document)?;
     let mut catalog = Catalog {
         bounds: Bounds { head_bytes: published.limits.header_bytes, body_bytes: published.limits.body_bytes },
+        edition: published.version,
         ..Catalog::default()
     };
     for limits in published.services {
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -10,6 +10,7 @@
 use super::platform::Space;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
+use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
@@ -43,9 +44,9 @@
     pub remaining: u64,
     /// After this time an answer with enough shards goes out, in microseconds.
     pub gather: Option<u64>,
-    /// The configuration that the request was let in under: a daemon with an
-    /// older one must not run it.
-    pub revision: Option<Revision>,
+    /// The edition that the request was let in under, or a newer one that the daemon
+    /// that hands it on knows of: one with an older edition must not run it.
+    pub edition: Edition,
     /// Whether another daemon was handed the request before.
     pub again: bool,
 }
@@ -57,6 +58,8 @@
     pub answer: Answer,
     /// When it left, in hybrid logical time.
     pub stamp: Stamp,
+    /// The edition that it was given under.
+    pub edition: Edition,
 }
 
 /// A group of shards handed to a daemon beside their replicas.
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -13,6 +13,7 @@
 mod planned_stop;
 mod site;
 mod site_cells;
+mod site_editions;
 mod site_store;
 mod site_support;
 mod snapshot;
--- a/crates/harefield/tests/processes/site_cells.rs
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -103,7 +103,7 @@
     let site = Site::start();
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
-    let message = |revision| Forward {
+    let message = |edition| Forward {
         from: "127.0.0.1:1".into(),
         stamp: Stamp { micros: 0, count: 0 },
         request: "n1".to_owned(),
@@ -119,12 +119,12 @@
         ticket: None,
         remaining: 1000,
         gather: None,
-        revision: Some(revision),
+        edition,
         again: false,
     };
     let host = site.daemon.addresses.peers.to_string().into();
-    let hand = |revision| {
-        let message = message(revision);
+    let hand = |edition| {
+        let message = message(edition);
         let (peers, host) = (peers.clone(), Arc::clone(&host));
         async_io::block_on(executor.run(async move {
             let handed = peers.forward(&host, &message, Duration::from_secs(5)).await;
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -80,18 +80,32 @@
         site
     }
 
+    /// Starts one daemon that knows another one as its seed, with a cell of so many
+    /// members.
+    pub fn start_beside(other: std::net::SocketAddr, members: usize) -> Self {
+        let store = SiteStore::start();
+        let seed = format!("seeds = [\"{other}\"]\n");
+        let daemon = Daemon::start(&settings(&store, &seed, &format!("cell-size = {members}\n")));
+        let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
+        site.add_all();
+        site
+    }
+
     /// Returns all daemons, the first one first.
     pub fn daemons(&self) -> impl Iterator<Item = &Daemon> {
         std::iter::once(&self.daemon).chain(&self.others)
     }
 
     fn fill(&mut self) {
-        let site = self;
+        self.add_all();
+        self.await_ready();
+    }
+
+    fn add_all(&mut self) {
         for (service, records) in [("s1", [9, 1]), ("s2", [8, 2]), ("s3", [7, 3]), ("one", [5, 5])] {
-            site.add(service, &format!("i-{service}"), &records);
+            self.add(service, &format!("i-{service}"), &records);
         }
-        site.publish(1, &routes());
-        site.await_ready();
+        self.publish(1, &routes());
     }
 
     pub fn add(&mut self, service: &str, id: &str, records: &[u8]) {
