Say once how deltas follow and how much cells use of an upstream

Whether a delta leads on from a revision was written three times, the part of an upstream's connections that cells use twice. The stand-in store's set_down says what it does. No behaviour changes.

--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -22,7 +22,7 @@
 
 /// The share of an upstream's connections that cells use, in percent; the rest
 /// is room for the old and the new cell while views differ.
-const USED_PERCENT: usize = 90;
+const USED_PERCENT: u64 = 90;
 
 /// The connections that an upstream is taken to take where nobody says: the
 /// least that the users' upstreams take today.
@@ -189,17 +189,20 @@
 }
 
 fn index_size(set: &ResourceSet, index: &Index, size: CellSize) -> usize {
-    let limits = index_upstreams(set, index).into_iter().filter_map(|name| set.upstreams.get(name));
-    let least = limits.map(|u| usize::try_from(connections(set, u)).unwrap_or(usize::MAX)).min();
-    let fits =
-        least.unwrap_or(usize::MAX) / 100 * USED_PERCENT + least.unwrap_or(0) % 100 * USED_PERCENT / 100;
-    (fits / size.wanted.max(1)).clamp(1, size.most.max(1))
+    let names = index_upstreams(set, index).into_iter();
+    let limits = names.filter_map(|name| set.upstreams.get(name)).map(|upstream| connections(set, upstream));
+    let used = limits.min().map_or(usize::MAX, |least| usize::try_from(used_of(least)).unwrap_or(usize::MAX));
+    (used / size.wanted.max(1)).clamp(1, size.most.max(1))
 }
 
 /// Returns the connections that each of `sharers` members may open to an upstream.
 #[must_use]
 pub fn connection_share(connections: u32, sharers: u32) -> u32 {
-    let used = u64::from(connections) * USED_PERCENT as u64 / 100;
-    let share = used / u64::from(sharers.max(1));
+    let share = used_of(connections) / u64::from(sharers.max(1));
     u32::try_from(share).unwrap_or(u32::MAX).max(1)
 }
+
+/// Returns how many of an upstream's connections cells use.
+fn used_of(connections: u32) -> u64 {
+    u64::from(connections) * USED_PERCENT / 100
+}
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -89,7 +89,7 @@
 
     /// Takes one change set watched from the platform.
     pub fn offer(&mut self, delta: &Delta) -> Offer {
-        if self.seen != Some(delta.base) || delta.revision <= delta.base {
+        if !follows(self.seen, delta) {
             return Offer::Old;
         }
         self.pending.extend(delta.changes.iter().cloned());
@@ -99,8 +99,8 @@
     /// Takes several change sets watched from the platform, in order; returns what
     /// became of each, or of all at once where the last one is accepted.
     pub fn offer_many(&mut self, deltas: &[Delta]) -> Vec<Offer> {
-        let follows = self.pending.is_empty() && self.seen == self.revision();
-        if follows && self.accept_many(deltas) {
+        let good = self.pending.is_empty() && self.seen == self.revision();
+        if good && self.accept_many(deltas) {
             return vec![Offer::Accepted];
         }
         deltas.iter().map(|delta| self.offer(delta)).collect()
@@ -109,13 +109,7 @@
     /// Puts what a chain of deltas leads to in force, where it fits on the set in
     /// force and has no faults: the set is worked out once for all of them.
     fn accept_many(&mut self, deltas: &[Delta]) -> bool {
-        let mut at = self.revision();
-        let fits = deltas.iter().all(|delta| {
-            let fits = at == Some(delta.base) && delta.revision > delta.base;
-            at = Some(delta.revision);
-            fits
-        });
-        if deltas.is_empty() || !fits {
+        if deltas.is_empty() || !is_chain(self.revision(), deltas) {
             return false;
         }
         let changes: Vec<Change> = deltas.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
@@ -145,8 +139,7 @@
     }
 
     fn learn_delta(&mut self, delta: &Delta) -> bool {
-        let fits = self.revision() == Some(delta.base) && delta.revision > delta.base;
-        fits && self.accept(delta.revision, &delta.changes).is_ok()
+        follows(self.revision(), delta) && self.accept(delta.revision, &delta.changes).is_ok()
     }
 
     fn learn_all(&mut self, revision: Revision, items: &Items) -> bool {
@@ -176,3 +169,14 @@
         Ok(())
     }
 }
+
+/// Says whether a delta leads on from a revision.
+fn follows(at: Option<Revision>, delta: &Delta) -> bool {
+    at == Some(delta.base) && delta.revision > delta.base
+}
+
+/// Says whether each delta leads on from the one before it, the first from a revision.
+fn is_chain(from: Option<Revision>, deltas: &[Delta]) -> bool {
+    let ends = deltas.iter().map(|delta| Some(delta.revision));
+    std::iter::once(from).chain(ends).zip(deltas).all(|(at, delta)| follows(at, delta))
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -85,7 +85,7 @@
         state.forgotten = state.revision;
     }
 
-    /// Says whether it answers.
+    /// Sets whether it is down: it answers 503 then.
     pub fn set_down(&self, down: bool) {
         lock(&self.state).down = down;
     }
