--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod inbox;
 mod join;
 mod lapsed;
+mod publish;
 mod reader;
 mod wordbook;
 
--- /dev/null
+++ b/crates/harefield/src/control/publish.rs
@@ -0,0 +1,127 @@
+//! What the control duty tells the workers and operators: the view, how daemons are
+//! seen, and upstreams' words.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use log::warn;
+
+use super::duty::Control;
+use crate::domain::cell::Candidate;
+use crate::domain::event::Event;
+use crate::domain::membership::PeerState;
+use crate::domain::membership::Row;
+use crate::domain::view::View;
+use crate::domain::view::ViewSources;
+use crate::domain::word::NamedWord;
+use crate::engine::PeerView;
+use crate::engine::ToWorker;
+use crate::ports::Clock;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::telemetry::ConfigStatus;
+
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
+    /// Works out the view and tells the workers.
+    pub(super) fn publish(self: &Rc<Self>) {
+        *self.fleet.borrow_mut() = self.candidates();
+        let view = Arc::new(self.next_view());
+        *self.view.borrow_mut() = Arc::clone(&view);
+        self.tell(&ToWorker::View(view));
+        self.tell_peers();
+        self.show_config();
+        self.await_lapse();
+    }
+
+    fn next_view(&self) -> View {
+        let config = self.config.borrow();
+        let now = self.ports.clock.now();
+        let set = self.lapsed.borrow_mut().patch(config.set(), self.was_away(), now);
+        self.view.borrow().next(&ViewSources {
+            own: &self.settings.own.host,
+            revision: config.revision(),
+            set: &set,
+            listed: self.hosts.borrow().revision(),
+            hosts: &self.list.borrow(),
+            fleet: &self.fleet.borrow(),
+            size: self.settings.cell,
+        })
+    }
+
+    /// Returns the daemons that cells are assigned among, in a stable order;
+    /// none where the platform lists them.
+    fn candidates(&self) -> Vec<Candidate> {
+        let members = self.members.borrow();
+        // A daemon that is stopping still serves what is in progress.
+        let own = &self.settings.own.host;
+        let stays = |row: &&Row| row.host == *own || row.state != PeerState::Leaving;
+        let present = members.rows().filter(|row| !self.settings.listed && stays(row));
+        let candidate = |row: &Row| Candidate {
+            host: Arc::clone(&row.host),
+            zone: Arc::clone(&row.zone),
+            capacity: row.capacity,
+            live: row.state == PeerState::Live,
+        };
+        present.map(candidate).collect()
+    }
+
+    /// Tells the workers how daemons are seen now, and what cells that makes.
+    pub(super) fn members_changed(self: &Rc<Self>) {
+        let changed = *self.fleet.borrow() != self.candidates();
+        if changed && self.joined.get() {
+            self.publish();
+        } else {
+            self.tell_peers();
+        }
+    }
+
+    /// Tells every worker; the rings are long enough for what control sends.
+    pub(super) fn tell(&self, message: &ToWorker) {
+        for worker in &self.workers {
+            if worker.try_send(message.clone()).is_err() {
+                warn!("a worker's ring is full or closed");
+            }
+        }
+    }
+
+    /// Tells the workers which daemons are seen how.
+    pub(super) fn tell_peers(&self) {
+        let rows: Vec<Row> = self.members.borrow().rows().cloned().collect();
+        self.board.status().peers.clone_from(&rows);
+        self.tell(&ToWorker::Peers(Arc::new(PeerView { rows })));
+    }
+
+    /// Takes upstreams' words; tells the workers what was news.
+    pub(super) fn hear(&self, words: &[NamedWord]) {
+        let news = self.words.borrow_mut().join(words);
+        if !news.is_empty() {
+            self.tell(&ToWorker::Words(news.into()));
+        }
+    }
+
+    /// Takes rows from a peer; tells the workers what was news.
+    pub(super) fn meet(self: &Rc<Self>, rows: &[Row]) {
+        let news = self.members.borrow_mut().join(rows);
+        for row in &news {
+            let (host, state) = (Arc::clone(&row.host), row.state.to_string());
+            self.emit(Event::PeerSeen { host, state });
+        }
+        if !news.is_empty() {
+            self.members_changed();
+        }
+    }
+
+    /// Shows operators which configuration is in force.
+    pub(super) fn show_config(&self) {
+        let config = self.config.borrow();
+        let refused = config.refused();
+        self.board.put_set(Arc::clone(config.set()));
+        self.board.status().config = ConfigStatus {
+            revision: config.revision(),
+            seen: config.seen(),
+            refused: refused.map(|r| r.revision),
+            faults: refused.map(|r| r.faults.clone()).unwrap_or_default(),
+            listed: self.hosts.borrow().revision(),
+        };
+    }
+}
