Ask as a caller in one place, and split the test of a newer view

The headers of a caller's request were written three times. What is asserted is as before; the test of a newer view now hands each of its two requests on a connection of its own.

--- a/crates/harefield/tests/processes/site_cells.rs
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -2,14 +2,13 @@
 //! to members.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use standin::Manner;
 
 use crate::site_support::Site;
-use crate::site_support::ask;
+use crate::site_support::ask_at;
 use crate::site_support::records;
 use crate::support::Daemon;
 use crate::support::await_true;
@@ -17,15 +16,12 @@
 use harefield::adapters::peers::HttpPeers;
 use harefield::domain::code::Code;
 use harefield::domain::hlc::Stamp;
+use harefield::domain::outcome::Answer;
 use harefield::domain::outcome::Outcome;
 use harefield::domain::query::ByteQuery;
 use harefield::ports::Forward;
 use harefield::ports::Peers;
 
-fn ask_at(daemon: &Daemon, path: &str, id: &str, millis: u64) -> crate::site_support::Answer {
-    ask(daemon.addresses.callers, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: {millis}\r\n"))
-}
-
 /// Says whether a daemon asks upstreams itself.
 fn asks(daemon: &Daemon) -> bool {
     daemon.status().workers.values().any(|worker| !worker.upstreams.is_empty())
@@ -98,41 +94,45 @@
     }
 }
 
-#[test]
-fn newer_view_declined() {
-    let site = Site::start();
-    let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
-    let message = |revision| Forward {
+/// Returns a request as another daemon hands it on, let in under a revision.
+fn handed(revision: u64) -> Forward {
+    let query = ByteQuery {
+        id: "n1".into(),
+        method: "GET".into(),
+        target: "/all/x".into(),
+        headers: vec![("attempt-id".into(), "n1".into())],
+        ..Default::default()
+    };
+    Forward {
         from: "127.0.0.1:1".into(),
         stamp: Stamp { micros: 0, count: 0 },
         request: "n1".to_owned(),
         lookup: "all".to_owned(),
         query: Vec::new(),
-        opaque: Some(ByteQuery {
-            id: "n1".into(),
-            method: "GET".into(),
-            target: "/all/x".into(),
-            headers: vec![("attempt-id".into(), "n1".into())],
-            ..Default::default()
-        }),
+        opaque: Some(query),
         ticket: None,
         remaining: 1000,
         gather: None,
         revision: Some(revision),
         again: false,
-    };
-    let host = site.daemon.addresses.peers.to_string().into();
-    let hand = |revision| {
-        let message = message(revision);
-        let (peers, host) = (peers.clone(), Arc::clone(&host));
-        async_io::block_on(executor.run(async move {
-            let handed = peers.forward(&host, &message, Duration::from_secs(5)).await;
-            handed.expect("it answers").answer
-        }))
-    };
-    let declined = hand(1_000_000);
+    }
+}
+
+/// Hands a request to a daemon as another one does.
+fn hand(daemon: &Daemon, message: &Forward) -> Answer {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let host = daemon.addresses.peers.to_string().into();
+    let handing = peers.forward(&host, message, Duration::from_secs(5));
+    let forwarded = async_io::block_on(executor.run(handing));
+    forwarded.expect("it answers").answer
+}
+
+#[test]
+fn newer_view_declined() {
+    let site = Site::start();
+    let declined = hand(&site.daemon, &handed(1_000_000));
     assert_eq!((declined.outcome, declined.code), (Outcome::NotRun, Code::OlderView));
     assert_eq!(site.runs("n1"), 0);
-    assert_eq!(hand(1).code, Code::Whole);
+    assert_eq!(hand(&site.daemon, &handed(1)).code, Code::Whole);
 }
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 
 use serde_json::Value;
@@ -41,8 +42,12 @@
 impl Site {
     /// Starts a daemon that knows no configuration yet.
     pub fn bare() -> Self {
+        Self::bare_with("")
+    }
+
+    fn bare_with(routing: &str) -> Self {
         let store = SiteStore::start();
-        let daemon = Daemon::start(&settings(&store, "", ""));
+        let daemon = Daemon::start(&settings(&store, "", routing));
         Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() }
     }
 
@@ -64,18 +69,13 @@
 
     /// Starts as many daemons, of which `members` may ask the upstreams of an index.
     pub fn start_cells(count: usize, members: usize) -> Self {
-        let store = SiteStore::start();
         let routing = format!("cell-size = {members}\n");
-        let daemon = Daemon::start(&settings(&store, "", &routing));
-        let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
+        let mut site = Self::bare_with(&routing);
         site.join(count - 1, &routing);
         site.fill();
         let known = |daemon: &Daemon| daemon.status().peers.len() == count;
         await_true("they know each other", || site.daemons().all(known));
-        let serves = |daemon: &Daemon| {
-            let headers = "Attempt-Id: r0\r\nDeadline-Remaining: 2000\r\n";
-            ask(daemon.addresses.callers, "/all/x", headers).status == 200
-        };
+        let serves = |daemon: &Daemon| ask_at(daemon, "/all/x", "r0", 2000).status == 200;
         await_true("all have the configuration", || site.daemons().all(serves));
         site
     }
@@ -85,13 +85,13 @@
         std::iter::once(&self.daemon).chain(&self.others)
     }
 
+    /// Starts the upstreams, and publishes the first version.
     fn fill(&mut self) {
-        let site = self;
         for (service, records) in [("s1", [9, 1]), ("s2", [8, 2]), ("s3", [7, 3]), ("one", [5, 5])] {
-            site.add(service, &format!("i-{service}"), &records);
+            self.add(service, &format!("i-{service}"), &records);
         }
-        site.publish(1, &routes());
-        site.await_ready();
+        self.publish(1, &routes());
+        self.await_ready();
     }
 
     pub fn add(&mut self, service: &str, id: &str, records: &[u8]) {
@@ -111,7 +111,7 @@
     }
 
     pub fn ask(&self, path: &str, id: &str) -> Answer {
-        ask(self.daemon.addresses.callers, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n"))
+        ask_at(&self.daemon, path, id, 2000)
     }
 
     pub fn is_ready(&self) -> bool {
@@ -165,7 +165,12 @@
     ]
 }
 
-pub fn ask(to: std::net::SocketAddr, path: &str, headers: &str) -> Answer {
+/// Asks a daemon as a caller that has some milliseconds left.
+pub fn ask_at(daemon: &Daemon, path: &str, id: &str, millis: u64) -> Answer {
+    ask(daemon.addresses.callers, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: {millis}\r\n"))
+}
+
+pub fn ask(to: SocketAddr, path: &str, headers: &str) -> Answer {
     let mut stream = TcpStream::connect(to).expect("it listens");
     stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
     let head = format!("GET {path} HTTP/1.1\r\nHost: x.example\r\n{headers}Connection: close\r\n\r\n");
