--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -207,13 +207,19 @@
 
     /// Offers changes of the configuration; returns whether any was accepted.
     fn offer_deltas(self: &Rc<Self>, deltas: &[Delta]) -> bool {
-        let offers = self.config.borrow_mut().offer_many(deltas);
-        for offer in &offers {
-            if let Offer::Refused(_) = offer {
-                self.judged(offer);
+        if self.config.borrow_mut().offer_chain(deltas) {
+            return true;
+        }
+        let mut newer = false;
+        for delta in deltas {
+            let offer = self.config.borrow_mut().offer(delta);
+            match offer {
+                Offer::Accepted => newer = true,
+                Offer::Old => {}
+                Offer::Refused(_) => self.judged(&offer),
             }
         }
-        offers.contains(&Offer::Accepted)
+        newer
     }
 
     /// Notes that nothing else has changed up to a revision, if what changed
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -96,14 +96,11 @@
         self.judge(delta.revision)
     }
 
-    /// Takes several change sets watched from the platform, in order; returns what
-    /// became of each, or of all at once where the last one is accepted.
-    pub fn offer_many(&mut self, deltas: &[Delta]) -> Vec<Offer> {
+    /// Takes several change sets watched from the platform, in order, where what they
+    /// lead to can be put in force at once; else they are to be offered one by one.
+    pub fn offer_chain(&mut self, deltas: &[Delta]) -> bool {
         let good = self.pending.is_empty() && self.seen == self.revision();
-        if good && self.accept_many(deltas) {
-            return vec![Offer::Accepted];
-        }
-        deltas.iter().map(|delta| self.offer(delta)).collect()
+        good && self.accept_many(deltas)
     }
 
     /// Puts what a chain of deltas leads to in force, where it fits on the set in
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -42,6 +42,7 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
+        self.spare.borrow_mut().earn();
         loop {
             let answer = self.forward_once(request, found, trace).await;
             // Those asked have another view of the cell or an older configuration:
@@ -60,7 +61,6 @@
         trace: &mut Trace<C>,
     ) -> Answer {
         let mut handed = Handed::new();
-        self.spare.borrow_mut().earn();
         self.hand_on(&mut handed, request, found, trace);
         // Once that time has passed, only ends are awaited, which come by themselves.
         let mut hedge_at = Some(found.halfway());
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -108,7 +108,11 @@
                     let until = (from + count).min(history.changes.len());
                     let deltas: Vec<Delta> = (from..until).map(|at| history.delta(at)).collect();
                     let mut alone = fleet[who].clone();
-                    let _offers = fleet[who].offer_many(&deltas);
+                    if !fleet[who].offer_chain(&deltas) {
+                        for delta in &deltas {
+                            drop(fleet[who].offer(delta));
+                        }
+                    }
                     for delta in &deltas {
                         drop(alone.offer(delta));
                     }
