Hold requests up for an edition seen elsewhere for 15 s at most

Cause: without catalogs the edition was the revision, which would fall when a first catalog came; what had been handed on before would have been declined for good. Change: the edition is 0 without catalogs; one seen elsewhere counts for 15 s.

--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -161,11 +161,10 @@
         listed.into_iter().flatten().chain(held.iter().filter(fresh))
     }
 
-    /// Returns the edition of all catalogs together; none where there are none.
+    /// Returns the edition of all catalogs together; 0 where there are none.
     #[must_use]
-    pub fn edition(&self) -> Option<Edition> {
-        let all = || self.catalogs.values().map(|catalog| catalog.edition);
-        (!self.catalogs.is_empty()).then(|| all().sum())
+    pub fn edition(&self) -> Edition {
+        self.catalogs.values().map(|catalog| catalog.edition).sum()
     }
 
     /// Returns the bounds on callers' requests: of each, the least published.
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -71,8 +71,7 @@
 pub struct View {
     /// The configuration revision in force; none before the first.
     pub revision: Option<Revision>,
-    /// What operators published, in order: the catalogs' edition, or the revision
-    /// where there are none. No daemon goes back in it.
+    /// The edition of the catalogs; 0 where there are none.
     pub edition: Edition,
     /// The revision of the host list.
     pub listed: Option<Revision>,
@@ -115,7 +114,7 @@
             paths,
             bounds: sources.set.bounds(),
             revision: sources.revision,
-            edition: sources.set.edition().or(sources.revision).unwrap_or_default(),
+            edition: sources.set.edition(),
             listed: sources.listed,
             leaving: sources.hosts.leaving(),
             lookups,
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -58,7 +58,7 @@
     /// Finds the plan again where callers have seen a newer edition here than the one
     /// in force, which is on its way: nothing runs here under the older one.
     async fn find_current(&self, request: &LookupRequest, found: Found) -> Result<Found, Code> {
-        let is_current = || self.edition() >= self.seen_edition.get();
+        let is_current = || self.edition() >= self.seen_edition();
         if is_current() || !found.plan.member {
             return Ok(found);
         }
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -36,6 +36,10 @@
 /// Spare time that another daemon's answer has to travel past the deadline.
 pub(super) const TRAVEL: Duration = Duration::from_millis(50);
 
+/// How long an edition that was seen elsewhere holds requests up here. The users' bound
+/// for a configuration that travels by other daemons is 15 s.
+const SEEN_FOR: Duration = Duration::from_secs(15);
+
 /// How a request handed to one daemon ended.
 pub(super) struct Ended {
     pub host: HostId,
@@ -182,14 +186,24 @@
 
     /// Returns the newest edition that a request of this daemon may have run under.
     pub(super) fn newest_edition(&self) -> Edition {
-        self.view.borrow().edition.max(self.seen_edition.get())
+        self.view.borrow().edition.max(self.seen_edition())
+    }
+
+    /// Returns the newest edition that callers have seen here by way of others; 0
+    /// where that was long ago: what has not come here by then was taken back.
+    pub(super) fn seen_edition(&self) -> Edition {
+        let now = self.ports.clock.now();
+        let seen = self.seen_edition.get();
+        let recent = seen.filter(|(_, at)| now.saturating_duration_since(*at) < SEEN_FOR);
+        recent.map_or(0, |(edition, _)| edition)
     }
 
     /// Notes the edition that another daemon ran a request of this one under: callers
     /// have seen it here, and must not see an older one here any more.
     fn note_edition(&self, forwarded: &Forwarded) {
         if !is_elsewhere(forwarded.answer.code) {
-            self.seen_edition.set(self.seen_edition.get().max(forwarded.edition));
+            let newest = self.seen_edition().max(forwarded.edition);
+            self.seen_edition.set(Some((newest, self.ports.clock.now())));
         }
     }
 
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -132,7 +132,7 @@
         if *origin == Origin::Caller {
             return None;
         }
-        if origin.terms().edition.max(self.seen_edition.get()) > self.edition() {
+        if origin.terms().edition.max(self.seen_edition()) > self.edition() {
             return Some(Code::OlderView);
         }
         self.is_stopping().then_some(Code::NotMember)
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -120,8 +120,9 @@
     pub(super) turns: RefCell<HashMap<Arc<str>, Vec<i64>>>,
     /// The time that requests of each lookup usually come with.
     pub(super) time_limits: RefCell<HashMap<Arc<str>, Recent>>,
-    /// The newest edition that other daemons ran requests of this one under.
-    pub(super) seen_edition: Cell<Edition>,
+    /// The newest edition that other daemons ran requests of this one under, and when
+    /// that was last seen.
+    pub(super) seen_edition: Cell<Option<(Edition, Instant)>>,
     /// The most daemons that were ever known at once.
     pub(super) known: Cell<u32>,
     numbered: Cell<u64>,
@@ -180,7 +181,7 @@
             counts: Cell::default(),
             turns: RefCell::default(),
             time_limits: RefCell::default(),
-            seen_edition: Cell::default(),
+            seen_edition: Cell::new(None),
             known: Cell::new(known),
             numbered: Cell::new(0),
         })
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -144,8 +144,10 @@
 async fn watch(state: &Mutex<Store>, query: &BTreeMap<String, String>) -> Reply {
     let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let (after, wait) = (number("after"), number("waitMs"));
+    // What came after the last look is for the next watch.
+    let mut seen = after;
     for _ in 0..=(wait / 10) {
-        {
+        seen = {
             let store = lock(state);
             if after < store.forgotten {
                 return net::json(410, &json!({}));
@@ -155,11 +157,11 @@
             if !newer.is_empty() || store.down {
                 return net::json(200, &json!({ "events": newer, "storeRevision": store.revision }));
             }
-        }
+            store.revision
+        };
         Timer::after(LOOK_EVERY).await;
     }
-    let at = lock(state).revision;
-    net::json(200, &json!({ "events": [], "storeRevision": at }))
+    net::json(200, &json!({ "events": [], "storeRevision": after.max(seen) }))
 }
 
 fn event((revision, key, value): &(u64, String, Option<String>)) -> Value {
