Say where a run's requests lost their worth

standin losses OUTPUT reads the daemons' lines in a run's output and tables what was lost by moment, kind of request and cause. Admitted lines carry the lookup's objective and when the answer is due; a retry that the budget denies leaves a line and counts as retry-denied.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -161,6 +161,7 @@
     fn count_other(&self, event: &Event) {
         let name = match event {
             Event::HedgeDenied { .. } => "hedge-denied",
+            Event::RetryDenied { .. } => "retry-denied",
             Event::ConfigRefused { .. } => "config-refused",
             Event::CallerGone { .. } => "caller-gone",
             Event::Paused { .. } => "paused",
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -58,8 +58,10 @@
 #[serde(tag = "kind", rename_all = "kebab-case")]
 #[expect(missing_docs, reason = "the variants' fields are explained by their types")]
 pub enum Event {
-    /// A request was let in.
-    Admitted { lookup: String, urgency: Urgency, waited: u64 },
+    /// A request was let in. `waited` and `due` are microseconds from its start to now
+    /// and to when its answer should leave; none where nothing is due before the
+    /// deadline. `objective` is the lookup's, in milliseconds.
+    Admitted { lookup: String, urgency: Urgency, waited: u64, objective: Option<u64>, due: Option<u64> },
     /// A request was refused before it ran.
     Refused { lookup: String, code: Code, retry_after: Option<u64> },
     /// The snapshot of the answer was chosen.
@@ -82,6 +84,8 @@
     GroupTaken { from: HostId, shards: usize, gather: Option<u64> },
     /// A hedge was due but the budget of extra load is used up.
     HedgeDenied { shard: ShardId },
+    /// A retry was due but the budget of extra load is used up: the shard is given up.
+    RetryDenied { shard: ShardId },
     /// A reply was taken into the answer.
     ReplyTaken { shard: ShardId, upstream: UpstreamId, attempt: AttemptId, micros: u64 },
     /// A reply was not taken into the answer.
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -46,6 +46,7 @@
                 if cause == Cause::Retry
                     && !step.router.budget(&self.plan.shards[shard].shard).spend_retry() =>
             {
+                step.emit(Event::RetryDenied { shard: self.name(shard) });
                 self.close(shard, Gap::Overloaded, step);
             }
             Ok(choice) => {
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -171,6 +171,8 @@
             lookup: request.lookup.clone(),
             urgency: lookup.urgency,
             waited: micros(waited),
+            objective: lookup.objective_ms,
+            due: found.objective.map(|at| micros(at.saturating_duration_since(found.start))),
         });
         let job = Job {
             request: trace.request().map(Arc::clone).unwrap_or_default(),
--- a/crates/standin/src/bin/standin.rs
+++ b/crates/standin/src/bin/standin.rs
@@ -1,6 +1,8 @@
 //! The `standin` program: stand-ins and load for scripts.
 
 use std::collections::HashMap;
+use std::fs::File;
+use std::io::BufReader;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -21,6 +23,7 @@
 use standin::load;
 use standin::load::Load;
 use standin::load::Mix;
+use standin::losses;
 use standin::plot;
 
 const HELP: &str = "\
@@ -37,6 +40,7 @@
   standin fleet     --layout small --base-port N --listen IP:PORT --operator IP:PORT ...
                     --peer IP:PORT ... --pids FILE [--upstreams N] [--made-daemons N]
                     [--seconds N] [--rate N]
+  standin losses    OUTPUT [--width SECONDS]
   standin plot      JOURNAL --site NAME --out DIR
   standin tell      --admin IP:PORT PATH BODY
 
@@ -54,6 +58,7 @@
         Some("load") => run_load(&options),
         Some("experiment") => run_experiment(&options),
         Some("table") => print_table(&options),
+        Some("losses") => print_losses(&options),
         Some("plot") => draw(&options),
         Some("fleet") => run_fleet(&options),
         Some("tell") => tell(&options),
@@ -227,6 +232,23 @@
     Ok(())
 }
 
+/// Says where the requests of a run lost their worth, from the daemons' lines in its
+/// output.
+fn print_losses(options: &Options) -> Result<(), Failure> {
+    let path = options.words.get(1).ok_or("the OUTPUT of a run is needed")?;
+    let width: f64 = options.one("width", Some(2.0))?;
+    if !width.is_finite() || width <= 0.0 {
+        return Err("--width is a number of seconds above 0".into());
+    }
+    let lines = losses::read(BufReader::new(File::open(path)?))?;
+    let stories = losses::stories(&lines);
+    if stories.is_empty() {
+        return Err(format!("{path} holds no line of a daemon on a request").into());
+    }
+    println!("{}\n{}", losses::by_kind(&stories), losses::by_moment(&stories, width));
+    Ok(())
+}
+
 /// Draws what the days of a site were worth, and where the worth went.
 fn draw(options: &Options) -> Result<(), Failure> {
     let folder = options.words.get(1).ok_or("the JOURNAL is needed")?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 mod layout;
 pub mod load;
+pub mod losses;
 mod net;
 mod platform;
 pub mod plot;
