Await an overdue group whose shards cannot be paid for again

Its story, from logs: the group to a far daemon was revoked 10 ms after it was due, often a few milliseconds before its answer came, its first message having opened a connection (one more way there and back, 16 ms). Its shards were then to be asked again, and the budgets of this daemon for far shards are empty, since the daemon that asks them earns: 369 retries denied in 105 failed requests. Ruled out: a daemon that is gone (the groups ended whole on the other side), slow searchers (8 of 9 parts were in there). Change: overdue one way later; revoked only where retries are paid for that still make an answer, else given up 150 ms later.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -44,9 +44,17 @@
 /// searchers usually take, and than one hedge there.
 const LEAST_PATIENCE: Duration = Duration::from_millis(50);
 
-/// A group with an objective is revoked this long after its answer was due.
+/// A group with an objective is overdue this long after its answer was due, besides one
+/// more way there and back: a connection to its daemon that had to be opened takes that.
 const OVERDUE: Duration = Duration::from_millis(10);
 
+/// How long an overdue group is awaited whose shards cannot be asked again, since no
+/// budget pays for it: as long as daemons wait before they take one for silent.
+const LOST: Duration = Duration::from_millis(150);
+
+/// How often an overdue group is looked at again.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
 /// The pause between revoking a group and asking its shards directly: the
 /// daemon, if it lives, is to end its own attempts first.
 const REVOKE_PAUSE: Duration = Duration::from_millis(3);
@@ -68,6 +76,8 @@
     /// How long the daemon may gather before it answers with what it has; none
     /// where nothing is due before the deadline.
     pub gather: Option<Duration>,
+    /// When the daemon is taken to be gone.
+    pub lost: Instant,
 }
 
 /// What a daemon brought of one shard.
@@ -136,8 +146,9 @@
             .map(|objective| objective.saturating_duration_since(start).saturating_sub(way + MERGE_TIME));
         let slow = step.router.relays().pace(&self.rules.kind).slow().mul_f64(REVOKE_FACTOR);
         let slow = slow.max(way + LEAST_PATIENCE);
-        let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + OVERDUE);
+        let due = gather.map_or(slow, |gather| gather + way + MERGE_TIME + way + OVERDUE);
         let revoke = start + due.max(way + LEAST_PATIENCE);
+        let lost = revoke + LOST;
         let only = self.narrow(&shards, zone, step);
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
@@ -147,7 +158,7 @@
             state.flights.push(Flight { attempt, upstream: Arc::clone(&host), start, cause: Cause::First });
         }
         step.emit(Event::GroupSent { to: Arc::clone(&host), shards: shards.len(), attempt });
-        let hand = Hand { host, attempt, shards, start, only, gather };
+        let hand = Hand { host, attempt, shards, start, only, gather, lost };
         self.handed.push(hand.clone());
         step.actions.push(Action::Hand(hand));
     }
@@ -174,9 +185,20 @@
 
     /// Takes a group back from a daemon that does not answer, and asks its
     /// shards directly; returns whether the shard was in a group.
+    ///
+    /// A group whose shards cannot be paid for again is awaited longer: without it the
+    /// request fails, and its caller has to send the whole of it once more. Over 15
+    /// played days of eight daemons the credit of all requests rose from 0.904 to 0.916
+    /// by this and by awaiting a connection.
     pub(super) fn revoke<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) -> bool {
         let holds = |hand: &Hand| self.shards[shard].flights.iter().any(|f| f.attempt == hand.attempt);
         let Some(at) = self.handed.iter().position(holds) else { return false };
+        if step.now < self.handed[at].lost && !self.replaceable(at, step) {
+            for shard in &self.handed[at].shards {
+                self.shards[*shard].hedge = Hedge::Due(step.now + LOOK_EVERY);
+            }
+            return true;
+        }
         let hand = self.handed.swap_remove(at);
         step.router.relays_mut().end(
             &hand.host,
@@ -201,6 +223,22 @@
         true
     }
 
+    /// Says whether enough shards make an answer without a group, counting those of its
+    /// shards whose retries are paid for.
+    fn replaceable<S: Sink>(&self, at: usize, step: &mut Step<'_, S>) -> bool {
+        let hand = &self.handed[at];
+        let mut expected = 0;
+        for (number, shard) in self.shards.iter().enumerate() {
+            let counts = if hand.shards.contains(&number) {
+                self.may_send(number) && step.router.budget(&self.plan.shards[number].shard).has_retry()
+            } else {
+                shard.part.is_some() || shard.is_open()
+            };
+            expected += usize::from(counts);
+        }
+        expected >= self.rules.least(self.shards.len())
+    }
+
     /// Takes the end of a group.
     pub fn on_group_end(
         &mut self,
--- a/crates/harefield/src/domain/routing/budget.rs
+++ b/crates/harefield/src/domain/routing/budget.rs
@@ -84,6 +84,12 @@
         self.spend(self.probes)
     }
 
+    /// Returns whether a retry may be sent.
+    #[must_use]
+    pub fn has_retry(&self) -> bool {
+        self.tokens >= 1.0 - self.reserve
+    }
+
     /// Spends one retry; returns whether it may be sent.
     pub fn spend_retry(&mut self) -> bool {
         self.spend(1.0 - self.reserve)
