Decline a group whose sender may ask other replicas

A sender that knows only two of three replicas names none to the daemon it hands a group to, which then asks any two of its three. Ruled out: a second member (all came from one daemon), hedges (groups are revoked first). Change: such a group is declined, and its shards are asked directly as first ones. Where replicas are no more than attempts, nothing changes.

--- a/crates/harefield/src/domain/view/plan.rs
+++ b/crates/harefield/src/domain/view/plan.rs
@@ -47,6 +47,29 @@
     pub(super) sources: Sources,
 }
 
+impl LookupPlan {
+    /// Returns the plan of a group of shards that another daemon names; `only` holds, by
+    /// place in the group, the replicas that may be asked where that daemon knows more
+    /// than the lookup's attempts.
+    ///
+    /// There is none where a shard is not known, or where this daemon knows more replicas
+    /// of one than may be asked and that daemon did not say which: the two would choose
+    /// theirs apart, and together ask more than the lookup allows.
+    #[must_use]
+    pub fn group(&self, names: &[ShardId], only: &[(usize, Vec<UpstreamId>)]) -> Option<Plan> {
+        let whole = self.plans.first()?;
+        let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
+        let mut shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
+        for (at, only) in only {
+            shards.get_mut(*at)?.replicas.retain(|name| only.contains(name));
+        }
+        let most =
+            self.lookup.attempts.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+        let bounded = shards.iter().all(|shard| shard.replicas.len() <= most);
+        bounded.then(|| Plan { index: Arc::clone(&whole.index), version: whole.version, shards })
+    }
+}
+
 /// One part of a lookup's requests.
 #[derive(Clone, Debug)]
 pub struct Weighted {
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -19,7 +19,6 @@
 use crate::domain::query::Query;
 use crate::domain::ratio;
 use crate::domain::time::micros;
-use crate::domain::view::LookupPlan;
 use crate::domain::view::Plan;
 use crate::ports::Clock;
 use crate::ports::Group;
@@ -84,10 +83,7 @@
         let plan = view.lookups.get(group.lookup.as_str())?;
         let parts = plan.parts.iter().map(|part| &part.plan);
         let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
-        let mut shards = subset(plan, &group.shards)?;
-        for (at, only) in &group.only {
-            shards.shards.get_mut(*at)?.replicas.retain(|name| only.contains(name));
-        }
+        let shards = plan.group(&group.shards, &group.only)?;
         let found = Found {
             plan: Arc::clone(plan),
             start,
@@ -125,11 +121,3 @@
         }
     }
 }
-
-/// Returns a plan of the named shards alone; none where one is not known.
-fn subset(plan: &LookupPlan, names: &[ShardId]) -> Option<Plan> {
-    let whole = plan.plans.first()?;
-    let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
-    let shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
-    Some(Plan { index: Arc::clone(&whole.index), version: whole.version, shards })
-}
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -30,9 +30,11 @@
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::RelayVerdict;
 use harefield::domain::routing::Router;
+use harefield::domain::view::LookupPlan;
 
 use crate::support::at;
 use crate::support::items;
+use crate::support::replica;
 use crate::support::values;
 use crate::support::view;
 
@@ -347,6 +349,28 @@
     assert_eq!(from_group, 3);
 }
 
+/// Returns the plan of a lookup that allows two attempts, over shards of `replicas`
+/// replicas.
+fn plan(replicas: usize) -> Arc<LookupPlan> {
+    let mut values = values(SHARDS, replicas, &[7]);
+    values.get_mut("lookups/l").expect("it is there")["attempts"] = 2.into();
+    let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
+    Arc::clone(&view(&set).lookups["l"])
+}
+
+#[test]
+fn unnamed_replicas_declined() {
+    // The sender knows two of three replicas and names none: it may ask both itself.
+    let names: [ShardId; 2] = ["s/000".into(), "s/001".into()];
+    assert!(plan(3).group(&names, &[]).is_none());
+    assert!(plan(2).group(&names, &[]).is_some());
+    let only = [(0, vec![replica(0, 0), replica(0, 1)]), (1, vec![replica(1, 2)])];
+    let group = plan(3).group(&names, &only).expect("it says which");
+    assert_eq!(group.shards[0].replicas, only[0].1);
+    assert_eq!(group.shards[1].replicas, only[1].1);
+    assert!(plan(3).group(&names, &only[..1]).is_none(), "one of two is not said");
+}
+
 #[test]
 fn silent_daemon_left_alone() {
     let mut world = World::start(true);
