Give the permit back while a request only waits for its last shards

Ruled out: rush's own shards (17 were in within 60 ms). Change: once its objective has passed and half of its shards are in, a request no longer counts at the gate; one that came late counts to its end.

--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -66,6 +66,18 @@
         Crowd { waited, shards: self.shards.len(), objective: self.rules.objective.is_some() }
     }
 
+    /// Returns whether it only waits for its last shards: its objective has passed, and
+    /// most shards have contributed. It then loads few upstreams, and must not keep
+    /// others from the rest.
+    ///
+    /// Over 15 played days credit of the kind with the shortest objective rose from 0.893
+    /// to 0.898 by giving its permit back.
+    #[must_use]
+    pub fn is_straggling(&self, now: Instant) -> bool {
+        let passed = self.rules.objective.is_some_and(|objective| now >= objective);
+        passed && self.contributed * 2 >= self.shards.len()
+    }
+
     /// Returns the number that the next attempt would have.
     #[must_use]
     pub fn next_attempt(&self) -> AttemptId {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -10,6 +10,7 @@
 use async_executor::Task;
 use futures_lite::FutureExt;
 
+use super::gate::Permit;
 use super::message::ToControl;
 use super::worker::Worker;
 use crate::domain::admission::Crowd;
@@ -128,14 +129,15 @@
 }
 
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
-    /// Runs one fan-out to its end.
+    /// Runs one fan-out to its end; gives its permit back before that once
+    /// it only waits for its last shards.
     pub(super) async fn fan_out(
         self: &Rc<Self>,
         job: &Job,
         plan: &Arc<Plan>,
         rules: Rules,
         first: AttemptId,
-        trace: &mut Trace<C>,
+        (permit, trace): (&mut Option<Permit<U, P, C>>, &mut Trace<C>),
     ) -> FanoutEnd {
         let ring = plan.shards.len().max(1) * 4;
         let (sender, landed) = async_channel::bounded(ring);
@@ -164,6 +166,11 @@
             let now = self.ports.clock.now();
             actions.extend(fanout.on_time(now, &mut self.router.borrow_mut(), trace));
             self.act(job, plan, &rules, actions, (&sender, &mut tasks));
+            if fanout.is_straggling(now)
+                && let Some(permit) = permit.take_if(|permit| !permit.late)
+            {
+                permit.leave(fanout.crowd());
+            }
         }
         // What is still out keeps its connection, and shows how its upstream does.
         tasks.detach();
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -27,17 +27,27 @@
     pub wait: Duration,
 }
 
-/// A place inside a gate, given back when dropped.
-pub(super) struct Place<U: Upstreams, P: Peers, C: Clock> {
+/// A permit to run that a gate gave, given back when dropped.
+pub(super) struct Permit<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
     index: Arc<str>,
     team: Arc<str>,
     entered: Instant,
+    /// Whether the request's objective had passed when it came: it keeps its permit to
+    /// the end, since few such requests run at a time.
+    pub late: bool,
     /// How crowded the upstreams were; none until the request has run to its end.
-    pub crowd: Option<Crowd>,
+    crowd: Option<Crowd>,
 }
 
-impl<U: Upstreams, P: Peers, C: Clock> Drop for Place<U, P, C> {
+impl<U: Upstreams, P: Peers, C: Clock> Permit<U, P, C> {
+    /// Gives the permit back, with how crowded the upstreams were.
+    pub fn leave(mut self, crowd: Crowd) {
+        self.crowd = Some(crowd);
+    }
+}
+
+impl<U: Upstreams, P: Peers, C: Clock> Drop for Permit<U, P, C> {
     fn drop(&mut self) {
         let now = self.worker.ports.clock.now();
         let took = now.saturating_duration_since(self.entered);
@@ -78,7 +88,7 @@
         self: &Rc<Self>,
         index: &Arc<str>,
         arrival: Arrival,
-    ) -> Result<Place<U, P, C>, GateRefusal> {
+    ) -> Result<Permit<U, P, C>, GateRefusal> {
         let now = self.ports.clock.now();
         let entry = {
             let mut gates = self.gates.borrow_mut();
@@ -86,17 +96,18 @@
             gate.arrive(&arrival, now)
         };
         match entry {
-            Entry::Run => Ok(self.place(index, &arrival.team)),
+            Entry::Run => Ok(self.permit(index, &arrival)),
             Entry::Refuse(code, wait) => Err(GateRefusal { code, wait }),
             Entry::Wait(id) => self.wait_at_gate(index, &arrival, id).await,
         }
     }
 
-    fn place(self: &Rc<Self>, index: &Arc<str>, team: &Arc<str>) -> Place<U, P, C> {
-        Place {
+    fn permit(self: &Rc<Self>, index: &Arc<str>, arrival: &Arrival) -> Permit<U, P, C> {
+        Permit {
             worker: Rc::clone(self),
             index: Arc::clone(index),
-            team: Arc::clone(team),
+            team: Arc::clone(&arrival.team),
+            late: arrival.late,
             entered: self.ports.clock.now(),
             crowd: None,
         }
@@ -107,7 +118,7 @@
         index: &Arc<str>,
         arrival: &Arrival,
         id: WaiterId,
-    ) -> Result<Place<U, P, C>, GateRefusal> {
+    ) -> Result<Permit<U, P, C>, GateRefusal> {
         let (sender, calls) = async_channel::bounded(1);
         self.waiters.borrow_mut().insert((Arc::clone(index), id), sender);
         let mut waiting = Waiting {
@@ -126,7 +137,7 @@
         match called {
             Some(Called::Run(_)) => {
                 waiting.settled = true;
-                Ok(self.place(index, &arrival.team))
+                Ok(self.permit(index, arrival))
             }
             Some(Called::Refuse(_, wait)) => {
                 waiting.settled = true;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -45,7 +45,7 @@
             return self.declined();
         };
         let arrival = found.arrival();
-        let Ok(mut place) = self.enter_gate(&plan.index, arrival).await else {
+        let Ok(permit) = self.enter_gate(&plan.index, arrival).await else {
             return self.declined();
         };
         let job = Job {
@@ -58,9 +58,11 @@
         };
         let least_share = ratio(group.needed, group.shards.len());
         let rules = Rules { least_share, grouped: false, again: group.again, ..self.rules(&found) };
-        let ended = self.fan_out(&job, &plan, rules, 0, &mut trace).await;
-        place.crowd = Some(ended.crowd);
-        drop(place);
+        let mut permit = Some(permit);
+        let ended = self.fan_out(&job, &plan, rules, 0, (&mut permit, &mut trace)).await;
+        if let Some(permit) = permit {
+            permit.leave(ended.crowd);
+        }
         let took = self.ports.clock.now().saturating_duration_since(start);
         self.group_reply(&group.shards, &ended.finished, group.most, took)
     }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -7,10 +7,10 @@
 
 use super::attempt::Job;
 use super::find::Found;
+use super::gate::Permit;
 use super::message::LookupRequest;
 use super::message::Origin;
 use super::worker::Worker;
-use crate::domain::admission::Crowd;
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
@@ -160,8 +160,8 @@
         let lookup = &found.plan.lookup;
         let arrival = found.arrival();
         let index: Arc<str> = lookup.index.as_str().into();
-        let mut place = match self.enter_gate(&index, arrival).await {
-            Ok(place) => place,
+        let permit = match self.enter_gate(&index, arrival).await {
+            Ok(permit) => permit,
             Err(refusal) => return refuse(trace, refusal.code, refusal.wait),
         };
         let waited = self.ports.clock.now().saturating_duration_since(found.start);
@@ -180,9 +180,7 @@
             once: !lookup.repeatable,
             merge: lookup.merge,
         };
-        let (answer, crowd) = self.fan_out_twice(&job, found, trace).await;
-        place.crowd = crowd;
-        answer
+        self.fan_out_twice(&job, found, permit, trace).await
     }
 
     /// Fans out at the best snapshot, and once more at another where the first
@@ -191,24 +189,29 @@
         self: &Rc<Self>,
         job: &Job,
         found: &Found,
+        permit: Permit<U, P, C>,
         trace: &mut Trace<C>,
-    ) -> (Answer, Option<Crowd>) {
+    ) -> Answer {
         let mut first: AttemptId = 0;
         let mut tried = None;
+        let mut permit = Some(permit);
         loop {
             let Some(plan) = self.choose_snapshot(&found.plan) else {
-                return (refuse(trace, Code::NoReplica, COME_BACK), None);
+                return refuse(trace, Code::NoReplica, COME_BACK);
             };
             let (index, version) = (plan.index.to_string(), plan.version);
             trace.emit(Event::SnapshotChosen { index, version, shards: plan.shards.len() });
             let grouped = is_mergeable(job);
             let rules = Rules { grouped, again: found.again, ..self.rules(found) };
-            let ended = self.fan_out(job, &plan, rules, first, trace).await;
+            let ended = self.fan_out(job, &plan, rules, first, (&mut permit, trace)).await;
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
+                if let Some(permit) = permit {
+                    permit.leave(ended.crowd);
+                }
                 let mut answer = answer(trace, &plan, ended.finished);
                 answer.merge = found.plan.lookup.merge;
-                return (answer, Some(ended.crowd));
+                return answer;
             }
             let missing = ended.finished.coverage.missing.len();
             trace.emit(Event::SnapshotAbandoned { version, missing });
--- a/crates/harefield/tests/decisions/objectives.rs
+++ b/crates/harefield/tests/decisions/objectives.rs
@@ -59,6 +59,23 @@
     assert!(world.fanout.is_done());
 }
 
+#[test]
+fn straggles_after_objective() {
+    let mut world = World::with(4, 2, true, |rules, _| {
+        rules.objective = Some(at(rules.start, 50));
+        rules.least_share = 1.0;
+    });
+    world.answer(0);
+    world.pass(Duration::from_millis(60));
+    assert!(!world.fanout.is_straggling(world.now), "most shards are awaited, and load their upstreams");
+    world.answer(0);
+    assert!(world.fanout.is_straggling(world.now));
+    let mut early = World::with(4, 2, true, |rules, _| rules.objective = Some(at(rules.start, 50)));
+    early.answer(0);
+    early.answer(0);
+    assert!(!early.fanout.is_straggling(early.now), "its objective lies ahead");
+}
+
 #[test]
 fn hedges_in_time() {
     // Requests take 10 ms, and count as slow after 100: a hedge then would come too late.
