Keep a spare connection to daemons, and give silent ones up

Two changes to the connections between processes.

A spare one is opened as a group leaves.

Silent: open connections may go silent for good while new ones work (the users' news). A call to a daemon that ends unanswered after 250 ms, and a request to an upstream out for 1 s, now close the idle connections beside theirs, which else cost a request each. Three tests, seen failing.

--- a/crates/harefield/src/adapters/http/pool.rs
+++ b/crates/harefield/src/adapters/http/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use log::debug;
 
 use super::client::ClientError;
 use super::client::Connection;
@@ -23,6 +25,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    /// Addresses that a spare connection is being opened to.
+    opening: RefCell<HashSet<SocketAddr>>,
 }
 
 impl Pool {
@@ -58,6 +62,20 @@
         }
     }
 
+    /// Opens a spare connection where none is idle or being opened.
+    pub async fn keep_spare(&self, executor: &LocalExecutor<'_>, address: SocketAddr, limit: Duration) {
+        let has_idle = self.idle.borrow().get(&address).is_some_and(|idle| !idle.is_empty());
+        if has_idle || !self.opening.borrow_mut().insert(address) {
+            return;
+        }
+        let opened = connect(executor, address, limit).await;
+        self.opening.borrow_mut().remove(&address);
+        match opened {
+            Ok(connection) => self.give_back(address, connection),
+            Err(error) => debug!("no spare connection to {address}: {error:?}"),
+        }
+    }
+
     /// Keeps a connection whose reply was read whole.
     pub fn give_back(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
@@ -67,6 +85,13 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        if let Some(idle) = self.idle.borrow_mut().remove(&address) {
+            debug!("{} idle connections to {address} are closed", idle.len());
+        }
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -49,6 +50,14 @@
 /// The most bytes of a peer's reply.
 const MOST_REPLY: usize = 64 << 20;
 
+/// How long after a group leaves a spare connection to its daemon is opened, where none
+/// is left: the group itself goes first.
+const SPARE_PAUSE: Duration = Duration::from_millis(1);
+
+/// A call that ends unanswered after this long may have been on a silent connection;
+/// answers take less, but for those that wait past an objective.
+const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+
 /// How long opening a connection to a daemon may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -77,6 +86,23 @@
     traffic: Traffic,
 }
 
+/// A call under way. Where it ends unanswered after a while, the idle connections to
+/// its daemon go too: they may be as silent as its own, and new ones may work.
+struct Unanswered<'a> {
+    pool: &'a Pool,
+    address: SocketAddr,
+    since: Instant,
+    settled: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.settled && self.since.elapsed() >= SUSPECT_AFTER {
+            self.pool.forget(self.address);
+        }
+    }
+}
+
 impl HttpPeers {
     /// Creates the adapter on one thread's executor; `token` is shown to peers
     /// and `traffic` counts what control sends.
@@ -96,18 +122,19 @@
             Timer::after(limit).await;
             Err(PeerError::Silent)
         };
-        self.converse(host, path, body, limit).or(expired).await
+        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
+        let mut unanswered = Unanswered { pool: &self.pool, address, since: Instant::now(), settled: false };
+        let reply = self.converse(address, self.request(host, path, body)?, limit).or(expired).await;
+        unanswered.settled = !matches!(reply, Err(PeerError::Silent));
+        reply
     }
 
     async fn converse<R: DeserializeOwned>(
         &self,
-        host: &HostId,
-        path: &str,
-        body: Vec<u8>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<(R, usize), PeerError> {
-        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
-        let request = self.request(host, path, body)?;
         let connecting = limit.min(CONNECT_LIMIT);
         let sent = self.pool.send(&self.executor, address, request, connecting).await;
         let (reply, connection) = sent.map_err(|error| match error {
@@ -171,6 +198,13 @@
     async fn group(&self, host: &HostId, message: &Group, limit: Duration) -> Result<GroupReply, PeerError> {
         // Fields go by their places: these messages cross between regions.
         let body = rmp_serde::to_vec(message).map_err(|_error| PeerError::Unreachable)?;
+        let this = self.clone();
+        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
+        let spare = async move {
+            Timer::after(SPARE_PAUSE).await;
+            this.pool.keep_spare(&this.executor, address, CONNECT_LIMIT).await;
+        };
+        self.executor.spawn(spare).detach();
         let (reply, _size) = self.call(host, GROUP_PATH, body, limit).await?;
         Ok(reply)
     }
--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -9,6 +9,7 @@
 use std::fmt::Debug;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -36,6 +37,10 @@
 
 pub use self::protocol::OwnProtocol;
 
+/// A request without a reply for this long may be on a silent connection: replies take a
+/// tenth of it, and some tenths from upstreams that are slow or pause.
+const SUSPECT_AFTER: Duration = Duration::from_secs(1);
+
 /// The most bytes of one shard's reply.
 const MOST_REPLY: usize = 4 << 20;
 
@@ -146,7 +151,12 @@
             Timer::after(limit).await;
             None
         };
-        let ended = async { Some(self.converse(&call, permit).await) }.or(expired).await;
+        let suspect = async {
+            Timer::after(SUSPECT_AFTER).await;
+            self.close_idle(&call.place);
+            std::future::pending().await
+        };
+        let ended = async { Some(self.converse(&call, permit).await) }.or(suspect).or(expired).await;
         ended.unwrap_or_else(|| lost(Gap::ReplyLost, Report::default()))
     }
 
--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -121,6 +121,16 @@
         None
     }
 
+    /// Closes the idle connections of a place: they may be as silent as one that has
+    /// brought no reply for long, and new ones may work.
+    pub(super) fn close_idle(&self, place: &Place) {
+        change(&self.pools, place, |pool| {
+            let idle = u32::try_from(pool.idle.len()).unwrap_or(u32::MAX);
+            pool.idle.clear();
+            pool.open = pool.open.saturating_sub(idle);
+        });
+    }
+
     /// Reserves a place for one more connection within the share.
     fn reserve(&self, place: &Place, share: u32) -> Option<Seat> {
         let mut pools = self.pools.borrow_mut();
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod own_answer;
 mod planned_stop;
+mod silent_connections;
 mod site;
 mod site_cells;
 mod site_editions;
--- /dev/null
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -0,0 +1,181 @@
+//! Connections that go silent for good, while new ones work.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use harefield::adapters::http::Traffic;
+use harefield::adapters::peers::HttpPeers;
+use harefield::adapters::upstreams::HttpUpstreams;
+use harefield::adapters::upstreams::OwnProtocol;
+use harefield::domain::fanout::Echo;
+use harefield::domain::hlc::Stamp;
+use harefield::domain::query::ByteQuery;
+use harefield::domain::query::Query;
+use harefield::ports::Call;
+use harefield::ports::Group;
+use harefield::ports::GroupReply;
+use harefield::ports::PeerError;
+use harefield::ports::Peers;
+use harefield::ports::Place;
+use harefield::ports::Upstreams;
+
+/// A process that answers on each connection until that is silenced, as a daemon answers
+/// groups.
+struct Listener {
+    address: String,
+    /// How many connections it has taken.
+    taken: Arc<AtomicUsize>,
+    /// Connections numbered below this are silent.
+    silent: Arc<AtomicUsize>,
+}
+
+impl Listener {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let (taken, silent) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let counts = (Arc::clone(&taken), Arc::clone(&silent));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let number = counts.0.fetch_add(1, Ordering::SeqCst);
+                let silent = Arc::clone(&counts.1);
+                std::thread::spawn(move || answer(stream, number, &silent));
+            }
+        });
+        Self { address, taken, silent }
+    }
+
+    fn taken(&self) -> usize {
+        self.taken.load(Ordering::SeqCst)
+    }
+
+    /// Silences all connections taken so far.
+    fn silence(&self) {
+        self.silent.store(self.taken(), Ordering::SeqCst);
+    }
+}
+
+/// Answers each read of a connection, which holds one request, while it is not silent.
+fn answer(mut stream: TcpStream, number: usize, silent: &AtomicUsize) {
+    let reply = rmp_serde::to_vec(&GroupReply::default()).expect("it can be written");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", reply.len());
+    let mut buffer = [0; 4096];
+    while stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+        // Longer than a connection takes to open, so that a second one is opened meanwhile.
+        std::thread::sleep(Duration::from_millis(100));
+        if number >= silent.load(Ordering::SeqCst) {
+            let whole = [head.as_bytes(), &reply].concat();
+            if stream.write_all(&whole).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn group() -> Group {
+    Group {
+        from: "127.0.0.1:1".into(),
+        stamp: Stamp { micros: 0, count: 0 },
+        request: "r".to_owned(),
+        lookup: "l".to_owned(),
+        index: "i".to_owned(),
+        shards: Vec::new(),
+        only: Vec::new(),
+        query: ByteQuery::default(),
+        most: 1,
+        needed: 0,
+        remaining: 0,
+        gather: None,
+        again: false,
+    }
+}
+
+/// Hands a group to a daemon, and lets what it leaves behind run on for a moment.
+async fn hand(peers: &HttpPeers, daemon: &Listener) -> Result<GroupReply, PeerError> {
+    let host = daemon.address.as_str().into();
+    let reply = peers.group(&host, &group(), Duration::from_millis(400)).await;
+    Timer::after(Duration::from_millis(100)).await;
+    reply
+}
+
+fn with_peers<F: Future<Output = ()>>(test: impl FnOnce(HttpPeers) -> F) {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    async_io::block_on(executor.run(test(peers)));
+}
+
+#[test]
+fn spare_to_daemon() {
+    // A second group beside the first finds a connection open: opening one takes a whole
+    // way there and back.
+    let daemon = Listener::start();
+    with_peers(async |peers| {
+        hand(&peers, &daemon).await.expect("it answers");
+        assert_eq!(daemon.taken(), 2, "one for the group, and one to spare");
+        hand(&peers, &daemon).await.expect("it answers");
+        assert_eq!(daemon.taken(), 2, "both are idle and used again");
+    });
+}
+
+#[test]
+fn silent_daemon_dialled_anew() {
+    let daemon = Listener::start();
+    with_peers(async |peers| {
+        hand(&peers, &daemon).await.expect("it answers");
+        daemon.silence();
+        assert_eq!(hand(&peers, &daemon).await.err(), Some(PeerError::Silent));
+        hand(&peers, &daemon).await.expect("its other connection is not tried");
+    });
+}
+
+/// A request to an upstream that may use two connections.
+fn call(upstream: &Listener) -> Call {
+    let address = upstream.address.parse().expect("it is an address");
+    Call {
+        place: Place { upstream: "u".into(), address },
+        share: 4,
+        echo: Echo { request: "r".to_owned(), shard: "s/0".to_owned(), version: 1 },
+        remaining: Duration::from_secs(4),
+        drain: Duration::ZERO,
+        once: false,
+        query: Query::Json(b"{}".to_vec().into()),
+    }
+}
+
+#[test]
+fn silent_upstream_dialled_anew() {
+    let upstream = Listener::start();
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor));
+    let test = async {
+        let call = call(&upstream);
+        for _ in 0..2 {
+            assert!(upstreams.warm(&call.place, call.share, 2), "it has room");
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        upstream.silence();
+        let first = executor.spawn({
+            let (upstreams, call) = (upstreams.clone(), call.clone());
+            async move { upstreams.ask(call, || true).await }
+        });
+        Timer::after(Duration::from_millis(1500)).await;
+        assert_eq!(upstreams.idle(&call.place.upstream), 0, "the other one is as suspect");
+        let second = executor.spawn({
+            let (upstreams, call) = (upstreams.clone(), call.clone());
+            async move { upstreams.ask(call, || true).await }
+        });
+        Timer::after(Duration::from_millis(500)).await;
+        assert_eq!(upstream.taken(), 3, "a new connection is opened");
+        drop((first, second));
+    };
+    async_io::block_on(executor.run(test));
+}
