--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -10,6 +10,7 @@
 
 use harefield::domain::cell;
 use harefield::domain::cell::CellSize;
+use harefield::domain::cell::Cells;
 use harefield::domain::feed::Change;
 use harefield::domain::feed::Items;
 use harefield::domain::hosts::HostList;
@@ -18,7 +19,6 @@
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
-use harefield::domain::view::Cells;
 use harefield::domain::view::View;
 use harefield::domain::view::ViewSources;
 
--- a/crates/harefield/src/control/lapsed.rs
+++ b/crates/harefield/src/control/lapsed.rs
@@ -5,23 +5,18 @@
 //! fleet's. One that is missing after that is gone.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use super::duty::Control;
 use crate::domain::ids::UpstreamId;
 use crate::domain::resources::ResourceSet;
 use crate::domain::resources::Upstream;
-use crate::ports::Clock;
-use crate::ports::Peers;
-use crate::ports::Platform;
 
 /// How long entries may be missing after the platform's return: the users'
 /// upstreams are back within some 2 s, and no work may reach one that is gone
 /// for 3 s.
-const GRACE: Duration = Duration::from_millis(2200);
+pub(super) const GRACE: Duration = Duration::from_millis(2200);
 
 /// This many upstreams that vanish at once show an outage that went unnoticed:
 /// a watch may hang through it.
@@ -71,27 +66,3 @@
         self.kept.values().map(|(_, until)| *until).min()
     }
 }
-
-impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
-    /// Returns whether the platform does not answer, or came back a moment ago.
-    pub(super) fn was_away(&self) -> bool {
-        let now = self.ports.clock.now();
-        let back = self.regained.get().is_some_and(|at| now.saturating_duration_since(at) < GRACE);
-        self.lost.get().is_some() || back
-    }
-
-    /// Publishes once more when what was kept is taken to be gone.
-    pub(super) fn await_lapse(self: &Rc<Self>) {
-        let Some(until) = self.lapsed.borrow().next() else { return };
-        if self.lapsing.replace(true) {
-            return;
-        }
-        let this = Rc::clone(self);
-        let wait = async move {
-            this.ports.clock.sleep_until(until).await;
-            this.lapsing.set(false);
-            this.publish();
-        };
-        self.executor.spawn(wait).detach();
-    }
-}
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -7,6 +7,7 @@
 use log::warn;
 
 use super::duty::Control;
+use super::lapsed::GRACE;
 use crate::domain::cell::Candidate;
 use crate::domain::event::Event;
 use crate::domain::membership::PeerState;
@@ -124,4 +125,26 @@
             listed: self.hosts.borrow().revision(),
         };
     }
+
+    /// Returns whether the platform does not answer, or came back a moment ago.
+    pub(super) fn was_away(&self) -> bool {
+        let now = self.ports.clock.now();
+        let back = self.regained.get().is_some_and(|at| now.saturating_duration_since(at) < GRACE);
+        self.lost.get().is_some() || back
+    }
+
+    /// Publishes once more when what was kept is taken to be gone.
+    pub(super) fn await_lapse(self: &Rc<Self>) {
+        let Some(until) = self.lapsed.borrow().next() else { return };
+        if self.lapsing.replace(true) {
+            return;
+        }
+        let this = Rc::clone(self);
+        let wait = async move {
+            this.ports.clock.sleep_until(until).await;
+            this.lapsing.set(false);
+            this.publish();
+        };
+        self.executor.spawn(wait).detach();
+    }
 }
--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -18,7 +18,6 @@
 use super::resources::Index;
 use super::resources::ResourceSet;
 use super::resources::Upstream;
-use super::view::Cells;
 
 /// The share of an upstream's connections that cells use, in percent; the rest
 /// is room for the old and the new cell while views differ.
@@ -34,6 +33,9 @@
 /// least that the users' upstreams take today.
 const UNSAID_CONNECTIONS: u32 = 25;
 
+/// The members of each index's cell.
+pub type Cells = HashMap<Arc<str>, Arc<[HostId]>>;
+
 /// A daemon that may be a member of cells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::cut::Rules;
-use super::groups::Hand;
+use super::hand::Hand;
 use super::judge::Ending;
 use super::judge::Finished;
 use super::judge::judge;
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -7,6 +7,7 @@
 
 mod cut;
 mod groups;
+mod hand;
 mod judge;
 mod machine;
 mod sending;
@@ -16,9 +17,9 @@
 
 pub use cut::MOST_ATTEMPTS;
 pub use cut::Rules;
-pub use groups::Brought;
-pub use groups::GroupEnd;
-pub use groups::Hand;
+pub use hand::Brought;
+pub use hand::GroupEnd;
+pub use hand::Hand;
 pub use judge::Finished;
 pub use machine::Fanout;
 pub use shard::Action;
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::groups::Hand;
+use super::hand::Hand;
 use crate::domain::event::Cause;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::UpstreamId;
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -5,29 +5,13 @@
 use std::hash::Hash;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use super::fault::Fault;
 use super::set::ResourceSet;
 use crate::domain::code::Code;
 use crate::domain::ids::Key;
 
-/// The largest value that the platform holds.
-pub const MAX_VALUE_BYTES: usize = 1 << 20;
-
 const MAX_DEADLINE_MS: u64 = 600_000;
 
-/// One thing wrong with one resource.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fault {
-    /// The resource's key.
-    pub key: Key,
-    /// The code of the fault.
-    pub code: Code,
-    /// What is wrong, with the names involved.
-    pub detail: String,
-}
-
 /// Collects the faults of one set.
 pub(super) struct Checker<'a> {
     set: &'a ResourceSet,
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -3,11 +3,13 @@
 //! `docs/RESOURCES.md` writes down the same schema for operators.
 
 mod check;
+mod fault;
 mod kinds;
+mod parse;
 mod set;
 
-pub use check::Fault;
-pub use check::MAX_VALUE_BYTES;
+pub use fault::Fault;
+pub use fault::MAX_VALUE_BYTES;
 pub use kinds::Bounds;
 pub use kinds::Catalog;
 pub use kinds::Entry;
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -5,9 +5,8 @@
 
 use serde::de::DeserializeOwned;
 
-use super::check::Checker;
-use super::check::Fault;
-use super::check::MAX_VALUE_BYTES;
+use super::fault::Fault;
+use super::fault::MAX_VALUE_BYTES;
 use super::kinds::Bounds;
 use super::kinds::Catalog;
 use super::kinds::Index;
@@ -15,7 +14,6 @@
 use super::kinds::Service;
 use super::kinds::Upstream;
 use crate::domain::code::Code;
-use crate::domain::feed::Change;
 use crate::domain::ids::Edition;
 use crate::domain::ids::Key;
 use crate::domain::ids::ShardId;
@@ -40,41 +38,8 @@
 }
 
 impl ResourceSet {
-    /// Reads and checks a set from its keyed JSON values.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault of the set; a set with faults is refused whole.
-    pub fn parse<'a>(items: impl IntoIterator<Item = (&'a Key, &'a Arc<str>)>) -> Result<Self, Vec<Fault>> {
-        let mut set = Self::default();
-        let mut faults = Vec::new();
-        for (key, value) in items {
-            faults.extend(set.put(key, Some(value)).err());
-        }
-        faults.extend(Checker::new(&set).check_all());
-        if faults.is_empty() { Ok(set) } else { Err(faults) }
-    }
-
-    /// Applies changes to a set without faults, and checks what they touch: the
-    /// verdict is the same as of reading the whole set anew.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault that the changes bring.
-    pub fn apply(&self, changes: &[Change]) -> Result<Self, Vec<Fault>> {
-        let newest: BTreeMap<&Key, Option<&str>> =
-            changes.iter().map(|change| (&change.key, change.value.as_deref())).collect();
-        let mut set = self.clone();
-        let mut faults = Vec::new();
-        for (key, value) in &newest {
-            faults.extend(set.put(key, *value).err());
-        }
-        faults.extend(Checker::new(&set).check_touched(newest.into_keys()));
-        if faults.is_empty() { Ok(set) } else { Err(faults) }
-    }
-
     /// Puts a value under a key, or removes what stands there.
-    fn put(&mut self, key: &Key, value: Option<&str>) -> Result<(), Fault> {
+    pub(super) fn put(&mut self, key: &Key, value: Option<&str>) -> Result<(), Fault> {
         if let Some(size) = value.map(str::len).filter(|size| *size > MAX_VALUE_BYTES) {
             let detail = format!("{size} bytes");
             return Err(Fault { key: Arc::clone(key), code: Code::ResourceTooLarge, detail });
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -8,7 +8,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use super::Cells;
 use super::OwnUpstream;
 use super::View;
 use super::ViewSources;
@@ -18,6 +17,7 @@
 use super::plan::Sources;
 use super::plan::Weighted;
 use crate::domain::cell;
+use crate::domain::cell::Cells;
 use crate::domain::ids::HostId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::shard_id;
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -24,6 +24,7 @@
 use super::cell;
 use super::cell::Candidate;
 use super::cell::CellSize;
+use super::cell::Cells;
 use super::hosts::HostList;
 use super::ids::Edition;
 use super::ids::HostId;
@@ -33,9 +34,6 @@
 use super::resources::ResourceSet;
 use super::resources::Upstream;
 
-/// The members of each index's cell.
-pub type Cells = HashMap<Arc<str>, Arc<[HostId]>>;
-
 /// An upstream that this daemon may dial.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnUpstream {
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -10,6 +10,7 @@
 use super::find::Found;
 use super::handing::Ended;
 use super::handing::Handed;
+use super::handing::MOST_TRIES;
 use super::handing::is_elsewhere;
 use super::message::LookupRequest;
 use super::run::refuse;
@@ -21,9 +22,6 @@
 use crate::ports::Upstreams;
 use crate::telemetry::Trace;
 
-/// How many members are tried.
-pub(super) const MOST_TRIES: usize = 3;
-
 /// When to come back where no member could be reached.
 const COME_BACK: Duration = Duration::from_millis(500);
 
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -11,7 +11,6 @@
 use async_executor::Task;
 
 use super::find::Found;
-use super::forward::MOST_TRIES;
 use super::message::LookupRequest;
 use super::message::ToControl;
 use super::worker::Worker;
@@ -33,6 +32,9 @@
 use crate::ports::Upstreams;
 use crate::telemetry::Trace;
 
+/// How many members are tried.
+pub(super) const MOST_TRIES: usize = 3;
+
 /// Spare time that another daemon's answer has to travel past the deadline.
 pub(super) const TRAVEL: Duration = Duration::from_millis(50);
 
--- a/crates/harefield/tests/decisions/cells.rs
+++ b/crates/harefield/tests/decisions/cells.rs
@@ -10,12 +10,12 @@
 use crate::support::set;
 use harefield::domain::cell::Candidate;
 use harefield::domain::cell::CellSize;
+use harefield::domain::cell::Cells;
 use harefield::domain::cell::assign;
 use harefield::domain::cell::assign_by_zone;
 use harefield::domain::cell::connection_share;
 use harefield::domain::cell::sizes as sizes_of;
 use harefield::domain::ids::HostId;
-use harefield::domain::view::Cells;
 
 fn hosts(count: usize) -> Vec<HostId> {
     (0..count).map(|n| format!("10.0.{}.{}:7200", n / 250, n % 250).into()).collect()
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -12,6 +12,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+
 use harefield::adapters::http::Traffic;
 use harefield::adapters::peers::HttpPeers;
 use harefield::adapters::upstreams::HttpUpstreams;
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -6,6 +6,13 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use standin::Manner;
+
+use crate::site_support::Site;
+use crate::site_support::ask;
+use crate::site_support::records;
+use crate::site_support::send;
+use crate::support::await_true;
 use harefield::adapters::http::Traffic;
 use harefield::adapters::peers::HttpPeers;
 use harefield::domain::event::Event;
@@ -14,13 +21,6 @@
 use harefield::ports::Group;
 use harefield::ports::Peers;
 use harefield::telemetry::WorkerStatus;
-use standin::Manner;
-
-use crate::site_support::Site;
-use crate::site_support::ask;
-use crate::site_support::records;
-use crate::site_support::send;
-use crate::support::await_true;
 
 #[test]
 fn merged_whole() {
