--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -8,7 +8,6 @@
 use super::report::Bar;
 use super::report::Until;
 use super::router::Router;
-use super::searcher::Searcher;
 use crate::domain::event::Score;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
@@ -64,7 +63,6 @@
             return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
         let typical = self.pace(ask.kind).mean().as_secs_f64();
-        let weighs = self.policy == Policy::Cost;
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
@@ -86,26 +84,11 @@
             }
         }
         match best {
-            Some((_, upstream)) if weighs && self.worth_waiting(ask, &upstream, typical, now) => {
-                Err(Bar { gap: Gap::Overloaded, until: Until::Soon })
-            }
             Some((_, upstream)) => Ok(Choice { upstream, scores }),
             None => Err(bar),
         }
     }
 
-    /// Says whether a much quicker replica than the one chosen just has no room
-    /// at this moment.
-    fn worth_waiting(&self, ask: &Ask<'_>, chosen: &UpstreamId, typical: f64, now: Instant) -> bool {
-        let Some(chosen) = self.searchers.get(chosen) else { return false };
-        let full = |searcher: &Searcher| {
-            let barred = searcher.admits(ask.version, now).err();
-            barred.is_some_and(|bar| bar.until == Until::Soon) && !searcher.is_silent(typical, now)
-        };
-        let mut quicker = ask.untried().filter_map(|name| self.searchers.get(name)).filter(|s| full(s));
-        quicker.any(|searcher| chosen.is_slower(searcher, typical))
-    }
-
     fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
         let draw = self.draw();
         let unknown = Bar { gap: Gap::NoReplica, until: Until::Never };
