--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use standin::Manner;
 
 use crate::site_support::Site;
@@ -246,6 +248,32 @@
     drop(own);
 }
 
+#[test]
+fn sender_gone_stops_group() {
+    let site = Site::start();
+    for searcher in site.searchers.values() {
+        searcher.set(Manner::Good, Duration::from_millis(800));
+    }
+    let message = Group { remaining: 2_000_000, gather: Some(1_500_000), ..group(&site) };
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let host = site.daemon.addresses.peers.to_string().into();
+    let gone = async {
+        let running = async {
+            while site.runs("g1") < 2 {
+                Timer::after(Duration::from_millis(10)).await;
+            }
+            None
+        };
+        let handing = async { Some(peers.group(&host, &message, Duration::from_secs(5)).await) };
+        assert!(handing.or(running).await.is_none(), "it is given up while its upstreams work");
+        Timer::after(Duration::from_millis(1500)).await;
+    };
+    async_io::block_on(executor.run(gone));
+    let finished = site.searchers.values().any(|s| s.finished().iter().any(|run| run == "g1"));
+    assert!(!finished, "nobody works for a daemon that gave the group up");
+}
+
 #[test]
 fn bounds_kept() {
     let site = Site::start();
--- a/crates/harefield/tests/processes/site_cells.rs
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -2,6 +2,8 @@
 //! to members.
 
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -97,6 +99,29 @@
     }
 }
 
+#[test]
+fn caller_gone_stops_member() {
+    // A request that was handed on ends at its member too, once its caller has left.
+    let site = Site::start_cells(3, 1);
+    for searcher in site.searchers.values() {
+        searcher.set(Manner::Good, Duration::from_millis(800));
+    }
+    for (number, daemon) in site.daemons().enumerate() {
+        let id = format!("gone-{number}");
+        let mut stream = TcpStream::connect(daemon.addresses.callers).expect("it listens");
+        let head = format!(
+            "GET /all/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("it is sent");
+        await_true("it runs", || site.runs(&id) > 0);
+        drop(stream);
+    }
+    std::thread::sleep(Duration::from_millis(1500));
+    let finished = |run: &String| run.starts_with("gone-");
+    let any = site.searchers.values().any(|searcher| searcher.finished().iter().any(finished));
+    assert!(!any, "nobody works for callers that left, whichever daemon they asked");
+}
+
 /// Returns a request as another daemon hands it on, let in under an edition.
 fn handed(edition: u64) -> Forward {
     let query = ByteQuery {
