--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -1,6 +1,5 @@
 //! Requests on the users' machines: merged, handed back, cut, refused.
 
-use std::io::Write;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +11,7 @@
 
 use crate::site_support::Site;
 use crate::site_support::ask;
+use crate::site_support::begin;
 use crate::site_support::records;
 use crate::site_support::send;
 use crate::support::await_true;
@@ -146,11 +146,7 @@
         searcher.set(Manner::Good, Duration::from_millis(800));
     }
     for (path, id) in [("/all/x", "gone-1"), ("/one/x", "gone-2")] {
-        let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
-        let head = format!(
-            "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).expect("it is sent");
+        let stream = begin(&site.daemon, path, id);
         await_true("it runs", || site.runs(id) > 0);
         drop(stream);
     }
@@ -166,16 +162,6 @@
     site.daemon.status().workers.remove(&0).expect("it has one worker")
 }
 
-/// Sends a request and does not wait for its answer.
-fn begin(site: &Site, id: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
-    let head = format!(
-        "GET /all/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).expect("it is sent");
-    stream
-}
-
 #[test]
 fn callers_leave_gate_open() {
     // Many callers that go away early do not make others wait.
@@ -185,13 +171,14 @@
     }
     for number in 0..8 {
         let id = format!("gone-{number}");
-        let stream = begin(&site, &id);
+        let stream = begin(&site.daemon, "/all/x", &id);
         await_true("it runs", || site.runs(&id) > 0);
         std::thread::sleep(Duration::from_millis(50));
         drop(stream);
         await_true("it has left", || worker(&site).running == 0);
     }
-    let others: Vec<TcpStream> = (0..6).map(|number| begin(&site, &format!("stays-{number}"))).collect();
+    let others: Vec<TcpStream> =
+        (0..6).map(|number| begin(&site.daemon, "/all/x", &format!("stays-{number}"))).collect();
     await_true("all are in progress", || worker(&site).running == others.len());
     assert_eq!(worker(&site).waiting, 0, "none of them waits at the gate");
 }
@@ -235,7 +222,8 @@
     for searcher in site.searchers.values() {
         searcher.set(Manner::Good, Duration::from_millis(900));
     }
-    let own: Vec<TcpStream> = (0..24).map(|number| begin(&site, &format!("own-{number}"))).collect();
+    let own: Vec<TcpStream> =
+        (0..24).map(|number| begin(&site.daemon, "/all/x", &format!("own-{number}"))).collect();
     await_true("some wait at the gate", || worker(&site).waiting > 0);
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
--- a/crates/harefield/tests/processes/site_cells.rs
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -2,8 +2,6 @@
 //! to members.
 
 use std::collections::BTreeSet;
-use std::io::Write;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +10,7 @@
 
 use crate::site_support::Site;
 use crate::site_support::ask_at;
+use crate::site_support::begin;
 use crate::site_support::records;
 use crate::support::Daemon;
 use crate::support::await_true;
@@ -108,11 +107,7 @@
     }
     for (number, daemon) in site.daemons().enumerate() {
         let id = format!("gone-{number}");
-        let mut stream = TcpStream::connect(daemon.addresses.callers).expect("it listens");
-        let head = format!(
-            "GET /all/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).expect("it is sent");
+        let stream = begin(daemon, "/all/x", &id);
         await_true("it runs", || site.runs(&id) > 0);
         drop(stream);
     }
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -193,6 +193,16 @@
     read_answer(stream)
 }
 
+/// Sends a request with 2 s left, and does not wait for its answer.
+pub fn begin(daemon: &Daemon, path: &str, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(daemon.addresses.callers).expect("it listens");
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("it is sent");
+    stream
+}
+
 pub fn read_answer(mut stream: TcpStream) -> Answer {
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).expect("it is answered");
