Tell how old what is in force may be, and which space was lost

Cause: the logs could not tell the hypotheses apart. Four daemons said platform-regained while they still waited for a call that the store never answered; no line said what was awaited, for how long, nor who could still vouch for what it had. Change: each daemon keeps up to when it is sure that nothing confirmed is missing (its own calls to the store, other daemons' marks with their age); gauge harefield_config_age_seconds, lines config-behind and config-current once an episode, beyond platform.apply-ms; platform-lost and -regained name the space, and how long the call was awaited. Nothing acts on it.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -63,6 +64,7 @@
     groups: Kinds,
     dropped: Counter,
     revision: Gauge,
+    age: Gauge<f64, AtomicU64>,
     times: Times,
     lookups: Mutex<HashSet<String>>,
 }
@@ -107,8 +109,12 @@
         let events = family("events", "Other decisions by kind");
         let groups = family("groups", "Groups of shards handed on or taken");
         let (dropped, revision) = (Counter::default(), Gauge::default());
+        let age = Gauge::<f64, AtomicU64>::default();
+        age.set(f64::INFINITY);
         registry.register("events_dropped", "Events that the time line had no room for", dropped.clone());
         registry.register("revision", "The configuration revision in force", revision.clone());
+        let help = "For how long a newer revision may have been confirmed";
+        registry.register("config_age_seconds", help, age.clone());
         let times = Times::new_with_constructor(|| {
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
         });
@@ -125,6 +131,7 @@
             groups,
             dropped,
             revision,
+            age,
             times,
             lookups,
         }
@@ -169,6 +176,7 @@
             Event::PeerSeen { .. } => "peer-seen",
             Event::PlatformLost { .. } => "platform-lost",
             Event::PlatformRegained { .. } => "platform-regained",
+            Event::ConfigBehind { .. } => "config-behind",
             _ => return,
         };
         count(&self.events, name);
@@ -186,6 +194,12 @@
         Lookup { lookup: lookup.to_owned() }
     }
 
+    /// Takes for how long a newer revision may have been confirmed; infinite until
+    /// something vouches for the one in force.
+    pub fn set_age(&self, age: Option<Duration>) {
+        self.age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+    }
+
     /// Returns all that was counted, in the text format that scrapers read.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/harefield/src/adapters/operators/mod.rs
+++ b/crates/harefield/src/adapters/operators/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_executor::LocalExecutor;
 use http_body_util::Full;
@@ -88,7 +89,7 @@
         match (&method, path.as_str()) {
             (&Method::GET, "/") => return http::html(PAGE),
             (&Method::GET, "/ready") => return self.ready(),
-            (&Method::GET, "/metrics") => return http::text(&self.board.metrics().text()),
+            (&Method::GET, "/metrics") => return http::text(&self.board.metrics_at(Instant::now()).text()),
             _ => {}
         }
         if !http::shows_token(&head.headers, self.token.as_deref()) {
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -110,13 +110,15 @@
     pub kind: PlatformKind,
     /// How long one watch waits, in milliseconds.
     pub watch_ms: u64,
+    /// Within which time a confirmed change is to be in force, in milliseconds.
+    pub apply_ms: u64,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
 }
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self { addresses: Vec::new(), kind: PlatformKind::Own, watch_ms: 20_000, readers: 2 }
+        Self { addresses: Vec::new(), kind: PlatformKind::Own, watch_ms: 20_000, apply_ms: 3000, readers: 2 }
     }
 }
 
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use crate::domain::feed::Feed;
 use crate::domain::feed::Items;
 use crate::domain::feed::News;
+use crate::domain::freshness::Freshness;
 use crate::domain::hlc::HybridClock;
 use crate::domain::hosts::HostList;
 use crate::domain::ids::HostId;
@@ -33,6 +35,7 @@
 use crate::domain::membership::Membership;
 use crate::domain::membership::Row;
 use crate::domain::routing::Places;
+use crate::domain::time::millis;
 use crate::domain::view::View;
 use crate::engine::ToControl;
 use crate::engine::ToWorker;
@@ -60,6 +63,8 @@
     pub join: Duration,
     /// How long one watch waits.
     pub watch: Duration,
+    /// Within which time a confirmed change is to be in force.
+    pub apply: Duration,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
     /// Where this daemon and the availability zones are.
@@ -114,6 +119,8 @@
     pub(super) regained: Cell<Option<Instant>>,
     /// Since when the platform has not answered; none while it does.
     pub(super) lost: Cell<Option<Instant>>,
+    /// How sure this daemon is that nothing confirmed is missing here, by space.
+    pub(super) freshness: RefCell<BTreeMap<Space, Freshness>>,
     /// The revision of the platform up to which nothing is missing here.
     pub(super) cursor: Cell<Revision>,
 }
@@ -154,6 +161,7 @@
             pulled: Cell::new(None),
             regained: Cell::new(None),
             lost: Cell::new(None),
+            freshness: RefCell::default(),
             cursor: Cell::new(0),
         })
     }
@@ -169,6 +177,7 @@
             self.executor.spawn(Rc::clone(&self).read(space)).detach();
         }
         self.executor.spawn(Rc::clone(&self).speak()).detach();
+        self.executor.spawn(Rc::clone(&self).watch_age()).detach();
         listening.await;
     }
 
@@ -182,7 +191,8 @@
 
     /// Returns how far this daemon is in every space.
     pub(super) fn marks(&self) -> Vec<Mark> {
-        Space::ALL.map(|space| Mark { space, revision: self.revision(space) }).to_vec()
+        let mark = |space| Mark { space, revision: self.revision(space), age: self.age(space).map(millis) };
+        Space::ALL.map(mark).to_vec()
     }
 
     /// Returns what brings a peer up to date.
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -131,22 +132,34 @@
     /// whether it answered.
     pub(super) async fn exchange_with(self: &Rc<Self>, host: &HostId) -> bool {
         let message = self.message(host);
+        let asked = self.ports.clock.now();
         let reply = self.ports.peers.exchange(host, &message, EXCHANGE_LIMIT).await;
         let Ok(reply) = reply else {
             self.unanswered(host);
             return false;
         };
-        self.take_exchange(&reply).await;
+        self.take_exchange(&reply, asked).await;
         true
     }
 
-    /// Takes what a daemon said, and pulls what it has that is newer.
-    pub(super) async fn take_exchange(self: &Rc<Self>, said: &Exchange) {
+    /// Takes what a daemon said at `at` or later, and pulls what it has that is newer.
+    pub(super) async fn take_exchange(self: &Rc<Self>, said: &Exchange, at: Instant) {
         self.hybrid.borrow_mut().receive(self.ports.clock.wall(), said.stamp);
         self.meet(&said.rows);
         self.hear(&said.words);
         for mark in &said.marks {
             self.pull_newer(&said.from, *mark).await;
+            self.take_proof(*mark, at);
+        }
+    }
+
+    /// Takes a daemon's word that nothing confirmed is missing in what it has, where
+    /// this daemon has as much.
+    fn take_proof(&self, mark: Mark, at: Instant) {
+        let holds = mark.revision.is_some() && self.revision(mark.space) >= mark.revision;
+        let age = mark.age.map(Duration::from_millis).filter(|_| holds);
+        if let Some(proven) = age.and_then(|age| at.checked_sub(age)) {
+            self.prove(mark.space, proven);
         }
     }
 
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -51,6 +51,7 @@
         }
         drop(reply.try_send(answer));
         let this = Rc::clone(self);
-        self.executor.spawn(async move { this.take_exchange(&said).await }).detach();
+        let heard = self.ports.clock.now();
+        self.executor.spawn(async move { this.take_exchange(&said, heard).await }).detach();
     }
 }
--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod confirm;
 mod duty;
+mod freshness;
 mod gossip;
 mod inbox;
 mod join;
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::debug;
 use rand::Rng;
@@ -14,6 +15,7 @@
 use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
 use crate::domain::feed::Delta;
+use crate::domain::freshness::shown_by_watch;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Revision;
 use crate::domain::membership::PeerState;
@@ -74,15 +76,16 @@
             }
             let copies = &self.settings.copies;
             let copy = copies[turn % copies.len()];
+            let asked = self.ports.clock.now();
             match self.read_once(copy, space).await {
                 Ok(()) => {
-                    self.note_regained();
+                    self.note_regained(space);
                     failures = 0;
                     self.say_blind(space, false);
                 }
                 Err(error) => {
                     debug!("platform copy {copy}: {error}");
-                    self.note_lost(&error);
+                    self.note_lost(space, &error, asked);
                     failures = failures.saturating_add(1);
                     self.say_blind(space, failures >= BLIND_AFTER);
                     turn += 1;
@@ -92,20 +95,21 @@
         }
     }
 
-    fn note_lost(&self, error: &PlatformError) {
+    fn note_lost(&self, space: Space, error: &PlatformError, asked: Instant) {
         // One that answers, and has nothing yet, is not lost.
         if *error == PlatformError::Unreachable && self.lost.get().is_none() {
             self.lost.set(Some(self.ports.clock.now()));
-            self.emit(Event::PlatformLost { why: error.to_string() });
+            let waited = millis(self.ports.clock.now().saturating_duration_since(asked));
+            self.emit(Event::PlatformLost { space: space.name().to_owned(), why: error.to_string(), waited });
         }
     }
 
-    fn note_regained(&self) {
+    fn note_regained(&self, space: Space) {
         if let Some(since) = self.lost.take() {
             let now = self.ports.clock.now();
             self.regained.set(Some(now));
             let gap = now.saturating_duration_since(since);
-            self.emit(Event::PlatformRegained { millis: millis(gap) });
+            self.emit(Event::PlatformRegained { space: space.name().to_owned(), millis: millis(gap) });
         }
     }
 
@@ -147,12 +151,14 @@
     /// Reads a whole space; pages read at different revisions are brought to
     /// one by watching, before anything is offered.
     pub(super) async fn list(self: &Rc<Self>, copy: SocketAddr, space: Space) -> Result<(), PlatformError> {
+        let asked = self.ports.clock.now();
         let mut listing = self.ports.platform.list(copy, space).await?;
         while listing.first < listing.last {
             let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
         }
         self.take_listing(space, listing);
+        self.prove(space, asked);
         Ok(())
     }
 
@@ -184,11 +190,15 @@
             Space::Config => after.max(self.cursor.get()),
             Space::Hosts => after,
         };
+        let asked = self.ports.clock.now();
         match self.ports.platform.watch(copy, space, after, wait).await? {
             Watched::Compacted => self.list(copy, space).await,
             Watched::Changes { deltas, at } => {
+                let ended = self.ports.clock.now();
+                let shown = shown_by_watch(asked, ended, wait, deltas.is_empty());
                 self.take_deltas(space, &rebase(deltas, self.seen(space)));
                 self.advance_cursor(space, at);
+                self.prove(space, shown);
                 Ok(())
             }
         }
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -206,6 +206,7 @@
         exchange: Duration::from_millis(settings.peers.exchange_ms),
         join: Duration::from_millis(settings.peers.join_ms),
         watch: Duration::from_millis(settings.platform.watch_ms),
+        apply: Duration::from_millis(settings.platform.apply_ms),
         readers: settings.platform.readers,
         places: places(context),
         cell: settings.cell(),
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -130,10 +130,16 @@
     Confirmed { millis: u64 },
     /// A limit on an upstream changed.
     LimitChanged { upstream: UpstreamId, window: f64 },
-    /// The platform stopped answering this daemon.
-    PlatformLost { why: String },
-    /// The platform answers this daemon again, after this many milliseconds.
-    PlatformRegained { millis: u64 },
+    /// The platform stopped answering this daemon in a space: a call was given up after
+    /// `waited` milliseconds.
+    PlatformLost { space: String, why: String, waited: u64 },
+    /// The platform answers this daemon in a space again, after this many milliseconds.
+    PlatformRegained { space: String, millis: u64 },
+    /// A newer revision may have been confirmed this many milliseconds ago, longer than
+    /// one may take to be in force.
+    ConfigBehind { revision: Option<Revision>, millis: u64 },
+    /// The revision in force is known to be the newest again, as of so long ago.
+    ConfigCurrent { revision: Option<Revision>, millis: u64 },
     /// The settings were read again.
     Reloaded { seeds: usize },
     /// The daemon began to serve.
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod fanout;
 pub mod feed;
+pub mod freshness;
 pub mod hlc;
 pub mod hosts;
 pub mod ids;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -143,6 +143,10 @@
     pub space: Space,
     /// The revision in use; none before the first.
     pub revision: Option<Revision>,
+    /// For how many milliseconds a newer one may have been confirmed; none where
+    /// nothing vouches for the revision.
+    #[serde(default)]
+    pub age: Option<u64>,
 }
 
 /// What two daemons tell each other, in both directions.
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,6 +13,7 @@
 use super::store::Store;
 use super::tally::LookupStatus;
 use crate::adapters::metrics::Metrics;
+use crate::domain::freshness::Freshness;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
@@ -107,6 +109,7 @@
     status: Mutex<Status>,
     set: Mutex<Arc<ResourceSet>>,
     store: Mutex<Store>,
+    freshness: Mutex<Freshness>,
     metrics: Metrics,
 }
 
@@ -129,6 +132,7 @@
             status: Mutex::new(status),
             set: Mutex::default(),
             store: Mutex::new(Store::new(keep)),
+            freshness: Mutex::default(),
             metrics: Metrics::new(),
         }
     }
@@ -149,6 +153,19 @@
         *self.set.lock().unwrap_or_else(PoisonError::into_inner) = set;
     }
 
+    /// Notes that every change confirmed up to `at` is in force.
+    pub fn prove(&self, at: Instant) {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner).prove(at);
+    }
+
+    /// Returns what is counted and measured, with how old what is in force may be now.
+    #[must_use]
+    pub fn metrics_at(&self, now: Instant) -> &Metrics {
+        let freshness = *self.freshness.lock().unwrap_or_else(PoisonError::into_inner);
+        self.metrics.set_age(freshness.age(now));
+        &self.metrics
+    }
+
     /// Returns what is counted and measured.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod codes;
 mod configuration;
 mod fanout;
+mod freshness;
 mod groups;
 mod lease;
 mod members;
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -192,6 +192,7 @@
             exchange: Duration::from_millis(50),
             join: Duration::from_millis(200),
             watch: Duration::from_millis(20),
+            apply: Duration::from_secs(3),
             readers: 2,
             cell: CellSize::default(),
             places: Places::default(),
--- a/crates/harefield/tests/processes/site_store.rs
+++ b/crates/harefield/tests/processes/site_store.rs
@@ -126,3 +126,20 @@
     }
     await_true("those that stay away are gone", || site.ask("/all/x", "late").status == 503);
 }
+
+#[test]
+fn age_shown() {
+    let site = Site::start();
+    await_true("the store vouches for what is in force", || age(&site).is_some_and(|age| age < 3.0));
+    site.store.set_down(true);
+    await_true("nobody does", || site.metric("harefield_events_total{kind=\"config-behind\"} 1"));
+    assert!(age(&site) > Some(3.0));
+}
+
+/// Returns for how many seconds a change may have been confirmed that the daemon lacks.
+fn age(site: &Site) -> Option<f64> {
+    let answer = ask(site.daemon.addresses.operators, "/metrics", "");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let line = text.lines().find_map(|line| line.strip_prefix("harefield_config_age_seconds "));
+    line.and_then(|number| number.parse().ok()).filter(|age: &f64| age.is_finite())
+}
