Show changes that nobody has in time after a silent store; three tests red

Reproduced with real daemons and the project's store, which can go silent now: what it takes then it never answers. On the code as it is: - series_after_silence, one daemon and three: version 2 is not in force at any of them 3.5 s after it was confirmed; - restarted_in_silence, two of three daemons started anew in the silence: the same for the change that is confirmed a moment after the return; - regained_when_answered: the daemon says that the store is back while it is silent. Passing as it is, kept for the class: joins_among_changes, frozen_reader.

--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -15,6 +15,7 @@
 mod site;
 mod site_cells;
 mod site_editions;
+mod site_outage;
 mod site_store;
 mod site_support;
 mod snapshot;
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -47,16 +47,37 @@
 
     fn bare_with(routing: &str) -> Self {
         let store = SiteStore::start();
-        let daemon = Daemon::start(&settings(&store, "", routing));
+        let daemon = Daemon::start(&settings(&store, "", "", routing));
         Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() }
     }
 
+    /// Starts as many daemons, which read the store as `platform` says.
+    pub fn start_reading(count: usize, platform: &str) -> Self {
+        let store = SiteStore::start();
+        let daemon = Daemon::start(&settings(&store, platform, "", ""));
+        let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
+        for _ in 1..count {
+            site.add_daemon(platform);
+        }
+        site.add_all();
+        let serves = |daemon: &Daemon| ask_at(daemon, "/all/x", "r0", 2000).status == 200;
+        await_true("all have the configuration", || site.daemons().all(serves));
+        site
+    }
+
+    /// Starts one more daemon, which knows the first one and reads the store as
+    /// `platform` says.
+    pub fn add_daemon(&mut self, platform: &str) {
+        let seed = format!("seeds = [\"{}\"]\n", self.daemon.addresses.peers);
+        self.others.push(Daemon::start(&settings(&self.store, platform, &seed, "")));
+    }
+
     /// Starts daemons beside the first, which know it and have further settings of
     /// their routing.
     pub fn join(&mut self, count: usize, routing: &str) {
         let seed = format!("seeds = [\"{}\"]\n", self.daemon.addresses.peers);
         for _ in 0..count {
-            self.others.push(Daemon::start(&settings(&self.store, &seed, routing)));
+            self.others.push(Daemon::start(&settings(&self.store, "", &seed, routing)));
         }
     }
 
@@ -85,7 +106,7 @@
     pub fn start_beside(other: std::net::SocketAddr, members: usize) -> Self {
         let store = SiteStore::start();
         let seed = format!("seeds = [\"{other}\"]\n");
-        let daemon = Daemon::start(&settings(&store, &seed, &format!("cell-size = {members}\n")));
+        let daemon = Daemon::start(&settings(&store, "", &seed, &format!("cell-size = {members}\n")));
         let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
         site.add_all();
         site
@@ -147,11 +168,11 @@
     }
 }
 
-fn settings(store: &SiteStore, peers: &str, routing: &str) -> String {
+fn settings(store: &SiteStore, platform: &str, peers: &str, routing: &str) -> String {
     format!(
         "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
-         [peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\n\
+         {platform}[peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\n\
          extra-slack = 50\n{routing}",
         store.address()
     )
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -82,7 +82,9 @@
 }
 
 fn read() -> Result<Option<(Soak, Vec<u64>)>, Failure> {
-    let short = std::env::args().len() == 1;
+    // `--skip TEST` of `cargo test` is handed to every test program, and is not for this one.
+    let skips = std::env::args().filter(|argument| argument == "--skip").count();
+    let short = std::env::args().len() == 1 + 2 * skips;
     let mut soak = Soak {
         seed: 1,
         time: Duration::from_secs(if short { 5 } else { 12 }),
@@ -99,6 +101,7 @@
         match argument {
             Arg::Long("seed") => soak.seed = parser.value()?.parse()?,
             Arg::Long("kept") => only_kept = true,
+            Arg::Long("skip") => drop(parser.value()?),
             Arg::Long("count") => count = parser.value()?.parse()?,
             Arg::Long("seconds") => soak.time = Duration::from_secs(parser.value()?.parse()?),
             Arg::Long("daemons") => soak.daemons = parser.value()?.parse()?,
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -39,6 +39,10 @@
     /// Changes up to this revision are no longer told to watches.
     forgotten: u64,
     down: bool,
+    /// While set, what comes is taken and never answered, nor what waits.
+    silent: bool,
+    /// The watches that came while it was silent.
+    swallowed: usize,
 }
 
 /// The users' store.
@@ -89,6 +93,20 @@
     pub fn set_down(&self, down: bool) {
         lock(&self.state).down = down;
     }
+
+    /// Sets whether it is silent: what it takes then, and what waits, is never
+    /// answered, also when it speaks again.
+    pub fn set_silent(&self, silent: bool) {
+        let mut state = lock(&self.state);
+        state.silent = silent;
+        state.swallowed = 0;
+    }
+
+    /// Returns how many watches came since it went silent.
+    #[must_use]
+    pub fn swallowed(&self) -> usize {
+        lock(&self.state).swallowed
+    }
 }
 
 fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -98,6 +116,10 @@
 async fn read(state: Arc<Mutex<Store>>, request: Request<Incoming>) -> Reply {
     let query: BTreeMap<String, String> =
         serde_urlencoded::from_str(request.uri().query().unwrap_or("")).unwrap_or_default();
+    let waits = query.get("waitMs").is_some_and(|wait| wait != "0");
+    if swallows(&state, usize::from(waits)) {
+        return std::future::pending().await;
+    }
     if lock(&state).down {
         return net::json(503, &json!({}));
     }
@@ -109,6 +131,15 @@
     }
 }
 
+/// Returns whether the store is silent, and counts the watches that it swallows.
+fn swallows(state: &Mutex<Store>, watches: usize) -> bool {
+    let mut store = lock(state);
+    if store.silent {
+        store.swallowed += watches;
+    }
+    store.silent
+}
+
 fn items(store: &Store) -> BTreeMap<&str, (u64, &str)> {
     let mut items = BTreeMap::new();
     for (revision, key, value) in &store.log {
@@ -147,6 +178,9 @@
     // What came after the last look is for the next watch.
     let mut seen = after;
     for _ in 0..=(wait / 10) {
+        if swallows(state, 0) {
+            return std::future::pending().await;
+        }
         seen = {
             let store = lock(state);
             if after < store.forgotten {
