Make sure of the configuration: ask when the proof of it is overdue

Cause: a watch sent into a silent store was awaited for its wait and 2 s more, 6 s, also when the store was back after a moment, and nothing else asked; daemons that do not read rest on readers and on words to three daemons drawn at random. Class: a change that rests on one message, one watch or one timer without a second way. A shorter watch alone would leave the daemons that hear from a reader with words drawn at random. Change: a daemon keeps as of when nothing confirmed is missing. Watches end by the age of what is held (0.4 of platform.apply-ms); readers tell the daemons below them in a tree as of when it holds; one whose proof is older than half of apply-ms asks the first daemons of its own and of other zones, and the store if it reads or a round brought nothing, until there is a proof; a watch is given up 1 s after its wait, failures pause at most 1 s (4 s). Before: series_after_silence and restarted_in_silence fail (nothing in force 3.5 s after its confirmation).

--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -14,6 +14,7 @@
 use super::reading::JsonReader;
 use super::reading::READ_LIMIT;
 use super::reading::deltas;
+use super::reading::watch_limit;
 use crate::domain::feed::Change;
 use crate::domain::ids::Key;
 use crate::domain::ids::Revision;
@@ -100,7 +101,7 @@
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
         let path = format!("/v1/{}/watch?after={after}&wait-ms={}", space.name(), wait.as_millis());
-        let changes: Option<Changes> = self.reader.get(copy, &path, wait + READ_LIMIT).await?;
+        let changes: Option<Changes> = self.reader.get(copy, &path, watch_limit(wait)).await?;
         Ok(match changes {
             Some(changes) => {
                 let newer = changes.changes.into_iter().filter(|row| row.revision > after);
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -27,6 +27,16 @@
 /// in 4 ms as a rule, and in some 240 ms where it is slow.
 pub const READ_LIMIT: Duration = Duration::from_secs(2);
 
+/// How much longer than its wait a watch may take before it is given up, where that is
+/// more than a read may take: one whose answer is lost then costs no more than that.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+
+/// Returns how long a watch may take that waits for some time.
+#[must_use]
+pub fn watch_limit(wait: Duration) -> Duration {
+    READ_LIMIT.max(wait + WATCH_SLACK)
+}
+
 /// Reads JSON by HTTP from a copy of the platform.
 #[derive(Clone, Debug)]
 pub struct JsonReader {
--- a/crates/harefield/src/control/confirm.rs
+++ b/crates/harefield/src/control/confirm.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 
 use super::duty::Control;
+use crate::domain::ids::HostId;
 use crate::engine::Confirmed;
 use crate::engine::ToWorker;
 use crate::ports::Clock;
@@ -18,7 +19,7 @@
 const ROUND_LIMIT: Duration = Duration::from_millis(400);
 
 /// How many daemons are asked in a round.
-const ASKED: usize = 3;
+pub(super) const ASKED: usize = 3;
 
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Starts a round, unless one is under way.
@@ -29,18 +30,24 @@
         let this = Rc::clone(self);
         let round = async move {
             let asked = this.ports.clock.now();
-            this.confirm_round().await;
+            this.ask_round(this.draw_peers(ASKED), true, || false).await;
             this.confirming.set(false);
             this.tell(&ToWorker::Confirmed(Confirmed { asked }));
         };
         self.executor.spawn(round).detach();
     }
 
-    /// Asks the platform and a few daemons at once for what is newer.
-    async fn confirm_round(self: &Rc<Self>) {
-        let (sender, ended) = async_channel::bounded(ASKED + Space::ALL.len());
+    /// Asks daemons, and the platform where wanted, at once for what is newer, until all
+    /// have answered, it is `enough`, or the round is over.
+    pub(super) async fn ask_round(
+        self: &Rc<Self>,
+        hosts: Vec<HostId>,
+        platform: bool,
+        enough: impl Fn() -> bool,
+    ) {
+        let (sender, ended) = async_channel::bounded(hosts.len() + Space::ALL.len());
         let mut started = 0;
-        for host in self.draw_peers(ASKED) {
+        for host in hosts {
             let (this, sender) = (Rc::clone(self), sender.clone());
             let ask = async move {
                 let _answered = this.exchange_with(&host).await;
@@ -49,7 +56,7 @@
             self.executor.spawn(ask).detach();
             started += 1;
         }
-        for space in self.spaces().iter().copied() {
+        for space in self.spaces().iter().copied().filter(|_| platform) {
             let (this, sender) = (Rc::clone(self), sender.clone());
             let ask = async move {
                 this.look_at_platform(space).await;
@@ -61,6 +68,9 @@
         let all = async {
             for _ in 0..started {
                 let _ = ended.recv().await;
+                if enough() {
+                    return;
+                }
             }
         };
         all.or(self.ports.clock.sleep(ROUND_LIMIT)).await;
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -29,6 +29,7 @@
 use crate::domain::feed::Items;
 use crate::domain::feed::News;
 use crate::domain::freshness::Freshness;
+use crate::domain::freshness::Pace;
 use crate::domain::hlc::HybridClock;
 use crate::domain::hosts::HostList;
 use crate::domain::ids::HostId;
@@ -64,8 +65,8 @@
     pub join: Duration,
     /// How long one watch waits.
     pub watch: Duration,
-    /// Within which time a confirmed change is to be in force.
-    pub apply: Duration,
+    /// How often this daemon makes sure of what it has.
+    pub pace: Pace,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
     /// Where this daemon and the availability zones are.
@@ -120,6 +121,10 @@
     pub(super) reach: RefCell<BTreeMap<Space, Reach>>,
     /// How sure this daemon is that nothing confirmed is missing here, by space.
     pub(super) freshness: RefCell<BTreeMap<Space, Freshness>>,
+    /// As of when those below this daemon were last told how far it is.
+    pub(super) told: Cell<Option<Instant>>,
+    /// When the platform was last asked for the configuration.
+    pub(super) asked: Cell<Option<Instant>>,
     /// The revision of the platform up to which nothing is missing here.
     pub(super) cursor: Cell<Revision>,
 }
@@ -160,6 +165,8 @@
             pulled: Cell::new(None),
             reach: RefCell::default(),
             freshness: RefCell::default(),
+            told: Cell::new(None),
+            asked: Cell::new(None),
             cursor: Cell::new(0),
         })
     }
@@ -175,7 +182,7 @@
             self.executor.spawn(Rc::clone(&self).read(*space)).detach();
         }
         self.executor.spawn(Rc::clone(&self).speak()).detach();
-        self.executor.spawn(Rc::clone(&self).watch_age()).detach();
+        self.executor.spawn(Rc::clone(&self).keep_current()).detach();
         listening.await;
     }
 
@@ -283,6 +290,7 @@
         if self.joined.get() {
             self.publish();
             self.relay_marks();
+            self.tell_below(self.ports.clock.now());
         }
     }
 
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -1,30 +1,48 @@
-//! Knowing how old what is in force may be, and saying so where it is too old.
+//! Keeping what is in force fresh: a daemon whose proof is overdue asks by itself, so that no
+//! change rests on one message, one watch or one daemon.
 
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use super::confirm::ASKED;
 use super::duty::Control;
 use crate::domain::event::Event;
+use crate::domain::ids::HostId;
+use crate::domain::readers::below;
+use crate::domain::readers::sources;
 use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Platform;
 use crate::ports::Space;
 
-/// How often a daemon looks whether what it has in force is too old to be vouched for:
-/// a small part of the 3 s after which it is.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
-
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
-    /// Notes that all that the platform confirmed in a space up to `at` is held here.
+    /// Notes that all that the platform confirmed in a space up to `at` is held here, and
+    /// passes it on.
     pub(super) fn prove(&self, space: Space, at: Instant) {
         let news = self.freshness.borrow_mut().entry(space).or_default().prove(at);
-        if news && space == Space::Config {
-            self.board.prove(at);
+        if !news || space != Space::Config {
+            return;
+        }
+        self.board.prove(at);
+        let step = self.settings.pace.step();
+        let due = self.told.get().is_none_or(|told| at.saturating_duration_since(told) >= step);
+        if due && self.joined.get() {
+            self.tell_below(at);
         }
     }
 
+    /// Tells the daemons below this one how far it is, as of `at`.
+    pub(super) fn tell_below(&self, at: Instant) {
+        self.told.set(Some(at));
+        let told = {
+            let members = self.members.borrow();
+            members.row(&self.settings.own.host).map(|own| below(own, members.rows())).unwrap_or_default()
+        };
+        self.tell_all(told, |this, _host| this.bare_message());
+    }
+
     /// Returns for how long a change may have been confirmed that is missing here;
     /// none before anything was proven.
     pub(super) fn age(&self, space: Space) -> Option<Duration> {
@@ -32,17 +50,35 @@
         self.freshness.borrow().get(&space).and_then(|freshness| freshness.age(now))
     }
 
-    /// Says when this daemon can no longer vouch that each confirmed change is in
-    /// force, and when it can again.
-    pub(super) async fn watch_age(self: Rc<Self>) {
+    /// Returns whether nothing has vouched in time for what is in force.
+    pub(super) fn is_overdue(&self) -> bool {
+        self.age(Space::Config).is_none_or(|age| age >= self.settings.pace.overdue())
+    }
+
+    /// Asks for what is newer whenever the proof of what is in force is overdue, until
+    /// there is one; says when this daemon cannot vouch for it, and when it can again.
+    pub(super) async fn keep_current(self: Rc<Self>) {
+        let pace = self.settings.pace;
         let mut behind = false;
+        let mut failures: u32 = 0;
         loop {
-            self.ports.clock.sleep(LOOK_EVERY).await;
-            let Some(age) = self.age(Space::Config) else { continue };
-            let is_behind = age > self.settings.apply;
-            if is_behind != behind {
-                behind = is_behind;
-                self.emit(self.age_event(behind, age));
+            let age = self.age(Space::Config);
+            if let Some(age) = age.filter(|age| *age < pace.overdue()) {
+                if std::mem::take(&mut behind) {
+                    self.emit(self.age_event(false, age));
+                }
+                failures = 0;
+                self.ports.clock.sleep(pace.overdue().saturating_sub(age)).await;
+                continue;
+            }
+            if let Some(age) = age.filter(|age| *age > pace.apply() && !behind) {
+                behind = true;
+                self.emit(self.age_event(true, age));
+            }
+            self.ask_for_newer(failures).await;
+            if self.is_overdue() {
+                self.ports.clock.sleep(pace.again(failures)).await;
+                failures = failures.saturating_add(1);
             }
         }
     }
@@ -55,4 +91,35 @@
             Event::ConfigCurrent { revision, millis }
         }
     }
+
+    /// Asks those that should know for what is newer, until there is a proof. Daemons that
+    /// do not read ask the platform only where a round before brought none: it
+    /// would be called by all of them at once.
+    async fn ask_for_newer(self: &Rc<Self>, before: u32) {
+        let platform = (before > 0 || self.is_reader()) && !self.asked_platform();
+        let hosts = self.draw_sources(before);
+        self.ask_round(hosts, platform, || !self.is_overdue()).await;
+    }
+
+    /// Returns whether the platform was asked a moment ago.
+    fn asked_platform(&self) -> bool {
+        let recent = self.settings.pace.again(0);
+        let now = self.ports.clock.now();
+        self.asked.get().is_some_and(|asked| now.saturating_duration_since(asked) < recent)
+    }
+
+    /// Returns daemons that should know what is newer; any that are known where those are
+    /// few.
+    fn draw_sources(&self, round: u32) -> Vec<HostId> {
+        let mut hosts = {
+            let members = self.members.borrow();
+            let round = usize::try_from(round).unwrap_or_default();
+            let own = members.row(&self.settings.own.host);
+            own.map(|own| sources(own, members.rows(), ASKED, round)).unwrap_or_default()
+        };
+        let others = self.draw_peers(ASKED).into_iter().filter(|host| !hosts.contains(host));
+        let others: Vec<HostId> = others.take(ASKED.saturating_sub(hosts.len())).collect();
+        hosts.extend(others);
+        hosts
+    }
 }
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -83,7 +83,12 @@
     }
 
     fn relay_to(&self, make: impl Fn(&Self, &HostId) -> Exchange) {
-        for host in self.draw_peers(RELAY_WIDTH) {
+        self.tell_all(self.draw_peers(RELAY_WIDTH), make);
+    }
+
+    /// Tells daemons something at once; what they answer is not awaited.
+    pub(super) fn tell_all(&self, hosts: Vec<HostId>, make: impl Fn(&Self, &HostId) -> Exchange) {
+        for host in hosts {
             let message = make(self, &host);
             let peers = self.ports.peers.clone();
             let told = async move {
@@ -189,7 +194,11 @@
     /// Returns whether this daemon holds the watch itself and it works, so that
     /// the platform tells it what others have told first.
     fn hears_platform(&self) -> bool {
-        self.joined.get() && !self.confirming.get() && self.is_reader() && !self.was_away()
+        self.joined.get()
+            && !self.confirming.get()
+            && self.is_reader()
+            && !self.was_away()
+            && !self.is_overdue()
     }
 
     /// Notes that a daemon did not answer.
--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -16,5 +16,4 @@
 pub use duty::Control;
 pub use duty::ControlPorts;
 pub use duty::ControlSettings;
-pub use reader::is_reader;
 pub use wordbook::Wordbook;
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -11,15 +11,12 @@
 
 use super::duty::Control;
 use crate::domain::backoff::backoff;
-use crate::domain::cell::weight;
 use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
 use crate::domain::feed::Delta;
 use crate::domain::freshness::shown_by_watch;
-use crate::domain::ids::HostId;
 use crate::domain::ids::Revision;
-use crate::domain::membership::PeerState;
-use crate::domain::membership::Row;
+use crate::domain::readers::is_reader;
 use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Listing;
@@ -33,7 +30,7 @@
 const BACKOFF: Duration = Duration::from_millis(250);
 
 /// The longest pause after failures.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
 
 /// After this many failures in a row a daemon says that it cannot reach the
 /// platform.
@@ -47,23 +44,6 @@
 /// How often a daemon that is not a reader looks whether it has become one.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-/// Says whether `own` is among the readers of its availability zone.
-///
-/// Readers are the `count` live daemons with the highest rendezvous weights, so
-/// that another takes over when one goes. One that said that it cannot reach
-/// the platform does not count, and calls for one more: where none of them can,
-/// their number doubles until one does.
-#[must_use]
-pub fn is_reader<'a>(own: &Row, rows: impl IntoIterator<Item = &'a Row>, count: usize) -> bool {
-    let rank = |host: &HostId| weight("reader", host);
-    let mine = rank(&own.host);
-    let zone = rows.into_iter().filter(|row| row.zone == own.zone && row.host != own.host);
-    let live: Vec<&Row> = zone.filter(|row| row.state == PeerState::Live).collect();
-    let blind = live.iter().filter(|row| row.blind).count();
-    let ahead = live.iter().filter(|row| !row.blind && rank(&row.host) > mine).count();
-    ahead < count + blind
-}
-
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Holds the watch on one space while this daemon is a reader.
     pub(super) async fn read(self: Rc<Self>, space: Space) {
@@ -115,6 +95,15 @@
         }
     }
 
+    /// Notes that the platform is asked now, and returns when that is.
+    fn note_asked(&self, space: Space) -> Instant {
+        let now = self.ports.clock.now();
+        if space == Space::Config {
+            self.asked.set(Some(now));
+        }
+        now
+    }
+
     /// Tells the others whether this daemon can reach the platform.
     fn say_blind(&self, space: Space, blind: bool) {
         if space != Space::Config {
@@ -136,9 +125,11 @@
         let Some(seen) = self.seen(space) else {
             return self.list(copy, space).await;
         };
-        self.watch(copy, space, seen, self.settings.watch).await?;
+        let wait = self.settings.watch.min(self.settings.pace.wait(self.age(space)));
+        self.watch(copy, space, seen, wait).await?;
         if self.seen(space) > Some(seen) {
-            self.ports.clock.sleep(FOLD_PAUSE).await;
+            let fold = self.settings.pace.fold(self.age(space), FOLD_PAUSE);
+            self.ports.clock.sleep(fold).await;
         }
         Ok(())
     }
@@ -153,7 +144,7 @@
     /// Reads a whole space; pages read at different revisions are brought to
     /// one by watching, before anything is offered.
     pub(super) async fn list(self: &Rc<Self>, copy: SocketAddr, space: Space) -> Result<(), PlatformError> {
-        let asked = self.ports.clock.now();
+        let asked = self.note_asked(space);
         let mut listing = self.ports.platform.list(copy, space).await?;
         while listing.first < listing.last {
             let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
@@ -192,7 +183,7 @@
             Space::Config => after.max(self.cursor.get()),
             Space::Hosts => after,
         };
-        let asked = self.ports.clock.now();
+        let asked = self.note_asked(space);
         match self.ports.platform.watch(copy, space, after, wait).await? {
             Watched::Compacted => self.list(copy, space).await,
             Watched::Changes { deltas, at } => {
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -30,6 +30,7 @@
 use crate::control::ControlPorts;
 use crate::control::ControlSettings;
 use crate::domain::admission::GateLimits;
+use crate::domain::freshness::Pace;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
 use crate::domain::routing::Places;
@@ -206,7 +207,7 @@
         exchange: Duration::from_millis(settings.peers.exchange_ms),
         join: Duration::from_millis(settings.peers.join_ms),
         watch: Duration::from_millis(settings.platform.watch_ms),
-        apply: Duration::from_millis(settings.platform.apply_ms),
+        pace: Pace::new(Duration::from_millis(settings.platform.apply_ms)),
         readers: settings.platform.readers,
         places: places(context),
         cell: settings.cell(),
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -17,6 +17,7 @@
 use crate::adapters::reading::JsonReader;
 use crate::adapters::reading::READ_LIMIT;
 use crate::adapters::reading::deltas;
+use crate::adapters::reading::watch_limit;
 use crate::domain::feed::Change;
 use crate::domain::ids::Key;
 use crate::domain::ids::Revision;
@@ -137,7 +138,7 @@
             return Err(no_hosts());
         }
         let path = format!("/-/kv-watch?pathPrefix=&after={after}&waitMs={}", wait.as_millis());
-        let events: Option<Events> = self.reader.get(copy, &path, wait + READ_LIMIT).await?;
+        let events: Option<Events> = self.reader.get(copy, &path, watch_limit(wait)).await?;
         Ok(match events {
             Some(Events { events, store_revision: at }) => {
                 let newer = events.iter().filter(|item| item.revision > after);
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod merging;
 mod objectives;
 mod once;
+mod readers;
 mod recent;
 mod routing;
 mod settings;
--- a/crates/harefield/tests/decisions/members.rs
+++ b/crates/harefield/tests/decisions/members.rs
@@ -3,11 +3,11 @@
 use proptest::prelude::*;
 
 use crate::support::cases;
-use harefield::control::is_reader;
 use harefield::domain::membership::MOST_ROWS;
 use harefield::domain::membership::Membership;
 use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
+use harefield::domain::readers::is_reader;
 
 fn row(number: u8, incarnation: u64, version: u64, state: PeerState) -> Row {
     Row {
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -22,6 +22,7 @@
 use harefield::domain::feed::Delta;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
+use harefield::domain::freshness::Pace;
 use harefield::domain::ids::HostId;
 use harefield::domain::ids::Revision;
 use harefield::domain::membership::PeerState;
@@ -192,7 +193,7 @@
             exchange: Duration::from_millis(50),
             join: Duration::from_millis(200),
             watch: Duration::from_millis(20),
-            apply: Duration::from_secs(3),
+            pace: Pace::new(Duration::from_secs(3)),
             readers: 2,
             cell: CellSize::default(),
             places: Places::default(),
