Let the soak meet changes in series beside silences and restarts

Cause: the soak read the store with watches of 1 s where the deployment had 4 s, never let a call go unanswered for good, excused every daemon for 5 s after any daemon's way to the store was disturbed, and never killed several daemons at once: what the incident shows could not come up. Change: storms, drawn apart from the other faults so that kept seeds play them as before: a store that is silent for 0.5 to 6 s (not in every fourth seed), none, some or all daemons killed at one moment, 4 to 11 changes over 8 s. Stricter checks: the 3 s run from the return of the store, and a daemon's own way to it excuses nobody else. Daemons run with the deployment's times.

--- a/crates/harefield/tests/decisions/readers.rs
+++ b/crates/harefield/tests/decisions/readers.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use harefield::domain::cell::weight;
 use harefield::domain::ids::HostId;
@@ -35,7 +36,7 @@
 fn everyone_told_once() {
     for count in [1, 2, 13, 14, 135, 157] {
         let rows = zone(count);
-        let mut hops: BTreeMap<HostId, usize> = BTreeMap::from([(rows[0].host.clone(), 0)]);
+        let mut hops: BTreeMap<HostId, usize> = BTreeMap::from([(Arc::clone(&rows[0].host), 0)]);
         for own in &rows {
             let told = below(own, &rows);
             assert!(told.len() <= 12);
@@ -96,7 +97,7 @@
     let mut rows: Vec<Row> = ["a", "b", "c", "d"].iter().enumerate().map(|(n, zone)| row(n, zone)).collect();
     rows[1].blind = true;
     rows[2].blind = true;
-    assert_eq!(sources(&rows[0], &rows, 3, 0), vec![rows[3].host.clone()]);
+    assert_eq!(sources(&rows[0], &rows, 3, 0), vec![Arc::clone(&rows[3].host)]);
     rows[3].blind = true;
     assert_eq!(sources(&rows[0], &rows, 3, 0).len(), 3, "where none reaches it, any may know more");
     assert_eq!(sources(&rows[0], &rows[..1], 3, 5), Vec::<HostId>::new());
--- a/crates/harefield/tests/soak/checks/versions.rs
+++ b/crates/harefield/tests/soak/checks/versions.rs
@@ -1,6 +1,7 @@
 //! A published change is in force in time, and stays.
 
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::AFTER;
@@ -36,7 +37,8 @@
     fn in_force(&mut self, request: &Request, version: u64) {
         let due = self.pages.published.iter().filter(|p| p.at + IN_FORCE < request.sent);
         let Some(due) = due.max_by_key(|published| published.version) else { return };
-        let excused = |kind| matches!(kind, Kind::Store) || kind == Kind::Daemon(request.daemon);
+        let own = [Kind::Store, Kind::StoreLink(request.daemon), Kind::Daemon(request.daemon)];
+        let excused = |kind| own.contains(&kind);
         if version < due.version && !self.was_disturbed(due.at, request.sent, excused) {
             let what = format!("version {version} where {} is due", due.version);
             self.note("in force", request, &what);
@@ -50,10 +52,15 @@
     }
 
     /// Says whether anything of the kinds chosen was disturbed between a word of the
-    /// store and a moment, within the time that its word takes to be in force.
+    /// store and a moment, within the time that its word takes to be in force. That time
+    /// runs from the return of a store that was away: nobody waits for lost answers.
     fn was_disturbed(&self, word: Instant, until: Instant, of: impl Fn(Kind) -> bool) -> bool {
-        let recent = until.checked_sub(IN_FORCE).unwrap_or(word);
-        self.pages.disturbed(word.max(recent), until, AFTER, of)
+        let from = word.max(until.checked_sub(IN_FORCE).unwrap_or(word));
+        let is_store = |kind| matches!(kind, Kind::Store | Kind::StoreLink(_));
+        let store = |kind| is_store(kind) && of(kind);
+        let other = |kind| !is_store(kind) && of(kind);
+        self.pages.disturbed(from, until, Duration::ZERO, store)
+            || self.pages.disturbed(from, until, AFTER, other)
     }
 
     /// An upstream that is leaving gets no new work after seconds.
@@ -62,7 +69,7 @@
             let Some(upstream) = self.upstreams.get(&leaving.id) else { continue };
             for (at, id) in upstream.inner.arrivals() {
                 // A daemon that was paused asks before it sends, so none is excused.
-                let excused = |kind| matches!(kind, Kind::Store);
+                let excused = |kind| matches!(kind, Kind::Store | Kind::StoreLink(_));
                 let late = at > leaving.at + IN_FORCE;
                 if late && !self.was_disturbed(leaving.at, at, excused) {
                     let after = at.duration_since(leaving.at);
--- a/crates/harefield/tests/soak/draw.rs
+++ b/crates/harefield/tests/soak/draw.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use rand::seq::index::sample;
 use standin::Manner as Conduct;
 
 use crate::proxy::Manner;
@@ -28,6 +29,8 @@
     StoreLink(usize, Link),
     /// The store is away.
     StoreDown,
+    /// The store takes what comes and never answers it, also when it speaks again.
+    StoreSilent,
     /// The store forgets its past.
     StoreForgets,
     /// The way to a daemon is disturbed for the others.
@@ -55,13 +58,39 @@
     Reset,
 }
 
+/// One thing of a storm: after a pause, a fault for a time.
+#[derive(Clone, Debug)]
+pub(crate) struct Stroke {
+    pub pause: Duration,
+    pub fault: Fault,
+    pub time: Duration,
+}
+
+/// Draws changes in series beside a store that goes silent, unless it is `spared`, and
+/// none, some or all of the daemons killed at one moment and started again. A silence may
+/// be longer than the 4 s that a watch waits, and changes go on after it.
+pub(crate) fn draw_storm(random: &mut StdRng, nodes: usize, spared: bool) -> Vec<Stroke> {
+    let mut span = |least: u64, most: u64| Duration::from_millis(random.random_range(least..most));
+    let silence = Stroke { pause: span(0, 500), fault: Fault::StoreSilent, time: span(500, 6000) };
+    let (pause, time) = (span(0, 1500), span(200, 1000));
+    let mut strokes = if spared { Vec::new() } else { vec![silence] };
+    let killed = random.random_range(0..=nodes);
+    let kill = |node| Stroke { pause, fault: Fault::Kill(node), time };
+    strokes.extend(sample(random, nodes, killed).into_iter().map(kill));
+    for _ in 0..random.random_range(4..12) {
+        let pause = Duration::from_millis(random.random_range(0..8000));
+        strokes.push(Stroke { pause, fault: Fault::Change, time: Duration::ZERO });
+    }
+    strokes
+}
+
 /// Draws what goes wrong next, at one of so many daemons or one of the upstreams
 /// present. Where the store is `spared`, it stays well, as does the way to it: what
 /// must hold within seconds of its word can be checked at all times then.
 pub(crate) fn draw(random: &mut StdRng, nodes: usize, present: &[String], spared: bool) -> Fault {
     loop {
         let fault = draw_any(random, nodes, present);
-        if !(spared && matches!(fault, Fault::StoreLink(..) | Fault::StoreDown)) {
+        if !(spared && matches!(fault, Fault::StoreLink(..) | Fault::StoreDown | Fault::StoreSilent)) {
             return fault;
         }
     }
--- a/crates/harefield/tests/soak/faults.rs
+++ b/crates/harefield/tests/soak/faults.rs
@@ -15,7 +15,9 @@
 
 use crate::draw::Fault;
 use crate::draw::Link;
+use crate::draw::Stroke;
 use crate::draw::draw;
+use crate::draw::draw_storm;
 use crate::ledger::Kind;
 use crate::ledger::Leaving;
 use crate::ledger::Ledger;
@@ -27,6 +29,9 @@
 /// How long a daemon is given after its start or wake before it is counted as well.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// How long it is calm after a storm: what it disturbed is checked then.
+const CALM: Duration = Duration::from_secs(3);
+
 /// How long a planned stop may take: the limit of 5.5 s, and a busy machine.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 
@@ -42,11 +47,34 @@
 }
 
 impl Faults {
+    /// Lets storms come until `until`, with some calm after each, drawn apart from what
+    /// else goes wrong: a seed goes on drawing that as it did.
+    pub fn run_storms(&self, seed: u64, until: Instant) {
+        let mut random = StdRng::seed_from_u64(!seed);
+        while Instant::now() < until {
+            let strokes = draw_storm(&mut random, self.world.nodes.len(), spares_silence(seed));
+            let under_way: Vec<JoinHandle<()>> =
+                strokes.into_iter().map(|stroke| self.strike(stroke)).collect();
+            for stroke in under_way {
+                stroke.join().expect("a stroke ends");
+            }
+            std::thread::sleep(CALM);
+        }
+    }
+
+    fn strike(&self, stroke: Stroke) -> JoinHandle<()> {
+        println!("storm {:?} after {:?} for {:?}", stroke.fault, stroke.pause, stroke.time);
+        let this = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(stroke.pause);
+            this.carry_out(stroke.fault, stroke.time);
+        })
+    }
+
     /// Lets things go wrong until `until`; returns what is still under way.
     pub fn run(&self, seed: u64, until: Instant) -> Vec<JoinHandle<()>> {
         let mut random = StdRng::seed_from_u64(seed);
-        // Every other seed spares the store.
-        let spared = seed.is_multiple_of(2);
+        let spared = spares_store(seed);
         let mut under_way = Vec::new();
         while Instant::now() < until {
             let fault = draw(&mut random, self.world.nodes.len(), &self.world.present(), spared);
@@ -85,13 +113,18 @@
             }),
             Fault::Reload(node) => self.world.nodes[node].signal(Signal::HUP),
             Fault::StoreLink(node, link) => {
-                self.on_link(Kind::Store, &self.world.nodes[node].store, link, time);
+                self.on_link(Kind::StoreLink(node), &self.world.nodes[node].store, link, time);
             }
             Fault::StoreDown => self.during(Kind::Store, || {
                 self.world.store.set_down(true);
                 std::thread::sleep(time);
                 self.world.store.set_down(false);
             }),
+            Fault::StoreSilent => self.during(Kind::Store, || {
+                self.world.store.set_silent(true);
+                std::thread::sleep(time);
+                self.world.store.set_silent(false);
+            }),
             Fault::StoreForgets => self.world.store.forget(),
             Fault::PeerLink(node, link) => {
                 self.on_link(Kind::Peers, &self.world.nodes[node].peers, link, time);
@@ -188,3 +221,14 @@
         self.leave(&leaving);
     }
 }
+
+/// Says whether a seed spares the store what is not a storm: every other one does.
+fn spares_store(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
+/// Says whether a seed's storms leave the store well: every fourth one's do, so that what
+/// must hold within seconds of its word can be checked at all times.
+fn spares_silence(seed: u64) -> bool {
+    seed.is_multiple_of(4)
+}
--- a/crates/harefield/tests/soak/ledger.rs
+++ b/crates/harefield/tests/soak/ledger.rs
@@ -44,8 +44,10 @@
     Stop(usize),
     /// What daemons say to each other.
     Peers,
-    /// The store, for one daemon or all.
+    /// The store, for all daemons.
     Store,
+    /// A daemon's way to the store.
+    StoreLink(usize),
     /// Upstreams, or the way to them.
     Upstreams,
 }
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -5,7 +5,7 @@
 //! of them, and publishes the `configuration`; `draw` draws what goes wrong and
 //! `faults` does it; `callers` send requests and write down what they saw in the
 //! `ledger`; `checks` compares that with what the upstreams saw. Without arguments
-//! one short seed is played, as CI does.
+//! two short seeds are played, as CI does.
 
 mod callers;
 mod checks;
@@ -38,7 +38,7 @@
            [--seconds N] [--daemons N] [--callers N] [--shards N]
            [--program FILE] [--folder DIR]
 
-Without arguments: seed 1, short. Else plays `count` seeds from `seed` on, or those kept in seeds.txt, each for `seconds` and
+Without arguments: seeds 1 and 2, short. Else plays `count` seeds from `seed` on, or those kept in seeds.txt, each for `seconds` and
 what its faults take to end. Logs of seeds that broke a promise stay in the folder. Ends with 1 where one did.
 ";
 
@@ -94,7 +94,8 @@
         program: PathBuf::from(env!("CARGO_BIN_EXE_harefield")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", std::process::id())),
     };
-    let mut count = 1;
+    // The second seed's store is well but for its silences.
+    let mut count = if short { 2 } else { 1 };
     let mut only_kept = false;
     let mut parser = Parser::from_env();
     while let Some(argument) = parser.next()? {
--- a/crates/harefield/tests/soak/node.rs
+++ b/crates/harefield/tests/soak/node.rs
@@ -81,8 +81,8 @@
         let text = format!(
             "[host]\nzone = \"{zone}\"\n[host.regions]\nz1 = \"r1\"\nz2 = \"r1\"\nz3 = \"r2\"\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nknown-as = \"{}\"\noperators = \"{operators}\"\n\
-             [platform]\nkind = \"store\"\naddresses = [\"{}\"]\nwatch-ms = 1000\nreaders = 1\n\
-             [peers]\nseeds = [{}]\nexchange-ms = 300\njoin-ms = 1000\ndaemons = 5\n\
+             [platform]\nkind = \"store\"\naddresses = [\"{}\"]\nwatch-ms = 4000\nreaders = 1\n\
+             [peers]\nseeds = [{}]\nexchange-ms = 1000\njoin-ms = 2000\ndaemons = 5\n\
              [routing]\nextra-load = 0.2\nextra-slack = {SLACK}\ncell-size = {CELL_SIZE}\n\
              [stop]\nlinger-ms = 500\nlimit-ms = 5500\n[events]\ndetail-every = 1\n",
             self.peers.address(),
--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -74,7 +74,11 @@
     };
     let callers = calling.start(soak.callers);
     let faults = Faults { world: Arc::clone(&world), ledger: Arc::clone(&ledger) };
-    let under_way = faults.run(soak.seed, Instant::now() + soak.time);
+    let until = Instant::now() + soak.time;
+    let (seed, storms) = (soak.seed, faults.clone());
+    let storms = std::thread::spawn(move || storms.run_storms(seed, until));
+    let mut under_way = faults.run(soak.seed, until);
+    under_way.push(storms);
     for fault in under_way {
         fault.join().expect("what goes wrong ends");
     }
