Show that what asks beside the watches suffices, and that proofs are passed on

Tests of the control duties with fakes at the ports: watches that are never answered leave every confirmed change in force within 3.5 s; where one daemon of ten reads, the others neither ask nor call, and nothing is older than a watch.

--- /dev/null
+++ b/crates/harefield/tests/fleet/current.rs
@@ -0,0 +1,55 @@
+//! Daemons make sure of what they have, also where a watch or a word is lost.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::Fleet;
+use crate::support::Tuning;
+
+const LOOKUP: &str = r#"{"index":"i","urgency":"bulk","deadline-ms":5,"repeatable":true,"prefer":"time"}"#;
+
+/// As daemons are deployed: one of a zone reads, and words are few.
+const DEPLOYED: Tuning = Tuning {
+    exchange: Duration::from_secs(1),
+    watch: Duration::from_secs(20),
+    apply: Duration::from_secs(3),
+    readers: 1,
+};
+
+#[test]
+fn lost_watches() {
+    // No watch is ever answered, and nobody says so: what asks beside them must do.
+    let fleet = Fleet::start_as(4, DEPLOYED);
+    fleet.await_revision(0..4, 1);
+    fleet.mute(true);
+    fleet.run_for(Duration::from_secs(3));
+    for name in ["lookups/a", "lookups/b", "lookups/c"] {
+        let confirmed = Instant::now();
+        let revision = fleet.publish(name, LOOKUP);
+        fleet.await_revision(0..4, revision);
+        let late = confirmed.elapsed();
+        assert!(late < Duration::from_millis(3500), "{name} is in force everywhere after {late:?}");
+    }
+}
+
+#[test]
+fn proofs_passed_on() {
+    // One daemon of ten reads and tells the others that nothing is missing; they ask
+    // nobody. Held for 2.4 s of 6, nothing is older but for what a busy machine takes.
+    let tuning = Tuning { apply: Duration::from_secs(6), exchange: Duration::from_secs(60), ..DEPLOYED };
+    let fleet = Fleet::start_as(10, tuning);
+    fleet.await_revision(0..10, 1);
+    fleet.run_for(Duration::from_secs(3));
+    let (calls, exchanges) = (fleet.calls(), fleet.exchanges());
+    for _ in 0..100 {
+        fleet.run_for(Duration::from_millis(60));
+        assert!(fleet.oldest() < 2.9, "{} s", fleet.oldest());
+    }
+    assert_eq!(who_did(&fleet.calls(), &calls), 1, "{calls:?} {:?}", fleet.calls());
+    assert_eq!(who_did(&fleet.exchanges(), &exchanges), 1, "{exchanges:?} {:?}", fleet.exchanges());
+}
+
+/// Returns how many daemons did something since it was counted before.
+fn who_did(now: &[usize], before: &[usize]) -> usize {
+    now.iter().zip(before).filter(|(now, before)| now > before).count()
+}
--- a/crates/harefield/tests/fleet/main.rs
+++ b/crates/harefield/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the control duty of several daemons over a network that can be cut,
 //! on one thread, with fakes at the ports.
 
+mod current;
 mod split;
 mod support;
 mod warming;
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -48,12 +48,38 @@
 /// How long anything that should happen may take: far longer than it does.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How often a waiting watch looks for changes.
+const STEP: Duration = Duration::from_millis(20);
+
+/// How daemons are set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    pub exchange: Duration,
+    pub watch: Duration,
+    pub apply: Duration,
+    pub readers: usize,
+}
+
+/// Quick exchanges and watches.
+const QUICK: Tuning = Tuning {
+    exchange: Duration::from_millis(50),
+    watch: Duration::from_millis(20),
+    apply: Duration::from_secs(3),
+    readers: 2,
+};
+
 /// What daemons and the platform share in the test.
 #[derive(Debug, Default)]
 struct Shared {
     inboxes: BTreeMap<HostId, Sender<ToControl>>,
     cut: BTreeSet<(usize, usize)>,
     blind: BTreeSet<usize>,
+    /// Whether watches that wait are never answered.
+    mute: bool,
+    /// Calls of the platform by each daemon.
+    calls: BTreeMap<usize, usize>,
+    /// Exchanges that each daemon began.
+    exchanges: BTreeMap<usize, usize>,
     log: Vec<(Revision, Change)>,
     revision: Revision,
 }
@@ -90,6 +116,16 @@
     }
 }
 
+impl Link {
+    fn count(&self) {
+        *self.shared.borrow_mut().calls.entry(self.own).or_default() += 1;
+    }
+
+    fn is_newer(&self, space: Space, after: Revision) -> bool {
+        space == Space::Config && self.shared.borrow().revision > after
+    }
+}
+
 impl Peers for Link {
     async fn forward(&self, _: &HostId, _: &Forward, _: Duration) -> Result<Forwarded, PeerError> {
         Err(PeerError::Unreachable)
@@ -100,6 +136,7 @@
     }
 
     async fn exchange(&self, host: &HostId, message: &Exchange, _: Duration) -> Result<Exchange, PeerError> {
+        *self.shared.borrow_mut().exchanges.entry(self.own).or_default() += 1;
         let said = Box::new(message.clone());
         self.call(host, |reply| ToControl::Exchange(said, reply)).await
     }
@@ -111,6 +148,7 @@
 
 impl Platform for Link {
     async fn list(&self, _: SocketAddr, space: Space) -> Result<Listing, PlatformError> {
+        self.count();
         let shared = self.shared.borrow();
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
@@ -133,9 +171,16 @@
         _: SocketAddr,
         space: Space,
         after: Revision,
-        _: Duration,
+        wait: Duration,
     ) -> Result<Watched, PlatformError> {
-        Timer::after(Duration::from_millis(20)).await;
+        self.count();
+        if self.shared.borrow().mute && !wait.is_zero() {
+            return std::future::pending().await;
+        }
+        let until = Instant::now() + wait.max(STEP);
+        while Instant::now() < until && !self.is_newer(space, after) {
+            Timer::after(STEP).await;
+        }
         let shared = self.shared.borrow();
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
@@ -161,18 +206,23 @@
 impl Fleet {
     /// Starts daemons that know each other as seeds.
     pub fn start(count: usize) -> Self {
+        Self::start_as(count, QUICK)
+    }
+
+    /// The same with another tuning.
+    pub fn start_as(count: usize, tuning: Tuning) -> Self {
         let executor: Rc<LocalExecutor<'static>> = Rc::default();
         let shared = Rc::default();
         let mut fleet = Self { executor, shared, boards: Vec::new(), newest: RefCell::default() };
         fleet.publish("indexes/i", r#"{"snapshots":[{"version":1,"shards":{}}]}"#);
         for own in 0..count {
-            fleet.add(own, count);
+            fleet.add(own, count, tuning);
         }
         fleet.newest = RefCell::new(vec![None; count]);
         fleet
     }
 
-    fn add(&mut self, own: usize, count: usize) {
+    fn add(&mut self, own: usize, count: usize, tuning: Tuning) {
         let (control, inbox) = async_channel::bounded(1024);
         self.shared.borrow_mut().inboxes.insert(host(own), control);
         let link = Link { own, shared: Rc::clone(&self.shared) };
@@ -190,11 +240,11 @@
             },
             copies: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
             seeds: (0..count).map(host).collect(),
-            exchange: Duration::from_millis(50),
+            exchange: tuning.exchange,
             join: Duration::from_millis(200),
-            watch: Duration::from_millis(20),
-            pace: Pace::new(Duration::from_secs(3)),
-            readers: 2,
+            watch: tuning.watch,
+            pace: Pace::new(tuning.apply),
+            readers: tuning.readers,
             cell: CellSize::default(),
             places: Places::default(),
             listed: true,
@@ -222,6 +272,31 @@
         self.shared.borrow_mut().blind = daemons.into_iter().collect();
     }
 
+    /// Says whether watches that wait are never answered from now on.
+    pub fn mute(&self, mute: bool) {
+        self.shared.borrow_mut().mute = mute;
+    }
+
+    /// Returns how often each daemon has called the platform.
+    pub fn calls(&self) -> Vec<usize> {
+        self.of_each(&self.shared.borrow().calls)
+    }
+
+    /// Returns how many exchanges each daemon has begun.
+    pub fn exchanges(&self) -> Vec<usize> {
+        self.of_each(&self.shared.borrow().exchanges)
+    }
+
+    fn of_each(&self, counts: &BTreeMap<usize, usize>) -> Vec<usize> {
+        (0..self.boards.len()).map(|own| counts.get(&own).copied().unwrap_or(0)).collect()
+    }
+
+    /// Returns for how many seconds a change may have been confirmed that the daemons lack,
+    /// the most of all of them.
+    pub fn oldest(&self) -> f64 {
+        self.boards.iter().map(|board| age(board)).fold(0.0, f64::max)
+    }
+
     /// Cuts every link between two groups, one way or both.
     pub fn cut(&self, from: &[usize], to: &[usize], both: bool) {
         let mut shared = self.shared.borrow_mut();
@@ -280,3 +355,9 @@
         status.peers.iter().find(|row| row.host == host(other)).map(|row| row.state)
     }
 }
+
+fn age(board: &Board) -> f64 {
+    let text = board.metrics_at(Instant::now()).text();
+    let line = text.lines().find_map(|line| line.strip_prefix("harefield_config_age_seconds "));
+    line.and_then(|number| number.parse().ok()).unwrap_or(f64::INFINITY)
+}
