Ask for the list of hosts too when its proof is overdue

Cause: of the same class as the configuration's: a change of the list of hosts rested on the watch alone, so that a host that is leaving got new work for as long as a watch hung. Change: what is overdue is the oldest of the spaces that the platform keeps, and proofs are passed on as of it.

--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -8,6 +8,7 @@
 use super::confirm::ASKED;
 use super::duty::Control;
 use crate::domain::event::Event;
+use crate::domain::freshness::Freshness;
 use crate::domain::ids::HostId;
 use crate::domain::readers::below;
 use crate::domain::readers::sources;
@@ -22,17 +23,29 @@
     /// passes it on.
     pub(super) fn prove(&self, space: Space, at: Instant) {
         let news = self.freshness.borrow_mut().entry(space).or_default().prove(at);
-        if !news || space != Space::Config {
+        if !news {
             return;
         }
-        self.board.prove(at);
+        if space == Space::Config {
+            self.board.prove(at);
+        }
+        let Some(proven) = self.proven() else { return };
         let step = self.settings.pace.step();
-        let due = self.told.get().is_none_or(|told| at.saturating_duration_since(told) >= step);
+        let due = self.told.get().is_none_or(|told| proven.saturating_duration_since(told) >= step);
         if due && self.joined.get() {
-            self.tell_below(at);
+            self.tell_below(proven);
         }
     }
 
+    /// Returns up to when nothing is missing in any space; none while one was never
+    /// proven.
+    fn proven(&self) -> Option<Instant> {
+        let freshness = self.freshness.borrow();
+        let proven = |space| freshness.get(space).and_then(Freshness::proven);
+        let all: Option<Vec<Instant>> = self.spaces().iter().map(proven).collect();
+        all?.into_iter().min()
+    }
+
     /// Tells the daemons below this one how far it is, as of `at`.
     pub(super) fn tell_below(&self, at: Instant) {
         self.told.set(Some(at));
@@ -50,19 +63,25 @@
         self.freshness.borrow().get(&space).and_then(|freshness| freshness.age(now))
     }
 
-    /// Returns whether nothing has vouched in time for what is in force.
+    /// Returns the greatest age of all spaces; none while one was never proven.
+    fn oldest(&self) -> Option<Duration> {
+        let now = self.ports.clock.now();
+        self.proven().map(|proven| now.saturating_duration_since(proven))
+    }
+
+    /// Returns whether nothing has vouched in time for what is held.
     pub(super) fn is_overdue(&self) -> bool {
-        self.age(Space::Config).is_none_or(|age| age >= self.settings.pace.overdue())
+        self.oldest().is_none_or(|age| age >= self.settings.pace.overdue())
     }
 
-    /// Asks for what is newer whenever the proof of what is in force is overdue, until
-    /// there is one; says when this daemon cannot vouch for it, and when it can again.
+    /// Asks for what is newer whenever the proof of what is held is overdue, until there
+    /// is one; says when this daemon cannot vouch for it, and when it can again.
     pub(super) async fn keep_current(self: Rc<Self>) {
         let pace = self.settings.pace;
         let mut behind = false;
         let mut failures: u32 = 0;
         loop {
-            let age = self.age(Space::Config);
+            let age = self.oldest();
             if let Some(age) = age.filter(|age| *age < pace.overdue()) {
                 if std::mem::take(&mut behind) {
                     self.emit(self.age_event(false, age));
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -135,10 +135,10 @@
     PlatformLost { space: String, why: String, waited: u64 },
     /// The platform answers this daemon in a space again, after this many milliseconds.
     PlatformRegained { space: String, millis: u64 },
-    /// A newer revision may have been confirmed this many milliseconds ago, longer than
-    /// one may take to be in force.
+    /// Something newer, of the configuration or the list of hosts, may have been confirmed
+    /// this many milliseconds ago, longer than it may take to be in force.
     ConfigBehind { revision: Option<Revision>, millis: u64 },
-    /// The revision in force is known to be the newest again, as of so long ago.
+    /// What is held is known to be the newest again, as of so long ago.
     ConfigCurrent { revision: Option<Revision>, millis: u64 },
     /// The settings were read again.
     Reloaded { seeds: usize },
--- a/crates/harefield/tests/fleet/current.rs
+++ b/crates/harefield/tests/fleet/current.rs
@@ -5,6 +5,7 @@
 
 use crate::support::Fleet;
 use crate::support::Tuning;
+use harefield::ports::Space;
 
 const LOOKUP: &str = r#"{"index":"i","urgency":"bulk","deadline-ms":5,"repeatable":true,"prefer":"time"}"#;
 
@@ -21,7 +22,7 @@
     // No watch is ever answered, and nobody says so: what asks beside them must do.
     let fleet = Fleet::start_as(4, DEPLOYED);
     fleet.await_revision(0..4, 1);
-    fleet.mute(true);
+    fleet.mute(&Space::ALL);
     fleet.run_for(Duration::from_secs(3));
     for name in ["lookups/a", "lookups/b", "lookups/c"] {
         let confirmed = Instant::now();
@@ -32,6 +33,20 @@
     }
 }
 
+#[test]
+fn lost_watches_of_hosts() {
+    // A host that is leaving gets no new work after seconds: its list is asked for too.
+    let fleet = Fleet::start_as(4, DEPLOYED);
+    fleet.await_revision(0..4, 1);
+    fleet.mute(&[Space::Hosts]);
+    fleet.run_for(Duration::from_secs(3));
+    let listed = Instant::now();
+    let revision = fleet.list_leaving("127.0.0.1:9100");
+    fleet.await_listed(revision);
+    let late = listed.elapsed();
+    assert!(late < Duration::from_millis(3500), "the list is in use everywhere after {late:?}");
+}
+
 #[test]
 fn proofs_passed_on() {
     // One daemon of ten reads and tells the others that nothing is missing; they ask
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -74,14 +74,14 @@
     inboxes: BTreeMap<HostId, Sender<ToControl>>,
     cut: BTreeSet<(usize, usize)>,
     blind: BTreeSet<usize>,
-    /// Whether watches that wait are never answered.
-    mute: bool,
+    /// The spaces whose watches are never answered where they wait.
+    mute: BTreeSet<Space>,
     /// Calls of the platform by each daemon.
     calls: BTreeMap<usize, usize>,
     /// Exchanges that each daemon began.
     exchanges: BTreeMap<usize, usize>,
-    log: Vec<(Revision, Change)>,
-    revision: Revision,
+    log: Vec<(Space, Revision, Change)>,
+    revisions: BTreeMap<Space, Revision>,
 }
 
 /// The network and the platform, as one daemon reaches them.
@@ -116,13 +116,24 @@
     }
 }
 
+impl Shared {
+    fn revision(&self, space: Space) -> Revision {
+        self.revisions.get(&space).copied().unwrap_or(0)
+    }
+
+    fn of(&self, space: Space) -> impl Iterator<Item = (Revision, &Change)> {
+        let own = self.log.iter().filter(move |(held, ..)| *held == space);
+        own.map(|(_, revision, change)| (*revision, change))
+    }
+}
+
 impl Link {
     fn count(&self) {
         *self.shared.borrow_mut().calls.entry(self.own).or_default() += 1;
     }
 
     fn is_newer(&self, space: Space, after: Revision) -> bool {
-        space == Space::Config && self.shared.borrow().revision > after
+        self.shared.borrow().revision(space) > after
     }
 }
 
@@ -153,17 +164,14 @@
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
         }
-        if space == Space::Hosts {
-            return Ok(Listing::default());
-        }
         let mut items = Items::new();
-        for (_, change) in &shared.log {
+        for (_, change) in shared.of(space) {
             match &change.value {
                 Some(value) => items.insert(Arc::clone(&change.key), Arc::clone(value)),
                 None => items.remove(&change.key),
             };
         }
-        Ok(Listing { first: shared.revision, last: shared.revision, items })
+        Ok(Listing { first: shared.revision(space), last: shared.revision(space), items })
     }
 
     async fn watch(
@@ -174,7 +182,7 @@
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
         self.count();
-        if self.shared.borrow().mute && !wait.is_zero() {
+        if self.shared.borrow().mute.contains(&space) && !wait.is_zero() {
             return std::future::pending().await;
         }
         let until = Instant::now() + wait.max(STEP);
@@ -185,13 +193,13 @@
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
         }
-        let newer = shared.log.iter().filter(|(revision, _)| space == Space::Config && *revision > after);
+        let newer = shared.of(space).filter(|(revision, _)| *revision > after);
         let deltas = newer.map(|(revision, change)| Delta {
             base: revision - 1,
-            revision: *revision,
+            revision,
             changes: vec![change.clone()],
         });
-        Ok(Watched::Changes { deltas: deltas.collect(), at: shared.revision })
+        Ok(Watched::Changes { deltas: deltas.collect(), at: shared.revision(space) })
     }
 }
 
@@ -260,10 +268,20 @@
 
     /// Publishes one value as one revision, and returns it.
     pub fn publish(&self, key: &str, value: &str) -> Revision {
+        self.publish_in(Space::Config, key, value)
+    }
+
+    /// Lists a host as leaving, and returns the revision of the list.
+    pub fn list_leaving(&self, address: &str) -> Revision {
+        let row = r#"{"role":"upstream","state":"leaving"}"#;
+        self.publish_in(Space::Hosts, &format!("hosts/{address}"), row)
+    }
+
+    fn publish_in(&self, space: Space, key: &str, value: &str) -> Revision {
         let mut shared = self.shared.borrow_mut();
-        shared.revision += 1;
-        let revision = shared.revision;
-        shared.log.push((revision, Change { key: key.into(), value: Some(value.into()) }));
+        let revision = shared.revision(space) + 1;
+        shared.revisions.insert(space, revision);
+        shared.log.push((space, revision, Change { key: key.into(), value: Some(value.into()) }));
         revision
     }
 
@@ -272,9 +290,9 @@
         self.shared.borrow_mut().blind = daemons.into_iter().collect();
     }
 
-    /// Says whether watches that wait are never answered from now on.
-    pub fn mute(&self, mute: bool) {
-        self.shared.borrow_mut().mute = mute;
+    /// Says in which spaces watches that wait are never answered from now on.
+    pub fn mute(&self, spaces: &[Space]) {
+        self.shared.borrow_mut().mute = spaces.iter().copied().collect();
     }
 
     /// Returns how often each daemon has called the platform.
@@ -349,6 +367,15 @@
         }
     }
 
+    /// Lets the fleet run until every daemon uses a revision of the list of hosts.
+    pub fn await_listed(&self, revision: Revision) {
+        let until = Instant::now() + PATIENCE;
+        while !self.boards.iter().all(|board| board.status().config.listed >= Some(revision)) {
+            assert!(Instant::now() < until, "the list of hosts does not reach {revision}");
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
     /// Returns how one daemon sees another.
     pub fn sees(&self, own: usize, other: usize) -> Option<PeerState> {
         let status = self.boards[own].status();
