Let a woken daemon hear upstreams' words again; no proof of a stale copy

Cause: found by reading. And a listing that is older than what is held was taken as a proof that nothing is missing. Change: a round says what it tells; listings and watches that are behind prove nothing.

--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -108,7 +108,7 @@
     pub addresses: Vec<SocketAddr>,
     /// Which platform it is, and with it what callers and upstreams speak.
     pub kind: PlatformKind,
-    /// How long one watch waits, in milliseconds.
+    /// How long one watch waits at most, in milliseconds.
     pub watch_ms: u64,
     /// Within which time a confirmed change is to be in force, in milliseconds.
     pub apply_ms: u64,
--- a/crates/harefield/src/control/confirm.rs
+++ b/crates/harefield/src/control/confirm.rs
@@ -10,6 +10,7 @@
 use crate::engine::Confirmed;
 use crate::engine::ToWorker;
 use crate::ports::Clock;
+use crate::ports::Exchange;
 use crate::ports::Peers;
 use crate::ports::Platform;
 use crate::ports::Space;
@@ -21,6 +22,17 @@
 /// How many daemons are asked in a round.
 pub(super) const ASKED: usize = 3;
 
+/// Whom one round asks.
+#[derive(Debug)]
+pub(super) struct Asking<M> {
+    /// The daemons.
+    pub(super) hosts: Vec<HostId>,
+    /// Whether the platform is asked too.
+    pub(super) platform: bool,
+    /// What each daemon is told; it answers with as much.
+    pub(super) make: M,
+}
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Starts a round, unless one is under way.
     pub(super) fn start_confirming(self: &Rc<Self>) {
@@ -30,7 +42,9 @@
         let this = Rc::clone(self);
         let round = async move {
             let asked = this.ports.clock.now();
-            this.ask_round(this.draw_peers(ASKED), true, || false).await;
+            let hosts = this.draw_peers(ASKED);
+            let asking = Asking { hosts, platform: true, make: Self::message };
+            this.ask_round(asking, || false).await;
             this.confirming.set(false);
             this.tell(&ToWorker::Confirmed(Confirmed { asked }));
         };
@@ -39,19 +53,18 @@
 
     /// Asks daemons, and the platform where wanted, at once for what is newer, until all
     /// have answered, it is `enough`, or the round is over.
-    pub(super) async fn ask_round(
-        self: &Rc<Self>,
-        hosts: Vec<HostId>,
-        platform: bool,
-        enough: impl Fn() -> bool,
-    ) {
+    pub(super) async fn ask_round<M>(self: &Rc<Self>, asking: Asking<M>, enough: impl Fn() -> bool)
+    where
+        M: Fn(&Self, &HostId) -> Exchange,
+    {
+        let Asking { hosts, platform, make } = asking;
         let (sender, ended) = async_channel::bounded(hosts.len() + Space::ALL.len());
         let mut started = 0;
         for host in hosts {
+            let message = make(self, &host);
             let (this, sender) = (Rc::clone(self), sender.clone());
             let ask = async move {
-                // How far each of them is, and no more: rounds go on through an outage.
-                let _answered = this.ask(&host, this.bare_message()).await;
+                let _answered = this.ask(&host, message).await;
                 let _ = sender.try_send(());
             };
             self.executor.spawn(ask).detach();
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -63,7 +63,7 @@
     pub exchange: Duration,
     /// How long joining may take.
     pub join: Duration,
-    /// How long one watch waits.
+    /// How long one watch waits at most.
     pub watch: Duration,
     /// How often this daemon makes sure of what it has.
     pub pace: Pace,
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use super::confirm::ASKED;
+use super::confirm::Asking;
 use super::duty::Control;
 use crate::domain::event::Event;
 use crate::domain::freshness::Freshness;
@@ -117,7 +118,9 @@
     async fn ask_for_newer(self: &Rc<Self>, before: u32) {
         let platform = (before > 0 || self.is_reader()) && !self.asked_platform();
         let hosts = self.draw_sources(before);
-        self.ask_round(hosts, platform, || !self.is_overdue()).await;
+        // How far each of them is, and no more: rounds go on through an outage.
+        let make = |this: &Self, _host: &HostId| this.bare_message();
+        self.ask_round(Asking { hosts, platform, make }, || !self.is_overdue()).await;
     }
 
     /// Returns whether the platform was asked a moment ago.
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -150,8 +150,12 @@
             let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
         }
+        // A copy that is behind vouches for nothing.
+        let current = self.seen(space) <= Some(listing.first);
         self.take_listing(space, listing);
-        self.prove(space, asked);
+        if current {
+            self.prove(space, asked);
+        }
         Ok(())
     }
 
@@ -191,7 +195,9 @@
                 let shown = shown_by_watch(asked, ended, wait, deltas.is_empty());
                 self.take_deltas(space, &rebase(deltas, self.seen(space)));
                 self.advance_cursor(space, at);
-                self.prove(space, shown);
+                if at >= after {
+                    self.prove(space, shown);
+                }
                 Ok(())
             }
         }
--- a/crates/harefield/tests/fleet/current.rs
+++ b/crates/harefield/tests/fleet/current.rs
@@ -5,6 +5,11 @@
 
 use crate::support::Fleet;
 use crate::support::Tuning;
+use harefield::domain::word::NamedWord;
+use harefield::domain::word::Word;
+use harefield::domain::word::WordStamp;
+use harefield::engine::ToControl;
+use harefield::engine::ToWorker;
 use harefield::ports::Space;
 
 const LOOKUP: &str = r#"{"index":"i","urgency":"bulk","deadline-ms":5,"repeatable":true,"prefer":"time"}"#;
@@ -73,6 +78,28 @@
     }
 }
 
+#[test]
+fn woken_hears_words() {
+    // What upstreams said meanwhile is heard before a woken daemon sends again.
+    let fleet = quiet_fleet();
+    let others: Vec<usize> = (1..10).collect();
+    fleet.cut(&[0], &others, true);
+    let word = Word { stamp: WordStamp { start: 1, change: 1 }, draining: true, held: None };
+    for other in others {
+        let word = NamedWord { upstream: "u1".into(), word: word.clone() };
+        fleet.say(other, ToControl::Word(word));
+    }
+    fleet.run_for(Duration::from_millis(100));
+    fleet.told(0);
+    fleet.heal();
+    fleet.say(0, ToControl::Woke);
+    fleet.run_for(Duration::from_millis(600));
+    let told = fleet.told(0);
+    let confirmed = told.iter().position(|message| matches!(message, ToWorker::Confirmed(_)));
+    let heard = told.iter().position(|message| matches!(message, ToWorker::Words(_)));
+    assert!(confirmed.is_some() && heard.is_some() && heard < confirmed, "{heard:?} {confirmed:?}");
+}
+
 /// Starts ten daemons that speak to each other only where there is something to tell, and
 /// to the platform at a pace that leaves room for a busy machine.
 fn quiet_fleet() -> Fleet {
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -29,6 +30,7 @@
 use harefield::domain::membership::Row;
 use harefield::domain::routing::Places;
 use harefield::engine::ToControl;
+use harefield::engine::ToWorker;
 use harefield::ports::Exchange;
 use harefield::ports::Forward;
 use harefield::ports::Forwarded;
@@ -208,6 +210,7 @@
     executor: Rc<LocalExecutor<'static>>,
     shared: Rc<RefCell<Shared>>,
     boards: Vec<Arc<Board>>,
+    workers: Vec<Receiver<ToWorker>>,
     newest: RefCell<Vec<Option<Revision>>>,
 }
 
@@ -221,7 +224,8 @@
     pub fn start_as(count: usize, tuning: Tuning) -> Self {
         let executor: Rc<LocalExecutor<'static>> = Rc::default();
         let shared = Rc::default();
-        let mut fleet = Self { executor, shared, boards: Vec::new(), newest: RefCell::default() };
+        let mut fleet =
+            Self { executor, shared, boards: Vec::new(), workers: Vec::new(), newest: RefCell::default() };
         fleet.publish("indexes/i", r#"{"snapshots":[{"version":1,"shards":{}}]}"#);
         for own in 0..count {
             fleet.add(own, count, tuning);
@@ -258,9 +262,17 @@
             listed: true,
         };
         let ports = ControlPorts { platform: link.clone(), peers: link, clock: SystemClock };
+        let (worker, told) = async_channel::unbounded();
+        self.workers.push(told);
         let (events, _batches) = telemetry::ring();
-        let duty =
-            Control::new(settings, ports, Rc::clone(&self.executor), Vec::new(), events, Arc::clone(&board));
+        let duty = Control::new(
+            settings,
+            ports,
+            Rc::clone(&self.executor),
+            vec![worker],
+            events,
+            Arc::clone(&board),
+        );
         let (ready, _) = async_channel::bounded(1);
         self.executor.spawn(duty.run(inbox, ready)).detach();
         self.boards.push(board);
@@ -285,6 +297,17 @@
         revision
     }
 
+    /// Tells a daemon's control duty something, as its worker does.
+    pub fn say(&self, daemon: usize, message: ToControl) {
+        let inbox = self.shared.borrow().inboxes[&host(daemon)].clone();
+        inbox.try_send(message).expect("the control duty runs");
+    }
+
+    /// Returns what a daemon's worker was told since it was asked before.
+    pub fn told(&self, daemon: usize) -> Vec<ToWorker> {
+        std::iter::from_fn(|| self.workers[daemon].try_recv().ok()).collect()
+    }
+
     /// Says which daemons cannot reach the platform.
     pub fn blind(&self, daemons: impl IntoIterator<Item = usize>) {
         self.shared.borrow_mut().blind = daemons.into_iter().collect();
--- a/crates/harefield/tests/processes/site_outage.rs
+++ b/crates/harefield/tests/processes/site_outage.rs
@@ -128,6 +128,19 @@
     }
 }
 
+#[test]
+fn stopping_reader() {
+    // One that is stopped as planned hands its reading over.
+    let mut site = Site::start_reading(3, READING);
+    for version in 2..4 {
+        let leaving = site.others.pop().expect("there is one more");
+        leaving.signal("TERM");
+        let confirmed = confirm(&site, version);
+        expect_in_force(site.daemons(), version, confirmed);
+        drop(leaving);
+    }
+}
+
 #[test]
 fn regained_when_answered() {
     // Nothing but an answer of the store shows that it is back.
