--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -29,7 +29,8 @@
 /// The first pause after a copy did not answer; it doubles with each failure.
 const BACKOFF: Duration = Duration::from_millis(250);
 
-/// The longest pause after failures.
+/// The longest pause after failures: a third of the 3 s within which a change is to be in
+/// force, so that one is read in time also after a long outage.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
 
 /// After this many failures in a row a daemon says that it cannot reach the
