Take the platform for back where others vouch for it

Cause: found by reading. Change: a proof as of later than the loss shows that the platform is back; what a daemon says of its own calls stays as it was. Reach is a decision now, with time handed in. Before: reach::others_show_it_is_back fails; after: it passes.

--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -16,7 +16,6 @@
 use log::warn;
 
 use super::lapsed::Lapsed;
-use super::reach::Reach;
 use super::wordbook::Wordbook;
 use crate::domain::cell::Candidate;
 use crate::domain::cell::CellSize;
@@ -36,6 +35,7 @@
 use crate::domain::ids::Revision;
 use crate::domain::membership::Membership;
 use crate::domain::membership::Row;
+use crate::domain::reach::Reach;
 use crate::domain::routing::Places;
 use crate::domain::time::millis;
 use crate::domain::view::View;
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -27,6 +27,8 @@
         if !news {
             return;
         }
+        let now = self.ports.clock.now();
+        self.reach.borrow_mut().entry(space).or_default().vouch(at, now);
         if space == Space::Config {
             self.board.prove(at);
         }
--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -9,7 +9,6 @@
 mod join;
 mod lapsed;
 mod publish;
-mod reach;
 mod reader;
 mod wordbook;
 
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -21,6 +21,7 @@
 pub mod once;
 pub mod outcome;
 pub mod query;
+pub mod reach;
 pub mod readers;
 pub mod recent;
 pub mod reply;
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod merging;
 mod objectives;
 mod once;
+mod reach;
 mod readers;
 mod recent;
 mod routing;
