--- a/crates/harefield/tests/decisions/members.rs
+++ b/crates/harefield/tests/decisions/members.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 
+use crate::support;
 use crate::support::cases;
 use harefield::domain::membership::MOST_ROWS;
 use harefield::domain::membership::Membership;
@@ -10,16 +11,7 @@
 use harefield::domain::readers::is_reader;
 
 fn row(number: u8, incarnation: u64, version: u64, state: PeerState) -> Row {
-    Row {
-        host: format!("127.0.0.1:{}", 7000 + u16::from(number)).into(),
-        zone: "a".into(),
-        operators: "127.0.0.1:1".into(),
-        incarnation,
-        version,
-        state,
-        blind: false,
-        capacity: 1000,
-    }
+    Row { incarnation, version, state, ..support::row(usize::from(number), "a") }
 }
 
 fn any_row() -> impl Strategy<Value = Row> {
--- a/crates/harefield/tests/decisions/readers.rs
+++ b/crates/harefield/tests/decisions/readers.rs
@@ -5,27 +5,14 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::support::row;
 use harefield::domain::cell::weight;
 use harefield::domain::ids::HostId;
-use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
 use harefield::domain::readers::below;
 use harefield::domain::readers::is_reader;
 use harefield::domain::readers::sources;
 
-fn row(number: usize, zone: &str) -> Row {
-    Row {
-        host: format!("127.0.0.1:{}", 7000 + number).into(),
-        zone: zone.into(),
-        operators: "127.0.0.1:1".into(),
-        incarnation: 1,
-        version: 0,
-        state: PeerState::Live,
-        blind: false,
-        capacity: 1000,
-    }
-}
-
 fn zone(count: usize) -> Vec<Row> {
     let mut rows: Vec<Row> = (0..count).map(|number| row(number, "a")).collect();
     rows.sort_by_key(|row| Reverse(weight("reader", &row.host)));
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -14,6 +14,8 @@
 use harefield::domain::feed::Items;
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::UpstreamId;
+use harefield::domain::membership::PeerState;
+use harefield::domain::membership::Row;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
@@ -99,3 +101,17 @@
     router.apply(view);
     router
 }
+
+/// Returns the row of a live daemon in an availability zone.
+pub fn row(number: usize, zone: &str) -> Row {
+    Row {
+        host: format!("127.0.0.1:{}", 7000 + number).into(),
+        zone: zone.into(),
+        operators: "127.0.0.1:1".into(),
+        incarnation: 1,
+        version: 0,
+        state: PeerState::Live,
+        blind: false,
+        capacity: 1000,
+    }
+}
