Keep connections ready by use where upstreams are many

Cause: each daemon kept one or two connections to all 540 upstreams of its cells, and to 1,350 while the index is cut anew, though it asks its own part; upstreams close what rests, and all of it was opened again and again. Weak hosts opened at the pace of strong ones: up to a third of 0.12 cores while new shards come.

Change: domain/routing/readiness: what was asked within 10 s is kept ready, all of it where upstreams are few (150); openings go by the daemon's capacity.

Tests: decisions/readiness (many_by_use fails where all are kept ready).

--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A `Router` holds one `Searcher` for each upstream: `learning` takes in what ended
 //! requests show, `estimate` and `policy` say what the next would cost, `choice` picks,
-//! `window` bounds what is under way, `effort` learns what a shard costs this daemon itself. `zones`, `places` and `relays` are about upstreams
+//! `window` bounds what is under way, `effort` learns what a shard costs this daemon itself,
+//! `readiness` says which connections are kept open. `zones`, `places` and `relays` are about upstreams
 //! and daemons of other availability zones, `sharing` about wide fan-outs that several
 //! daemons carry; `budget` and `budgets` pay for extra load.
 
@@ -15,6 +16,7 @@
 mod pace;
 mod places;
 mod policy;
+mod readiness;
 mod relays;
 mod report;
 mod router;
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -26,6 +26,7 @@
     pub(super) best: Option<f64>,
     pub(super) load: Option<(Load, Instant)>,
     pub(super) heard: Option<Instant>,
+    pub(super) asked: Option<Instant>,
     pub(super) probation: bool,
     pub(super) way: f64,
     pub(super) word: Word,
@@ -50,6 +51,7 @@
             best: None,
             load: None,
             heard: None,
+            asked: None,
             probation: false,
             way: 0.0,
             word: Word::default(),
@@ -167,6 +169,7 @@
     /// Notes that a request leaves at `now`.
     pub fn begin(&mut self, now: Instant) {
         self.starts.push(now);
+        self.asked = Some(now);
     }
 
     /// Takes how long a request and its reply travel, in seconds: it is taken
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -14,22 +14,18 @@
 use crate::ports::Place;
 use crate::ports::Upstreams;
 
-/// How many connections to each upstream in the own availability zone are kept
-/// ready.
-const READY: usize = 2;
-
-/// How many to each upstream in another availability zone, which is asked directly
-/// only where a group cannot be.
-const READY_AWAY: usize = 1;
-
 /// How long a new worker waits first: until it knows most of the fleet it takes
 /// itself for a member of cells that it is not in. Daemons speak to each other once
 /// a second by default.
 const SETTLE: Duration = Duration::from_secs(1);
 
-/// How often some are opened.
+/// How often some are opened by a daemon of [`OPENER`]; a weaker one takes longer, since
+/// each takes it some tenths of a millisecond from its requests.
 const OPEN_EVERY: Duration = Duration::from_millis(10);
 
+/// The capacity that opens at full pace, in thousandths of a core.
+const OPENER: u32 = 250;
+
 /// How many are opened at a time.
 const OPEN_AT_ONCE: usize = 4;
 
@@ -38,9 +34,10 @@
 
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Keeps connections ready to the upstreams of the cells that this daemon
-    /// is a member of.
+    /// is a member of, to as many as `domain::routing` says.
     pub async fn keep_warm(self: Rc<Self>) {
         self.ports.clock.sleep(SETTLE).await;
+        let every = OPEN_EVERY * OPENER / self.settings.capacity.clamp(1, OPENER);
         loop {
             let mut names: Vec<UpstreamId> = self.view.borrow().upstreams.keys().map(Arc::clone).collect();
             names.shuffle(&mut rand::rng());
@@ -51,7 +48,7 @@
                 }
                 opened += 1;
                 if opened % OPEN_AT_ONCE == 0 {
-                    self.ports.clock.sleep(OPEN_EVERY).await;
+                    self.ports.clock.sleep(every).await;
                 }
             }
             self.ports.clock.sleep(REST).await;
@@ -71,7 +68,7 @@
                 return false;
             }
             let address = searcher.spec().address;
-            let want = if router.is_away(searcher) { READY_AWAY } else { READY };
+            let want = router.ready_connections(name, now);
             (Place { upstream: Arc::clone(name), address }, searcher.share(), want)
         };
         let opening = self.ports.upstreams.warm(&place, share, want);
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod once;
 mod reach;
 mod readers;
+mod readiness;
 mod recent;
 mod routing;
 mod settings;
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -298,7 +298,7 @@
             .map(|(number, (capacity, beside))| carrier(number, *capacity, false, *beside)).collect();
         carriers.extend(own.map(|draw| carrier(99, draw % 1000, true, draw % 2 == 0)));
         let wanted = |at: usize| Wanted {
-            at, shard: format!("s/{at:03}").into(), zone: if at % 3 == 0 { "c" } else { "a" }.into(),
+            at, shard: format!("s/{at:03}").into(), zone: if at.is_multiple_of(3) { "c" } else { "a" }.into(),
         };
         let wanted: Vec<Wanted> = (0..shards).map(wanted).collect();
         let allowance = Allowance { shard: SHARD_TIME, allowed: Duration::from_micros(micros) };
