Count a request's time from when it may have come, not from when it is read

The group waited 560 ms in the socket of a daemon that was held up, and its time counted from when it was read.

Change: the lease's timer shows for how long a worker was held up; beyond 50 ms that is taken off the deadline of what callers and daemons send.

--- a/crates/harefield/src/domain/lease.rs
+++ b/crates/harefield/src/domain/lease.rs
@@ -13,6 +13,10 @@
 /// How often a worker renews its lease.
 pub const RENEW_EVERY: Duration = Duration::from_millis(100);
 
+/// A timer that is later than this shows that the process was held up; below it lies what
+/// a busy turn of the executor takes.
+const HELD_UP: Duration = Duration::from_millis(50);
+
 /// What a renewal found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Renewal {
@@ -26,6 +30,8 @@
 #[derive(Clone, Debug)]
 pub struct Lease {
     renewed: Instant,
+    /// By how much the last renewal was late.
+    late: Duration,
     lapsed: bool,
 }
 
@@ -33,13 +39,14 @@
     /// Creates a lease that is held from `now`.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { renewed: now, lapsed: false }
+        Self { renewed: now, late: Duration::ZERO, lapsed: false }
     }
 
     /// Renews the lease on the timer; a late timer lapses it instead.
     pub fn renew(&mut self, now: Instant) -> Renewal {
         let gap = now.saturating_duration_since(self.renewed);
         self.renewed = now;
+        self.late = gap.saturating_sub(RENEW_EVERY);
         if gap <= PAUSE_LIMIT {
             return Renewal::Held;
         }
@@ -63,6 +70,18 @@
         !self.lapsed && self.within(now)
     }
 
+    /// Returns for how long what is read now may have waited in its socket.
+    ///
+    /// A request names the time that its sender waits, counted from when it was sent. A
+    /// daemon that was held up for 560 ms and counted from when it read it let upstreams
+    /// work half a second past their callers' deadlines.
+    #[must_use]
+    pub fn held_up(&self, now: Instant) -> Duration {
+        let overdue = now.saturating_duration_since(self.renewed).saturating_sub(RENEW_EVERY);
+        let late = self.late.max(overdue);
+        if late < HELD_UP { Duration::ZERO } else { late }
+    }
+
     fn within(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.renewed) <= PAUSE_LIMIT
     }
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -95,7 +95,7 @@
         let plan = view.lookups.get(request.lookup.as_str()).ok_or(Code::UnknownLookup)?;
         let plan = self.part_of(plan);
         let own = Duration::from_millis(plan.lookup.deadline_ms);
-        let time = request.limit.map_or(own, |limit| limit.min(own));
+        let time = request.limit.map_or(own, |limit| limit.min(own)).saturating_sub(self.held_up());
         let Terms { gather, again, late, .. } = request.origin.terms();
         let aim = match gather {
             Some(gather) => Some(Aim { time: gather, late }),
@@ -106,6 +106,12 @@
         Ok(Found { plan, start, deadline: start + time, objective, again, late })
     }
 
+    /// Returns for how long what is read now may have waited here.
+    pub(super) fn held_up(&self) -> Duration {
+        let now = self.ports.clock.now();
+        self.router.borrow().lease().held_up(now)
+    }
+
     /// Returns within which time an answer with enough shards is given to a caller that
     /// has `limit` left; none without an objective.
     fn aim(&self, plan: &LookupPlan, limit: Option<Duration>) -> Option<Aim> {
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -93,7 +93,7 @@
         let found = Found {
             plan: Arc::clone(plan),
             start,
-            deadline: start + Duration::from_micros(group.remaining),
+            deadline: start + Duration::from_micros(group.remaining).saturating_sub(self.held_up()),
             objective: group.gather.map(|time| start + Duration::from_micros(time)),
             again: group.again,
             late: false,
--- a/crates/harefield/tests/decisions/lease.rs
+++ b/crates/harefield/tests/decisions/lease.rs
@@ -22,6 +22,23 @@
     }
 }
 
+#[test]
+fn held_up_seen() {
+    let start = Instant::now();
+    let mut lease = Lease::new(start);
+    let busy = Duration::from_millis(20);
+    lease.renew(start + RENEW_EVERY + busy);
+    assert_eq!(lease.held_up(start + RENEW_EVERY + busy), Duration::ZERO, "a busy turn is none");
+    let renewed = start + RENEW_EVERY + busy;
+    let held = Duration::from_millis(560);
+    let woken = renewed + RENEW_EVERY + held;
+    assert_eq!(lease.held_up(woken), held, "before the timer fires");
+    lease.renew(woken);
+    assert_eq!(lease.held_up(woken), held, "what it reads next waited as long");
+    lease.renew(woken + RENEW_EVERY);
+    assert_eq!(lease.held_up(woken + RENEW_EVERY), Duration::ZERO);
+}
+
 #[test]
 fn lapsed_by_pause() {
     let start = Instant::now();
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -12,6 +12,8 @@
 use crate::site_support::Site;
 use crate::site_support::ask;
 use crate::site_support::begin;
+use crate::site_support::begin_with;
+use crate::site_support::read_answer;
 use crate::site_support::records;
 use crate::site_support::send;
 use crate::support::await_true;
@@ -36,6 +38,25 @@
     assert_eq!(answer.header("missing-parts"), "0");
 }
 
+#[test]
+fn waited_in_socket() {
+    // What waited in the socket of a daemon that was held up has that much less time.
+    let site = Site::start();
+    site.ask("/one/x", "r1");
+    let daemon = site.daemons().next().expect("there is one");
+    daemon.signal("STOP");
+    let headers = "Attempt-Id: r2\r\nDeadline-Remaining: 900\r\nConnection: close\r\n";
+    let stream = begin_with(daemon, "/one/x", headers);
+    std::thread::sleep(Duration::from_millis(600));
+    daemon.signal("CONT");
+    let answer = read_answer(stream);
+    assert_eq!(answer.status, 200);
+    let left =
+        site.searchers.values().filter(|s| s.runs().iter().any(|id| id == "r2")).find_map(|s| s.left());
+    let left = left.expect("it ran");
+    assert!(left <= Duration::from_millis(400), "{left:?}");
+}
+
 #[test]
 fn merged_in_part() {
     let site = Site::start();
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -217,10 +217,13 @@
 
 /// Sends a request with 2 s left, and does not wait for its answer.
 pub fn begin(daemon: &Daemon, path: &str, id: &str) -> TcpStream {
+    begin_with(daemon, path, &format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n"))
+}
+
+/// Sends a request with some headers, and does not wait for its answer.
+pub fn begin_with(daemon: &Daemon, path: &str, headers: &str) -> TcpStream {
     let mut stream = TcpStream::connect(daemon.addresses.callers).expect("it listens");
-    let head = format!(
-        "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n\r\n"
-    );
+    let head = format!("GET {path} HTTP/1.1\r\nHost: x.example\r\n{headers}\r\n");
     stream.write_all(head.as_bytes()).expect("it is sent");
     stream
 }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -226,6 +226,8 @@
     manner: Manner,
     delay: Duration,
     runs: Vec<(Instant, String)>,
+    /// The time left that the last request came with.
+    left: Option<Duration>,
     finished: Vec<String>,
 }
 
@@ -292,6 +294,12 @@
         lock(&self.shared).runs.clone()
     }
 
+    /// Returns the time left that the last request it ran came with.
+    #[must_use]
+    pub fn left(&self) -> Option<Duration> {
+        lock(&self.shared).left
+    }
+
     /// Returns its own name.
     #[must_use]
     pub fn id(&self) -> &str {
@@ -326,6 +334,8 @@
             return reply(StatusCode::SERVICE_UNAVAILABLE, &[("not-executed", "1")], Vec::new());
         }
         let id = header("attempt-id");
+        let left = header("deadline-remaining").parse().ok().map(Duration::from_millis);
+        lock(&self.shared).left = left;
         lock(&self.shared).runs.push((Instant::now(), id.clone()));
         Timer::after(delay).await;
         lock(&self.shared).finished.push(id.clone());
