Let a group that is short of its part go on while the whole is possible

A group of 49 that could not reach its part of 44 gave up at once and took the seven shards with it that it still awaited; with them the whole was impossible.

Change: groups are told both: what they wait for, and what must stay possible (as many as the whole needs if all others come).

Test: short_group_goes_on (done after the 6th lost shard with one line for both).

--- a/crates/harefield/src/domain/fanout/cut.rs
+++ b/crates/harefield/src/domain/fanout/cut.rs
@@ -45,6 +45,9 @@
     pub cut: Option<Instant>,
     /// The least share of the shards that makes an answer.
     pub least_share: f64,
+    /// How many shards must still be possible; once fewer are, the fan-out ends. None for
+    /// as many as make an answer. A group whose part is lost may be made up for by others.
+    pub possible: Option<usize>,
     /// Whether far shards are handed on in groups.
     pub grouped: bool,
     /// Whether another daemon asked these shards for the same request before:
@@ -87,6 +90,13 @@
         group.saturating_sub(lacking.min(part))
     }
 
+    /// Returns how many shards of a group must be possible for the whole to be an answer,
+    /// if all others come.
+    #[must_use]
+    pub fn possible(&self, group: usize, total: usize) -> usize {
+        group.saturating_sub(total - self.least(total))
+    }
+
     /// Returns how many of `total` shards make an answer; at least one.
     #[must_use]
     pub fn least(&self, total: usize) -> usize {
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -278,7 +278,7 @@
 
     /// Ends the fan-out once too few shards are left to make an answer.
     fn give_up_early<S: Sink>(&mut self, step: &mut Step<'_, S>) {
-        let least = self.rules.least(self.plan.shards.len());
+        let least = self.rules.possible.unwrap_or_else(|| self.rules.least(self.plan.shards.len()));
         if self.rules.repeatable && !self.cut && self.open > 0 && self.contributed + self.open < least {
             self.cut(step);
         }
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -96,6 +96,7 @@
             remaining: micros(left),
             gather: hand.gather.map(micros),
             again: rules.again,
+            possible: Some(rules.possible(hand.shards.len(), plan.shards.len())),
         }
     }
 
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -247,6 +247,7 @@
             objective: found.objective,
             cut: found.objective.map(|objective| overrun.cut(self.ports.clock.now(), objective)),
             least_share: lookup.least_share,
+            possible: None,
             grouped: false,
             again: false,
             attempts: lookup.attempts.unwrap_or(MOST_ATTEMPTS),
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -95,6 +95,10 @@
     pub gather: Option<u64>,
     /// Whether another daemon was handed the request before.
     pub again: bool,
+    /// How many shards must still be possible; once fewer are, what is in goes out at
+    /// once. None from daemons that do not say so: as many as are needed.
+    #[serde(default)]
+    pub possible: Option<usize>,
 }
 
 /// A shard of a group that contributed.
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -106,6 +106,7 @@
             objective: Some(at(now, 200)),
             cut: Some(at(now, 200)),
             least_share: 0.6,
+            possible: None,
             grouped: true,
             again: false,
             attempts: 2,
--- a/crates/harefield/tests/decisions/objectives.rs
+++ b/crates/harefield/tests/decisions/objectives.rs
@@ -34,6 +34,22 @@
     assert_eq!(needed(13, 20), 10, "as many as the whole may lack");
 }
 
+#[test]
+fn short_group_goes_on() {
+    // 44 of 49 are wanted, and 36 are enough for the whole: what is awaited still counts.
+    let mut world = World::with(49, 1, true, |rules, _| {
+        rules.least_share = 0.89;
+        rules.possible = Some(36);
+        rules.attempts = 1;
+    });
+    for _ in 0..13 {
+        world.end(0, AttemptEnd::Lost { why: Gap::ReplyLost }, Verdict::Broken);
+    }
+    assert!(!world.fanout.is_done());
+    world.end(0, AttemptEnd::Lost { why: Gap::ReplyLost }, Verdict::Broken);
+    assert!(world.fanout.is_done(), "35 cannot be made up for");
+}
+
 #[test]
 fn time_first_cut() {
     let mut early = almost_whole(20, Preference::Time);
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -133,6 +133,7 @@
             objective: Some(at(now, self.objective)),
             cut: Some(at(now, self.objective)),
             least_share: 0.85,
+            possible: None,
             grouped: true,
             again: false,
             attempts: 2,
--- a/crates/harefield/tests/decisions/world.rs
+++ b/crates/harefield/tests/decisions/world.rs
@@ -109,6 +109,7 @@
             fixed: None,
             objective: None,
             cut: None,
+            possible: None,
             grouped: false,
             again: false,
             least_share: 0.0,
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -97,6 +97,7 @@
         remaining: 0,
         gather: None,
         again: false,
+        possible: None,
     }
 }
 
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -51,8 +51,11 @@
     daemon.signal("CONT");
     let answer = read_answer(stream);
     assert_eq!(answer.status, 200);
-    let left =
-        site.searchers.values().filter(|s| s.runs().iter().any(|id| id == "r2")).find_map(|s| s.left());
+    let left = site
+        .searchers
+        .values()
+        .filter(|s| s.runs().iter().any(|id| id == "r2"))
+        .find_map(standin::SignedSearcher::left);
     let left = left.expect("it ran");
     assert!(left <= Duration::from_millis(400), "{left:?}");
 }
@@ -233,6 +236,7 @@
         remaining: 400_000,
         gather: Some(100_000),
         again: false,
+        possible: None,
     }
 }
 
