Ask daemons before the store when a fleet starts or comes back

Change: where the platform lists no daemons, seeds read the store at once and ask each other beside it; all others ask daemons that they know for 1.5 s, and are done once one vouches for what it has. A fleet without seeds, and one whose platform lists daemons, join as before.

--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -1,5 +1,9 @@
 //! Joining the fleet: a daemon that starts with nothing asks every copy of the
 //! platform and every daemon it knows of before it serves.
+//!
+//! Where the platform lists no daemons, a fleet that starts or comes back together would
+//! read the whole of it once a daemon. There the seeds read it, and the others ask those
+//! that they know first: what one vouches for is as good as a listing.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -7,8 +11,10 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use log::debug;
 use log::info;
 use log::warn;
+use rand::seq::IndexedRandom;
 
 use super::duty::Control;
 use crate::domain::ids::HostId;
@@ -20,6 +26,11 @@
 /// The pause before those that did not answer are asked again.
 const AGAIN: Duration = Duration::from_millis(100);
 
+/// How long a daemon asks others before it reads the platform itself, three quarters of
+/// the time to join at the most. Without it 147 of the 320 calls of a played day of 18
+/// daemons came in its first six seconds.
+const DAEMONS_FIRST: Duration = Duration::from_millis(1500);
+
 /// The most daemons asked at the start: enough that one of them is up to date.
 const MOST_ASKED: usize = 16;
 
@@ -38,10 +49,10 @@
     }
 
     async fn ask_everyone(self: &Rc<Self>) {
-        for copy in self.settings.copies.clone() {
-            for space in self.spaces() {
-                self.ask_copy(copy, *space).await;
-            }
+        if self.settings.listed || self.seeds.borrow().is_empty() {
+            self.read_copies().await;
+        } else {
+            self.learn_or_read().await;
         }
         let mut asked: HashSet<HostId> = HashSet::new();
         while let Some(host) = self.next_to_ask(&asked) {
@@ -50,6 +61,53 @@
         }
     }
 
+    /// Asks other daemons until one vouches for what it has, and the platform beside them:
+    /// at once where this daemon is a seed, which all others ask, else after a while.
+    async fn learn_or_read(self: &Rc<Self>) {
+        let is_seed = self.seeds.borrow().contains(&self.settings.own.host);
+        let wait = if is_seed { Duration::ZERO } else { DAEMONS_FIRST.min(self.settings.join * 3 / 4) };
+        let reading = async {
+            self.ports.clock.sleep(wait).await;
+            self.read_until_answered().await;
+        };
+        self.ask_known().or(reading).await;
+    }
+
+    /// Asks one daemon after the other until one vouches for what it has.
+    async fn ask_known(self: &Rc<Self>) {
+        while self.is_overdue() {
+            if let Some(host) = self.draw_known() {
+                self.ask_daemon(&host).await;
+            }
+            self.ports.clock.sleep(AGAIN).await;
+        }
+    }
+
+    /// Reads the copies in turn until one answers.
+    async fn read_until_answered(self: &Rc<Self>) {
+        for copy in self.settings.copies.iter().cycle() {
+            let Err(error) = self.list(*copy, Space::Config).await else { return };
+            debug!("platform copy {copy} while joining: {error}");
+            self.ports.clock.sleep(AGAIN).await;
+        }
+    }
+
+    /// Draws one of the daemons that are known or named as seeds.
+    fn draw_known(&self) -> Option<HostId> {
+        let mut known = self.members.borrow().peers();
+        let seeds = self.seeds.borrow();
+        known.extend(seeds.iter().filter(|seed| **seed != self.settings.own.host).map(Arc::clone));
+        known.choose(&mut rand::rng()).map(Arc::clone)
+    }
+
+    async fn read_copies(self: &Rc<Self>) {
+        for copy in self.settings.copies.clone() {
+            for space in self.spaces() {
+                self.ask_copy(copy, *space).await;
+            }
+        }
+    }
+
     /// Reads a copy until it answers; an unreachable one is asked until joining
     /// ends, unless another copy has answered.
     async fn ask_copy(self: &Rc<Self>, copy: std::net::SocketAddr, space: Space) {
--- a/crates/harefield/tests/processes/site_store.rs
+++ b/crates/harefield/tests/processes/site_store.rs
@@ -7,7 +7,9 @@
 
 use crate::site_support::Site;
 use crate::site_support::ask;
+use crate::site_support::ask_at;
 use crate::site_support::routes;
+use crate::support::Daemon;
 use crate::support::await_true;
 
 #[test]
@@ -22,6 +24,26 @@
     assert_eq!(nameless.status, 400, "a request without an id");
 }
 
+#[test]
+fn store_read_by_few() {
+    // Daemons that start beside one that has the configuration learn it there.
+    let mut site = Site::start();
+    let before = site.store.pages();
+    site.join(6, "");
+    let serves = |daemon: &Daemon| ask_at(daemon, "/all/x", "r0", 2000).status == 200;
+    await_true("all have the configuration", || site.daemons().all(serves));
+    assert_eq!(site.store.pages(), before, "none read the store");
+}
+
+#[test]
+fn store_read_alone() {
+    // A seed that is gone holds nobody up for long.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|held| held.local_addr());
+    let site = Site::start_beside(gone.expect("a port is free"), 2);
+    await_true("it has the configuration", || site.ask("/all/x", "r1").status == 200);
+    assert!(site.store.pages() > 0);
+}
+
 #[test]
 fn longest_prefix_wins() {
     let mut site = Site::start();
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -43,6 +43,8 @@
     silent: bool,
     /// The watches that came while it was silent.
     swallowed: usize,
+    /// The pages that were read.
+    pages: usize,
 }
 
 /// The users' store.
@@ -102,6 +104,12 @@
         state.swallowed = 0;
     }
 
+    /// Returns how many pages were read of whole listings.
+    #[must_use]
+    pub fn pages(&self) -> usize {
+        lock(&self.state).pages
+    }
+
     /// Returns how many watches came since it went silent.
     #[must_use]
     pub fn swallowed(&self) -> usize {
@@ -125,7 +133,7 @@
     }
     match request.uri().path() {
         "/-/kv-key" => one(&lock(&state), query.get("privateKey").map_or("", |key| key)),
-        "/-/kv-range" => range(&lock(&state), query.get("pathPrefix").map_or("", |prefix| prefix)),
+        "/-/kv-range" => range(&mut lock(&state), query.get("pathPrefix").map_or("", |prefix| prefix)),
         "/-/kv-watch" => watch(&state, &query).await,
         _ => net::json(404, &json!({})),
     }
@@ -163,7 +171,8 @@
     }
 }
 
-fn range(store: &Store, prefix: &str) -> Reply {
+fn range(store: &mut Store, prefix: &str) -> Reply {
+    store.pages += 1;
     let found: Vec<Value> = items(store)
         .into_iter()
         .filter(|(key, _)| key.starts_with(prefix))
