Move cuts by what the margin does not hold; leave narrow fan-outs unshared

Cuts were moved forward by the whole overrun, though half of the margin of 14 ms is kept for it already, and answers that had waited for lost replies taught it more; fan-outs over 30 shards were shared on hosts of 0.25 cores.

Change: half of the margin is taken off the overrun; answers later than a quarter of the time teach nothing; fewer than 40 shards are not shared.

--- a/crates/harefield/src/domain/fanout/overrun.rs
+++ b/crates/harefield/src/domain/fanout/overrun.rs
@@ -3,7 +3,7 @@
 //! The load pattern: wide answers on hosts with a small part of a core. Groups answer at
 //! the same moment, and taking each in takes milliseconds, so that an answer cut 14 ms
 //! before its objective went out 10 to 30 ms after it. What the daemon takes is learnt
-//! from its own answers, and the cut is moved forward by it.
+//! from its own answers, and the cut is moved forward by what the margin does not hold.
 //!
 //! The limit is a quarter of the time to gather: on the smallest hosts it takes most of the
 //! rest until the replies are in, and an answer that lacks too many shards is none.
@@ -21,10 +21,6 @@
 /// The part of the time to gather that an overrun may take, in percent.
 const MOST_PERCENT: u32 = 25;
 
-/// What an answer may overrun by, as part of the time to gather, to be learnt from: what
-/// is later waited for something that was lost.
-const LEARNT_PERCENT: u32 = 30;
-
 /// The learnt overrun of the answers of one daemon.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overrun {
@@ -33,20 +29,25 @@
 }
 
 impl Overrun {
-    /// Takes when an answer went out that was to be cut at `cut`, and had `time` to
-    /// gather; one that had all before its cut shows nothing.
+    /// Takes when an answer went out that was to be cut at `cut`, and had `time` until
+    /// its objective. One that had all before its cut shows nothing, nor one that is later than
+    /// can be made up for: it waited for something that was lost.
     pub fn sample(&mut self, cut: Instant, time: Duration, out: Instant) {
         let Some(took) = out.checked_duration_since(cut) else { return };
-        let took = took.min(time * LEARNT_PERCENT / 100).as_secs_f64();
+        if took > time * MOST_PERCENT / 100 {
+            return;
+        }
+        let took = took.as_secs_f64();
         self.deviation += ((took - self.mean).abs() - self.deviation) * GAIN;
         self.mean += (took - self.mean) * GAIN;
     }
 
-    /// Returns when an answer is cut that is to go out at `objective`, and is begun now.
+    /// Returns when an answer is cut that is to go out at `objective`, and is begun now;
+    /// `kept` is kept of the objective for that already.
     #[must_use]
-    pub fn cut(self, now: Instant, objective: Instant) -> Instant {
+    pub fn cut(self, now: Instant, objective: Instant, kept: Duration) -> Instant {
         let left = objective.saturating_duration_since(now);
-        let kept = Duration::from_secs_f64(self.mean + self.deviation * DEVIATIONS);
-        now + left.saturating_sub(kept.min(left * MOST_PERCENT / 100))
+        let overrun = Duration::from_secs_f64(self.mean + self.deviation * DEVIATIONS);
+        now + left.saturating_sub(overrun.saturating_sub(kept).min(left * MOST_PERCENT / 100))
     }
 }
--- a/crates/harefield/src/domain/routing/sharing.rs
+++ b/crates/harefield/src/domain/routing/sharing.rs
@@ -27,6 +27,10 @@
 /// an objective of 100 ms, as it did before fan-outs were shared.
 const SENDING_PERCENT: u32 = 10;
 
+/// Fan-outs over fewer shards are not shared: what is saved is less than the hop and two
+/// messages cost, also on a quarter of a core.
+const NARROW: usize = 40;
+
 /// What handing a group on and taking its answer in costs, in shards.
 const GROUP_COST: usize = 4;
 
@@ -108,6 +112,9 @@
     carriers: &'a [Carrier],
     allowance: Allowance,
 ) -> Option<Vec<Portion<'a>>> {
+    if wanted.len() < NARROW {
+        return None;
+    }
     let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
     for shard in wanted {
         *zones.entry(&shard.zone).or_default() += 1;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -66,7 +66,7 @@
             least_share,
             grouped: false,
             again: group.again,
-            ..self.rules(&found, self.overruns.groups.get())
+            ..self.rules(&found, self.overruns.groups.get(), Duration::ZERO)
         };
         let ended = self.fan_out(&job, &plan, rules.clone(), 0, (&mut None, &mut trace)).await;
         self.learn_overrun(&self.overruns.groups, &rules);
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -41,6 +41,9 @@
 /// When a refused caller may come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
 
+/// This part of the margin for an answer's way back is for this daemon's own time.
+const OWN_PART: u32 = 2;
+
 /// Counts a request as in progress until dropped, and tells when its caller
 /// went away first.
 pub(super) struct Progress<'a, U, P, C> {
@@ -210,7 +213,9 @@
             let (index, version) = (plan.index.to_string(), plan.version);
             trace.emit(Event::SnapshotChosen { index, version, shards: plan.shards.len() });
             let grouped = is_mergeable(job);
-            let rules = Rules { grouped, again: found.again, ..self.rules(found, self.overruns.own.get()) };
+            let kept = self.settings.margin / OWN_PART;
+            let rules =
+                Rules { grouped, again: found.again, ..self.rules(found, self.overruns.own.get(), kept) };
             let ended = self.fan_out(job, &plan, rules.clone(), first, (&mut permit, trace)).await;
             self.learn_overrun(&self.overruns.own, &rules);
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
@@ -234,7 +239,7 @@
         snapshot::choose(&plan.plans, |upstream, version| router.usable(upstream, version)).map(Arc::clone)
     }
 
-    pub(super) fn rules(&self, found: &Found, overrun: Overrun) -> Rules {
+    pub(super) fn rules(&self, found: &Found, overrun: Overrun, kept: Duration) -> Rules {
         let lookup = &found.plan.lookup;
         Rules {
             repeatable: lookup.repeatable,
@@ -245,7 +250,7 @@
             fixed: self.settings.fixed,
             kind: Arc::clone(&found.plan.name),
             objective: found.objective,
-            cut: found.objective.map(|objective| overrun.cut(self.ports.clock.now(), objective)),
+            cut: found.objective.map(|objective| overrun.cut(self.ports.clock.now(), objective, kept)),
             least_share: lookup.least_share,
             possible: None,
             grouped: false,
@@ -256,9 +261,10 @@
 
     /// Learns how long after its cut an answer by some rules goes out, which is now.
     pub(super) fn learn_overrun(&self, held: &Cell<Overrun>, rules: &Rules) {
-        let Some(cut) = rules.cut else { return };
+        let (Some(cut), Some(objective)) = (rules.cut, rules.objective) else { return };
+        let time = objective.saturating_duration_since(rules.start);
         let mut overrun = held.get();
-        overrun.sample(cut, cut.saturating_duration_since(rules.start), self.ports.clock.now());
+        overrun.sample(cut, time, self.ports.clock.now());
         held.set(overrun);
     }
 
