Hand the line below which a group gives up to the daemon that runs it

Change: the group's rules take it.

Test: short_group_awaits_rest, through a real daemon (0 shards brought before, 1 now).

--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -64,6 +64,7 @@
         let least_share = ratio(group.needed, group.shards.len());
         let rules = Rules {
             least_share,
+            possible: group.possible,
             grouped: false,
             again: group.again,
             ..self.rules(&found, self.overruns.groups.get(), Duration::ZERO)
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -261,6 +261,26 @@
     drop(own);
 }
 
+/// Returns how many of two shards a group brings whose first one is slow and whose second
+/// has failed for good after a back-off of 100 ms; both are wanted.
+fn brought_short(possible: Option<usize>) -> usize {
+    let site = Site::start();
+    site.searchers["i-s2"].set(Manner::Fail, Duration::ZERO);
+    site.searchers["i-s1"].set(Manner::Good, Duration::from_millis(400));
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let host = site.daemon.addresses.peers.to_string().into();
+    let message = Group { needed: 2, possible, remaining: 1_500_000, gather: Some(700_000), ..group(&site) };
+    let handing = peers.group(&host, &message, Duration::from_secs(5));
+    async_io::block_on(executor.run(handing)).expect("it answers").parts.len()
+}
+
+#[test]
+fn short_group_awaits_rest() {
+    assert_eq!(brought_short(Some(1)), 1, "one is enough for the whole: what is awaited still counts");
+    assert_eq!(brought_short(None), 0, "a sender that does not say so has no use for one");
+}
+
 #[test]
 fn sender_gone_stops_group() {
     let site = Site::start();
