--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -153,8 +153,7 @@
     fn hand<S: Sink>(&mut self, host: HostId, wanted: Vec<Wanted>, step: &mut Step<'_, S>) {
         let (attempt, start) = (self.next, step.now);
         self.next += 1;
-        let relays = step.router.relays();
-        let way = relays.zone_of(&host).map_or(LEAST_PATIENCE, |zone| relays.way_to(zone));
+        let way = step.router.relays().way_of(&host);
         let gather = self.rules.cut.map(|cut| cut.saturating_duration_since(start).saturating_sub(way));
         let slow = step.router.relays().pace(&self.rules.kind).slow().mul_f64(REVOKE_FACTOR);
         let slow = slow.max(way + LEAST_PATIENCE);
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -107,7 +107,7 @@
     pub fn start(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = Step::new(now, router, sink);
         for shard in std::mem::take(&mut self.own) {
-            if self.shards[shard].is_open() && self.shards[shard].sent == 0 {
+            if self.shards[shard].is_open() {
                 self.attempt(shard, Cause::First, &mut step);
             }
         }
--- a/crates/harefield/src/domain/routing/effort.rs
+++ b/crates/harefield/src/domain/routing/effort.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 /// The time of a shard on a whole core before any was measured: choosing a replica,
-/// sending, reading and checking, 40 µs in `bench.sh` and 50 to 75 µs on small hosts.
+/// sending, reading and checking, 40 µs at 25,000 a second and 50 to 75 µs on small hosts.
 const FIRST: Duration = Duration::from_micros(60);
 
 /// The fewest shards whose sending shows anything: the clock and other tasks show more
 /// in fewer.
-const LEAST_SHARDS: usize = 8;
+pub const LEAST_SHARDS: usize = 8;
 
 /// How far one sample moves what was learnt.
 const GAIN: f64 = 0.1;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! A `Router` holds one `Searcher` for each upstream: `learning` takes in what ended
 //! requests show, `estimate` and `policy` say what the next would cost, `choice` picks,
-//! `window` bounds what is under way, `effort` learns what a shard costs this daemon itself,
-//! `readiness` says which connections are kept open. `zones`, `places` and `relays` are about upstreams
-//! and daemons of other availability zones, `sharing` about wide fan-outs that several
-//! daemons carry; `budget` and `budgets` pay for extra load.
+//! `window` bounds what is under way, `effort` learns what a shard costs this daemon
+//! itself, `readiness` says which connections are kept open. `zones`, `places` and `relays`
+//! are about upstreams and daemons of other availability zones, `sharing` about wide
+//! fan-outs that several daemons carry; `budget` and `budgets` pay for extra load.
 
 mod budget;
 mod budgets;
@@ -32,6 +32,7 @@
 pub use budgets::rerun_part;
 pub use choice::Ask;
 pub use choice::Choice;
+pub use effort::LEAST_SHARDS;
 pub use pace::Pace;
 pub use places::Distance;
 pub use places::Places;
--- a/crates/harefield/src/domain/routing/places.rs
+++ b/crates/harefield/src/domain/routing/places.rs
@@ -29,10 +29,7 @@
     /// Returns how far an availability zone is.
     #[must_use]
     pub fn distance(&self, zone: &str) -> Distance {
-        if self.zone.is_empty() || self.regions.is_empty() {
-            return Distance::Near;
-        }
-        if *self.zone == *zone {
+        if self.zone.is_empty() || self.regions.is_empty() || *self.zone == *zone {
             return Distance::Near;
         }
         match (self.regions.get(&self.zone), self.regions.get(zone)) {
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -135,10 +135,10 @@
         self.usable(kind, now).map(|(host, relay)| (host, &relay.zone, relay.capacity))
     }
 
-    /// Returns the availability zone of a daemon.
+    /// Returns how long a message and its answer travel to a daemon and back.
     #[must_use]
-    pub fn zone_of(&self, host: &HostId) -> Option<&Arc<str>> {
-        self.hosts.get(host).map(|relay| &relay.zone)
+    pub fn way_of(&self, host: &HostId) -> Duration {
+        self.hosts.get(host).map_or(FIRST_FAR_WAY, |relay| self.way_to(&relay.zone))
     }
 
     fn usable(&self, kind: &Arc<str>, now: Instant) -> impl Iterator<Item = (&HostId, &Relay)> {
--- a/crates/harefield/src/domain/routing/sharing.rs
+++ b/crates/harefield/src/domain/routing/sharing.rs
@@ -24,7 +24,7 @@
 /// The part of an objective that sending a fan-out may take, in percent.
 ///
 /// At a tenth a fan-out over 20 shards stays with one daemon of a quarter of a core and
-/// an objective of 100 ms, as it did before fan-outs were shared.
+/// an objective of 100 ms.
 const SENDING_PERCENT: u32 = 10;
 
 /// Fan-outs over fewer shards are not shared: 30 take a quarter of a core some 7 ms, of
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -33,6 +33,7 @@
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
 use crate::domain::query::Query;
+use crate::domain::routing::LEAST_SHARDS;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
 use crate::domain::view::Plan;
@@ -136,7 +137,7 @@
         self: &Rc<Self>,
         job: &Job,
         plan: &Arc<Plan>,
-        rules: Rules,
+        rules: &Rules,
         first: AttemptId,
         (permit, trace): (&mut Option<Permit<U, P, C>>, &mut Trace<C>),
     ) -> FanoutEnd {
@@ -148,14 +149,14 @@
         let now = self.ports.clock.now();
         let actions = fanout.start_groups(now, &mut self.router.borrow_mut(), trace);
         if !actions.is_empty() {
-            self.act(job, plan, &rules, actions, (&sender, &mut tasks));
+            self.act(job, plan, rules, actions, (&sender, &mut tasks));
             // Lets the groups' tasks write before this one goes on.
             future::yield_now().await;
         }
         let now = self.ports.clock.now();
         let actions = fanout.start(now, &mut self.router.borrow_mut(), trace);
         let sent = actions.len();
-        self.act(job, plan, &rules, actions, (&sender, &mut tasks));
+        self.act(job, plan, rules, actions, (&sender, &mut tasks));
         self.measure_sending(sent, now);
         while !fanout.is_done() {
             let wake = fanout.next_wake();
@@ -175,7 +176,7 @@
             }
             let now = self.ports.clock.now();
             actions.extend(fanout.on_time(now, &mut self.router.borrow_mut(), trace));
-            self.act(job, plan, &rules, actions, (&sender, &mut tasks));
+            self.act(job, plan, rules, actions, (&sender, &mut tasks));
             if fanout.is_straggling(now)
                 && let Some(permit) = permit.take_if(|permit| !permit.late)
             {
@@ -191,6 +192,9 @@
     /// Measures how long `sent` requests that were decided on at `start` take this daemon:
     /// a task behind theirs runs once all of them are written.
     fn measure_sending(self: &Rc<Self>, sent: usize, start: Instant) {
+        if sent < LEAST_SHARDS {
+            return;
+        }
         let this = Rc::clone(self);
         let measure = async move {
             future::yield_now().await;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -69,7 +69,7 @@
             again: group.again,
             ..self.rules(&found, self.overruns.groups.get(), Duration::ZERO)
         };
-        let ended = self.fan_out(&job, &plan, rules.clone(), 0, (&mut None, &mut trace)).await;
+        let ended = self.fan_out(&job, &plan, &rules, 0, (&mut None, &mut trace)).await;
         self.learn_overrun(&self.overruns.groups, &rules);
         let took = self.ports.clock.now().saturating_duration_since(start);
         self.group_reply(&group.shards, &ended.finished, group.most, took)
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -216,7 +216,7 @@
             let kept = self.settings.margin / OWN_PART;
             let rules =
                 Rules { grouped, again: found.again, ..self.rules(found, self.overruns.own.get(), kept) };
-            let ended = self.fan_out(job, &plan, rules.clone(), first, (&mut permit, trace)).await;
+            let ended = self.fan_out(job, &plan, &rules, first, (&mut permit, trace)).await;
             self.learn_overrun(&self.overruns.own, &rules);
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
--- a/crates/harefield/tests/decisions/overrun.rs
+++ b/crates/harefield/tests/decisions/overrun.rs
@@ -26,6 +26,17 @@
     late
 }
 
+/// Returns the overrun learnt from `count` answers, which go out as `out` says of their cut.
+fn learnt(count: usize, out: impl Fn(Instant, Instant) -> Instant) -> (Instant, Overrun) {
+    let start = Instant::now();
+    let mut overrun = Overrun::default();
+    for _ in 0..count {
+        let cut = overrun.cut(start, after(start, OBJECTIVE), Duration::ZERO);
+        overrun.sample(cut, Duration::from_millis(OBJECTIVE), out(start, cut));
+    }
+    (start, overrun)
+}
+
 #[test]
 fn small_host_in_time() {
     // Taking in five groups and merging takes 12 to 18 ms on 0.12 cores: all would be late.
@@ -41,12 +52,7 @@
 
 #[test]
 fn quick_host_gathers() {
-    let start = Instant::now();
-    let mut overrun = Overrun::default();
-    for _ in 0..100 {
-        let cut = overrun.cut(start, after(start, OBJECTIVE), Duration::ZERO);
-        overrun.sample(cut, Duration::from_millis(OBJECTIVE), cut + Duration::from_micros(300));
-    }
+    let (start, overrun) = learnt(100, |_, cut| cut + Duration::from_micros(300));
     assert!(overrun.cut(start, after(start, OBJECTIVE), Duration::ZERO) > after(start, OBJECTIVE - 2));
 }
 
@@ -61,12 +67,7 @@
 #[test]
 fn lost_replies_show_nothing() {
     // Answers that waited for what was lost do not make the next ones lack more.
-    let start = Instant::now();
-    let mut overrun = Overrun::default();
-    for _ in 0..50 {
-        let cut = overrun.cut(start, after(start, OBJECTIVE), Duration::ZERO);
-        overrun.sample(cut, Duration::from_millis(OBJECTIVE), after(start, 900));
-    }
+    let (start, overrun) = learnt(50, |start, _| after(start, 900));
     assert_eq!(overrun.cut(start, after(start, OBJECTIVE), Duration::ZERO), after(start, OBJECTIVE));
 }
 
