--- /dev/null
+++ b/crates/harefield/tests/processes/site_evacuation.rs
@@ -0,0 +1,74 @@
+//! Availability zones whose upstreams are to get nothing more for a while.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::site_regions::Regions;
+use crate::support::await_true;
+
+/// Asks some paths at each daemon, and checks that the zones named get nothing.
+fn expect_empty(regions: &Regions, name: &str, zones: &[&str]) {
+    for number in 0..12 {
+        let path = ["/all/", "/one/", "/once/"][number % 3];
+        let id = format!("{name}{number}");
+        let daemon = number % regions.daemons.len();
+        assert_eq!(regions.ask(daemon, path, &id).status, 200, "{path} at daemon {daemon}");
+        assert!(regions.zones_of(&id).iter().all(|zone| !zones.contains(&zone.as_str())), "{path}");
+    }
+}
+
+fn await_left(regions: &Regions, zone: &str) {
+    let other = if zone == "n1" { "s1" } else { "n1" };
+    for daemon in 0..regions.daemons.len() {
+        regions.await_only(daemon, "/all/", &[other]);
+        regions.await_only(daemon, "/one/", &[other]);
+    }
+}
+
+#[test]
+fn left_and_back() {
+    let regions = Regions::start(&["n1", "s1"], 24);
+    regions.evacuate("n1", true);
+    await_left(&regions, "n1");
+    expect_empty(&regions, "a", &["n1"]);
+    regions.evacuate("n1", false);
+    await_true("the zone is asked again", || {
+        regions.ask(0, "/one/", "back");
+        regions.zones_of("back").contains(&"n1".to_owned())
+    });
+    // Another zone begins while the first one is taken back.
+    regions.evacuate("s1", true);
+    await_left(&regions, "s1");
+    expect_empty(&regions, "b", &["s1"]);
+}
+
+#[test]
+fn known_after_restart() {
+    let mut regions = Regions::start(&["n1"], 24);
+    regions.evacuate("n1", true);
+    await_left(&regions, "n1");
+    // One that starts reads it, and one that starts with the store down hears of it.
+    regions.add_daemon("n1", 24);
+    expect_empty(&regions, "read", &["n1"]);
+    regions.store.set_down(true);
+    regions.add_daemon("n1", 24);
+    expect_empty(&regions, "heard", &["n1"]);
+}
+
+#[test]
+fn last_replicas_evacuated() {
+    let regions = Regions::start(&["n1"], 24);
+    regions.evacuate("n1", true);
+    regions.evacuate("s1", true);
+    regions.await_all("/all/", 503);
+    for path in ["/all/", "/one/", "/once/"] {
+        let start = Instant::now();
+        let answer = regions.ask(0, path, "none");
+        assert_eq!(answer.status, 503, "{path}");
+        assert!(start.elapsed() < Duration::from_millis(150), "it is refused at once");
+        assert!(regions.zones_of("none").is_empty());
+    }
+    regions.evacuate("s1", false);
+    regions.await_all("/all/", 200);
+    expect_empty(&regions, "d", &["n1"]);
+}
--- /dev/null
+++ b/crates/harefield/tests/processes/site_regions.rs
@@ -0,0 +1,147 @@
+//! Daemons and upstreams over two regions: `north` with the availability zones `n1` and
+//! `n2`, and `south` with `s1`.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+use serde_json::json;
+use standin::SignedSearcher;
+use standin::SiteStore;
+use standin::entry_at;
+
+use crate::site_support::Answer;
+use crate::site_support::ask;
+use crate::site_support::ask_at;
+use crate::site_support::limits;
+use crate::support::Daemon;
+use crate::support::await_true;
+
+const REGIONS: &str = "[host.regions]\nn1 = \"north\"\nn2 = \"north\"\ns1 = \"south\"\n";
+
+/// A store, upstreams and daemons in several regions.
+pub struct Regions {
+    pub store: SiteStore,
+    pub daemons: Vec<Daemon>,
+    upstreams: BTreeMap<String, SignedSearcher>,
+    zones: BTreeMap<String, String>,
+}
+
+impl Regions {
+    /// Starts a daemon in each zone named, the first one the seed of the others, and the
+    /// shards `s1` to `s3` and the service `one` with an upstream in `n1` and in `s1` each.
+    pub fn start(zones: &[&str], cell: usize) -> Self {
+        let store = SiteStore::start();
+        let mut regions =
+            Self { store, daemons: Vec::new(), upstreams: BTreeMap::new(), zones: BTreeMap::new() };
+        for service in ["s1", "s2", "s3", "one"] {
+            regions.add("n1", service);
+            regions.add("s1", service);
+        }
+        regions.publish(1, &[]);
+        for zone in zones {
+            regions.add_daemon(zone, cell);
+        }
+        let known = |daemon: &Daemon| daemon.status().peers.len() == zones.len();
+        await_true("they know each other", || regions.daemons.iter().all(known));
+        regions.await_all("/one/", 200);
+        regions
+    }
+
+    /// Starts one more daemon, in a cell of so many members.
+    pub fn add_daemon(&mut self, zone: &str, cell: usize) {
+        let seed = self.daemons.first().map(|first| format!("\"{}\"", first.addresses.peers));
+        self.daemons.push(Daemon::start(&format!(
+            "[host]\nzone = \"{zone}\"\n{REGIONS}[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n[peers]\n\
+             exchange-ms = 100\njoin-ms = 400\nseeds = [{}]\n[routing]\nextra-load = 0.5\nextra-slack = 50\n\
+             cell-size = {cell}\n",
+            self.store.address(),
+            seed.unwrap_or_default(),
+        )));
+    }
+
+    fn add(&mut self, zone: &str, service: &str) {
+        let id = format!("{service}-{zone}");
+        let upstream = SignedSearcher::start(&id, &[1, 2]);
+        self.store.put(&upstream.key(), Some(&entry_at(upstream.address(), zone, service, "ready")));
+        self.zones.insert(id.clone(), zone.to_owned());
+        self.upstreams.insert(id, upstream);
+    }
+
+    /// Publishes a version whose routes may be served in some regions only; everywhere
+    /// where none is named.
+    pub fn publish(&self, version: u64, homes: &[&str]) {
+        let services = ["s1", "s2", "s3", "one"].map(|name| json!({ "name": name, "connectionLimit": 26 }));
+        let config = json!({
+            "version": version, "routes": routes(homes), "services": services, "limits": limits(),
+        });
+        self.store.put("op/config", Some(&config));
+    }
+
+    /// Asks that nothing more is sent to a zone's upstreams, or takes that back.
+    pub fn evacuate(&self, zone: &str, asked: bool) {
+        let empty = json!({});
+        self.store.put(&format!("op/evacuate/{zone}"), asked.then_some(&empty));
+    }
+
+    /// Asks the daemon with a number.
+    pub fn ask(&self, daemon: usize, path: &str, id: &str) -> Answer {
+        ask_at(&self.daemons[daemon], path, id, 2000)
+    }
+
+    /// Awaits that all daemons answer a path with a status.
+    pub fn await_all(&self, path: &str, status: u16) {
+        let path = format!("{path}probe");
+        let says = |daemon: &Daemon| {
+            let head = "Attempt-Id: probe\r\nDeadline-Remaining: 2000\r\n";
+            ask(daemon.addresses.callers, &path, head).status == status
+        };
+        await_true("all daemons answer so", || self.daemons.iter().all(says));
+    }
+
+    /// Awaits that a daemon's requests reach upstreams of these zones only.
+    pub fn await_only(&self, daemon: usize, path: &str, zones: &[&str]) {
+        let mut number = 0;
+        await_true("requests go to these zones only", || {
+            number += 1;
+            let id = format!("only-{daemon}-{number}");
+            self.ask(daemon, path, &id);
+            self.zones_of(&id).iter().all(|zone| zones.contains(&zone.as_str()))
+        });
+    }
+
+    /// Returns the zones of the upstreams that ran a request, in order.
+    pub fn zones_of(&self, id: &str) -> Vec<String> {
+        let ran = |name: &&String| self.upstreams[*name].runs().iter().any(|run| run == id);
+        let mut zones: Vec<String> =
+            self.upstreams.keys().filter(ran).map(|name| self.zones[name].clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    /// Returns the upstreams of a zone.
+    pub fn upstreams(&self, zone: &str) -> impl Iterator<Item = &SignedSearcher> {
+        let there = move |name: &String| self.zones[name] == zone;
+        self.upstreams.iter().filter(move |(name, _)| there(name)).map(|(_, upstream)| upstream)
+    }
+}
+
+fn routes(homes: &[&str]) -> Vec<Value> {
+    let route = |name: &str, kind: &str, more: Value| {
+        let mut route = json!({
+            "name": name, "host": "x.example", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 1, "attempts": 2, "homeRegions": homes,
+        });
+        if let (Some(route), Value::Object(more)) = (route.as_object_mut(), more) {
+            route.extend(more);
+        }
+        route
+    };
+    let shards = json!({ "fanoutServices": ["s1", "s2", "s3"], "resultLimit": 4, "oldestVersion": 0.6 });
+    vec![
+        route("all", "safe", shards),
+        route("one", "safe", json!({ "service": "one" })),
+        route("once", "unsafe", json!({ "service": "one" })),
+    ]
+}
