Regions bind, and evacuated zones get nothing new

Cause: nothing read in which regions a route may be served, nor that a zone is evacuated; both were decoded by nobody. Ruled out: a check at each sender. Evacuations come by the listing of the operator's keys, in place of the read of one of them (no call more), and bar upstreams in the router, so that what waits, retries and hedges sees them at once; a request whose connection came late asks again before it is written. Client accounts are in no configuration that is open here; their regions are not read yet.

--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::LazyLock;
 use std::time::Instant;
 
 use serde_json::json;
@@ -15,6 +16,7 @@
 use harefield::domain::feed::Items;
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::HostId;
+use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
@@ -122,8 +124,20 @@
     since.elapsed().as_secs_f64() * 1000.0
 }
 
+/// One region.
+static PLACES: LazyLock<Places> = LazyLock::new(Places::default);
+
 fn sources<'a>(own: &'a HostId, set: &'a Arc<ResourceSet>, hosts: &'a HostList) -> ViewSources<'a> {
-    ViewSources { own, revision: Some(1), set, listed: Some(1), hosts, fleet: &[], size: CellSize::default() }
+    ViewSources {
+        own,
+        revision: Some(1),
+        set,
+        listed: Some(1),
+        hosts,
+        fleet: &[],
+        size: CellSize::default(),
+        places: &PLACES,
+    }
 }
 
 fn changes(upstreams: usize) {
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -47,6 +47,7 @@
             hosts: &self.list.borrow(),
             fleet: &self.fleet.borrow(),
             size: self.settings.cell,
+            places: &self.settings.places,
         })
     }
 
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -33,7 +33,7 @@
 use crate::domain::freshness::Pace;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
-use crate::domain::routing::Places;
+use crate::domain::places::Places;
 use crate::engine::Ports;
 use crate::engine::ToControl;
 use crate::engine::ToWorker;
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -65,6 +65,7 @@
     NotMember = 2012, 503, "not run: the daemon is not a member of the lookup's cell";
     OlderView = 2013, 503, "not run: the daemon asked has an older configuration in force";
     Withheld = 2014, 503, "not run: upstreams ended each time that they ran it";
+    NoRegion = 2015, 503, "not run: no region in which the lookup may be served has who serves it";
     ReplyLost = 3001, 504, "may have run: an upstream was sent the request and its reply was lost";
     DeadlinePassed = 3002, 504, "may have run: the deadline passed with requests under way";
     TicketGone = 3003, 504, "may have run: the daemon that the ticket names is gone";
--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -85,7 +85,7 @@
         let typical = step.router.pace(&self.rules.kind).mean().as_secs_f64();
         let mut regions: BTreeMap<Arc<str>, Vec<Wanted>> = BTreeMap::new();
         let mut away: BTreeMap<usize, Vec<Arc<str>>> = BTreeMap::new();
-        for (at, ShardPlan { shard, replicas }) in self.plan.shards.iter().enumerate() {
+        for (at, ShardPlan { shard, replicas, .. }) in self.plan.shards.iter().enumerate() {
             if let Some(found) = step.router.away_zones(replicas, typical, step.now) {
                 away.insert(at, found);
                 continue;
--- a/crates/harefield/src/domain/fanout/judge.rs
+++ b/crates/harefield/src/domain/fanout/judge.rs
@@ -59,12 +59,15 @@
 }
 
 fn refusal(coverage: &Coverage) -> Code {
-    const DEAD: [Gap; 4] = [Gap::NoReplica, Gap::Leaving, Gap::SnapshotMissing, Gap::Unreachable];
+    const DEAD: [Gap; 5] =
+        [Gap::NoReplica, Gap::Leaving, Gap::Evacuated, Gap::SnapshotMissing, Gap::Unreachable];
     let all = |gaps: &[Gap]| coverage.missing.iter().all(|missing| gaps.contains(&missing.why));
     if all(&[Gap::Unconfirmed]) {
         Code::Unconfirmed
     } else if all(&[Gap::Withheld]) {
         Code::Withheld
+    } else if all(&[Gap::OutsideRegions, Gap::NotAsked]) {
+        Code::NoRegion
     } else if all(&DEAD) {
         Code::NoReplica
     } else {
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -121,7 +121,9 @@
 
     fn choose<S: Sink>(&self, shard: usize, step: &mut Step<'_, S>) -> Result<Choice, Bar> {
         let tried = self.shards[shard].tried();
-        step.router.choose(&self.ask(shard, &tried), step.now)
+        let chosen = step.router.choose(&self.ask(shard, &tried), step.now);
+        let abroad = self.plan.shards[shard].abroad;
+        chosen.map_err(|bar| if abroad { Bar { gap: Gap::OutsideRegions, ..bar } } else { bar })
     }
 
     fn wait<S: Sink>(&mut self, shard: usize, bar: Bar, step: &mut Step<'_, S>) {
--- a/crates/harefield/src/domain/outcome.rs
+++ b/crates/harefield/src/domain/outcome.rs
@@ -26,8 +26,12 @@
 pub enum Gap {
     /// The configuration lists no replica for the shard.
     NoReplica,
+    /// The lookup may not be served in the regions of the shard's replicas.
+    OutsideRegions,
     /// Every replica is leaving.
     Leaving,
+    /// The replicas' availability zone is evacuated.
+    Evacuated,
     /// No replica holds the snapshot, by its own word or its refusal.
     SnapshotMissing,
     /// A replica answered for another snapshot than asked.
@@ -62,7 +66,9 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NoReplica => "no-replica",
+            Self::OutsideRegions => "outside-regions",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::SnapshotMissing => "snapshot-missing",
             Self::SnapshotWrong => "snapshot-wrong",
             Self::ShardMoved => "shard-moved",
--- a/crates/harefield/src/domain/routing/places.rs
+++ b/crates/harefield/src/domain/places.rs
@@ -26,6 +26,12 @@
 }
 
 impl Places {
+    /// Returns the region of an availability zone; the zone itself where nobody says.
+    #[must_use]
+    pub fn region_of<'a>(&'a self, zone: &'a Arc<str>) -> &'a Arc<str> {
+        self.regions.get(zone).unwrap_or(zone)
+    }
+
     /// Returns how far an availability zone is.
     #[must_use]
     pub fn distance(&self, zone: &str) -> Distance {
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -11,6 +11,7 @@
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
+use crate::domain::residency::Regions;
 
 /// Shards that are queried together, each with its replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,6 +143,19 @@
     /// The indexes that requests are divided over; `index` alone where empty.
     #[serde(default)]
     pub split: Vec<Split>,
+    /// The only regions in which it may be served and its body read; everywhere where empty.
+    #[serde(default)]
+    pub regions: Regions,
+}
+
+/// Asks that nothing more is sent to the upstreams of an availability zone, which its key
+/// names, for as long as it stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Evacuation {
+    /// Why, for whoever reads it.
+    #[serde(default)]
+    pub reason: String,
 }
 
 /// A versioned index over services.
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -13,6 +13,7 @@
 pub use kinds::Bounds;
 pub use kinds::Catalog;
 pub use kinds::Entry;
+pub use kinds::Evacuation;
 pub use kinds::Index;
 pub use kinds::Lookup;
 pub use kinds::Preference;
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -9,6 +9,7 @@
 use super::fault::MAX_VALUE_BYTES;
 use super::kinds::Bounds;
 use super::kinds::Catalog;
+use super::kinds::Evacuation;
 use super::kinds::Index;
 use super::kinds::Lookup;
 use super::kinds::Service;
@@ -33,6 +34,8 @@
     pub indexes: BTreeMap<Arc<str>, Arc<Index>>,
     /// The catalogs, whose resources stand above as well.
     pub catalogs: BTreeMap<Arc<str>, Arc<Catalog>>,
+    /// The availability zones that are evacuated.
+    pub evacuations: BTreeMap<Arc<str>, Arc<Evacuation>>,
     /// The upstreams that hold each shard by their own word.
     pub holders: BTreeMap<ShardId, Arc<[UpstreamId]>>,
 }
@@ -50,9 +53,11 @@
             Some(("lookups", name)) => put(&mut self.lookups, key, name, value),
             Some(("indexes", name)) => put(&mut self.indexes, key, name, value),
             Some(("catalogs", name)) => self.put_catalog(key, name, value),
+            Some(("evacuations", zone)) => put(&mut self.evacuations, key, zone, value),
             _ if value.is_none() => Ok(()),
             _ => {
-                let detail = "expected services/, upstreams/, lookups/, indexes/ or catalogs/".to_owned();
+                let detail = "expected services/, upstreams/, lookups/, indexes/, catalogs/ or evacuations/"
+                    .to_owned();
                 Err(Fault { key: Arc::clone(key), code: Code::ResourceUnknownKind, detail })
             }
         }
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::places::Distance;
 use super::policy::Policy;
 use super::report::Bar;
 use super::report::Until;
@@ -12,6 +11,7 @@
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 use crate::domain::outcome::Gap;
+use crate::domain::places::Distance;
 
 /// A replica chosen, with every candidate's score.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -85,7 +85,7 @@
     /// versions aside: no failure last, and no silence beyond any usual time.
     #[must_use]
     pub fn is_healthy(&self, typical: f64, now: Instant) -> bool {
-        let usable = !self.is_leaving() && !self.is_backed_off(now);
+        let usable = self.takes_work().is_ok() && !self.is_backed_off(now);
         usable && !self.on_probation() && !self.is_silent(typical, now)
     }
 
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -13,7 +13,6 @@
 use super::budgets::service_of;
 use super::effort::Effort;
 use super::pace::Pace;
-use super::places::Places;
 use super::policy::Policy;
 use super::relays::Relays;
 use super::report::Report;
@@ -26,6 +25,7 @@
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 use crate::domain::lease::Lease;
+use crate::domain::places::Places;
 use crate::domain::resources::Upstream;
 use crate::domain::view::OwnUpstream;
 use crate::domain::view::View;
@@ -148,6 +148,7 @@
                 .or_insert_with(|| Searcher::new(Arc::clone(spec), sharers, share));
             searcher.place(self.places.distance(&spec.zone));
             searcher.list(spec.leaving || view.leaving.contains(&spec.address));
+            searcher.evacuate(view.evacuated.contains(&spec.zone));
         }
         for (name, searcher) in &mut self.searchers {
             if !own.contains_key(name) {
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::places::Distance;
 use super::report::Bar;
 use super::report::Load;
 use super::report::Until;
 use super::window::Window;
 use crate::domain::ids::Version;
 use crate::domain::outcome::Gap;
+use crate::domain::places::Distance;
 use crate::domain::resources::Upstream;
 use crate::domain::word::Word;
 
@@ -33,6 +33,7 @@
     pub(super) distance: Distance,
     pub(super) word: Word,
     pub(super) listed: bool,
+    pub(super) evacuated: bool,
     pub(super) shed: Option<Instant>,
     pub(super) failures: u32,
     pub(super) retry: Option<Instant>,
@@ -59,6 +60,7 @@
             distance: Distance::Near,
             word: Word::default(),
             listed: false,
+            evacuated: false,
             shed: None,
             failures: 0,
             retry: None,
@@ -122,6 +124,11 @@
         self.listed = leaving;
     }
 
+    /// Takes whether its availability zone is evacuated.
+    pub fn evacuate(&mut self, evacuated: bool) {
+        self.evacuated = evacuated;
+    }
+
     /// Takes the upstream's word, heard directly or through a peer.
     pub fn hear(&mut self, word: &Word) -> bool {
         self.word.join(word)
@@ -138,6 +145,18 @@
         self.listed || self.word.draining
     }
 
+    /// Returns whether new work may be sent to it, load and versions aside.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not, as the gap it would leave.
+    pub fn takes_work(&self) -> Result<(), Gap> {
+        if self.is_leaving() {
+            return Err(Gap::Leaving);
+        }
+        if self.evacuated { Err(Gap::Evacuated) } else { Ok(()) }
+    }
+
     /// Says whether a request may be sent for `version`, or why not.
     ///
     /// # Errors
@@ -169,9 +188,7 @@
     ///
     /// Returns the reason as the gap it would leave.
     pub fn may_serve(&self, version: Version) -> Result<(), Gap> {
-        if self.is_leaving() {
-            return Err(Gap::Leaving);
-        }
+        self.takes_work()?;
         if !self.word.may_hold(version) {
             return Err(Gap::SnapshotMissing);
         }
--- a/crates/harefield/src/domain/routing/zones.rs
+++ b/crates/harefield/src/domain/routing/zones.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::places::Distance;
 use super::relays::Relays;
 use super::relays::Seen;
 use super::router::Own;
@@ -17,6 +16,7 @@
 use crate::domain::ids::UpstreamId;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
+use crate::domain::places::Distance;
 
 impl Router {
     /// Takes the other daemons as they are seen now; they are handed groups.
@@ -47,7 +47,7 @@
     /// Returns the region of an availability zone; the zone itself where nobody says.
     #[must_use]
     pub fn region_of(&self, zone: &Arc<str>) -> Arc<str> {
-        Arc::clone(self.places.regions.get(zone).unwrap_or(zone))
+        Arc::clone(self.places.region_of(zone))
     }
 
     /// Returns the daemons that may take a part of a fan-out over replicas in a region:
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -19,8 +19,10 @@
 use crate::domain::cell;
 use crate::domain::cell::Cells;
 use crate::domain::ids::HostId;
+use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::shard_id;
+use crate::domain::residency::Residency;
 use crate::domain::resources::Index;
 use crate::domain::resources::Lookup;
 use crate::domain::resources::ResourceSet;
@@ -67,6 +69,20 @@
         same.then(|| Arc::clone(before))
     }
 
+    /// Returns whether a lookup may be served by an upstream.
+    fn allows(&self, lookup: &Lookup, upstream: &UpstreamId) -> bool {
+        let zone = self.sources.set.upstreams.get(upstream).map(|upstream| &upstream.zone);
+        let region = zone.map(|zone| self.sources.places.region_of(zone));
+        Residency::new(&lookup.regions).allows(region)
+    }
+
+    /// Returns the availability zones of a shard's replicas.
+    fn zones_of(&self, shard: &ShardId) -> Vec<Option<Arc<str>>> {
+        let set = self.sources.set;
+        let zone = |name| set.upstreams.get(name).map(|upstream| Arc::clone(&upstream.zone));
+        set.replicas(shard).map(zone).collect()
+    }
+
     /// Returns what a lookup's plans are worked out from; none where an index
     /// does not exist.
     fn sources_of(&self, lookup: &Lookup) -> Option<Sources> {
@@ -80,6 +96,11 @@
                 let shards = service.shards.keys();
                 let holders = shards.map(|shard| set.holders.get(&shard_id(name, shard)).map(Arc::clone));
                 sources.holders.extend(holders);
+                if Residency::new(&lookup.regions).is_bound() {
+                    for shard in service.shards.keys() {
+                        sources.zones.extend(self.zones_of(&shard_id(name, shard)));
+                    }
+                }
                 sources.services.push(Arc::clone(service));
             }
         }
@@ -105,13 +126,14 @@
     fn plans_of(&self, lookup: &Lookup, member: bool) -> Option<Vec<Arc<Plan>>> {
         let set = self.sources.set;
         let (index_name, index) = set.indexes.get_key_value(lookup.index.as_str())?;
-        let whole = lookup.services.is_empty();
+        let bound = Residency::new(&lookup.regions).is_bound();
+        let whole = lookup.services.is_empty() && !bound;
         if let Some(plans) = self.plans.borrow().get(lookup.index.as_str()).filter(|_| whole) {
             return Some(plans.clone());
         }
         let fitting = index.snapshots.iter().filter(|snapshot| member && has_services(snapshot, lookup));
         let mut plans: Vec<_> =
-            fitting.map(|snapshot| Arc::new(plan_snapshot(set, index_name, snapshot, lookup))).collect();
+            fitting.map(|snapshot| Arc::new(self.plan_snapshot(index_name, snapshot, lookup))).collect();
         plans.sort_by_key(|plan| Reverse(plan.version));
         if whole {
             self.plans.borrow_mut().insert(lookup.index.clone(), plans.clone());
@@ -119,6 +141,21 @@
         Some(plans)
     }
 
+    fn plan_snapshot(&self, index: &Arc<str>, snapshot: &Snapshot, lookup: &Lookup) -> Plan {
+        let asked =
+            |service: &str| lookup.services.is_empty() || lookup.services.iter().any(|s| s == service);
+        let mut shards = Vec::new();
+        for (service, names) in snapshot.shards.iter().filter(|(service, _)| asked(service)) {
+            for name in names {
+                let shard = shard_id(service, name);
+                let replicas = self.sources.set.replicas(&shard).cloned().collect();
+                shards.push(ShardPlan { shard, replicas, abroad: false });
+            }
+        }
+        let whole = Plan { index: Arc::clone(index), version: snapshot.version, shards };
+        whole.narrowed(|upstream| self.allows(lookup, upstream))
+    }
+
     /// Gathers the upstreams of the cells that the daemon is a member of.
     pub(super) fn upstreams(&self) -> BTreeMap<UpstreamId, OwnUpstream> {
         let set = self.sources.set;
@@ -151,16 +188,3 @@
 fn has_services(snapshot: &Snapshot, lookup: &Lookup) -> bool {
     lookup.services.iter().all(|s| snapshot.shards.contains_key(s.as_str()))
 }
-
-fn plan_snapshot(set: &ResourceSet, index: &Arc<str>, snapshot: &Snapshot, lookup: &Lookup) -> Plan {
-    let asked = |service: &str| lookup.services.is_empty() || lookup.services.iter().any(|s| s == service);
-    let mut shards = Vec::new();
-    for (service, names) in snapshot.shards.iter().filter(|(service, _)| asked(service)) {
-        for name in names {
-            let shard = shard_id(service, name);
-            let replicas = set.replicas(&shard).cloned().collect();
-            shards.push(ShardPlan { shard, replicas });
-        }
-    }
-    Plan { index: Arc::clone(index), version: snapshot.version, shards }
-}
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -30,6 +30,7 @@
 use super::ids::HostId;
 use super::ids::Revision;
 use super::ids::UpstreamId;
+use super::places::Places;
 use super::resources::Bounds;
 use super::resources::ResourceSet;
 use super::resources::Upstream;
@@ -62,6 +63,8 @@
     pub fleet: &'a [Candidate],
     /// How large cells may be.
     pub size: CellSize,
+    /// Which region each availability zone is in.
+    pub places: &'a Places,
 }
 
 /// Everything that a request is decided on, immutable.
@@ -84,6 +87,8 @@
     pub upstreams: BTreeMap<UpstreamId, OwnUpstream>,
     /// Bounds on callers' requests, as published.
     pub bounds: Bounds,
+    /// The availability zones whose upstreams get nothing new.
+    pub evacuated: HashSet<Arc<str>>,
     paths: Paths,
     daemons: Vec<HostId>,
     fleet: Vec<Candidate>,
@@ -111,6 +116,7 @@
         Self {
             paths,
             bounds: sources.set.bounds(),
+            evacuated: sources.set.evacuations.keys().map(Arc::clone).collect(),
             revision: sources.revision,
             edition: sources.set.edition(),
             listed: sources.listed,
--- a/crates/harefield/src/domain/view/plan.rs
+++ b/crates/harefield/src/domain/view/plan.rs
@@ -14,8 +14,10 @@
 pub struct ShardPlan {
     /// The shard.
     pub shard: ShardId,
-    /// Its replicas.
+    /// Its replicas, in the regions in which the lookup may be served.
     pub replicas: Vec<UpstreamId>,
+    /// Whether all its replicas stand in other regions.
+    pub abroad: bool,
 }
 
 /// The shards of one snapshot that a lookup asks.
@@ -30,6 +32,17 @@
 }
 
 impl Plan {
+    /// Returns the plan with those replicas alone that `keeps` says.
+    #[must_use]
+    pub fn narrowed(mut self, keeps: impl Fn(&UpstreamId) -> bool) -> Self {
+        for shard in &mut self.shards {
+            let before = shard.replicas.len();
+            shard.replicas.retain(&keeps);
+            shard.abroad |= before > 0 && shard.replicas.is_empty();
+        }
+        self
+    }
+
     /// Returns the plan of one of its shards alone.
     #[must_use]
     pub fn only(&self, shard: &ShardPlan) -> Self {
@@ -96,6 +109,9 @@
     pub(super) indexes: Vec<Arc<Index>>,
     pub(super) services: Vec<Arc<Service>>,
     pub(super) holders: Vec<Holders>,
+    /// The availability zones of the replicas, where the lookup may be served in some
+    /// regions only.
+    pub(super) zones: Vec<Option<Arc<str>>>,
 }
 
 impl Sources {
@@ -105,7 +121,8 @@
             (Some(a), Some(b)) => Arc::ptr_eq(a, b),
             (a, b) => a.is_none() && b.is_none(),
         };
-        same_values(&self.indexes, &other.indexes)
+        self.zones == other.zones
+            && same_values(&self.indexes, &other.indexes)
             && same_values(&self.services, &other.services)
             && self.holders.len() == other.holders.len()
             && self.holders.iter().zip(&other.holders).all(same_holders)
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -34,6 +34,7 @@
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
 use crate::domain::query::Query;
+use crate::domain::residency::Regions;
 use crate::domain::routing::LEAST_SHARDS;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
@@ -89,6 +90,8 @@
     pub shown: Shown,
     /// How many records are kept where replies are merged.
     pub merge: Option<usize>,
+    /// The only regions in which it may be served; everywhere where empty.
+    pub regions: Regions,
 }
 
 /// One attempt, as its task carries it.
@@ -299,7 +302,11 @@
         let permit = || {
             let now = self.ports.clock.now();
             let withheld = matches!(self.standing(&attempt.job.work), Standing::Withheld(_));
-            now < attempt.job.deadline && !withheld && self.router.borrow().lease().held(now)
+            let router = self.router.borrow();
+            // One may have begun to leave, or its zone to be evacuated, while a connection
+            // was opened.
+            let takes = router.searcher(&attempt.send.upstream).is_some_and(|s| s.takes_work().is_ok());
+            now < attempt.job.deadline && !withheld && takes && router.lease().held(now)
         };
         self.ports.upstreams.ask(call, permit).await
     }
--- a/crates/harefield/src/engine/caution.rs
+++ b/crates/harefield/src/engine/caution.rs
@@ -34,6 +34,7 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::query::Query;
+use crate::domain::resources::Lookup;
 use crate::domain::suspects::Standing;
 use crate::domain::suspects::Suspect;
 use crate::domain::suspects::SuspectReport;
@@ -226,7 +227,7 @@
         trace: &mut Trace<C>,
     ) -> Option<Answer> {
         let work = &found.work;
-        let host = self.trial_host(&found.plan.lookup.index, work);
+        let host = self.trial_host(&found.plan.lookup, work);
         if request.origin == Origin::Caller
             && let Some(host) = host.filter(|host| *host != self.settings.host)
         {
@@ -251,10 +252,12 @@
 
     /// Returns the daemon that runs a work alone: the same one for each that asks, of the
     /// members of its cell that answer, so that the fleet has one trial at a time.
-    fn trial_host(&self, index: &str, work: &Work) -> Option<HostId> {
+    fn trial_host(&self, lookup: &Lookup, work: &Work) -> Option<HostId> {
         let view = self.view.borrow();
-        let cell = view.cells.get(index)?;
-        let answers = |host: &&HostId| **host == self.settings.host || self.is_answering(host);
+        let cell = view.cells.get(lookup.index.as_str())?;
+        let answers = |host: &&HostId| {
+            self.may_serve(host, lookup) && (**host == self.settings.host || self.is_answering(host))
+        };
         cell.iter()
             .filter(answers)
             .max_by_key(|host| xxh3_64_with_seed(host.as_bytes(), work.path))
@@ -354,6 +357,7 @@
             deadline: found.deadline,
             once: !lookup.repeatable,
             merge: lookup.merge,
+            regions: Arc::clone(&lookup.regions),
             whole: true,
             shown: Shown::default(),
         }
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -13,11 +13,13 @@
 use super::handing::MOST_TRIES;
 use super::handing::is_elsewhere;
 use super::message::LookupRequest;
+use super::run::CHANGE_AWAITED;
 use super::run::may_have_run;
 use super::run::refuse;
 use super::worker::Worker;
 use crate::domain::code::Code;
 use crate::domain::outcome::Answer;
+use crate::domain::residency::Residency;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -79,7 +81,7 @@
                 self.hand_on(&mut handed, request, found, trace);
             }
         }
-        unanswered(&handed, trace)
+        unanswered(&handed, found, trace)
     }
 
     /// Returns the next end; none where `until` passes first.
@@ -123,17 +125,20 @@
         if handed.tried.len() >= MOST_TRIES {
             return;
         }
-        if let Some(host) = self.pick_member(&found.plan.lookup.index, &handed.tried) {
+        if let Some(host) = self.pick_member(&found.plan.lookup, &handed.tried) {
             self.start_handing(handed, host, request, found, trace);
         }
     }
 }
 
 /// Returns the answer of a request that no member answered.
-fn unanswered<C: Clock>(handed: &Handed, trace: &mut Trace<C>) -> Answer {
+fn unanswered<C: Clock>(handed: &Handed, found: &Found, trace: &mut Trace<C>) -> Answer {
     if handed.sent {
         return may_have_run(trace, Code::PeerSilent);
     }
+    if handed.tried.is_empty() && Residency::new(&found.plan.lookup.regions).is_bound() {
+        return refuse(trace, Code::NoRegion, CHANGE_AWAITED);
+    }
     let code = if handed.disagreed { Code::NotMember } else { Code::NoMember };
     refuse(trace, code, COME_BACK)
 }
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -100,6 +100,7 @@
             again: rules.again,
             possible: Some(rules.possible(hand.shards.len(), plan.shards.len())),
             suspects: self.reports(&job.work),
+            regions: Arc::clone(&job.regions),
         }
     }
 
--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -9,7 +9,9 @@
 use crate::domain::ids::HostId;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
-use crate::domain::routing::Distance;
+use crate::domain::places::Distance;
+use crate::domain::residency::Residency;
+use crate::domain::resources::Lookup;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -26,15 +28,29 @@
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Picks a member: not known to be gone nor silent, the nearest there is, the
     /// one of two with fewer requests handed to it.
-    pub(super) fn pick_member(&self, index: &str, tried: &[HostId]) -> Option<HostId> {
+    pub(super) fn pick_member(&self, lookup: &Lookup, tried: &[HostId]) -> Option<HostId> {
         let view = self.view.borrow();
-        let cell = view.cells.get(index)?;
-        let untried = cell.iter().filter(|host| !tried.contains(host) && **host != self.settings.host);
+        let cell = view.cells.get(lookup.index.as_str())?;
+        let others = cell.iter().filter(|host| **host != self.settings.host);
+        let untried = others.filter(|host| !tried.contains(host) && self.may_serve(host, lookup));
         let untried: Vec<&HostId> = untried.collect();
         let near = self.nearest_live(&untried);
         self.less_busy(if near.is_empty() { &untried } else { &near })
     }
 
+    /// Says whether a daemon stands where a lookup may be served, and may be handed its
+    /// requests.
+    pub(super) fn may_serve(&self, host: &HostId, lookup: &Lookup) -> bool {
+        let places = &self.settings.places;
+        let peers = self.peers.borrow();
+        let zone = if *host == self.settings.host {
+            Some(&self.settings.zone)
+        } else {
+            peers.row(host).map(|row| &row.zone)
+        };
+        Residency::new(&lookup.regions).allows(zone.map(|zone| places.region_of(zone)))
+    }
+
     /// Returns those daemons, neither known to be gone nor silent, that are nearest.
     fn nearest_live<'a>(&self, hosts: &[&'a HostId]) -> Vec<&'a HostId> {
         let peers = self.peers.borrow();
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -52,6 +52,10 @@
         if own || named_here || request.origin != Origin::Caller {
             return self.under_ticket(request, found, &ticket, trace).await;
         }
+        if !self.may_serve(&ticket.host, &found.plan.lookup) {
+            // It was issued where the lookup may no longer be served, and may have run there.
+            return may_have_run(trace, Code::TicketGone);
+        }
         match self.hand_to(&ticket.host, request, found, trace).await {
             Ok(answer) => answer,
             Err(PeerError::Unreachable) => may_have_run(trace, Code::TicketGone),
@@ -65,7 +69,9 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        match (found.plan.member, &request.origin) {
+        // Whoever issues a ticket is handed its request from wherever that comes to.
+        let runs_here = found.plan.member && self.may_serve(&self.settings.host, &found.plan.lookup);
+        match (runs_here, &request.origin) {
             (true, _) => {}
             (false, Origin::Caller) => return self.forward(request, found, trace).await,
             (false, Origin::Peer { .. }) => return refuse(trace, Code::NotMember, Duration::ZERO),
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -15,10 +15,12 @@
 use crate::domain::fanout::Finished;
 use crate::domain::fanout::Rules;
 use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
 use crate::domain::merge::greatest;
 use crate::domain::outcome::Gap;
 use crate::domain::query::Query;
 use crate::domain::ratio;
+use crate::domain::residency::Residency;
 use crate::domain::suspects::Standing;
 use crate::domain::time::micros;
 use crate::domain::view::Plan;
@@ -72,6 +74,7 @@
             work,
             once: false,
             merge: Some(group.most),
+            regions: Arc::clone(&group.regions),
             whole: false,
             shown: Shown::default(),
         };
@@ -111,7 +114,7 @@
         let plan = view.lookups.get(group.lookup.as_str())?;
         let parts = plan.parts.iter().map(|part| &part.plan);
         let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
-        let shards = plan.group(&group.shards, &group.only)?;
+        let shards = self.narrow(plan.group(&group.shards, &group.only)?, &group.regions);
         let found = Found {
             plan: Arc::clone(plan),
             work,
@@ -124,6 +127,17 @@
         Some((found, Arc::new(shards)))
     }
 
+    /// Leaves the replicas out of a plan that stand in other regions than those named.
+    fn narrow(&self, plan: Plan, regions: &[Arc<str>]) -> Plan {
+        let residency = Residency::new(regions);
+        if !residency.is_bound() {
+            return plan;
+        }
+        let router = self.router.borrow();
+        let region = |name: &UpstreamId| Some(router.region_of(&router.searcher(name)?.spec().zone));
+        plan.narrowed(|name| residency.allows(region(name).as_ref()))
+    }
+
     fn group_reply(
         &self,
         shards: &[ShardId],
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -42,6 +42,10 @@
 /// When a refused caller may come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(200);
 
+/// When a refused caller may come back where only another configuration helps: the users'
+/// bounds for one to be in force are 3 to 5 s.
+pub(super) const CHANGE_AWAITED: Duration = Duration::from_secs(5);
+
 /// This part of the margin for an answer's way back is for this daemon's own time.
 const OWN_PART: u32 = 2;
 
@@ -303,7 +307,8 @@
     answer.failure = finished.failure;
     answer.merge = found.plan.lookup.merge;
     if answer.outcome == Outcome::NotRun {
-        answer.retry_after = u64::try_from(COME_BACK.as_millis()).ok();
+        let wait = if answer.code == Code::NoRegion { CHANGE_AWAITED } else { COME_BACK };
+        answer.retry_after = Some(millis(wait));
     }
     answer
 }
--- a/crates/harefield/src/engine/warm.rs
+++ b/crates/harefield/src/engine/warm.rs
@@ -63,7 +63,7 @@
             let Some(searcher) = router.searcher(name) else {
                 return false;
             };
-            let usable = !searcher.is_leaving() && !searcher.is_backed_off(now);
+            let usable = searcher.takes_work().is_ok() && !searcher.is_backed_off(now);
             if !usable || !router.lease().held(now) {
                 return false;
             }
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -75,6 +75,9 @@
     /// A name that misleads: the least share of the shards that makes an
     /// answer, and no version.
     oldest_version: Option<f64>,
+    /// The only regions in which its requests may be served; everywhere where empty.
+    #[serde(default)]
+    home_regions: Vec<Arc<str>>,
 }
 
 /// A part of a route's requests.
@@ -232,6 +235,7 @@
         merge: route.fanout_services.map(|_| route.result_limit.unwrap_or(usize::MAX)),
         attempts: route.attempts,
         split,
+        regions: route.home_regions.into(),
     })
 }
 
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -33,12 +33,22 @@
 /// The key of the configuration.
 const CONFIG_KEY: &str = "op/config";
 
+/// The prefix of what the operator says: the configuration, and each evacuation.
+const OPERATOR_PREFIX: &str = "op/";
+
+/// The prefix of the evacuations; the availability zone follows.
+const EVACUATIONS_PREFIX: &str = "op/evacuate/";
+
 /// The prefix of the upstreams' entries.
 const UPSTREAMS_PREFIX: &str = "servers/";
 
 /// The product's key of what the configuration holds.
 const CATALOG_KEY: &str = "catalogs/operator";
 
+/// The value of an evacuation: that it stands there is all that it says, whatever else may
+/// be written.
+const EVACUATION: &str = "{}";
+
 /// One value, or that it was taken away.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -53,15 +63,6 @@
     tombstone: bool,
 }
 
-/// The answer to a read of one key.
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct One {
-    #[serde(flatten)]
-    item: Item,
-    store_revision: Revision,
-}
-
 /// A page of a prefix.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -96,34 +97,45 @@
     }
 
     async fn list_config(&self, copy: SocketAddr) -> Result<Listing, PlatformError> {
-        let path = format!("/-/kv-key?privateKey={CONFIG_KEY}");
-        let config: Option<One> = self.reader.get(copy, &path, READ_LIMIT).await?;
-        let config = config.ok_or_else(|| PlatformError::Malformed("nothing is published yet".to_owned()))?;
-        let revision = config.store_revision;
-        let mut listing = Listing { first: revision, last: revision, ..Listing::default() };
+        let mut listing = Listing { first: Revision::MAX, ..Listing::default() };
+        let operator = self.read_pages(copy, OPERATOR_PREFIX, &mut listing).await?;
         // Without it all lookups would be taken away.
-        let value = decode(&config.item).map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        listing.items.insert(CATALOG_KEY.into(), value.into());
-        let (mut after, mut listed) = (String::new(), HashSet::new());
+        let config = operator.iter().find(|item| item.private_key == CONFIG_KEY);
+        let config = config.ok_or_else(|| PlatformError::Malformed("nothing is published yet".to_owned()))?;
+        decode(config).map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let upstreams = self.read_pages(copy, UPSTREAMS_PREFIX, &mut listing).await?;
+        for item in operator.iter().chain(&upstreams) {
+            self.put(&mut listing, item);
+        }
+        let listed: HashSet<&str> = upstreams.iter().map(|item| &*item.private_key).collect();
+        self.left_out.keep_only(|key| listed.contains(key));
+        Ok(listing)
+    }
+
+    /// Reads all pages of a prefix; notes the revisions that they were read at.
+    async fn read_pages(
+        &self,
+        copy: SocketAddr,
+        prefix: &str,
+        listing: &mut Listing,
+    ) -> Result<Vec<Item>, PlatformError> {
+        let (mut items, mut after) = (Vec::new(), String::new());
         loop {
-            let path = format!("/-/kv-range?pathPrefix={UPSTREAMS_PREFIX}{after}");
+            let path = format!("/-/kv-range?pathPrefix={prefix}{after}");
             let page: Option<Page> = self.reader.get(copy, &path, READ_LIMIT).await?;
             let page = page.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
             listing.first = listing.first.min(page.store_revision);
             listing.last = listing.last.max(page.store_revision);
             let last = page.items.last().map(|item| item.private_key.clone());
-            for item in &page.items {
-                self.put(&mut listing, item);
-                listed.insert(item.private_key.clone());
+            items.extend(page.items);
+            match last.filter(|_| page.truncated) {
+                Some(key) => after = format!("&after={key}"),
+                None => return Ok(items),
             }
-            let Some(key) = last.filter(|_| page.truncated) else {
-                self.left_out.keep_only(|key| listed.contains(key));
-                return Ok(listing);
-            };
-            after = format!("&after={key}");
         }
     }
 
+    /// Puts an item into a listing, where it is the product's business.
     fn put(&self, listing: &mut Listing, item: &Item) {
         if let Some(Change { key, value: Some(value) }) = self.change_of(item) {
             listing.items.insert(key, value);
@@ -143,7 +155,7 @@
         let key: Key = match id {
             Some(id) if is_id(id) => format!("upstreams/{id}").into(),
             None if name == CONFIG_KEY => CATALOG_KEY.into(),
-            _ => return None,
+            _ => return evacuation_of(item),
         };
         if item.tombstone {
             self.left_out.forget(name);
@@ -162,6 +174,13 @@
     }
 }
 
+/// Decodes an evacuation's item; none where it is not one.
+fn evacuation_of(item: &Item) -> Option<Change> {
+    let zone = item.private_key.strip_prefix(EVACUATIONS_PREFIX).filter(|zone| !zone.is_empty())?;
+    let value = (!item.tombstone).then(|| EVACUATION.into());
+    Some(Change { key: format!("evacuations/{zone}").into(), value })
+}
+
 /// Says whether a text may be an upstream's id: it is sent in a header, and is no path.
 fn is_id(text: &str) -> bool {
     !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/')
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -20,6 +20,7 @@
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
 use crate::domain::query::ByteQuery;
+use crate::domain::residency::Regions;
 use crate::domain::suspects::SuspectReport;
 use crate::domain::word::NamedWord;
 
@@ -106,6 +107,10 @@
     /// What the daemon that hands it on knows of its work, where upstreams ended under it.
     #[serde(default)]
     pub suspects: Vec<SuspectReport>,
+    /// The only regions in which it may be served, as that daemon knows them; everywhere
+    /// where empty. The daemon that takes it keeps to these, and to those that it knows.
+    #[serde(default)]
+    pub regions: Regions,
 }
 
 /// A shard of a group that contributed.
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -21,6 +21,7 @@
 mod readers;
 mod readiness;
 mod recent;
+mod residency;
 mod routing;
 mod settings;
 mod sharing;
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -16,6 +16,7 @@
 use harefield::domain::ids::UpstreamId;
 use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
+use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
@@ -92,6 +93,7 @@
         hosts: &HostList::default(),
         fleet: &[],
         size: CellSize::default(),
+        places: &Places::default(),
     })
 }
 
--- a/crates/harefield/tests/decisions/views.rs
+++ b/crates/harefield/tests/decisions/views.rs
@@ -10,6 +10,7 @@
 use harefield::domain::cell::CellSize;
 use harefield::domain::hosts::HostList;
 use harefield::domain::ids::HostId;
+use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::view::View;
 use harefield::domain::view::ViewSources;
@@ -23,7 +24,16 @@
 fn next(before: &View, own: u16, set: &Arc<ResourceSet>, hosts: &HostList, most: usize) -> View {
     let own: HostId = format!("127.0.0.1:{own}").into();
     let size = CellSize { most, wanted: 1 };
-    before.next(&ViewSources { own: &own, revision: Some(1), set, listed: Some(1), hosts, fleet: &[], size })
+    before.next(&ViewSources {
+        own: &own,
+        revision: Some(1),
+        set,
+        listed: Some(1),
+        hosts,
+        fleet: &[],
+        size,
+        places: &Places::default(),
+    })
 }
 
 fn set_with(key: &str, value: &Value) -> Arc<ResourceSet> {
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -25,7 +25,7 @@
 use harefield::domain::ids::Revision;
 use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
-use harefield::domain::routing::Places;
+use harefield::domain::places::Places;
 use harefield::engine::ToControl;
 use harefield::engine::ToWorker;
 use harefield::ports::Space;
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -21,6 +21,7 @@
 use harefield::domain::hlc::Stamp;
 use harefield::domain::query::ByteQuery;
 use harefield::domain::query::Query;
+use harefield::domain::residency::Regions;
 use harefield::ports::Call;
 use harefield::ports::Group;
 use harefield::ports::GroupReply;
@@ -99,6 +100,7 @@
         again: false,
         possible: None,
         suspects: Vec::new(),
+        regions: Regions::default(),
     }
 }
 
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -22,6 +22,7 @@
 use harefield::domain::event::Event;
 use harefield::domain::hlc::Stamp;
 use harefield::domain::query::ByteQuery;
+use harefield::domain::residency::Regions;
 use harefield::ports::Group;
 use harefield::ports::Peers;
 use harefield::telemetry::WorkerStatus;
@@ -238,6 +239,7 @@
         again: false,
         possible: None,
         suspects: Vec::new(),
+        regions: Regions::default(),
     }
 }
 
