--- a/crates/harefield/tests/decisions/residency.rs
+++ b/crates/harefield/tests/decisions/residency.rs
@@ -156,7 +156,8 @@
 #[test]
 fn evacuations_read() {
     let set = set_in(&[vec![0]], &[]);
-    assert!(set.apply(&[Change { key: "evacuations/a1".into(), value: Some("7".into()) }]).is_err());
+    let wrong = Change { key: "evacuations/a1".into(), value: Some("7".into()) };
+    set.apply(&[wrong]).expect_err("it is no evacuation");
     let set = changed(&set, "evacuations/a1", Some("{}"));
     assert!(next(&View::default(), &set).evacuated.contains("a1"));
     let set = changed(&set, "evacuations/a1", None);
