--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod silent_connections;
 mod site;
 mod site_cells;
+mod site_cold;
 mod site_editions;
 mod site_evacuation;
 mod site_foreign;
--- /dev/null
+++ b/crates/harefield/tests/processes/site_cold.rs
@@ -0,0 +1,94 @@
+//! Upstreams that are cold: over all daemons they get no more than they bear.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standin::SignedSearcher;
+
+use crate::site_regions::Regions;
+
+/// What a cold upstream bears a second.
+const PER_S: f64 = 6.0;
+
+/// How long callers ask.
+const ASKING: Duration = Duration::from_millis(2500);
+
+/// Returns the most requests that came to an upstream within one second, from a moment on.
+fn most_within_second(upstream: &SignedSearcher, from: Instant) -> usize {
+    let arrivals: Vec<Instant> =
+        upstream.arrivals().into_iter().map(|(at, _)| at).filter(|at| *at >= from).collect();
+    let within = |start: &Instant| {
+        arrivals.iter().filter(|at| **at >= *start && **at < *start + Duration::from_secs(1)).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+/// Asks all daemons in turn, some 80 requests a second.
+fn ask_on(regions: &Regions, name: &str) {
+    let until = Instant::now() + ASKING;
+    let mut number = 0;
+    while Instant::now() < until {
+        let path = ["/all/", "/one/"][number % 2];
+        regions.ask(number % regions.daemons.len(), path, &format!("{name}{number}"));
+        number += 1;
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn expect_spared(regions: &Regions, zone: &str, from: Instant) {
+    for upstream in regions.upstreams(zone) {
+        let most = most_within_second(upstream, from);
+        assert!(most <= 6, "{} got {most} requests within a second", upstream.id());
+    }
+}
+
+fn cold_world() -> Regions {
+    let mut regions = Regions::start(&["n1", "n2", "s1"], 24);
+    regions.cold_per_s = PER_S;
+    regions.publish(2, &[]);
+    std::thread::sleep(Duration::from_millis(1000));
+    regions
+}
+
+#[test]
+fn cold_upstreams_spared() {
+    let regions = cold_world();
+    regions.chill("n1", 10_000);
+    std::thread::sleep(Duration::from_millis(1000));
+    let from = Instant::now();
+    ask_on(&regions, "c");
+    expect_spared(&regions, "n1", from);
+    regions.chill("n1", 0);
+    std::thread::sleep(Duration::from_millis(1000));
+    let from = Instant::now();
+    ask_on(&regions, "w");
+    let warm = regions.upstreams("n1").map(|upstream| most_within_second(upstream, from)).max();
+    assert!(warm > Some(12), "warm ones are asked again");
+}
+
+#[test]
+fn all_replicas_cold() {
+    let regions = cold_world();
+    regions.chill("n1", 10_000);
+    regions.chill("s1", 10_000);
+    std::thread::sleep(Duration::from_millis(1000));
+    let from = Instant::now();
+    ask_on(&regions, "a");
+    expect_spared(&regions, "n1", from);
+    expect_spared(&regions, "s1", from);
+    let asked: usize = regions.upstreams("n1").map(|upstream| most_within_second(upstream, from)).sum();
+    assert!(asked > 0, "they get some of what they bear");
+}
+
+#[test]
+fn cold_after_evacuation() {
+    let regions = cold_world();
+    regions.evacuate("n1", true);
+    for daemon in 0..3 {
+        regions.await_only(daemon, "/all/", &["s1"]);
+    }
+    let from = Instant::now();
+    regions.evacuate("n1", false);
+    ask_on(&regions, "e");
+    expect_spared(&regions, "n1", from);
+}
--- a/crates/harefield/tests/processes/site_regions.rs
+++ b/crates/harefield/tests/processes/site_regions.rs
@@ -24,6 +24,8 @@
     pub daemons: Vec<Daemon>,
     upstreams: BTreeMap<String, SignedSearcher>,
     zones: BTreeMap<String, String>,
+    /// What a cold upstream bears a second, as published; none where that is not bound.
+    pub cold_per_s: f64,
 }
 
 impl Regions {
@@ -31,8 +33,13 @@
     /// shards `s1` to `s3` and the service `one` with an upstream in `n1` and in `s1` each.
     pub fn start(zones: &[&str], cell: usize) -> Self {
         let store = SiteStore::start();
-        let mut regions =
-            Self { store, daemons: Vec::new(), upstreams: BTreeMap::new(), zones: BTreeMap::new() };
+        let mut regions = Self {
+            store,
+            daemons: Vec::new(),
+            upstreams: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            cold_per_s: 0.0,
+        };
         for service in ["s1", "s2", "s3", "one"] {
             regions.add("n1", service);
             regions.add("s1", service);
@@ -71,13 +78,25 @@
     /// Publishes a version whose routes may be served in some regions only; everywhere
     /// where none is named.
     pub fn publish(&self, version: u64, homes: &[&str]) {
-        let services = ["s1", "s2", "s3", "one"].map(|name| json!({ "name": name, "connectionLimit": 26 }));
+        let cold = self.cold_per_s;
+        let services = ["s1", "s2", "s3", "one"]
+            .map(|name| json!({ "name": name, "connectionLimit": 26, "coldStartS": 3.0, "coldPerS": cold }));
         let config = json!({
             "version": version, "routes": routes(homes), "services": services, "limits": limits(),
         });
         self.store.put("op/config", Some(&config));
     }
 
+    /// Writes the entries of a zone's upstreams again, which are cold for so long.
+    pub fn chill(&self, zone: &str, millis: u64) {
+        for (name, upstream) in self.upstreams.iter().filter(|(name, _)| self.zones[*name] == zone) {
+            let service = name.split('-').next().expect("it has a service");
+            let mut entry = entry_at(upstream.address(), zone, service, "ready");
+            entry["coldRemainingMs"] = json!(millis);
+            self.store.put(&upstream.key(), Some(&entry));
+        }
+    }
+
     /// Asks that nothing more is sent to a zone's upstreams, or takes that back.
     pub fn evacuate(&self, zone: &str, asked: bool) {
         let empty = json!({});
