Cold upstreams get a fixed part of their allowance from each daemon

Cause: what upstreams say of cold spells was dropped; all daemons turned to one that came back as they do to a warm one (42 to 46 requests within a second where 6 are borne, own test). Ruled out: a token that daemons pass on (state, and lost with its holder); parts by who is seen to answer (each daemon that is cut off would take itself for the only one; the drawn fleets of tests/decisions/cold.rs show it with liveness in the ranking). Change: half of coldPerS x overage + slack is given out, to the daemons that stand nearest to the upstream among all that may ask it, whether they are seen to answer or not; each counts what it sends within a second, whatever the cause. One that starts has no part for 3 s, nor before it has heard of another. A zone that is taken back, an upstream that started again or could not be reached counts as cold until it says otherwise; warm replicas go first. Server-Load is decoded strictly, three or four numbers; the fourth is not used yet.

--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -12,6 +12,7 @@
 use harefield::domain::cell;
 use harefield::domain::cell::CellSize;
 use harefield::domain::cell::Cells;
+use harefield::domain::cold::Bound;
 use harefield::domain::feed::Change;
 use harefield::domain::feed::Items;
 use harefield::domain::hosts::HostList;
@@ -137,6 +138,7 @@
         fleet: &[],
         size: CellSize::default(),
         places: &PLACES,
+        cold: Bound::default(),
     }
 }
 
@@ -166,9 +168,9 @@
     let listed = millis(begun);
 
     let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 1, Instant::now());
-    router.apply(&second);
+    router.apply(&second, begun);
     let begun = Instant::now();
-    router.apply(&third);
+    router.apply(&third, begun);
     let taken = millis(begun);
     println!(
         "| {upstreams} | {read:.1} | {judged:.2} | {planned:.2} | {listed:.1} | {taken:.2} | {} |",
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 
 use crate::domain::cell::CellSize;
+use crate::domain::cold::Bound;
 use crate::domain::routing::Policy;
 
 /// All settings of a daemon.
@@ -112,13 +114,32 @@
     pub watch_ms: u64,
     /// Within which time a confirmed change is to be in force, in milliseconds.
     pub apply_ms: u64,
+    /// Within which time nothing more is sent to an availability zone that is evacuated, in
+    /// milliseconds, where that is sooner.
+    pub evacuate_ms: Option<u64>,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
 }
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self { addresses: Vec::new(), kind: PlatformKind::Own, watch_ms: 20_000, apply_ms: 3000, readers: 2 }
+        Self {
+            addresses: Vec::new(),
+            kind: PlatformKind::Own,
+            watch_ms: 20_000,
+            apply_ms: 3000,
+            evacuate_ms: None,
+            readers: 2,
+        }
+    }
+}
+
+impl PlatformSettings {
+    /// Returns within which time whatever is confirmed is to be in force.
+    #[must_use]
+    pub fn in_force(&self) -> Duration {
+        let soonest = self.evacuate_ms.map_or(self.apply_ms, |evacuate| evacuate.min(self.apply_ms));
+        Duration::from_millis(soonest)
     }
 }
 
@@ -217,6 +238,10 @@
     /// How many connections to each upstream a daemon that dials it should have
     /// room for; with the upstreams' own limits that bounds the cell.
     pub connections: usize,
+    /// The fleet may send this many times what a cold upstream bears a second.
+    pub cold_overage: f64,
+    /// What the fleet may send to a cold upstream within a second on top of that, in requests.
+    pub cold_slack: f64,
     /// How long a reply that is no longer wanted is awaited to keep its
     /// connection, in milliseconds.
     pub drain_ms: u64,
@@ -234,11 +259,21 @@
             fixed_ms: None,
             cell_size: CellSize::default().most,
             connections: CellSize::default().wanted,
+            cold_overage: Bound::default().overage,
+            cold_slack: Bound::default().slack,
             drain_ms: 1000,
         }
     }
 }
 
+impl Routing {
+    /// Returns how far above what cold upstreams bear the fleet may go.
+    #[must_use]
+    pub fn cold(&self) -> Bound {
+        Bound { overage: self.cold_overage, slack: self.cold_slack }
+    }
+}
+
 /// How a planned stop goes.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/harefield/src/adapters/upstreams/protocol.rs
+++ b/crates/harefield/src/adapters/upstreams/protocol.rs
@@ -105,7 +105,7 @@
 
 fn read_load(headers: &HeaderMap) -> Option<Load> {
     let (active, queued) = text(headers, "harefield-load")?.split_once('/')?;
-    Some(Load { active: active.parse().ok()?, queued: queued.parse().ok()? })
+    Some(Load { active: active.parse().ok()?, queued: queued.parse().ok()?, slowness: None })
 }
 
 fn read_word(headers: &HeaderMap) -> Option<Word> {
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -19,6 +19,7 @@
 use super::wordbook::Wordbook;
 use crate::domain::cell::Candidate;
 use crate::domain::cell::CellSize;
+use crate::domain::cold::Bound;
 use crate::domain::configuration::Configuration;
 use crate::domain::configuration::Offer;
 use crate::domain::event::Event;
@@ -76,6 +77,8 @@
     pub places: Places,
     /// How large cells may be.
     pub cell: CellSize,
+    /// How far above what cold upstreams bear the fleet may go.
+    pub cold: Bound,
     /// Whether the platform lists the daemons; else cells are assigned among
     /// those that know each other.
     pub listed: bool,
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -48,6 +48,7 @@
             fleet: &self.fleet.borrow(),
             size: self.settings.cell,
             places: &self.settings.places,
+            cold: self.settings.cold,
         })
     }
 
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -146,6 +146,8 @@
         capacity: settings.host.capacity(),
         incarnation: context.incarnation,
         number,
+        workers: u32::try_from(settings.limits.workers).unwrap_or(u32::MAX),
+        others: settings.peers.seeds.iter().any(|seed| seed.to_string() != *context.host),
         gate: GateLimits { running: settings.limits.running, waiting: settings.limits.waiting },
         policy: routing.policy,
         extra: routing.extra_load,
@@ -213,10 +215,11 @@
         join: Duration::from_millis(settings.peers.join_ms),
         first_start: settings.peers.first_start,
         watch: Duration::from_millis(settings.platform.watch_ms),
-        pace: Pace::new(Duration::from_millis(settings.platform.apply_ms)),
+        pace: Pace::new(settings.platform.in_force()),
         readers: settings.platform.readers,
         places: places(context),
         cell: settings.cell(),
+        cold: settings.routing.cold(),
         listed: settings.platform.kind == PlatformKind::Own,
     }
 }
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod cell;
 pub mod code;
+pub mod cold;
 pub mod configuration;
 pub mod event;
 pub mod fanout;
--- a/crates/harefield/src/domain/outcome.rs
+++ b/crates/harefield/src/domain/outcome.rs
@@ -38,6 +38,8 @@
     SnapshotWrong,
     /// The replica no longer holds the shard.
     ShardMoved,
+    /// The replicas are cold, and get what they bear.
+    Cold,
     /// Every replica is busy, shedding or over its connection limit.
     Overloaded,
     /// No replica could be connected to.
@@ -72,6 +74,7 @@
             Self::SnapshotMissing => "snapshot-missing",
             Self::SnapshotWrong => "snapshot-wrong",
             Self::ShardMoved => "shard-moved",
+            Self::Cold => "cold",
             Self::Overloaded => "overloaded",
             Self::Unreachable => "unreachable",
             Self::ReplyLost => "reply-lost",
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -14,7 +14,7 @@
 use crate::domain::residency::Regions;
 
 /// Shards that are queried together, each with its replicas.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Service {
     /// The team that owns the service.
@@ -26,6 +26,19 @@
     /// How many connections each upstream takes that does not say so itself.
     #[serde(default)]
     pub connections: Option<u32>,
+    /// What its upstreams bear while they are cold; not bound where nobody says.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdLimit>,
+}
+
+/// What an upstream bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct ColdLimit {
+    /// Requests a second.
+    pub per_s: f64,
+    /// How long it is cold after a start, in milliseconds.
+    pub start_ms: u64,
 }
 
 /// One searcher behind the query tier.
@@ -55,6 +68,14 @@
     /// another start, nothing that was learnt of it holds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born: Option<u64>,
+    /// For how much longer it is cold, in milliseconds; 0 where it is warm.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde hands a reference")]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 const fn default_connect_ms() -> u32 {
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -12,6 +12,7 @@
 pub use fault::MAX_VALUE_BYTES;
 pub use kinds::Bounds;
 pub use kinds::Catalog;
+pub use kinds::ColdLimit;
 pub use kinds::Entry;
 pub use kinds::Evacuation;
 pub use kinds::Index;
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -94,6 +94,9 @@
         let unknown = Bar { gap: Gap::NoReplica, until: Until::Never };
         let searcher = self.searchers.get(name).ok_or(unknown)?;
         searcher.admits(version, now)?;
+        if searcher.cold.is_cold(now) && !self.settled.has_part(self.own.others, now) {
+            return Err(Bar { gap: Gap::Cold, until: Until::Never });
+        }
         Ok(self.policy.cost(searcher, typical, draw, now))
     }
 
@@ -107,7 +110,7 @@
             ask.untried().filter(|other| *other != name).filter_map(|other| self.searchers.get(other));
         let mut good = others.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
         let slow = searcher.on_probation() || good.any(|other| searcher.passed_over(other, typical));
-        let passed_over = slow || searcher.is_silent(typical, now);
+        let passed_over = slow || searcher.is_silent(typical, now) || searcher.cold.is_cold(now);
         Rank { passed_over, distance: searcher.distance, cost }
     }
 
@@ -124,6 +127,7 @@
                 s.distance <= chosen_one.distance
                     && s.passed_over(chosen_one, typical)
                     && s.probe_due(now)
+                    && !s.cold.is_cold(now)
                     && s.admits(ask.version, now).is_ok()
             })
         };
--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -86,7 +86,7 @@
     #[must_use]
     pub fn is_healthy(&self, typical: f64, now: Instant) -> bool {
         let usable = self.takes_work().is_ok() && !self.is_backed_off(now);
-        usable && !self.on_probation() && !self.is_silent(typical, now)
+        usable && !self.cold.is_cold(now) && !self.on_probation() && !self.is_silent(typical, now)
     }
 
     fn oldest_age(&self, now: Instant) -> f64 {
--- a/crates/harefield/src/domain/routing/report.rs
+++ b/crates/harefield/src/domain/routing/report.rs
@@ -13,6 +13,9 @@
     pub active: u32,
     /// Requests that wait for a slot.
     pub queued: u32,
+    /// How long work takes there at this moment, in percent of the usual time; none from
+    /// upstreams that do not say so.
+    pub slowness: Option<u32>,
 }
 
 /// What one attempt showed of an upstream.
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -18,8 +18,10 @@
 use super::report::Report;
 use super::report::Verdict;
 use super::searcher::Searcher;
+use super::settled::Settled;
 use crate::domain::cell::Cells;
 use crate::domain::cell::connection_share;
+use crate::domain::cold::Allowance;
 use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
@@ -48,6 +50,8 @@
     /// The time that a shard takes here, learnt.
     shard_time: Effort,
     pub(super) lease: Lease,
+    /// When this daemon began to know others.
+    pub(super) settled: Settled,
     seed: u64,
 }
 
@@ -58,11 +62,26 @@
     pub host: HostId,
     /// What it can carry, in thousandths of a core.
     pub capacity: u32,
+    /// How many workers it has, each with a router.
+    pub workers: u32,
+    /// The number of this one among them.
+    pub number: u32,
+    /// Whether there are to be other daemons, by its settings.
+    pub others: bool,
 }
 
 impl Default for Own {
     fn default() -> Self {
-        Self { host: HostId::default(), capacity: 1000 }
+        Self { host: HostId::default(), capacity: 1000, workers: 1, number: 0, others: false }
+    }
+}
+
+impl Own {
+    /// Returns this worker's part of what its daemon may send to a cold upstream.
+    fn cold_part(&self, allowance: Allowance) -> Allowance {
+        let workers = self.workers.max(1);
+        let part = allowance.part / workers + u32::from(self.number < allowance.part % workers);
+        Allowance { part, ..allowance }
     }
 }
 
@@ -82,6 +101,7 @@
             own: Own::default(),
             shard_time: Effort::default(),
             lease: Lease::new(now),
+            settled: Settled::new(now),
             seed,
         }
     }
@@ -133,22 +153,24 @@
     }
 
     /// Takes a new view: upstreams come and go, their state otherwise stays.
-    pub fn apply(&mut self, view: &View) {
+    pub fn apply(&mut self, view: &View, now: Instant) {
         let own = &view.upstreams;
         self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0);
         for (name, upstream) in own {
-            let OwnUpstream { spec, sharers, connections } = upstream;
+            let OwnUpstream { spec, sharers, connections, cold } = upstream;
+            let cold = cold.map(|cold| self.own.cold_part(cold));
             let sharers = (*sharers).max(self.least_sharers);
             let share = connection_share(*connections, sharers);
             self.budgets.share_services(services_of(spec), sharers);
             let searcher = self
                 .searchers
                 .entry(Arc::clone(name))
-                .and_modify(|s| s.update(spec, share))
-                .or_insert_with(|| Searcher::new(Arc::clone(spec), sharers, share));
+                .and_modify(|s| s.update(spec, share, now))
+                .or_insert_with(|| Searcher::new(Arc::clone(spec), sharers, share).told(now));
+            searcher.cold.allow(cold);
             searcher.place(self.places.distance(&spec.zone));
             searcher.list(spec.leaving || view.leaving.contains(&spec.address));
-            searcher.evacuate(view.evacuated.contains(&spec.zone));
+            searcher.evacuate(view.evacuated.contains(&spec.zone), now);
         }
         for (name, searcher) in &mut self.searchers {
             if !own.contains_key(name) {
@@ -256,6 +278,13 @@
         }
     }
 
+    /// Takes that an upstream ended or could not be reached: it may start again, and be cold.
+    pub fn note_down(&mut self, name: &UpstreamId, now: Instant) {
+        if let Some(searcher) = self.searchers.get_mut(name) {
+            searcher.cold.suspect(now);
+        }
+    }
+
     /// Takes how many idle connections an upstream has.
     pub fn set_idle(&mut self, name: &UpstreamId, idle: usize) {
         if let Some(searcher) = self.searchers.get_mut(name) {
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -4,12 +4,14 @@
 //! expected to take in `estimate`.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::report::Bar;
 use super::report::Load;
 use super::report::Until;
 use super::window::Window;
+use crate::domain::cold::Spell;
 use crate::domain::ids::Version;
 use crate::domain::outcome::Gap;
 use crate::domain::places::Distance;
@@ -34,6 +36,7 @@
     pub(super) word: Word,
     pub(super) listed: bool,
     pub(super) evacuated: bool,
+    pub(super) cold: Spell,
     pub(super) shed: Option<Instant>,
     pub(super) failures: u32,
     pub(super) retry: Option<Instant>,
@@ -61,6 +64,7 @@
             word: Word::default(),
             listed: false,
             evacuated: false,
+            cold: Spell::default(),
             shed: None,
             failures: 0,
             retry: None,
@@ -68,16 +72,29 @@
         }
     }
 
+    /// Takes what its specification says of a cold spell.
+    #[must_use]
+    pub(super) fn told(mut self, now: Instant) -> Self {
+        self.cold.hear(Duration::from_millis(self.spec.cold_ms), now);
+        self
+    }
+
     /// Takes a new specification or share of the connections; a new address or start of the
     /// upstream starts afresh.
     ///
     /// One that crashed and came back under its name would be left alone for as long as the
     /// failures of the former one ask for, up to 4 s, and be judged by its times.
-    pub fn update(&mut self, spec: &Arc<Upstream>, share: u32) {
+    pub fn update(&mut self, spec: &Arc<Upstream>, share: u32, now: Instant) {
         if spec.address != self.spec.address || spec.born != self.spec.born {
-            *self = Self::new(Arc::clone(spec), 1, share);
+            let before = std::mem::take(&mut self.cold);
+            *self = Self { cold: before, ..Self::new(Arc::clone(spec), 1, share) };
+            // Its entry may be of before its start, and say that it is warm.
+            self.cold.suspect(now);
             return;
         }
+        if spec.cold_ms != self.spec.cold_ms {
+            self.cold.hear(Duration::from_millis(spec.cold_ms), now);
+        }
         self.spec = Arc::clone(spec);
         self.share = share;
         self.window.resize(self.share);
@@ -124,8 +141,12 @@
         self.listed = leaving;
     }
 
-    /// Takes whether its availability zone is evacuated.
-    pub fn evacuate(&mut self, evacuated: bool) {
+    /// Takes whether its availability zone is evacuated; when that is taken back, it may have
+    /// turned cold meanwhile.
+    pub fn evacuate(&mut self, evacuated: bool, now: Instant) {
+        if self.evacuated && !evacuated {
+            self.cold.suspect(now);
+        }
         self.evacuated = evacuated;
     }
 
@@ -170,6 +191,9 @@
         if let Some(at) = self.shed.filter(|at| now < *at) {
             return Err(Bar { gap: Gap::Overloaded, until: Until::At(at) });
         }
+        if let Some(at) = self.cold.barred_until(now) {
+            return Err(Bar { gap: Gap::Cold, until: Until::At(at) });
+        }
         if !self.window.has_room(self.under_way()) {
             return Err(Bar { gap: Gap::Overloaded, until: Until::Soon });
         }
@@ -198,6 +222,7 @@
     /// Notes that a request leaves at `now`.
     pub fn begin(&mut self, now: Instant) {
         self.starts.push(now);
+        self.cold.send(now);
         self.asked = Some(now);
     }
 
--- a/crates/harefield/src/domain/routing/zones.rs
+++ b/crates/harefield/src/domain/routing/zones.rs
@@ -29,6 +29,10 @@
             live: row.state == PeerState::Live,
             capacity: row.capacity,
         });
+        let mut seen = seen.peekable();
+        if seen.peek().is_some() {
+            self.settled.meet();
+        }
         self.relays.update(seen);
     }
 
@@ -54,7 +58,7 @@
     /// members of the index's cell there, this one among them.
     #[must_use]
     pub fn carriers(&self, index: &str, region: &str, kind: &Arc<str>, now: Instant) -> Vec<Carrier> {
-        let Own { host, capacity } = &self.own;
+        let Own { host, capacity, .. } = &self.own;
         let own = (host, &self.places.zone, *capacity);
         let others = self.relays.capacities(kind, now).filter(|(host, ..)| self.is_member(index, host));
         let all = std::iter::once(own).chain(others);
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::OwnUpstream;
 use super::View;
@@ -17,31 +18,45 @@
 use super::plan::Sources;
 use super::plan::Weighted;
 use crate::domain::cell;
+use crate::domain::cell::Candidate;
 use crate::domain::cell::Cells;
+use crate::domain::cold;
+use crate::domain::cold::Allowance;
 use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::shard_id;
 use crate::domain::residency::Residency;
+use crate::domain::resources::ColdLimit;
 use crate::domain::resources::Index;
 use crate::domain::resources::Lookup;
 use crate::domain::resources::ResourceSet;
 use crate::domain::resources::Service;
 use crate::domain::resources::Snapshot;
+use crate::domain::resources::Upstream;
 
 /// Works out one view.
 pub(super) struct Builder<'a> {
     sources: &'a ViewSources<'a>,
     cells: &'a Cells,
     before: &'a View,
+    /// The cells as they would be if all daemons answered.
+    static_cells: &'a Cells,
+    fleet: HashMap<&'a HostId, &'a Candidate>,
     /// Plans over whole indexes, which lookups share.
     plans: RefCell<HashMap<String, Vec<Arc<Plan>>>>,
 }
 
 impl<'a> Builder<'a> {
     /// Prepares the work on the view that follows `before`.
-    pub(super) fn new(sources: &'a ViewSources<'a>, cells: &'a Cells, before: &'a View) -> Self {
-        Self { sources, cells, before, plans: RefCell::default() }
+    pub(super) fn new(
+        sources: &'a ViewSources<'a>,
+        cells: &'a Cells,
+        before: &'a View,
+        static_cells: &'a Cells,
+    ) -> Self {
+        let fleet = sources.fleet.iter().map(|candidate| (&candidate.host, candidate)).collect();
+        Self { sources, cells, before, static_cells, fleet, plans: RefCell::default() }
     }
 
     fn is_member(&self, index: &str) -> bool {
@@ -170,10 +185,32 @@
             let spec = Arc::clone(set.upstreams.get(name)?);
             let sharers = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
             let connections = cell::connections(set, &spec);
-            Some((Arc::clone(name), OwnUpstream { spec, sharers, connections }))
+            let cold = self.cold_allowance(name, &spec);
+            Some((Arc::clone(name), OwnUpstream { spec, sharers, connections, cold }))
         });
         own.collect()
     }
+
+    /// Returns what this daemon may send to an upstream while it is cold; none where none of
+    /// its services bounds that.
+    fn cold_allowance(&self, name: &UpstreamId, upstream: &Upstream) -> Option<Allowance> {
+        let services = || upstream.holds.iter().filter_map(|shard| shard.split_once('/'));
+        let limits = services().filter_map(|(service, _)| self.sources.set.services.get(service)?.cold);
+        let ColdLimit { per_s, start_ms } = limits.min_by(|a, b| a.per_s.total_cmp(&b.per_s))?;
+        let indexes = self.sources.set.indexes.iter().filter(|(_, index)| {
+            let named =
+                |(service, _): (&str, &str)| index.snapshots.iter().any(|s| s.shards.contains_key(service));
+            services().any(named)
+        });
+        let cells = indexes.filter_map(|(index, _)| self.static_cells.get(index));
+        let hosts: HashSet<&HostId> = cells.flat_map(|cell| cell.iter()).collect();
+        let members: Vec<&Candidate> =
+            hosts.iter().filter_map(|host| self.fleet.get(host).copied()).collect();
+        let ViewSources { own, places, cold, .. } = self.sources;
+        let part = cold::part(cold.given_out(per_s), name, &upstream.zone, &members, own, places);
+        let part = u32::try_from(part).unwrap_or(u32::MAX);
+        Some(Allowance { part, spell: Duration::from_millis(start_ms) })
+    }
 }
 
 /// Returns the services of an index, over all its snapshots.
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -25,6 +25,8 @@
 use super::cell::Candidate;
 use super::cell::CellSize;
 use super::cell::Cells;
+use super::cold::Allowance;
+use super::cold::Bound;
 use super::hosts::HostList;
 use super::ids::Edition;
 use super::ids::HostId;
@@ -44,6 +46,8 @@
     pub sharers: u32,
     /// How many connections it takes in all.
     pub connections: u32,
+    /// What this daemon may send to it while it is cold; none where that is not bound.
+    pub cold: Option<Allowance>,
 }
 
 /// What a view is worked out from.
@@ -65,6 +69,8 @@
     pub size: CellSize,
     /// Which region each availability zone is in.
     pub places: &'a Places,
+    /// How far above what cold upstreams bear the fleet may go.
+    pub cold: Bound,
 }
 
 /// Everything that a request is decided on, immutable.
@@ -109,7 +115,8 @@
         } else {
             cell::assign(&sizes, &daemons)
         };
-        let builder = Builder::new(sources, &cells, self);
+        let static_cells = static_cells(sources, &sizes);
+        let builder = Builder::new(sources, &cells, self, &static_cells);
         let lookups = builder.lookups();
         let upstreams = builder.upstreams();
         let paths = Paths::new(&lookups);
@@ -136,3 +143,15 @@
         self.paths.lookup_at(host, path)
     }
 }
+
+/// Returns the cells as they would be if all daemons answered: those who share what a cold
+/// upstream bears do not change with who is seen to. Empty where nothing is bound, or the
+/// platform lists the daemons.
+fn static_cells(sources: &ViewSources<'_>, sizes: &BTreeMap<Arc<str>, usize>) -> Cells {
+    if sources.set.services.values().all(|service| service.cold.is_none()) {
+        return Cells::default();
+    }
+    let live = |candidate: &Candidate| Candidate { live: true, ..candidate.clone() };
+    let fleet: Vec<Candidate> = sources.fleet.iter().map(live).collect();
+    cell::assign_by_zone(sizes, &fleet)
+}
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -325,6 +325,9 @@
         {
             self.duty_trace().emit(Event::LimitChanged { upstream: Arc::clone(upstream), window });
         }
+        if matches!(end.end.gap(), Some(Gap::Unreachable | Gap::UpstreamEnded)) {
+            router.note_down(upstream, now);
+        }
         if end.verdict == Verdict::Good && attempt.send.cause != Cause::Probe {
             router.sample(&attempt.job.kind, upstream, now.saturating_duration_since(*start));
         }
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -54,7 +54,7 @@
     }
 
     fn take_view(&self, view: Arc<View>) {
-        self.router.borrow_mut().apply(&view);
+        self.router.borrow_mut().apply(&view, self.ports.clock.now());
         self.ports.upstreams.keep_only(|name| view.upstreams.contains_key(name));
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -64,6 +64,10 @@
     pub incarnation: Incarnation,
     /// The worker's number.
     pub number: usize,
+    /// How many workers the daemon has.
+    pub workers: u32,
+    /// Whether there are to be other daemons.
+    pub others: bool,
     /// Bounds of each gate.
     pub gate: GateLimits,
     /// How a replica is chosen.
@@ -181,7 +185,13 @@
             None => Budget::new(settings.extra),
         };
         let router = Router::new(settings.policy, budgets, settings.seed, ports.clock.now());
-        let own = Own { host: Arc::clone(&settings.host), capacity: settings.capacity };
+        let own = Own {
+            host: Arc::clone(&settings.host),
+            capacity: settings.capacity,
+            workers: settings.workers,
+            number: u32::try_from(settings.number).unwrap_or(u32::MAX),
+            others: settings.others,
+        };
         let router = router.at(settings.places.clone()).sharing(settings.daemons).of(own);
         let known = settings.daemons;
         Rc::new(Self {
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Deserializer;
@@ -12,6 +13,7 @@
 use crate::domain::ids::shard_id;
 use crate::domain::resources::Bounds;
 use crate::domain::resources::Catalog;
+use crate::domain::resources::ColdLimit;
 use crate::domain::resources::Entry;
 use crate::domain::resources::Index;
 use crate::domain::resources::Lookup;
@@ -21,6 +23,7 @@
 use crate::domain::resources::Split;
 use crate::domain::resources::Upstream;
 use crate::domain::resources::Urgency;
+use crate::domain::time::millis;
 
 /// The one shard that each of the users' services is.
 const SHARD: &str = "all";
@@ -35,6 +38,14 @@
 /// Routes of at most this rank are ordinary, those beyond it bulk work.
 const ORDINARY_RANK: u32 = 2;
 
+/// Cold spells are kept in steps of so many milliseconds: an upstream writes its entry again
+/// each second or so while it warms up, and each change would be told to every daemon. The
+/// users' spells of 3 s are then told twice, as they begin and as they end.
+const COLD_STEP_MS: f64 = 5000.0;
+
+/// The longest cold spell, in steps: ten minutes.
+const MOST_COLD_STEPS: f64 = 120.0;
+
 /// Weights come as fractions too; they are kept in these parts of one.
 const WEIGHT_PARTS: f64 = 1000.0;
 
@@ -93,6 +104,19 @@
 struct ServiceLimits {
     name: Arc<str>,
     connection_limit: Option<u32>,
+    /// How long an upstream is cold after a start, in seconds.
+    #[serde(default)]
+    cold_start_s: f64,
+    /// How many requests a second a cold one bears; not bound where it is 0.
+    #[serde(default)]
+    cold_per_s: f64,
+}
+
+impl ServiceLimits {
+    fn cold(&self) -> Option<ColdLimit> {
+        let start = Duration::try_from_secs_f64(self.cold_start_s).unwrap_or_default();
+        (self.cold_per_s > 0.0).then_some(ColdLimit { per_s: self.cold_per_s, start_ms: millis(start) })
+    }
 }
 
 /// Bounds on what a client may send.
@@ -117,9 +141,8 @@
     _software: String,
     slots: NonZeroU32,
     state: State,
-    /// For how much longer it is slow from its start, in milliseconds.
-    #[serde(rename = "coldRemainingMs")]
-    _cold: f64,
+    /// For how much longer it is cold, in milliseconds.
+    cold_remaining_ms: f64,
     #[serde(rename = "sequence")]
     _sequence: u64,
     /// When its process started, in milliseconds since the epoch; not from upstreams whose
@@ -166,7 +189,7 @@
         ..Catalog::default()
     };
     for limits in published.services {
-        let service = service(limits.connection_limit);
+        let service = Service { cold: limits.cold(), ..service(limits.connection_limit) };
         catalog.services.insert(limits.name, service);
     }
     for route in published.routes {
@@ -198,12 +221,21 @@
         holds: vec![shard_id(&registered.service, SHARD)],
         leaving: registered.state == State::Draining,
         born: registered.born,
+        cold_ms: cold_step(registered.cold_remaining_ms),
     })
 }
 
+/// Returns how long an upstream is cold, in whole steps, and never less than it says.
+fn cold_step(remaining: f64) -> u64 {
+    let steps = (remaining / COLD_STEP_MS).ceil().clamp(0.0, MOST_COLD_STEPS);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "it was clamped")]
+    let cold = (steps * COLD_STEP_MS) as u64;
+    cold
+}
+
 fn service(connections: Option<u32>) -> Service {
     let shards = BTreeMap::from([(SHARD.into(), Vec::new())]);
-    Service { team: String::new(), shards, connections }
+    Service { team: String::new(), shards, connections, cold: None }
 }
 
 /// Decodes a route, and adds the indexes that it asks; none where it names no
--- a/crates/harefield/src/platform/headers.rs
+++ b/crates/harefield/src/platform/headers.rs
@@ -22,7 +22,8 @@
 /// Present where an upstream did not run a request and never will.
 pub(super) const NOT_RUN: &str = "not-executed";
 
-/// An upstream's load: requests running, requests waiting, slots.
+/// An upstream's load: requests running, requests waiting, slots, and from some how long
+/// work takes at this moment, in percent of the usual time.
 pub(super) const LOAD: &str = "server-load";
 
 /// The signatures of the shards' replies that an answer was merged from.
--- a/crates/harefield/src/platform/upstreams.rs
+++ b/crates/harefield/src/platform/upstreams.rs
@@ -74,11 +74,7 @@
     }
 
     fn report(&self, headers: &HeaderMap) -> Report {
-        let load = text(headers, headers::LOAD).and_then(|text| {
-            let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>());
-            Some(Load { active: numbers.next()?.ok()?, queued: numbers.next()?.ok()? })
-        });
-        Report { load, word: None }
+        Report { load: text(headers, headers::LOAD).and_then(load_of), word: None }
     }
 
     /// Closing the connection is the only word for it; see `keep`.
@@ -87,6 +83,16 @@
     }
 }
 
+/// Reads an upstream's load: three whole numbers, or four; nothing else is one.
+fn load_of(text: &str) -> Option<Load> {
+    let numbers: Result<Vec<u32>, _> = text.split(',').map(|number| number.trim().parse()).collect();
+    match numbers.ok()?[..] {
+        [active, queued, _slots] => Some(Load { active, queued, slowness: None }),
+        [active, queued, _slots, slowness] => Some(Load { active, queued, slowness: Some(slowness) }),
+        _ => None,
+    }
+}
+
 /// Says whether a reply is the one to this call: a late one to an earlier
 /// request carries that one's id.
 fn is_own(call: &Call, headers: &HeaderMap) -> bool {
--- /dev/null
+++ b/crates/harefield/tests/decisions/cold.rs
@@ -0,0 +1,261 @@
+//! What cold upstreams are sent over the whole fleet, whatever its daemons know of each
+//! other.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use serde_json::json;
+
+use crate::support::at;
+use crate::support::cases;
+use crate::support::items;
+use crate::support::replica;
+use crate::support::row;
+use crate::support::values;
+use harefield::domain::cell::Candidate;
+use harefield::domain::cell::CellSize;
+use harefield::domain::cold::Allowance;
+use harefield::domain::cold::Bound;
+use harefield::domain::cold::Spell;
+use harefield::domain::hosts::HostList;
+use harefield::domain::ids::HostId;
+use harefield::domain::membership::Row;
+use harefield::domain::outcome::Gap;
+use harefield::domain::places::Places;
+use harefield::domain::resources::ResourceSet;
+use harefield::domain::routing::Ask;
+use harefield::domain::routing::Budgets;
+use harefield::domain::routing::Own;
+use harefield::domain::routing::Policy;
+use harefield::domain::routing::Report;
+use harefield::domain::routing::Router;
+use harefield::domain::routing::Verdict;
+use harefield::domain::view::View;
+use harefield::domain::view::ViewSources;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// The fleet's own bounds.
+const BOUND: Bound = Bound { overage: 1.5, slack: 5.0 };
+
+/// How long others take to hear of a daemon that joins or leaves.
+const HEARD_AFTER: u64 = 1500;
+
+/// How long the fleet is watched, in milliseconds.
+const WATCHED: u64 = 9000;
+
+/// How often each daemon tries to send.
+const TRY_EVERY: u64 = 50;
+
+fn places(zone: &str) -> Places {
+    let regions = ZONES.iter().map(|zone| ((*zone).into(), (*zone).into())).collect();
+    Places { zone: zone.into(), regions }
+}
+
+/// Returns a set of one shard with one upstream, which is cold and bears `per_s`.
+fn set(per_s: f64, cold_ms: u64) -> Arc<ResourceSet> {
+    let mut all = values(1, 1, &[1]);
+    let upstream = all.get_mut(&format!("upstreams/{}", replica(0, 0))).expect("it is there");
+    upstream["holds"] = json!(["s/000"]);
+    upstream["cold-ms"] = json!(cold_ms);
+    all.get_mut("services/s").expect("it is there")["cold"] = json!({ "per-s": per_s, "start-ms": 3000 });
+    Arc::new(ResourceSet::parse(&items(all)).expect("the values are valid"))
+}
+
+/// A daemon of the fleet, from when on and until when it runs.
+#[derive(Clone, Copy, Debug)]
+struct Life {
+    number: usize,
+    from: u64,
+    until: u64,
+}
+
+impl Life {
+    fn candidate(self, live: bool) -> Candidate {
+        let row = row(self.number, ZONES[self.number % 3]);
+        Candidate { host: row.host, zone: row.zone, capacity: 1000, live }
+    }
+
+    /// Says whether another daemon knows it at a time: it hears of joins and ends late.
+    fn known_at(self, now: u64) -> bool {
+        (self.from == 0 || now >= self.from + HEARD_AFTER) && now < self.until.saturating_add(HEARD_AFTER)
+    }
+
+    fn runs_at(self, now: u64) -> bool {
+        (self.from..self.until).contains(&now)
+    }
+}
+
+/// One daemon, and what it knows.
+struct Node {
+    life: Life,
+    host: HostId,
+    view: View,
+    router: Router,
+}
+
+impl Node {
+    fn new(life: Life, start: Instant) -> Self {
+        let host = life.candidate(true).host;
+        let own = Own { host: Arc::clone(&host), others: true, ..Own::default() };
+        let places = places(ZONES[life.number % 3]);
+        let now = at(start, life.from);
+        let router = Router::new(Policy::Cost, Budgets::one(0.05), 7, now).at(places).of(own);
+        Self { life, host, view: View::default(), router }
+    }
+
+    /// Takes a view of those that it knows, whom it sees to answer or not.
+    fn learn(&mut self, fleet: &[Candidate], set: &Arc<ResourceSet>, now: Instant) {
+        self.view = self.view.next(&ViewSources {
+            own: &self.host,
+            revision: Some(1),
+            set,
+            listed: None,
+            hosts: &HostList::default(),
+            fleet,
+            size: CellSize { most: 24, wanted: 1 },
+            places: &places(ZONES[self.life.number % 3]),
+            cold: BOUND,
+        });
+        self.router.apply(&self.view, now);
+        let others = fleet.iter().filter(|other| other.host != self.host);
+        let rows: Vec<_> =
+            others.map(|other| Row { host: Arc::clone(&other.host), ..row(0, &other.zone) }).collect();
+        self.router.see_daemons(&rows);
+    }
+
+    /// Sends if it may; returns whether it did.
+    fn send(&mut self, now: Instant) -> bool {
+        self.router.lease_mut().renew(now);
+        let Some(plan) = self.view.lookups["l"].plans.first() else { return false };
+        let ask = Ask { replicas: &plan.shards[0].replicas, tried: &[], version: 1, kind: &"l".into() };
+        let Ok(choice) = self.router.choose(&ask, now) else { return false };
+        self.router.begin(&choice.upstream, now);
+        self.router.end(&choice.upstream, now, Verdict::Good, &Report::default(), now);
+        true
+    }
+}
+
+/// Returns the most sends within one second.
+fn most_within_second(sent: &[u64]) -> usize {
+    let within = |from: &u64| sent.iter().filter(|at| (*from..from + 1000).contains(at)).count();
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// Lets all daemons try to send at any time; `answers` says whom each sees to answer.
+fn play(lives: &[Life], per_s: f64, mut answers: impl FnMut() -> bool) -> Vec<u64> {
+    let start = Instant::now();
+    let published = set(per_s, 60_000);
+    let mut nodes: Vec<Node> = lives.iter().map(|life| Node::new(*life, start)).collect();
+    let mut sent = Vec::new();
+    for step in 0..WATCHED / TRY_EVERY {
+        let now = step * TRY_EVERY;
+        for node in &mut nodes {
+            if !node.life.runs_at(now) {
+                continue;
+            }
+            if step.is_multiple_of(10) || node.view.lookups.is_empty() {
+                let known = lives.iter().filter(|life| life.number == node.life.number || life.known_at(now));
+                let fleet: Vec<Candidate> =
+                    known.map(|life| life.candidate(life.number == node.life.number || answers())).collect();
+                node.learn(&fleet, &published, at(start, now));
+            }
+            if node.send(at(start, now)) {
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+proptest! {
+    #![proptest_config(cases(24))]
+
+    #[test]
+    fn bound_holds(
+        stay in 1_usize..24,
+        joins in prop::collection::vec(0_u64..6000, 0..8),
+        ends in prop::collection::vec(0_u64..6000, 0..8),
+        per_s in prop::sample::select(vec![0.5, 2.0, 6.0, 25.0]),
+        seeds in prop::collection::vec(any::<bool>(), 64),
+    ) {
+        let lasting = (0..stay).map(|number| (number, 0, u64::MAX));
+        let joining = joins.iter().enumerate().map(|(n, from)| (100 + n, *from, u64::MAX));
+        let ending = ends.iter().enumerate().map(|(n, until)| (200 + n, 0, *until));
+        let lives: Vec<Life> = lasting
+            .chain(joining)
+            .chain(ending)
+            .map(|(number, from, until)| Life { number, from, until })
+            .collect();
+        let mut turn = 0;
+        let sent = play(&lives, per_s, || {
+            turn += 1;
+            seeds[turn % seeds.len()]
+        });
+        let allowed = (per_s * BOUND.overage + BOUND.slack).floor();
+        let most = most_within_second(&sent);
+        let most = f64::from(u32::try_from(most).expect("they are few"));
+        prop_assert!(most <= allowed, "{most} of {allowed}");
+    }
+}
+
+#[test]
+fn allowance_is_used() {
+    let lives: Vec<Life> = (0..9).map(|number| Life { number, from: 0, until: u64::MAX }).collect();
+    let sent = play(&lives, 25.0, || true);
+    let late = sent.iter().filter(|at| **at >= 4000).count();
+    assert!(late >= 75, "{late} sends in 5 s of some 105 that are given out");
+    assert!(sent.iter().all(|at| *at >= 3000), "daemons that start keep away");
+}
+
+#[test]
+fn cut_off_starter_abstains() {
+    // One that starts and hears of nobody has no part, however long that lasts.
+    let start = Instant::now();
+    let life = Life { number: 0, from: 0, until: u64::MAX };
+    let mut node = Node::new(life, start);
+    let set = set(25.0, 60_000);
+    for now in (0..30).map(|second| at(start, second * 1000)) {
+        node.learn(&[life.candidate(true)], &set, now);
+        assert!(!node.send(now));
+    }
+}
+
+#[test]
+fn spell_ends() {
+    let start = Instant::now();
+    let mut spell = Spell::default();
+    spell.hear(Duration::from_secs(3), start);
+    assert!(!spell.is_cold(start), "nothing bounds it");
+    spell.allow(Some(Allowance { part: 2, spell: Duration::from_secs(3) }));
+    assert!(spell.is_cold(at(start, 2999)) && !spell.is_cold(at(start, 3000)));
+    for millis in [0, 100] {
+        assert_eq!(spell.barred_until(at(start, millis)), None);
+        spell.send(at(start, millis));
+    }
+    assert_eq!(spell.barred_until(at(start, 200)), Some(at(start, 1000)));
+    assert_eq!(spell.barred_until(at(start, 1000)), None);
+    spell.hear(Duration::ZERO, at(start, 1500));
+    assert!(!spell.is_cold(at(start, 1500)));
+    spell.suspect(at(start, 2000));
+    assert!(spell.is_cold(at(start, 4999)), "it may have started again");
+}
+
+#[test]
+fn without_part_missing() {
+    let start = Instant::now();
+    let lives: Vec<Life> = (0..9).map(|number| Life { number, from: 0, until: u64::MAX }).collect();
+    let fleet: Vec<Candidate> = lives.iter().map(|life| life.candidate(true)).collect();
+    let set = set(6.0, 60_000);
+    // It stands elsewhere than those that share what the upstream bears.
+    let mut node = Node::new(lives[1], start);
+    node.learn(&fleet, &set, start);
+    let now = at(start, 5000);
+    node.router.lease_mut().renew(now);
+    node.router.lease_mut().confirm(now, now);
+    let plan = Arc::clone(&node.view.lookups["l"].plans[0]);
+    let ask = Ask { replicas: &plan.shards[0].replicas, tried: &[], version: 1, kind: &"l".into() };
+    assert!(node.router.choose(&ask, now).is_err_and(|bar| bar.gap == Gap::Cold));
+}
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -94,7 +94,7 @@
         let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
         let view = view(&set);
         let mut router = Router::new(Policy::Cost, budgets, 7, now).at(places());
-        router.apply(&view);
+        router.apply(&view, now);
         router.see_daemons([&daemon(zone, live)]);
         let rules = Rules {
             kind: "l".into(),
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod cells;
 mod clock;
 mod codes;
+mod cold;
 mod configuration;
 mod entries;
 mod fanout;
--- a/crates/harefield/tests/decisions/residency.rs
+++ b/crates/harefield/tests/decisions/residency.rs
@@ -15,6 +15,7 @@
 use crate::support::router;
 use crate::support::values;
 use harefield::domain::cell::CellSize;
+use harefield::domain::cold::Bound;
 use harefield::domain::feed::Change;
 use harefield::domain::hosts::HostList;
 use harefield::domain::outcome::Gap;
@@ -67,6 +68,7 @@
         fleet: &[],
         size: CellSize::default(),
         places: &places(),
+        cold: Bound::default(),
     })
 }
 
@@ -116,7 +118,7 @@
             set = changed(&set, &format!("evacuations/{}", ZONES[zone]), begins.then_some("{}"));
             empty.insert(ZONES[zone], begins);
             view = next(&view, &set);
-            router.apply(&view);
+            router.apply(&view, now);
             router.lease_mut().renew(now);
             for shard in &view.lookups["l"].plans[0].shards {
                 let ask = Ask { replicas: &shard.replicas, tried: &[], version: 1, kind: &"l".into() };
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -60,8 +60,8 @@
 fn lying_report_loses() {
     let now = Instant::now();
     let (mut router, names) = two(now);
-    let idle = Report { load: Some(Load { active: 0, queued: 0 }), word: None };
-    let busy = Report { load: Some(Load { active: 2, queued: 1000 }), word: None };
+    let idle = Report { load: Some(Load { active: 0, queued: 0, slowness: None }), word: None };
+    let busy = Report { load: Some(Load { active: 2, queued: 1000, slowness: None }), word: None };
     serve(&mut router, &names[0], 40, 10, now, &idle);
     serve(&mut router, &names[1], 4, 10, now, &busy);
     let chosen = choose(&mut router, &names, at(now, 41));
@@ -176,7 +176,7 @@
     let (mut router, names) = two(now);
     serve(&mut router, &names[0], 8, 20, now, &Report::default());
     let full = router.searcher(&names[0]).expect("it is known").window().size();
-    let queue = Report { load: Some(Load { active: 2, queued: 6 }), word: None };
+    let queue = Report { load: Some(Load { active: 2, queued: 6, slowness: None }), word: None };
     serve(&mut router, &names[0], 8, 20, now, &queue);
     let same = router.searcher(&names[0]).expect("it is known").window().size();
     assert!((same - full).abs() < 1e-9, "a queue that costs no time is a lie");
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -114,9 +114,9 @@
         let regions =
             [("a", "r1"), ("b", "r1"), ("c", "r2")].map(|(zone, region)| (zone.into(), region.into()));
         let places = Places { zone: Arc::clone(&own.zone), regions: BTreeMap::from(regions) };
-        let own = Own { host: Arc::clone(&own.host), capacity: own.capacity };
+        let own = Own { host: Arc::clone(&own.host), capacity: own.capacity, ..Own::default() };
         let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 7, now).at(places).of(own.clone());
-        router.apply(&view);
+        router.apply(&view, now);
         router.see_daemons(self.rows.iter().filter(|row| row.host != own.host));
         for row in silent.iter().map(|number| &self.rows[*number]) {
             router.relays_mut().begin(&row.host, now);
@@ -273,8 +273,11 @@
 
 #[test]
 fn effort_is_learnt() {
-    let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 7, Instant::now())
-        .of(Own { host: "10.0.0.1:1".into(), capacity: 500 });
+    let mut router = Router::new(Policy::Cost, Budgets::one(0.05), 7, Instant::now()).of(Own {
+        host: "10.0.0.1:1".into(),
+        capacity: 500,
+        ..Own::default()
+    });
     for _ in 0..100 {
         router.sample_sending(100, Duration::from_millis(20));
         router.sample_sending(2, Duration::from_secs(1));
--- a/crates/harefield/tests/decisions/starts.rs
+++ b/crates/harefield/tests/decisions/starts.rs
@@ -22,6 +22,7 @@
         holds: Vec::new(),
         leaving: false,
         born,
+        cold_ms: 0,
     })
 }
 
@@ -42,9 +43,9 @@
     for (before, after) in [(Some(1), Some(2)), (Some(2), Some(1)), (None, Some(1))] {
         let mut searcher = failed(&spec(before, 80), now);
         assert!(searcher.is_backed_off(at(now, 10)));
-        searcher.update(&spec(before, 80), SHARE);
+        searcher.update(&spec(before, 80), SHARE, now);
         assert!(searcher.is_backed_off(at(now, 10)), "its entry was written again");
-        searcher.update(&spec(after, 80), SHARE);
+        searcher.update(&spec(after, 80), SHARE, now);
         assert!(!searcher.is_backed_off(at(now, 10)), "{before:?} to {after:?}");
     }
 }
@@ -57,7 +58,7 @@
     for _ in 0..6 {
         searcher.begin(now);
     }
-    searcher.update(&spec(Some(2), 80), SHARE);
+    searcher.update(&spec(Some(2), 80), SHARE, now);
     assert_eq!(searcher.under_way(), 0);
     for _ in 0..6 {
         searcher.end(now, Verdict::Broken, &Report::default(), at(now, 5));
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -20,6 +20,7 @@
 use harefield::control::ControlPorts;
 use harefield::control::ControlSettings;
 use harefield::domain::cell::CellSize;
+use harefield::domain::cold::Bound;
 use harefield::domain::feed::Change;
 use harefield::domain::freshness::Pace;
 use harefield::domain::ids::Revision;
@@ -105,6 +106,7 @@
             watch: tuning.watch,
             pace: Pace::new(tuning.apply),
             readers: tuning.readers,
+            cold: Bound::default(),
             cell: CellSize::default(),
             places: Places::default(),
             listed: true,
--- a/crates/harefield/tests/processes/site_cold.rs
+++ b/crates/harefield/tests/processes/site_cold.rs
@@ -46,7 +46,7 @@
     let mut regions = Regions::start(&["n1", "n2", "s1"], 24);
     regions.cold_per_s = PER_S;
     regions.publish(2, &[]);
-    std::thread::sleep(Duration::from_millis(1000));
+    std::thread::sleep(Duration::from_secs(1));
     regions
 }
 
@@ -54,12 +54,12 @@
 fn cold_upstreams_spared() {
     let regions = cold_world();
     regions.chill("n1", 10_000);
-    std::thread::sleep(Duration::from_millis(1000));
+    std::thread::sleep(Duration::from_secs(1));
     let from = Instant::now();
     ask_on(&regions, "c");
     expect_spared(&regions, "n1", from);
     regions.chill("n1", 0);
-    std::thread::sleep(Duration::from_millis(1000));
+    std::thread::sleep(Duration::from_secs(1));
     let from = Instant::now();
     ask_on(&regions, "w");
     let warm = regions.upstreams("n1").map(|upstream| most_within_second(upstream, from)).max();
@@ -71,7 +71,7 @@
     let regions = cold_world();
     regions.chill("n1", 10_000);
     regions.chill("s1", 10_000);
-    std::thread::sleep(Duration::from_millis(1000));
+    std::thread::sleep(Duration::from_secs(1));
     let from = Instant::now();
     ask_on(&regions, "a");
     expect_spared(&regions, "n1", from);
