--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -17,6 +17,7 @@
 mod merging;
 mod objectives;
 mod once;
+mod overload;
 mod overrun;
 mod reach;
 mod readers;
