Gate: as many run as make their objective, and nobody waits past it

Twelve fan-outs ran at once at each daemon, whatever their shards said, which is 420 ms of work before each shard; and who waited had a third of 2 s for it. Change: a fan-out with an objective tells when half of its shards and when enough of them were in.

--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -64,12 +64,6 @@
 /// it may be an upstream that is slow, and not a crowd.
 const SLOW_LIMIT: f64 = 2.0;
 
-/// Crowds of fan-outs that go by an objective do not shrink the limit below this,
-/// in requests at once: they are answered without the shards that have no room, so
-/// what waits before them only comes late. It is above what a daemon of today runs
-/// at once under load.
-const OBJECTIVE_LIMIT: f64 = 12.0;
-
 /// A limit shrinks by this factor.
 const SHRINK: f64 = 0.7;
 
@@ -114,6 +108,8 @@
     total: usize,
     queues: [Queue; CLASSES],
     time: f64,
+    /// The usual time until a fan-out that goes by an objective has enough, in seconds.
+    enough: f64,
     best: Option<f64>,
     shrunk: Option<Instant>,
     urgent: Option<Instant>,
@@ -150,6 +146,7 @@
             total: 0,
             queues: Default::default(),
             time: FIRST_TIME,
+            enough: FIRST_TIME,
             best: None,
             shrunk: None,
             urgent: None,
@@ -205,11 +202,13 @@
         self.exit(team);
         let seconds = took.as_secs_f64();
         self.time += (seconds - self.time) * GAIN;
+        if let Some(progress) = crowd.progress {
+            self.enough += (progress.enough.as_secs_f64() - self.enough) * GAIN;
+        }
         let best = self.best.map_or(seconds, |best| (best * BEST_DRIFT).min(seconds));
         self.best = Some(best);
         if crowd.is_crowded() {
-            let floor = if crowd.objective { OBJECTIVE_LIMIT } else { LEAST_LIMIT };
-            self.shrink(floor, took, now);
+            self.shrink(LEAST_LIMIT, took, now);
         } else if seconds > best * SLOWER && !crowd.objective {
             self.shrink(SLOW_LIMIT, took, now);
         } else if number(self.total) + 2.0 >= self.limit {
@@ -294,12 +293,22 @@
         }
         let left = arrival.deadline.saturating_duration_since(now);
         let need = Duration::from_secs_f64(self.time * ROOM);
-        if wait > left / PATIENCE || wait + need > left {
+        let hopeless = now + wait > self.leaves_at(arrival);
+        if hopeless || wait > left / PATIENCE || wait + need > left {
             return Some(Entry::Refuse(Code::TooLate, wait));
         }
         None
     }
 
+    /// Returns when a request that waits can no longer make its objective, or its deadline
+    /// where it has none, and is refused.
+    #[must_use]
+    pub fn leaves_at(&self, arrival: &Arrival) -> Instant {
+        let usual = Duration::from_secs_f64(self.enough);
+        let due = arrival.due.map_or(arrival.deadline, |due| due.checked_sub(usual).unwrap_or(due));
+        due.min(arrival.deadline)
+    }
+
     /// Returns how long a new arrival would wait.
     #[must_use]
     pub fn expected_wait(&self, urgency: Urgency) -> Duration {
@@ -310,11 +319,13 @@
         let need = Duration::from_secs_f64(self.time * ROOM);
         let wait = self.expected_wait(Urgency::Ordinary);
         let mut called = Vec::new();
+        let usual = Duration::from_secs_f64(self.enough);
+        let late = |w: &Waiter| {
+            now + need > w.arrival.deadline || w.arrival.due.is_some_and(|due| now + usual > due)
+        };
         for queue in &mut self.queues {
-            while queue.waiters.front().is_some_and(|w| now + need > w.arrival.deadline) {
-                let late = queue.waiters.pop_front();
-                called.extend(late.map(|w| Called::Refuse(w.id, wait)));
-            }
+            called.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| Called::Refuse(w.id, wait)));
+            queue.waiters.retain(|w| !late(w));
         }
         called
     }
--- a/crates/harefield/src/domain/admission/mod.rs
+++ b/crates/harefield/src/domain/admission/mod.rs
@@ -9,6 +9,7 @@
 mod queue;
 
 pub use crowd::Crowd;
+pub use crowd::Progress;
 pub use gate::Called;
 pub use gate::Entry;
 pub use gate::Gate;
--- a/crates/harefield/src/domain/admission/queue.rs
+++ b/crates/harefield/src/domain/admission/queue.rs
@@ -22,6 +22,8 @@
     pub team: Arc<str>,
     /// When it must be answered.
     pub deadline: Instant,
+    /// By when it is wanted, where that is sooner and was not over when it came.
+    pub due: Option<Instant>,
     /// Whether its objective had passed when it came.
     pub late: bool,
 }
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -16,6 +16,7 @@
 use super::shard::Shard;
 use super::step::Step;
 use crate::domain::admission::Crowd;
+use crate::domain::admission::Progress;
 use crate::domain::event::Cause;
 use crate::domain::event::Drop;
 use crate::domain::event::Event;
@@ -39,6 +40,10 @@
     pub(super) shards: Vec<Shard>,
     pub(super) next: AttemptId,
     contributed: usize,
+    /// When it began, and when half of its shards and enough for an answer were in.
+    begun: Option<Instant>,
+    half: Option<Instant>,
+    enough: Option<Instant>,
     /// The shards that this daemon asks first itself.
     own: Vec<usize>,
     /// The groups that are out.
@@ -66,6 +71,9 @@
             shards,
             next: first,
             contributed: 0,
+            begun: None,
+            half: None,
+            enough: None,
             own,
             handed: Vec::new(),
             open,
@@ -82,11 +90,16 @@
         &self.plan
     }
 
-    /// Returns how many shards had to wait for room.
+    /// Returns how it found the upstreams.
     #[must_use]
-    pub fn crowd(&self) -> Crowd {
+    pub fn crowd(&self, now: Instant) -> Crowd {
         let waited = self.shards.iter().filter(|shard| shard.waited).count();
-        Crowd { waited, shards: self.shards.len(), objective: self.rules.objective.is_some() }
+        let progress = self.rules.cut.zip(self.begun).map(|(cut, begun)| Progress {
+            half: self.half.unwrap_or(now).saturating_duration_since(begun),
+            enough: self.enough.unwrap_or(now).saturating_duration_since(begun),
+            allowed: cut.saturating_duration_since(self.rules.start),
+        });
+        Crowd { waited, shards: self.shards.len(), objective: self.rules.objective.is_some(), progress }
     }
 
     /// Returns whether it only waits for its last shards: its objective has passed, and
@@ -119,6 +132,7 @@
     /// have a hop and another daemon's work before them.
     pub fn start_groups(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = Step::new(now, router, sink);
+        self.begun = Some(now);
         self.own = self.hand_on(&mut step);
         step.actions
     }
@@ -262,6 +276,12 @@
     fn contribute<S: Sink>(&mut self, shard: usize, body: Reply, step: &mut Step<'_, S>) {
         self.shards[shard].part = Some(body);
         self.contributed += 1;
+        if self.half.is_none() && self.contributed * 2 >= self.shards.len() {
+            self.half = Some(step.now);
+        }
+        if self.enough.is_none() && self.contributed >= self.rules.least(self.shards.len()) {
+            self.enough = Some(step.now);
+        }
         self.open -= 1;
         self.cancel_flights(shard, step);
     }
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -195,12 +195,12 @@
             if fanout.is_straggling(now)
                 && let Some(permit) = permit.take_if(|permit| !permit.late)
             {
-                permit.leave(fanout.crowd());
+                permit.leave(fanout.crowd(now));
             }
         }
         // What is still out keeps its connection, and shows how its upstream does.
         tasks.detach();
-        let (next, crowd) = (fanout.next_attempt(), fanout.crowd());
+        let (next, crowd) = (fanout.next_attempt(), fanout.crowd(self.ports.clock.now()));
         FanoutEnd { finished: fanout.finish(), next, crowd }
     }
 
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -41,7 +41,13 @@
     /// Returns the request as it stands before the gate.
     pub fn arrival(&self) -> Arrival {
         let Lookup { urgency, team, .. } = &*self.plan.lookup;
-        Arrival { urgency: *urgency, team: team.as_str().into(), deadline: self.deadline, late: self.late }
+        Arrival {
+            urgency: *urgency,
+            team: team.as_str().into(),
+            deadline: self.deadline,
+            due: self.objective.filter(|_| !self.late),
+            late: self.late,
+        }
     }
 
     /// Returns when half of the time until the deadline is over.
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -129,8 +129,9 @@
             calls: calls.clone(),
             settled: false,
         };
+        let until = self.gates.borrow().get(index).map_or(arrival.deadline, |gate| gate.leaves_at(arrival));
         let expired = async {
-            self.ports.clock.sleep_until(arrival.deadline).await;
+            self.ports.clock.sleep_until(until).await;
             None
         };
         let called = async { calls.recv().await.ok() }.or(expired).await;
--- a/crates/harefield/tests/decisions/admission.rs
+++ b/crates/harefield/tests/decisions/admission.rs
@@ -22,7 +22,7 @@
 const LIMITS: GateLimits = GateLimits { running: 32, waiting: 8 };
 
 fn arrival(urgency: Urgency, team: &str, deadline: Instant) -> Arrival {
-    Arrival { urgency, team: team.into(), deadline, late: false }
+    Arrival { urgency, team: team.into(), deadline, due: None, late: false }
 }
 
 /// Fills a gate until nobody else is let in at once.
@@ -205,7 +205,7 @@
     let now = Instant::now();
     let (mut gate, running) = full_gate(now);
     let before = gate.limit();
-    let crowd = Crowd { waited: 0, shards: 20, objective: true };
+    let crowd = Crowd { waited: 0, shards: 20, objective: true, progress: None };
     for number in 0..running {
         let took = Duration::from_millis(if number == 0 { 10 } else { 190 });
         gate.leave(&"t".into(), took, crowd, at(now, 200));
@@ -218,7 +218,7 @@
     let now = Instant::now();
     let (mut gate, _) = full_gate(now);
     let before = gate.limit();
-    let crowd = Crowd { waited: 5, shards: 20, objective: false };
+    let crowd = Crowd { waited: 5, shards: 20, objective: false, progress: None };
     gate.leave(&"t".into(), Duration::from_millis(10), crowd, now);
     assert!(gate.limit() < before);
     let shrunk = gate.limit();
@@ -274,7 +274,7 @@
                 }
                 Step::Leave(n, waited) if !running.is_empty() => {
                     let team = running.swap_remove(n % running.len());
-                    let crowd = Crowd { waited, shards: 20, objective: false };
+                    let crowd = Crowd { waited, shards: 20, objective: false, progress: None };
                     for called in gate.leave(&team, Duration::from_millis(20), crowd, now) {
                         let (Called::Run(id) | Called::Refuse(id, _)) = called;
                         let team = waiting.remove(&id).expect("it was waiting");
--- a/crates/harefield/tests/decisions/overload.rs
+++ b/crates/harefield/tests/decisions/overload.rs
@@ -17,6 +17,7 @@
 use harefield::domain::admission::Entry;
 use harefield::domain::admission::Gate;
 use harefield::domain::admission::GateLimits;
+use harefield::domain::admission::Progress;
 use harefield::domain::admission::WaiterId;
 use harefield::domain::resources::Urgency;
 
@@ -58,6 +59,13 @@
     again: bool,
 }
 
+impl Caller {
+    /// Says whether its objective had passed when it came, which counts from its first try.
+    fn is_late(&self) -> bool {
+        self.came + MARGIN_MS >= self.first + OBJECTIVE_MS
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     caller: Caller,
@@ -137,15 +145,16 @@
             in_at.push(begins + work);
         }
         in_at.sort_unstable();
-        let due = if caller.again { now + OBJECTIVE_MS } else { caller.came + OBJECTIVE_MS - MARGIN_MS };
+        let from = if caller.is_late() { now } else { caller.first };
+        let due = from + OBJECTIVE_MS - MARGIN_MS;
         self.running.push(Running { caller, daemon, begun: now, due, waited, in_at, left: false });
     }
 
-    fn called(&mut self, daemon: usize, called: Vec<Called>, now: u64) {
-        for call in called {
+    fn take(&mut self, daemon: usize, calls: Vec<Called>, now: u64) {
+        for call in calls {
             let (Called::Run(id) | Called::Refuse(id, _)) = call;
-            let held = self.waiting[daemon].iter().position(|(held, _)| *held == id).expect("it waits");
-            let (_, caller) = self.waiting[daemon].swap_remove(held);
+            let place = self.waiting[daemon].iter().position(|(held, _)| *held == id).expect("it waits");
+            let (_, caller) = self.waiting[daemon].swap_remove(place);
             match call {
                 Called::Run(_) => self.run(daemon, caller, now),
                 Called::Refuse(_, wait) => self.refuse(caller, wait, now),
@@ -173,7 +182,7 @@
         for (daemon, took, crowd) in ended {
             let took = Duration::from_millis(took);
             let called = self.gates[daemon].leave(&"t".into(), took, crowd, at(self.start, now));
-            self.called(daemon, called, now);
+            self.take(daemon, called, now);
         }
     }
 
@@ -181,7 +190,7 @@
         self.answer(now);
         for daemon in 0..DAEMONS {
             let called = self.gates[daemon].call(at(self.start, now));
-            self.called(daemon, called, now);
+            self.take(daemon, called, now);
         }
         let due: Vec<Caller> =
             self.returns.iter().filter(|(back, _)| *back <= now).map(|(_, caller)| *caller).collect();
@@ -198,12 +207,16 @@
         urgency: Urgency::Urgent,
         team,
         deadline: at(start, caller.first + PATIENCE_MS),
-        late: caller.came > caller.first + OBJECTIVE_MS,
+        due: (!caller.is_late()).then(|| at(start, caller.first + OBJECTIVE_MS - MARGIN_MS)),
+        late: caller.is_late(),
     }
 }
 
 fn crowd_of(running: &Running) -> Crowd {
-    Crowd { waited: running.waited, shards: SHARDS, objective: true }
+    let after = |count: usize| Duration::from_millis(running.in_at[count - 1] - running.begun);
+    let allowed = Duration::from_millis(OBJECTIVE_MS - MARGIN_MS);
+    let progress = Progress { half: after(SHARDS / 2), enough: after(ENOUGH), allowed };
+    Crowd { waited: running.waited, shards: SHARDS, objective: true, progress: Some(progress) }
 }
 
 /// Returns how many a second are answered in time at `per_s`.
