Refused callers are given turns to come back

Cause: everyone who was refused was told the wait of one more in the queue, fifty in a millisecond the same 0.6 ms, and who waited in vain was told none; they came back together. Ruled out: longer waits alike for all (a wave later). Change: each refusal gives out the next turn, at the pace at which requests leave, 2 s ahead at most.

--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -12,6 +12,7 @@
 use super::queue::Waiter;
 use super::queue::WaiterId;
 use super::queue::number;
+use super::returns::Returns;
 use crate::domain::code::Code;
 use crate::domain::resources::Urgency;
 
@@ -115,6 +116,7 @@
     urgent: Option<Instant>,
     next: WaiterId,
     picks: u32,
+    returns: Returns,
 }
 
 /// How many classes wait apart: the urgencies, and those that came late.
@@ -152,6 +154,7 @@
             urgent: None,
             next: 0,
             picks: 0,
+            returns: Returns::default(),
         }
     }
 
@@ -186,8 +189,8 @@
             self.enter(&arrival.team);
             return Entry::Run;
         }
-        if let Some(refusal) = self.refuses(arrival, now) {
-            return refusal;
+        if let Some((code, wait)) = self.refuses(arrival, now) {
+            return Entry::Refuse(code, self.book(wait, now));
         }
         let id = self.next;
         self.next += 1;
@@ -279,23 +282,35 @@
         }
     }
 
-    fn refuses(&self, arrival: &Arrival, now: Instant) -> Option<Entry> {
+    /// Returns when a caller may come back that waited in vain, and went by itself.
+    pub fn turn(&mut self, now: Instant) -> Duration {
+        self.book(self.expected_wait(Urgency::Ordinary), now)
+    }
+
+    /// Returns when a refused caller may come back, who would wait for `wait`.
+    fn book(&mut self, wait: Duration, now: Instant) -> Duration {
+        let interval = Duration::from_secs_f64(self.time / self.limit);
+        self.returns.book(wait, interval, now)
+    }
+
+    /// Says why a request cannot wait, and how long it would.
+    fn refuses(&self, arrival: &Arrival, now: Instant) -> Option<(Code, Duration)> {
         let class = class(arrival);
         let queue = &self.queues[class].waiters;
         let wait = self.queues[class].wait(self.time / self.limit);
         if queue.len() >= self.limits.waiting {
-            return Some(Entry::Refuse(Code::QueueFull, wait));
+            return Some((Code::QueueFull, wait));
         }
         let own = queue.iter().filter(|w| w.arrival.team == arrival.team).count();
         let shared = own < queue.len() || self.running.keys().any(|team| *team != arrival.team);
         if shared && own * 2 >= self.limits.waiting {
-            return Some(Entry::Refuse(Code::TeamShare, wait));
+            return Some((Code::TeamShare, wait));
         }
         let left = arrival.deadline.saturating_duration_since(now);
         let need = Duration::from_secs_f64(self.time * ROOM);
         let hopeless = now + wait > self.leaves_at(arrival);
         if hopeless || wait > left / PATIENCE || wait + need > left {
-            return Some(Entry::Refuse(Code::TooLate, wait));
+            return Some((Code::TooLate, wait));
         }
         None
     }
@@ -323,10 +338,12 @@
         let late = |w: &Waiter| {
             now + need > w.arrival.deadline || w.arrival.due.is_some_and(|due| now + usual > due)
         };
+        let mut refused = Vec::new();
         for queue in &mut self.queues {
-            called.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| Called::Refuse(w.id, wait)));
+            refused.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| w.id));
             queue.waiters.retain(|w| !late(w));
         }
+        called.extend(refused.into_iter().map(|id| Called::Refuse(id, self.book(wait, now))));
         called
     }
 
--- a/crates/harefield/src/domain/admission/mod.rs
+++ b/crates/harefield/src/domain/admission/mod.rs
@@ -7,6 +7,7 @@
 mod crowd;
 mod gate;
 mod queue;
+mod returns;
 
 pub use crowd::Crowd;
 pub use crowd::Progress;
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -144,10 +144,15 @@
                 waiting.settled = true;
                 Err(GateRefusal { code: Code::TooLate, wait })
             }
-            None => Err(GateRefusal { code: Code::TooLate, wait: Duration::ZERO }),
+            None => Err(GateRefusal { code: Code::TooLate, wait: self.next_turn(index) }),
         }
     }
 
+    fn next_turn(&self, index: &Arc<str>) -> Duration {
+        let now = self.ports.clock.now();
+        self.gates.borrow_mut().get_mut(index).map_or(Duration::ZERO, |gate| gate.turn(now))
+    }
+
     fn leave_gate(
         &self,
         index: &Arc<str>,
--- a/crates/harefield/tests/decisions/admission.rs
+++ b/crates/harefield/tests/decisions/admission.rs
@@ -198,6 +198,23 @@
     assert!(matches!(entry, Entry::Wait(_)), "a long wait once does not refuse for ever: {entry:?}");
 }
 
+#[test]
+fn refused_return_in_turn() {
+    // Callers that are refused together are not told to come back together.
+    let now = Instant::now();
+    let (mut gate, _) = full_gate(now);
+    let hopeless = arrival(Urgency::Ordinary, "t", at(now, 1));
+    let refused = |gate: &mut Gate, now: Instant| match gate.arrive(&hopeless, now) {
+        Entry::Refuse(_, wait) => wait,
+        other => panic!("{other:?}"),
+    };
+    let waits: Vec<Duration> = (0..50).map(|_| refused(&mut gate, now)).collect();
+    assert!(waits.is_sorted_by(|a, b| a < b), "each has a turn of its own: {waits:?}");
+    assert!(waits.iter().all(|wait| *wait <= Duration::from_secs(2)));
+    let later = at(now, 1000);
+    assert!(refused(&mut gate, later) < waits[49], "turns that have passed are not waited for");
+}
+
 #[test]
 fn objective_not_crowd() {
     // A fan-out that goes by an objective takes as long as its slowest shards
