--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -11,8 +11,8 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 
-use super::caution::Shown;
 use super::gate::Permit;
+use super::job::Job;
 use super::message::ToControl;
 use super::worker::Worker;
 use crate::domain::admission::Crowd;
@@ -30,18 +30,14 @@
 use crate::domain::fanout::Rules;
 use crate::domain::fanout::Send;
 use crate::domain::ids::AttemptId;
-use crate::domain::ids::RequestId;
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
-use crate::domain::query::Query;
-use crate::domain::residency::Regions;
 use crate::domain::routing::LEAST_SHARDS;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
 use crate::domain::suspects::Standing;
 use crate::domain::view::Plan;
 use crate::domain::word::NamedWord;
-use crate::domain::work::Work;
 use crate::ports::Call;
 use crate::ports::CallEnd;
 use crate::ports::Clock;
@@ -74,26 +70,6 @@
     }
 }
 
-/// What all attempts of a request share.
-#[derive(Clone)]
-pub(super) struct Job {
-    pub request: RequestId,
-    pub kind: Arc<str>,
-    pub query: Query,
-    pub deadline: Instant,
-    pub once: bool,
-    /// What is asked, and for whom.
-    pub work: Work,
-    /// Whether it is the whole request, and no group of another daemon's.
-    pub whole: bool,
-    /// What the attempts have shown of the work.
-    pub shown: Shown,
-    /// How many records are kept where replies are merged.
-    pub merge: Option<usize>,
-    /// The only regions in which it may be served; everywhere where empty.
-    pub regions: Regions,
-}
-
 /// One attempt, as its task carries it.
 pub(super) struct Attempt {
     pub job: Job,
--- a/crates/harefield/src/engine/caution.rs
+++ b/crates/harefield/src/engine/caution.rs
@@ -1,7 +1,6 @@
 //! Requests under whose like upstreams ended: what attempts show of them, and running them
 //! alone or not at all.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -12,9 +11,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::Attempt;
-use super::attempt::Job;
 use super::find::Found;
 use super::handing::is_elsewhere;
+use super::job::Job;
+use super::job::Out;
 use super::message::LookupRequest;
 use super::message::Origin;
 use super::message::ToControl;
@@ -62,44 +62,6 @@
 /// How often a request looks whether the trial of its work has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(2);
 
-/// What the attempts of one fan-out show of its work.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Shown {
-    /// How many attempts and groups are out.
-    out: Rc<Cell<u32>>,
-    /// Whether an upstream has answered.
-    answered: Rc<Cell<bool>>,
-}
-
-/// An attempt or group that is out.
-#[derive(Debug)]
-pub(super) struct Out {
-    out: Rc<Cell<u32>>,
-    began_alone: bool,
-}
-
-impl Shown {
-    /// Counts an attempt or group as out until dropped.
-    pub fn begin(&self) -> Out {
-        let others = self.out.get();
-        self.out.set(others + 1);
-        Out { out: Rc::clone(&self.out), began_alone: others == 0 }
-    }
-}
-
-impl Out {
-    /// Says whether nothing else of the fan-out was out when it began, nor is now.
-    fn is_alone(&self) -> bool {
-        self.began_alone && self.out.get() == 1
-    }
-}
-
-impl Drop for Out {
-    fn drop(&mut self) {
-        self.out.set(self.out.get() - 1);
-    }
-}
-
 /// The one trial of a work in this worker, until dropped.
 struct Trial<'a> {
     under_way: &'a RefCell<HashSet<WorkId>>,
@@ -344,22 +306,3 @@
         Outcome::MayHaveRun => Some(may_have_run(trace, finished.code)),
     }
 }
-
-impl Job {
-    /// Creates what all attempts of a request share.
-    pub(super) fn new(request: &LookupRequest, found: &Found, id: Option<&Arc<str>>) -> Self {
-        let lookup = &found.plan.lookup;
-        Self {
-            request: id.map(Arc::clone).unwrap_or_default(),
-            kind: Arc::clone(&found.plan.name),
-            work: found.work,
-            query: request.query.clone(),
-            deadline: found.deadline,
-            once: !lookup.repeatable,
-            merge: lookup.merge,
-            regions: Arc::clone(&lookup.regions),
-            whole: true,
-            shown: Shown::default(),
-        }
-    }
-}
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -8,9 +8,9 @@
 use async_channel::Sender;
 use async_executor::Task;
 
-use super::attempt::Job;
 use super::attempt::Landed;
 use super::handing::TRAVEL;
+use super::job::Job;
 use super::worker::Worker;
 use crate::domain::event::Event;
 use crate::domain::fanout::Brought;
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -1,7 +1,7 @@
 //! A worker: runs the requests of its connections on one thread.
 //!
 //! `run` holds the life of a request: `find` finds its plan, `gate` lets it in,
-//! `attempt` carries out its fan-out, with `group` and `relay` for shards of other
+//! `attempt` carries out its fan-out, whose attempts share a `job`, with `group` and `relay` for shards of other
 //! availability zones; `forward`, with `members` and `handing`, is for requests that
 //! another daemon runs, `once` for those that run once, `caution` for those that may end
 //! who runs them. `updates`, `status` and `warm`
@@ -17,6 +17,7 @@
 mod gate;
 mod group;
 mod handing;
+mod job;
 mod members;
 mod message;
 mod once;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::attempt::Job;
-use super::caution::Shown;
 use super::find::Found;
+use super::job::Job;
+use super::job::Shown;
 use super::worker::Worker;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::attempt::Job;
 use super::find::Found;
 use super::gate::Permit;
+use super::job::Job;
 use super::message::LookupRequest;
 use super::message::Origin;
 use super::worker::Worker;
--- a/crates/standin/src/mortal.rs
+++ b/crates/standin/src/mortal.rs
@@ -23,12 +23,10 @@
 
 use super::net;
 use super::net::Reply;
+use super::site::FATAL;
 use super::site::SiteStore;
 use super::site::entry_at;
 
-/// Requests whose path holds this end the upstream that runs them.
-pub const FATAL: &str = "/fatal";
-
 /// The record that each of them holds: one byte, repeated.
 const RECORD: [u8; 16] = [7; 16];
 
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -23,13 +23,15 @@
 use serde_json::Value;
 use serde_json::json;
 
-use super::mortal::FATAL;
 use super::net;
 use super::net::Reply;
 
 /// How often a waiting watch looks for changes.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// Requests whose path holds this end the upstream that runs them.
+pub const FATAL: &str = "/fatal";
+
 /// Bytes of one record.
 const RECORD_BYTES: usize = 16;
 
