Workers forget suspects by their age, as control does

Cause: only the digest that control tells others takes out what is past; a worker tells nobody, so that ends hours apart added up there, and an innocent request ran alone. The test was seen failing (Alone in place of Free after two hours).

--- a/crates/harefield/src/domain/suspects/book.rs
+++ b/crates/harefield/src/domain/suspects/book.rs
@@ -117,7 +117,8 @@
             return Standing::Free;
         }
         let known = work.ids().filter_map(|id| self.held.get(&id));
-        known.map(|held| held.evidence.standing(now)).max().unwrap_or(Standing::Free)
+        let lasting = known.filter(|held| !held.evidence.is_past(now));
+        lasting.map(|held| held.evidence.standing(now)).max().unwrap_or(Standing::Free)
     }
 
     /// Returns what is known of a work, by its names.
@@ -176,6 +177,10 @@
         now: Instant,
         change: impl FnOnce(&mut Evidence) -> bool,
     ) -> Option<Suspect> {
+        // What is past counts for nothing, also where no digest has taken it out.
+        if self.held.get(&work).is_some_and(|held| held.evidence.is_past(now)) {
+            self.held.remove(&work);
+        }
         if !self.held.contains_key(&work) {
             self.make_room(now);
         }
--- a/crates/harefield/tests/decisions/suspects.rs
+++ b/crates/harefield/tests/decisions/suspects.rs
@@ -333,3 +333,20 @@
     }
     assert_eq!(suspects.standing(&work(1), at(start, 3000)), ALONE);
 }
+
+#[test]
+fn old_ends_forgotten() {
+    // A daemon that tells nobody of its suspects, as workers do, forgets them by their age too.
+    let (start, later) = (Instant::now(), Duration::from_hours(2));
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        suspects.end(&work(1), &upstream(number), true, at(start, number as u64 * 5000));
+    }
+    assert_ne!(suspects.standing(&work(1), at(start, 11_000)), Standing::Free);
+    assert_eq!(suspects.standing(&work(1), start + later), Standing::Free);
+    suspects.end(&work(1), &upstream(9), true, start + later);
+    let mut fresh = Suspects::default();
+    fresh.end(&work(1), &upstream(9), true, start + later);
+    let now = start + later + Duration::from_millis(10);
+    assert_eq!(suspects.standing(&work(1), now), fresh.standing(&work(1), now));
+}
