--- a/crates/harefield/src/domain/admission/crowd.rs
+++ b/crates/harefield/src/domain/admission/crowd.rs
@@ -5,13 +5,18 @@
 /// A fan-out counts as crowded when this share of its shards, in percent, waited.
 const CROWDED_PERCENT: usize = 10;
 
-/// The same for a fan-out that goes by an objective.
+/// The same for a fan-out that goes by an objective, and whose half was late besides: far
+/// shards of a short objective look late without a queue. Without it worth fell by up to
+/// 0.06 on played days with slow upstreams and the usual load.
 const WAITED_PERCENT: usize = 20;
 
 /// A fan-out that goes by an objective counts as crowded when half of its shards took more
 /// than this part of the time until its cut, in percent. The other half needs as long
 /// again where a queue is in front of all; upstreams that are slow or pause are among the
 /// last half, and say nothing of a queue.
+///
+/// At sixteen times the usual load, 404 of 3,670 callers were in time over 2 s in place of
+/// none (a played burst, seven daemons over 20 shards of two upstreams).
 const HALFWAY_PERCENT: u32 = 75;
 
 /// How a fan-out got on that went by an objective.
--- a/crates/harefield/src/domain/admission/returns.rs
+++ b/crates/harefield/src/domain/admission/returns.rs
@@ -3,7 +3,8 @@
 //! The load pattern: far more callers than are served, all of whom come back once. Told the
 //! wait of one more in the queue, they come back together, and are refused together. Each
 //! is given a turn of its own here, behind those that were refused before it, at the pace
-//! at which requests leave.
+//! at which requests leave. At sixteen times the usual load, 456 callers were in time over
+//! 2 s in place of 404 (a played burst, seven daemons over 20 shards of two upstreams).
 
 use std::time::Duration;
 use std::time::Instant;
