--- a/crates/harefield/tests/decisions/cold.rs
+++ b/crates/harefield/tests/decisions/cold.rs
@@ -40,6 +40,9 @@
 /// The fleet's own bounds.
 const BOUND: Bound = Bound { overage: 1.5, slack: 5.0 };
 
+/// The most members of a cell: two in each zone, so that most daemons are none.
+const MEMBERS: usize = 6;
+
 /// How long others take to hear of a daemon that joins or leaves.
 const HEARD_AFTER: u64 = 1500;
 
@@ -115,7 +118,7 @@
             listed: None,
             hosts: &HostList::default(),
             fleet,
-            size: CellSize { most: 24, wanted: 1 },
+            size: CellSize { most: MEMBERS, wanted: 1 },
             places: &places(ZONES[self.life.number % 3]),
             cold: BOUND,
         });
@@ -210,6 +213,15 @@
     assert!(sent.iter().all(|at| *at >= 3000), "daemons that start keep away");
 }
 
+#[test]
+fn each_cut_off() {
+    // Daemons that see nobody else answer are members of every cell in their own eyes.
+    let lives: Vec<Life> = (0..36).map(|number| Life { number, from: 0, until: u64::MAX }).collect();
+    let most = most_within_second(&play(&lives, 6.0, || false));
+    assert!(most <= 14, "{most} where 14 may come");
+    assert!(most > 0, "some of the allowance is used");
+}
+
 #[test]
 fn cut_off_starter_abstains() {
     // One that starts and hears of nobody has no part, however long that lasts.
--- a/crates/harefield/tests/processes/site_evacuation.rs
+++ b/crates/harefield/tests/processes/site_evacuation.rs
@@ -55,6 +55,16 @@
     expect_empty(&regions, "heard", &["n1"]);
 }
 
+#[test]
+fn read_at_start() {
+    let mut regions = Regions::prepare();
+    regions.evacuate("n1", true);
+    regions.add_daemon("n1", 24);
+    regions.await_all("/one/", 200);
+    assert_eq!(regions.zones_of("probe"), ["s1"]);
+    expect_empty(&regions, "start", &["n1"]);
+}
+
 #[test]
 fn last_replicas_evacuated() {
     let regions = Regions::start(&["n1"], 24);
--- a/crates/harefield/tests/processes/site_regions.rs
+++ b/crates/harefield/tests/processes/site_regions.rs
@@ -32,6 +32,18 @@
     /// Starts a daemon in each zone named, the first one the seed of the others, and the
     /// shards `s1` to `s3` and the service `one` with an upstream in `n1` and in `s1` each.
     pub fn start(zones: &[&str], cell: usize) -> Self {
+        let mut regions = Self::prepare();
+        for zone in zones {
+            regions.add_daemon(zone, cell);
+        }
+        let known = |daemon: &Daemon| daemon.status().peers.len() == zones.len();
+        await_true("they know each other", || regions.daemons.iter().all(known));
+        regions.await_all("/one/", 200);
+        regions
+    }
+
+    /// Starts the same without a daemon.
+    pub fn prepare() -> Self {
         let store = SiteStore::start();
         let mut regions = Self {
             store,
@@ -45,12 +57,6 @@
             regions.add("s1", service);
         }
         regions.publish(1, &[]);
-        for zone in zones {
-            regions.add_daemon(zone, cell);
-        }
-        let known = |daemon: &Daemon| daemon.status().peers.len() == zones.len();
-        await_true("they know each other", || regions.daemons.iter().all(known));
-        regions.await_all("/one/", 200);
         regions
     }
 
