When a waiting request is refused, and where a lookup may be served, stand once

The gate worked out in two places when a request can no longer make its objective: as it comes, and as the queue is looked through. Four callers made a lookup's residency from its field. Each is one function now; behaviour is as before.

--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -319,9 +319,7 @@
     /// where it has none, and is refused.
     #[must_use]
     pub fn leaves_at(&self, arrival: &Arrival) -> Instant {
-        let usual = Duration::from_secs_f64(self.enough);
-        let due = arrival.due.map_or(arrival.deadline, |due| due.checked_sub(usual).unwrap_or(due));
-        due.min(arrival.deadline)
+        leaves_at(arrival, self.enough)
     }
 
     /// Returns how long a new arrival would wait.
@@ -334,10 +332,8 @@
         let need = Duration::from_secs_f64(self.time * ROOM);
         let wait = self.expected_wait(Urgency::Ordinary);
         let mut called = Vec::new();
-        let usual = Duration::from_secs_f64(self.enough);
-        let late = |w: &Waiter| {
-            now + need > w.arrival.deadline || w.arrival.due.is_some_and(|due| now + usual > due)
-        };
+        let enough = self.enough;
+        let late = |w: &Waiter| now + need > w.arrival.deadline || now > leaves_at(&w.arrival, enough);
         let mut refused = Vec::new();
         for queue in &mut self.queues {
             refused.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| w.id));
@@ -384,3 +380,10 @@
         self.queues[class].call(at, now)
     }
 }
+
+/// Returns when a request that waits is refused, where one usually needs `enough` seconds.
+fn leaves_at(arrival: &Arrival, enough: f64) -> Instant {
+    let usual = Duration::from_secs_f64(enough);
+    let due = arrival.due.map_or(arrival.deadline, |due| due.checked_sub(usual).unwrap_or(due));
+    due.min(arrival.deadline)
+}
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -12,6 +12,7 @@
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 use crate::domain::residency::Regions;
+use crate::domain::residency::Residency;
 
 /// Shards that are queried together, each with its replicas.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -169,6 +170,14 @@
     pub regions: Regions,
 }
 
+impl Lookup {
+    /// Returns where it may be served.
+    #[must_use]
+    pub fn residency(&self) -> Residency<'_> {
+        Residency::new(&self.regions)
+    }
+}
+
 /// Asks that nothing more is sent to the upstreams of an availability zone, which its key
 /// names, for as long as it stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -26,7 +26,6 @@
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::shard_id;
-use crate::domain::residency::Residency;
 use crate::domain::resources::ColdLimit;
 use crate::domain::resources::Index;
 use crate::domain::resources::Lookup;
@@ -88,7 +87,7 @@
     fn allows(&self, lookup: &Lookup, upstream: &UpstreamId) -> bool {
         let zone = self.sources.set.upstreams.get(upstream).map(|upstream| &upstream.zone);
         let region = zone.map(|zone| self.sources.places.region_of(zone));
-        Residency::new(&lookup.regions).allows(region)
+        lookup.residency().allows(region)
     }
 
     /// Returns the availability zones of a shard's replicas.
@@ -111,7 +110,7 @@
                 let shards = service.shards.keys();
                 let holders = shards.map(|shard| set.holders.get(&shard_id(name, shard)).map(Arc::clone));
                 sources.holders.extend(holders);
-                if Residency::new(&lookup.regions).is_bound() {
+                if lookup.residency().is_bound() {
                     for shard in service.shards.keys() {
                         sources.zones.extend(self.zones_of(&shard_id(name, shard)));
                     }
@@ -141,7 +140,7 @@
     fn plans_of(&self, lookup: &Lookup, member: bool) -> Option<Vec<Arc<Plan>>> {
         let set = self.sources.set;
         let (index_name, index) = set.indexes.get_key_value(lookup.index.as_str())?;
-        let bound = Residency::new(&lookup.regions).is_bound();
+        let bound = lookup.residency().is_bound();
         let whole = lookup.services.is_empty() && !bound;
         if let Some(plans) = self.plans.borrow().get(lookup.index.as_str()).filter(|_| whole) {
             return Some(plans.clone());
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -19,7 +19,6 @@
 use super::worker::Worker;
 use crate::domain::code::Code;
 use crate::domain::outcome::Answer;
-use crate::domain::residency::Residency;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -136,7 +135,7 @@
     if handed.sent {
         return may_have_run(trace, Code::PeerSilent);
     }
-    if handed.tried.is_empty() && Residency::new(&found.plan.lookup.regions).is_bound() {
+    if handed.tried.is_empty() && found.plan.lookup.residency().is_bound() {
         return refuse(trace, Code::NoRegion, CHANGE_AWAITED);
     }
     let code = if handed.disagreed { Code::NotMember } else { Code::NoMember };
--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -10,7 +10,6 @@
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
 use crate::domain::places::Distance;
-use crate::domain::residency::Residency;
 use crate::domain::resources::Lookup;
 use crate::ports::Clock;
 use crate::ports::Peers;
@@ -48,7 +47,7 @@
         } else {
             peers.row(host).map(|row| &row.zone)
         };
-        Residency::new(&lookup.regions).allows(zone.map(|zone| places.region_of(zone)))
+        lookup.residency().allows(zone.map(|zone| places.region_of(zone)))
     }
 
     /// Returns those daemons, neither known to be gone nor silent, that are nearest.
