Sight: the era that the platform answers in, and listings that are refused as older

Which revisions the platform's listings had, in which era, and why they were refused could not be told from the logs of the incident. Both are told once for each change. No logic changes.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -175,6 +175,7 @@
             Event::HedgeDenied { .. } => "hedge-denied",
             Event::RetryDenied { .. } => "retry-denied",
             Event::ConfigRefused { .. } => "config-refused",
+            Event::NewsRefused { .. } => "news-refused",
             Event::CallerGone { .. } => "caller-gone",
             Event::Paused { .. } => "paused",
             Event::Confirmed { .. } => "confirmed",
--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -11,6 +11,7 @@
 use serde_json::value::RawValue;
 
 use super::http::Traffic;
+use super::reading::Answers;
 use super::reading::JsonReader;
 use super::reading::READ_LIMIT;
 use super::reading::deltas;
@@ -69,7 +70,7 @@
     /// Creates the adapter on one thread's executor; `traffic` counts its bytes.
     #[must_use]
     pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic) -> Self {
-        Self { reader: JsonReader::new(executor, traffic, &[StatusCode::GONE]) }
+        Self { reader: JsonReader::new(executor, traffic, Answers { gone: &[StatusCode::GONE], era: None }) }
     }
 }
 
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -1,6 +1,7 @@
 //! What the clients of a platform share: they read JSON from one of its copies,
 //! and put what changed in order.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,8 +9,10 @@
 
 use async_executor::LocalExecutor;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use log::info;
 use serde::de::DeserializeOwned;
 
 use super::http;
@@ -42,15 +45,35 @@
 pub struct JsonReader {
     executor: Rc<LocalExecutor<'static>>,
     traffic: Traffic,
-    gone: &'static [StatusCode],
+    answers: Answers,
+    /// The era that the copies last answered in.
+    era: Rc<RefCell<String>>,
+}
+
+/// What a platform's answers look like.
+#[derive(Clone, Copy, Debug)]
+pub struct Answers {
+    /// The statuses that say that there is nothing to read.
+    pub gone: &'static [StatusCode],
+    /// The header that names the era, where there is one.
+    pub era: Option<&'static str>,
 }
 
 impl JsonReader {
-    /// Creates a reader on one thread's executor; `traffic` counts its bytes, and
-    /// the statuses of `gone` say that there is nothing to read.
+    /// Creates a reader on one thread's executor; `traffic` counts its bytes.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic, gone: &'static [StatusCode]) -> Self {
-        Self { executor, traffic, gone }
+    pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic, answers: Answers) -> Self {
+        Self { executor, traffic, answers, era: Rc::default() }
+    }
+
+    /// Tells of an era that is not the one before; each outage may bring one.
+    fn note_era(&self, headers: &HeaderMap) {
+        let value = self.answers.era.and_then(|name| headers.get(name)?.to_str().ok());
+        let mut era = self.era.borrow_mut();
+        if let Some(value) = value.filter(|value| *value != *era) {
+            info!("the platform answers in era {value}, before in era {era:?}");
+            value.clone_into(&mut era);
+        }
     }
 
     /// Reads what stands under a path; none where it is gone.
@@ -70,9 +93,10 @@
         let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
         let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
         self.traffic.count(0, reply.body().len());
+        self.note_era(reply.headers());
         match reply.status() {
             StatusCode::OK => {}
-            status if self.gone.contains(&status) => return Ok(None),
+            status if self.answers.gone.contains(&status) => return Ok(None),
             _ => return Err(PlatformError::Unreachable),
         }
         let parsed = serde_json::from_slice(reply.body());
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -136,6 +136,8 @@
     pub(super) asked: Cell<Option<Instant>>,
     /// The revision of the platform up to which nothing is missing here.
     pub(super) cursor: Cell<Revision>,
+    /// What was last told to be refused as older, and what was held then.
+    pub(super) refused: Cell<Option<(Revision, Revision)>>,
 }
 
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
@@ -179,6 +181,7 @@
             told: Cell::new(None),
             asked: Cell::new(None),
             cursor: Cell::new(0),
+            refused: Cell::new(None),
         })
     }
 
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -172,6 +172,7 @@
         let Listing { first, items, .. } = listing;
         match space {
             Space::Config => {
+                self.note_refused(first);
                 let offer = self.config.borrow_mut().offer_all(first, &items);
                 self.judged(&offer);
             }
@@ -184,6 +185,14 @@
         }
     }
 
+    /// Tells of a listing that is older than what is held, once for each pair of revisions.
+    fn note_refused(&self, revision: Revision) {
+        let held = self.config.borrow().seen().unwrap_or_default();
+        if revision < held && self.refused.replace(Some((revision, held))) != Some((revision, held)) {
+            self.emit(Event::NewsRefused { revision, held });
+        }
+    }
+
     /// Watches a space once.
     pub(super) async fn watch(
         self: &Rc<Self>,
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -137,6 +137,9 @@
     ConfigAccepted { revision: Revision, from: String },
     /// A revision was refused.
     ConfigRefused { revision: Revision, faults: usize, first: String },
+    /// What the platform told is older than what is held, and was not taken; told once for
+    /// each pair.
+    NewsRefused { revision: Revision, held: Revision },
     /// A newer list of hosts is in use.
     HostsListed { revision: Revision, leaving: usize },
     /// An upstream's word changed.
--- a/crates/harefield/src/platform/headers.rs
+++ b/crates/harefield/src/platform/headers.rs
@@ -29,6 +29,9 @@
 /// The signatures of the shards' replies that an answer was merged from.
 pub(super) const SIGNATURES: &str = "part-seals";
 
+/// How often the store came back from a copy.
+pub(super) const ERA: &str = "store-era";
+
 /// How many shards an answer lacks.
 pub(super) const MISSING: &str = "missing-parts";
 
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -15,8 +15,10 @@
 use super::documents::EntryError;
 use super::documents::catalog_of;
 use super::documents::upstream_of;
+use super::headers;
 use super::left_out::LeftOut;
 use crate::adapters::http::Traffic;
+use crate::adapters::reading::Answers;
 use crate::adapters::reading::JsonReader;
 use crate::adapters::reading::READ_LIMIT;
 use crate::adapters::reading::deltas;
@@ -92,8 +94,8 @@
     /// `left_out` shows how many entries name no upstream.
     #[must_use]
     pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic, left_out: Gauge) -> Self {
-        let gone = &[StatusCode::GONE, StatusCode::NOT_FOUND];
-        Self { reader: JsonReader::new(executor, traffic, gone), left_out: LeftOut::new(left_out) }
+        let answers = Answers { gone: &[StatusCode::GONE, StatusCode::NOT_FOUND], era: Some(headers::ERA) };
+        Self { reader: JsonReader::new(executor, traffic, answers), left_out: LeftOut::new(left_out) }
     }
 
     async fn list_config(&self, copy: SocketAddr) -> Result<Listing, PlatformError> {
