--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -63,6 +63,17 @@
         site
     }
 
+    /// Ends all daemons at once, and starts as many, which know nothing.
+    pub fn restart_all(&mut self, platform: &str) {
+        let count = self.others.len();
+        self.daemons().for_each(|daemon| daemon.signal("KILL"));
+        self.others.clear();
+        self.daemon = Daemon::start(&settings(&self.store, platform, "", ""));
+        for _ in 0..count {
+            self.add_daemon(platform);
+        }
+    }
+
     /// Starts one more daemon, which knows the first one and reads the store as
     /// `platform` says.
     pub fn add_daemon(&mut self, platform: &str) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -33,6 +33,7 @@
 pub use platform::Platform;
 pub use searchers::Searchers;
 pub use searchers::Tally;
+pub use site::Away;
 pub use site::FATAL;
 pub use site::Manner;
 pub use site::SignedSearcher;
