A listing that is refused as older is read again after a pause

Beside a copy that is behind and refuses watches, a daemon made 1,822 calls in 2 s: the watch was refused, its listing was older than what is held, which counted as success, and the next watch followed at once; at a fleet's size that spends everybody's reading calls. Such a listing is a failure now, which is followed by the reader's pause of up to 1 s, as any other; it vouches for nothing, as before.

--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -159,12 +159,14 @@
             let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
         }
-        // A copy that is behind vouches for nothing.
-        let current = self.seen(space) <= Some(listing.first);
-        self.take_listing(space, listing);
-        if current {
-            self.prove(space, asked);
+        // A copy that is behind vouches for nothing, and is read again after a pause: without
+        // one, a daemon made 1,822 calls in 2 s.
+        if self.seen(space) > Some(listing.first) {
+            self.note_refused(listing.first);
+            return Err(PlatformError::Behind(listing.first));
         }
+        self.take_listing(space, listing);
+        self.prove(space, asked);
         Ok(())
     }
 
@@ -172,7 +174,6 @@
         let Listing { first, items, .. } = listing;
         match space {
             Space::Config => {
-                self.note_refused(first);
                 let offer = self.config.borrow_mut().offer_all(first, &items);
                 self.judged(&offer);
             }
@@ -188,7 +189,7 @@
     /// Tells of a listing that is older than what is held, once for each pair of revisions.
     fn note_refused(&self, revision: Revision) {
         let held = self.config.borrow().seen().unwrap_or_default();
-        if revision < held && self.refused.replace(Some((revision, held))) != Some((revision, held)) {
+        if self.refused.replace(Some((revision, held))) != Some((revision, held)) {
             self.emit(Event::NewsRefused { revision, held });
         }
     }
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -65,6 +65,9 @@
     /// It could not be reached, or not in time.
     #[error("the platform did not answer")]
     Unreachable,
+    /// What it told is older than what is held: of a copy that is behind.
+    #[error("the platform is behind, at {0}")]
+    Behind(Revision),
     /// It answered something that is not its protocol.
     #[error("the platform's answer is not valid: {0}")]
     Malformed(String),
