--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -19,6 +19,7 @@
 use harefield::domain::ids::HostId;
 use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
@@ -131,9 +132,9 @@
 fn sources<'a>(own: &'a HostId, set: &'a Arc<ResourceSet>, hosts: &'a HostList) -> ViewSources<'a> {
     ViewSources {
         own,
-        revision: Some(1),
+        revision: Some(Revision::first(1)),
         set,
-        listed: Some(1),
+        listed: Some(Revision::first(1)),
         hosts,
         fleet: &[],
         size: CellSize::default(),
--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -64,6 +64,7 @@
     groups: Kinds,
     dropped: Counter,
     revision: Gauge,
+    era: Gauge,
     left_out: Gauge,
     age: Gauge<f64, AtomicU64>,
     times: Times,
@@ -117,6 +118,8 @@
         age.set(f64::INFINITY);
         registry.register("events_dropped", "Events that the time line had no room for", dropped.clone());
         registry.register("revision", "The configuration revision in force", revision.clone());
+        let era = Gauge::default();
+        registry.register("era", "The era of the platform that it is of", era.clone());
         let help = "For how long a newer revision may have been confirmed";
         registry.register("config_age_seconds", help, age.clone());
         let times = Times::new_with_constructor(|| {
@@ -135,6 +138,7 @@
             groups,
             dropped,
             revision,
+            era,
             left_out,
             age,
             times,
@@ -161,7 +165,8 @@
             Event::GroupTaken { .. } => count(&self.groups, "taken"),
             Event::GroupRevoked { .. } => count(&self.groups, "revoked"),
             Event::ConfigAccepted { revision, .. } => {
-                self.revision.set(i64::try_from(*revision).unwrap_or(i64::MAX));
+                self.revision.set(i64::try_from(revision.number).unwrap_or(i64::MAX));
+                self.era.set(i64::try_from(revision.era).unwrap_or(i64::MAX));
             }
             Event::RingOverflow { dropped } => {
                 self.dropped.inc_by(*dropped);
@@ -176,6 +181,7 @@
             Event::RetryDenied { .. } => "retry-denied",
             Event::ConfigRefused { .. } => "config-refused",
             Event::NewsRefused { .. } => "news-refused",
+            Event::EraHeard { .. } => "era-heard",
             Event::CallerGone { .. } => "caller-gone",
             Event::Paused { .. } => "paused",
             Event::Confirmed { .. } => "confirmed",
--- a/crates/harefield/src/adapters/operators/resources.rs
+++ b/crates/harefield/src/adapters/operators/resources.rs
@@ -17,10 +17,10 @@
 use super::Operators;
 use crate::adapters::http;
 use crate::domain::code::Code;
-use crate::domain::ids::Revision;
 use crate::domain::ids::UpstreamId;
 use crate::domain::membership::Row;
 use crate::domain::resources::Fault;
+use crate::domain::revision::Revision;
 use crate::telemetry::Status;
 use crate::telemetry::UpstreamStatus;
 
--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -18,7 +18,7 @@
 use super::reading::watch_limit;
 use crate::domain::feed::Change;
 use crate::domain::ids::Key;
-use crate::domain::ids::Revision;
+use crate::domain::revision::Revision;
 use crate::ports::Listing;
 use crate::ports::Platform;
 use crate::ports::PlatformError;
@@ -28,7 +28,7 @@
 /// One page of a listing.
 #[derive(Debug, Deserialize)]
 struct Page {
-    revision: Revision,
+    revision: u64,
     items: Vec<Item>,
     next: Option<Key>,
 }
@@ -49,7 +49,7 @@
 /// One change; removed where it has no value.
 #[derive(Debug, Deserialize)]
 struct Row {
-    revision: Revision,
+    revision: u64,
     key: Key,
     value: Option<Box<RawValue>>,
 }
@@ -80,12 +80,12 @@
         let mut from = String::new();
         loop {
             let path = format!("/v1/{}/list?from={from}", space.name());
-            let page: Option<Page> = self.reader.get(copy, &path, READ_LIMIT).await?;
+            let page = self.reader.get::<Page>(copy, &path, READ_LIMIT).await?.body;
             let page = page.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
             if from.is_empty() {
-                listing.first = page.revision;
+                listing.first = Revision::first(page.revision);
             }
-            listing.last = page.revision;
+            listing.last = Revision::first(page.revision);
             listing.items.extend(page.items.into_iter().map(|item| (item.key, raw(&item.value))));
             match page.next {
                 Some(next) => from = next.to_string(),
@@ -101,12 +101,12 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
-        let path = format!("/v1/{}/watch?after={after}&wait-ms={}", space.name(), wait.as_millis());
-        let changes: Option<Changes> = self.reader.get(copy, &path, watch_limit(wait)).await?;
+        let path = format!("/v1/{}/watch?after={}&wait-ms={}", space.name(), after.number, wait.as_millis());
+        let changes = self.reader.get::<Changes>(copy, &path, watch_limit(wait)).await?.body;
         Ok(match changes {
             Some(changes) => {
-                let newer = changes.changes.into_iter().filter(|row| row.revision > after);
-                let changes = newer.map(|row| (row.revision, row.into_change()));
+                let newer = changes.changes.into_iter().filter(|row| row.revision > after.number);
+                let changes = newer.map(|row| (Revision::first(row.revision), row.into_change()));
                 let deltas = deltas(after, changes);
                 let at = deltas.last().map_or(after, |delta| delta.revision);
                 Watched::Changes { deltas, at }
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -1,7 +1,6 @@
 //! What the clients of a platform share: they read JSON from one of its copies,
 //! and put what changed in order.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,14 +11,14 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
-use log::info;
 use serde::de::DeserializeOwned;
 
 use super::http;
 use super::http::Traffic;
 use crate::domain::feed::Change;
 use crate::domain::feed::Delta;
-use crate::domain::ids::Revision;
+use crate::domain::ids::Era;
+use crate::domain::revision::Revision;
 use crate::ports::PlatformError;
 
 /// The most bytes of one reply: a page holds about a megabyte of values, in the
@@ -46,8 +45,15 @@
     executor: Rc<LocalExecutor<'static>>,
     traffic: Traffic,
     answers: Answers,
-    /// The era that the copies last answered in.
-    era: Rc<RefCell<String>>,
+}
+
+/// An answer, and the era that it is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told<R> {
+    /// The era.
+    pub era: Era,
+    /// What stands there; none where it is gone.
+    pub body: Option<R>,
 }
 
 /// What a platform's answers look like.
@@ -63,44 +69,42 @@
     /// Creates a reader on one thread's executor; `traffic` counts its bytes.
     #[must_use]
     pub fn new(executor: Rc<LocalExecutor<'static>>, traffic: Traffic, answers: Answers) -> Self {
-        Self { executor, traffic, answers, era: Rc::default() }
+        Self { executor, traffic, answers }
     }
 
-    /// Tells of an era that is not the one before; each outage may bring one.
-    fn note_era(&self, headers: &HeaderMap) {
-        let value = self.answers.era.and_then(|name| headers.get(name)?.to_str().ok());
-        let mut era = self.era.borrow_mut();
-        if let Some(value) = value.filter(|value| *value != *era) {
-            info!("the platform answers in era {value}, before in era {era:?}");
-            value.clone_into(&mut era);
-        }
+    /// Reads the era of an answer; the first of a platform that names none.
+    fn era_of(&self, headers: &HeaderMap) -> Result<Era, PlatformError> {
+        let Some(value) = self.answers.era.and_then(|name| headers.get(name)) else { return Ok(0) };
+        let era = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+        era.ok_or_else(|| PlatformError::Malformed(format!("{value:?} is no era")))
     }
 
-    /// Reads what stands under a path; none where it is gone.
+    /// Reads what stands under a path.
     ///
     /// # Errors
     ///
-    /// Returns `Unreachable` where the copy does not answer within `limit`, or
-    /// answers with an error, and `Malformed` where its answer cannot be read.
+    /// Returns `Unreachable` where the copy does not answer within `limit`, `TurnedAway` where
+    /// it answers with an error, and `Malformed` where its answer cannot be read.
     pub async fn get<R: DeserializeOwned>(
         &self,
         copy: SocketAddr,
         path: &str,
         limit: Duration,
-    ) -> Result<Option<R>, PlatformError> {
+    ) -> Result<Told<R>, PlatformError> {
         let request = Request::get(path).header("host", copy.to_string()).body(Full::default());
         let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let reply = http::exchange(&self.executor, copy, request, MOST_REPLY, limit).await;
         let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
         self.traffic.count(0, reply.body().len());
-        self.note_era(reply.headers());
+        let era = self.era_of(reply.headers())?;
         match reply.status() {
             StatusCode::OK => {}
-            status if self.answers.gone.contains(&status) => return Ok(None),
-            _ => return Err(PlatformError::Unreachable),
+            status if self.answers.gone.contains(&status) => return Ok(Told { era, body: None }),
+            _ => return Err(PlatformError::TurnedAway(era)),
         }
         let parsed = serde_json::from_slice(reply.body());
-        parsed.map(Some).map_err(|error| PlatformError::Malformed(error.to_string()))
+        let told = parsed.map(|body| Told { era, body: Some(body) });
+        told.map_err(|error| PlatformError::Malformed(error.to_string()))
     }
 }
 
--- a/crates/harefield/src/adapters/settings/load.rs
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -82,6 +82,10 @@
             (self.host.zone.is_empty(), "host.zone is required"),
             (self.platform.addresses.is_empty(), "platform.addresses needs at least one address"),
             (self.platform.apply_ms < 500, "platform.apply-ms must be at least 500"),
+            (
+                !(1..=60_000).contains(&self.platform.heartbeat_ms),
+                "platform.heartbeat-ms must be from 1 to 60000",
+            ),
             (self.platform.readers == 0, "platform.readers must be at least 1"),
             (self.peers.exchange_ms == 0, "peers.exchange-ms must be at least 1"),
             (limits.workers == 0 || limits.workers > 64, "limits.workers must be from 1 to 64"),
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -119,6 +119,8 @@
     pub evacuate_ms: Option<u64>,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
+    /// How often upstreams write their entries, in milliseconds, where they write themselves.
+    pub heartbeat_ms: u64,
 }
 
 impl Default for PlatformSettings {
@@ -130,6 +132,7 @@
             apply_ms: 3000,
             evacuate_ms: None,
             readers: 2,
+            heartbeat_ms: 1200,
         }
     }
 }
--- a/crates/harefield/src/commands/status.rs
+++ b/crates/harefield/src/commands/status.rs
@@ -11,6 +11,7 @@
 use super::fetch::Asker;
 use super::fetch::Fleet;
 use super::fetch::find_fleet;
+use crate::domain::revision::Revision;
 use crate::telemetry::Status;
 
 const HELP: &str = "\
@@ -58,7 +59,7 @@
 }
 
 fn line(status: &Status) -> String {
-    let number = |revision: Option<u64>| revision.map_or("none".to_owned(), |r| r.to_string());
+    let number = |revision: Option<Revision>| revision.map_or("none".to_owned(), |r| r.to_string());
     let config = &status.config;
     let answered: u64 = status.workers.values().map(|w| w.answered).sum();
     let running: usize = status.workers.values().map(|w| w.running).sum();
--- a/crates/harefield/src/control/confirm.rs
+++ b/crates/harefield/src/control/confirm.rs
@@ -99,6 +99,7 @@
             None => self.list(*copy, space).await,
         };
         if let Err(error) = looked {
+            self.hear_error(space, &error);
             log::debug!("platform copy {copy} while confirming: {error}");
         }
     }
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -17,6 +17,8 @@
 
 use super::lapsed::Lapsed;
 use super::wordbook::Wordbook;
+use crate::domain::carried::CarriedReport;
+use crate::domain::carried::CarryTimes;
 use crate::domain::cell::Candidate;
 use crate::domain::cell::CellSize;
 use crate::domain::cold::Bound;
@@ -32,12 +34,13 @@
 use crate::domain::freshness::Pace;
 use crate::domain::hlc::HybridClock;
 use crate::domain::hosts::HostList;
+use crate::domain::ids::Era;
 use crate::domain::ids::HostId;
-use crate::domain::ids::Revision;
 use crate::domain::membership::Membership;
 use crate::domain::membership::Row;
 use crate::domain::places::Places;
 use crate::domain::reach::Reach;
+use crate::domain::revision::Revision;
 use crate::domain::suspects::Suspects;
 use crate::domain::time::millis;
 use crate::domain::view::View;
@@ -47,6 +50,7 @@
 use crate::ports::Mark;
 use crate::ports::Peers;
 use crate::ports::Platform;
+use crate::ports::Pull;
 use crate::ports::Space;
 use crate::telemetry::Board;
 use crate::telemetry::Telemetry;
@@ -73,6 +77,8 @@
     pub pace: Pace,
     /// How many daemons of an availability zone hold the watch.
     pub readers: usize,
+    /// For how long what a copy of the platform lacks stays in force.
+    pub carry: CarryTimes,
     /// Where this daemon and the availability zones are.
     pub places: Places,
     /// How large cells may be.
@@ -138,6 +144,12 @@
     pub(super) cursor: Cell<Revision>,
     /// What was last told to be refused as older, and what was held then.
     pub(super) refused: Cell<Option<(Revision, Revision)>>,
+    /// The latest era that was heard of, by space.
+    pub(super) eras: RefCell<BTreeMap<Space, Era>>,
+    /// Whether a listing is being read.
+    pub(super) listing: Cell<bool>,
+    /// Whether a task waits to drop what is carried on.
+    pub(super) expiring: Cell<bool>,
 }
 
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
@@ -180,8 +192,11 @@
             freshness: RefCell::default(),
             told: Cell::new(None),
             asked: Cell::new(None),
-            cursor: Cell::new(0),
+            cursor: Cell::default(),
             refused: Cell::new(None),
+            eras: RefCell::default(),
+            listing: Cell::new(false),
+            expiring: Cell::new(false),
         })
     }
 
@@ -216,22 +231,28 @@
 
     /// Returns how far this daemon is in every space.
     pub(super) fn marks(&self) -> Vec<Mark> {
-        let mark = |space| Mark { space, revision: self.revision(space), age: self.age(space).map(millis) };
+        let mark = |space| Mark {
+            space,
+            revision: self.revision(space),
+            age: self.age(space).map(millis),
+            carried: self.carried_mark(space),
+        };
         self.spaces().iter().copied().map(mark).collect()
     }
 
     /// Returns what brings a peer up to date.
-    pub(super) fn news(&self, space: Space, have: Option<Revision>) -> News {
-        match space {
-            Space::Config => self.config.borrow().since(have),
-            Space::Hosts => self.hosts.borrow().since(have),
+    pub(super) fn news(&self, pull: &Pull) -> News {
+        match pull.space {
+            Space::Config => self.carrying(pull, self.config.borrow().since(pull.have)),
+            Space::Hosts => self.hosts.borrow().since(pull.have),
         }
     }
 
     /// Takes news from a peer; returns whether any were newer.
     pub(super) fn learn(self: &Rc<Self>, space: Space, news: News, from: &str) -> bool {
+        let (news, carried) = news.split();
         let learnt = match space {
-            Space::Config => self.config.borrow_mut().learn(news),
+            Space::Config => self.learn_config(news, carried),
             Space::Hosts => self.learn_hosts(news),
         };
         if learnt {
@@ -240,9 +261,15 @@
         learnt
     }
 
+    fn learn_config(&self, news: News, carried: Option<CarriedReport>) -> bool {
+        let learnt = self.config.borrow_mut().learn(news);
+        let joined = carried.is_some_and(|carried| self.join_carried(carried));
+        learnt || joined
+    }
+
     fn learn_hosts(&self, news: News) -> bool {
         match news {
-            News::Current => false,
+            News::Current | News::Carrying { .. } => false,
             News::Deltas(deltas) => deltas.iter().filter(|delta| self.apply_hosts(delta)).count() > 0,
             News::Full { revision, items } => self.replace_hosts(revision, &items),
         }
@@ -285,8 +312,11 @@
     /// Notes a newer revision of a space: tells workers, and peers at once.
     pub(super) fn changed(self: &Rc<Self>, space: Space, from: &str) {
         let revision = self.revision(space).unwrap_or_default();
+        self.hear_era(space, revision.era, from);
         match space {
             Space::Config => {
+                self.tell_carried();
+                self.expire_carried();
                 info!("revision {revision} is in force, from {from}");
                 self.emit(Event::ConfigAccepted { revision, from: from.to_owned() });
                 let set = Arc::clone(self.config.borrow().set());
--- /dev/null
+++ b/crates/harefield/src/control/eras.rs
@@ -0,0 +1,191 @@
+//! The eras of the platform: each time that it comes back from a copy of itself, what was
+//! held of the era before proves nothing any more, and goes before what the copy lacks.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use rand::Rng;
+
+use super::duty::Control;
+use crate::domain::carried::CarriedReport;
+use crate::domain::event::Event;
+use crate::domain::feed::News;
+use crate::domain::ids::Era;
+use crate::domain::revision::Revision;
+use crate::ports::CarriedMark;
+use crate::ports::Clock;
+use crate::ports::Mark;
+use crate::ports::Peers;
+use crate::ports::Platform;
+use crate::ports::PlatformError;
+use crate::ports::Pull;
+use crate::ports::Space;
+
+/// For how long a daemon that does not read the platform for others waits for their word
+/// of a new era before it lists by itself: at least, and at most. Readers list it once each,
+/// and their word is there within some 300 ms; of all others, those that have not heard by
+/// then list one after the other and tell as they do. Both fit in the 3 s within which a
+/// change is to be in force.
+const LIST_AFTER: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(800));
+
+/// How often one that waits for a listing looks whether it has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A listing that is being read; it ends with this.
+struct Turn<'a>(&'a Cell<bool>);
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
+    /// Returns the era of what is held of a space; none before the first revision.
+    fn era(&self, space: Space) -> Option<Era> {
+        match space {
+            Space::Config => self.config.borrow().era(),
+            Space::Hosts => self.hosts.borrow().revision().map(|revision| revision.era),
+        }
+    }
+
+    /// Notes that the platform is in an era: what is held of an earlier one proves nothing.
+    pub(super) fn hear_era(&self, space: Space, era: Era, from: &str) {
+        let latest = self.eras.borrow().get(&space).copied();
+        if latest >= Some(era) {
+            return;
+        }
+        self.eras.borrow_mut().insert(space, era);
+        self.disprove(space);
+        let held = self.revision(space);
+        if held.is_some_and(|held| held.era < era) {
+            self.emit(Event::EraHeard { era, held, from: from.to_owned() });
+        }
+    }
+
+    /// Notes which era a daemon is in.
+    pub(super) fn hear_mark(&self, mark: &Mark, from: &str) {
+        if let Some(revision) = mark.revision {
+            self.hear_era(mark.space, revision.era, from);
+        }
+    }
+
+    /// Notes which era an answer is of that told nothing else.
+    pub(super) fn hear_error(&self, space: Space, error: &PlatformError) {
+        if let PlatformError::TurnedAway(era) = error {
+            self.hear_era(space, *era, "platform");
+        }
+    }
+
+    /// Returns whether a space is held in the latest era that was heard of: one that is
+    /// behind vouches for nothing.
+    pub(super) fn is_of_era(&self, space: Space, era: Era) -> bool {
+        let latest = self.eras.borrow().get(&space).copied().unwrap_or_default();
+        era == latest && self.era(space) == Some(era)
+    }
+
+    /// Returns whether all that a daemon at a revision has of the platform is held here, in
+    /// the same era.
+    pub(super) fn holds(&self, space: Space, revision: Revision) -> bool {
+        self.is_of_era(space, revision.era) && self.revision(space) >= Some(revision)
+    }
+
+    /// Returns whether a daemon with a mark has something that is missing here.
+    pub(super) fn lacks(&self, mark: &Mark) -> bool {
+        let own = self.revision(mark.space);
+        let same = mark.revision.map(|theirs| theirs.era) == own.map(|own| own.era);
+        mark.revision > own || same && mark.carried.exceeds(self.carried_mark(mark.space))
+    }
+
+    /// Returns how far this daemon is in what is carried on.
+    pub(super) fn carried_mark(&self, space: Space) -> CarriedMark {
+        let config = self.config.borrow();
+        match space {
+            Space::Config => config.carried().map_or_else(CarriedMark::default, |carried| CarriedMark {
+                from: Some(carried.from),
+                edition: config.edition(),
+            }),
+            Space::Hosts => CarriedMark::default(),
+        }
+    }
+
+    /// Adds what is carried on to news, where the asker may lack some of it.
+    pub(super) fn carrying(&self, pull: &Pull, news: News) -> News {
+        let asks = pull.carried.is_some_and(|theirs| self.carried_mark(pull.space).exceeds(theirs));
+        let enters = pull.carried.is_some() && pull.have.map(|have| have.era) != self.era(pull.space);
+        let report = self.config.borrow().report(self.ports.clock.now());
+        match report.filter(|_| asks || enters) {
+            Some(carried) => News::Carrying { news: Box::new(news), carried },
+            None => news,
+        }
+    }
+
+    /// Joins what another daemon carries on; returns whether that changes what is in force.
+    pub(super) fn join_carried(&self, carried: CarriedReport) -> bool {
+        let carried = carried.heard(self.ports.clock.now());
+        self.config.borrow_mut().join(&carried)
+    }
+
+    /// Lists a space that is in a new era, unless it is told meanwhile.
+    pub(super) async fn enter_era(
+        self: &Rc<Self>,
+        copy: std::net::SocketAddr,
+        space: Space,
+        era: Era,
+    ) -> Result<(), PlatformError> {
+        self.hear_era(space, era, "platform");
+        if !self.is_reader() {
+            let (least, most) = LIST_AFTER;
+            let pause = rand::rng().random_range(least..most);
+            self.ports.clock.sleep(pause).await;
+        }
+        while self.listing.get() {
+            self.ports.clock.sleep(LOOK_EVERY).await;
+        }
+        if self.era(space) >= Some(era) {
+            return Ok(());
+        }
+        self.listing.set(true);
+        let _turn = Turn(&self.listing);
+        self.list(copy, space).await
+    }
+
+    /// Drops what is carried on and has had its time; returns whether anything was.
+    pub(super) fn expire_carried(&self) -> bool {
+        let now = self.ports.clock.now();
+        let (gone, news) = self.config.borrow_mut().expire(now, self.settings.carry);
+        for key in gone {
+            let upstream = key.strip_prefix("upstreams/").unwrap_or(&key);
+            self.lapsed.borrow_mut().give_up(upstream);
+        }
+        news
+    }
+
+    /// Tells the workers when what is carried on has had its time.
+    pub(super) fn await_expiry(self: &Rc<Self>) {
+        let next = self.config.borrow().next_expiry(self.settings.carry);
+        let Some(until) = next.filter(|_| !self.expiring.replace(true)) else { return };
+        let this = Rc::clone(self);
+        let wait = async move {
+            this.ports.clock.sleep_until(until).await;
+            this.expiring.set(false);
+            this.expire_carried();
+            this.publish();
+        };
+        self.executor.spawn(wait).detach();
+    }
+
+    /// Says what is carried on where an era was just entered, and why it cannot be in force.
+    pub(super) fn tell_carried(&self) {
+        let config = self.config.borrow();
+        if let Some(carried) = config.carried().filter(|carried| carried.since.is_none()) {
+            let (from, kept, doubted) = (carried.from, carried.items.len(), carried.doubted.len());
+            self.emit(Event::CarriedOn { from, kept, doubted });
+        }
+        for fault in config.clash() {
+            warn!("what is carried on is left out: {} {}: {}", fault.code, fault.key, fault.detail);
+        }
+    }
+}
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Forgets what was proven of a space: nothing of an earlier era proves that nothing is
+    /// missing in a later one.
+    pub(super) fn disprove(&self, space: Space) {
+        self.freshness.borrow_mut().remove(&space);
+    }
+
     /// Returns up to when nothing is missing in any space; none while one was never
     /// proven.
     fn proven(&self) -> Option<Instant> {
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -160,6 +160,7 @@
         self.hear(&said.words);
         self.hear_suspects(&said.suspects);
         for mark in &said.marks {
+            self.hear_mark(mark, &said.from);
             self.pull_newer(&said.from, *mark).await;
             self.take_proof(*mark, at);
         }
@@ -168,7 +169,8 @@
     /// Takes a daemon's word that nothing confirmed is missing in what it has, where
     /// this daemon has as much.
     fn take_proof(&self, mark: Mark, at: Instant) {
-        let holds = mark.revision.is_some() && self.revision(mark.space) >= mark.revision;
+        let holds = mark.revision.is_some_and(|theirs| self.holds(mark.space, theirs))
+            && !mark.carried.exceeds(self.carried_mark(mark.space));
         let age = mark.age.map(Duration::from_millis).filter(|_| holds);
         if let Some(proven) = age.and_then(|age| at.checked_sub(age)) {
             self.prove(mark.space, proven);
@@ -176,16 +178,19 @@
     }
 
     async fn pull_newer(self: &Rc<Self>, host: &HostId, mark: Mark) {
+        if !self.lacks(&mark) {
+            return;
+        }
         if mark.revision > self.revision(mark.space) && self.hears_platform() {
             self.ports.clock.sleep(PULL_PATIENCE).await;
         }
         self.await_pull_turn().await;
-        let have = self.revision(mark.space);
-        if mark.revision <= have {
+        if !self.lacks(&mark) {
             return;
         }
         self.pulled.set(Some(self.ports.clock.now()));
-        let pull = Pull { space: mark.space, have };
+        let (space, carried) = (mark.space, Some(self.carried_mark(mark.space)));
+        let pull = Pull { space, have: self.revision(space), carried };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_LIMIT).await {
             self.learn(mark.space, news, host);
         }
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -24,7 +24,7 @@
         match message {
             ToControl::Exchange(said, reply) => self.answer_exchange(*said, &reply),
             ToControl::Pull(pull, reply) => {
-                drop(reply.try_send(self.news(pull.space, pull.have)));
+                drop(reply.try_send(self.news(&pull)));
             }
             ToControl::Word(named) => {
                 let words = [named];
--- a/crates/harefield/src/control/lapsed.rs
+++ b/crates/harefield/src/control/lapsed.rs
@@ -61,6 +61,11 @@
         Arc::new(set.with_upstreams(self.kept.iter().map(|(name, (upstream, _))| (name, upstream))))
     }
 
+    /// Takes an upstream for gone at once: it has had its time to write.
+    pub(super) fn give_up(&mut self, upstream: &str) {
+        self.shown.remove(upstream);
+    }
+
     /// Returns when the next upstream that was kept is taken to be gone.
     pub(super) fn next(&self) -> Option<Instant> {
         self.kept.values().map(|(_, until)| *until).min()
--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod confirm;
 mod duty;
+mod eras;
 mod freshness;
 mod gossip;
 mod inbox;
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -33,6 +33,7 @@
         self.tell_peers();
         self.show_config();
         self.await_lapse();
+        self.await_expiry();
     }
 
     fn next_view(&self) -> View {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -15,8 +15,9 @@
 use crate::domain::event::Event;
 use crate::domain::feed::Delta;
 use crate::domain::freshness::shown_by_watch;
-use crate::domain::ids::Revision;
+use crate::domain::ids::Era;
 use crate::domain::readers::is_reader;
+use crate::domain::revision::Revision;
 use crate::domain::time::millis;
 use crate::ports::Clock;
 use crate::ports::Listing;
@@ -74,6 +75,7 @@
                 }
                 Err(error) => {
                     debug!("platform copy {copy}: {error}");
+                    self.hear_error(space, &error);
                     self.note_lost(space, &error, asked);
                     failures = failures.saturating_add(1);
                     self.say_blind(space, failures >= BLIND_AFTER);
@@ -86,7 +88,7 @@
 
     fn note_lost(&self, space: Space, error: &PlatformError, asked: Instant) {
         // One that answers, and has nothing yet, is not lost.
-        if *error != PlatformError::Unreachable {
+        if !matches!(error, PlatformError::Unreachable | PlatformError::TurnedAway(_)) {
             return;
         }
         let now = self.ports.clock.now();
@@ -159,14 +161,18 @@
             let watched = self.ports.platform.watch(copy, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
         }
+        let listed = listing.first;
+        self.hear_era(space, listed.era, "platform");
         // A copy that is behind vouches for nothing, and is read again after a pause: without
         // one, a daemon made 1,822 calls in 2 s.
-        if self.seen(space) > Some(listing.first) {
-            self.note_refused(listing.first);
-            return Err(PlatformError::Behind(listing.first));
+        if self.seen(space) > Some(listed) {
+            self.note_refused(space, listed);
+            return Err(PlatformError::Behind(listed));
         }
         self.take_listing(space, listing);
-        self.prove(space, asked);
+        if self.is_of_era(space, listed.era) {
+            self.prove(space, asked);
+        }
         Ok(())
     }
 
@@ -187,8 +193,8 @@
     }
 
     /// Tells of a listing that is older than what is held, once for each pair of revisions.
-    fn note_refused(&self, revision: Revision) {
-        let held = self.config.borrow().seen().unwrap_or_default();
+    fn note_refused(&self, space: Space, revision: Revision) {
+        let held = self.seen(space).unwrap_or_default();
         if self.refused.replace(Some((revision, held))) != Some((revision, held)) {
             self.emit(Event::NewsRefused { revision, held });
         }
@@ -207,19 +213,24 @@
             Space::Hosts => after,
         };
         let asked = self.note_asked(space);
-        let Watched::Changes { deltas, at } = self.ports.platform.watch(copy, space, after, wait).await?
-        else {
-            return self.list(copy, space).await;
+        let (deltas, at) = match self.ports.platform.watch(copy, space, after, wait).await? {
+            Watched::Changes { deltas, at } => (deltas, at),
+            Watched::Compacted => return self.list(copy, space).await,
+            Watched::Restored(era) => return self.enter_era(copy, space, era).await,
         };
+        self.hear_era(space, at.era, "platform");
         let shown = shown_by_watch(asked, self.ports.clock.now(), wait, deltas.is_empty());
         let mut read = Read { deltas, at, shown };
         let rest = self.read_rest(copy, space, &mut read).await;
         self.take_deltas(space, &rebase(read.deltas, self.seen(space)));
         self.advance_cursor(space, read.at);
         match rest? {
-            Rest::Read if read.at >= after => self.prove(space, read.shown),
+            Rest::Read if read.at >= after && self.is_of_era(space, read.at.era) => {
+                self.prove(space, read.shown);
+            }
             Rest::Read | Rest::More => {}
             Rest::Gone => self.list(copy, space).await?,
+            Rest::Restored(era) => self.enter_era(copy, space, era).await?,
         }
         Ok(())
     }
@@ -239,7 +250,11 @@
         while last >= LONG_ANSWER && read.deltas.len() < MOST_AT_ONCE {
             let asked = self.note_asked(space);
             let next = self.ports.platform.watch(copy, space, read.at, Duration::ZERO).await?;
-            let Watched::Changes { deltas, at } = next else { return Ok(Rest::Gone) };
+            let (deltas, at) = match next {
+                Watched::Changes { deltas, at } => (deltas, at),
+                Watched::Compacted => return Ok(Rest::Gone),
+                Watched::Restored(era) => return Ok(Rest::Restored(era)),
+            };
             last = deltas.len();
             read.shown = asked;
             read.at = at;
@@ -303,6 +318,8 @@
     More,
     /// The platform no longer has it.
     Gone,
+    /// It came back from a copy, and is in this era.
+    Restored(Era),
 }
 
 /// Puts watched changes on top of what is held: a daemon may have heard of the
@@ -317,8 +334,12 @@
 
 /// Applies watched changes to a listing whose pages differ in revision.
 fn catch_up(listing: &mut Listing, watched: Watched) -> Result<(), PlatformError> {
-    let Watched::Changes { deltas, at } = watched else {
-        return Err(PlatformError::Malformed("changes are gone while listing".to_owned()));
+    let (deltas, at) = match watched {
+        Watched::Changes { deltas, at } => (deltas, at),
+        Watched::Restored(_) => return Err(PlatformError::Restored),
+        Watched::Compacted => {
+            return Err(PlatformError::Malformed("changes are gone while listing".to_owned()));
+        }
     };
     if deltas.is_empty() && at <= listing.first {
         return Err(PlatformError::Malformed("a page is newer than all changes".to_owned()));
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -2,16 +2,24 @@
 //! since.
 
 use std::sync::Arc;
+use std::time::Instant;
 
+use super::carried::Carried;
+use super::carried::CarriedReport;
+use super::carried::CarryTimes;
+use super::carried::overlaid;
 use super::feed::Change;
 use super::feed::Delta;
 use super::feed::Feed;
 use super::feed::Items;
 use super::feed::News;
 use super::feed::difference;
-use super::ids::Revision;
+use super::ids::Edition;
+use super::ids::Era;
+use super::ids::Key;
 use super::resources::Fault;
 use super::resources::ResourceSet;
+use super::revision::Revision;
 
 /// What became of a revision that was offered.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,10 +46,19 @@
 /// While the newest published revision has faults, what was published since
 /// the one in force waits in `pending`; every further change is judged together
 /// with it.
+///
+/// What the platform has and what is in force differ after the platform came back from a
+/// copy: `carried` goes before it then.
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
     accepted: Feed,
+    /// What the platform has.
+    told: Arc<ResourceSet>,
+    carried: Option<Carried>,
+    /// What is in force.
     set: Arc<ResourceSet>,
+    /// Why what is carried on cannot be in force with what the platform has; it is left out.
+    clash: Vec<Fault>,
     seen: Option<Revision>,
     pending: Vec<Change>,
     refused: Option<Refused>,
@@ -66,6 +83,68 @@
         &self.set
     }
 
+    /// Returns the era that was last seen; none before the first revision.
+    #[must_use]
+    pub fn era(&self) -> Option<Era> {
+        self.seen.max(self.revision()).map(|revision| revision.era)
+    }
+
+    /// Returns the edition in force.
+    #[must_use]
+    pub fn edition(&self) -> Edition {
+        self.set.edition()
+    }
+
+    /// Returns what is carried on from earlier eras; none where no era was entered.
+    #[must_use]
+    pub fn carried(&self) -> Option<&Carried> {
+        self.carried.as_ref()
+    }
+
+    /// Returns why what is carried on is left out; empty where it is in force.
+    #[must_use]
+    pub fn clash(&self) -> &[Fault] {
+        &self.clash
+    }
+
+    /// Returns what is carried on, for another daemon.
+    #[must_use]
+    pub fn report(&self, now: Instant) -> Option<CarriedReport> {
+        self.carried.as_ref().map(|carried| carried.report(now))
+    }
+
+    /// Joins what another daemon carries on; returns whether that changes what is in force.
+    pub fn join(&mut self, other: &Carried) -> bool {
+        let Some(own) = self.revision().filter(|own| own.era == other.era) else { return false };
+        let carried = self.carried.get_or_insert_with(|| Carried::nothing(own.era));
+        let before = carried.changes();
+        carried.join(other, self.accepted.items());
+        let news = carried.changes() != before;
+        if news {
+            self.show();
+        }
+        news
+    }
+
+    /// Drops what is carried on and has had its time; returns the upstreams that are gone by
+    /// it, and whether anything changed.
+    pub fn expire(&mut self, now: Instant, times: CarryTimes) -> (Vec<Key>, bool) {
+        let Some(carried) = &mut self.carried else { return (Vec::new(), false) };
+        let before = carried.changes();
+        let gone = carried.expire(now, times);
+        let news = carried.changes() != before;
+        if news {
+            self.show();
+        }
+        (gone, news)
+    }
+
+    /// Returns when something that is carried on will have had its time.
+    #[must_use]
+    pub fn next_expiry(&self, times: CarryTimes) -> Option<Instant> {
+        self.carried.as_ref().and_then(|carried| carried.next_expiry(times))
+    }
+
     /// Returns the newest refused revision, while it is newer than the one in force.
     #[must_use]
     pub fn refused(&self) -> Option<&Refused> {
@@ -110,19 +189,21 @@
             return false;
         }
         let changes: Vec<Change> = deltas.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
-        let Ok(set) = self.set.apply(&changes) else { return false };
-        self.set = Arc::new(set);
+        let Ok(set) = self.told.apply(&changes) else { return false };
+        let entered = deltas.last().and_then(|last| self.entered(last.revision));
+        self.told = Arc::new(set);
         for delta in deltas {
             self.accepted.advance(delta.revision, &delta.changes);
         }
         self.seen = self.revision();
+        self.carry(entered, &changes);
         true
     }
 
     /// Takes accepted sets that a peer has in force; returns whether any was newer.
     pub fn learn(&mut self, news: News) -> bool {
-        let learnt = match news {
-            News::Current => false,
+        let learnt = match news.split().0 {
+            News::Current | News::Carrying { .. } => false,
             News::Deltas(deltas) => {
                 self.accept_many(&deltas) || deltas.iter().filter(|delta| self.learn_delta(delta)).count() > 0
             }
@@ -160,11 +241,46 @@
 
     /// Puts what changes lead to in force, unless it has faults.
     fn accept(&mut self, revision: Revision, changes: &[Change]) -> Result<(), Vec<Fault>> {
-        let set = self.set.apply(changes)?;
-        self.set = Arc::new(set);
+        let set = self.told.apply(changes)?;
+        let entered = self.entered(revision);
+        self.told = Arc::new(set);
         self.accepted.advance(revision, changes);
+        self.carry(entered, changes);
         Ok(())
     }
+
+    /// Returns what is in force, and as of when, where a revision is of a later era.
+    fn entered(&self, revision: Revision) -> Option<(Revision, Items)> {
+        let own = self.revision().filter(|own| revision.era > own.era)?;
+        let carried = self.carried.as_ref().map(Carried::changes).unwrap_or_default();
+        Some((own, overlaid(self.accepted.items(), &carried)))
+    }
+
+    /// Carries on what a copy may lack, where an era was entered; else takes what the
+    /// platform has told in this one.
+    fn carry(&mut self, entered: Option<(Revision, Items)>, changes: &[Change]) {
+        let era = self.revision().map(|own| own.era).unwrap_or_default();
+        if let Some((from, held)) = entered {
+            self.carried = Some(Carried::new(era, from, &held, self.accepted.items()));
+        } else if let Some(carried) = &mut self.carried {
+            carried.settle(changes);
+        }
+        self.show();
+    }
+
+    /// Works out what is in force.
+    fn show(&mut self) {
+        self.clash.clear();
+        let carried = self.carried.as_ref().map(Carried::changes).filter(|changes| !changes.is_empty());
+        self.set = match carried.map(|changes| self.told.apply(&changes)) {
+            None => Arc::clone(&self.told),
+            Some(Ok(set)) => Arc::new(set),
+            Some(Err(faults)) => {
+                self.clash = faults;
+                Arc::clone(&self.told)
+            }
+        };
+    }
 }
 
 /// Says whether a delta leads on from a revision.
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -6,10 +6,10 @@
 use super::code::Code;
 use super::hlc::Stamp;
 use super::ids::AttemptId;
+use super::ids::Era;
 use super::ids::HostId;
 use super::ids::Incarnation;
 use super::ids::RequestId;
-use super::ids::Revision;
 use super::ids::ShardId;
 use super::ids::UpstreamId;
 use super::ids::Version;
@@ -17,6 +17,7 @@
 use super::outcome::Gap;
 use super::outcome::Outcome;
 use super::resources::Urgency;
+use super::revision::Revision;
 
 /// Why an attempt was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,6 +141,11 @@
     /// What the platform told is older than what is held, and was not taken; told once for
     /// each pair.
     NewsRefused { revision: Revision, held: Revision },
+    /// The platform is in a later era than what is held, which proves nothing any more.
+    EraHeard { era: Era, held: Option<Revision>, from: String },
+    /// What is in force beside what the platform has in a new era: so many values that it
+    /// lacks or has older, and so many upstreams of it that had left.
+    CarriedOn { from: Revision, kept: usize, doubted: usize },
     /// A newer list of hosts is in use.
     HostsListed { revision: Revision, leaving: usize },
     /// An upstream's word changed.
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -8,8 +8,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::carried::CarriedReport;
 use super::ids::Key;
-use super::ids::Revision;
+use super::news_format::NewsFormat;
+use super::revision::Revision;
 
 /// The values of one space at one revision.
 pub type Items = BTreeMap<Key, Arc<str>>;
@@ -29,7 +31,7 @@
 }
 
 /// The changes that lead from one revision to a later one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
     /// The revision that the changes apply to.
     pub base: Revision,
@@ -41,6 +43,7 @@
 
 /// What a daemon that asks for news is sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "NewsFormat", into = "NewsFormat")]
 pub enum News {
     /// There is nothing newer here.
     Current,
@@ -53,6 +56,24 @@
         /// All of them.
         items: Items,
     },
+    /// The same, and what is carried on from earlier eras beside it.
+    Carrying {
+        /// What is newer.
+        news: Box<News>,
+        /// What goes before what the platform has.
+        carried: CarriedReport,
+    },
+}
+
+impl News {
+    /// Returns the news of the platform, and what is carried on beside them.
+    #[must_use]
+    pub fn split(self) -> (Self, Option<CarriedReport>) {
+        match self {
+            Self::Carrying { news, carried } => (*news, Some(carried)),
+            news => (news, None),
+        }
+    }
 }
 
 /// The newest known values of one space.
@@ -110,6 +131,7 @@
             News::Current => false,
             News::Full { revision, items } => self.replace(revision, &items),
             News::Deltas(deltas) => deltas.iter().filter(|delta| self.apply(delta)).count() > 0,
+            News::Carrying { news, .. } => self.learn(*news),
         }
     }
 
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -8,8 +8,8 @@
 /// Tells two lives of one daemon apart: start time and random bits.
 pub type Incarnation = u64;
 
-/// Orders the changes of one platform space.
-pub type Revision = u64;
+/// Counts how often a platform came back from a copy of itself.
+pub type Era = u64;
 
 /// Numbers a snapshot of an index.
 pub type Version = u64;
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backoff;
+pub mod carried;
 pub mod cell;
 pub mod code;
 pub mod cold;
@@ -19,6 +20,7 @@
 pub mod lease;
 pub mod membership;
 pub mod merge;
+mod news_format;
 pub mod once;
 pub mod outcome;
 pub mod places;
@@ -29,6 +31,7 @@
 pub mod reply;
 pub mod residency;
 pub mod resources;
+pub mod revision;
 pub mod routing;
 pub mod snapshot;
 pub mod suspects;
--- /dev/null
+++ b/crates/harefield/src/domain/news_format.rs
@@ -0,0 +1,87 @@
+//! How news are written between daemons: eras beside numbers, so that a daemon that knows
+//! no eras reads the numbers as it did.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::carried::CarriedReport;
+use super::feed::Change;
+use super::feed::Delta;
+use super::feed::Items;
+use super::feed::News;
+use super::ids::Era;
+use super::revision::Revision;
+
+/// News as they are written.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum NewsFormat {
+    Current,
+    Deltas(Vec<DeltaFormat>),
+    Full {
+        revision: u64,
+        items: Items,
+        #[serde(default)]
+        era: Era,
+    },
+    /// Sent to daemons alone that ask for it.
+    Carrying {
+        news: Box<NewsFormat>,
+        carried: CarriedReport,
+    },
+}
+
+/// A delta as it is written.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct DeltaFormat {
+    base: u64,
+    revision: u64,
+    changes: Vec<Change>,
+    /// The era of the base.
+    #[serde(default)]
+    from: Era,
+    /// The era of the revision.
+    #[serde(default)]
+    era: Era,
+}
+
+impl From<Delta> for DeltaFormat {
+    fn from(delta: Delta) -> Self {
+        let Delta { base, revision, changes } = delta;
+        Self { base: base.number, revision: revision.number, changes, from: base.era, era: revision.era }
+    }
+}
+
+impl From<DeltaFormat> for Delta {
+    fn from(format: DeltaFormat) -> Self {
+        let DeltaFormat { base, revision, changes, from, era } = format;
+        Self { base: Revision::new(from, base), revision: Revision::new(era, revision), changes }
+    }
+}
+
+impl From<News> for NewsFormat {
+    fn from(news: News) -> Self {
+        match news {
+            News::Current => Self::Current,
+            News::Deltas(deltas) => Self::Deltas(deltas.into_iter().map(Into::into).collect()),
+            News::Full { revision, items } => {
+                Self::Full { revision: revision.number, items, era: revision.era }
+            }
+            News::Carrying { news, carried } => Self::Carrying { news: Box::new((*news).into()), carried },
+        }
+    }
+}
+
+impl From<NewsFormat> for News {
+    fn from(format: NewsFormat) -> Self {
+        match format {
+            NewsFormat::Current => Self::Current,
+            NewsFormat::Deltas(deltas) => Self::Deltas(deltas.into_iter().map(Into::into).collect()),
+            NewsFormat::Full { revision, items, era } => {
+                Self::Full { revision: Revision::new(era, revision), items }
+            }
+            NewsFormat::Carrying { news, carried } => {
+                Self::Carrying { news: Box::new((*news).into()), carried }
+            }
+        }
+    }
+}
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -30,12 +30,12 @@
 use super::hosts::HostList;
 use super::ids::Edition;
 use super::ids::HostId;
-use super::ids::Revision;
 use super::ids::UpstreamId;
 use super::places::Places;
 use super::resources::Bounds;
 use super::resources::ResourceSet;
 use super::resources::Upstream;
+use super::revision::Revision;
 
 /// An upstream that this daemon may dial.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/harefield/src/platform/left_out.rs
+++ b/crates/harefield/src/platform/left_out.rs
@@ -8,7 +8,7 @@
 use log::warn;
 use prometheus_client::metrics::gauge::Gauge;
 
-use crate::domain::ids::Revision;
+use crate::domain::revision::Revision;
 
 /// How many entries are remembered, so that each is told of once: as many as a page holds.
 const MOST: usize = 500;
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -21,11 +21,13 @@
 use crate::adapters::reading::Answers;
 use crate::adapters::reading::JsonReader;
 use crate::adapters::reading::READ_LIMIT;
+use crate::adapters::reading::Told;
 use crate::adapters::reading::deltas;
 use crate::adapters::reading::watch_limit;
 use crate::domain::feed::Change;
+use crate::domain::ids::Era;
 use crate::domain::ids::Key;
-use crate::domain::ids::Revision;
+use crate::domain::revision::Revision;
 use crate::ports::Listing;
 use crate::ports::Platform;
 use crate::ports::PlatformError;
@@ -60,7 +62,7 @@
     /// The bytes, in base64.
     #[serde(default)]
     value: Option<String>,
-    revision: Revision,
+    revision: u64,
     #[serde(default)]
     tombstone: bool,
 }
@@ -71,7 +73,30 @@
 struct Page {
     items: Vec<Item>,
     truncated: bool,
-    store_revision: Revision,
+    store_revision: u64,
+}
+
+/// The revisions that pages were read at.
+#[derive(Debug, Default)]
+struct Pages {
+    ends: Option<(Revision, Revision)>,
+}
+
+impl Pages {
+    /// Takes the next page's revision; pages of two eras are no listing.
+    fn note(&mut self, revision: Revision) -> Result<(), PlatformError> {
+        let (first, last) = self.ends.unwrap_or((revision, revision));
+        if first.era != revision.era {
+            return Err(PlatformError::Restored);
+        }
+        self.ends = Some((first.min(revision), last.max(revision)));
+        Ok(())
+    }
+
+    fn listing(&self) -> Listing {
+        let (first, last) = self.ends.unwrap_or_default();
+        Listing { first, last, ..Listing::default() }
+    }
 }
 
 /// The answer to a watch.
@@ -79,7 +104,7 @@
 #[serde(rename_all = "camelCase")]
 struct Events {
     events: Vec<Item>,
-    store_revision: Revision,
+    store_revision: u64,
 }
 
 /// Reads the store by HTTP. It lists no hosts: daemons find each other.
@@ -99,13 +124,14 @@
     }
 
     async fn list_config(&self, copy: SocketAddr) -> Result<Listing, PlatformError> {
-        let mut listing = Listing { first: Revision::MAX, ..Listing::default() };
-        let operator = self.read_pages(copy, OPERATOR_PREFIX, &mut listing).await?;
+        let mut pages = Pages::default();
+        let operator = self.read_pages(copy, OPERATOR_PREFIX, &mut pages).await?;
         // Without it all lookups would be taken away.
         let config = operator.iter().find(|item| item.private_key == CONFIG_KEY);
         let config = config.ok_or_else(|| PlatformError::Malformed("nothing is published yet".to_owned()))?;
         decode(config).map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        let upstreams = self.read_pages(copy, UPSTREAMS_PREFIX, &mut listing).await?;
+        let upstreams = self.read_pages(copy, UPSTREAMS_PREFIX, &mut pages).await?;
+        let mut listing = pages.listing();
         for item in operator.iter().chain(&upstreams) {
             self.put(&mut listing, item);
         }
@@ -119,15 +145,14 @@
         &self,
         copy: SocketAddr,
         prefix: &str,
-        listing: &mut Listing,
+        pages: &mut Pages,
     ) -> Result<Vec<Item>, PlatformError> {
         let (mut items, mut after) = (Vec::new(), String::new());
         loop {
             let path = format!("/-/kv-range?pathPrefix={prefix}{after}");
-            let page: Option<Page> = self.reader.get(copy, &path, READ_LIMIT).await?;
-            let page = page.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
-            listing.first = listing.first.min(page.store_revision);
-            listing.last = listing.last.max(page.store_revision);
+            let Told { era, body } = self.reader.get::<Page>(copy, &path, READ_LIMIT).await?;
+            let page = body.ok_or_else(|| PlatformError::Malformed("a page is gone".to_owned()))?;
+            pages.note(Revision::new(era, page.store_revision))?;
             let last = page.items.last().map(|item| item.private_key.clone());
             items.extend(page.items);
             match last.filter(|_| page.truncated) {
@@ -139,7 +164,7 @@
 
     /// Puts an item into a listing, where it is the product's business.
     fn put(&self, listing: &mut Listing, item: &Item) {
-        if let Some(Change { key, value: Some(value) }) = self.change_of(item) {
+        if let Some(Change { key, value: Some(value) }) = self.change_of(listing.first.era, item) {
             listing.items.insert(key, value);
         }
     }
@@ -151,7 +176,7 @@
     /// An entry that cannot be read takes its upstream away, as its deletion would: those
     /// that list find the same as those that watched, and an upstream that lives writes its
     /// entry again within a second or two.
-    fn change_of(&self, item: &Item) -> Option<Change> {
+    fn change_of(&self, era: Era, item: &Item) -> Option<Change> {
         let name = &item.private_key;
         let id = name.strip_prefix(UPSTREAMS_PREFIX);
         let key: Key = match id {
@@ -169,7 +194,7 @@
                 Some(Change { key, value: Some(value.into()) })
             }
             Err(error) => {
-                self.left_out.note(name, item.revision, &error);
+                self.left_out.note(name, Revision::new(era, item.revision), &error);
                 id.is_some().then_some(Change { key, value: None })
             }
         }
@@ -206,16 +231,21 @@
         if space == Space::Hosts {
             return Err(no_hosts());
         }
-        let path = format!("/-/kv-watch?pathPrefix=&after={after}&waitMs={}", wait.as_millis());
-        let events: Option<Events> = self.reader.get(copy, &path, watch_limit(wait)).await?;
-        Ok(match events {
-            Some(Events { events, store_revision: at }) => {
-                let newer = events.iter().filter(|item| item.revision > after);
-                let changes = newer.filter_map(|item| Some((item.revision, self.change_of(item)?)));
-                Watched::Changes { deltas: deltas(after, changes), at }
-            }
-            None => Watched::Compacted,
-        })
+        let Revision { era: own, number } = after;
+        let path = format!("/-/kv-watch?pathPrefix=&after={number}&waitMs={}", wait.as_millis());
+        let Told { era, body } = self.reader.get::<Events>(copy, &path, watch_limit(wait)).await?;
+        // Of another era, the events say nothing of what was written below the number.
+        if era > own {
+            return Ok(Watched::Restored(era));
+        }
+        let at = |number| Revision::new(era, number);
+        if era < own {
+            return Err(PlatformError::Behind(at(body.map_or(0, |events| events.store_revision))));
+        }
+        let Some(Events { events, store_revision }) = body else { return Ok(Watched::Compacted) };
+        let newer = events.iter().filter(|item| item.revision > number);
+        let changes = newer.filter_map(|item| Some((at(item.revision), self.change_of(era, item)?)));
+        Ok(Watched::Changes { deltas: deltas(after, changes), at: at(store_revision) })
     }
 }
 
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -2,11 +2,13 @@
 //! surroundings.
 
 mod clock;
+mod formats;
 mod peers;
 mod platform;
 mod upstreams;
 
 pub use clock::Clock;
+pub use peers::CarriedMark;
 pub use peers::Exchange;
 pub use peers::Forward;
 pub use peers::Forwarded;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -7,13 +7,14 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 
+use super::formats::MarkFormat;
+use super::formats::PullFormat;
 use super::platform::Space;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
-use crate::domain::ids::Revision;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::membership::Row;
@@ -21,6 +22,7 @@
 use crate::domain::outcome::Gap;
 use crate::domain::query::ByteQuery;
 use crate::domain::residency::Regions;
+use crate::domain::revision::Revision;
 use crate::domain::suspects::SuspectReport;
 use crate::domain::word::NamedWord;
 
@@ -154,6 +156,7 @@
 
 /// How far a daemon is in one space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "MarkFormat", into = "MarkFormat")]
 pub struct Mark {
     /// The space.
     pub space: Space,
@@ -161,8 +164,26 @@
     pub revision: Option<Revision>,
     /// For how many milliseconds a newer one may have been confirmed; none where
     /// nothing vouches for the revision.
-    #[serde(default)]
     pub age: Option<u64>,
+    /// What goes before what the platform has at that revision.
+    pub carried: CarriedMark,
+}
+
+/// How far a daemon is in what is in force beside what the platform has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CarriedMark {
+    /// The last revision of an earlier era that something is carried on from.
+    pub from: Option<Revision>,
+    /// The edition in force.
+    pub edition: Edition,
+}
+
+impl CarriedMark {
+    /// Says whether a daemon with this one knows something that one with another lacks.
+    #[must_use]
+    pub fn exceeds(self, other: Self) -> bool {
+        self.from > other.from || self.edition > other.edition
+    }
 }
 
 /// What two daemons tell each other, in both directions.
@@ -188,11 +209,14 @@
 
 /// Asks a daemon for what is newer than the asker has.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(from = "PullFormat", into = "PullFormat")]
 pub struct Pull {
     /// The space.
     pub space: Space,
     /// The asker's revision.
     pub have: Option<Revision>,
+    /// How far the asker is in what is carried on; none from one that does not take it.
+    pub carried: Option<CarriedMark>,
 }
 
 /// Why a daemon gave no answer.
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -8,7 +8,8 @@
 
 use crate::domain::feed::Delta;
 use crate::domain::feed::Items;
-use crate::domain::ids::Revision;
+use crate::domain::ids::Era;
+use crate::domain::revision::Revision;
 
 /// A space of keyed values with revisions of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -57,6 +58,9 @@
     },
     /// The platform no longer has the changes since; list again.
     Compacted,
+    /// It came back from a copy, and is in this era: nothing that it tells leads on from what
+    /// was held before; list again.
+    Restored(Era),
 }
 
 /// Why the platform gave no answer.
@@ -65,9 +69,15 @@
     /// It could not be reached, or not in time.
     #[error("the platform did not answer")]
     Unreachable,
-    /// What it told is older than what is held: of a copy that is behind.
+    /// It turned the call away, in this era.
+    #[error("the platform turned the call away")]
+    TurnedAway(Era),
+    /// What it told is older than what is held: of an earlier era, or of a copy that is behind.
     #[error("the platform is behind, at {0}")]
     Behind(Revision),
+    /// It came back from a copy while it was read; what was read is of two eras.
+    #[error("the platform came back from a copy while it was read")]
+    Restored,
     /// It answered something that is not its protocol.
     #[error("the platform's answer is not valid: {0}")]
     Malformed(String),
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -16,12 +16,12 @@
 use crate::domain::freshness::Freshness;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
-use crate::domain::ids::Revision;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
 use crate::domain::membership::Row;
 use crate::domain::resources::Fault;
 use crate::domain::resources::ResourceSet;
+use crate::domain::revision::Revision;
 
 /// The configuration as one daemon has it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/harefield/tests/decisions/cold.rs
+++ b/crates/harefield/tests/decisions/cold.rs
@@ -25,6 +25,7 @@
 use harefield::domain::outcome::Gap;
 use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::domain::routing::Ask;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Own;
@@ -113,7 +114,7 @@
     fn learn(&mut self, fleet: &[Candidate], set: &Arc<ResourceSet>, now: Instant) {
         self.view = self.view.next(&ViewSources {
             own: &self.host,
-            revision: Some(1),
+            revision: Some(Revision::first(1)),
             set,
             listed: None,
             hosts: &HostList::default(),
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -19,6 +19,7 @@
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 
 /// The platform's whole history: what each revision changed, and its items.
 struct History {
@@ -49,7 +50,7 @@
 
 impl History {
     fn delta(&self, revision: usize) -> Delta {
-        let number = |n: usize| u64::try_from(n).expect("small");
+        let number = |n: usize| Revision::first(u64::try_from(n).expect("small"));
         Delta {
             base: number(revision),
             revision: number(revision + 1),
@@ -57,8 +58,8 @@
         }
     }
 
-    fn is_good(&self, revision: u64) -> bool {
-        let at = usize::try_from(revision).expect("small") - 1;
+    fn is_good(&self, revision: Revision) -> bool {
+        let at = usize::try_from(revision.number).expect("small") - 1;
         ResourceSet::parse(&self.states[at]).is_ok()
     }
 }
@@ -122,7 +123,7 @@
                 }
                 Step::List(n) => {
                     let at = n % history.states.len();
-                    let revision = u64::try_from(at + 1).expect("small");
+                    let revision = Revision::first(u64::try_from(at + 1).expect("small"));
                     let _offer = fleet[who].offer_all(revision, &history.states[at]);
                 }
                 Step::Hear(n) => {
@@ -133,7 +134,7 @@
             prop_assert!(fleet[who].revision() >= before, "it went back");
             if let Some(revision) = fleet[who].revision() {
                 prop_assert!(history.is_good(revision), "revision {} has faults", revision);
-                let at = usize::try_from(revision).expect("small") - 1;
+                let at = usize::try_from(revision.number).expect("small") - 1;
                 let expected = ResourceSet::parse(&history.states[at]).expect("it is good");
                 prop_assert_eq!(&**fleet[who].set(), &expected);
             }
@@ -161,7 +162,7 @@
             let number = u64::try_from(revision).expect("small");
             let mut state = feed.items().clone();
             state.insert(format!("k{}", revision % 7).into(), revision.to_string().into());
-            feed.replace(number, &state);
+            feed.replace(Revision::first(number), &state);
             if revision == have {
                 asker = feed.clone();
             }
@@ -180,11 +181,11 @@
     let mut feed = Feed::default();
     let mut state = feed.items().clone();
     state.insert("k".into(), "1".into());
-    feed.replace(1, &state);
+    feed.replace(Revision::first(1), &state);
     let behind: Vec<Feed> = (2..3000)
         .map(|revision| {
             let change = Change { key: "k".into(), value: Some("1".into()) };
-            feed.advance(revision, &[change]);
+            feed.advance(Revision::first(revision), &[change]);
             feed.clone()
         })
         .step_by(700)
@@ -269,12 +270,12 @@
 fn faulty_between_good() {
     let history = history(&[1, 0]);
     let mut config = Configuration::default();
-    assert_eq!(config.offer_all(1, &history.states[0]), Offer::Accepted);
+    assert_eq!(config.offer_all(Revision::first(1), &history.states[0]), Offer::Accepted);
     assert!(matches!(config.offer(&history.delta(1)), Offer::Refused(_)));
-    assert_eq!(config.revision(), Some(1), "the last good set stays in force");
-    assert_eq!(config.refused().map(|refused| refused.revision), Some(2));
+    assert_eq!(config.revision(), Some(Revision::first(1)), "the last good set stays in force");
+    assert_eq!(config.refused().map(|refused| refused.revision), Some(Revision::first(2)));
     assert_eq!(config.offer(&history.delta(2)), Offer::Accepted);
-    assert_eq!(config.revision(), Some(3));
+    assert_eq!(config.revision(), Some(Revision::first(3)));
     assert!(config.refused().is_none());
 }
 
@@ -282,24 +283,24 @@
 fn late_starter() {
     let history = history(&[1]);
     let mut first = Configuration::default();
-    first.offer_all(1, &history.states[0]);
+    first.offer_all(Revision::first(1), &history.states[0]);
     first.offer(&history.delta(1));
     let mut second = Configuration::default();
-    assert!(matches!(second.offer_all(2, &history.states[1]), Offer::Refused(_)));
+    assert!(matches!(second.offer_all(Revision::first(2), &history.states[1]), Offer::Refused(_)));
     assert_eq!(second.revision(), None);
     assert!(second.learn(first.since(None)), "a peer has the last good set");
-    assert_eq!(second.revision(), Some(1));
+    assert_eq!(second.revision(), Some(Revision::first(1)));
 }
 
 #[test]
 fn stale_copy_ignored() {
     let history = history(&[0, 0]);
     let mut config = Configuration::default();
-    config.offer_all(3, &history.states[2]);
-    assert_eq!(config.offer_all(1, &history.states[0]), Offer::Old);
+    config.offer_all(Revision::first(3), &history.states[2]);
+    assert_eq!(config.offer_all(Revision::first(1), &history.states[0]), Offer::Old);
     assert_eq!(config.offer(&history.delta(1)), Offer::Old);
-    assert_eq!(config.revision(), Some(3));
-    assert!(!config.learn(News::Full { revision: 2, items: history.states[1].clone() }));
+    assert_eq!(config.revision(), Some(Revision::first(3)));
+    assert!(!config.learn(News::Full { revision: Revision::first(2), items: history.states[1].clone() }));
 }
 
 /// Returns the codes of a set's faults, by key.
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod cold;
 mod configuration;
 mod entries;
+mod eras;
 mod fanout;
 mod freshness;
 mod groups;
--- a/crates/harefield/tests/decisions/residency.rs
+++ b/crates/harefield/tests/decisions/residency.rs
@@ -22,6 +22,7 @@
 use harefield::domain::places::Places;
 use harefield::domain::residency::Residency;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::domain::routing::Ask;
 use harefield::domain::routing::Until;
 use harefield::domain::view::View;
@@ -61,7 +62,7 @@
 fn next(before: &View, set: &Arc<ResourceSet>) -> View {
     before.next(&ViewSources {
         own: &"127.0.0.1:7200".into(),
-        revision: Some(1),
+        revision: Some(Revision::first(1)),
         set,
         listed: None,
         hosts: &HostList::default(),
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -19,6 +19,7 @@
 use harefield::domain::membership::Row;
 use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
@@ -88,7 +89,7 @@
 pub fn view(set: &Arc<ResourceSet>) -> View {
     View::default().next(&ViewSources {
         own: &"127.0.0.1:7200".into(),
-        revision: Some(1),
+        revision: Some(Revision::first(1)),
         set,
         listed: None,
         hosts: &HostList::default(),
--- a/crates/harefield/tests/decisions/views.rs
+++ b/crates/harefield/tests/decisions/views.rs
@@ -13,6 +13,7 @@
 use harefield::domain::ids::HostId;
 use harefield::domain::places::Places;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::domain::view::View;
 use harefield::domain::view::ViewSources;
 
@@ -27,9 +28,9 @@
     let size = CellSize { most, wanted: 1 };
     before.next(&ViewSources {
         own: &own,
-        revision: Some(1),
+        revision: Some(Revision::first(1)),
         set,
-        listed: Some(1),
+        listed: Some(Revision::first(1)),
         hosts,
         fleet: &[],
         size,
--- a/crates/harefield/tests/fleet/current.rs
+++ b/crates/harefield/tests/fleet/current.rs
@@ -5,6 +5,7 @@
 
 use crate::support::Fleet;
 use crate::support::Tuning;
+use harefield::domain::revision::Revision;
 use harefield::domain::word::NamedWord;
 use harefield::domain::word::Word;
 use harefield::domain::word::WordStamp;
@@ -26,7 +27,7 @@
 fn lost_watches() {
     // No watch is ever answered, and nobody says so: what asks beside them must do.
     let fleet = Fleet::start_as(4, DEPLOYED);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.mute(&Space::ALL);
     fleet.run_for(Duration::from_secs(3));
     for name in ["lookups/a", "lookups/b", "lookups/c"] {
@@ -42,7 +43,7 @@
 fn lost_watches_of_hosts() {
     // A host that is leaving gets no new work after seconds: its list is asked for too.
     let fleet = Fleet::start_as(4, DEPLOYED);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.mute(&[Space::Hosts]);
     fleet.run_for(Duration::from_secs(3));
     let listed = Instant::now();
@@ -105,7 +106,7 @@
 fn quiet_fleet() -> Fleet {
     let tuning = Tuning { apply: Duration::from_secs(6), exchange: Duration::from_secs(60), ..DEPLOYED };
     let fleet = Fleet::start_as(10, tuning);
-    fleet.await_revision(0..10, 1);
+    fleet.await_revision(0..10, Revision::first(1));
     fleet.run_for(Duration::from_secs(3));
     fleet
 }
@@ -128,7 +129,7 @@
     // comes behind thousands of others is in force as soon as anything else. At a site of
     // 295 daemons each of them had the revisions of two seconds ago, 500 more a second.
     let fleet = Fleet::start_as(4, DEPLOYED);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.limit_watches(500);
     for number in 0..8000 {
         let snapshot = format!(r#"{{"snapshots":[{{"version":{},"shards":{{}}}}]}}"#, number + 1);
--- /dev/null
+++ b/crates/harefield/tests/fleet/eras.rs
@@ -0,0 +1,244 @@
+//! A platform that comes back from a copy of itself, beside cuts between the daemons.
+
+use std::ops::Range;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::CARRY;
+use crate::support::Fleet;
+use crate::support::Tuning;
+use harefield::domain::hlc::Stamp;
+use harefield::domain::ids::Edition;
+use harefield::domain::revision::Revision;
+use harefield::engine::ToControl;
+use harefield::ports::CarriedMark;
+use harefield::ports::Exchange;
+use harefield::ports::Mark;
+use harefield::ports::Space;
+
+/// As daemons are deployed: one of a zone reads.
+const DEPLOYED: Tuning = Tuning {
+    exchange: Duration::from_millis(300),
+    watch: Duration::from_secs(20),
+    apply: Duration::from_secs(3),
+    readers: 1,
+};
+
+/// Within this time a confirmed change is to be in force, and some more for a busy machine.
+const IN_FORCE: Duration = Duration::from_millis(3500);
+
+const UPSTREAM: &str = r#"{"address":"127.0.0.1:9","zone":"z","slots":1,"connections":1}"#;
+
+fn publish(fleet: &Fleet, edition: Edition) -> Revision {
+    fleet.publish("catalogs/operator", &format!(r#"{{"edition":{edition}}}"#))
+}
+
+/// Starts daemons that have editions up to 3 in force, and returns a copy that has edition 1.
+fn start(count: usize) -> (Fleet, Revision) {
+    let fleet = Fleet::start_as(count, DEPLOYED);
+    let copy = publish(&fleet, 1);
+    for edition in 2..=3 {
+        publish(&fleet, edition);
+    }
+    await_edition(&fleet, 0..count, 3);
+    (fleet, copy)
+}
+
+/// Lets the fleet run until some daemons have an edition in force; each goes on having it.
+fn await_edition(fleet: &Fleet, daemons: Range<usize>, edition: Edition) {
+    let confirmed = Instant::now();
+    while !daemons.clone().all(|own| fleet.set(own).edition() >= edition) {
+        let late = confirmed.elapsed();
+        assert!(late < IN_FORCE, "edition {edition} is not in force after {late:?}");
+        fleet.run_for(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn editions_after_copy() {
+    let (fleet, copy) = start(6);
+    for era in 1..4 {
+        fleet.restore(copy);
+        for edition in [10 * era + 1, 10 * era + 2] {
+            publish(&fleet, edition);
+            await_edition(&fleet, 0..6, edition);
+        }
+    }
+}
+
+#[test]
+fn few_reach_platform() {
+    // One of six reaches the platform in its new era, and tells the rest.
+    let (fleet, copy) = start(6);
+    fleet.blind([0, 1, 2, 4, 5]);
+    fleet.restore(copy);
+    publish(&fleet, 4);
+    await_edition(&fleet, 0..6, 4);
+}
+
+#[test]
+fn halves_of_two_eras() {
+    // One half stays in the older era, cut off from the platform too, and serves on by what
+    // it has; when they meet, nobody goes back, and the later era is everywhere.
+    let (fleet, copy) = start(6);
+    fleet.cut(&[0, 1, 2], &[3, 4, 5], true);
+    fleet.blind([3, 4, 5]);
+    fleet.restore(copy);
+    publish(&fleet, 4);
+    await_edition(&fleet, 0..3, 4);
+    fleet.run_for(Duration::from_secs(1));
+    assert!((3..6).all(|own| fleet.set(own).edition() == 3), "they serve by what they have");
+    fleet.heal();
+    await_edition(&fleet, 0..6, 4);
+    publish(&fleet, 5);
+    await_edition(&fleet, 0..6, 5);
+}
+
+#[test]
+fn copies_in_a_row() {
+    // The second copy is older than the first, and nobody has read the first by then.
+    let (fleet, copy) = start(6);
+    fleet.blind(0..6);
+    fleet.restore(copy);
+    publish(&fleet, 4);
+    fleet.run_for(Duration::from_millis(500));
+    fleet.restore(Revision::first(copy.number - 1));
+    publish(&fleet, 5);
+    fleet.blind([]);
+    await_edition(&fleet, 0..6, 5);
+}
+
+#[test]
+fn nobody_writes_again() {
+    // What the copy lacks is not revoked, also at the daemons that hear of the era from others.
+    let (fleet, copy) = start(6);
+    fleet.restore(copy);
+    fleet.run_for(CARRY.operator + Duration::from_secs(1));
+    assert!((0..6).all(|own| fleet.set(own).edition() == 3));
+    let revisions = fleet.revisions();
+    assert!(revisions.iter().all(|held| held.is_some_and(|held| held.era == 1)), "{revisions:?}");
+}
+
+#[test]
+fn few_listings() {
+    // One of ten reads: it lists once, and the others hear of it. Each of them may have asked
+    // the platform once itself, as while it is away.
+    let (fleet, copy) = start(10);
+    fleet.run_for(Duration::from_secs(1));
+    let before = fleet.listings();
+    fleet.restore(copy);
+    fleet.run_for(IN_FORCE);
+    let listings = fleet.listings() - before;
+    assert_eq!(listings, 1, "one listing a reader");
+}
+
+#[test]
+fn evacuation_lost() {
+    // An evacuation that the copy lacks goes on at all, for as long as its operator needs to
+    // write it again, and not for ever where that never happens.
+    let (fleet, copy) = start(6);
+    let revision = fleet.publish("evacuations/z", "{}");
+    fleet.await_revision(0..6, revision);
+    fleet.restore(copy);
+    let back = Instant::now();
+    let bars = |own: usize| fleet.set(own).evacuations.contains_key("z");
+    while back.elapsed() < CARRY.operator {
+        fleet.run_for(Duration::from_millis(20));
+        let lost: Vec<usize> = (0..6).filter(|own| !bars(*own)).collect();
+        assert!(lost.is_empty(), "{lost:?} send to it again {:?} after the return", back.elapsed());
+    }
+    fleet.run_for(Duration::from_secs(2));
+    assert!(!(0..6).any(bars), "nobody has written it again");
+}
+
+#[test]
+fn evacuation_written_again() {
+    let (fleet, copy) = start(4);
+    let revision = fleet.publish("evacuations/z", "{}");
+    fleet.await_revision(0..4, revision);
+    fleet.restore(copy);
+    let revision = fleet.publish("evacuations/z", "{}");
+    fleet.await_revision(0..4, revision);
+    fleet.run_for(CARRY.operator + Duration::from_secs(1));
+    let bars = |own: usize| fleet.set(own).evacuations.contains_key("z");
+    assert!((0..4).all(bars), "it was written again, and stands");
+    let revision = fleet.take_away("evacuations/z");
+    fleet.await_revision(0..4, revision);
+    assert!(!(0..4).any(bars), "it was taken back");
+}
+
+#[test]
+fn evacuation_back() {
+    // The copy has one that was taken back: in doubt it is in force, until the operator takes
+    // it back again.
+    let (fleet, _) = start(4);
+    let copy = fleet.publish("evacuations/z", "{}");
+    let revision = fleet.take_away("evacuations/z");
+    fleet.await_revision(0..4, revision);
+    fleet.restore(copy);
+    fleet.await_revision(0..4, Revision::new(1, copy.number));
+    let bars = |own: usize| fleet.set(own).evacuations.contains_key("z");
+    assert!((0..4).all(bars));
+    let revision = fleet.take_away("evacuations/z");
+    fleet.await_revision(0..4, revision);
+    assert!(!(0..4).any(bars));
+}
+
+#[test]
+fn upstreams_of_copy() {
+    // One that the copy lacks goes on until it has had time to write; one that it has and that
+    // had left is none until then, or until it writes.
+    let (fleet, _) = start(4);
+    fleet.publish("upstreams/left", UPSTREAM);
+    let copy = fleet.publish("upstreams/writes", UPSTREAM);
+    fleet.take_away("upstreams/left");
+    fleet.take_away("upstreams/writes");
+    let revision = fleet.publish("upstreams/new", UPSTREAM);
+    fleet.await_revision(0..4, revision);
+    fleet.restore(copy);
+    fleet.await_revision(0..4, Revision::new(1, copy.number));
+    let has = |name: &str| (0..4).filter(|own| fleet.set(*own).upstreams.contains_key(name)).count();
+    assert_eq!((has("new"), has("left"), has("writes")), (4, 0, 0));
+    let other = UPSTREAM.replace(":9", ":10");
+    let revision = fleet.publish("upstreams/writes", &other);
+    fleet.await_revision(0..4, revision);
+    assert_eq!((has("new"), has("left"), has("writes")), (4, 0, 4));
+    fleet.run_for(CARRY.upstream + Duration::from_millis(500));
+    // The platform would have dropped an entry that nobody writes.
+    assert_eq!((has("new"), has("left"), has("writes")), (0, 4, 4));
+}
+
+#[test]
+fn older_word_proves_nothing() {
+    // A daemon that knows no eras, or is behind, vouches for a high number of an older one.
+    let (fleet, copy) = start(2);
+    fleet.restore(copy);
+    fleet.await_revision(0..2, Revision::new(1, copy.number));
+    fleet.blind(0..2);
+    fleet.run_for(Duration::from_secs(1));
+    let mark = Mark {
+        space: Space::Config,
+        revision: Some(Revision::first(999)),
+        age: Some(0),
+        carried: CarriedMark::default(),
+    };
+    for own in 0..2 {
+        let (reply, _) = async_channel::bounded(1);
+        fleet.say(own, ToControl::Exchange(Box::new(said(mark)), reply));
+    }
+    fleet.run_for(Duration::from_millis(300));
+    assert!(fleet.oldest() > 1.0, "{} s", fleet.oldest());
+    assert!(fleet.revisions().iter().all(|held| held.is_some_and(|held| held.era == 1)));
+}
+
+fn said(mark: Mark) -> Exchange {
+    Exchange {
+        from: "127.0.0.1:7200".into(),
+        incarnation: 1,
+        stamp: Stamp::default(),
+        marks: vec![mark],
+        rows: Vec::new(),
+        words: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
--- a/crates/harefield/tests/fleet/link.rs
+++ b/crates/harefield/tests/fleet/link.rs
@@ -16,8 +16,9 @@
 use harefield::domain::feed::Delta;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
+use harefield::domain::ids::Era;
 use harefield::domain::ids::HostId;
-use harefield::domain::ids::Revision;
+use harefield::domain::revision::Revision;
 use harefield::engine::ToControl;
 use harefield::ports::Exchange;
 use harefield::ports::Forward;
@@ -48,8 +49,12 @@
     pub calls: BTreeMap<usize, usize>,
     /// Exchanges that each daemon began.
     pub exchanges: BTreeMap<usize, usize>,
-    pub log: Vec<(Space, Revision, Change)>,
-    pub revisions: BTreeMap<Space, Revision>,
+    pub log: Vec<(Space, u64, Change)>,
+    pub revisions: BTreeMap<Space, u64>,
+    /// How often it came back from a copy.
+    pub era: Era,
+    /// How often the resources were listed.
+    pub listings: usize,
     /// The most changes that one watch tells; none for all.
     pub most: Option<usize>,
 }
@@ -88,12 +93,19 @@
 
 impl Shared {
     pub fn revision(&self, space: Space) -> Revision {
-        self.revisions.get(&space).copied().unwrap_or(0)
+        Revision::new(self.era, self.revisions.get(&space).copied().unwrap_or(0))
+    }
+
+    /// Comes back from a copy of its resources as they were at a revision.
+    pub fn restore(&mut self, copy: Revision) {
+        self.log.retain(|(space, number, _)| *space != Space::Config || *number <= copy.number);
+        self.revisions.insert(Space::Config, copy.number);
+        self.era += 1;
     }
 
     fn of(&self, space: Space) -> impl Iterator<Item = (Revision, &Change)> {
         let own = self.log.iter().filter(move |(held, ..)| *held == space);
-        own.map(|(_, revision, change)| (*revision, change))
+        own.map(|(_, number, change)| (Revision::new(self.era, *number), change))
     }
 }
 
@@ -130,6 +142,7 @@
 impl Platform for Link {
     async fn list(&self, _: SocketAddr, space: Space) -> Result<Listing, PlatformError> {
         self.count();
+        self.shared.borrow_mut().listings += usize::from(space == Space::Config);
         let shared = self.shared.borrow();
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
@@ -163,9 +176,12 @@
         if shared.blind.contains(&self.own) {
             return Err(PlatformError::Unreachable);
         }
+        if shared.era > after.era {
+            return Ok(Watched::Restored(shared.era));
+        }
         let newer = shared.of(space).filter(|(revision, _)| *revision > after);
         let deltas = newer.map(|(revision, change)| Delta {
-            base: revision - 1,
+            base: Revision::new(revision.era, revision.number - 1),
             revision,
             changes: vec![change.clone()],
         });
--- a/crates/harefield/tests/fleet/main.rs
+++ b/crates/harefield/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! on one thread, with fakes at the ports.
 
 mod current;
+mod eras;
 mod link;
 mod split;
 mod support;
--- a/crates/harefield/tests/fleet/split.rs
+++ b/crates/harefield/tests/fleet/split.rs
@@ -4,6 +4,7 @@
 
 use crate::support::Fleet;
 use harefield::domain::membership::PeerState;
+use harefield::domain::revision::Revision;
 
 const LOOKUP: &str = r#"{"index":"i","urgency":"bulk","deadline-ms":5,"repeatable":true,"prefer":"time"}"#;
 const FAULTY: &str =
@@ -12,7 +13,7 @@
 #[test]
 fn one_reaches_platform() {
     let fleet = Fleet::start(6);
-    fleet.await_revision(0..6, 1);
+    fleet.await_revision(0..6, Revision::first(1));
     fleet.blind(1..6);
     let revision = fleet.publish("lookups/l", LOOKUP);
     fleet.await_revision(0..6, revision);
@@ -21,13 +22,17 @@
 #[test]
 fn halves_meet_again() {
     let fleet = Fleet::start(6);
-    fleet.await_revision(0..6, 1);
+    fleet.await_revision(0..6, Revision::first(1));
     fleet.cut(&[0, 1, 2], &[3, 4, 5], true);
     fleet.blind(3..6);
     let revision = fleet.publish("lookups/l", LOOKUP);
     fleet.await_revision(0..3, revision);
     fleet.run_for(Duration::from_millis(300));
-    assert_eq!(fleet.revisions()[3..], [Some(1); 3], "the other half goes on with what it has");
+    assert_eq!(
+        fleet.revisions()[3..],
+        [Some(Revision::first(1)); 3],
+        "the other half goes on with what it has"
+    );
     fleet.heal();
     fleet.await_revision(3..6, revision);
 }
@@ -37,7 +42,7 @@
     // Both halves reach the platform, one only later: the newest wins, and
     // nobody goes back to what the other half has.
     let fleet = Fleet::start(4);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.cut(&[0, 1], &[2, 3], true);
     fleet.blind(2..4);
     let first = fleet.publish("lookups/l", LOOKUP);
@@ -56,7 +61,7 @@
 fn one_way_cut() {
     // 0 and 1 can be spoken to by the others, but cannot speak to them.
     let fleet = Fleet::start(5);
-    fleet.await_revision(0..5, 1);
+    fleet.await_revision(0..5, Revision::first(1));
     fleet.cut(&[0, 1], &[2, 3, 4], false);
     fleet.blind(2..5);
     let revision = fleet.publish("lookups/l", LOOKUP);
@@ -66,12 +71,12 @@
 #[test]
 fn faulty_in_one_half() {
     let fleet = Fleet::start(4);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.cut(&[0, 1], &[2, 3], true);
     fleet.blind(2..4);
     fleet.publish("lookups/l", FAULTY);
     fleet.run_for(Duration::from_millis(300));
-    assert_eq!(fleet.revisions(), [Some(1); 4]);
+    assert_eq!(fleet.revisions(), [Some(Revision::first(1)); 4]);
     let good = fleet.publish("lookups/l", LOOKUP);
     fleet.await_revision(0..2, good);
     fleet.heal();
@@ -81,7 +86,7 @@
 #[test]
 fn seen_again() {
     let fleet = Fleet::start(4);
-    fleet.await_revision(0..4, 1);
+    fleet.await_revision(0..4, Revision::first(1));
     fleet.run_for(Duration::from_millis(300));
     assert_eq!(fleet.sees(0, 3), Some(PeerState::Live));
     fleet.cut(&[0, 1, 2], &[3], true);
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -19,14 +19,17 @@
 use harefield::control::Control;
 use harefield::control::ControlPorts;
 use harefield::control::ControlSettings;
+use harefield::domain::carried::CarryTimes;
 use harefield::domain::cell::CellSize;
 use harefield::domain::cold::Bound;
 use harefield::domain::feed::Change;
 use harefield::domain::freshness::Pace;
-use harefield::domain::ids::Revision;
+use harefield::domain::ids::Edition;
 use harefield::domain::membership::PeerState;
 use harefield::domain::membership::Row;
 use harefield::domain::places::Places;
+use harefield::domain::resources::ResourceSet;
+use harefield::domain::revision::Revision;
 use harefield::engine::ToControl;
 use harefield::engine::ToWorker;
 use harefield::ports::Space;
@@ -53,6 +56,10 @@
     readers: 2,
 };
 
+/// Heartbeats that come often.
+pub const CARRY: CarryTimes =
+    CarryTimes { upstream: Duration::from_millis(1500), operator: Duration::from_millis(2500) };
+
 /// Several daemons' control duties.
 pub struct Fleet {
     executor: Rc<LocalExecutor<'static>>,
@@ -60,6 +67,7 @@
     boards: Vec<Arc<Board>>,
     workers: Vec<Receiver<ToWorker>>,
     newest: RefCell<Vec<Option<Revision>>>,
+    editions: RefCell<Vec<Edition>>,
 }
 
 impl Fleet {
@@ -72,8 +80,14 @@
     pub fn start_as(count: usize, tuning: Tuning) -> Self {
         let executor: Rc<LocalExecutor<'static>> = Rc::default();
         let shared = Rc::default();
-        let mut fleet =
-            Self { executor, shared, boards: Vec::new(), workers: Vec::new(), newest: RefCell::default() };
+        let mut fleet = Self {
+            executor,
+            shared,
+            boards: Vec::new(),
+            workers: Vec::new(),
+            newest: RefCell::default(),
+            editions: RefCell::default(),
+        };
         fleet.publish("indexes/i", r#"{"snapshots":[{"version":1,"shards":{}}]}"#);
         for own in 0..count {
             fleet.add(own, count, tuning);
@@ -106,6 +120,7 @@
             watch: tuning.watch,
             pace: Pace::new(tuning.apply),
             readers: tuning.readers,
+            carry: CARRY,
             cold: Bound::default(),
             cell: CellSize::default(),
             places: Places::default(),
@@ -130,21 +145,36 @@
 
     /// Publishes one value as one revision, and returns it.
     pub fn publish(&self, key: &str, value: &str) -> Revision {
-        self.publish_in(Space::Config, key, value)
+        self.publish_in(Space::Config, key, Some(value))
     }
 
     /// Lists a host as leaving, and returns the revision of the list.
     pub fn list_leaving(&self, address: &str) -> Revision {
         let row = r#"{"role":"upstream","state":"leaving"}"#;
-        self.publish_in(Space::Hosts, &format!("hosts/{address}"), row)
+        self.publish_in(Space::Hosts, &format!("hosts/{address}"), Some(row))
     }
 
-    fn publish_in(&self, space: Space, key: &str, value: &str) -> Revision {
+    fn publish_in(&self, space: Space, key: &str, value: Option<&str>) -> Revision {
         let mut shared = self.shared.borrow_mut();
-        let revision = shared.revision(space) + 1;
-        shared.revisions.insert(space, revision);
-        shared.log.push((space, revision, Change { key: key.into(), value: Some(value.into()) }));
-        revision
+        let number = shared.revision(space).number + 1;
+        shared.revisions.insert(space, number);
+        shared.log.push((space, number, Change { key: key.into(), value: value.map(Into::into) }));
+        shared.revision(space)
+    }
+
+    /// Comes back from a copy of the resources as they were at a revision.
+    pub fn restore(&self, copy: Revision) {
+        self.shared.borrow_mut().restore(copy);
+    }
+
+    /// Takes one value away as one revision, and returns it.
+    pub fn take_away(&self, key: &str) -> Revision {
+        self.publish_in(Space::Config, key, None)
+    }
+
+    /// Returns the set that a daemon has in force.
+    pub fn set(&self, daemon: usize) -> Arc<ResourceSet> {
+        self.boards[daemon].set()
     }
 
     /// Tells a daemon's control duty something, as its worker does.
@@ -178,6 +208,11 @@
         self.of_each(&self.shared.borrow().calls)
     }
 
+    /// Returns how often the platform was listed.
+    pub fn listings(&self) -> usize {
+        self.shared.borrow().listings
+    }
+
     /// Returns how many exchanges each daemon has begun.
     pub fn exchanges(&self) -> Vec<usize> {
         self.of_each(&self.shared.borrow().exchanges)
@@ -211,7 +246,7 @@
         self.shared.borrow_mut().cut.clear();
     }
 
-    /// Returns the revision in force on each daemon; none of them goes back.
+    /// Returns the revision in force on each daemon; none of them goes back, nor the editions.
     pub fn revisions(&self) -> Vec<Option<Revision>> {
         let now: Vec<_> = self.boards.iter().map(|board| board.status().config.revision).collect();
         let mut newest = self.newest.borrow_mut();
@@ -219,6 +254,12 @@
             assert!(after >= before, "daemon {own} went back from {before:?} to {after:?}");
         }
         newest.clone_from(&now);
+        let now_editions: Vec<Edition> = self.boards.iter().map(|board| board.set().edition()).collect();
+        let mut editions = self.editions.borrow_mut();
+        for (own, (before, after)) in editions.iter().zip(&now_editions).enumerate() {
+            assert!(after >= before, "daemon {own} went back from edition {before} to {after}");
+        }
+        *editions = now_editions;
         now
     }
 
--- a/crates/harefield/tests/processes/administration.rs
+++ b/crates/harefield/tests/processes/administration.rs
@@ -12,6 +12,7 @@
 use crate::support::World;
 use crate::support::await_true;
 use harefield::domain::code::Code;
+use harefield::domain::revision::Revision;
 
 fn get(daemon: &Daemon, path: &str) -> (u16, Value) {
     let reply = Client::once(daemon.addresses.operators, "GET", path, "", PATIENCE);
@@ -47,7 +48,7 @@
 #[test]
 fn listed_by_team() {
     let world = World::start(1, "");
-    world.await_revision(1);
+    world.await_revision(Revision::first(1));
     let (_, all) = get(&world.daemons[0], "/v1/resources/lookups");
     let (_, own) = get(&world.daemons[0], "/v1/resources/lookups?team=parcels");
     let (_, none) = get(&world.daemons[0], "/v1/resources/lookups?team=others");
@@ -63,7 +64,7 @@
     let daemon = &world.daemons[0];
     await_true("the refusal is shown", || {
         let (_, listing) = get(daemon, "/v1/resources/lookups");
-        listing["refused"] == revision
+        listing["refused"] == json!(revision)
     });
     let shown = item(daemon, "lookups/bad");
     assert_eq!(shown["accepted"], false);
@@ -73,7 +74,7 @@
 #[test]
 fn watch_revision() {
     let world = World::start(1, "");
-    world.await_revision(1);
+    world.await_revision(Revision::first(1));
     let operators = world.daemons[0].addresses.operators;
     let watch = thread::spawn(move || {
         let path = "/v1/resources/lookups?after=1&wait-ms=15000";
--- a/crates/harefield/tests/processes/configuration.rs
+++ b/crates/harefield/tests/processes/configuration.rs
@@ -10,6 +10,7 @@
 use crate::support::World;
 use crate::support::ask;
 use harefield::domain::code::Code;
+use harefield::domain::revision::Revision;
 
 /// The target of the letter.
 const IN_FORCE: Duration = Duration::from_secs(9);
@@ -133,7 +134,7 @@
     let ran = world.searchers.tally().ran;
     world.daemons[0].signal("CONT");
     let answer = asker.join().expect("no panic").expect("an answer");
-    world.await_revision(dropped);
+    world.await_revision(Revision::first(dropped));
     assert_eq!(
         world.searchers.tally().ran,
         ran,
@@ -163,7 +164,7 @@
     assert!(world.await_revision(last) < IN_FORCE);
     for daemon in &world.daemons {
         let accepted = daemon.timeline("kind=config-accepted");
-        let revisions: Vec<u64> = accepted
+        let revisions: Vec<Revision> = accepted
             .iter()
             .filter_map(|record| match &record.event {
                 harefield::domain::event::Event::ConfigAccepted { revision, .. } => Some(*revision),
--- a/crates/harefield/tests/processes/support.rs
+++ b/crates/harefield/tests/processes/support.rs
@@ -22,6 +22,7 @@
 
 use harefield::domain::event::Record;
 use harefield::domain::outcome::Answer;
+use harefield::domain::revision::Revision;
 use harefield::telemetry::Status;
 
 /// How long anything that should happen may take: far longer than it does.
@@ -190,19 +191,19 @@
     }
 
     /// Publishes one resource and returns the revision.
-    pub fn publish(&self, key: &str, value: Value) -> u64 {
-        self.platform.publish("config", vec![(key, Some(value))])
+    pub fn publish(&self, key: &str, value: Value) -> Revision {
+        Revision::first(self.platform.publish("config", vec![(key, Some(value))]))
     }
 
     /// Waits until every daemon has a revision of the configuration in force.
-    pub fn await_revision(&self, revision: u64) -> Duration {
+    pub fn await_revision(&self, revision: Revision) -> Duration {
         self.await_all("the revision", |status| status.config.revision >= Some(revision))
     }
 
     /// Waits until every daemon uses a revision of the host list, give or take
     /// the empty change that asked for it.
     pub fn await_hosts(&self, revision: u64) {
-        self.await_all("the host list", |status| status.config.listed >= Some(revision - 1));
+        self.await_all("the host list", |status| status.config.listed >= Some(Revision::first(revision - 1)));
     }
 
     /// Waits until every daemon's status is as it should be.
--- a/crates/harefield/tests/processes/true_coverage.rs
+++ b/crates/harefield/tests/processes/true_coverage.rs
@@ -10,6 +10,7 @@
 use harefield::domain::code::Code;
 use harefield::domain::outcome::Gap;
 use harefield::domain::outcome::Outcome;
+use harefield::domain::revision::Revision;
 
 #[test]
 fn whole_answer() {
@@ -92,7 +93,7 @@
         world.publish("lookups/brief", json!({
             "index": "parcels", "urgency": "urgent", "deadline-ms": 90, "repeatable": true, "prefer": "coverage",
         }));
-        world.await_revision(2);
+        world.await_revision(Revision::first(2));
         world.change_service("parcels-01", |b| b.fault = fault);
         let answer = world.ask(0, "brief", &json!({ "query": 1 }));
         assert_eq!(answer.outcome, Outcome::Answered);
