Who starts awaits daemons that are behind; what is carried on has a rank

Drawn histories of writes, copies and daemons against a model that never forgets found: a daemon that started beside a copy served by its older edition though it had heard of a daemon that knew better, which was in the older era yet and whose lower revision was not believed. And a daemon that started between two copies outranked those that carried more: what is carried on is ordered by how many eras it went through, then by the revision that it is of.

--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -146,6 +147,8 @@
     pub(super) refused: Cell<Option<(Revision, Revision)>>,
     /// The latest era that was heard of, by space.
     pub(super) eras: RefCell<BTreeMap<Space, Era>>,
+    /// Daemons that were heard of in an earlier era than this one is in.
+    pub(super) behind: RefCell<BTreeSet<HostId>>,
     /// Whether a listing is being read.
     pub(super) listing: Cell<bool>,
     /// Whether a task waits to drop what is carried on.
@@ -195,6 +198,7 @@
             cursor: Cell::default(),
             refused: Cell::new(None),
             eras: RefCell::default(),
+            behind: RefCell::default(),
             listing: Cell::new(false),
             expiring: Cell::new(false),
         })
@@ -243,7 +247,7 @@
     /// Returns what brings a peer up to date.
     pub(super) fn news(&self, pull: &Pull) -> News {
         match pull.space {
-            Space::Config => self.carrying(pull, self.config.borrow().since(pull.have)),
+            Space::Config => self.config.borrow().news(pull.have, pull.carried, self.ports.clock.now()),
             Space::Hosts => self.hosts.borrow().since(pull.have),
         }
     }
--- a/crates/harefield/src/control/eras.rs
+++ b/crates/harefield/src/control/eras.rs
@@ -3,24 +3,24 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::warn;
 use rand::Rng;
 
 use super::duty::Control;
+use crate::domain::carried::CarriedMark;
 use crate::domain::carried::CarriedReport;
 use crate::domain::event::Event;
-use crate::domain::feed::News;
 use crate::domain::ids::Era;
+use crate::domain::ids::HostId;
 use crate::domain::revision::Revision;
-use crate::ports::CarriedMark;
 use crate::ports::Clock;
 use crate::ports::Mark;
 use crate::ports::Peers;
 use crate::ports::Platform;
 use crate::ports::PlatformError;
-use crate::ports::Pull;
 use crate::ports::Space;
 
 /// For how long a daemon that does not read the platform for others waits for their word
@@ -65,10 +65,32 @@
         }
     }
 
-    /// Notes which era a daemon is in.
-    pub(super) fn hear_mark(&self, mark: &Mark, from: &str) {
-        if let Some(revision) = mark.revision {
-            self.hear_era(mark.space, revision.era, from);
+    /// Notes which era a daemon is in, and whether it knows of eras and is behind.
+    pub(super) fn hear_mark(&self, mark: &Mark, from: &HostId) {
+        let Some(revision) = mark.revision else { return };
+        self.hear_era(mark.space, revision.era, from);
+        if mark.carried.is_some() && Some(revision.era) < self.era(mark.space) {
+            self.behind.borrow_mut().insert(Arc::clone(from));
+        } else if mark.carried.is_some() {
+            self.behind.borrow_mut().remove(from);
+        }
+    }
+
+    /// Asks daemons that are behind until they have entered the era too, or do not answer:
+    /// what they carry into it is told then. A daemon that starts would else serve by what
+    /// the platform's copy has, though it heard of those who know better.
+    pub(super) async fn await_entered(self: &Rc<Self>) {
+        loop {
+            let behind: Vec<HostId> = self.behind.borrow().iter().map(Arc::clone).collect();
+            if behind.is_empty() {
+                return;
+            }
+            for host in behind {
+                if !self.exchange_with(&host).await {
+                    self.behind.borrow_mut().remove(&host);
+                }
+            }
+            self.ports.clock.sleep(LOOK_EVERY).await;
         }
     }
 
@@ -94,32 +116,15 @@
 
     /// Returns whether a daemon with a mark has something that is missing here.
     pub(super) fn lacks(&self, mark: &Mark) -> bool {
-        let own = self.revision(mark.space);
-        let same = mark.revision.map(|theirs| theirs.era) == own.map(|own| own.era);
-        mark.revision > own || same && mark.carried.exceeds(self.carried_mark(mark.space))
-    }
-
-    /// Returns how far this daemon is in what is carried on.
-    pub(super) fn carried_mark(&self, space: Space) -> CarriedMark {
-        let config = self.config.borrow();
-        match space {
-            Space::Config => config.carried().map_or_else(CarriedMark::default, |carried| CarriedMark {
-                from: Some(carried.from),
-                edition: config.edition(),
-            }),
-            Space::Hosts => CarriedMark::default(),
+        match mark.space {
+            Space::Config => self.config.borrow().lacks(mark.revision, mark.carried),
+            Space::Hosts => mark.revision > self.hosts.borrow().revision(),
         }
     }
 
-    /// Adds what is carried on to news, where the asker may lack some of it.
-    pub(super) fn carrying(&self, pull: &Pull, news: News) -> News {
-        let asks = pull.carried.is_some_and(|theirs| self.carried_mark(pull.space).exceeds(theirs));
-        let enters = pull.carried.is_some() && pull.have.map(|have| have.era) != self.era(pull.space);
-        let report = self.config.borrow().report(self.ports.clock.now());
-        match report.filter(|_| asks || enters) {
-            Some(carried) => News::Carrying { news: Box::new(news), carried },
-            None => news,
-        }
+    /// Returns how far this daemon is in what is carried on.
+    pub(super) fn carried_mark(&self, space: Space) -> Option<CarriedMark> {
+        (space == Space::Config).then(|| self.config.borrow().carried_mark())
     }
 
     /// Joins what another daemon carries on; returns whether that changes what is in force.
@@ -181,7 +186,7 @@
     pub(super) fn tell_carried(&self) {
         let config = self.config.borrow();
         if let Some(carried) = config.carried().filter(|carried| carried.since.is_none()) {
-            let (from, kept, doubted) = (carried.from, carried.items.len(), carried.doubted.len());
+            let (from, kept, doubted) = (carried.rank.from, carried.items.len(), carried.doubted.len());
             self.emit(Event::CarriedOn { from, kept, doubted });
         }
         for fault in config.clash() {
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -169,8 +169,7 @@
     /// Takes a daemon's word that nothing confirmed is missing in what it has, where
     /// this daemon has as much.
     fn take_proof(&self, mark: Mark, at: Instant) {
-        let holds = mark.revision.is_some_and(|theirs| self.holds(mark.space, theirs))
-            && !mark.carried.exceeds(self.carried_mark(mark.space));
+        let holds = mark.revision.is_some_and(|theirs| self.holds(mark.space, theirs)) && !self.lacks(&mark);
         let age = mark.age.map(Duration::from_millis).filter(|_| holds);
         if let Some(proven) = age.and_then(|age| at.checked_sub(age)) {
             self.prove(mark.space, proven);
@@ -189,7 +188,7 @@
             return;
         }
         self.pulled.set(Some(self.ports.clock.now()));
-        let (space, carried) = (mark.space, Some(self.carried_mark(mark.space)));
+        let (space, carried) = (mark.space, self.carried_mark(mark.space));
         let pull = Pull { space, have: self.revision(space), carried };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_LIMIT).await {
             self.learn(mark.space, news, host);
--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -55,6 +55,7 @@
             asked.insert(Arc::clone(&host));
             self.ask_daemon(&host).await;
         }
+        self.await_entered().await;
     }
 
     /// Asks other daemons until one vouches for what it has, and the platform beside them:
--- a/crates/harefield/src/domain/carried.rs
+++ b/crates/harefield/src/domain/carried.rs
@@ -42,13 +42,40 @@
 /// so that it is not for ever.
 pub const OPERATOR_TIME: Duration = Duration::from_secs(30);
 
+/// Orders what daemons carry into one era: who has the higher one knows better.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rank {
+    /// How many eras it was carried through: a daemon that started in the era before may
+    /// have read more of it than others and still lack what they carried into it.
+    pub eras: u64,
+    /// The last revision of an earlier era that it is of.
+    pub from: Revision,
+}
+
+/// How far a daemon is in what is in force beside what the platform has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CarriedMark {
+    /// The rank of what it carries on; none where it entered no era.
+    pub rank: Option<Rank>,
+    /// The edition in force.
+    pub edition: Edition,
+}
+
+impl CarriedMark {
+    /// Says whether a daemon with this one knows something that one with another lacks.
+    #[must_use]
+    pub fn exceeds(self, other: Self) -> bool {
+        self.rank > other.rank || self.edition > other.edition
+    }
+}
+
 /// What is carried on from the eras before into one era.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Carried {
     /// The era that it is carried into.
     pub era: Era,
-    /// The last revision of an earlier era that it is of.
-    pub from: Revision,
+    /// Orders it among what other daemons carry into that era.
+    pub rank: Rank,
     /// The values that go before those of the platform.
     pub items: Items,
     /// The upstreams of the platform's copy that had left.
@@ -64,8 +91,8 @@
 pub struct CarriedReport {
     /// The era that it is carried into.
     pub era: Era,
-    /// The last revision of an earlier era that it is of.
-    pub from: Revision,
+    /// Orders it among what other daemons carry into that era.
+    pub rank: Rank,
     /// The values that go before those of the platform.
     pub items: Items,
     /// The upstreams of the platform's copy that had left.
@@ -92,16 +119,16 @@
 }
 
 impl Carried {
-    /// Works out what stays of `held`, which was in force at `from`, where the platform
-    /// has `listed` in an era.
+    /// Works out what stays of `held`, which was in force before, where the platform has
+    /// `listed` in an era.
     #[must_use]
-    pub fn new(era: Era, from: Revision, held: &Items, listed: &Items) -> Self {
+    pub fn new(era: Era, rank: Rank, held: &Items, listed: &Items) -> Self {
         let stays = |(key, value): &(&Key, &Arc<str>)| outweighs(key, value, listed.get(*key));
         let kept = held.iter().filter(stays);
         let items = kept.map(|(key, value)| (Arc::clone(key), Arc::clone(value))).collect();
         let back = listed.keys().filter(|key| is_upstream(key) && !held.contains_key(*key));
         let doubted = back.map(Arc::clone).collect();
-        Self { era, from, items, doubted, ..Self::default() }
+        Self { era, rank, items, doubted, ..Self::default() }
     }
 
     /// Returns that nothing is carried into an era, as at a daemon that started in it.
@@ -140,35 +167,27 @@
     /// Joins what another daemon carries into the same era, where the platform has
     /// `listed` here.
     ///
-    /// Of two, the one that is of a later revision knows better; of the same revision, what
-    /// is settled for either is settled. Of each catalog the highest edition stays.
+    /// Of two, the one of the higher rank knows better; of the same rank, both hold, but for
+    /// what the platform has told here since. Of each catalog the highest edition stays.
     pub fn join(&mut self, other: &Self, listed: &Items) {
-        let catalogs = other.items.iter().filter(|(key, _)| is_catalog(key));
-        for (key, value) in catalogs {
-            if outweighs(key, value, self.items.get(key)) && outweighs(key, value, listed.get(key)) {
+        if other.rank > self.rank {
+            self.items.retain(|key, _| is_catalog(key));
+            self.doubted.clear();
+            self.rank = other.rank;
+            self.since = other.since;
+        }
+        let knows = other.rank >= self.rank;
+        for (key, value) in &other.items {
+            let open = is_catalog(key) || (knows && !self.settled.contains(key));
+            let wins = |held| outweighs(key, value, held);
+            if open && wins(self.items.get(key)) && wins(listed.get(key)) {
                 self.items.insert(Arc::clone(key), Arc::clone(value));
             }
         }
-        if other.from < self.from {
-            return;
+        if knows {
+            let doubted = other.doubted.difference(&self.settled).map(Arc::clone);
+            self.doubted.extend(doubted);
         }
-        if other.from == self.from {
-            self.items.retain(|key, _| is_catalog(key) || other.items.contains_key(key));
-            self.doubted.retain(|key| other.doubted.contains(key));
-            self.since = self.since.into_iter().chain(other.since).min();
-            return;
-        }
-        self.items.retain(|key, _| is_catalog(key));
-        let open = |key: &Key| !self.settled.contains(key);
-        let stays = |(key, value): &(&Key, &Arc<str>)| {
-            !is_catalog(key) && open(key) && outweighs(key, value, listed.get(*key))
-        };
-        let kept = other.items.iter().filter(stays);
-        let kept: Items = kept.map(|(key, value)| (Arc::clone(key), Arc::clone(value))).collect();
-        self.doubted = other.doubted.iter().filter(|key| open(key)).map(Arc::clone).collect();
-        self.items.extend(kept);
-        self.from = other.from;
-        self.since = other.since;
     }
 
     /// Drops what has had its time; returns the upstreams that are gone by it. The time runs
@@ -205,7 +224,7 @@
         let age = self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         CarriedReport {
             era: self.era,
-            from: self.from,
+            rank: self.rank,
             items: self.items.clone(),
             doubted: self.doubted.clone(),
             age: super::time::millis(age),
@@ -218,8 +237,8 @@
     #[must_use]
     pub fn heard(self, now: Instant) -> Carried {
         let since = now.checked_sub(Duration::from_millis(self.age)).unwrap_or(now);
-        let Self { era, from, items, doubted, .. } = self;
-        Carried { era, from, items, doubted, since: Some(since), settled: BTreeSet::new() }
+        let Self { era, rank, items, doubted, .. } = self;
+        Carried { era, rank, items, doubted, since: Some(since), settled: BTreeSet::new() }
     }
 }
 
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use super::carried::Carried;
-use super::carried::CarriedReport;
+use super::carried::CarriedMark;
 use super::carried::CarryTimes;
+use super::carried::Rank;
 use super::carried::overlaid;
 use super::feed::Change;
 use super::feed::Delta;
@@ -107,10 +108,32 @@
         &self.clash
     }
 
-    /// Returns what is carried on, for another daemon.
+    /// Returns how far this daemon is in what is carried on.
     #[must_use]
-    pub fn report(&self, now: Instant) -> Option<CarriedReport> {
-        self.carried.as_ref().map(|carried| carried.report(now))
+    pub fn carried_mark(&self) -> CarriedMark {
+        CarriedMark { rank: self.carried.as_ref().map(|carried| carried.rank), edition: self.edition() }
+    }
+
+    /// Returns whether a daemon at a revision, with a mark, has something that is missing here.
+    #[must_use]
+    pub fn lacks(&self, revision: Option<Revision>, mark: Option<CarriedMark>) -> bool {
+        let era = |revision: Option<Revision>| revision.map(|revision| revision.era);
+        let same = era(revision) == era(self.revision());
+        let exceeds = mark.is_some_and(|mark| mark.exceeds(self.carried_mark()));
+        revision > self.revision() || same && exceeds
+    }
+
+    /// Returns what brings a daemon along that is at `have` with a mark; one without takes
+    /// nothing that is carried on.
+    #[must_use]
+    pub fn news(&self, have: Option<Revision>, mark: Option<CarriedMark>, now: Instant) -> News {
+        let news = self.since(have);
+        let enters = have.map(|have| have.era) != self.revision().map(|own| own.era);
+        let lacks = mark.is_some_and(|mark| enters || self.carried_mark().exceeds(mark));
+        match self.carried.as_ref().filter(|_| lacks) {
+            Some(carried) => News::Carrying { news: Box::new(news), carried: carried.report(now) },
+            None => news,
+        }
     }
 
     /// Joins what another daemon carries on; returns whether that changes what is in force.
@@ -261,7 +284,9 @@
     fn carry(&mut self, entered: Option<(Revision, Items)>, changes: &[Change]) {
         let era = self.revision().map(|own| own.era).unwrap_or_default();
         if let Some((from, held)) = entered {
-            self.carried = Some(Carried::new(era, from, &held, self.accepted.items()));
+            let eras = self.carried.as_ref().map_or(0, |carried| carried.rank.eras) + 1;
+            let rank = Rank { eras, from };
+            self.carried = Some(Carried::new(era, rank, &held, self.accepted.items()));
         } else if let Some(carried) = &mut self.carried {
             carried.settle(changes);
         }
--- a/crates/harefield/src/ports/formats.rs
+++ b/crates/harefield/src/ports/formats.rs
@@ -4,10 +4,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::peers::CarriedMark;
 use super::peers::Mark;
 use super::peers::Pull;
 use super::platform::Space;
+use crate::domain::carried::CarriedMark;
 use crate::domain::ids::Era;
 use crate::domain::revision::Revision;
 
@@ -20,8 +20,8 @@
     age: Option<u64>,
     #[serde(default, skip_serializing_if = "is_default")]
     era: Era,
-    #[serde(default, skip_serializing_if = "is_default")]
-    carried: CarriedMark,
+    #[serde(default)]
+    carried: Option<CarriedMark>,
 }
 
 /// A pull as it is written.
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -8,7 +8,6 @@
 mod upstreams;
 
 pub use clock::Clock;
-pub use peers::CarriedMark;
 pub use peers::Exchange;
 pub use peers::Forward;
 pub use peers::Forwarded;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -10,6 +10,7 @@
 use super::formats::MarkFormat;
 use super::formats::PullFormat;
 use super::platform::Space;
+use crate::domain::carried::CarriedMark;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::Edition;
@@ -165,25 +166,9 @@
     /// For how many milliseconds a newer one may have been confirmed; none where
     /// nothing vouches for the revision.
     pub age: Option<u64>,
-    /// What goes before what the platform has at that revision.
-    pub carried: CarriedMark,
-}
-
-/// How far a daemon is in what is in force beside what the platform has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CarriedMark {
-    /// The last revision of an earlier era that something is carried on from.
-    pub from: Option<Revision>,
-    /// The edition in force.
-    pub edition: Edition,
-}
-
-impl CarriedMark {
-    /// Says whether a daemon with this one knows something that one with another lacks.
-    #[must_use]
-    pub fn exceeds(self, other: Self) -> bool {
-        self.from > other.from || self.edition > other.edition
-    }
+    /// What goes before what the platform has at that revision; none from daemons that
+    /// know no eras.
+    pub carried: Option<CarriedMark>,
 }
 
 /// What two daemons tell each other, in both directions.
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -172,6 +172,57 @@
         prop_assert_eq!(asker.revision(), feed.revision());
         prop_assert_eq!(asker.items(), feed.items());
     }
+
+    /// Whatever is watched, listed or heard in which order: at one revision all have the same
+    /// values, also where a value came back in between.
+    ///
+    /// A daemon that heard that a key has the value it had two revisions before noted no change,
+    /// and told so to one that was at the revision between, which kept the value of then: an
+    /// upstream whose entry lapsed and came back as it was stayed away at those daemons until it
+    /// changed once more.
+    #[test]
+    fn values_that_return(
+        values in proptest::collection::vec((0_u8..2, 0_u8..3), 2..20),
+        steps in proptest::collection::vec((0_usize..3, 0_usize..3, 0_u8..3, 0_usize..20), 1..40),
+    ) {
+        let (mut states, mut changes) = (vec![Items::new()], vec![Vec::new()]);
+        for (key, value) in values {
+            let change = Change {
+                key: format!("k{key}").into(),
+                value: (value > 0).then(|| value.to_string().into()),
+            };
+            let mut state = states.last().expect("there is one").clone();
+            match &change.value {
+                Some(value) => state.insert(change.key.clone(), value.clone()),
+                None => state.remove(&change.key),
+            };
+            states.push(state);
+            changes.push(vec![change]);
+        }
+        let number = |at: usize| Revision::first(u64::try_from(at).expect("small"));
+        let mut feeds = vec![Feed::default(); 3];
+        feeds.iter_mut().for_each(|feed| drop(feed.replace(number(0), &states[0])));
+        for (who, other, how, to) in steps {
+            let at = feeds[who].revision().map_or(0, |held| usize::try_from(held.number).expect("small"));
+            let to = to % states.len();
+            match how {
+                0 => drop(feeds[who].replace(number(to), &states[to])),
+                1 => (at + 1..=to).for_each(|at| watch(&mut feeds[who], number(at), &changes[at])),
+                _ => {
+                    let news = feeds[other].since(feeds[who].revision());
+                    feeds[who].learn(news);
+                }
+            }
+            let held = feeds[who].revision().expect("it has one");
+            let expected = &states[usize::try_from(held.number).expect("small")];
+            prop_assert_eq!(feeds[who].items(), expected, "at {}", held);
+        }
+    }
+}
+
+/// Takes what a watch told of one revision.
+fn watch(feed: &mut Feed, revision: Revision, changes: &[Change]) {
+    feed.advance(revision, changes);
 }
 
 #[test]
--- a/crates/harefield/tests/fleet/eras.rs
+++ b/crates/harefield/tests/fleet/eras.rs
@@ -11,7 +11,6 @@
 use harefield::domain::ids::Edition;
 use harefield::domain::revision::Revision;
 use harefield::engine::ToControl;
-use harefield::ports::CarriedMark;
 use harefield::ports::Exchange;
 use harefield::ports::Mark;
 use harefield::ports::Space;
@@ -216,12 +215,8 @@
     fleet.await_revision(0..2, Revision::new(1, copy.number));
     fleet.blind(0..2);
     fleet.run_for(Duration::from_secs(1));
-    let mark = Mark {
-        space: Space::Config,
-        revision: Some(Revision::first(999)),
-        age: Some(0),
-        carried: CarriedMark::default(),
-    };
+    let mark =
+        Mark { space: Space::Config, revision: Some(Revision::first(999)), age: Some(0), carried: None };
     for own in 0..2 {
         let (reply, _) = async_channel::bounded(1);
         fleet.say(own, ToControl::Exchange(Box::new(said(mark)), reply));
