News name every key that changed on the way, or apply at their base alone

Daemons at one revision could have different values: one that heard, by a listing or by merged news, that a key has the value it had two revisions before noted no change, and told so to a daemon that was at the revision between, which kept the value of then. An upstream whose entry lapsed and came back as it was stayed away there until it changed once more; across a drill an evacuation was missed. Found by drawn histories; no user's report is known to be of it.

A delta says what it names: one revision's changes, every key that changed at any of several revisions, or the differences between its ends. The first two apply at each revision between, the last at its base alone; whoever stands elsewhere is sent everything. Messages gain a field, absent from older daemons, whose news then apply at their base alone.

--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -17,6 +17,7 @@
 use super::http::Traffic;
 use crate::domain::feed::Change;
 use crate::domain::feed::Delta;
+use crate::domain::feed::Span;
 use crate::domain::ids::Era;
 use crate::domain::revision::Revision;
 use crate::ports::PlatformError;
@@ -118,7 +119,7 @@
     }
     let mut base = after;
     let deltas = grouped.into_iter().map(|(revision, changes)| {
-        let delta = Delta { base, revision, changes };
+        let delta = Delta { base, revision, changes, span: Span::Step };
         base = revision;
         delta
     });
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -14,6 +14,7 @@
 use super::feed::Feed;
 use super::feed::Items;
 use super::feed::News;
+use super::feed::Span;
 use super::feed::difference;
 use super::ids::Edition;
 use super::ids::Era;
@@ -62,6 +63,8 @@
     clash: Vec<Fault>,
     seen: Option<Revision>,
     pending: Vec<Change>,
+    /// What those name.
+    span: Span,
     refused: Option<Refused>,
 }
 
@@ -186,6 +189,7 @@
             return Offer::Old;
         }
         self.pending = difference(self.accepted.items(), items);
+        self.span = Span::Ends;
         self.judge(revision)
     }
 
@@ -194,6 +198,7 @@
         if !follows(self.seen, delta) {
             return Offer::Old;
         }
+        self.span = if self.pending.is_empty() { delta.span } else { self.span.joined(delta.span) };
         self.pending.extend(delta.changes.iter().cloned());
         self.judge(delta.revision)
     }
@@ -216,7 +221,7 @@
         let entered = deltas.last().and_then(|last| self.entered(last.revision));
         self.told = Arc::new(set);
         for delta in deltas {
-            self.accepted.advance(delta.revision, &delta.changes);
+            self.accepted.advance(delta.revision, &delta.changes, delta.span);
         }
         self.seen = self.revision();
         self.carry(entered, &changes);
@@ -240,19 +245,19 @@
     }
 
     fn learn_delta(&mut self, delta: &Delta) -> bool {
-        follows(self.revision(), delta) && self.accept(delta.revision, &delta.changes).is_ok()
+        follows(self.revision(), delta) && self.accept(delta.revision, &delta.changes, delta.span).is_ok()
     }
 
     fn learn_all(&mut self, revision: Revision, items: &Items) -> bool {
         let newer = self.revision().is_none_or(|own| revision > own);
         let changes = difference(self.accepted.items(), items);
-        newer && self.accept(revision, &changes).is_ok()
+        newer && self.accept(revision, &changes, Span::Ends).is_ok()
     }
 
     fn judge(&mut self, revision: Revision) -> Offer {
         self.seen = Some(revision);
         let pending = std::mem::take(&mut self.pending);
-        match self.accept(revision, &pending) {
+        match self.accept(revision, &pending, self.span) {
             Ok(()) => Offer::Accepted,
             Err(faults) => {
                 self.pending = pending;
@@ -263,11 +268,11 @@
     }
 
     /// Puts what changes lead to in force, unless it has faults.
-    fn accept(&mut self, revision: Revision, changes: &[Change]) -> Result<(), Vec<Fault>> {
+    fn accept(&mut self, revision: Revision, changes: &[Change], span: Span) -> Result<(), Vec<Fault>> {
         let set = self.told.apply(changes)?;
         let entered = self.entered(revision);
         self.told = Arc::new(set);
-        self.accepted.advance(revision, changes);
+        self.accepted.advance(revision, changes, span);
         self.carry(entered, changes);
         Ok(())
     }
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -30,6 +30,27 @@
     pub value: Option<Arc<str>>,
 }
 
+/// What a delta's changes name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Span {
+    /// All that one revision wrote.
+    #[default]
+    Step,
+    /// Every key that changed at any of several revisions, also one that has its value
+    /// again: the delta applies at each revision between its ends.
+    Whole,
+    /// The keys that differ between its ends, and applies at its base alone.
+    Ends,
+}
+
+impl Span {
+    /// Returns what two deltas in a row name together.
+    #[must_use]
+    pub fn joined(self, next: Self) -> Self {
+        if self == Self::Ends || next == Self::Ends { Self::Ends } else { Self::Whole }
+    }
+}
+
 /// The changes that lead from one revision to a later one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
@@ -39,6 +60,15 @@
     pub revision: Revision,
     /// The changes.
     pub changes: Vec<Change>,
+    /// What they name.
+    pub span: Span,
+}
+
+impl Delta {
+    /// Says whether it brings a daemon at `have` along.
+    fn applies(&self, have: Revision) -> bool {
+        self.base == have || (self.base < have && self.span != Span::Ends)
+    }
 }
 
 /// What a daemon that asks for news is sent.
@@ -103,15 +133,22 @@
             return false;
         }
         let changes = difference(&self.items, items);
-        self.advance(revision, &changes);
+        self.advance(revision, &changes, Span::Ends);
         true
     }
 
     /// Applies changes that lead to a newer revision.
-    pub fn advance(&mut self, revision: Revision, changes: &[Change]) {
-        let changes: Vec<Change> = changes.iter().filter(|change| self.change(change)).cloned().collect();
+    pub fn advance(&mut self, revision: Revision, changes: &[Change], span: Span) {
+        let mut told = Vec::new();
+        for change in changes {
+            let news = self.change(change);
+            // A value that came back is none for this feed, and one for those between.
+            if news || span == Span::Whole {
+                told.push(change.clone());
+            }
+        }
         if let Some(base) = self.revision {
-            self.remember(Delta { base, revision, changes });
+            self.remember(Delta { base, revision, changes: told, span });
         }
         self.revision = Some(revision);
     }
@@ -121,7 +158,7 @@
         if self.revision != Some(delta.base) || delta.revision <= delta.base {
             return false;
         }
-        self.advance(delta.revision, &delta.changes);
+        self.advance(delta.revision, &delta.changes, delta.span);
         true
     }
 
@@ -148,7 +185,7 @@
             return News::Current;
         }
         let from = self.log.partition_point(|delta| delta.revision <= have);
-        if self.log.get(from).is_none_or(|delta| delta.base > have) {
+        if self.log.get(from).is_none_or(|delta| !delta.applies(have)) {
             return self.full(own);
         }
         News::Deltas(vec![self.merged(from, have, own)])
@@ -156,9 +193,11 @@
 
     /// Merges the deltas from one on: of a key that changed several times, the last counts.
     fn merged(&self, from: usize, base: Revision, revision: Revision) -> Delta {
-        let all = self.log.iter().skip(from).flat_map(|delta| &delta.changes);
+        let deltas = || self.log.iter().skip(from);
+        let all = deltas().flat_map(|delta| &delta.changes);
         let newest: BTreeMap<&Key, &Change> = all.map(|change| (&change.key, change)).collect();
-        Delta { base, revision, changes: newest.into_values().cloned().collect() }
+        let span = deltas().map(|delta| delta.span).fold(Span::Whole, Span::joined);
+        Delta { base, revision, changes: newest.into_values().cloned().collect(), span }
     }
 
     fn full(&self, revision: Revision) -> News {
@@ -181,7 +220,9 @@
     /// Keeps a delta for those behind; one that changes nothing is a part of the one before.
     fn remember(&mut self, delta: Delta) {
         if delta.changes.is_empty()
+            && delta.span != Span::Ends
             && let Some(last) = self.log.back_mut()
+            && last.span != Span::Ends
         {
             last.revision = delta.revision;
             return;
--- a/crates/harefield/src/domain/news_format.rs
+++ b/crates/harefield/src/domain/news_format.rs
@@ -9,6 +9,7 @@
 use super::feed::Delta;
 use super::feed::Items;
 use super::feed::News;
+use super::feed::Span;
 use super::ids::Era;
 use super::revision::Revision;
 
@@ -42,19 +43,32 @@
     /// The era of the revision.
     #[serde(default)]
     era: Era,
+    /// Whether every key that changed on the way is named; not known of daemons that do not
+    /// say so.
+    #[serde(default)]
+    whole: bool,
 }
 
 impl From<Delta> for DeltaFormat {
     fn from(delta: Delta) -> Self {
-        let Delta { base, revision, changes } = delta;
-        Self { base: base.number, revision: revision.number, changes, from: base.era, era: revision.era }
+        let Delta { base, revision, changes, span } = delta;
+        let whole = span != Span::Ends;
+        Self {
+            base: base.number,
+            revision: revision.number,
+            changes,
+            from: base.era,
+            era: revision.era,
+            whole,
+        }
     }
 }
 
 impl From<DeltaFormat> for Delta {
     fn from(format: DeltaFormat) -> Self {
-        let DeltaFormat { base, revision, changes, from, era } = format;
-        Self { base: Revision::new(from, base), revision: Revision::new(era, revision), changes }
+        let DeltaFormat { base, revision, changes, from, era, whole } = format;
+        let span = if whole { Span::Whole } else { Span::Ends };
+        Self { base: Revision::new(from, base), revision: Revision::new(era, revision), changes, span }
     }
 }
 
--- a/crates/harefield/tests/decisions/configuration.rs
+++ b/crates/harefield/tests/decisions/configuration.rs
@@ -18,6 +18,7 @@
 use harefield::domain::feed::Feed;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
+use harefield::domain::feed::Span;
 use harefield::domain::resources::ResourceSet;
 use harefield::domain::revision::Revision;
 
@@ -55,6 +56,7 @@
             base: number(revision),
             revision: number(revision + 1),
             changes: self.changes[revision].clone(),
+            span: Span::Step,
         }
     }
 
@@ -193,7 +195,7 @@
             };
             let mut state = states.last().expect("there is one").clone();
             match &change.value {
-                Some(value) => state.insert(change.key.clone(), value.clone()),
+                Some(value) => state.insert(Arc::clone(&change.key), Arc::clone(value)),
                 None => state.remove(&change.key),
             };
             states.push(state);
@@ -201,7 +203,9 @@
         }
         let number = |at: usize| Revision::first(u64::try_from(at).expect("small"));
         let mut feeds = vec![Feed::default(); 3];
-        feeds.iter_mut().for_each(|feed| drop(feed.replace(number(0), &states[0])));
+        for feed in &mut feeds {
+            feed.replace(number(0), &states[0]);
+        }
         for (who, other, how, to) in steps {
             let at = feeds[who].revision().map_or(0, |held| usize::try_from(held.number).expect("small"));
             let to = to % states.len();
@@ -222,7 +226,7 @@
 
 /// Takes what a watch told of one revision.
 fn watch(feed: &mut Feed, revision: Revision, changes: &[Change]) {
-    feed.advance(revision, changes);
+    feed.advance(revision, changes, Span::Step);
 }
 
 #[test]
@@ -236,7 +240,7 @@
     let behind: Vec<Feed> = (2..3000)
         .map(|revision| {
             let change = Change { key: "k".into(), value: Some("1".into()) };
-            feed.advance(Revision::first(revision), &[change]);
+            feed.advance(Revision::first(revision), &[change], Span::Step);
             feed.clone()
         })
         .step_by(700)
--- a/crates/harefield/tests/decisions/eras.rs
+++ b/crates/harefield/tests/decisions/eras.rs
@@ -21,6 +21,7 @@
 use harefield::domain::feed::Delta;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
+use harefield::domain::feed::Span;
 use harefield::domain::ids::Edition;
 use harefield::domain::ids::Era;
 use harefield::domain::ids::Key;
@@ -196,7 +197,7 @@
             let change = platform.log[usize::try_from(number).expect("small")].clone();
             let revision = |number| Revision::new(platform.era, number);
             let delta =
-                Delta { base: revision(number), revision: revision(number + 1), changes: vec![change] };
+                Delta { base: revision(number), revision: revision(number + 1), changes: vec![change], span: Span::Step };
             drop(self.config.offer(&delta));
         }
     }
@@ -383,7 +384,7 @@
         doubted: BTreeSet::from(["upstreams/u".into()]),
         age: 7,
     };
-    let delta = Delta { base: Revision::new(1, 61), revision: Revision::new(2, 58), changes: Vec::new() };
+    let delta = Delta { base: Revision::new(1, 61), revision: Revision::new(2, 58), changes: Vec::new(), span: Span::Whole };
     let news = News::Carrying { news: Box::new(News::Deltas(vec![delta])), carried };
     let bytes = rmp_serde::to_vec_named(&news).expect("it is written");
     assert_eq!(rmp_serde::from_slice::<News>(&bytes).expect("it is read"), news);
--- a/crates/harefield/tests/fleet/link.rs
+++ b/crates/harefield/tests/fleet/link.rs
@@ -16,6 +16,7 @@
 use harefield::domain::feed::Delta;
 use harefield::domain::feed::Items;
 use harefield::domain::feed::News;
+use harefield::domain::feed::Span;
 use harefield::domain::ids::Era;
 use harefield::domain::ids::HostId;
 use harefield::domain::revision::Revision;
@@ -184,6 +185,7 @@
             base: Revision::new(revision.era, revision.number - 1),
             revision,
             changes: vec![change.clone()],
+            span: Span::Step,
         });
         let deltas: Vec<Delta> = deltas.take(shared.most.unwrap_or(usize::MAX)).collect();
         let cut = shared.most.is_some_and(|most| deltas.len() == most);
