What is carried on is joined by how far each daemon has read

With two copies in a row a daemon that had read less of the first era outranked one that had read more, since it had been through more eras, and an evacuation that the other knew was missed; drawn histories found it. Each carried value says up to when it was known to be in force, each daemon how far it has read the last four eras: what one carries and the other has not read as far stays, what the other has read and does not carry is over. What the platform tells in the new era goes before both. 1,500 drawn histories of up to 60 steps agree with a model that never forgets.

--- a/crates/harefield/src/control/eras.rs
+++ b/crates/harefield/src/control/eras.rs
@@ -186,8 +186,8 @@
     pub(super) fn tell_carried(&self) {
         let config = self.config.borrow();
         if let Some(carried) = config.carried().filter(|carried| carried.since.is_none()) {
-            let (from, kept, doubted) = (carried.rank.from, carried.items.len(), carried.doubted.len());
-            self.emit(Event::CarriedOn { from, kept, doubted });
+            let (kept, doubted) = (carried.kept.len(), carried.doubted.len());
+            self.emit(Event::CarriedOn { era: carried.era, kept, doubted });
         }
         for fault in config.clash() {
             warn!("what is carried on is left out: {} {}: {}", fault.code, fault.key, fault.detail);
--- a/crates/harefield/src/domain/carried.rs
+++ b/crates/harefield/src/domain/carried.rs
@@ -42,21 +42,67 @@
 /// so that it is not for ever.
 pub const OPERATOR_TIME: Duration = Duration::from_secs(30);
 
-/// Orders what daemons carry into one era: who has the higher one knows better.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Rank {
-    /// How many eras it was carried through: a daemon that started in the era before may
-    /// have read more of it than others and still lack what they carried into it.
-    pub eras: u64,
-    /// The last revision of an earlier era that it is of.
-    pub from: Revision,
+/// How many eras back is remembered how far they were read: drills are minutes apart, and what
+/// is carried on stays for half a minute.
+const ERAS_KEPT: usize = 4;
+
+/// How far the last eras were read, the newest first: what was in force up to there and is
+/// not carried on is known to be gone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Revision>", into = "Vec<Revision>")]
+pub struct Context([Option<Revision>; ERAS_KEPT]);
+
+impl Context {
+    /// Returns the context of a daemon that has read an era up to a revision too.
+    #[must_use]
+    pub fn with(self, read: Revision) -> Self {
+        self.joined(Self::from(vec![read]))
+    }
+
+    /// Says whether a revision was read.
+    #[must_use]
+    pub fn covers(self, revision: Revision) -> bool {
+        self.reads().any(|read| read.era == revision.era && read.number >= revision.number)
+    }
+
+    /// Says whether one that has read this far knows something that another one lacks.
+    #[must_use]
+    pub fn exceeds(self, other: Self) -> bool {
+        self.reads().any(|read| !other.covers(read))
+    }
+
+    fn joined(self, other: Self) -> Self {
+        self.reads().chain(other.reads()).collect::<Vec<Revision>>().into()
+    }
+
+    fn reads(self) -> impl Iterator<Item = Revision> {
+        self.0.into_iter().flatten()
+    }
+}
+
+impl From<Vec<Revision>> for Context {
+    fn from(reads: Vec<Revision>) -> Self {
+        let newest: BTreeMap<Era, Revision> = reads.into_iter().fold(BTreeMap::new(), |mut newest, read| {
+            let known = newest.entry(read.era).or_insert(read);
+            *known = read.max(*known);
+            newest
+        });
+        let mut newest = newest.into_values().rev();
+        Self(std::array::from_fn(|_| newest.next()))
+    }
+}
+
+impl From<Context> for Vec<Revision> {
+    fn from(context: Context) -> Self {
+        context.reads().collect()
+    }
 }
 
 /// How far a daemon is in what is in force beside what the platform has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CarriedMark {
-    /// The rank of what it carries on; none where it entered no era.
-    pub rank: Option<Rank>,
+    /// How far it has read the eras that it carries on from; nothing where it entered none.
+    pub context: Context,
     /// The edition in force.
     pub edition: Edition,
 }
@@ -65,24 +111,33 @@
     /// Says whether a daemon with this one knows something that one with another lacks.
     #[must_use]
     pub fn exceeds(self, other: Self) -> bool {
-        self.rank > other.rank || self.edition > other.edition
+        self.context.exceeds(other.context) || self.edition > other.edition
     }
 }
 
+/// A value that is carried on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The value.
+    pub value: Arc<str>,
+    /// Up to when it is known to have been in force.
+    pub of: Revision,
+}
+
 /// What is carried on from the eras before into one era.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Carried {
     /// The era that it is carried into.
     pub era: Era,
-    /// Orders it among what other daemons carry into that era.
-    pub rank: Rank,
+    /// How far those before were read.
+    pub context: Context,
     /// The values that go before those of the platform.
-    pub items: Items,
-    /// The upstreams of the platform's copy that had left.
-    pub doubted: BTreeSet<Key>,
+    pub kept: BTreeMap<Key, Kept>,
+    /// The upstreams of the platform's copy that had left, with up to when that is known.
+    pub doubted: BTreeMap<Key, Revision>,
     /// When the era was entered; none before that is noted.
     pub since: Option<Instant>,
-    /// What the platform has told anew since.
+    /// What the platform has told of in this era: nothing from before it holds of that.
     settled: BTreeSet<Key>,
 }
 
@@ -91,12 +146,12 @@
 pub struct CarriedReport {
     /// The era that it is carried into.
     pub era: Era,
-    /// Orders it among what other daemons carry into that era.
-    pub rank: Rank,
+    /// How far those before were read.
+    pub context: Context,
     /// The values that go before those of the platform.
-    pub items: Items,
-    /// The upstreams of the platform's copy that had left.
-    pub doubted: BTreeSet<Key>,
+    pub kept: BTreeMap<Key, Kept>,
+    /// The upstreams of the platform's copy that had left, with up to when that is known.
+    pub doubted: BTreeMap<Key, Revision>,
     /// How long ago the era was entered, in milliseconds.
     pub age: u64,
 }
@@ -119,32 +174,36 @@
 }
 
 impl Carried {
-    /// Works out what stays of `held`, which was in force before, where the platform has
-    /// `listed` in an era.
-    #[must_use]
-    pub fn new(era: Era, rank: Rank, held: &Items, listed: &Items) -> Self {
-        let stays = |(key, value): &(&Key, &Arc<str>)| outweighs(key, value, listed.get(*key));
-        let kept = held.iter().filter(stays);
-        let items = kept.map(|(key, value)| (Arc::clone(key), Arc::clone(value))).collect();
-        let back = listed.keys().filter(|key| is_upstream(key) && !held.contains_key(*key));
-        let doubted = back.map(Arc::clone).collect();
-        Self { era, rank, items, doubted, ..Self::default() }
-    }
-
     /// Returns that nothing is carried into an era, as at a daemon that started in it.
     #[must_use]
     pub fn nothing(era: Era) -> Self {
         Self { era, ..Self::default() }
     }
 
+    /// Works out what stays of what a daemon `held` of the platform at `read`, and of what
+    /// it carried on beside it, where the platform has `listed` in an era.
+    #[must_use]
+    pub fn enter(self, era: Era, read: Revision, held: &Items, listed: &Items) -> Self {
+        let mut in_force: BTreeMap<Key, Kept> = held
+            .iter()
+            .filter(|(key, _)| !self.doubted.contains_key(*key))
+            .map(|(key, value)| (Arc::clone(key), Kept { value: Arc::clone(value), of: read }))
+            .collect();
+        in_force.extend(self.kept);
+        let back = listed.keys().filter(|key| is_upstream(key) && !in_force.contains_key(*key));
+        let doubted = back.map(|key| (Arc::clone(key), read)).collect();
+        in_force.retain(|key, kept| outweighs(key, &kept.value, listed.get(key)));
+        Self { era, context: self.context.with(read), kept: in_force, doubted, ..Self::default() }
+    }
+
     /// Returns what makes what is in force of what the platform has.
     #[must_use]
     pub fn changes(&self) -> Vec<Change> {
         let kept = self
-            .items
+            .kept
             .iter()
-            .map(|(key, value)| Change { key: Arc::clone(key), value: Some(Arc::clone(value)) });
-        let left = self.doubted.iter().map(|key| Change { key: Arc::clone(key), value: None });
+            .map(|(key, kept)| Change { key: Arc::clone(key), value: Some(Arc::clone(&kept.value)) });
+        let left = self.doubted.keys().map(|key| Change { key: Arc::clone(key), value: None });
         kept.chain(left).collect()
     }
 
@@ -154,40 +213,38 @@
         for Change { key, value } in changes {
             self.doubted.remove(key);
             let stays = is_catalog(key)
-                && self.items.get(key).is_some_and(|kept| outweighs(key, kept, value.as_ref()));
+                && self.kept.get(key).is_some_and(|kept| outweighs(key, &kept.value, value.as_ref()));
             if !stays {
-                self.items.remove(key);
-            }
-            if is_upstream(key) || is_evacuation(key) {
-                self.settled.insert(Arc::clone(key));
+                self.kept.remove(key);
             }
+            self.settled.insert(Arc::clone(key));
         }
     }
 
     /// Joins what another daemon carries into the same era, where the platform has
     /// `listed` here.
     ///
-    /// Of two, the one of the higher rank knows better; of the same rank, both hold, but for
-    /// what the platform has told here since. Of each catalog the highest edition stays.
+    /// What both carry stays, and what one carries and the other has not read as far: one
+    /// that has, and does not carry it, knows that it is over. Of each catalog the highest
+    /// edition stays.
     pub fn join(&mut self, other: &Self, listed: &Items) {
-        if other.rank > self.rank {
-            self.items.retain(|key, _| is_catalog(key));
-            self.doubted.clear();
-            self.rank = other.rank;
-            self.since = other.since;
-        }
-        let knows = other.rank >= self.rank;
-        for (key, value) in &other.items {
-            let open = is_catalog(key) || (knows && !self.settled.contains(key));
-            let wins = |held| outweighs(key, value, held);
-            if open && wins(self.items.get(key)) && wins(listed.get(key)) {
-                self.items.insert(Arc::clone(key), Arc::clone(value));
+        let (own, theirs) = (self.context, other.context);
+        self.kept
+            .retain(|key, kept| is_catalog(key) || other.kept.contains_key(key) || !theirs.covers(kept.of));
+        self.doubted.retain(|key, of| other.doubted.contains_key(key) || !theirs.covers(*of));
+        for (key, kept) in &other.kept {
+            let held = self.kept.get(key).map(|kept| &kept.value);
+            let open = is_catalog(key) || !(own.covers(kept.of) || self.settled.contains(key));
+            if open && outweighs(key, &kept.value, held) && outweighs(key, &kept.value, listed.get(key)) {
+                self.kept.insert(Arc::clone(key), kept.clone());
             }
         }
-        if knows {
-            let doubted = other.doubted.difference(&self.settled).map(Arc::clone);
-            self.doubted.extend(doubted);
-        }
+        let doubts = other.doubted.iter();
+        let doubts = doubts.filter(|(key, of)| !own.covers(**of) && !self.settled.contains(*key));
+        let doubts = doubts.map(|(key, of)| (Arc::clone(key), *of));
+        self.doubted.extend(doubts.collect::<Vec<(Key, Revision)>>());
+        self.context = own.joined(theirs);
+        self.since = self.since.into_iter().chain(other.since).min();
     }
 
     /// Drops what has had its time; returns the upstreams that are gone by it. The time runs
@@ -198,10 +255,10 @@
         let mut gone = Vec::new();
         if upstreams {
             self.doubted.clear();
-            gone.extend(self.items.keys().filter(|key| is_upstream(key)).map(Arc::clone));
+            gone.extend(self.kept.keys().filter(|key| is_upstream(key)).map(Arc::clone));
         }
-        self.items.retain(|key, _| !(upstreams && is_upstream(key) || evacuations && is_evacuation(key)));
-        if evacuations {
+        self.kept.retain(|key, _| !(upstreams && is_upstream(key) || evacuations && is_evacuation(key)));
+        if upstreams && evacuations {
             self.settled.clear();
         }
         gone
@@ -212,8 +269,8 @@
     #[must_use]
     pub fn next_expiry(&self, times: CarryTimes) -> Option<Instant> {
         let since = self.since?;
-        let upstreams = !self.doubted.is_empty() || self.items.keys().any(is_upstream);
-        let evacuations = self.items.keys().any(is_evacuation);
+        let upstreams = !self.doubted.is_empty() || self.kept.keys().any(is_upstream);
+        let evacuations = self.kept.keys().any(is_evacuation);
         let of_upstreams = upstreams.then(|| since + times.upstream);
         of_upstreams.into_iter().chain(evacuations.then(|| since + times.operator)).min()
     }
@@ -224,8 +281,8 @@
         let age = self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         CarriedReport {
             era: self.era,
-            rank: self.rank,
-            items: self.items.clone(),
+            context: self.context,
+            kept: self.kept.clone(),
             doubted: self.doubted.clone(),
             age: super::time::millis(age),
         }
@@ -237,8 +294,8 @@
     #[must_use]
     pub fn heard(self, now: Instant) -> Carried {
         let since = now.checked_sub(Duration::from_millis(self.age)).unwrap_or(now);
-        let Self { era, rank, items, doubted, .. } = self;
-        Carried { era, rank, items, doubted, since: Some(since), settled: BTreeSet::new() }
+        let Self { era, context, kept, doubted, .. } = self;
+        Carried { era, context, kept, doubted, since: Some(since), settled: BTreeSet::new() }
     }
 }
 
@@ -279,16 +336,3 @@
 fn is_upstream(key: &Key) -> bool {
     key.starts_with("upstreams/")
 }
-
-/// Puts changes on top of values.
-#[must_use]
-pub fn overlaid(items: &Items, changes: &[Change]) -> Items {
-    let mut all: BTreeMap<Key, Arc<str>> = items.clone();
-    for Change { key, value } in changes {
-        match value {
-            Some(value) => all.insert(Arc::clone(key), Arc::clone(value)),
-            None => all.remove(key),
-        };
-    }
-    all
-}
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -7,8 +7,6 @@
 use super::carried::Carried;
 use super::carried::CarriedMark;
 use super::carried::CarryTimes;
-use super::carried::Rank;
-use super::carried::overlaid;
 use super::feed::Change;
 use super::feed::Delta;
 use super::feed::Feed;
@@ -114,7 +112,8 @@
     /// Returns how far this daemon is in what is carried on.
     #[must_use]
     pub fn carried_mark(&self) -> CarriedMark {
-        CarriedMark { rank: self.carried.as_ref().map(|carried| carried.rank), edition: self.edition() }
+        let context = self.carried.as_ref().map(|carried| carried.context).unwrap_or_default();
+        CarriedMark { context, edition: self.edition() }
     }
 
     /// Returns whether a daemon at a revision, with a mark, has something that is missing here.
@@ -277,21 +276,20 @@
         Ok(())
     }
 
-    /// Returns what is in force, and as of when, where a revision is of a later era.
+    /// Returns what was held of the platform, and as of when, where a revision is of a later
+    /// era.
     fn entered(&self, revision: Revision) -> Option<(Revision, Items)> {
         let own = self.revision().filter(|own| revision.era > own.era)?;
-        let carried = self.carried.as_ref().map(Carried::changes).unwrap_or_default();
-        Some((own, overlaid(self.accepted.items(), &carried)))
+        Some((own, self.accepted.items().clone()))
     }
 
     /// Carries on what a copy may lack, where an era was entered; else takes what the
     /// platform has told in this one.
     fn carry(&mut self, entered: Option<(Revision, Items)>, changes: &[Change]) {
         let era = self.revision().map(|own| own.era).unwrap_or_default();
-        if let Some((from, held)) = entered {
-            let eras = self.carried.as_ref().map_or(0, |carried| carried.rank.eras) + 1;
-            let rank = Rank { eras, from };
-            self.carried = Some(Carried::new(era, rank, &held, self.accepted.items()));
+        if let Some((read, held)) = entered {
+            let before = self.carried.take().unwrap_or_default();
+            self.carried = Some(before.enter(era, read, &held, self.accepted.items()));
         } else if let Some(carried) = &mut self.carried {
             carried.settle(changes);
         }
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -145,7 +145,7 @@
     EraHeard { era: Era, held: Option<Revision>, from: String },
     /// What is in force beside what the platform has in a new era: so many values that it
     /// lacks or has older, and so many upstreams of it that had left.
-    CarriedOn { from: Revision, kept: usize, doubted: usize },
+    CarriedOn { era: Era, kept: usize, doubted: usize },
     /// A newer list of hosts is in use.
     HostsListed { revision: Revision, leaving: usize },
     /// An upstream's word changed.
