--- /dev/null
+++ b/crates/harefield/tests/soak/drills.rs
@@ -0,0 +1,99 @@
+//! Drills of the store, which is away for a moment and comes back from a copy, and kills of
+//! all daemons at one moment; drawn apart from what else goes wrong.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standin::Away;
+
+use crate::draw::Fault;
+use crate::faults::Faults;
+use crate::ledger::Kind;
+
+/// One drill.
+#[derive(Clone, Copy, Debug)]
+struct Drill {
+    /// How old the copy is.
+    age: Duration,
+    away: Away,
+    /// How long it is away.
+    time: Duration,
+    /// How long after its return operators and upstreams write again.
+    again: Duration,
+    /// Whether all daemons are killed beside it.
+    kills: bool,
+}
+
+fn draw(random: &mut StdRng) -> Drill {
+    let mut span = |least: u64, most: u64| Duration::from_millis(random.random_range(least..most));
+    let (age, time, again) = (span(0, 8000), span(100, 2500), span(0, 1500));
+    let away = if random.random_bool(0.5) { Away::Silent } else { Away::Down };
+    Drill { age, away, time, again, kills: random.random_bool(0.2) }
+}
+
+/// Says whether a seed's store comes back from copies: where its storms leave it well, it
+/// stays well.
+fn has_drills(seed: u64) -> bool {
+    !seed.is_multiple_of(4)
+}
+
+impl Faults {
+    /// Lets drills come until `until`, beside changes in series.
+    pub fn run_drills(&self, seed: u64, until: Instant) {
+        let mut random = StdRng::seed_from_u64(seed.rotate_left(17));
+        while has_drills(seed) {
+            std::thread::sleep(Duration::from_millis(random.random_range(500..4000)));
+            if Instant::now() >= until {
+                return;
+            }
+            let drill = draw(&mut random);
+            println!("drill {drill:?}");
+            self.drill(drill);
+            for _ in 0..random.random_range(0..4) {
+                std::thread::sleep(Duration::from_millis(random.random_range(300..4000)));
+                self.world.publish(None, &self.ledger);
+            }
+        }
+    }
+
+    fn drill(&self, drill: Drill) {
+        let Drill { age, away, time, again, kills } = drill;
+        self.during(Kind::Store, || {
+            let killing = kills.then(|| self.kill_all(time));
+            let store = &self.world.store;
+            store.drill(store.copy_of(age), away, time);
+            std::thread::sleep(again);
+            store.write_again();
+            for kill in killing.into_iter().flatten() {
+                kill.join().expect("a daemon starts again");
+            }
+        });
+    }
+
+    /// Ends the day: all daemons are killed at one moment, right after a change, on some seeds
+    /// beside a drill.
+    pub fn end_day(&self, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed.rotate_left(43));
+        self.world.publish(None, &self.ledger);
+        if has_drills(seed) && random.random_bool(0.5) {
+            self.drill(Drill { kills: true, ..draw(&mut random) });
+            return;
+        }
+        let time = Duration::from_millis(random.random_range(100..1500));
+        for kill in self.kill_all(time) {
+            kill.join().expect("a daemon starts again");
+        }
+    }
+
+    /// Kills all daemons at one moment; they start again after a time.
+    fn kill_all(&self, time: Duration) -> Vec<std::thread::JoinHandle<()>> {
+        let kill = |node| {
+            let this = self.clone();
+            std::thread::spawn(move || this.carry_out(Fault::Kill(node), time))
+        };
+        (0..self.world.nodes.len()).map(kill).collect()
+    }
+}
--- a/crates/harefield/tests/soak/faults.rs
+++ b/crates/harefield/tests/soak/faults.rs
@@ -89,7 +89,7 @@
         under_way
     }
 
-    fn carry_out(&self, fault: Fault, time: Duration) {
+    pub(crate) fn carry_out(&self, fault: Fault, time: Duration) {
         match fault {
             Fault::Kill(node) => self.on_process(node, Kind::Daemon(node), |held| {
                 held.kill();
@@ -225,7 +225,7 @@
         });
     }
 
-    fn during(&self, kind: Kind, act: impl FnOnce()) {
+    pub(crate) fn during(&self, kind: Kind, act: impl FnOnce()) {
         let number = self.ledger.begin(kind);
         act();
         self.ledger.end(number);
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! `world` starts processes, each a `node`, and stand-ins, with a `proxy` before each
 //! of them, and publishes the `configuration`; `draw` draws what goes wrong and
-//! `faults` does it; `callers` send requests and write down what they saw in the
+//! `faults` does it, `drills` lets the store come back from copies; `callers` send requests and write down what they saw in the
 //! `ledger`; `checks` compares that with what the upstreams saw. Without arguments
 //! two short seeds are played, as CI does.
 
@@ -12,6 +12,7 @@
 mod client;
 mod configuration;
 mod draw;
+mod drills;
 mod faults;
 mod ledger;
 mod locked;
--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -81,11 +81,14 @@
     let endings = std::thread::spawn(move || endings.run_endings(seed));
     let (seed, storms) = (soak.seed, faults.clone());
     let storms = std::thread::spawn(move || storms.run_storms(seed, until));
+    let (seed, drills) = (soak.seed, faults.clone());
+    let drills = std::thread::spawn(move || drills.run_drills(seed, until));
     let mut under_way = faults.run(soak.seed, until);
-    under_way.extend([storms, foreign]);
+    under_way.extend([storms, foreign, drills]);
     for fault in under_way {
         fault.join().expect("what goes wrong ends");
     }
+    faults.end_day(soak.seed);
     let calm = Instant::now() + CALM;
     std::thread::sleep(CALM + WATCHED);
     done.store(true, Ordering::SeqCst);
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -74,6 +74,8 @@
     next_copy: Option<u64>,
     /// What was written and lost, in order.
     lost: Vec<Change>,
+    /// The revision that it last came back at.
+    restored: u64,
 }
 
 impl Store {
@@ -84,6 +86,7 @@
         self.revision = copy.min(self.revision);
         self.forgotten = self.forgotten.min(self.revision);
         self.era += 1;
+        self.restored = self.revision;
     }
 
     /// Takes a write.
@@ -167,11 +170,18 @@
         }
     }
 
-    /// Writes again what was lost, in the order of then.
+    /// Writes again what was lost: of each key the last, unless it was written since.
     pub fn write_again(&self) {
         let mut state = lock(&self.state);
-        for change in std::mem::take(&mut state.lost) {
-            state.write(change.key, change.value);
+        let lost = std::mem::take(&mut state.lost).into_iter();
+        let newest: BTreeMap<String, Option<String>> =
+            lost.map(|change| (change.key, change.value)).collect();
+        for (key, value) in newest {
+            let restored = state.restored;
+            let since = state.log.iter().filter(|change| change.revision > restored);
+            if since.into_iter().all(|change| change.key != key) {
+                state.write(key, value);
+            }
         }
     }
 
