Test of what a drill costs at 40 daemons; values that did not change are not parsed; sooner lists

A daemon that hears of no reader lists after 0.2 to 0.5 s in place of 0.4 to 0.8: term by term the last daemon had a change 3.2 s after the platform's return otherwise.

--- a/crates/harefield/src/control/eras.rs
+++ b/crates/harefield/src/control/eras.rs
@@ -24,11 +24,11 @@
 use crate::ports::Space;
 
 /// For how long a daemon that does not read the platform for others waits for their word
-/// of a new era before it lists by itself: at least, and at most. Readers list it once each,
-/// and their word is there within some 300 ms; of all others, those that have not heard by
-/// then list one after the other and tell as they do. Both fit in the 3 s within which a
-/// change is to be in force.
-const LIST_AFTER: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(800));
+/// of a new era before it lists by itself: at least, and at most. Readers list it once each;
+/// of all others, those that have not heard by then list one after the other and tell as they
+/// do. With it the last daemon has a change within 3 s of the platform's return; see
+/// `docs/PROMISES.md`.
+const LIST_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(500));
 
 /// How often one that waits for a listing looks whether it has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
--- a/crates/harefield/src/domain/carried.rs
+++ b/crates/harefield/src/domain/carried.rs
@@ -301,6 +301,10 @@
 
 /// Says whether what is held under a key goes before what a copy says.
 fn outweighs(key: &Key, held: &str, listed: Option<&Arc<str>>) -> bool {
+    // Most are the same, and none of those is parsed: there may be 80,000 upstreams.
+    if listed.is_some_and(|listed| **listed == *held) {
+        return false;
+    }
     if is_catalog(key) {
         return listed.is_none_or(|listed| edition(held) > edition(listed));
     }
--- a/crates/harefield/tests/fleet/eras.rs
+++ b/crates/harefield/tests/fleet/eras.rs
@@ -131,6 +131,33 @@
     assert_eq!(listings, 1, "one listing a reader");
 }
 
+#[test]
+fn few_bytes() {
+    // What a drill costs beside its one listing: each of the others is told what differs, and
+    // not everything. Of 300 upstreams, a copy lacks ten.
+    let daemons = 40;
+    let fleet = Fleet::start_as(daemons, DEPLOYED);
+    for number in 0..290 {
+        fleet.publish(&format!("upstreams/u{number}"), UPSTREAM);
+    }
+    let copy = publish(&fleet, 1);
+    for number in 290..300 {
+        fleet.publish(&format!("upstreams/u{number}"), UPSTREAM);
+    }
+    let revision = publish(&fleet, 2);
+    fleet.await_revision(0..daemons, revision);
+    fleet.run_for(Duration::from_secs(1));
+    let (pulled, listings) = (fleet.pulled(), fleet.listings());
+    fleet.restore(copy);
+    fleet.await_revision(0..daemons, Revision::new(1, copy.number));
+    fleet.run_for(Duration::from_secs(1));
+    let (bytes, listings) = (fleet.pulled() - pulled, fleet.listings() - listings);
+    let whole = 300 * UPSTREAM.len();
+    println!("{bytes} bytes to {daemons} daemons, {listings} listings, of {whole} bytes");
+    assert_eq!(listings, 1, "one listing a reader");
+    assert!(bytes < daemons * whole / 4, "{bytes} bytes, of {whole} for everything");
+}
+
 #[test]
 fn evacuation_lost() {
     // An evacuation that the copy lacks goes on at all, for as long as its operator needs to
--- a/crates/harefield/tests/fleet/link.rs
+++ b/crates/harefield/tests/fleet/link.rs
@@ -56,6 +56,8 @@
     pub era: Era,
     /// How often the resources were listed.
     pub listings: usize,
+    /// The bytes of news that daemons were sent.
+    pub pulled: usize,
     /// The most changes that one watch tells; none for all.
     pub most: Option<usize>,
 }
@@ -136,7 +138,10 @@
     }
 
     async fn pull(&self, host: &HostId, message: Pull, _: Duration) -> Result<News, PeerError> {
-        self.call(host, |reply| ToControl::Pull(message, reply)).await
+        let news = self.call(host, |reply| ToControl::Pull(message, reply)).await?;
+        let size = rmp_serde::to_vec_named(&news).map_or(0, |bytes| bytes.len());
+        self.shared.borrow_mut().pulled += size;
+        Ok(news)
     }
 }
 
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -213,6 +213,11 @@
         self.shared.borrow().listings
     }
 
+    /// Returns how many bytes of news daemons were sent.
+    pub fn pulled(&self) -> usize {
+        self.shared.borrow().pulled
+    }
+
     /// Returns how many exchanges each daemon has begun.
     pub fn exchanges(&self) -> Vec<usize> {
         self.of_each(&self.shared.borrow().exchanges)
