--- a/crates/harefield/tests/soak/drills.rs
+++ b/crates/harefield/tests/soak/drills.rs
@@ -59,6 +59,31 @@
         }
     }
 
+    /// Plays a slow day until `until`: changes one after the other, a copy that lacks most of
+    /// them, and then changes that are seconds apart. Whoever goes by the store's counter
+    /// misses those, as writes bring it back to what it was; where changes are many, the next
+    /// one hides that.
+    pub fn run_slow_day(&self, seed: u64, until: Instant) {
+        let mut random = StdRng::seed_from_u64(seed.rotate_left(31));
+        let mut change_after = |least: u64, most: u64| {
+            std::thread::sleep(Duration::from_millis(random.random_range(least..most)));
+            self.world.publish(None, &self.ledger);
+        };
+        let mut drawn = StdRng::seed_from_u64(!seed.rotate_left(31));
+        while Instant::now() < until {
+            for _ in 0..7 {
+                change_after(900, 1300);
+            }
+            let age = Duration::from_millis(drawn.random_range(5000..8000));
+            let drill = Drill { age, kills: false, ..draw(&mut drawn) };
+            println!("slow day: drill {drill:?}");
+            self.drill(drill);
+            for _ in 0..3 {
+                change_after(3900, 4600);
+            }
+        }
+    }
+
     fn drill(&self, drill: Drill) {
         let Drill { age, away, time, again, kills } = drill;
         self.during(Kind::Store, || {
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -36,16 +36,19 @@
 soak: harefield's daemons as processes, with faults from outside
 
 Usage: cargo test -p harefield --test soak -- [--seed N] [--count N] [--kept]
-           [--seconds N] [--daemons N] [--callers N] [--shards N]
+           [--slow] [--seconds N] [--daemons N] [--callers N] [--shards N]
            [--program FILE] [--folder DIR]
 
-Without arguments: seeds 1 and 2, short. Else plays `count` seeds from `seed` on, or those kept in seeds.txt, each for `seconds` and
+Without arguments: seeds 1 to 3, short, the last one as a slow day. Else plays `count` seeds from `seed` on, or those kept in seeds.txt, each for `seconds` and
 what its faults take to end. Logs of seeds that broke a promise stay in the folder. Ends with 1 where one did.
 ";
 
 /// The seeds that broke a promise once, with their causes.
 const SEEDS: &str = include_str!("seeds.txt");
 
+/// The seed that is played as a slow day in the short run.
+const SLOW_SEED: u64 = 3;
+
 type Failure = Box<dyn std::error::Error>;
 
 fn main() -> Result<ExitCode, Failure> {
@@ -56,7 +59,8 @@
     let mut failed = Vec::new();
     for seed in seeds.iter().copied() {
         let folder = first.folder.join(format!("seed-{seed}"));
-        let soak = Soak { seed, folder: folder.clone(), ..first.clone() };
+        let slow = first.slow || (is_short() && seed == SLOW_SEED);
+        let soak = Soak { seed, slow, folder: folder.clone(), ..first.clone() };
         let report = play(&soak);
         println!("seed {seed}: {} of {} requests served", report.served, report.requests);
         for broken in &report.broken {
@@ -75,6 +79,14 @@
     Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Returns whether it was started without arguments, as by the README's test command.
+///
+/// `--skip TEST` of `cargo test` is handed to every test program, and is not for this one.
+fn is_short() -> bool {
+    let skips = std::env::args().filter(|argument| argument == "--skip").count();
+    std::env::args().len() == 1 + 2 * skips
+}
+
 /// Returns the seeds that broke a promise once.
 fn kept() -> Result<Vec<u64>, Failure> {
     let lines = SEEDS.lines().filter(|line| !line.starts_with('#'));
@@ -83,11 +95,10 @@
 }
 
 fn read() -> Result<Option<(Soak, Vec<u64>)>, Failure> {
-    // `--skip TEST` of `cargo test` is handed to every test program, and is not for this one.
-    let skips = std::env::args().filter(|argument| argument == "--skip").count();
-    let short = std::env::args().len() == 1 + 2 * skips;
+    let short = is_short();
     let mut soak = Soak {
         seed: 1,
+        slow: false,
         time: Duration::from_secs(if short { 5 } else { 12 }),
         daemons: if short { 4 } else { 5 },
         callers: if short { 4 } else { 8 },
@@ -96,12 +107,13 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", std::process::id())),
     };
     // The second seed's store is well but for its silences.
-    let mut count = if short { 2 } else { 1 };
+    let mut count = if short { SLOW_SEED } else { 1 };
     let mut only_kept = false;
     let mut parser = Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("seed") => soak.seed = parser.value()?.parse()?,
+            Arg::Long("slow") => soak.slow = true,
             Arg::Long("kept") => only_kept = true,
             Arg::Long("skip") => drop(parser.value()?),
             Arg::Long("count") => count = parser.value()?.parse()?,
--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +30,8 @@
 pub(crate) struct Soak {
     /// Everything is drawn from it.
     pub seed: u64,
+    /// Whether nothing but the store's drills goes wrong, among few changes.
+    pub slow: bool,
     /// How long things go wrong.
     pub time: Duration,
     /// How many daemons run.
@@ -75,20 +78,36 @@
     let callers = calling.start(soak.callers);
     let faults = Faults { world: Arc::clone(&world), ledger: Arc::clone(&ledger) };
     let until = Instant::now() + soak.time;
-    let (seed, foreign) = (soak.seed, faults.clone());
-    let foreign = std::thread::spawn(move || foreign.run_foreign(seed, until));
     let (seed, endings) = (soak.seed, faults.clone());
     let endings = std::thread::spawn(move || endings.run_endings(seed));
-    let (seed, storms) = (soak.seed, faults.clone());
+    if soak.slow {
+        faults.run_slow_day(soak.seed, until);
+    } else {
+        run_faults(&faults, soak.seed, until);
+    }
+    let report = finish(&world, &ledger, &done, callers);
+    endings.join().expect("what ends upstreams ends");
+    report
+}
+
+/// Lets all kinds of things go wrong until `until`, and ends what is under way then.
+fn run_faults(faults: &Faults, seed: u64, until: Instant) {
+    let foreign = faults.clone();
+    let foreign = std::thread::spawn(move || foreign.run_foreign(seed, until));
+    let storms = faults.clone();
     let storms = std::thread::spawn(move || storms.run_storms(seed, until));
-    let (seed, drills) = (soak.seed, faults.clone());
+    let drills = faults.clone();
     let drills = std::thread::spawn(move || drills.run_drills(seed, until));
-    let mut under_way = faults.run(soak.seed, until);
+    let mut under_way = faults.run(seed, until);
     under_way.extend([storms, foreign, drills]);
     for fault in under_way {
         fault.join().expect("what goes wrong ends");
     }
-    faults.end_day(soak.seed);
+    faults.end_day(seed);
+}
+
+/// Lets it be calm for a while, ends the day and judges it.
+fn finish(world: &World, ledger: &Ledger, done: &AtomicBool, callers: Vec<JoinHandle<()>>) -> Report {
     let calm = Instant::now() + CALM;
     std::thread::sleep(CALM + WATCHED);
     done.store(true, Ordering::SeqCst);
@@ -96,9 +115,8 @@
         caller.join().expect("callers end");
     }
     world.stop_endings();
-    endings.join().expect("what ends upstreams ends");
     world.end();
-    judge(&world, &ledger, calm)
+    judge(world, ledger, calm)
 }
 
 fn await_ready(world: &World, folder: &Path) {
