--- a/crates/harefield/tests/decisions/settings.rs
+++ b/crates/harefield/tests/decisions/settings.rs
@@ -44,6 +44,14 @@
     assert!(texts.iter().any(|text| text.contains("platform.addresses")), "{texts:?}");
 }
 
+#[test]
+fn heartbeat_bounds() {
+    for heartbeat in [0, 60_001] {
+        let found = faults(&format!("{LEAST}heartbeat-ms = {heartbeat}\n"));
+        assert!(found.iter().any(|(_, text)| text.contains("platform.heartbeat-ms")), "{found:?}");
+    }
+}
+
 #[test]
 fn not_toml() {
     assert!(!faults("[host\nzone = ").is_empty());
