--- a/crates/harefield/tests/fleet/eras.rs
+++ b/crates/harefield/tests/fleet/eras.rs
@@ -234,6 +234,30 @@
     assert_eq!((has("new"), has("left"), has("writes")), (0, 4, 4));
 }
 
+#[test]
+fn away_again() {
+    // Who cannot write, since the platform is away again, has not had its time to write.
+    let (fleet, copy) = start(4);
+    fleet.publish("upstreams/new", UPSTREAM);
+    let revision = fleet.publish("evacuations/z", "{}");
+    fleet.await_revision(0..4, revision);
+    fleet.restore(copy);
+    fleet.await_revision(0..4, Revision::new(1, copy.number));
+    fleet.blind(0..4);
+    let kept = |own: usize| {
+        let set = fleet.set(own);
+        set.upstreams.contains_key("new") && set.evacuations.contains_key("z")
+    };
+    let away = Instant::now();
+    while away.elapsed() < CARRY.operator + Duration::from_secs(3) {
+        fleet.run_for(Duration::from_millis(50));
+        assert!((0..4).all(kept), "given up {:?} after the platform was away again", away.elapsed());
+    }
+    fleet.blind([]);
+    fleet.run_for(CARRY.operator + Duration::from_secs(3));
+    assert!(!(0..4).any(kept), "it is not for ever");
+}
+
 #[test]
 fn older_word_proves_nothing() {
     // A daemon that knows no eras, or is behind, vouches for a high number of an older one.
