What is carried on has its time while the platform answers

Callers would have lost upstreams that live: one that a copy lacks was given up 1.54 s (of the test's 1.5 s, 4.8 s on the users' machines) after the platform's return although it was away again all that time, so that nobody could write. The time begins anew while nothing vouches for what is held. eras::away_again fails before and passes now; it also checks that it ends after the outage.

--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -103,6 +103,9 @@
                 behind = true;
                 self.emit(self.age_event(true, age));
             }
+            // As far as known here the platform may be away, and who cannot write has not had
+            // the time to: upstreams that live would be given up in an outage after a copy.
+            self.config.borrow_mut().postpone(self.ports.clock.now());
             self.ask_for_newer(failures).await;
             if self.is_overdue() {
                 self.ports.clock.sleep(pace.again(failures)).await;
--- a/crates/harefield/src/domain/carried.rs
+++ b/crates/harefield/src/domain/carried.rs
@@ -264,6 +264,11 @@
         gone
     }
 
+    /// Lets its time begin anew: nobody could write up to now.
+    pub fn postpone(&mut self, now: Instant) {
+        self.since = Some(now);
+    }
+
     /// Returns when something will have had its time; none where all that is left stays
     /// until it is written again.
     #[must_use]
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -164,6 +164,13 @@
         (gone, news)
     }
 
+    /// Lets the time of what is carried on begin anew.
+    pub fn postpone(&mut self, now: Instant) {
+        if let Some(carried) = &mut self.carried {
+            carried.postpone(now);
+        }
+    }
+
     /// Returns when something that is carried on will have had its time.
     #[must_use]
     pub fn next_expiry(&self, times: CarryTimes) -> Option<Instant> {
