--- a/crates/harefield/tests/decisions/eras.rs
+++ b/crates/harefield/tests/decisions/eras.rs
@@ -13,6 +13,7 @@
 
 use crate::support::at;
 use crate::support::cases;
+use harefield::domain::carried::Carried;
 use harefield::domain::carried::CarriedMark;
 use harefield::domain::carried::CarriedReport;
 use harefield::domain::carried::CarryTimes;
@@ -396,6 +397,30 @@
     }
 }
 
+#[test]
+fn read_as_far_knows_better() {
+    // A daemon that stood still since revision 40 has what was gone by 50: one that has read
+    // that far takes none of it, and it gives it up; one that has read less takes it.
+    let held: Items = [
+        ("upstreams/u".into(), entry(1, 1, false).into()),
+        ("evacuations/z".into(), "{}".into()),
+        ("catalogs/operator".into(), r#"{"edition":4}"#.into()),
+    ]
+    .into();
+    let nothing = Items::new();
+    let enter = |number, held| Carried::default().enter(2, Revision::new(1, number), held, &nothing);
+    let (behind, mut ahead, mut started) = (enter(40, &held), enter(50, &nothing), Carried::nothing(2));
+    started.join(&behind, &nothing);
+    assert_eq!(started.kept, behind.kept);
+    ahead.join(&behind, &nothing);
+    let kept: Vec<&str> = ahead.kept.keys().map(|key| &**key).collect();
+    assert_eq!(kept, ["catalogs/operator"], "of catalogs the highest edition stays");
+    let mut behind = behind;
+    behind.join(&ahead, &nothing);
+    assert_eq!(behind.kept, ahead.kept);
+    assert_eq!(behind.context, ahead.context);
+}
+
 #[test]
 fn messages_survive() {
     let of = Revision::new(1, 61);
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -96,6 +96,13 @@
         fleet
     }
 
+    /// Starts one more daemon, which knows the others as seeds.
+    pub fn join(&mut self, tuning: Tuning) -> usize {
+        let own = self.boards.len();
+        self.add(own, own + 1, tuning);
+        own
+    }
+
     fn add(&mut self, own: usize, count: usize, tuning: Tuning) {
         let (control, inbox) = async_channel::bounded(1024);
         self.shared.borrow_mut().inboxes.insert(host(own), control);
