--- /dev/null
+++ b/crates/harefield/tests/decisions/revisions.rs
@@ -0,0 +1,96 @@
+//! Revisions, and how daemons write them to each other.
+
+use proptest::prelude::*;
+
+use crate::support::cases;
+use harefield::domain::carried::CarriedMark;
+use harefield::domain::carried::CarriedReport;
+use harefield::domain::carried::Context;
+use harefield::domain::carried::Kept;
+use harefield::domain::feed::Delta;
+use harefield::domain::feed::Items;
+use harefield::domain::feed::News;
+use harefield::domain::feed::Span;
+use harefield::domain::ids::Era;
+use harefield::domain::revision::Revision;
+use harefield::ports::Mark;
+use harefield::ports::Pull;
+use harefield::ports::Space;
+
+proptest! {
+    #![proptest_config(cases(500))]
+
+    /// Revisions are ordered by era first, and are read as they were written.
+    #[test]
+    fn revisions_survive(one in any::<(Era, u64)>(), other in any::<(Era, u64)>()) {
+        let [one, other] = [one, other].map(|(era, number)| Revision::new(era, number));
+        prop_assert_eq!(one.cmp(&other), (one.era, one.number).cmp(&(other.era, other.number)));
+        prop_assert_eq!(one.to_string().parse(), Ok(one));
+        let text = serde_json::to_string(&one).expect("it is written");
+        prop_assert_eq!(serde_json::from_str::<Revision>(&text).expect("it is read"), one);
+    }
+}
+
+#[test]
+fn messages_survive() {
+    let of = Revision::new(1, 61);
+    let context = Context::default().with(of);
+    let carried = CarriedReport {
+        era: 2,
+        context,
+        kept: [("evacuations/a".into(), Kept { value: "{}".into(), of })].into(),
+        doubted: [("upstreams/u".into(), of)].into(),
+        age: 7,
+    };
+    let delta = Delta {
+        base: Revision::new(1, 61),
+        revision: Revision::new(2, 58),
+        changes: Vec::new(),
+        span: Span::Whole,
+    };
+    let news = News::Carrying { news: Box::new(News::Deltas(vec![delta])), carried };
+    let bytes = rmp_serde::to_vec_named(&news).expect("it is written");
+    assert_eq!(rmp_serde::from_slice::<News>(&bytes).expect("it is read"), news);
+    let mark = CarriedMark { context, edition: 52 };
+    let told = Mark {
+        space: Space::Config,
+        revision: Some(Revision::new(2, 58)),
+        age: Some(1),
+        carried: Some(mark),
+    };
+    let bytes = rmp_serde::to_vec_named(&told).expect("it is written");
+    assert_eq!(rmp_serde::from_slice::<Mark>(&bytes).expect("it is read"), told);
+    let pull = Pull { space: Space::Config, have: Some(Revision::new(1, 61)), carried: Some(mark) };
+    let bytes = rmp_serde::to_vec_named(&pull).expect("it is written");
+    let read = rmp_serde::from_slice::<Pull>(&bytes).expect("it is read");
+    assert_eq!((read.have, read.carried), (pull.have, pull.carried));
+}
+
+#[test]
+fn older_daemons_read_numbers() {
+    // What a daemon that knows no eras writes and reads: the numbers alone.
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct OldMark {
+        space: Space,
+        revision: Option<u64>,
+        #[serde(default)]
+        age: Option<u64>,
+    }
+    let told = Mark {
+        space: Space::Config,
+        revision: Some(Revision::new(2, 58)),
+        age: Some(3),
+        carried: Some(CarriedMark::default()),
+    };
+    let bytes = rmp_serde::to_vec_named(&told).expect("it is written");
+    let read: OldMark = rmp_serde::from_slice(&bytes).expect("it is read");
+    assert_eq!(read, OldMark { space: Space::Config, revision: Some(58), age: Some(3) });
+    let bytes = rmp_serde::to_vec_named(&read).expect("it is written");
+    let heard: Mark = rmp_serde::from_slice(&bytes).expect("it is read");
+    assert_eq!(heard.revision, Some(Revision::first(58)), "it is of no era that is above 0");
+    assert_eq!(heard.carried, None);
+    let news = News::Full { revision: Revision::new(2, 58), items: Items::new() };
+    let bytes = rmp_serde::to_vec_named(&news).expect("it is written");
+    let text: serde_json::Value = rmp_serde::from_slice(&bytes).expect("it is read");
+    assert_eq!(text["Full"]["revision"], 58);
+}
