--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -85,9 +84,16 @@
     } else {
         run_faults(&faults, soak.seed, until);
     }
-    let report = finish(&world, &ledger, &done, callers);
+    let calm = Instant::now() + CALM;
+    std::thread::sleep(CALM + WATCHED);
+    done.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.join().expect("callers end");
+    }
+    world.stop_endings();
     endings.join().expect("what ends upstreams ends");
-    report
+    world.end();
+    judge(&world, &ledger, calm)
 }
 
 /// Lets all kinds of things go wrong until `until`, and ends what is under way then.
@@ -106,19 +112,6 @@
     faults.end_day(seed);
 }
 
-/// Lets it be calm for a while, ends the day and judges it.
-fn finish(world: &World, ledger: &Ledger, done: &AtomicBool, callers: Vec<JoinHandle<()>>) -> Report {
-    let calm = Instant::now() + CALM;
-    std::thread::sleep(CALM + WATCHED);
-    done.store(true, Ordering::SeqCst);
-    for caller in callers {
-        caller.join().expect("callers end");
-    }
-    world.stop_endings();
-    world.end();
-    judge(world, ledger, calm)
-}
-
 fn await_ready(world: &World, folder: &Path) {
     let until = Instant::now() + READY_LIMIT;
     while !world.is_ready() {
