--- a/crates/standin/src/mortal.rs
+++ b/crates/standin/src/mortal.rs
@@ -24,8 +24,8 @@
 use super::net;
 use super::net::Reply;
 use super::site::FATAL;
-use super::site::SiteStore;
 use super::site::entry_at;
+use super::site_store::SiteStore;
 
 /// The record that each of them holds: one byte, repeated.
 const RECORD: [u8; 16] = [7; 16];
