--- a/crates/harefield/src/control/eras.rs
+++ b/crates/harefield/src/control/eras.rs
@@ -157,15 +157,14 @@
         self.list(copy, space).await
     }
 
-    /// Drops what is carried on and has had its time; returns whether anything was.
-    pub(super) fn expire_carried(&self) -> bool {
+    /// Drops what is carried on and has had its time.
+    pub(super) fn expire_carried(&self) {
         let now = self.ports.clock.now();
-        let (gone, news) = self.config.borrow_mut().expire(now, self.settings.carry);
+        let gone = self.config.borrow_mut().expire(now, self.settings.carry);
         for key in gone {
             let upstream = key.strip_prefix("upstreams/").unwrap_or(&key);
             self.lapsed.borrow_mut().give_up(upstream);
         }
-        news
     }
 
     /// Tells the workers when what is carried on has had its time.
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -152,16 +152,15 @@
     }
 
     /// Drops what is carried on and has had its time; returns the upstreams that are gone by
-    /// it, and whether anything changed.
-    pub fn expire(&mut self, now: Instant, times: CarryTimes) -> (Vec<Key>, bool) {
-        let Some(carried) = &mut self.carried else { return (Vec::new(), false) };
+    /// it.
+    pub fn expire(&mut self, now: Instant, times: CarryTimes) -> Vec<Key> {
+        let Some(carried) = &mut self.carried else { return Vec::new() };
         let before = carried.changes();
         let gone = carried.expire(now, times);
-        let news = carried.changes() != before;
-        if news {
+        if carried.changes() != before {
             self.show();
         }
-        (gone, news)
+        gone
     }
 
     /// Lets the time of what is carried on begin anew.
--- a/crates/harefield/tests/fleet/eras.rs
+++ b/crates/harefield/tests/fleet/eras.rs
@@ -36,6 +36,12 @@
     fleet.publish("catalogs/operator", &format!(r#"{{"edition":{edition}}}"#))
 }
 
+/// Publishes a value, and awaits that every daemon has it.
+fn put(fleet: &Fleet, key: &str, value: &str) {
+    let revision = fleet.publish(key, value);
+    fleet.await_revision(0..fleet.revisions().len(), revision);
+}
+
 /// Starts daemons that have editions up to 3 in force, and returns a copy that has edition 1.
 fn start(count: usize) -> (Fleet, Revision) {
     start_as(count, DEPLOYED)
@@ -191,8 +197,7 @@
     // An evacuation that the copy lacks goes on at all, for as long as its operator needs to
     // write it again, and not for ever where that never happens.
     let (fleet, copy) = start(6);
-    let revision = fleet.publish("evacuations/z", "{}");
-    fleet.await_revision(0..6, revision);
+    put(&fleet, "evacuations/z", "{}");
     fleet.restore(copy);
     let back = Instant::now();
     let bars = |own: usize| fleet.set(own).evacuations.contains_key("z");
@@ -208,11 +213,9 @@
 #[test]
 fn evacuation_written_again() {
     let (fleet, copy) = start(4);
-    let revision = fleet.publish("evacuations/z", "{}");
-    fleet.await_revision(0..4, revision);
+    put(&fleet, "evacuations/z", "{}");
     fleet.restore(copy);
-    let revision = fleet.publish("evacuations/z", "{}");
-    fleet.await_revision(0..4, revision);
+    put(&fleet, "evacuations/z", "{}");
     fleet.run_for(CARRY.operator + Duration::from_secs(1));
     let bars = |own: usize| fleet.set(own).evacuations.contains_key("z");
     assert!((0..4).all(bars), "it was written again, and stands");
@@ -254,8 +257,7 @@
     let has = |name: &str| (0..4).filter(|own| fleet.set(*own).upstreams.contains_key(name)).count();
     assert_eq!((has("new"), has("left"), has("writes")), (4, 0, 0));
     let other = UPSTREAM.replace(":9", ":10");
-    let revision = fleet.publish("upstreams/writes", &other);
-    fleet.await_revision(0..4, revision);
+    put(&fleet, "upstreams/writes", &other);
     assert_eq!((has("new"), has("left"), has("writes")), (4, 0, 4));
     fleet.run_for(CARRY.upstream + Duration::from_millis(500));
     // The platform would have dropped an entry that nobody writes.
@@ -267,8 +269,7 @@
     // Who cannot write, since the platform is away again, has not had its time to write.
     let (fleet, copy) = start(4);
     fleet.publish("upstreams/new", UPSTREAM);
-    let revision = fleet.publish("evacuations/z", "{}");
-    fleet.await_revision(0..4, revision);
+    put(&fleet, "evacuations/z", "{}");
     fleet.restore(copy);
     fleet.await_revision(0..4, Revision::new(1, copy.number));
     fleet.blind(0..4);
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -2,10 +2,10 @@
 //! store and upstreams, and faults from outside, all drawn from one seed.
 //!
 //! `world` starts processes, each a `node`, and stand-ins, with a `proxy` before each
-//! of them, and publishes the `configuration`; `draw` draws what goes wrong and
-//! `faults` does it, `drills` lets the store come back from copies; `callers` send requests and write down what they saw in the
-//! `ledger`; `checks` compares that with what the upstreams saw. Without arguments
-//! two short seeds are played, as CI does.
+//! of them, and publishes the `configuration`; `draw` draws what goes wrong and `faults`
+//! does it, `drills` lets the store come back from copies; `callers` send requests and
+//! write down what they saw in the `ledger`; `checks` compares that with what the upstreams
+//! saw. Without arguments three short seeds are played, as CI does.
 
 mod callers;
 mod checks;
