--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -16,6 +16,7 @@
 mod planned_stop;
 mod silent_connections;
 mod site;
+mod site_accounts;
 mod site_cells;
 mod site_cold;
 mod site_drill;
--- /dev/null
+++ b/crates/harefield/tests/processes/site_accounts.rs
@@ -0,0 +1,205 @@
+//! Client accounts on the users' machines: who may ask, and what upstreams see of it.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::site_support::Answer;
+use crate::site_support::Site;
+use crate::site_support::ask;
+use crate::site_support::routes;
+use crate::support::Daemon;
+use crate::support::await_true;
+
+fn account(name: &str, keys: &[&str]) -> Value {
+    json!({ "name": name, "apiKeys": keys, "priority": 2, "ratePerS": 0, "burst": 0, "homeRegions": [] })
+}
+
+/// Starts a site whose accounts `apex` and `birch` have the keys `key-a` and `key-b`.
+fn start() -> Site {
+    let site = Site::start();
+    publish(&site, 2, &[account("apex", &["key-a"]), account("birch", &["key-b"])]);
+    site
+}
+
+/// Publishes accounts, and awaits that the first daemon goes by them.
+fn publish(site: &Site, version: u64, accounts: &[Value]) {
+    publish_routes(site, version, &routes(), accounts);
+}
+
+fn publish_routes(site: &Site, version: u64, routes: &[Value], accounts: &[Value]) {
+    site.publish_for(version, routes, Some(accounts));
+    let key = accounts.iter().find_map(|account| account["apiKeys"][0].as_str()).unwrap_or("none");
+    let serves = |daemon: &Daemon| {
+        let open = ask_with(daemon, "/one/probe", "").status == 200;
+        open || ask_with(daemon, "/one/probe", &bearer(key)).status == 200
+    };
+    await_true("the version is in force", || site.daemons().all(serves));
+}
+
+fn bearer(key: &str) -> String {
+    format!("Authorization: Bearer {key}\r\n")
+}
+
+fn ask_with(daemon: &Daemon, path: &str, headers: &str) -> Answer {
+    let head = format!("Attempt-Id: r1\r\nDeadline-Remaining: 2000\r\n{headers}");
+    ask(daemon.addresses.callers, path, &head)
+}
+
+/// Returns the heads of all runs of requests whose id is `id`.
+fn heads(site: &Site, id: &str) -> Vec<BTreeMap<String, Vec<String>>> {
+    let all = site.searchers.values().flat_map(standin::SignedSearcher::heads);
+    all.filter(|head| head.get("attempt-id").is_some_and(|ids| ids == &[id.to_owned()])).collect()
+}
+
+#[test]
+fn key_required() {
+    let site = start();
+    assert_eq!(ask_with(&site.daemon, "/all/x", &bearer("key-a")).status, 200);
+    let before = site.runs("r1");
+    let refused = [
+        ("no key", String::new()),
+        ("an unknown key", bearer("key-x")),
+        ("an empty key", bearer("")),
+        ("another scheme", "Authorization: Basic key-a\r\n".to_owned()),
+        ("no scheme", "Authorization: key-a\r\n".to_owned()),
+        ("an overlong key", bearer(&"k".repeat(1000))),
+        ("two keys", format!("{}{}", bearer("key-a"), bearer("key-b"))),
+        ("the same key twice", format!("{}{}", bearer("key-a"), bearer("key-a"))),
+        ("two keys in one", bearer("key-a, Bearer key-b")),
+    ];
+    for (what, headers) in refused {
+        for path in ["/all/x", "/one/x", "/one/once/x"] {
+            let answer = ask_with(&site.daemon, path, &headers);
+            assert_eq!(answer.status, 401, "{what} at {path}");
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(text.contains("HF1013") || text.contains("HF1014"), "{what}: {text}");
+            assert!(!text.contains("key-"), "{what}: {text}");
+        }
+    }
+    assert_eq!(site.runs("r1"), before, "nothing ran");
+}
+
+#[test]
+fn scheme_any_case() {
+    let site = start();
+    for headers in ["authorization: bearer key-a\r\n", "AUTHORIZATION: BEARER key-a\r\n"] {
+        assert_eq!(ask_with(&site.daemon, "/one/x", headers).status, 200, "{headers}");
+    }
+}
+
+#[test]
+fn account_named_upstream() {
+    let site = start();
+    let forged = "Tenant: birch\r\nTENANT: cedar\r\n";
+    for path in ["/all/x", "/one/x", "/one/once/x"] {
+        let id = path.replace('/', "-");
+        let head = format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n{}{forged}", bearer("key-a"));
+        assert_eq!(ask(site.daemon.addresses.callers, path, &head).status, 200, "{path}");
+        let heads = heads(&site, &id);
+        assert!(!heads.is_empty(), "{path} ran");
+        for head in heads {
+            assert_eq!(head.get("tenant"), Some(&vec!["apex".to_owned()]), "{path}: {head:?}");
+            assert_eq!(head.get("authorization"), None, "{path}: {head:?}");
+        }
+    }
+}
+
+#[test]
+fn account_named_by_members() {
+    let site = Site::start_cells(3, 1);
+    publish(&site, 2, &[account("apex", &["key-a"])]);
+    for (number, daemon) in site.daemons().enumerate() {
+        for path in ["/all/x", "/one/x"] {
+            let id = format!("m{number}{}", path.replace('/', "-"));
+            let head = format!(
+                "Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\nTenant: birch\r\n{}",
+                bearer("key-a")
+            );
+            assert_eq!(ask(daemon.addresses.callers, path, &head).status, 200, "{path}");
+            let heads = heads(&site, &id);
+            assert!(!heads.is_empty(), "{path} ran");
+            for head in heads {
+                assert_eq!(head.get("tenant"), Some(&vec!["apex".to_owned()]), "{path}: {head:?}");
+                assert_eq!(head.get("authorization"), None, "{path}: {head:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn public_without_key() {
+    let site = Site::start();
+    let mut routes = routes();
+    routes[1]["public"] = json!(true);
+    publish_routes(&site, 2, &routes, &[account("apex", &["key-a"])]);
+    assert_eq!(ask_with(&site.daemon, "/all/x", "").status, 401);
+    let head = "Attempt-Id: p1\r\nDeadline-Remaining: 2000\r\nTenant: birch\r\n";
+    assert_eq!(ask(site.daemon.addresses.callers, "/one/x", head).status, 200);
+    let heads = heads(&site, "p1");
+    assert!(!heads.is_empty() && heads.iter().all(|head| !head.contains_key("tenant")), "{heads:?}");
+    assert_eq!(ask_with(&site.daemon, "/one/x", &bearer("key-x")).status, 401);
+}
+
+#[test]
+fn key_taken_away() {
+    let site = start();
+    publish(&site, 3, &[account("birch", &["key-b"]), account("apex", &[])]);
+    await_true("it opens nothing", || ask_with(&site.daemon, "/one/x", &bearer("key-a")).status == 401);
+    // The last key is taken away, and with it the last account: nothing opens then.
+    site.publish_for(4, &routes(), Some(&[]));
+    await_true("no key opens", || ask_with(&site.daemon, "/one/x", &bearer("key-b")).status == 401);
+    assert_eq!(ask_with(&site.daemon, "/one/x", "").status, 401);
+}
+
+#[test]
+fn key_moved() {
+    let site = start();
+    publish(&site, 3, &[account("birch", &["key-b", "key-a"]), account("apex", &["key-c"])]);
+    let head = format!("Attempt-Id: v1\r\nDeadline-Remaining: 2000\r\n{}", bearer("key-a"));
+    await_true("it is of the other account", || {
+        ask(site.daemon.addresses.callers, "/one/x", &head);
+        heads(&site, "v1").last().is_some_and(|head| head.get("tenant") == Some(&vec!["birch".to_owned()]))
+    });
+}
+
+#[test]
+fn newer_key_is_asked_for() {
+    let site = Site::start_reading(2, "apply-ms = 30000\nwatch-ms = 20000\n");
+    publish(&site, 2, &[account("apex", &["key-a"])]);
+    for number in 0..4_u64 {
+        let key = format!("key-{number}");
+        site.publish_for(3 + number, &routes(), Some(&[account("apex", &["key-a", &key])]));
+        for daemon in site.daemons() {
+            assert_eq!(ask_with(daemon, "/one/x", &bearer(&key)).status, 200, "{key}");
+        }
+    }
+}
+
+#[test]
+fn keys_nowhere_shown() {
+    let site = start();
+    for key in ["key-a", "key-x"] {
+        ask_with(&site.daemon, "/all/x", &bearer(key));
+    }
+    let paths = ["/metrics", "/v1/status", "/v1/timeline", "/v1/resources/accounts"];
+    for path in paths {
+        let shown = ask(site.daemon.addresses.operators, path, "");
+        let text = String::from_utf8_lossy(&shown.body).into_owned();
+        assert!(!text.contains("key-a") && !text.contains("key-x"), "{path}");
+    }
+    let listed = ask(site.daemon.addresses.operators, "/v1/resources/accounts", "");
+    assert_eq!(listed.status, 200);
+    assert!(String::from_utf8_lossy(&listed.body).contains("accounts/apex"));
+}
+
+#[test]
+fn without_accounts_unchanged() {
+    let site = Site::start();
+    let head = format!("Attempt-Id: w1\r\nDeadline-Remaining: 2000\r\nTenant: own\r\n{}", bearer("k"));
+    assert_eq!(ask(site.daemon.addresses.callers, "/one/x", &head).status, 200);
+    let heads = heads(&site, "w1");
+    assert_eq!(heads[0].get("tenant"), Some(&vec!["own".to_owned()]));
+    assert_eq!(heads[0].get("authorization"), Some(&vec!["Bearer k".to_owned()]));
+}
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -149,12 +149,20 @@
     }
 
     pub fn publish(&self, version: u64, routes: &[Value]) {
+        self.publish_for(version, routes, None);
+    }
+
+    /// Publishes a version with client accounts; without where there are none.
+    pub fn publish_for(&self, version: u64, routes: &[Value], accounts: Option<&[Value]>) {
         let services: Vec<Value> = ["s1", "s2", "s3", "one"]
             .iter()
             .map(|name| json!({ "name": name, "connectionLimit": 26 }))
             .collect();
-        let config =
+        let mut config =
             json!({ "version": version, "routes": routes, "services": services, "limits": limits() });
+        if let Some(accounts) = accounts {
+            config["tenants"] = json!(accounts);
+        }
         self.store.put("op/config", Some(&config));
     }
 
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' upstreams, which sign their replies. `docs/PLATFORM.md` has
 //! their protocol.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -52,6 +53,8 @@
     /// The time left that the last request came with.
     left: Option<Duration>,
     finished: Vec<String>,
+    /// The headers that each request it ran came with, in order.
+    heads: Vec<BTreeMap<String, Vec<String>>>,
     /// The names that it was taken for, of requests that were not for it.
     mistaken: Vec<String>,
     /// Told its name when it runs a request that it does not outlive.
@@ -133,6 +136,13 @@
         lock(&self.shared).mistaken.clone()
     }
 
+    /// Returns the headers that each request it ran came with, in order: the values by
+    /// name.
+    #[must_use]
+    pub fn heads(&self) -> Vec<BTreeMap<String, Vec<String>>> {
+        lock(&self.shared).heads.clone()
+    }
+
     /// Returns the time left that the last request it ran came with.
     #[must_use]
     pub fn left(&self) -> Option<Duration> {
@@ -177,6 +187,7 @@
         let left = header("deadline-remaining").parse().ok().map(Duration::from_millis);
         lock(&self.shared).left = left;
         lock(&self.shared).runs.push((Instant::now(), id.clone()));
+        lock(&self.shared).heads.push(head_of(request));
         Timer::after(delay).await;
         let fatal = lock(&self.shared).fatal.clone().filter(|_| request.uri().path().contains(FATAL));
         if let Some(told) = fatal {
@@ -195,6 +206,15 @@
     }
 }
 
+fn head_of(request: &Request<Incoming>) -> BTreeMap<String, Vec<String>> {
+    let mut head: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (name, value) in request.headers() {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        head.entry(name.to_string()).or_default().push(value);
+    }
+    head
+}
+
 /// Returns the entry of an upstream that is reached at an address.
 #[must_use]
 pub fn entry_at(address: SocketAddr, zone: &str, service: &str, state: &str) -> Value {
