--- a/crates/harefield/examples/target.rs
+++ b/crates/harefield/examples/target.rs
@@ -140,6 +140,7 @@
         size: CellSize::default(),
         places: &PLACES,
         cold: Bound::default(),
+        keyed: false,
     }
 }
 
--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -21,6 +21,8 @@
 
 use super::http;
 use super::http::BodyError;
+use crate::domain::accounts::Asker;
+use crate::domain::accounts::Credential;
 use crate::domain::code::Code;
 use crate::domain::outcome::Answer;
 use crate::domain::query::Query;
@@ -74,7 +76,7 @@
     limits: RequestLimits,
 ) -> Response<Full<Bytes>> {
     let mut reply = match read(request, limits).await {
-        Ok((body, lookup)) => render(&look_up(&worker, body, lookup).await),
+        Ok((body, lookup, credential)) => render(&look_up(&worker, body, lookup, credential).await),
         Err(refused) => render(&refuse(&refused)),
     };
     if worker.is_stopping() {
@@ -87,6 +89,7 @@
     worker: &Rc<Worker<U, P, C>>,
     body: Body,
     lookup: String,
+    credential: Credential,
 ) -> Answer {
     let query: Box<str> = body.query.into();
     let request = LookupRequest {
@@ -96,13 +99,18 @@
         ticket: body.ticket,
         limit: body.deadline_ms.map(Duration::from_millis),
         origin: Origin::Caller,
+        credential,
+        asker: Asker::default(),
     };
     let mut answer = worker.lookup(request).await;
     answer.id = body.id;
     answer
 }
 
-async fn read(request: Request<Incoming>, limits: RequestLimits) -> Result<(Body, String), Refused> {
+async fn read(
+    request: Request<Incoming>,
+    limits: RequestLimits,
+) -> Result<(Body, String, Credential), Refused> {
     let (head, incoming) = request.into_parts();
     if head_bytes(&head) > limits.head {
         return Err(Code::HeadTooLarge.into());
@@ -112,6 +120,7 @@
     if head.method != Method::POST {
         return Err(Code::WrongMethod.into());
     }
+    let credential = http::credential(&head.headers);
     let bytes = read_body(incoming, limits).await?;
     let body: Body = serde_json::from_slice(&bytes).map_err(|error| Refused {
         code: if error.classify() == Category::Data { Code::BadField } else { Code::MalformedBody },
@@ -120,7 +129,7 @@
     if body.deadline_ms == Some(0) {
         return Err(Refused { code: Code::BadField, detail: "deadline-ms must be at least 1".to_owned() });
     }
-    Ok((body, lookup))
+    Ok((body, lookup, credential))
 }
 
 /// Returns how many bytes a request's head takes, about.
--- a/crates/harefield/src/adapters/http/mod.rs
+++ b/crates/harefield/src/adapters/http/mod.rs
@@ -26,5 +26,6 @@
 pub use server::ServerLimits;
 pub use server::Stop;
 pub use server::serve;
+pub use token::credential;
 pub use token::shows_token;
 pub use traffic::Traffic;
--- a/crates/harefield/src/adapters/http/token.rs
+++ b/crates/harefield/src/adapters/http/token.rs
@@ -1,8 +1,14 @@
-//! Tokens shown by peers and operators.
+//! Tokens shown by peers and operators, and keys shown by callers.
 
 use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
 use subtle::ConstantTimeEq;
 
+use crate::domain::accounts::Credential;
+
+/// What a key follows, in any case.
+const KEY_SCHEME: &str = "bearer ";
+
 /// Says whether a request shows the token that is asked for, if any.
 ///
 /// The comparison takes the same time whatever is shown.
@@ -13,3 +19,19 @@
     let shown = shown.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or("");
     shown.as_bytes().ct_eq(token.as_bytes()).into()
 }
+
+/// Reads the key that a request shows.
+#[must_use]
+pub fn credential(headers: &HeaderMap) -> Credential {
+    let mut shown = headers.get_all(AUTHORIZATION).iter();
+    let (Some(value), None) = (shown.next(), shown.next()) else {
+        return if headers.contains_key(AUTHORIZATION) { Credential::Malformed } else { Credential::Missing };
+    };
+    let bytes = value.as_bytes();
+    match bytes.split_at_checked(KEY_SCHEME.len()) {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case(KEY_SCHEME.as_bytes()) => {
+            Credential::of_key(key.trim_ascii())
+        }
+        _ => Credential::Malformed,
+    }
+}
--- a/crates/harefield/src/adapters/operators/resources.rs
+++ b/crates/harefield/src/adapters/operators/resources.rs
@@ -19,7 +19,9 @@
 use crate::domain::code::Code;
 use crate::domain::ids::UpstreamId;
 use crate::domain::membership::Row;
+use crate::domain::resources::Account;
 use crate::domain::resources::Fault;
+use crate::domain::resources::ResourceSet;
 use crate::domain::revision::Revision;
 use crate::telemetry::Status;
 use crate::telemetry::UpstreamStatus;
@@ -67,7 +69,10 @@
         self.await_revision(&selection).await;
         let (kind, name) = path.split_once('/').map_or((path, None), |(kind, name)| (kind, Some(name)));
         let Some(mut items) = self.items(kind) else {
-            return http::refusal(Code::UnknownPath, "services, upstreams, lookups, indexes or hosts");
+            return http::refusal(
+                Code::UnknownPath,
+                "services, upstreams, lookups, indexes, accounts or hosts",
+            );
         };
         if let Some(team) = &selection.team {
             items.retain(|item| item.spec["team"].as_str() == Some(team));
@@ -104,6 +109,7 @@
             "upstreams" => make(kind, &set.upstreams, |name, _| condition(observed.get(name).copied())),
             "indexes" => make(kind, &set.indexes, |_, _| json!({})),
             "lookups" => make(kind, &set.lookups, |name, _| json!(status.lookups.get(&**name))),
+            "accounts" => self.accounts(&set),
             "hosts" => hosts(&status),
             _ => return None,
         };
@@ -112,6 +118,23 @@
     }
 }
 
+impl Operators {
+    /// Returns the accounts with how many keys each has, and no key.
+    fn accounts(&self, set: &ResourceSet) -> Vec<Item> {
+        let item = |(name, account): (&Arc<str>, &Arc<Account>)| Item {
+            key: format!("accounts/{name}"),
+            spec: json!({
+                "team": account.team, "keys": account.keys.len(), "urgency": account.urgency,
+                "rate": account.rate, "burst": account.burst, "regions": account.regions,
+            }),
+            accepted: true,
+            faults: Vec::new(),
+            conditions: json!(self.board.account_use(name)),
+        };
+        set.accounts.iter().map(item).collect()
+    }
+}
+
 fn make<T: Serialize>(
     kind: &str,
     resources: &BTreeMap<Arc<str>, Arc<T>>,
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -22,8 +22,10 @@
 use super::peers::FORWARD_PATH;
 use super::peers::ForwardReply;
 use super::peers::GROUP_PATH;
+use super::peers::PERMITS_PATH;
 use super::peers::PULL_PATH;
 use super::peers::Travelling;
+use crate::domain::accounts::Credential;
 use crate::domain::code::Code;
 use crate::domain::query::Query;
 use crate::engine::LookupRequest;
@@ -36,6 +38,7 @@
 use crate::ports::Forward;
 use crate::ports::Group;
 use crate::ports::Peers;
+use crate::ports::PermitAsk;
 use crate::ports::Pull;
 use crate::ports::Upstreams;
 
@@ -72,6 +75,7 @@
     match head.uri.path() {
         FORWARD_PATH => forward(&worker, &body).await,
         GROUP_PATH => group(&worker, &body).await,
+        PERMITS_PATH => permits(&worker, &body),
         EXCHANGE_PATH => {
             ask_control(&server, &body, |said: Exchange, reply| ToControl::Exchange(Box::new(said), reply))
                 .await
@@ -118,6 +122,8 @@
         ticket: message.ticket,
         limit: Some(Duration::from_millis(message.remaining)),
         origin: Origin::Peer { host: message.from, stamp: message.stamp, terms },
+        credential: Credential::Missing,
+        asker: message.asker,
     }
 }
 
@@ -131,6 +137,16 @@
     }
 }
 
+fn permits<U: Upstreams, P: Peers, C: Clock>(
+    worker: &Worker<U, P, C>,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
+    match rmp_serde::from_slice::<PermitAsk>(body) {
+        Ok(message) => http::packed_short(&worker.grant(&message)),
+        Err(error) => http::refusal(Code::MalformedBody, &error.to_string()),
+    }
+}
+
 /// Hands a message to the control duty and answers with its reply.
 async fn ask_control<M, R>(
     server: &PeerServer,
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -33,6 +33,8 @@
 use crate::ports::GroupReply;
 use crate::ports::PeerError;
 use crate::ports::Peers;
+use crate::ports::PermitAsk;
+use crate::ports::PermitReply;
 use crate::ports::Pull;
 
 /// The path of requests handed on.
@@ -47,6 +49,9 @@
 /// The path of pulls.
 pub const PULL_PATH: &str = "/v1/pull";
 
+/// The path of permits under accounts' limits.
+pub const PERMITS_PATH: &str = "/v1/permits";
+
 /// The most bytes of a peer's reply.
 const MOST_REPLY: usize = 64 << 20;
 
@@ -209,6 +214,17 @@
         Ok(reply)
     }
 
+    async fn permits(
+        &self,
+        host: &HostId,
+        message: &PermitAsk,
+        limit: Duration,
+    ) -> Result<PermitReply, PeerError> {
+        let body = rmp_serde::to_vec(message).map_err(|_error| PeerError::Unreachable)?;
+        let (reply, _size) = self.call(host, PERMITS_PATH, body, limit).await?;
+        Ok(reply)
+    }
+
     async fn exchange(
         &self,
         host: &HostId,
--- a/crates/harefield/src/adapters/settings/load.rs
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -105,6 +105,13 @@
                 !(0.1..=100.0).contains(&self.routing.hedge_factor),
                 "routing.hedge-factor must be from 0.1 to 100",
             ),
+            (self.accounts.window_ms == 0, "accounts.window-ms must be at least 1"),
+            (!(0.0..=100.0).contains(&self.accounts.overage), "accounts.overage must be from 0 to 100"),
+            (!(0.0..=1e9).contains(&self.accounts.slack), "accounts.slack must be from 0 to 1000000000"),
+            (
+                self.accounts.strict && self.accounts.revoke_ms < self.platform.apply_ms,
+                "accounts.revoke-ms must be at least platform.apply-ms where accounts.strict is set",
+            ),
             (self.events.keep == 0, "events.keep must be at least 1"),
         ];
         stated.iter().filter(|(bad, _)| *bad).map(|(_, text)| (*text).to_owned()).collect()
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -8,9 +8,11 @@
 
 use serde::Deserialize;
 
+use crate::domain::accounts::Overage;
 use crate::domain::cell::CellSize;
 use crate::domain::cold::Bound;
 use crate::domain::routing::Policy;
+use crate::domain::time::millis;
 
 /// All settings of a daemon.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -28,6 +30,8 @@
     pub limits: Limits,
     /// How replicas are chosen and extra load is spent.
     pub routing: Routing,
+    /// Client accounts' keys and limits.
+    pub accounts: AccountSettings,
     /// How a planned stop goes.
     pub stop: StopSettings,
     /// What the time line keeps.
@@ -277,6 +281,53 @@
     }
 }
 
+/// Client accounts' keys and limits.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
+pub struct AccountSettings {
+    /// Whether lookups that are not public ask for a key also where no account is published.
+    pub required: bool,
+    /// Whether keys open nothing at a daemon that cannot make sure that they still do.
+    pub strict: bool,
+    /// Within which time a key that is taken away opens nothing there, in milliseconds.
+    pub revoke_ms: u64,
+    /// The window within which limits are counted, in milliseconds.
+    pub window_ms: u64,
+    /// The share of a limit by which the fleet may go above it within a window.
+    pub overage: f64,
+    /// The requests by which it may go above that.
+    pub slack: f64,
+}
+
+impl Default for AccountSettings {
+    fn default() -> Self {
+        let Overage { window, share, slack } = Overage::default();
+        Self {
+            required: false,
+            strict: false,
+            revoke_ms: 5000,
+            window_ms: millis(window),
+            overage: share,
+            slack,
+        }
+    }
+}
+
+impl AccountSettings {
+    /// Returns how far the fleet may go above limits.
+    #[must_use]
+    pub fn overage(&self) -> Overage {
+        Overage { window: Duration::from_millis(self.window_ms), share: self.overage, slack: self.slack }
+    }
+
+    /// Returns how old what a daemon holds may be for keys to open anything; none where that
+    /// is not asked for.
+    #[must_use]
+    pub fn proof_limit(&self) -> Option<Duration> {
+        self.strict.then(|| Duration::from_millis(self.revoke_ms))
+    }
+}
+
 /// How a planned stop goes.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/harefield/src/adapters/upstreams/protocol.rs
+++ b/crates/harefield/src/adapters/upstreams/protocol.rs
@@ -78,6 +78,9 @@
     if call.once {
         put(headers, "harefield-once", "true");
     }
+    if let Some(account) = &call.asker.account {
+        put(headers, "harefield-account", account);
+    }
     request
 }
 
--- a/crates/harefield/src/control/confirm.rs
+++ b/crates/harefield/src/control/confirm.rs
@@ -17,7 +17,7 @@
 
 /// How long one round may take; those who did not answer by then are not
 /// waited for, since the fleet must go on without a platform.
-const ROUND_LIMIT: Duration = Duration::from_millis(400);
+pub(super) const ROUND_LIMIT: Duration = Duration::from_millis(400);
 
 /// How many daemons are asked in a round.
 pub(super) const ASKED: usize = 3;
@@ -31,6 +31,8 @@
     pub(super) platform: bool,
     /// What each daemon is told; it answers with as much.
     pub(super) make: M,
+    /// How long the round may take.
+    pub(super) limit: Duration,
 }
 
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
@@ -43,7 +45,7 @@
         let round = async move {
             let asked = this.ports.clock.now();
             let hosts = this.draw_peers(ASKED);
-            let asking = Asking { hosts, platform: true, make: Self::message };
+            let asking = Asking { hosts, platform: true, make: Self::message, limit: ROUND_LIMIT };
             this.ask_round(asking, || false).await;
             this.confirming.set(false);
             this.tell(&ToWorker::Confirmed(Confirmed { asked }));
@@ -57,7 +59,7 @@
     where
         M: Fn(&Self, &HostId) -> Exchange,
     {
-        let Asking { hosts, platform, make } = asking;
+        let Asking { hosts, platform, make, limit } = asking;
         let (sender, ended) = async_channel::bounded(hosts.len() + Space::ALL.len());
         let mut started = 0;
         for host in hosts {
@@ -87,7 +89,7 @@
                 }
             }
         };
-        all.or(self.ports.clock.sleep(ROUND_LIMIT)).await;
+        all.or(self.ports.clock.sleep(limit)).await;
     }
 
     async fn look_at_platform(self: &Rc<Self>, space: Space) {
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -86,6 +86,8 @@
     pub cell: CellSize,
     /// How far above what cold upstreams bear the fleet may go.
     pub cold: Bound,
+    /// Whether lookups ask for keys also where no account is published.
+    pub keyed: bool,
     /// Whether the platform lists the daemons; else cells are assigned among
     /// those that know each other.
     pub listed: bool,
@@ -125,6 +127,8 @@
     pub(super) board: Arc<Board>,
     pub(super) joined: Cell<bool>,
     pub(super) confirming: Cell<bool>,
+    /// Who wants whatever is newer than what is held.
+    pub(super) refreshing: RefCell<Vec<Sender<bool>>>,
     /// Daemons to ask besides those that are known.
     pub(super) seeds: RefCell<Vec<HostId>>,
     /// Upstreams that may have lapsed with the platform away.
@@ -187,6 +191,7 @@
             board,
             joined: Cell::new(false),
             confirming: Cell::new(false),
+            refreshing: RefCell::default(),
             seeds,
             lapsed: RefCell::default(),
             lapsing: Cell::new(false),
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Sender;
+
 use super::confirm::ASKED;
 use super::confirm::Asking;
+use super::confirm::ROUND_LIMIT;
 use super::duty::Control;
 use crate::domain::event::Event;
 use crate::domain::freshness::Freshness;
@@ -14,11 +17,15 @@
 use crate::domain::readers::below;
 use crate::domain::readers::sources;
 use crate::domain::time::millis;
+use crate::engine::ToWorker;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Platform;
 use crate::ports::Space;
 
+/// How long asking for what is newer may take: a caller waits for it.
+const REFRESH_LIMIT: Duration = Duration::from_millis(500);
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Notes that all that the platform confirmed in a space up to `at` is held here, and
     /// passes it on.
@@ -31,6 +38,7 @@
         self.reach.borrow_mut().entry(space).or_default().vouch(at, now);
         if space == Space::Config {
             self.board.prove(at);
+            self.tell(&ToWorker::Proven(at));
         }
         let Some(proven) = self.proven() else { return };
         let step = self.settings.pace.step();
@@ -114,6 +122,39 @@
         }
     }
 
+    /// Asks the platform for what is newer, once for all that want it by the time the round
+    /// begins; says whether nothing that was confirmed by then is missing here.
+    pub(super) fn refresh(self: &Rc<Self>, reply: Sender<bool>) {
+        self.refreshing.borrow_mut().push(reply);
+        if self.refreshing.borrow().len() > 1 {
+            return;
+        }
+        let this = Rc::clone(self);
+        let rounds = async move {
+            // Those that come while a round is under way want one that began later.
+            loop {
+                let waiting = this.refreshing.borrow().len();
+                let sure = this.refresh_once().await;
+                for reply in this.refreshing.borrow_mut().drain(..waiting) {
+                    let _ = reply.try_send(sure);
+                }
+                if this.refreshing.borrow().is_empty() {
+                    return;
+                }
+            }
+        };
+        self.executor.spawn(rounds).detach();
+    }
+
+    async fn refresh_once(self: &Rc<Self>) -> bool {
+        let began = self.ports.clock.now();
+        let sure = || self.proven().is_some_and(|proven| proven >= began);
+        let hosts = if self.was_away() { self.draw_sources(0) } else { Vec::new() };
+        let make = |this: &Self, _host: &HostId| this.bare_message();
+        self.ask_round(Asking { hosts, platform: true, make, limit: REFRESH_LIMIT }, sure).await;
+        sure()
+    }
+
     fn age_event(&self, behind: bool, age: Duration) -> Event {
         let (revision, millis) = (self.revision(Space::Config), millis(age));
         if behind {
@@ -131,7 +172,8 @@
         let hosts = self.draw_sources(before);
         // How far each of them is, and no more: rounds go on through an outage.
         let make = |this: &Self, _host: &HostId| this.bare_message();
-        self.ask_round(Asking { hosts, platform, make }, || !self.is_overdue()).await;
+        let asking = Asking { hosts, platform, make, limit: ROUND_LIMIT };
+        self.ask_round(asking, || !self.is_overdue()).await;
     }
 
     /// Returns whether the platform was asked a moment ago.
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -33,6 +33,7 @@
             }
             ToControl::Suspect(suspect) => self.take_suspect(&suspect),
             ToControl::Woke => self.start_confirming(),
+            ToControl::Refresh(reply) => self.refresh(reply),
             ToControl::Silent(host) => self.unanswered(&host),
             ToControl::Seeds(seeds) => *self.seeds.borrow_mut() = seeds,
             ToControl::Stop => {
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -50,6 +50,7 @@
             size: self.settings.cell,
             places: &self.settings.places,
             cold: self.settings.cold,
+            keyed: self.settings.keyed,
         })
     }
 
--- a/crates/harefield/src/daemon/context.rs
+++ b/crates/harefield/src/daemon/context.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use crate::adapters::settings::Settings;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
-use crate::domain::once::Ledger;
+use crate::engine::Shared;
 use crate::engine::ToControl;
 use crate::telemetry::Board;
 use crate::telemetry::Telemetry;
@@ -53,7 +52,7 @@
     pub addresses: Addresses,
     pub host: HostId,
     pub incarnation: Incarnation,
-    pub ledger: Arc<Mutex<Ledger>>,
+    pub shared: Shared,
     pub control: Sender<ToControl>,
     pub telemetry: Telemetry,
     pub board: Arc<Board>,
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -35,6 +35,7 @@
 use crate::adapters::settings::PlatformKind;
 use crate::adapters::settings::Settings;
 use crate::adapters::settings::read_token;
+use crate::domain::accounts::Grants;
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::hlc::Stamp;
@@ -42,6 +43,7 @@
 use crate::domain::ids::Incarnation;
 use crate::domain::once::Ledger;
 use crate::domain::time::millis;
+use crate::engine::Shared;
 use crate::engine::ToControl;
 use crate::ports::Clock;
 use crate::telemetry;
@@ -182,7 +184,10 @@
         addresses,
         host,
         incarnation,
-        ledger: Arc::new(Mutex::new(ledger)),
+        shared: Shared {
+            ledger: Arc::new(Mutex::new(ledger)),
+            grants: Arc::new(Mutex::new(Grants::new(SystemClock.now()))),
+        },
         control,
         telemetry,
         board: Arc::new(board),
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -70,7 +70,7 @@
         worker_settings(context, number),
         Rc::clone(&executor),
         ports,
-        Arc::clone(&context.ledger),
+        context.shared.clone(),
         context.control.clone(),
         context.telemetry.clone(),
     );
@@ -161,6 +161,8 @@
         drain: Duration::from_millis(routing.drain_ms),
         detail: settings.events.detail_every,
         seed: rand::random(),
+        overage: settings.accounts.overage(),
+        strict: settings.accounts.proof_limit(),
     }
 }
 
@@ -222,6 +224,7 @@
         places: places(context),
         cell: settings.cell(),
         cold: settings.routing.cold(),
+        keyed: settings.accounts.required,
         listed: settings.platform.kind == PlatformKind::Own,
     }
 }
--- /dev/null
+++ b/crates/harefield/src/domain/accounts/holders.rs
@@ -0,0 +1,107 @@
+//! Which daemon holds each part of an account's limit.
+//!
+//! The parts are spread evenly over the availability zones, which all daemons know by their
+//! settings, and within a zone go to the daemon of the highest rendezvous weight. One that
+//! is cut off ranks the others as before: seen not to answer, they keep their rank for a
+//! while, and so it does not take itself for the holder of everything.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::domain::ids::AccountId;
+use crate::domain::ids::HostId;
+use crate::domain::membership::PeerState;
+use crate::domain::membership::Row;
+
+/// Names one part of an account's limit.
+pub type SlotId = (AccountId, u32);
+
+/// A daemon that has not answered for so long is replaced by the next one of its zone:
+/// longer than a restart, so that a restart moves nothing.
+const REPLACED_AFTER: Duration = Duration::from_secs(15);
+
+/// How many parts a limit is divided into at least, where it is large enough: the loss of
+/// one daemon then costs a sixth.
+const LEAST_PARTS: usize = 6;
+
+/// The daemons by availability zone, as candidates for parts.
+#[derive(Clone, Debug, Default)]
+pub struct Holders {
+    zones: Vec<Arc<str>>,
+    hosts: BTreeMap<Arc<str>, BTreeSet<HostId>>,
+    /// Since when daemons have not answered.
+    absent: BTreeMap<HostId, Instant>,
+}
+
+impl Holders {
+    /// Creates the candidates over the availability zones that all daemons know of; one zone
+    /// for all where there are none.
+    #[must_use]
+    pub fn over<'a>(zones: impl IntoIterator<Item = &'a Arc<str>>) -> Self {
+        let mut zones: Vec<Arc<str>> = zones.into_iter().map(Arc::clone).collect();
+        zones.sort_unstable();
+        Self { zones, ..Self::default() }
+    }
+
+    /// Takes the daemons as they are seen now.
+    pub fn see<'a>(&mut self, rows: impl IntoIterator<Item = &'a Row>, now: Instant) {
+        let mut hosts: BTreeMap<Arc<str>, BTreeSet<HostId>> = BTreeMap::new();
+        let mut absent = BTreeMap::new();
+        for row in rows {
+            hosts.entry(self.place(&row.zone)).or_default().insert(Arc::clone(&row.host));
+            if row.state != PeerState::Live {
+                let since = self.absent.get(&row.host).copied().unwrap_or(now);
+                absent.insert(Arc::clone(&row.host), since);
+            }
+        }
+        self.hosts = hosts;
+        self.absent = absent;
+    }
+
+    /// Returns where the parts of a zone's daemons are counted.
+    fn place(&self, zone: &Arc<str>) -> Arc<str> {
+        if self.zones.is_empty() { Arc::default() } else { Arc::clone(zone) }
+    }
+
+    /// Returns how many parts a limit is to have.
+    #[must_use]
+    pub fn wanted(&self) -> u32 {
+        let zones = self.zones.len().max(1);
+        let parts = zones * LEAST_PARTS.div_ceil(zones);
+        u32::try_from(parts).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the availability zone of a part; none where there are no zones.
+    #[must_use]
+    pub fn zone_of(&self, part: u32) -> Option<&Arc<str>> {
+        let zones = u32::try_from(self.zones.len()).ok().filter(|zones| *zones > 0)?;
+        self.zones.get(usize::try_from(part % zones).ok()?)
+    }
+
+    /// Returns who holds a part; none where its zone has no daemon.
+    #[must_use]
+    pub fn holder(&self, slot: &SlotId, now: Instant) -> Option<&HostId> {
+        let (account, part) = slot;
+        let place = self.zone_of(*part).cloned().unwrap_or_default();
+        let seed = xxh3_64_with_seed(account.as_bytes(), u64::from(*part));
+        let hosts = self.hosts.get(&place)?.iter().filter(|host| !self.is_replaced(host, now));
+        hosts.max_by_key(|host| (xxh3_64_with_seed(host.as_bytes(), seed), Reverse(*host)))
+    }
+
+    /// Returns whether a daemon is known to answer, or not known not to.
+    #[must_use]
+    pub fn is_present(&self, host: &HostId) -> bool {
+        !self.absent.contains_key(host)
+    }
+
+    fn is_replaced(&self, host: &HostId, now: Instant) -> bool {
+        let since = self.absent.get(host);
+        since.is_some_and(|since| now.saturating_duration_since(*since) >= REPLACED_AFTER)
+    }
+}
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -51,6 +51,8 @@
     BadField = 1010, 400, "a field of the body has a wrong type or value";
     TokenRequired = 1011, 401, "this address asks for its token";
     HeadTooLarge = 1012, 431, "the head exceeds the configured limit";
+    KeyRequired = 1013, 401, "the lookup asks for the key of a client account";
+    KeyUnknown = 1014, 401, "no client account has this key";
     QueueFull = 2001, 503, "not run: the admission queue for this urgency is full";
     TooLate = 2002, 503, "not run: the deadline cannot be met";
     Stopping = 2003, 503, "not run: the daemon is stopping";
@@ -66,6 +68,9 @@
     OlderView = 2013, 503, "not run: the daemon asked has an older configuration in force";
     Withheld = 2014, 503, "not run: upstreams ended each time that they ran it";
     NoRegion = 2015, 503, "not run: no region in which the lookup may be served has who serves it";
+    LimitReached = 2016, 429, "not run: the client account asks more than it may";
+    LimitUnknown = 2017, 503, "not run: nobody that holds a part of the account's limit answers";
+    KeyUnconfirmed = 2018, 503, "not run: the daemon cannot make sure whether the key opens anything";
     ReplyLost = 3001, 504, "may have run: an upstream was sent the request and its reply was lost";
     DeadlinePassed = 3002, 504, "may have run: the deadline passed with requests under way";
     TicketGone = 3003, 504, "may have run: the daemon that the ticket names is gone";
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -5,6 +5,7 @@
 
 use super::code::Code;
 use super::hlc::Stamp;
+use super::ids::AccountId;
 use super::ids::AttemptId;
 use super::ids::Era;
 use super::ids::HostId;
@@ -67,11 +68,16 @@
     Admitted {
         lookup: String,
         work: WorkId,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        account: Option<AccountId>,
         urgency: Urgency,
         waited: u64,
         objective: Option<u64>,
         due: Option<u64>,
     },
+    /// A request of an account was refused, since the account asks more than it may or nobody
+    /// that holds a part of its limit answers.
+    LimitRefused { account: AccountId, code: Code, retry_after: u64 },
     /// A request was refused before it ran.
     Refused { lookup: String, code: Code, retry_after: Option<u64> },
     /// The snapshot of the answer was chosen.
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -23,6 +23,9 @@
 /// Names one request of a caller across processes.
 pub type RequestId = Arc<str>;
 
+/// Names a client account.
+pub type AccountId = Arc<str>;
+
 /// Names a piece of work, whoever asks for it and however often: a digest.
 pub type WorkId = u64;
 
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or draws randomness of its own: time
 //! and random numbers are handed in, so that every decision can be replayed.
 
+pub mod accounts;
 pub mod admission;
 pub mod backoff;
 pub mod carried;
@@ -33,6 +34,7 @@
 pub mod resources;
 pub mod revision;
 pub mod routing;
+pub mod settled;
 pub mod snapshot;
 pub mod suspects;
 pub mod time;
--- a/crates/harefield/src/domain/query.rs
+++ b/crates/harefield/src/domain/query.rs
@@ -21,13 +21,17 @@
     pub headers: Vec<Header>,
     /// The whole body.
     pub body: Bytes,
+    /// The headers that say who asks, as the caller sent them: they go on only where no
+    /// client accounts are in force.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<Header>,
 }
 
 impl ByteQuery {
     /// Returns the value of a header; empty where there is none.
     #[must_use]
     pub fn header(&self, name: &str) -> &[u8] {
-        let found = self.headers.iter().find(|(held, _)| &**held == name);
+        let found = self.headers.iter().chain(&self.claims).find(|(held, _)| &**held == name);
         found.map_or(&[], |(_, value)| value)
     }
 }
@@ -42,6 +46,17 @@
 }
 
 impl Query {
+    /// Returns the query without what the caller said of who asks.
+    #[must_use]
+    pub fn without_claims(&self) -> Self {
+        match self {
+            Self::Bytes(query) if !query.claims.is_empty() => {
+                Self::Bytes(Arc::new(ByteQuery { claims: Vec::new(), ..(**query).clone() }))
+            }
+            other => other.clone(),
+        }
+    }
+
     /// Returns the JSON text; empty where the query is an opaque request.
     #[must_use]
     pub fn json(&self) -> &[u8] {
--- a/crates/harefield/src/domain/residency.rs
+++ b/crates/harefield/src/domain/residency.rs
@@ -38,3 +38,14 @@
         !self.is_bound() || region.is_some_and(|region| self.regions.contains(region))
     }
 }
+
+/// Returns the regions in which a request may be served that two bind; none where they have
+/// no region in common.
+#[must_use]
+pub fn both(one: &Regions, other: &Regions) -> Option<Regions> {
+    if one.is_empty() || other.is_empty() {
+        return Some(Arc::clone(if one.is_empty() { other } else { one }));
+    }
+    let common: Regions = one.iter().filter(|region| other.contains(region)).map(Arc::clone).collect();
+    (!common.is_empty()).then_some(common)
+}
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -1,12 +1,14 @@
 //! The checks that a resource set must pass as a whole.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::hash::Hash;
 use std::sync::Arc;
 
 use super::fault::Fault;
 use super::set::ResourceSet;
+use crate::domain::accounts::KeyDigest;
 use crate::domain::code::Code;
 use crate::domain::ids::Key;
 
@@ -37,6 +39,7 @@
         for name in self.set.lookups.keys() {
             self.lookup(name);
         }
+        self.accounts();
         self.faults
     }
 
@@ -61,6 +64,9 @@
         for name in touched.lookups(self.set) {
             self.lookup(name);
         }
+        if touched.accounts {
+            self.accounts();
+        }
         self.faults
     }
 
@@ -78,6 +84,27 @@
         }
     }
 
+    /// Checks all accounts: no two may share a key. Faults name no key.
+    fn accounts(&mut self) {
+        let mut owners: HashMap<KeyDigest, &str> = HashMap::new();
+        for (name, account) in &self.set.accounts {
+            let finite = |number: f64| number.is_finite() && number >= 0.0;
+            if !finite(account.rate) || !finite(account.burst) {
+                let detail = "rate and burst must be 0 or more".to_owned();
+                self.fault("accounts", name, Code::ResourceRange, detail);
+            }
+            if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+                let detail = "upstreams are told the name: it must be visible ASCII".to_owned();
+                self.fault("accounts", name, Code::ResourceRange, detail);
+            }
+            for key in &account.keys {
+                let Some(other) = owners.insert(*key, name) else { continue };
+                let detail = format!("it has a key that account {other} lists as well");
+                self.fault("accounts", name, Code::ResourceDuplicate, detail);
+            }
+        }
+    }
+
     fn service(&mut self, name: &str) {
         let Some(service) = self.set.services.get(name) else { return };
         if service.shards.is_empty() {
@@ -185,6 +212,7 @@
     indexes: BTreeSet<&'k str>,
     lookups: BTreeSet<&'k str>,
     gone: HashSet<&'k str>,
+    accounts: bool,
     /// A catalog changed, and with it any number of resources.
     catalogs: bool,
 }
@@ -207,6 +235,7 @@
             Some(("lookups", name)) => {
                 self.lookups.insert(name);
             }
+            Some(("accounts", _)) => self.accounts = true,
             Some(("catalogs", _)) => self.catalogs = true,
             _ => {}
         }
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::domain::accounts::KeyDigest;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
@@ -168,6 +170,9 @@
     /// The only regions in which it may be served and its body read; everywhere where empty.
     #[serde(default)]
     pub regions: Regions,
+    /// Whether anyone may ask it, also where client accounts are in force.
+    #[serde(default)]
+    pub public: bool,
 }
 
 impl Lookup {
@@ -188,6 +193,31 @@
     pub reason: String,
 }
 
+/// A client account: whose keys open lookups, and what it may ask over the whole fleet.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Account {
+    /// The team that owns the account.
+    #[serde(default)]
+    pub team: String,
+    /// The SHA-256 digests of its keys, in hexadecimal digits.
+    #[serde(default)]
+    pub keys: Vec<KeyDigest>,
+    /// How urgent its requests are, whatever their lookups say; as those say where none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub urgency: Option<Urgency>,
+    /// The requests a second that it may make; unbounded where 0.
+    #[serde(default)]
+    pub rate: f64,
+    /// The requests that it may make at once on top.
+    #[serde(default)]
+    pub burst: f64,
+    /// The only regions in which its requests may be served, besides what their lookups say;
+    /// everywhere where empty.
+    #[serde(default)]
+    pub regions: Regions,
+}
+
 /// A versioned index over services.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -223,6 +253,10 @@
     /// The lookups by name.
     #[serde(default)]
     pub lookups: BTreeMap<Arc<str>, Lookup>,
+    /// The client accounts by name. Where they are given, even none, lookups that are not
+    /// public ask for a key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accounts: Option<BTreeMap<AccountId, Account>>,
     /// Bounds on callers' requests.
     #[serde(default)]
     pub bounds: Bounds,
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -10,6 +10,7 @@
 
 pub use fault::Fault;
 pub use fault::MAX_VALUE_BYTES;
+pub use kinds::Account;
 pub use kinds::Bounds;
 pub use kinds::Catalog;
 pub use kinds::ColdLimit;
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -7,6 +7,7 @@
 
 use super::fault::Fault;
 use super::fault::MAX_VALUE_BYTES;
+use super::kinds::Account;
 use super::kinds::Bounds;
 use super::kinds::Catalog;
 use super::kinds::Evacuation;
@@ -15,6 +16,7 @@
 use super::kinds::Service;
 use super::kinds::Upstream;
 use crate::domain::code::Code;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::Key;
 use crate::domain::ids::ShardId;
@@ -34,6 +36,8 @@
     pub indexes: BTreeMap<Arc<str>, Arc<Index>>,
     /// The catalogs, whose resources stand above as well.
     pub catalogs: BTreeMap<Arc<str>, Arc<Catalog>>,
+    /// The client accounts.
+    pub accounts: BTreeMap<AccountId, Arc<Account>>,
     /// The availability zones that are evacuated.
     pub evacuations: BTreeMap<Arc<str>, Arc<Evacuation>>,
     /// The upstreams that hold each shard by their own word.
@@ -53,11 +57,13 @@
             Some(("lookups", name)) => put(&mut self.lookups, key, name, value),
             Some(("indexes", name)) => put(&mut self.indexes, key, name, value),
             Some(("catalogs", name)) => self.put_catalog(key, name, value),
+            Some(("accounts", name)) => put(&mut self.accounts, key, name, value),
             Some(("evacuations", zone)) => put(&mut self.evacuations, key, zone, value),
             _ if value.is_none() => Ok(()),
             _ => {
-                let detail = "expected services/, upstreams/, lookups/, indexes/, catalogs/ or evacuations/"
-                    .to_owned();
+                let detail =
+                    "expected services/, upstreams/, lookups/, indexes/, accounts/, catalogs/ or evacuations/"
+                        .to_owned();
                 Err(Fault { key: Arc::clone(key), code: Code::ResourceUnknownKind, detail })
             }
         }
@@ -102,6 +108,9 @@
         replace(&mut self.services, &before.services, &after.services);
         replace(&mut self.indexes, &before.indexes, &after.indexes);
         replace(&mut self.lookups, &before.lookups, &after.lookups);
+        let none = BTreeMap::new();
+        let accounts = |catalog: &Catalog| catalog.accounts.as_ref().unwrap_or(&none).clone();
+        replace(&mut self.accounts, &accounts(&before), &accounts(&after));
         Ok(())
     }
 
@@ -137,6 +146,12 @@
         self.catalogs.values().map(|catalog| catalog.edition).sum()
     }
 
+    /// Returns whether client accounts are in force, even where there is none.
+    #[must_use]
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty() || self.catalogs.values().any(|catalog| catalog.accounts.is_some())
+    }
+
     /// Returns the bounds on callers' requests: of each, the least published.
     #[must_use]
     pub fn bounds(&self) -> Bounds {
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -20,7 +20,6 @@
 mod report;
 mod router;
 mod searcher;
-mod settled;
 mod sharing;
 mod window;
 mod zones;
--- a/crates/harefield/src/domain/routing/settled.rs
+++ b/crates/harefield/src/domain/settled.rs
@@ -10,13 +10,14 @@
 
 /// Since when a daemon runs, and whether it has heard of another.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Settled {
+pub struct Settled {
     start: Instant,
     met: bool,
 }
 
 impl Settled {
     /// Creates the state of a daemon that starts.
+    #[must_use]
     pub fn new(now: Instant) -> Self {
         Self { start: now, met: false }
     }
@@ -28,6 +29,7 @@
 
     /// Says whether it has a part, where there are to be `others`. One that starts while it
     /// is cut off from them has none.
+    #[must_use]
     pub fn has_part(self, others: bool, now: Instant) -> bool {
         now.saturating_duration_since(self.start) >= SETTLE && (self.met || !others)
     }
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -21,6 +21,7 @@
 pub use self::plan::Plan;
 pub use self::plan::ShardPlan;
 pub use self::plan::Weighted;
+use super::accounts::Directory;
 use super::cell;
 use super::cell::Candidate;
 use super::cell::CellSize;
@@ -71,6 +72,8 @@
     pub places: &'a Places,
     /// How far above what cold upstreams bear the fleet may go.
     pub cold: Bound,
+    /// Whether lookups that are not public ask for a key also where no account is published.
+    pub keyed: bool,
 }
 
 /// Everything that a request is decided on, immutable.
@@ -91,6 +94,8 @@
     pub cells: Cells,
     /// The upstreams of the cells that this daemon is a member of.
     pub upstreams: BTreeMap<UpstreamId, OwnUpstream>,
+    /// The client accounts.
+    pub directory: Arc<Directory>,
     /// Bounds on callers' requests, as published.
     pub bounds: Bounds,
     /// The availability zones whose upstreams get nothing new.
@@ -120,8 +125,14 @@
         let lookups = builder.lookups();
         let upstreams = builder.upstreams();
         let paths = Paths::new(&lookups);
+        let directory = if self.directory.is_of(sources.set, sources.keyed) {
+            Arc::clone(&self.directory)
+        } else {
+            Arc::new(Directory::new(sources.set, sources.keyed))
+        };
         Self {
             paths,
+            directory,
             bounds: sources.set.bounds(),
             evacuated: sources.set.evacuations.keys().map(Arc::clone).collect(),
             revision: sources.revision,
--- a/crates/harefield/src/domain/work.rs
+++ b/crates/harefield/src/domain/work.rs
@@ -3,6 +3,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::ids::AccountId;
 use super::ids::WorkId;
 use super::query::ByteQuery;
 use super::query::Query;
@@ -19,7 +20,7 @@
 /// Those under a path of its own are one, also where the query string differs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Work {
-    /// Method, host, path, query string, credential and body.
+    /// Method, host, path, query string, credential or account, and body.
     pub exact: WorkId,
     /// The same without the query string.
     pub path: WorkId,
@@ -28,23 +29,24 @@
 impl Work {
     /// Names the work of a request for a lookup.
     #[must_use]
-    pub fn new(lookup: &str, query: &Query) -> Self {
+    pub fn new(lookup: &str, account: Option<&AccountId>, query: &Query) -> Self {
+        let account = account.map_or(&b""[..], |account| account.as_bytes());
         match query {
             Query::Json(json) => {
-                let id = digest(&[lookup.as_bytes(), json]);
+                let id = digest(&[lookup.as_bytes(), account, json]);
                 Self { exact: id, path: id }
             }
-            Query::Bytes(query) => Self::of_bytes(query),
+            Query::Bytes(query) => Self::of_bytes(query, account),
         }
     }
 
-    fn of_bytes(query: &ByteQuery) -> Self {
+    fn of_bytes(query: &ByteQuery, account: &[u8]) -> Self {
         let host = query.header(HOST).to_ascii_lowercase();
         let (path, search) = query.target.split_once('?').unwrap_or((&query.target, ""));
         let name = |target: &str| {
-            let parts =
-                [query.method.as_bytes(), &host, target.as_bytes(), query.header(CREDENTIAL), &query.body];
-            digest(&parts)
+            let credential = query.header(CREDENTIAL);
+            let asked = [query.method.as_bytes(), &host, target.as_bytes()];
+            digest(&[&asked[..], &[credential, account, &query.body]].concat())
         };
         let path = name(path);
         let exact = if search.is_empty() { path } else { name(&query.target) };
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -274,6 +274,7 @@
             drain: self.settings.drain,
             once: attempt.job.once,
             query: attempt.job.query.clone(),
+            asker: attempt.job.asker.clone(),
         };
         let permit = || {
             let now = self.ports.clock.now();
--- a/crates/harefield/src/engine/caution.rs
+++ b/crates/harefield/src/engine/caution.rs
@@ -34,7 +34,6 @@
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::query::Query;
-use crate::domain::resources::Lookup;
 use crate::domain::suspects::Standing;
 use crate::domain::suspects::Suspect;
 use crate::domain::suspects::SuspectReport;
@@ -189,7 +188,7 @@
         trace: &mut Trace<C>,
     ) -> Option<Answer> {
         let work = &found.work;
-        let host = self.trial_host(&found.plan.lookup, work);
+        let host = self.trial_host(found);
         if request.origin == Origin::Caller
             && let Some(host) = host.filter(|host| *host != self.settings.host)
         {
@@ -214,15 +213,15 @@
 
     /// Returns the daemon that runs a work alone: the same one for each that asks, of the
     /// members of its cell that answer, so that the fleet has one trial at a time.
-    fn trial_host(&self, lookup: &Lookup, work: &Work) -> Option<HostId> {
+    fn trial_host(&self, found: &Found) -> Option<HostId> {
         let view = self.view.borrow();
-        let cell = view.cells.get(lookup.index.as_str())?;
+        let cell = view.cells.get(found.plan.lookup.index.as_str())?;
         let answers = |host: &&HostId| {
-            self.may_serve(host, lookup) && (**host == self.settings.host || self.is_answering(host))
+            self.may_serve(host, &found.regions) && (**host == self.settings.host || self.is_answering(host))
         };
         cell.iter()
             .filter(answers)
-            .max_by_key(|host| xxh3_64_with_seed(host.as_bytes(), work.path))
+            .max_by_key(|host| xxh3_64_with_seed(host.as_bytes(), found.work.path))
             .map(Arc::clone)
     }
 
@@ -283,7 +282,7 @@
     /// Chooses a shard of a request's snapshot that has an upstream to ask; returns the
     /// whole plan and the one of that shard.
     fn choose_one(&self, found: &Found) -> Option<(Arc<Plan>, Arc<Plan>)> {
-        let plan = self.choose_snapshot(&found.plan)?;
+        let plan = self.choose_snapshot(found)?;
         let router = self.router.borrow();
         let usable = |name: &&Arc<str>| router.usable(name, plan.version);
         let shards = plan.shards.iter().filter(|shard| shard.replicas.iter().any(|name| usable(&name)));
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -7,8 +7,11 @@
 use super::message::LookupRequest;
 use super::message::Terms;
 use super::worker::Worker;
+use crate::domain::accounts::Asker;
 use crate::domain::admission::Arrival;
 use crate::domain::code::Code;
+use crate::domain::residency::Regions;
+use crate::domain::residency::both;
 use crate::domain::resources::Lookup;
 use crate::domain::view::LookupPlan;
 use crate::domain::work::Work;
@@ -23,6 +26,7 @@
 const CONFIRM_POLL: Duration = Duration::from_millis(2);
 
 /// A request that found its plan.
+#[derive(Clone)]
 pub(super) struct Found {
     pub plan: Arc<LookupPlan>,
     /// What is asked, and for whom.
@@ -35,15 +39,32 @@
     pub again: bool,
     /// Whether its objective had passed when it came.
     pub late: bool,
+    /// Whose request it is.
+    pub asker: Asker,
+    /// The only regions in which it may be served, by its lookup and its account; everywhere
+    /// where empty.
+    pub regions: Regions,
 }
 
 impl Found {
+    /// Takes whose request it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns that its account and its lookup have no region in common.
+    pub fn asked_by(mut self, asker: &Asker, request: &LookupRequest) -> Result<Self, Code> {
+        self.regions = both(&self.plan.lookup.regions, &asker.regions).ok_or(Code::NoRegion)?;
+        self.work = Work::new(&request.lookup, asker.account.as_ref(), &request.query);
+        self.asker = asker.clone();
+        Ok(self)
+    }
+
     /// Returns the request as it stands before the gate.
     pub fn arrival(&self) -> Arrival {
         let Lookup { urgency, team, .. } = &*self.plan.lookup;
         Arrival {
-            urgency: *urgency,
-            team: team.as_str().into(),
+            urgency: self.asker.urgency.unwrap_or(*urgency),
+            team: self.asker.share_of(team),
             deadline: self.deadline,
             due: self.objective.filter(|_| !self.late),
             late: self.late,
@@ -112,8 +133,12 @@
         };
         let objective = aim.map(|aim| start + aim.time);
         let late = aim.is_some_and(|aim| aim.late);
-        let work = Work::new(&request.lookup, &request.query);
-        Ok(Found { plan, work, start, deadline: start + time, objective, again, late })
+        let work = Work::new(&request.lookup, None, &request.query);
+        let regions = Arc::clone(&plan.lookup.regions);
+        let deadline = start + time;
+        let asker = Asker::default();
+        Found { plan, work, start, deadline, objective, again, late, asker, regions }
+            .asked_by(&request.asker, request)
     }
 
     /// Returns for how long what is read now may have waited here.
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -124,7 +124,7 @@
         if handed.tried.len() >= MOST_TRIES {
             return;
         }
-        if let Some(host) = self.pick_member(&found.plan.lookup, &handed.tried) {
+        if let Some(host) = self.pick_member(found, &handed.tried) {
             self.start_handing(handed, host, request, found, trace);
         }
     }
@@ -135,7 +135,7 @@
     if handed.sent {
         return may_have_run(trace, Code::PeerSilent);
     }
-    if handed.tried.is_empty() && found.plan.lookup.residency().is_bound() {
+    if handed.tried.is_empty() && !found.regions.is_empty() {
         return refuse(trace, Code::NoRegion, CHANGE_AWAITED);
     }
     let code = if handed.disagreed { Code::NotMember } else { Code::NoMember };
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -101,6 +101,7 @@
             possible: Some(rules.possible(hand.shards.len(), plan.shards.len())),
             suspects: self.reports(&job.work),
             regions: Arc::clone(&job.regions),
+            asker: job.asker.clone(),
         }
     }
 
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -185,6 +185,7 @@
             again: !handed.tried.is_empty(),
             late: found.late,
             suspects: self.reports(&found.work),
+            asker: found.asker.clone(),
         }
     }
 
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -7,6 +7,7 @@
 
 use super::find::Found;
 use super::message::LookupRequest;
+use crate::domain::accounts::Asker;
 use crate::domain::ids::RequestId;
 use crate::domain::query::Query;
 use crate::domain::residency::Regions;
@@ -30,6 +31,8 @@
     pub merge: Option<usize>,
     /// The only regions in which it may be served; everywhere where empty.
     pub regions: Regions,
+    /// Whose request it is.
+    pub asker: Asker,
 }
 
 impl Job {
@@ -44,7 +47,8 @@
             deadline: found.deadline,
             once: !lookup.repeatable,
             merge: lookup.merge,
-            regions: Arc::clone(&lookup.regions),
+            regions: Arc::clone(&found.regions),
+            asker: found.asker.clone(),
             whole: true,
             shown: Shown::default(),
         }
--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -5,12 +5,13 @@
 
 use rand::Rng;
 
+use super::find::Found;
 use super::worker::Worker;
 use crate::domain::ids::HostId;
 use crate::domain::membership::PeerState;
 use crate::domain::membership::Row;
 use crate::domain::places::Distance;
-use crate::domain::resources::Lookup;
+use crate::domain::residency::Residency;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -27,19 +28,18 @@
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Picks a member: not known to be gone nor silent, the nearest there is, the
     /// one of two with fewer requests handed to it.
-    pub(super) fn pick_member(&self, lookup: &Lookup, tried: &[HostId]) -> Option<HostId> {
+    pub(super) fn pick_member(&self, found: &Found, tried: &[HostId]) -> Option<HostId> {
         let view = self.view.borrow();
-        let cell = view.cells.get(lookup.index.as_str())?;
+        let cell = view.cells.get(found.plan.lookup.index.as_str())?;
         let others = cell.iter().filter(|host| **host != self.settings.host);
-        let untried = others.filter(|host| !tried.contains(host) && self.may_serve(host, lookup));
+        let untried = others.filter(|host| !tried.contains(host) && self.may_serve(host, &found.regions));
         let untried: Vec<&HostId> = untried.collect();
         let near = self.nearest_live(&untried);
         self.less_busy(if near.is_empty() { &untried } else { &near })
     }
 
-    /// Says whether a daemon stands where a lookup may be served, and may be handed its
-    /// requests.
-    pub(super) fn may_serve(&self, host: &HostId, lookup: &Lookup) -> bool {
+    /// Says whether a daemon stands where a request may be served, and may be handed it.
+    pub(super) fn may_serve(&self, host: &HostId, regions: &[Arc<str>]) -> bool {
         let places = &self.settings.places;
         let peers = self.peers.borrow();
         let zone = if *host == self.settings.host {
@@ -47,7 +47,7 @@
         } else {
             peers.row(host).map(|row| &row.zone)
         };
-        lookup.residency().allows(zone.map(|zone| places.region_of(zone)))
+        Residency::new(regions).allows(zone.map(|zone| places.region_of(zone)))
     }
 
     /// Returns those daemons, neither known to be gone nor silent, that are nearest.
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::domain::accounts::Asker;
+use crate::domain::accounts::Credential;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::Edition;
@@ -74,6 +76,10 @@
     pub limit: Option<Duration>,
     /// Where it came from.
     pub origin: Origin,
+    /// What it shows of who sends it, where it came from a caller.
+    pub credential: Credential,
+    /// Whose request it is, where it came from another daemon.
+    pub asker: Asker,
 }
 
 /// The daemons as the control duty sees them.
@@ -112,6 +118,8 @@
     Peers(Arc<PeerView>),
     /// What is known was confirmed after a pause.
     Confirmed(Confirmed),
+    /// Nothing that was confirmed up to then is missing here.
+    Proven(Instant),
     /// A planned stop has begun.
     Stop,
 }
@@ -129,6 +137,9 @@
     Suspect(Suspect),
     /// A worker woke from a pause and wants its knowledge confirmed.
     Woke,
+    /// A worker wants whatever is newer than what is held; told whether nothing that was
+    /// confirmed by now is missing then.
+    Refresh(async_channel::Sender<bool>),
     /// The settings name other daemons to ask.
     Seeds(Vec<HostId>),
     /// A daemon did not answer a request handed to it.
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -52,7 +52,7 @@
         if own || named_here || request.origin != Origin::Caller {
             return self.under_ticket(request, found, &ticket, trace).await;
         }
-        if !self.may_serve(&ticket.host, &found.plan.lookup) {
+        if !self.may_serve(&ticket.host, &found.regions) {
             // It was issued where the lookup may no longer be served, and may have run there.
             return may_have_run(trace, Code::TicketGone);
         }
@@ -70,7 +70,7 @@
         trace: &mut Trace<C>,
     ) -> Answer {
         // Whoever issues a ticket is handed its request from wherever that comes to.
-        let runs_here = found.plan.member && self.may_serve(&self.settings.host, &found.plan.lookup);
+        let runs_here = found.plan.member && self.may_serve(&self.settings.host, &found.regions);
         match (runs_here, &request.origin) {
             (true, _) => {}
             (false, Origin::Caller) => return self.forward(request, found, trace).await,
@@ -130,7 +130,7 @@
         let (sender, receiver) = async_channel::bounded(1);
         let this = Rc::clone(self);
         let request = request.clone();
-        let found = Found { plan: std::sync::Arc::clone(&found.plan), ..*found };
+        let found = Found { plan: std::sync::Arc::clone(&found.plan), ..found.clone() };
         let mut own = self.request_trace(trace.request().map(|id| &**id));
         self.running.set(self.running.get() + 1);
         let task = async move {
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -49,7 +49,7 @@
         let mut trace = self.request_trace(Some(&group.request));
         self.hear_reports(&group.suspects);
         let query = Query::Bytes(Arc::new(std::mem::take(&mut group.query)));
-        let work = Work::new(&group.lookup, &query);
+        let work = Work::new(&group.lookup, group.asker.account.as_ref(), &query);
         trace.emit(Event::GroupTaken {
             from: Arc::clone(&group.from),
             work: work.exact,
@@ -75,6 +75,7 @@
             once: false,
             merge: Some(group.most),
             regions: Arc::clone(&group.regions),
+            asker: group.asker.clone(),
             whole: false,
             shown: Shown::default(),
         };
@@ -112,6 +113,9 @@
         }
         let view = self.view.borrow();
         let plan = view.lookups.get(group.lookup.as_str())?;
+        if !group.asker.checked && view.directory.is_required() {
+            return None;
+        }
         let parts = plan.parts.iter().map(|part| &part.plan);
         let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
         let shards = self.narrow(plan.group(&group.shards, &group.only)?, &group.regions);
@@ -123,12 +127,14 @@
             objective: group.gather.map(|time| start + Duration::from_micros(time)),
             again: group.again,
             late: false,
+            asker: group.asker.clone(),
+            regions: Arc::clone(&group.regions),
         };
         Some((found, Arc::new(shards)))
     }
 
     /// Leaves the replicas out of a plan that stand in other regions than those named.
-    fn narrow(&self, plan: Plan, regions: &[Arc<str>]) -> Plan {
+    pub(super) fn narrow(&self, plan: Plan, regions: &[Arc<str>]) -> Plan {
         let residency = Residency::new(regions);
         if !residency.is_bound() {
             return plan;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -8,6 +8,7 @@
 
 use super::find::Found;
 use super::gate::Permit;
+use super::identity::Refusal;
 use super::job::Job;
 use super::message::LookupRequest;
 use super::message::Origin;
@@ -31,7 +32,6 @@
 use crate::domain::snapshot;
 use crate::domain::time::micros;
 use crate::domain::time::millis;
-use crate::domain::view::LookupPlan;
 use crate::domain::view::Plan;
 use crate::ports::Clock;
 use crate::ports::Peers;
@@ -127,30 +127,45 @@
         start: Instant,
         trace: &mut Trace<C>,
     ) -> Answer {
-        if let Some(code) = self.declines(&request.origin) {
+        if let Some(code) = self.declines(request) {
             return refuse(trace, code, Duration::ZERO);
         }
         let found = match self.find_confirmed(request, start).await {
             Ok(found) => found,
-            Err(code) => return refuse(trace, code, COME_BACK),
+            Err(code) => return refuse(trace, code, wait_for(code)),
         };
-        if let Some(answer) = self.caution(request, &found, trace).await {
+        match self.identify(request, &found).await {
+            Ok(whose) => self.answer_for(whose, request, found, trace).await,
+            Err(refusal) => turn_away(trace, &refusal),
+        }
+    }
+
+    /// Answers a request whose plan is found and whose caller may ask.
+    pub(super) async fn answer_found(
+        self: &Rc<Self>,
+        request: &LookupRequest,
+        found: &Found,
+        trace: &mut Trace<C>,
+    ) -> Answer {
+        if let Some(answer) = self.caution(request, found, trace).await {
             return answer;
         }
         if found.plan.lookup.repeatable || matches!(request.query, Query::Bytes(_)) {
-            return self.run_or_forward(request, &found, trace).await;
+            return self.run_or_forward(request, found, trace).await;
         }
-        self.once(request, &found, trace).await
+        self.once(request, found, trace).await
     }
 
     /// Says why a request that another daemon hands on is not taken: it would
-    /// run under an older configuration than it was let in under, or must go
-    /// elsewhere since this daemon is stopping.
-    fn declines(&self, origin: &Origin) -> Option<Code> {
+    /// run under an older configuration than it was let in under, was let in by a daemon that
+    /// knows of no accounts yet, or must go elsewhere since this daemon is stopping.
+    fn declines(&self, request: &LookupRequest) -> Option<Code> {
+        let origin = &request.origin;
         if *origin == Origin::Caller {
             return None;
         }
-        if origin.terms().edition.max(self.seen_edition()) > self.edition() {
+        let unnamed = !request.asker.checked && self.view.borrow().directory.is_required();
+        if unnamed || origin.terms().edition.max(self.seen_edition()) > self.edition() {
             return Some(Code::OlderView);
         }
         self.is_stopping().then_some(Code::NotMember)
@@ -179,7 +194,7 @@
         let lookup = &found.plan.lookup;
         let arrival = found.arrival();
         let index: Arc<str> = lookup.index.as_str().into();
-        let permit = match self.enter_gate(&index, arrival).await {
+        let permit = match self.enter_gate(&index, arrival.clone()).await {
             Ok(permit) => permit,
             Err(refusal) => return refuse(trace, refusal.code, refusal.wait),
         };
@@ -188,7 +203,8 @@
         trace.emit(Event::Admitted {
             lookup: request.lookup.clone(),
             work: found.work.exact,
-            urgency: lookup.urgency,
+            account: found.asker.account.clone(),
+            urgency: arrival.urgency,
             waited: micros(waited),
             objective: lookup.objective_ms,
             due: found.objective.map(|at| micros(at.saturating_duration_since(found.start))),
@@ -209,7 +225,7 @@
         let mut tried = None;
         let mut permit = Some(permit);
         loop {
-            let Some(plan) = self.choose_snapshot(&found.plan) else {
+            let Some(plan) = self.choose_snapshot(found) else {
                 return refuse(trace, Code::NoReplica, COME_BACK);
             };
             let (index, version) = (plan.index.to_string(), plan.version);
@@ -234,9 +250,15 @@
         }
     }
 
-    pub(super) fn choose_snapshot(&self, plan: &LookupPlan) -> Option<Arc<Plan>> {
+    pub(super) fn choose_snapshot(&self, found: &Found) -> Option<Arc<Plan>> {
         let router = self.router.borrow();
-        snapshot::choose(&plan.plans, |upstream, version| router.usable(upstream, version)).map(Arc::clone)
+        let plans = &found.plan.plans;
+        let plan = snapshot::choose(plans, |upstream, version| router.usable(upstream, version))?;
+        if found.asker.regions.is_empty() {
+            return Some(Arc::clone(plan));
+        }
+        drop(router);
+        Some(Arc::new(self.narrow((**plan).clone(), &found.regions)))
     }
 
     pub(super) fn rules(&self, found: &Found, overrun: Overrun, kept: Duration) -> Rules {
@@ -277,7 +299,7 @@
         let lookup = &found.plan.lookup;
         let worth =
             lookup.prefer == Preference::Coverage || finished.coverage.contributed.is_empty() || time_left;
-        let other = self.choose_snapshot(&found.plan).is_some_and(|next| next.version != plan.version);
+        let other = self.choose_snapshot(found).is_some_and(|next| next.version != plan.version);
         lookup.repeatable && lost && time_left && worth && other
     }
 }
@@ -294,6 +316,17 @@
     Answer::not_run(request, code, Some(wait))
 }
 
+/// Returns when to come back after a code that says so itself.
+fn wait_for(code: Code) -> Duration {
+    if code == Code::NoRegion { CHANGE_AWAITED } else { COME_BACK }
+}
+
+/// Refuses a request of a caller that may not ask; some are told when they may.
+pub(super) fn turn_away<C: Clock>(trace: &Trace<C>, refusal: &Refusal) -> Answer {
+    let request = trace.request().map_or("", |id| id);
+    Answer::not_run(request, refusal.code, refusal.wait.map(|wait| millis(wait).max(1)))
+}
+
 pub(super) fn may_have_run<C: Clock>(trace: &Trace<C>, code: Code) -> Answer {
     Answer::may_have_run(trace.request().map_or("", |id| id), code)
 }
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -37,6 +37,7 @@
             ToWorker::Suspects(suspects) => self.hear_suspects(&suspects),
             ToWorker::Peers(peers) => self.take_peers(peers),
             ToWorker::Confirmed(confirmed) => self.confirm(confirmed.asked),
+            ToWorker::Proven(at) => self.proven.set(self.proven.get().max(Some(at))),
             ToWorker::Stop => self.stopping.set(true),
         }
     }
@@ -48,6 +49,12 @@
             self.router.borrow_mut().share_with(self.known.get());
             self.spare.borrow_mut().bound(rerun_part(slack, self.known.get()));
         }
+        self.holders.borrow_mut().see(&peers.rows, self.ports.clock.now());
+        if peers.rows.iter().any(|row| row.host != self.settings.host) {
+            let mut settled = self.settled.get();
+            settled.meet();
+            self.settled.set(settled);
+        }
         let others = peers.rows.iter().filter(|row| row.host != self.settings.host);
         self.router.borrow_mut().see_daemons(others);
         *self.peers.borrow_mut() = peers;
@@ -60,6 +67,10 @@
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         self.time_limits.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        if !Arc::ptr_eq(&self.view.borrow().directory, &view.directory) {
+            self.unknown_keys.borrow_mut().clear();
+            self.reserves.borrow_mut().retain(|name, _| view.directory.client(name).is_some());
+        }
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -19,6 +19,11 @@
 
 use super::message::PeerView;
 use super::message::ToControl;
+use crate::domain::accounts::Grants;
+use crate::domain::accounts::Holders;
+use crate::domain::accounts::Overage;
+use crate::domain::accounts::Reserve;
+use crate::domain::accounts::UnknownKeys;
 use crate::domain::admission::Called;
 use crate::domain::admission::Gate;
 use crate::domain::admission::GateLimits;
@@ -26,6 +31,7 @@
 use crate::domain::code::Code;
 use crate::domain::fanout::Overrun;
 use crate::domain::hlc::HybridClock;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
@@ -43,6 +49,7 @@
 use crate::domain::routing::RERUN_SHARE;
 use crate::domain::routing::Router;
 use crate::domain::routing::rerun_part;
+use crate::domain::settled::Settled;
 use crate::domain::suspects::Suspects;
 use crate::domain::view::View;
 use crate::ports::Clock;
@@ -93,6 +100,11 @@
     pub detail: u64,
     /// Seeds the worker's random choices.
     pub seed: u64,
+    /// How far the fleet may go above accounts' limits.
+    pub overage: Overage,
+    /// How old a proof of the configuration may be for keys to open anything; none where a
+    /// daemon that cannot know goes by what it holds.
+    pub strict: Option<Duration>,
 }
 
 /// The ports of a worker.
@@ -106,6 +118,15 @@
     pub clock: C,
 }
 
+/// What the workers of a daemon share.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Once-only requests.
+    pub ledger: Arc<Mutex<Ledger>>,
+    /// The parts of accounts' limits that the daemon holds.
+    pub grants: Arc<Mutex<Grants>>,
+}
+
 /// One worker.
 #[derive(Debug)]
 pub struct Worker<U, P, C> {
@@ -142,6 +163,20 @@
     pub(super) overruns: Overruns,
     /// The most daemons that were ever known at once.
     pub(super) known: Cell<u32>,
+    /// Keys that were found unknown.
+    pub(super) unknown_keys: RefCell<UnknownKeys>,
+    /// Up to when nothing that was confirmed is missing here.
+    pub(super) proven: Cell<Option<Instant>>,
+    /// Who holds the parts of accounts' limits.
+    pub(super) holders: RefCell<Holders>,
+    /// The parts that this daemon holds.
+    pub(super) grants: Arc<Mutex<Grants>>,
+    /// Permits that were granted to this worker, by account.
+    pub(super) reserves: RefCell<HashMap<AccountId, Reserve>>,
+    /// Until when holders that did not answer are passed over.
+    pub(super) quiet: RefCell<HashMap<HostId, Instant>>,
+    /// Whether this daemon knows the others well enough to hold parts.
+    pub(super) settled: Cell<Settled>,
     numbered: Cell<u64>,
 }
 
@@ -172,10 +207,12 @@
         settings: WorkerSettings,
         executor: Rc<LocalExecutor<'static>>,
         ports: Ports<U, P, C>,
-        ledger: Arc<Mutex<Ledger>>,
+        shared: Shared,
         control: Sender<ToControl>,
         telemetry: Telemetry,
     ) -> Rc<Self> {
+        let now = ports.clock.now();
+        let holders = Holders::over(settings.places.regions.keys());
         let budgets = match settings.slack {
             Some(slack) => Budgets::by_service(FleetSlack { share: settings.extra, slack }, settings.daemons),
             None => Budgets::one(settings.extra),
@@ -205,7 +242,7 @@
             waiters: RefCell::default(),
             forwards: RefCell::default(),
             spare: RefCell::new(spare),
-            ledger,
+            ledger: shared.ledger,
             control,
             hybrid: Rc::default(),
             telemetry,
@@ -219,6 +256,13 @@
             seen_edition: Cell::new(None),
             overruns: Overruns::default(),
             known: Cell::new(known),
+            unknown_keys: RefCell::default(),
+            proven: Cell::new(None),
+            holders: RefCell::new(holders),
+            grants: shared.grants,
+            reserves: RefCell::default(),
+            quiet: RefCell::default(),
+            settled: Cell::new(Settled::new(now)),
             numbered: Cell::new(0),
         })
     }
--- a/crates/harefield/src/platform/callers.rs
+++ b/crates/harefield/src/platform/callers.rs
@@ -19,6 +19,7 @@
 use crate::adapters::callers::head_bytes;
 use crate::adapters::callers::read_body;
 use crate::adapters::http;
+use crate::domain::accounts::Asker;
 use crate::domain::code::Code;
 use crate::domain::merge::greatest;
 use crate::domain::outcome::Answer;
@@ -70,12 +71,15 @@
     let most = bounds.body_bytes.unwrap_or(limits.body);
     let body = read_body(incoming, RequestLimits { body: most, ..limits }).await?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let mut handed_on = headers::handed_on(&head.headers);
+    let claims = headers::take_claims(&mut handed_on);
     let query = ByteQuery {
         id: id.as_str().into(),
         method: head.method.as_str().into(),
         target: target.into(),
-        headers: headers::handed_on(&head.headers),
+        headers: handed_on,
         body,
+        claims,
     };
     Ok(LookupRequest {
         request: Some(id),
@@ -84,6 +88,8 @@
         ticket: None,
         limit,
         origin: Origin::Caller,
+        credential: http::credential(&head.headers),
+        asker: Asker::default(),
     })
 }
 
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -10,7 +10,10 @@
 use serde::Deserializer;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::domain::accounts::KeyDigest;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::shard_id;
+use crate::domain::resources::Account;
 use crate::domain::resources::Bounds;
 use crate::domain::resources::Catalog;
 use crate::domain::resources::ColdLimit;
@@ -59,6 +62,48 @@
     services: Vec<ServiceLimits>,
     #[serde(default)]
     limits: ClientLimits,
+    /// The client accounts; keys are asked for where they are given, even if there are none.
+    tenants: Option<Vec<Tenant>>,
+}
+
+/// A client account.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Tenant {
+    name: Arc<str>,
+    #[serde(default, deserialize_with = "digests")]
+    api_keys: Vec<KeyDigest>,
+    /// Goes before the route's.
+    priority: Option<u32>,
+    /// Not bound where it is 0.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+    /// The only regions in which its requests may be served; everywhere where empty.
+    #[serde(default)]
+    home_regions: Vec<Arc<str>>,
+}
+
+impl Tenant {
+    fn named(self) -> (AccountId, Account) {
+        let account = Account {
+            team: String::new(),
+            keys: self.api_keys,
+            urgency: self.priority.map(urgency),
+            rate: self.rate_per_s,
+            burst: self.burst,
+            regions: self.home_regions.into(),
+        };
+        (self.name, account)
+    }
+}
+
+/// Reads keys as their digests; the error repeats no key.
+fn digests<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<KeyDigest>, D::Error> {
+    let keys = Vec::<String>::deserialize(deserializer);
+    let keys = keys.map_err(|_error| serde::de::Error::custom("expected a list of keys"))?;
+    Ok(keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect())
 }
 
 /// A kind of request.
@@ -89,6 +134,9 @@
     /// The only regions in which its requests may be served; everywhere where empty.
     #[serde(default)]
     home_regions: Vec<Arc<str>>,
+    /// Whether its requests need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 /// A part of a route's requests.
@@ -192,6 +240,7 @@
         let service = Service { cold: limits.cold(), ..service(limits.connection_limit) };
         catalog.services.insert(limits.name, service);
     }
+    catalog.accounts = published.tenants.map(|tenants| tenants.into_iter().map(Tenant::named).collect());
     for route in published.routes {
         let name = Arc::clone(&route.name);
         if let Some(lookup) = lookup(route, &mut catalog) {
@@ -268,6 +317,7 @@
         attempts: route.attempts,
         split,
         regions: route.home_regions.into(),
+        public: route.public,
     })
 }
 
--- a/crates/harefield/src/platform/headers.rs
+++ b/crates/harefield/src/platform/headers.rs
@@ -35,6 +35,15 @@
 /// How many shards an answer lacks.
 pub(super) const MISSING: &str = "missing-parts";
 
+/// The key of a client account.
+pub(super) const KEY: &str = "authorization";
+
+/// The name of the client account that a request is of.
+pub(super) const ACCOUNT: &str = "tenant";
+
+/// Headers that say who asks.
+const CLAIMS: [&str; 2] = [KEY, ACCOUNT];
+
 /// Headers that belong to one connection or that are set anew on each.
 const OF_CONNECTION: [&str; 13] = [
     "connection",
@@ -68,6 +77,11 @@
     kept.map(|(name, value)| (Arc::from(name.as_str()), Bytes::copy_from_slice(value.as_bytes()))).collect()
 }
 
+/// Takes those headers out that say who asks.
+pub(super) fn take_claims(headers: &mut Vec<Header>) -> Vec<Header> {
+    headers.extract_if(.., |(name, _)| CLAIMS.contains(&&**name)).collect()
+}
+
 /// Adds headers that were handed on to a message.
 pub(super) fn put_all(to: &mut HeaderMap, headers: &[Header]) {
     for (name, value) in headers {
--- a/crates/harefield/src/platform/upstreams.rs
+++ b/crates/harefield/src/platform/upstreams.rs
@@ -46,6 +46,12 @@
         }
         let left = millis(call.remaining).max(1);
         headers::put_all(request.headers_mut(), &query.headers);
+        if call.asker.is_open() {
+            headers::put_all(request.headers_mut(), &query.claims);
+        }
+        if let Some(account) = &call.asker.account {
+            headers::put(request.headers_mut(), headers::ACCOUNT, account);
+        }
         headers::put(request.headers_mut(), headers::TIME_LEFT, &left.to_string());
         headers::put(request.headers_mut(), headers::EXPECTED, &call.place.upstream);
         request
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -18,6 +18,8 @@
 pub use peers::Mark;
 pub use peers::PeerError;
 pub use peers::Peers;
+pub use peers::PermitAsk;
+pub use peers::PermitReply;
 pub use peers::Pull;
 pub use platform::Listing;
 pub use platform::Platform;
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -10,9 +10,11 @@
 use super::formats::MarkFormat;
 use super::formats::PullFormat;
 use super::platform::Space;
+use crate::domain::accounts::Asker;
 use crate::domain::carried::CarriedMark;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
@@ -60,6 +62,9 @@
     /// What the daemon that hands it on knows of its work, where upstreams ended under it.
     #[serde(default)]
     pub suspects: Vec<SuspectReport>,
+    /// Whose request it is.
+    #[serde(default, skip_serializing_if = "Asker::is_open")]
+    pub asker: Asker,
 }
 
 /// A member's answer to a request that was handed on.
@@ -114,6 +119,31 @@
     /// where empty. The daemon that takes it keeps to these, and to those that it knows.
     #[serde(default)]
     pub regions: Regions,
+    /// Whose request it is.
+    #[serde(default, skip_serializing_if = "Asker::is_open")]
+    pub asker: Asker,
+}
+
+/// Asks the holder of a part of an account's limit for permits.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// The account.
+    pub account: AccountId,
+    /// The part, by its number.
+    pub part: u32,
+    /// How many permits are wanted.
+    pub wanted: u32,
+}
+
+/// What a holder answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// So many permits, one at least.
+    Granted(u32),
+    /// None; one is free after so many milliseconds.
+    Empty(u64),
+    /// The daemon does not hold that part.
+    NotHeld,
 }
 
 /// A shard of a group that contributed.
@@ -241,6 +271,18 @@
         limit: Duration,
     ) -> impl Future<Output = Result<GroupReply, PeerError>>;
 
+    /// Asks the holder of a part of an account's limit for permits.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the message had been sent when it failed.
+    fn permits(
+        &self,
+        host: &HostId,
+        message: &PermitAsk,
+        limit: Duration,
+    ) -> impl Future<Output = Result<PermitReply, PeerError>>;
+
     /// Tells a daemon what is known here and hears what is known there.
     ///
     /// # Errors
--- a/crates/harefield/src/ports/upstreams.rs
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::domain::accounts::Asker;
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::Echo;
 use crate::domain::ids::UpstreamId;
@@ -36,6 +37,8 @@
     pub once: bool,
     /// The query.
     pub query: Query,
+    /// Whose request it is.
+    pub asker: Asker,
 }
 
 /// How a call ended.
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -13,7 +13,10 @@
 use super::store::Store;
 use super::tally::LookupStatus;
 use crate::adapters::metrics::Metrics;
+use crate::domain::code::Code;
+use crate::domain::event::Event;
 use crate::domain::freshness::Freshness;
+use crate::domain::ids::AccountId;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::UpstreamId;
@@ -23,6 +26,9 @@
 use crate::domain::resources::ResourceSet;
 use crate::domain::revision::Revision;
 
+/// The most accounts that are counted before those are dropped that are in force no more.
+const MOST_ACCOUNTS: usize = 4096;
+
 /// The configuration as one daemon has it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -77,6 +83,18 @@
     pub upstreams: Vec<UpstreamStatus>,
 }
 
+/// What became of one account's requests at this daemon since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct AccountUse {
+    /// Let in.
+    pub admitted: u64,
+    /// Refused, since the account asks more than it may.
+    pub over_limit: u64,
+    /// Refused, since nobody that holds a part of its limit answered.
+    pub unchecked: u64,
+}
+
 /// One daemon's account of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -110,6 +128,7 @@
     set: Mutex<Arc<ResourceSet>>,
     store: Mutex<Store>,
     freshness: Mutex<Freshness>,
+    accounts: Mutex<BTreeMap<AccountId, AccountUse>>,
     metrics: Metrics,
 }
 
@@ -133,6 +152,7 @@
             set: Mutex::default(),
             store: Mutex::new(Store::new(keep)),
             freshness: Mutex::default(),
+            accounts: Mutex::default(),
             metrics: Metrics::new(),
         }
     }
@@ -153,6 +173,39 @@
         *self.set.lock().unwrap_or_else(PoisonError::into_inner) = set;
     }
 
+    /// Counts what an event says of an account's requests.
+    pub fn count_account(&self, event: &Event) {
+        match event {
+            Event::Admitted { account: Some(account), .. } => self.count_for(account, |used| {
+                used.admitted += 1;
+            }),
+            Event::LimitRefused { account, code: Code::LimitReached, .. } => {
+                self.count_for(account, |used| used.over_limit += 1);
+            }
+            Event::LimitRefused { account, .. } => self.count_for(account, |used| used.unchecked += 1),
+            _ => {}
+        }
+    }
+
+    fn count_for(&self, account: &AccountId, count: impl FnOnce(&mut AccountUse)) {
+        let mut accounts = self.lock_accounts();
+        if accounts.len() >= MOST_ACCOUNTS && !accounts.contains_key(account) {
+            let set = self.set();
+            accounts.retain(|name, _| set.accounts.contains_key(name));
+        }
+        count(accounts.entry(Arc::clone(account)).or_default());
+    }
+
+    /// Returns what became of an account's requests.
+    #[must_use]
+    pub fn account_use(&self, account: &str) -> AccountUse {
+        self.lock_accounts().get(account).copied().unwrap_or_default()
+    }
+
+    fn lock_accounts(&self) -> MutexGuard<'_, BTreeMap<AccountId, AccountUse>> {
+        self.accounts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that every change confirmed up to `at` is in force.
     pub fn prove(&self, at: Instant) {
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner).prove(at);
--- a/crates/harefield/src/telemetry/duty.rs
+++ b/crates/harefield/src/telemetry/duty.rs
@@ -24,6 +24,7 @@
         for (_, event) in &batch.events {
             board.metrics().take(event);
             tally(event, &mut tallies, &board);
+            board.count_account(event);
         }
         store(&board, batch, dropped);
     }
--- /dev/null
+++ b/crates/harefield/tests/decisions/accounts.rs
@@ -0,0 +1,228 @@
+//! Client accounts: their keys, the parts of their limits and who holds them.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use serde_json::json;
+
+use crate::support::after;
+use crate::support::cases;
+use crate::support::items;
+use crate::support::row;
+use crate::support::values;
+use harefield::domain::accounts::Asking;
+use harefield::domain::accounts::Credential;
+use harefield::domain::accounts::Directory;
+use harefield::domain::accounts::FleetLimit;
+use harefield::domain::accounts::GrantAnswer;
+use harefield::domain::accounts::Grants;
+use harefield::domain::accounts::Holders;
+use harefield::domain::accounts::Identity;
+use harefield::domain::accounts::KeyDigest;
+use harefield::domain::accounts::MOST_KEY_BYTES;
+use harefield::domain::accounts::Overage;
+use harefield::domain::accounts::Reserve;
+use harefield::domain::accounts::UnknownKeys;
+use harefield::domain::code::Code;
+use harefield::domain::feed::Change;
+use harefield::domain::membership::PeerState;
+use harefield::domain::residency::both;
+use harefield::domain::resources::Account;
+use harefield::domain::resources::ResourceSet;
+
+const OVERAGE: Overage = Overage { window: Duration::from_secs(5), share: 0.25, slack: 20.0 };
+
+fn account(rate: f64, burst: f64) -> Account {
+    Account { rate, burst, ..Account::default() }
+}
+
+fn digest(key: &str) -> String {
+    KeyDigest::of(key.as_bytes()).hex()
+}
+
+/// Returns a set with accounts of one key each.
+fn set(accounts: &[(&str, &str)]) -> Result<ResourceSet, Vec<harefield::domain::resources::Fault>> {
+    let mut all = values(1, 1, &[1]);
+    for (name, key) in accounts {
+        all.insert(format!("accounts/{name}"), json!({ "keys": [digest(key)] }));
+    }
+    ResourceSet::parse(&items(all))
+}
+
+#[test]
+fn key_opens() {
+    let directory = Directory::new(&set(&[("apex", "a"), ("birch", "b")]).expect("it is valid"), false);
+    let name = |key: &str, public| match directory.identify(Credential::of_key(key.as_bytes()), public) {
+        Identity::Known(client) => client.name.to_string(),
+        Identity::Anyone(asker) => format!("anyone, open {}", asker.is_open()),
+        Identity::Missing => "missing".to_owned(),
+        Identity::Unknown(_) => "unknown".to_owned(),
+    };
+    assert_eq!([name("a", false), name("b", true), name("c", false)], ["apex", "birch", "unknown"]);
+    assert_eq!([name("", false), name("", true)], ["missing", "anyone, open false"]);
+    assert_eq!(name(&"a".repeat(MOST_KEY_BYTES + 1), true), "missing");
+    assert_eq!(name("c", true), "unknown", "a key that is shown must be one");
+    let open = Directory::new(&set(&[]).expect("it is valid"), false);
+    assert!(
+        matches!(open.identify(Credential::Malformed, false), Identity::Anyone(asker) if asker.is_open())
+    );
+    let required = Directory::new(&set(&[]).expect("it is valid"), true);
+    assert!(matches!(required.identify(Credential::Missing, false), Identity::Missing));
+}
+
+#[test]
+fn key_hidden() {
+    let key = KeyDigest::of(b"secret");
+    let shown =
+        format!("{key:?} {:?} {:?}", Credential::Key(key), Account { keys: vec![key], ..Account::default() });
+    assert!(!shown.contains(&key.hex()) && !shown.contains("secret"), "{shown}");
+    // A key that is written in the place of its digest is not repeated by the fault.
+    let mut all = values(1, 1, &[1]);
+    all.insert("accounts/apex".to_owned(), json!({ "keys": ["secret"] }));
+    let faults = ResourceSet::parse(&items(all)).expect_err("it is no digest");
+    assert_eq!(faults[0].code, Code::ResourceMalformed);
+    assert!(!faults[0].detail.contains("secret"), "{}", faults[0].detail);
+}
+
+#[test]
+fn shared_key_refused() {
+    let faults = set(&[("apex", "a"), ("birch", "a")]).expect_err("two list it");
+    assert_eq!((faults[0].code, &*faults[0].key), (Code::ResourceDuplicate, "accounts/birch"));
+    assert!(!faults[0].detail.contains(&digest("a")));
+    let one = set(&[("apex", "a")]).expect("it is valid");
+    let change = Change {
+        key: "accounts/birch".into(),
+        value: Some(json!({ "keys": [digest("a")] }).to_string().into()),
+    };
+    assert_eq!(one.apply(&[change]).expect_err("two list it")[0].code, Code::ResourceDuplicate);
+}
+
+#[test]
+fn regions_both_bind() {
+    let regions = |names: &[&str]| names.iter().map(|name| Arc::from(*name)).collect::<Arc<[Arc<str>]>>();
+    let common = |one: &[&str], other: &[&str]| both(&regions(one), &regions(other));
+    assert_eq!(common(&[], &["n"]), Some(regions(&["n"])));
+    assert_eq!(common(&["n", "s"], &["s", "w"]), Some(regions(&["s"])));
+    assert_eq!(common(&["n"], &["s"]), None);
+    assert_eq!(common(&[], &[]), Some(regions(&[])));
+}
+
+#[test]
+fn unknown_once() {
+    let mut keys = UnknownKeys::default();
+    let key = KeyDigest::of(b"x");
+    assert_eq!(keys.begin(&key), Asking::Begun);
+    keys.end();
+    keys.remember(key);
+    assert_eq!(keys.begin(&key), Asking::Known);
+    keys.clear();
+    assert_eq!(keys.begin(&key), Asking::Begun);
+    for number in 0..100_u32 {
+        keys.begin(&KeyDigest::of(&number.to_le_bytes()));
+    }
+    assert_eq!(keys.begin(&KeyDigest::of(b"y")), Asking::Crowded);
+}
+
+#[test]
+fn restart_grants_nothing_twice() {
+    // What a former process granted is not known: the part begins empty.
+    let start = Instant::now();
+    let limit = FleetLimit::of(&account(10.0, 60.0), &OVERAGE).expect("it has a limit").part(6);
+    let mut grants = Grants::new(start);
+    let slot = ("apex".into(), 0);
+    assert!(matches!(grants.grant(&slot, limit, 1, start), GrantAnswer::Empty(_)));
+    assert_eq!(grants.grant(&slot, limit, 1, after(start, 700)), GrantAnswer::Granted(1));
+}
+
+#[test]
+fn turns_apart() {
+    // Refused callers do not come back together.
+    let start = Instant::now();
+    let limit = FleetLimit::of(&account(60.0, 0.0), &OVERAGE).expect("it has a limit").part(6);
+    let mut grants = Grants::new(start);
+    let slot = ("apex".into(), 0);
+    let waits: Vec<Duration> = (0..5)
+        .filter_map(|_| match grants.grant(&slot, limit, 1, start) {
+            GrantAnswer::Empty(wait) => Some(wait),
+            GrantAnswer::Granted(_) => None,
+        })
+        .collect();
+    assert!(waits.len() == 5 && waits.windows(2).all(|pair| pair[1] >= pair[0] + Duration::from_millis(99)));
+    // Whoever comes back at its turn is served.
+    assert_eq!(grants.grant(&slot, limit, 1, start + waits[0]), GrantAnswer::Granted(1));
+}
+
+#[test]
+fn full_parts_forgotten() {
+    let start = Instant::now();
+    let limit = FleetLimit::of(&account(10.0, 10.0), &OVERAGE).expect("it has a limit").part(6);
+    let mut grants = Grants::new(start);
+    for number in 0..10_000_u32 {
+        grants.grant(&(format!("a{number}").into(), 0), limit, 1, after(start, 30_000 + u64::from(number)));
+    }
+    assert!(grants.kept() < 4000, "{}", grants.kept());
+    let held = grants.grant(&("a1".into(), 0), limit, 100, after(start, 60_000));
+    let fresh = Grants::new(start).grant(&("a1".into(), 0), limit, 100, after(start, 60_000));
+    assert_eq!(held, fresh, "one that is made anew is as full");
+}
+
+#[test]
+fn permits_expire() {
+    let start = Instant::now();
+    let mut reserve = Reserve::default();
+    reserve.put(3, start);
+    assert!(reserve.take(after(start, 199)).is_some());
+    assert!(reserve.take(after(start, 200)).is_none());
+    // One that is given back holds no longer than it did.
+    reserve.put(1, after(start, 1000));
+    let until = reserve.take(after(start, 1000)).expect("it was put");
+    reserve.give_back(until);
+    assert!(reserve.take(after(start, 1200)).is_none());
+}
+
+#[test]
+fn cut_off_takes_nothing_over() {
+    // A daemon that sees nobody answer ranks the others as before.
+    let start = Instant::now();
+    let zones: Vec<Arc<str>> = vec!["a".into(), "b".into(), "c".into()];
+    let rows: Vec<_> = (0..30).map(|n| row(n, &zones[n % 3])).collect();
+    let mut holders = Holders::over(&zones);
+    holders.see(&rows, start);
+    let slots: Vec<_> = (0..40).map(|n| (format!("account-{n}").into(), n % 6)).collect();
+    let held = |holders: &Holders, now| -> Vec<_> {
+        slots.iter().map(|s| holders.holder(s, now).cloned()).collect()
+    };
+    let before = held(&holders, start);
+    let mut cut = rows.clone();
+    cut.iter_mut().skip(1).for_each(|row| row.state = PeerState::Suspect);
+    holders.see(&cut, start);
+    assert_eq!(held(&holders, after(start, 10_000)), before);
+    // One that is gone for long is replaced, and takes its parts back when it returns.
+    assert_ne!(held(&holders, after(start, 20_000)), before);
+    holders.see(&rows, after(start, 30_000));
+    assert_eq!(held(&holders, after(start, 30_000)), before);
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    /// One part in six doubled, and permits used a moment late, are within the bound.
+    #[test]
+    fn parts_within_bound(rate in 0.1..5000.0_f64, burst in 0.0..5000.0_f64, slack in 0.0..50.0_f64) {
+        let overage = Overage { slack, ..OVERAGE };
+        let limit = FleetLimit::of(&account(rate, burst), &overage).expect("it has a limit");
+        let parts = limit.parts(6);
+        let part = limit.part(parts);
+        let within = |seconds: f64| part.burst + part.rate * seconds;
+        let allowed = (rate * 5.0 + burst) * 1.25 + slack;
+        let given = within(5.2) * f64::from(parts);
+        prop_assert!(given <= allowed, "{given} of {allowed} by {parts}");
+        if parts == 6 {
+            prop_assert!(given + within(5.2) <= allowed, "one doubled: {given} of {allowed}");
+        }
+        // Inside the limit nothing is missing.
+        prop_assert!(part.burst * f64::from(parts) >= burst && part.rate * f64::from(parts) >= rate * 0.999);
+    }
+}
--- a/crates/harefield/tests/decisions/cold.rs
+++ b/crates/harefield/tests/decisions/cold.rs
@@ -122,6 +122,7 @@
             size: CellSize { most: MEMBERS, wanted: 1 },
             places: &places(ZONES[self.life.number % 3]),
             cold: BOUND,
+            keyed: false,
         });
         self.router.apply(&self.view, now);
         let others = fleet.iter().filter(|other| other.host != self.host);
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, without I/O and in virtual time.
 
+mod accounts;
 mod admission;
 mod budgets;
 mod caution;
--- a/crates/harefield/tests/decisions/residency.rs
+++ b/crates/harefield/tests/decisions/residency.rs
@@ -70,6 +70,7 @@
         size: CellSize::default(),
         places: &places(),
         cold: Bound::default(),
+        keyed: false,
     })
 }
 
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -97,6 +97,7 @@
         size: CellSize::default(),
         places: &Places::default(),
         cold: Bound::default(),
+        keyed: false,
     })
 }
 
--- a/crates/harefield/tests/decisions/views.rs
+++ b/crates/harefield/tests/decisions/views.rs
@@ -36,6 +36,7 @@
         size,
         places: &Places::default(),
         cold: Bound::default(),
+        keyed: false,
     })
 }
 
--- a/crates/harefield/tests/decisions/work.rs
+++ b/crates/harefield/tests/decisions/work.rs
@@ -17,13 +17,14 @@
             ("authorization".into(), "Bearer one".into()),
         ],
         body: "body".into(),
+        claims: Vec::new(),
     }
 }
 
 fn work(change: impl FnOnce(&mut ByteQuery)) -> Work {
     let mut query = query();
     change(&mut query);
-    Work::new("all", &Query::Bytes(Arc::new(query)))
+    Work::new("all", None, &Query::Bytes(Arc::new(query)))
 }
 
 #[test]
@@ -69,7 +70,7 @@
 
 #[test]
 fn json_by_lookup_and_text() {
-    let work = |lookup: &str, json: &str| Work::new(lookup, &Query::Json(json.as_bytes().into()));
+    let work = |lookup: &str, json: &str| Work::new(lookup, None, &Query::Json(json.as_bytes().into()));
     assert_eq!(work("l", "{}"), work("l", "{}"));
     assert_ne!(work("l", "{}").exact, work("m", "{}").exact);
     assert_ne!(work("l", "{}").exact, work("l", "[]").exact);
--- a/crates/harefield/tests/fleet/link.rs
+++ b/crates/harefield/tests/fleet/link.rs
@@ -29,6 +29,8 @@
 use harefield::ports::Listing;
 use harefield::ports::PeerError;
 use harefield::ports::Peers;
+use harefield::ports::PermitAsk;
+use harefield::ports::PermitReply;
 use harefield::ports::Platform;
 use harefield::ports::PlatformError;
 use harefield::ports::Pull;
@@ -131,6 +133,10 @@
         Err(PeerError::Unreachable)
     }
 
+    async fn permits(&self, _: &HostId, _: &PermitAsk, _: Duration) -> Result<PermitReply, PeerError> {
+        Err(PeerError::Unreachable)
+    }
+
     async fn exchange(&self, host: &HostId, message: &Exchange, _: Duration) -> Result<Exchange, PeerError> {
         *self.shared.borrow_mut().exchanges.entry(self.own).or_default() += 1;
         let said = Box::new(message.clone());
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -131,6 +131,7 @@
             cold: Bound::default(),
             cell: CellSize::default(),
             places: Places::default(),
+            keyed: false,
             listed: true,
         };
         let ports = ControlPorts { platform: link.clone(), peers: link, clock: SystemClock };
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -19,6 +19,7 @@
 use crate::support::await_true;
 use harefield::adapters::http::Traffic;
 use harefield::adapters::peers::HttpPeers;
+use harefield::domain::accounts::Asker;
 use harefield::domain::event::Event;
 use harefield::domain::hlc::Stamp;
 use harefield::domain::query::ByteQuery;
@@ -240,6 +241,7 @@
         possible: None,
         suspects: Vec::new(),
         regions: Regions::default(),
+        asker: Asker::default(),
     }
 }
 
--- a/crates/harefield/tests/processes/site_accounts.rs
+++ b/crates/harefield/tests/processes/site_accounts.rs
@@ -1,6 +1,8 @@
 //! Client accounts on the users' machines: who may ask, and what upstreams see of it.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -32,8 +34,8 @@
     site.publish_for(version, routes, Some(accounts));
     let key = accounts.iter().find_map(|account| account["apiKeys"][0].as_str()).unwrap_or("none");
     let serves = |daemon: &Daemon| {
-        let open = ask_with(daemon, "/one/probe", "").status == 200;
-        open || ask_with(daemon, "/one/probe", &bearer(key)).status == 200
+        let asked = ask_with(daemon, "/all/probe", "").status == 401;
+        asked && ask_with(daemon, "/all/probe", &bearer(key)).status == 200
     };
     await_true("the version is in force", || site.daemons().all(serves));
 }
@@ -203,3 +205,113 @@
     assert_eq!(heads[0].get("tenant"), Some(&vec!["own".to_owned()]));
     assert_eq!(heads[0].get("authorization"), Some(&vec!["Bearer k".to_owned()]));
 }
+
+/// Limits are counted over two seconds, and the fleet may go a quarter and four requests
+/// above them.
+const LIMITS: &str = "[accounts]\nwindow-ms = 2000\noverage = 0.25\nslack = 4\n";
+
+fn limited(name: &str, key: &str, rate: f64, burst: f64) -> Value {
+    let mut account = account(name, &[key]);
+    account["ratePerS"] = json!(rate);
+    account["burst"] = json!(burst);
+    account
+}
+
+/// Starts daemons that share the limits of `apex`, 10 a second and 5 at once, and `birch`.
+fn start_limited(count: usize) -> Site {
+    let site = Site::start_with(count, LIMITS);
+    let accounts = [limited("apex", "key-a", 10.0, 5.0), limited("birch", "key-b", 10.0, 5.0)];
+    site.publish_for(2, &routes(), Some(&accounts));
+    // Each daemon holds parts once it knows the others, 3 s after its start.
+    std::thread::sleep(Duration::from_millis(3500));
+    let granted = |daemon: &Daemon| ask_with(daemon, "/one/probe", &bearer("key-a")).status == 200;
+    await_true("limits are given out", || site.daemons().all(granted));
+    site
+}
+
+/// Asks as `key` for some time, each daemon in turn; returns the answers.
+fn flood(site: &Site, key: &str, time: Duration, pause: Duration) -> Vec<(Duration, Answer)> {
+    let start = Instant::now();
+    let mut answers = Vec::new();
+    for (number, daemon) in (0..).flat_map(|_| site.daemons()).enumerate() {
+        if start.elapsed() >= time {
+            break;
+        }
+        let asked = Instant::now();
+        let head = format!("Attempt-Id: {key}-{number}\r\nDeadline-Remaining: 2000\r\n{}", bearer(key));
+        let answer = ask(daemon.addresses.callers, "/one/x", &head);
+        answers.push((asked.elapsed(), answer));
+        std::thread::sleep(pause);
+    }
+    answers
+}
+
+/// Returns the most runs of an account within any two seconds.
+fn busiest(site: &Site, key: &str) -> usize {
+    let arrivals = site.searchers["i-one"].arrivals();
+    let times: Vec<Instant> =
+        arrivals.into_iter().filter(|(_, id)| id.starts_with(key)).map(|(at, _)| at).collect();
+    let within = |first: &Instant| times.iter().filter(|at| **at >= *first && **at < *first + WINDOW).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+const WINDOW: Duration = Duration::from_secs(2);
+
+#[test]
+fn limit_over_fleet() {
+    let site = start_limited(3);
+    let answers = flood(&site, "key-a", Duration::from_secs(5), Duration::from_millis(2));
+    let served = answers.iter().filter(|(_, answer)| answer.status == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|(_, answer)| answer.status == 429).collect();
+    assert_eq!(served + refused.len(), answers.len(), "nothing else happened");
+    // (10 a second over 2 s and 5 at once), a quarter more, and 4.
+    assert!(busiest(&site, "key-a") <= 35, "{} within a window", busiest(&site, "key-a"));
+    // Inside the limit nothing is refused: 10 a second over 5 s.
+    assert!(served >= 50, "{served} served");
+    for (took, answer) in &refused {
+        assert!(*took < Duration::from_millis(500), "{took:?}");
+        let wait: f64 = answer.header("retry-after").parse().expect("it says when to come back");
+        assert!(wait > 0.0 && wait <= 2.0, "{wait}");
+    }
+}
+
+#[test]
+fn limit_after_restarts() {
+    // All daemons are killed in the middle of a window: their parts begin empty.
+    let mut site = start_limited(3);
+    flood(&site, "key-a", Duration::from_millis(600), Duration::from_millis(2));
+    site.restart_all_with("", LIMITS);
+    let end = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < end {
+        flood(&site, "key-a", Duration::from_millis(500), Duration::from_millis(2));
+    }
+    assert!(busiest(&site, "key-a") <= 35, "{} within a window", busiest(&site, "key-a"));
+    assert!(ask_with(&site.daemon, "/one/x", &bearer("key-b")).status == 200, "it is served again");
+}
+
+#[test]
+fn others_undisturbed() {
+    let site = start_limited(3);
+    std::thread::scope(|scope| {
+        scope.spawn(|| flood(&site, "key-a", Duration::from_secs(4), Duration::ZERO));
+        let answers = flood(&site, "key-b", Duration::from_secs(4), Duration::from_millis(150));
+        let slowest = answers.iter().map(|(took, _)| *took).max();
+        let refused = answers.iter().filter(|(_, answer)| answer.status != 200).count();
+        assert_eq!(refused, 0, "of {}", answers.len());
+        assert!(slowest < Some(Duration::from_millis(500)), "{slowest:?}");
+    });
+}
+
+#[test]
+fn falling_limit() {
+    let site = start_limited(2);
+    flood(&site, "key-a", Duration::from_secs(1), Duration::from_millis(5));
+    let accounts = [limited("apex", "key-a", 1.0, 1.0), limited("birch", "key-b", 10.0, 5.0)];
+    site.publish_for(3, &routes(), Some(&accounts));
+    // In force within 3 s, and counted from a window after that.
+    std::thread::sleep(Duration::from_secs(3) + WINDOW);
+    let answers = flood(&site, "key-a", Duration::from_secs(4), Duration::from_millis(5));
+    let served = answers.iter().filter(|(_, answer)| answer.status == 200).count();
+    // Twice (1 a second over 2 s and 1 at once), a quarter more, and 4.
+    assert!((4..=15).contains(&served), "{served} served");
+}
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -65,12 +65,17 @@
 
     /// Ends all daemons at once, and starts as many, which know nothing.
     pub fn restart_all(&mut self, platform: &str) {
+        self.restart_all_with(platform, "");
+    }
+
+    /// The same, with a further section of settings.
+    pub fn restart_all_with(&mut self, platform: &str, section: &str) {
         let count = self.others.len();
         self.daemons().for_each(|daemon| daemon.signal("KILL"));
         self.others.clear();
-        self.daemon = Daemon::start(&settings(&self.store, platform, "", ""));
+        self.daemon = Daemon::start(&settings(&self.store, platform, "", section));
         for _ in 0..count {
-            self.add_daemon(platform);
+            self.add_daemon_with(platform, section);
         }
     }
 
@@ -85,6 +90,18 @@
         self.others.push(Daemon::start(&settings(&self.store, platform, &seed, routing)));
     }
 
+    /// Starts as many daemons that know each other, with a further section of settings.
+    pub fn start_with(count: usize, section: &str) -> Self {
+        let mut site = Self::bare_with("", section);
+        site.join(count - 1, section);
+        site.fill();
+        let known = |daemon: &Daemon| daemon.status().peers.len() == count;
+        await_true("they know each other", || site.daemons().all(known));
+        let serves = |daemon: &Daemon| ask_at(daemon, "/all/x", "r0", 2000).status == 200;
+        await_true("all have the configuration", || site.daemons().all(serves));
+        site
+    }
+
     /// Starts daemons beside the first, which know it and have further settings of
     /// their routing.
     pub fn join(&mut self, count: usize, routing: &str) {
