Admission: who waits goes by turns of accounts, not by arrival

Callers of small accounts got a share of the gate as large as what they sent, where one account sent many times its usual: 44 of 120 served beside a crowd of 30 times (a simulated gate of 80 a second, ten accounts of 6 a second each).

Cause: of those that wait the one was called whose account runs least; where few run at once nobody runs most of the time, and the earliest deadline decided. And whoever came was told the wait of the whole queue, and refused for it.

Two ways on the same load: by what runs (before), and start-time fair queuing over accounts; with the second one's expected wait by turns, all small accounts are served at 9 and 30 times, and wait two runs longer at most. The crowd gets what they leave.

Ruled out: a limit on the crowd's part of the queue alone, which is there (half), and does not order those that wait.

--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -13,6 +13,7 @@
 use super::queue::WaiterId;
 use super::queue::number;
 use super::returns::Returns;
+use super::turns::Turns;
 use crate::domain::code::Code;
 use crate::domain::resources::Urgency;
 
@@ -117,6 +118,7 @@
     next: WaiterId,
     picks: u32,
     returns: Returns,
+    turns: Turns,
 }
 
 /// How many classes wait apart: the urgencies, and those that came late.
@@ -155,6 +157,7 @@
             next: 0,
             picks: 0,
             returns: Returns::default(),
+            turns: Turns::default(),
         }
     }
 
@@ -244,7 +247,7 @@
     /// Takes a waiter that went away by itself.
     pub fn forget(&mut self, id: WaiterId) {
         for queue in &mut self.queues {
-            queue.waiters.retain(|waiter| waiter.id != id);
+            queue.remove(|waiter| waiter.id == id);
         }
     }
 
@@ -270,6 +273,7 @@
     fn enter(&mut self, team: &Arc<str>) {
         *self.running.entry(Arc::clone(team)).or_default() += 1;
         self.total += 1;
+        self.turns.take(team);
     }
 
     fn exit(&mut self, team: &Arc<str>) {
@@ -297,11 +301,12 @@
     fn refuses(&self, arrival: &Arrival, now: Instant) -> Option<(Code, Duration)> {
         let class = class(arrival);
         let queue = &self.queues[class].waiters;
-        let wait = self.queues[class].wait(self.time / self.limit);
+        let usual = self.time / self.limit;
+        let wait = self.queues[class].wait_of(&arrival.team, usual);
         if queue.len() >= self.limits.waiting {
             return Some((Code::QueueFull, wait));
         }
-        let own = queue.iter().filter(|w| w.arrival.team == arrival.team).count();
+        let own = self.queues[class].waiting_of(&arrival.team);
         let shared = own < queue.len() || self.running.keys().any(|team| *team != arrival.team);
         if shared && own * 2 >= self.limits.waiting {
             return Some((Code::TeamShare, wait));
@@ -337,7 +342,7 @@
         let mut refused = Vec::new();
         for queue in &mut self.queues {
             refused.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| w.id));
-            queue.waiters.retain(|w| !late(w));
+            queue.remove(late);
         }
         called.extend(refused.into_iter().map(|id| Called::Refuse(id, self.book(wait, now))));
         called
@@ -371,11 +376,17 @@
         if self.has_room_for(class) { self.take_from(class, now) } else { None }
     }
 
-    /// Takes the waiter whose team runs least; the earliest deadline among its own.
+    /// Takes the waiter of the account or team whose turn it is, and of those the one that
+    /// runs least; the earliest deadline among its own.
     fn take_from(&mut self, class: usize, now: Instant) -> Option<Waiter> {
         let running = |w: &Waiter| self.running.get(&w.arrival.team).copied().unwrap_or(0);
-        let queue = &self.queues[class].waiters;
-        let best = queue.iter().enumerate().min_by_key(|(at, w)| (running(w), *at));
+        let turn = |w: &Waiter| self.turns.next_of(&w.arrival.team);
+        let queue = self.queues[class].waiters.iter().enumerate();
+        let order = |(at, w): &(usize, &Waiter)| (turn(w), running(w), *at);
+        let best = queue.min_by(|a, b| {
+            let ((turn, running, at), other) = (order(a), order(b));
+            turn.total_cmp(&other.0).then((running, at).cmp(&(other.1, other.2)))
+        });
         let at = best.map(|(at, _)| at)?;
         self.queues[class].call(at, now)
     }
--- a/crates/harefield/src/domain/admission/mod.rs
+++ b/crates/harefield/src/domain/admission/mod.rs
@@ -10,6 +10,7 @@
 mod gate;
 mod queue;
 mod returns;
+mod turns;
 
 pub use crowd::Crowd;
 pub use crowd::Progress;
--- /dev/null
+++ b/crates/harefield/tests/decisions/fair_shares.rs
@@ -0,0 +1,153 @@
+//! Whose turn it is at a gate where one account sends a crowd.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use harefield::domain::admission::Arrival;
+use harefield::domain::admission::Called;
+use harefield::domain::admission::Crowd;
+use harefield::domain::admission::Entry;
+use harefield::domain::admission::Gate;
+use harefield::domain::admission::GateLimits;
+use harefield::domain::admission::WaiterId;
+use harefield::domain::resources::Urgency;
+
+/// How long each request runs.
+const RUNS: Duration = Duration::from_millis(50);
+
+/// The simulated steps, in milliseconds.
+const STEP: u64 = 5;
+
+/// One account's requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    sent: u32,
+    served: u32,
+    /// The longest wait of a request that was served.
+    waited: Duration,
+}
+
+impl Tally {
+    fn share(self) -> f64 {
+        f64::from(self.served) / f64::from(self.sent.max(1))
+    }
+}
+
+struct Load {
+    gate: Gate,
+    start: Instant,
+    waiting: BTreeMap<WaiterId, (Arc<str>, Instant)>,
+    running: Vec<(Instant, Arc<str>)>,
+    tallies: BTreeMap<Arc<str>, Tally>,
+}
+
+impl Load {
+    fn new() -> Self {
+        Self {
+            gate: Gate::new(GateLimits { running: 4, waiting: 1024 }),
+            start: Instant::now(),
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            tallies: BTreeMap::new(),
+        }
+    }
+
+    fn arrive(&mut self, account: &Arc<str>, now: Instant) {
+        self.tallies.entry(Arc::clone(account)).or_default().sent += 1;
+        let arrival = Arrival {
+            urgency: Urgency::Ordinary,
+            team: Arc::clone(account),
+            deadline: now + Duration::from_secs(2),
+            due: Some(now + Duration::from_millis(400)),
+            late: false,
+        };
+        match self.gate.arrive(&arrival, now) {
+            Entry::Run => self.run(account, now, now),
+            Entry::Wait(id) => drop(self.waiting.insert(id, (Arc::clone(account), now))),
+            Entry::Refuse(..) => {}
+        }
+    }
+
+    fn run(&mut self, account: &Arc<str>, arrived: Instant, now: Instant) {
+        let tally = self.tallies.entry(Arc::clone(account)).or_default();
+        tally.served += 1;
+        tally.waited = tally.waited.max(now - arrived);
+        self.running.push((now + RUNS, Arc::clone(account)));
+    }
+
+    fn end_due(&mut self, now: Instant) {
+        while let Some(at) = self.running.iter().position(|(until, _)| *until <= now) {
+            let (_, account) = self.running.swap_remove(at);
+            for call in self.gate.leave(&account, RUNS, Crowd::default(), now) {
+                let (Called::Run(id) | Called::Refuse(id, _)) = call;
+                let Some((account, arrived)) = self.waiting.remove(&id) else { continue };
+                if matches!(call, Called::Run(_)) {
+                    self.run(&account, arrived, now);
+                }
+            }
+        }
+    }
+}
+
+/// Plays ten accounts of 6 requests a second each, one of which sends `times` as many, for
+/// twenty seconds at a gate that lets 80 a second by.
+fn play(times: u64) -> BTreeMap<Arc<str>, Tally> {
+    let mut load = Load::new();
+    let every = 1000 / 6;
+    for millis in (0..20_000).step_by(usize::try_from(STEP).expect("it is small")) {
+        let now = load.start + Duration::from_millis(millis);
+        load.end_due(now);
+        for number in 0..10_u64 {
+            let account = format!("account-{number}").into();
+            let rate = if number == 0 { times } else { 1 };
+            let due = |at: u64| (at + number * 17) * rate / every;
+            for _ in due(millis)..due(millis + STEP) {
+                load.arrive(&account, now);
+            }
+        }
+    }
+    load.tallies
+}
+
+#[test]
+fn crowd_starves_nobody() {
+    let alone = play(1);
+    assert!(alone.values().all(|tally| tally.share() > 0.99), "{alone:?}");
+    // 126 a second come, and 80 are let by: the crowd gets what the others leave.
+    for times in [9, 30] {
+        let mut beside = play(times);
+        let crowd = beside.remove("account-0").expect("it sent");
+        for (name, tally) in &beside {
+            assert!(tally.share() > 0.97, "{name} beside {times}: {tally:?}");
+            let usual = alone[name].waited;
+            assert!(tally.waited <= usual + RUNS * 2, "{name}: {:?} {usual:?}", tally.waited);
+        }
+        assert!(crowd.served > 400, "what the others leave is used: {crowd:?}");
+    }
+}
+
+#[test]
+fn earlier_use_not_held_against() {
+    // One that was alone at the gate for long is on a par with others that come then.
+    let mut load = Load::new();
+    let (early, other): (Arc<str>, Arc<str>) = ("early".into(), "other".into());
+    let mut now = load.start;
+    for _ in 0..500 {
+        load.arrive(&early, now);
+        now += RUNS;
+        load.end_due(now);
+    }
+    load.tallies.clear();
+    for step in 0..400 {
+        if step % 2 == 0 {
+            load.arrive(&early, now);
+        }
+        load.arrive(&other, now);
+        load.arrive(&other, now);
+        now += Duration::from_millis(20);
+        load.end_due(now);
+    }
+    assert!(load.tallies["early"].share() > 0.95, "{:?}", load.tallies);
+}
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod entries;
 mod eras;
 mod eras_world;
+mod fair_shares;
 mod fanout;
 mod freshness;
 mod groups;
