Tests of callers and upstreams that are slow to read, failing: 544 MB are held

500 callers that ask for a megabyte each and read nothing, in waves over 5 s, take a daemon to 544 MB; none is refused, and none is ended.

--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -29,6 +29,7 @@
 mod site_store;
 mod site_support;
 mod site_versions;
+mod slow_peers;
 mod snapshot;
 mod support;
 mod time_line;
--- /dev/null
+++ b/crates/harefield/tests/processes/slow_peers.rs
@@ -0,0 +1,195 @@
+//! Callers and upstreams that are slow to read or to write, beside ordinary requests.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use standin::entry_at;
+
+use crate::site_support::Site;
+use crate::site_support::ask_at;
+use crate::site_support::read_answer;
+use crate::site_support::routes;
+use crate::support::PATIENCE;
+use crate::support::await_true;
+
+/// The records of an answer of one megabyte.
+const RECORDS: usize = 65_536;
+
+/// A connection ends that takes nothing for this long.
+const STALL: Duration = Duration::from_millis(1500);
+
+const SETTINGS: &str = "";
+
+/// Starts a daemon beside an upstream of the service `one` that answers a megabyte.
+fn start() -> Site {
+    let mut site = Site::start_with(1, SETTINGS);
+    site.store.put("servers/i-one", None);
+    site.searchers.remove("i-one");
+    site.add("one", "i-large", &vec![7; RECORDS]);
+    let large = || site.ask("/one/x", "l0").body.len() == RECORDS * 16;
+    await_true("large answers are given", large);
+    site
+}
+
+/// Sends a request for a megabyte, and reads nothing.
+fn begin_large(to: SocketAddr, number: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
+    let head = format!(
+        "GET /one/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: s{number}\r\nDeadline-Remaining: 2000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("it is sent");
+    stream
+}
+
+/// Sends ten such requests in each of some waves, a tenth of a second apart.
+fn begin_waves(to: SocketAddr, waves: usize) -> Vec<TcpStream> {
+    let wave = |number: usize| {
+        std::thread::sleep(Duration::from_millis(100));
+        (0..10).map(move |at| begin_large(to, number * 10 + at))
+    };
+    (0..waves).flat_map(wave).collect()
+}
+
+/// Asks for ordinary answers for some time; returns how long the slowest took.
+fn ordinary(site: &Site, time: Duration) -> Duration {
+    let start = Instant::now();
+    let mut slowest = Duration::ZERO;
+    for number in 0.. {
+        if start.elapsed() >= time {
+            break;
+        }
+        let asked = Instant::now();
+        let answer = ask_at(&site.daemon, "/all/x", &format!("o{number}"), 2000);
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+        slowest = slowest.max(asked.elapsed());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    slowest
+}
+
+/// Returns whether a connection is ended before its answer is whole.
+fn is_ended(stream: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes);
+    read.is_err() || bytes.len() < RECORDS * 16
+}
+
+#[test]
+fn unread_answers_bounded() {
+    let site = start();
+    let callers = site.daemon.addresses.callers;
+    let (slow, slowest) = std::thread::scope(|scope| {
+        let slow = scope.spawn(|| begin_waves(callers, 50));
+        let slowest = ordinary(&site, Duration::from_secs(6));
+        (slow.join().expect("it ends"), slowest)
+    });
+    // The objective of ordinary requests is 300 ms; a test build is some ten times slower.
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    let peak = site.daemon.peak_memory() >> 20;
+    assert!(peak <= 100, "{peak} MB");
+    // All were ended by then, or refused, and what they held is free again.
+    drop(slow);
+    await_true("large answers are given again", || site.ask("/one/x", "l1").body.len() == RECORDS * 16);
+}
+
+#[test]
+fn refused_as_not_run() {
+    // What does not fit is not begun: who is refused ran nowhere, and is told when to come back.
+    let site = start();
+    let callers = site.daemon.addresses.callers;
+    let slow = begin_waves(callers, 30);
+    let answers: Vec<_> = slow
+        .into_iter()
+        .enumerate()
+        .map(|(number, mut stream)| {
+            stream.shutdown(std::net::Shutdown::Write).expect("it is open");
+            let mut bytes = Vec::new();
+            let _cut = stream.read_to_end(&mut bytes);
+            (number, String::from_utf8_lossy(&bytes[..bytes.len().min(400)]).into_owned())
+        })
+        .collect();
+    let refused: Vec<_> = answers.iter().filter(|(_, text)| text.contains("HF2019")).collect();
+    assert!(!refused.is_empty(), "300 MB do not fit");
+    for (number, text) in refused {
+        assert!(text.starts_with("HTTP/1.1 503") && text.contains("retry-after"), "{text}");
+        assert_eq!(site.runs(&format!("s{number}")), 0, "{text}");
+    }
+}
+
+#[test]
+fn stalled_caller_ended() {
+    let site = start();
+    let mut slow = begin_large(site.daemon.addresses.callers, 0);
+    std::thread::sleep(STALL * 2);
+    assert!(is_ended(&mut slow));
+    await_true("it is counted", || site.metric("harefield_connections_ended_total{kind=\"stalled\"} 1"));
+}
+
+#[test]
+fn reading_caller_kept() {
+    // One that reads, if slowly, has its whole answer.
+    let site = start();
+    let mut slow = begin_large(site.daemon.addresses.callers, 0);
+    let (mut whole, mut chunk) = (0, [0; 32 << 10]);
+    while whole < RECORDS * 16 {
+        let read = slow.read(&mut chunk).expect("it goes on");
+        assert!(read > 0, "ended after {whole}");
+        whole += read;
+        std::thread::sleep(Duration::from_millis(60));
+    }
+}
+
+#[test]
+fn slow_body_ended() {
+    let site = start();
+    let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
+    let head = "POST /one/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: b1\r\nDeadline-Remaining: 2000\r\n\
+                Content-Length: 900\r\nConnection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("it is sent");
+    let start = Instant::now();
+    stream.write_all(b"slow").expect("it is sent");
+    assert_eq!(read_answer(stream).status, 408);
+    assert!(start.elapsed() < Duration::from_secs(3));
+}
+
+/// An upstream that takes connections and reads nothing of what is sent.
+fn deaf_upstream() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port is free")
+}
+
+#[test]
+fn deaf_upstream_bounded() {
+    // Bodies for an upstream that reads nothing are held until their time is up, and no longer.
+    let site = Site::start_with(1, SETTINGS);
+    let deaf = deaf_upstream();
+    let address = deaf.local_addr().expect("it has one");
+    site.store.put("servers/i-one", None);
+    site.store.put("servers/i-deaf", Some(&entry_at(address, "hall", "one", "ready")));
+    site.publish(2, &routes());
+    await_true("it is asked", || site.ask("/one/x", "d0").status != 200);
+    let slowest = std::thread::scope(|scope| {
+        for number in 0..20 {
+            let site = &site;
+            scope.spawn(move || {
+                let mut stream = TcpStream::connect(site.daemon.addresses.callers).expect("it listens");
+                let head = format!(
+                    "POST /one/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: d{number}\r\n\
+                     Deadline-Remaining: 2000\r\nContent-Length: 1000\r\nConnection: close\r\n\r\n{}",
+                    "b".repeat(1000)
+                );
+                stream.write_all(head.as_bytes()).expect("it is sent");
+                assert!(read_answer(stream).status >= 500);
+            });
+        }
+        ordinary(&site, Duration::from_secs(3))
+    });
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    drop(deaf);
+}
--- a/crates/harefield/tests/processes/support.rs
+++ b/crates/harefield/tests/processes/support.rs
@@ -88,6 +88,15 @@
         panic!("the daemon does not end");
     }
 
+    /// Returns the most memory that the process has used, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the process lives");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("it is told");
+        let kilobytes: usize = line.trim().trim_end_matches(" kB").parse().expect("it is a number");
+        kilobytes * 1024
+    }
+
     /// Returns the daemon's own account of itself.
     pub fn status(&self) -> Status {
         let reply = Client::once(self.addresses.operators, "GET", "/v1/status", "", PATIENCE);
