What is held for slow callers and upstreams has one bound; who does not read is ended

What operators saw: 500 callers that asked for a megabyte each and read nothing took a daemon to 544 MB, where the machines have 112 to 160; none was ended after 12 s.

Cause, two: answers were copied behind their heads into the connection's write buffer, which keeps the size of its largest message for as long as the connection is open, read or not; and nothing counted what is held or ended a connection whose peer takes nothing.

Change: connections write several buffers at once, so that bodies are never copied; one account of bytes (domain/buffers) for requests' bodies, replies, messages and replies that are expected, a quarter of the host's memory; what does not fit is not begun (HF2019, with when the next connection ends); connections of peers that do not read are ended, those that kept the most for the longest first, and any that takes under 16 KB in limits.stall-ms; the system's own buffer of a connection is bound to 128 KB.

Ruled out: a write that takes nothing as the sign of a peer that does not read (the system hands on 2 KB each 1.5 s to a closed window).

--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -23,12 +23,14 @@
 use super::http::BodyError;
 use crate::domain::accounts::Asker;
 use crate::domain::accounts::Credential;
+use crate::domain::buffers::Use;
 use crate::domain::code::Code;
 use crate::domain::outcome::Answer;
 use crate::domain::query::Query;
 use crate::engine::LookupRequest;
 use crate::engine::Origin;
 use crate::engine::Worker;
+use crate::memory::Memory;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -75,14 +77,14 @@
     request: Request<Incoming>,
     limits: RequestLimits,
 ) -> Response<Full<Bytes>> {
-    let mut reply = match read(request, limits).await {
+    let mut reply = match read(request, limits, worker.memory()).await {
         Ok((body, lookup, credential)) => render(&look_up(&worker, body, lookup, credential).await),
         Err(refused) => render(&refuse(&refused)),
     };
     if worker.is_stopping() {
         reply.headers_mut().insert("connection", HeaderValue::from_static("close"));
     }
-    reply
+    http::counted(reply, worker.memory()).await
 }
 
 async fn look_up<U: Upstreams, P: Peers, C: Clock>(
@@ -110,6 +112,7 @@
 async fn read(
     request: Request<Incoming>,
     limits: RequestLimits,
+    memory: &Memory,
 ) -> Result<(Body, String, Credential), Refused> {
     let (head, incoming) = request.into_parts();
     if head_bytes(&head) > limits.head {
@@ -121,7 +124,7 @@
         return Err(Code::WrongMethod.into());
     }
     let credential = http::credential(&head.headers);
-    let bytes = read_body(incoming, limits).await?;
+    let bytes = read_body(incoming, limits, memory).await?;
     let body: Body = serde_json::from_slice(&bytes).map_err(|error| Refused {
         code: if error.classify() == Category::Data { Code::BadField } else { Code::MalformedBody },
         detail: error.to_string(),
@@ -144,7 +147,7 @@
 /// # Errors
 ///
 /// Returns what the body breaks.
-pub async fn read_body(incoming: Incoming, limits: RequestLimits) -> Result<Bytes, Code> {
+pub async fn read_body(incoming: Incoming, limits: RequestLimits, memory: &Memory) -> Result<Bytes, Code> {
     if incoming.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -152,10 +155,13 @@
         Timer::after(limits.time).await;
         None
     };
-    let read = async { Some(http::read(incoming, limits.body).await) }.or(expired).await;
+    let read = async { Some(http::read_counted(incoming, limits.body, memory, Use::Requests).await) }
+        .or(expired)
+        .await;
     match read {
         None => Err(Code::SlowBody),
         Some(Err(BodyError::TooLarge)) => Err(Code::BodyTooLarge),
+        Some(Err(BodyError::NoRoom)) => Err(Code::NoRoom),
         Some(Err(BodyError::CutShort)) => Err(Code::MalformedBody),
         Some(Ok(bytes)) => Ok(bytes),
     }
--- a/crates/harefield/src/adapters/http/body.rs
+++ b/crates/harefield/src/adapters/http/body.rs
@@ -1,17 +1,27 @@
 //! Reading and making bodies.
 
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Bytes;
 
+use crate::domain::buffers::Use;
+use crate::memory::Held;
+use crate::memory::LEAST_COUNTED;
+use crate::memory::Memory;
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
     /// It exceeds the limit.
     #[error("the body exceeds the limit")]
     TooLarge,
+    /// There is no room for it in the daemon's memory.
+    #[error("there is no room for the body")]
+    NoRoom,
     /// The connection was lost before its end.
     #[error("the body was cut short")]
     CutShort,
@@ -33,6 +43,73 @@
     }
 }
 
+/// Reads a whole body of at most `limit` bytes, counted in the daemon's memory for as long
+/// as any part of it is held.
+///
+/// # Errors
+///
+/// Returns why the body could not be read whole.
+pub async fn read_counted<B>(
+    mut body: B,
+    limit: usize,
+    memory: &Memory,
+    held_for: Use,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    let (mut chunks, mut total, mut held) = (Vec::new(), 0, None);
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame.map_err(|_cut| BodyError::CutShort)?.into_data() else { continue };
+        total += chunk.len();
+        if total > limit {
+            return Err(BodyError::TooLarge);
+        }
+        held = count(memory, held_for, held, (chunk.len(), total)).await?;
+        chunks.push(chunk);
+    }
+    let whole = join(chunks, total);
+    Ok(held.map_or_else(|| whole.clone(), |held| held.bind(whole.clone())))
+}
+
+/// Counts one more chunk, once all together are worth it.
+async fn count(
+    memory: &Memory,
+    held_for: Use,
+    held: Option<Held>,
+    (chunk, total): (usize, usize),
+) -> Result<Option<Held>, BodyError> {
+    match held {
+        None if total < LEAST_COUNTED => Ok(None),
+        None => memory.take_soon(held_for, total).await.map(Some).ok_or(BodyError::NoRoom),
+        Some(mut held) => {
+            let fits = held.grow(chunk).await;
+            if fits { Ok(Some(held)) } else { Err(BodyError::NoRoom) }
+        }
+    }
+}
+
+fn join(mut chunks: Vec<Bytes>, total: usize) -> Bytes {
+    if chunks.len() == 1 {
+        return chunks.remove(0);
+    }
+    let mut whole = BytesMut::with_capacity(total);
+    for chunk in &chunks {
+        whole.extend_from_slice(chunk);
+    }
+    whole.freeze()
+}
+
+/// Counts the body of a reply that was made here, until it is written.
+pub async fn counted(reply: Response<Full<Bytes>>, memory: &Memory) -> Response<Full<Bytes>> {
+    let size = reply.body().size_hint().exact().and_then(|size| usize::try_from(size).ok());
+    let Some(size) = size.filter(|size| *size >= LEAST_COUNTED) else { return reply };
+    let (head, body) = reply.into_parts();
+    let counted = memory.hold(Use::Messages, size);
+    let Ok(whole) = body.collect().await;
+    Response::from_parts(head, bytes(counted.bind(whole.to_bytes())))
+}
+
 /// Makes a body of bytes.
 pub fn bytes(bytes: impl Into<Bytes>) -> Full<Bytes> {
     Full::new(bytes.into())
--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -14,9 +14,13 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use smol_hyper::rt::FuturesIo;
 
 use super::body;
+use super::paced::Paced;
+
+/// How long an upstream, the platform or another daemon may take nothing of what is sent:
+/// what is sent to one that reads is taken within some round trips.
+const STALL: Duration = Duration::from_secs(5);
 
 /// Why a request got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -79,7 +83,7 @@
     };
     let stream = opened.or(expired).await.ok_or(ClientError::NotSent)?;
     stream.get_ref().set_nodelay(true).map_err(|_error| ClientError::NotSent)?;
-    let (sender, driver) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+    let (sender, driver) = hyper::client::conn::http1::handshake(Paced::new(stream, STALL))
         .await
         .map_err(|_error| ClientError::NotSent)?;
     executor.spawn(async move { drop(driver.await) }).detach();
--- a/crates/harefield/src/adapters/http/mod.rs
+++ b/crates/harefield/src/adapters/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod paced;
 mod pool;
 mod reply;
 mod server;
@@ -10,7 +11,9 @@
 
 pub use body::BodyError;
 pub use body::bytes;
+pub use body::counted;
 pub use body::read;
+pub use body::read_counted;
 pub use client::ClientError;
 pub use client::Connection;
 pub use client::connect;
--- /dev/null
+++ b/crates/harefield/src/adapters/http/paced.rs
@@ -0,0 +1,136 @@
+//! A connection's stream, which ends where its peer takes nothing for too long, or room is
+//! needed.
+
+use std::io::Error;
+use std::io::ErrorKind;
+use std::io::IoSlice;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use log::info;
+use smol_hyper::rt::FuturesIo;
+
+use crate::memory::Writer;
+
+/// A peer that takes fewer bytes in the time of a stall takes nothing: the system hands a few
+/// on from time to time though nobody reads them.
+const LEAST_TAKEN: usize = 16 << 10;
+
+/// A stream whose writes must go on.
+///
+/// It writes several buffers at once: else bodies are copied behind their heads, into a
+/// buffer that the connection then keeps at the size of its largest message.
+#[derive(Debug)]
+pub struct Paced<S> {
+    stream: FuturesIo<S>,
+    /// How long its peer may take next to nothing.
+    stall: Duration,
+    /// Runs while the peer takes next to nothing.
+    timer: Option<Timer>,
+    /// The bytes that were taken since then.
+    taken: usize,
+    writer: Option<Rc<Writer>>,
+}
+
+impl<S> Paced<S> {
+    /// Wraps a stream that is ended where its peer takes nothing for `stall`.
+    #[must_use]
+    pub fn new(stream: S, stall: Duration) -> Self {
+        Self { stream: FuturesIo::new(stream), stall, timer: None, taken: 0, writer: None }
+    }
+
+    /// Lets the account of memory end it as well.
+    #[must_use]
+    pub fn counted_by(self, writer: Rc<Writer>) -> Self {
+        Self { writer: Some(writer), ..self }
+    }
+
+    fn check(&self, context: &Context<'_>) -> Result<()> {
+        if self.writer.as_ref().is_some_and(|writer| writer.is_ended(context.waker())) {
+            info!("a connection whose peer does not read is ended to make room");
+            return Err(Error::new(ErrorKind::ConnectionAborted, "ended to make room"));
+        }
+        Ok(())
+    }
+
+    /// Takes the result of a write; ends the stream where too little is taken for too long.
+    fn pace(&mut self, context: &mut Context<'_>, written: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        if let (Poll::Ready(Ok(bytes)), Some(writer)) = (&written, &self.writer) {
+            writer.progress(*bytes);
+        }
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.taken += bytes;
+        }
+        if self.taken >= LEAST_TAKEN || matches!(written, Poll::Ready(Err(_))) {
+            self.rest();
+            return written;
+        }
+        let stall = self.stall;
+        let timer = match (&mut self.timer, &written) {
+            (Some(timer), _) => timer,
+            (none, Poll::Pending) => none.insert(Timer::after(stall)),
+            (None, Poll::Ready(_)) => return written,
+        };
+        if Pin::new(timer).poll(context).is_pending() {
+            return written;
+        }
+        if let Some(writer) = &self.writer {
+            writer.note_stalled();
+        }
+        info!("a connection is ended: its peer took {} bytes in {stall:?}", self.taken);
+        Poll::Ready(Err(Error::new(ErrorKind::TimedOut, "the peer takes nothing")))
+    }
+
+    /// Forgets what was taken: all is written, or enough of it was.
+    fn rest(&mut self) {
+        self.timer = None;
+        self.taken = 0;
+    }
+}
+
+impl<S: AsyncRead + Unpin> Read for Paced<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: ReadBufCursor<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> Write for Paced<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        self.check(cx)?;
+        let written = Pin::new(self.stream.get_mut()).poll_write(cx, buf);
+        self.pace(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        self.check(cx)?;
+        let written = Pin::new(self.stream.get_mut()).poll_write_vectored(cx, bufs);
+        self.pace(cx, written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.rest();
+        Pin::new(self.stream.get_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(self.stream.get_mut()).poll_close(cx)
+    }
+}
--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -15,9 +15,11 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::domain::buffers::Use;
 use crate::domain::event::Cause;
 use crate::domain::event::Event;
 use crate::domain::outcome::Outcome;
+use crate::memory::Meters;
 
 /// The first bound of the latency histograms, in seconds.
 const FIRST_BUCKET: f64 = 0.002;
@@ -62,6 +64,8 @@
     gaps: Kinds,
     events: Kinds,
     groups: Kinds,
+    ended: Kinds,
+    held: Family<Kind, Gauge>,
     dropped: Counter,
     revision: Gauge,
     era: Gauge,
@@ -110,6 +114,9 @@
         let gaps = family("missing_shards", "Shards that did not contribute, by reason");
         let events = family("events", "Other decisions by kind");
         let groups = family("groups", "Groups of shards handed on or taken");
+        let ended = family("connections_ended", "Connections ended since their peers do not read");
+        let bytes = Family::<Kind, Gauge>::default();
+        registry.register("held_bytes", "Bytes held for others, by use", bytes.clone());
         let (dropped, revision) = (Counter::default(), Gauge::default());
         let left_out = Gauge::default();
         let help = "Entries of the platform that name no upstream, as this daemon read them";
@@ -136,6 +143,8 @@
             gaps,
             events,
             groups,
+            ended,
+            held: bytes,
             dropped,
             revision,
             era,
@@ -216,6 +225,20 @@
         self.age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     }
 
+    /// Returns what the account of memory shows.
+    #[must_use]
+    pub fn meters(&self) -> Meters {
+        let kind = |kind: &str| Kind { kind: kind.to_owned() };
+        // A family's metric is returned under a lock, which the next one would wait for.
+        let gauge = |held_for: Use| {
+            let metric = self.held.get_or_create(&kind(held_for.name())).clone();
+            (held_for.name(), metric)
+        };
+        let ended = |name: &str| self.ended.get_or_create(&kind(name)).clone();
+        let (stalled, evicted) = (ended("stalled"), ended("evicted"));
+        Meters { held: Use::ALL.map(gauge).into(), stalled, evicted }
+    }
+
     /// Returns the gauge of entries of the platform that name no upstream.
     #[must_use]
     pub fn left_out(&self) -> Gauge {
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -16,6 +16,7 @@
 use serde_bytes::ByteBuf;
 
 use super::http;
+use super::http::BodyError;
 use super::http::Traffic;
 use super::opaque::OpaqueAnswer;
 use super::peers::EXCHANGE_PATH;
@@ -26,6 +27,7 @@
 use super::peers::PULL_PATH;
 use super::peers::Travelling;
 use crate::domain::accounts::Credential;
+use crate::domain::buffers::Use;
 use crate::domain::code::Code;
 use crate::domain::query::Query;
 use crate::engine::LookupRequest;
@@ -33,6 +35,7 @@
 use crate::engine::Terms;
 use crate::engine::ToControl;
 use crate::engine::Worker;
+use crate::memory::Memory;
 use crate::ports::Clock;
 use crate::ports::Exchange;
 use crate::ports::Forward;
@@ -54,6 +57,8 @@
     pub token: Option<String>,
     /// Counts what control receives and answers.
     pub traffic: Traffic,
+    /// Counts what is held of messages.
+    pub memory: Memory,
 }
 
 /// Answers one request on the peers' address.
@@ -69,18 +74,30 @@
     if head.method != Method::POST {
         return http::refusal(Code::WrongMethod, "");
     }
-    let Ok(body) = http::read(incoming, MOST_MESSAGE).await else {
-        return http::refusal(Code::BodyTooLarge, "");
+    let body = match http::read_counted(incoming, MOST_MESSAGE, &server.memory, Use::Messages).await {
+        Ok(body) => body,
+        Err(BodyError::NoRoom) => return http::refusal(Code::NoRoom, ""),
+        Err(_error) => return http::refusal(Code::BodyTooLarge, ""),
     };
-    match head.uri.path() {
-        FORWARD_PATH => forward(&worker, &body).await,
-        GROUP_PATH => group(&worker, &body).await,
-        PERMITS_PATH => permits(&worker, &body),
+    let reply = answer(&worker, &server, head.uri.path(), &body).await;
+    http::counted(reply, &server.memory).await
+}
+
+async fn answer<U: Upstreams, P: Peers, C: Clock>(
+    worker: &Rc<Worker<U, P, C>>,
+    server: &PeerServer,
+    path: &str,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
+    match path {
+        FORWARD_PATH => forward(worker, body).await,
+        GROUP_PATH => group(worker, body).await,
+        PERMITS_PATH => permits(worker, body),
         EXCHANGE_PATH => {
-            ask_control(&server, &body, |said: Exchange, reply| ToControl::Exchange(Box::new(said), reply))
+            ask_control(server, body, |said: Exchange, reply| ToControl::Exchange(Box::new(said), reply))
                 .await
         }
-        PULL_PATH => ask_control(&server, &body, |pull: Pull, reply| ToControl::Pull(pull, reply)).await,
+        PULL_PATH => ask_control(server, body, |pull: Pull, reply| ToControl::Pull(pull, reply)).await,
         _ => http::refusal(Code::UnknownPath, ""),
     }
 }
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -22,10 +22,12 @@
 use super::http::Pool;
 use super::http::Traffic;
 use super::opaque::OpaqueAnswer;
+use crate::domain::buffers::Use;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
+use crate::memory::Memory;
 use crate::ports::Exchange;
 use crate::ports::Forward;
 use crate::ports::Forwarded;
@@ -89,6 +91,7 @@
     pool: Rc<Pool>,
     token: Option<String>,
     traffic: Traffic,
+    memory: Memory,
 }
 
 /// A call under way. Where it ends unanswered after a while, the idle connections to
@@ -110,10 +113,15 @@
 
 impl HttpPeers {
     /// Creates the adapter on one thread's executor; `token` is shown to peers
-    /// and `traffic` counts what control sends.
+    /// `traffic` counts what control sends, and `memory` what is held of messages.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>, token: Option<String>, traffic: Traffic) -> Self {
-        Self { executor, pool: Rc::default(), token, traffic }
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        token: Option<String>,
+        traffic: Traffic,
+        memory: Memory,
+    ) -> Self {
+        Self { executor, pool: Rc::default(), token, traffic, memory }
     }
 
     async fn call<R: DeserializeOwned>(
@@ -147,7 +155,8 @@
             ClientError::Lost => PeerError::Silent,
         })?;
         let status = reply.status();
-        let whole = http::read(reply.into_body(), MOST_REPLY).await.map_err(|_error| PeerError::Silent)?;
+        let whole = http::read_counted(reply.into_body(), MOST_REPLY, &self.memory, Use::Messages).await;
+        let whole = whole.map_err(|_error| PeerError::Silent)?;
         self.pool.give_back(address, connection);
         match status {
             StatusCode::OK => {}
--- a/crates/harefield/src/adapters/settings/load.rs
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -11,6 +11,10 @@
 use crate::domain::cell::CellSize;
 use crate::domain::code::Code;
 
+/// The part of the host's memory that is held for others: the daemon's own state, its
+/// connections and what its allocator keeps take the rest.
+const HELD_PART: u32 = 4;
+
 /// Every fault of a settings file, with its place.
 #[derive(Debug, thiserror::Error)]
 #[error("{code}: {}", code.text())]
@@ -92,6 +96,8 @@
             (limits.connections == 0, "limits.connections must be at least 1"),
             (limits.running < 2, "limits.running must be at least 2"),
             (limits.waiting < 2, "limits.waiting must be at least 2"),
+            (limits.stall_ms < 100, "limits.stall-ms must be at least 100"),
+            (self.held_limit() == 0, "host.memory-mb or limits.held-mb must leave something to hold"),
             (limits.head_bytes < 1024, "limits.head-bytes must be at least 1024"),
             (limits.body_bytes == 0, "limits.body-bytes must be at least 1"),
             (self.routing.cell_size == 0, "routing.cell-size must be at least 1"),
@@ -123,6 +129,13 @@
         CellSize { most: self.routing.cell_size, wanted: self.routing.connections.max(self.limits.workers) }
     }
 
+    /// Returns how many bytes may be held for callers, upstreams and other daemons.
+    #[must_use]
+    pub fn held_limit(&self) -> usize {
+        let megabytes = self.limits.held_mb.unwrap_or(self.host.memory_mb / HELD_PART);
+        usize::try_from(megabytes).unwrap_or(usize::MAX).saturating_mul(1 << 20)
+    }
+
     /// Returns how long a planned stop waits for requests in progress.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -55,11 +55,20 @@
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// The share of the host's processor that the daemon may use, in cores.
     pub cores: f64,
+    /// The memory that the daemon may use, in megabytes; as of a small host where it is not
+    /// given.
+    pub memory_mb: u32,
 }
 
 impl Default for Host {
     fn default() -> Self {
-        Self { zone: String::new(), region: String::new(), regions: BTreeMap::new(), cores: 1.0 }
+        Self {
+            zone: String::new(),
+            region: String::new(),
+            regions: BTreeMap::new(),
+            cores: 1.0,
+            memory_mb: 160,
+        }
     }
 }
 
@@ -202,6 +211,11 @@
     pub running: usize,
     /// Requests of one urgency that wait, for each index and worker.
     pub waiting: usize,
+    /// Megabytes held for callers, upstreams and other daemons; a quarter of the host's memory
+    /// where it is not given.
+    pub held_mb: Option<u32>,
+    /// How long a peer may take nothing of what is written to it, in milliseconds.
+    pub stall_ms: u64,
 }
 
 impl Default for Limits {
@@ -215,6 +229,8 @@
             body_ms: 5000,
             running: 256,
             waiting: 1024,
+            held_mb: None,
+            stall_ms: 5000,
         }
     }
 }
--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -25,11 +25,13 @@
 use self::pool::Seat;
 use super::http;
 use super::http::Connection;
+use crate::domain::buffers::Use;
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
 use crate::domain::routing::Report;
 use crate::domain::routing::Verdict;
+use crate::memory::Memory;
 use crate::ports::Call;
 use crate::ports::CallEnd;
 use crate::ports::Place;
@@ -80,13 +82,14 @@
     executor: Rc<LocalExecutor<'static>>,
     pools: Rc<RefCell<HashMap<UpstreamId, Pool>>>,
     opened: Rc<std::cell::Cell<u64>>,
+    memory: Memory,
 }
 
 impl<W: Protocol> HttpUpstreams<W> {
-    /// Creates the adapter of one worker, without connections.
+    /// Creates the adapter of one worker, without connections; `memory` counts replies.
     #[must_use]
-    pub fn new(protocol: W, executor: Rc<LocalExecutor<'static>>) -> Self {
-        Self { protocol, executor, pools: Rc::default(), opened: Rc::default() }
+    pub fn new(protocol: W, executor: Rc<LocalExecutor<'static>>, memory: Memory) -> Self {
+        Self { protocol, executor, pools: Rc::default(), opened: Rc::default(), memory }
     }
 
     /// Returns how many connections were opened.
@@ -131,7 +134,7 @@
         reply: Response<Incoming>,
     ) -> CallEnd {
         let (head, body) = reply.into_parts();
-        let Ok(whole) = http::read(body, MOST_REPLY).await else {
+        let Ok(whole) = http::read_counted(body, MOST_REPLY, &self.memory, Use::Replies).await else {
             return lost(Gap::ReplyLost, self.protocol.report(&head.headers));
         };
         let closes = closes(&head.headers);
--- a/crates/harefield/src/daemon/operators.rs
+++ b/crates/harefield/src/daemon/operators.rs
@@ -56,7 +56,9 @@
         let serving = async move {
             let board = Arc::clone(&context.board);
             let traffic = context.traffic.clone();
+            let memory = context.shared.memory.clone();
             let handle = |request| {
+                memory.show();
                 let mut status = board.status();
                 status.control_bytes = traffic.total();
                 status.stopping = context.stop.is_closed();
@@ -65,7 +67,7 @@
             };
             // Operators may watch the stop itself, so it does not end them.
             let (_never, stop) = async_channel::bounded(1);
-            http::serve(stream, context.server_limits(), stop, Duration::ZERO, handle).await;
+            http::serve(stream, context.server_limits(), (stop, Duration::ZERO), &memory, handle).await;
             open.set(open.get() - 1);
         };
         executor.spawn(serving).detach();
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -45,6 +45,7 @@
 use crate::domain::time::millis;
 use crate::engine::Shared;
 use crate::engine::ToControl;
+use crate::memory::Memory;
 use crate::ports::Clock;
 use crate::telemetry;
 use crate::telemetry::Batch;
@@ -179,6 +180,8 @@
     let incarnation = new_incarnation();
     let board = Board::new(Arc::clone(&host), incarnation, settings.events.keep);
     let ledger = Ledger::new(Arc::clone(&host), incarnation);
+    let stall = Duration::from_millis(settings.limits.stall_ms);
+    let memory = Memory::new(settings.held_limit(), stall, board.metrics().meters());
     Ok(Context {
         settings: Arc::new(settings),
         addresses,
@@ -187,6 +190,7 @@
         shared: Shared {
             ledger: Arc::new(Mutex::new(ledger)),
             grants: Arc::new(Mutex::new(Grants::new(SystemClock.now()))),
+            memory,
         },
         control,
         telemetry,
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -63,8 +63,9 @@
     messages: Receiver<ToWorker>,
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let upstreams = HttpUpstreams::new(E::protocol(), Rc::clone(&executor));
-    let peers = HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone());
+    let memory = context.shared.memory.clone();
+    let upstreams = HttpUpstreams::new(E::protocol(), Rc::clone(&executor), memory);
+    let peers = make_peers(context, &executor);
     let ports = Ports { upstreams: upstreams.clone(), peers, clock: SystemClock };
     let worker = Worker::new(
         worker_settings(context, number),
@@ -110,25 +111,32 @@
     let Ok(stream) = Async::<TcpStream>::new(arrived.stream) else {
         return;
     };
+    let memory = &context.shared.memory;
     let (limits, stop, linger) = (context.server_limits(), context.stop.clone(), context.linger());
     match arrived.side {
         Side::Callers => {
             let limited = request_limits(context);
             let handle = |request| E::answer(Rc::clone(&worker), request, limited);
-            http::serve(stream, limits, stop, linger, handle).await;
+            http::serve(stream, limits, (stop, linger), memory, handle).await;
         }
         Side::Peers => {
             let server = PeerServer {
                 control: context.control.clone(),
                 token: context.token.clone(),
                 traffic: context.traffic.clone(),
+                memory: memory.clone(),
             };
             let handle = |request| peer_server::handle(Rc::clone(&worker), server.clone(), request);
-            http::serve(stream, limits, stop, linger, handle).await;
+            http::serve(stream, limits, (stop, linger), memory, handle).await;
         }
     }
 }
 
+fn make_peers(context: &Context, executor: &Rc<LocalExecutor<'static>>) -> HttpPeers {
+    let memory = context.shared.memory.clone();
+    HttpPeers::new(Rc::clone(executor), context.token.clone(), context.traffic.clone(), memory)
+}
+
 fn request_limits(context: &Context) -> RequestLimits {
     let limits = &context.settings.limits;
     RequestLimits {
@@ -185,7 +193,7 @@
             context.traffic.clone(),
             context.board.metrics().left_out(),
         ),
-        peers: HttpPeers::new(Rc::clone(&executor), context.token.clone(), context.traffic.clone()),
+        peers: make_peers(context, &executor),
         clock: SystemClock,
     };
     let control = Control::new(
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -6,6 +6,7 @@
 pub mod accounts;
 pub mod admission;
 pub mod backoff;
+pub mod buffers;
 pub mod carried;
 pub mod cell;
 pub mod code;
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -24,6 +24,7 @@
 mod once;
 mod permits;
 mod relay;
+mod room;
 mod run;
 mod status;
 mod updates;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -198,6 +198,10 @@
             Ok(permit) => permit,
             Err(refusal) => return refuse(trace, refusal.code, refusal.wait),
         };
+        let _room = match self.book_room(found).await {
+            Ok(room) => room,
+            Err(wait) => return refuse(trace, Code::NoRoom, wait),
+        };
         let waited = self.ports.clock.now().saturating_duration_since(found.start);
         let job = Job::new(request, found, trace.request());
         trace.emit(Event::Admitted {
@@ -236,6 +240,7 @@
                 Rules { grouped, again: found.again, ..self.rules(found, self.overruns.own.get(), kept) };
             let ended = self.fan_out(job, &plan, &rules, first, (&mut permit, trace)).await;
             self.learn_overrun(&self.overruns.own, &rules);
+            self.learn_size(found, &ended.finished);
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
                 if let Some(permit) = permit {
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -66,6 +66,7 @@
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         self.turns.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.sizes.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         self.time_limits.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         if !Arc::ptr_eq(&self.view.borrow().directory, &view.directory) {
             self.unknown_keys.borrow_mut().clear();
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -52,6 +52,7 @@
 use crate::domain::settled::Settled;
 use crate::domain::suspects::Suspects;
 use crate::domain::view::View;
+use crate::memory::Memory;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -125,6 +126,8 @@
     pub ledger: Arc<Mutex<Ledger>>,
     /// The parts of accounts' limits that the daemon holds.
     pub grants: Arc<Mutex<Grants>>,
+    /// The account of what is held for others.
+    pub memory: Memory,
 }
 
 /// One worker.
@@ -175,6 +178,10 @@
     pub(super) reserves: RefCell<HashMap<AccountId, Reserve>>,
     /// Until when holders that did not answer are passed over.
     pub(super) quiet: RefCell<HashMap<HostId, Instant>>,
+    /// The account of what is held for others.
+    pub(super) memory: Memory,
+    /// How many bytes the replies of each lookup's requests come to.
+    pub(super) sizes: RefCell<HashMap<Arc<str>, usize>>,
     /// Whether this daemon knows the others well enough to hold parts.
     pub(super) settled: Cell<Settled>,
     numbered: Cell<u64>,
@@ -260,6 +267,8 @@
             proven: Cell::new(None),
             holders: RefCell::new(holders),
             grants: shared.grants,
+            memory: shared.memory,
+            sizes: RefCell::default(),
             reserves: RefCell::default(),
             quiet: RefCell::default(),
             settled: Cell::new(Settled::new(now)),
@@ -304,6 +313,12 @@
         self.view.borrow().bounds
     }
 
+    /// Returns the account of what is held for others.
+    #[must_use]
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     /// Returns a trace for what concerns no request.
     pub(super) fn duty_trace(&self) -> Trace<C> {
         Trace::new(None, true, &self.hybrid, self.ports.clock, &self.telemetry)
--- a/crates/harefield/src/lib.rs
+++ b/crates/harefield/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod control;
 pub mod daemon;
 pub mod engine;
+pub mod memory;
 pub mod platform;
 pub mod telemetry;
--- a/crates/harefield/src/platform/callers.rs
+++ b/crates/harefield/src/platform/callers.rs
@@ -69,7 +69,7 @@
     let limit = limit.transpose().map_err(|_error| Code::BadField)?.map(Duration::from_millis);
     let lookup = worker.lookup_at(&host_of(&head), head.uri.path())?;
     let most = bounds.body_bytes.unwrap_or(limits.body);
-    let body = read_body(incoming, RequestLimits { body: most, ..limits }).await?;
+    let body = read_body(incoming, RequestLimits { body: most, ..limits }, worker.memory()).await?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut handed_on = headers::handed_on(&head.headers);
     let claims = headers::take_claims(&mut handed_on);
--- a/crates/harefield/tests/fleet/warming.rs
+++ b/crates/harefield/tests/fleet/warming.rs
@@ -13,13 +13,14 @@
 use harefield::adapters::upstreams::unsent;
 use harefield::domain::outcome::Gap;
 use harefield::domain::routing::Verdict;
+use harefield::memory::Memory;
 use harefield::ports::Place;
 use harefield::ports::Upstreams;
 
 #[test]
 fn dead_left_alone() {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor));
+    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor), Memory::default());
     // A port that was just free refuses connections.
     let listener = std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
     let address = listener.local_addr().expect("it has an address");
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -23,6 +23,7 @@
 use harefield::domain::query::ByteQuery;
 use harefield::domain::query::Query;
 use harefield::domain::residency::Regions;
+use harefield::memory::Memory;
 use harefield::ports::Call;
 use harefield::ports::Group;
 use harefield::ports::GroupReply;
@@ -116,7 +117,7 @@
 
 fn with_peers<F: Future<Output = ()>>(test: impl FnOnce(HttpPeers) -> F) {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
     async_io::block_on(executor.run(test(peers)));
 }
 
@@ -163,7 +164,7 @@
 fn silent_upstream_dialled_anew() {
     let upstream = Listener::start();
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor));
+    let upstreams = HttpUpstreams::new(OwnProtocol, Rc::clone(&executor), Memory::default());
     let test = async {
         let call = call(&upstream);
         for _ in 0..2 {
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -24,6 +24,7 @@
 use harefield::domain::hlc::Stamp;
 use harefield::domain::query::ByteQuery;
 use harefield::domain::residency::Regions;
+use harefield::memory::Memory;
 use harefield::ports::Group;
 use harefield::ports::Peers;
 use harefield::telemetry::WorkerStatus;
@@ -260,7 +261,7 @@
         worker(&site).waiting > 0
     });
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
     let host = site.daemon.addresses.peers.to_string().into();
     let message = group(&site);
     let handing = peers.group(&host, &message, Duration::from_secs(5));
@@ -277,7 +278,7 @@
     site.searchers["i-s2"].set(Manner::Fail, Duration::ZERO);
     site.searchers["i-s1"].set(Manner::Good, Duration::from_millis(400));
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
     let host = site.daemon.addresses.peers.to_string().into();
     let message = Group { needed: 2, possible, remaining: 1_500_000, gather: Some(700_000), ..group(&site) };
     let handing = peers.group(&host, &message, Duration::from_secs(5));
@@ -298,7 +299,7 @@
     }
     let message = Group { remaining: 2_000_000, gather: Some(1_500_000), ..group(&site) };
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
     let host = site.daemon.addresses.peers.to_string().into();
     let gone = async {
         let running = async {
--- a/crates/harefield/tests/processes/site_cells.rs
+++ b/crates/harefield/tests/processes/site_cells.rs
@@ -22,6 +22,7 @@
 use harefield::domain::outcome::Answer;
 use harefield::domain::outcome::Outcome;
 use harefield::domain::query::ByteQuery;
+use harefield::memory::Memory;
 use harefield::ports::Forward;
 use harefield::ports::Peers;
 
@@ -148,7 +149,7 @@
 /// Hands a request to a daemon as another one does.
 fn hand(daemon: &Daemon, message: &Forward) -> Answer {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
-    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default());
+    let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
     let host = daemon.addresses.peers.to_string().into();
     let handing = peers.forward(&host, message, Duration::from_secs(5));
     let forwarded = async_io::block_on(executor.run(handing));
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -209,7 +209,7 @@
     format!(
         "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
-         {platform}[peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\n[routing]\nextra-load = 0.2\n\
+         {platform}[peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\nstall-ms = 1500\n[routing]\nextra-load = 0.2\n\
          extra-slack = 50\n{routing}",
         store.address()
     )
--- a/crates/harefield/tests/processes/slow_peers.rs
+++ b/crates/harefield/tests/processes/slow_peers.rs
@@ -8,6 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::net::AddressFamily;
+use rustix::net::SocketType;
+use rustix::net::connect;
+use rustix::net::socket;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use standin::entry_at;
 
 use crate::site_support::Site;
@@ -23,11 +28,9 @@
 /// A connection ends that takes nothing for this long.
 const STALL: Duration = Duration::from_millis(1500);
 
-const SETTINGS: &str = "";
-
 /// Starts a daemon beside an upstream of the service `one` that answers a megabyte.
 fn start() -> Site {
-    let mut site = Site::start_with(1, SETTINGS);
+    let mut site = Site::start_with(1, "");
     site.store.put("servers/i-one", None);
     site.searchers.remove("i-one");
     site.add("one", "i-large", &vec![7; RECORDS]);
@@ -38,7 +41,11 @@
 
 /// Sends a request for a megabyte, and reads nothing.
 fn begin_large(to: SocketAddr, number: usize) -> TcpStream {
-    let mut stream = TcpStream::connect(to).expect("it listens");
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("there are sockets");
+    // Else the system takes the whole answer, and nothing is left in the daemon.
+    set_socket_recv_buffer_size(&socket, 4096).expect("it can be set");
+    connect(&socket, &to).expect("it listens");
+    let mut stream = TcpStream::from(socket);
     stream.set_read_timeout(Some(PATIENCE)).expect("a timeout can be set");
     let head = format!(
         "GET /one/x HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: s{number}\r\nDeadline-Remaining: 2000\r\n\r\n"
@@ -136,7 +143,7 @@
     // One that reads, if slowly, has its whole answer.
     let site = start();
     let mut slow = begin_large(site.daemon.addresses.callers, 0);
-    let (mut whole, mut chunk) = (0, [0; 32 << 10]);
+    let (mut whole, mut chunk) = (0, vec![0; 32 << 10]);
     while whole < RECORDS * 16 {
         let read = slow.read(&mut chunk).expect("it goes on");
         assert!(read > 0, "ended after {whole}");
@@ -167,7 +174,7 @@
 #[test]
 fn deaf_upstream_bounded() {
     // Bodies for an upstream that reads nothing are held until their time is up, and no longer.
-    let site = Site::start_with(1, SETTINGS);
+    let site = Site::start_with(1, "");
     let deaf = deaf_upstream();
     let address = deaf.local_addr().expect("it has one");
     site.store.put("servers/i-one", None);
