Limits: what the margin leaves is burst, and parts are held as soon as a daemon knows the others

Change: the burst of all parts is what the margin leaves, less the seventh that is for parts which two daemons hold; a daemon holds parts once it heard of no new daemon for 1.2 s, and one that does not know the others says how long that takes in Retry-After.

Ruled out: parts held from the start (each of the fifteen daemons of a zone would hold them).

accounts::parts_within_bound holds for both; accounts::starts_settle is new. not_run::woken_daemon failed once: traced, on the code of before as well (2 of 64): hedges of its first request ran after the count began, as the time line of one shows. It awaits that nothing is under way now; what it asserts is the same.

--- a/crates/harefield/src/domain/accounts/holders.rs
+++ b/crates/harefield/src/domain/accounts/holders.rs
@@ -26,6 +26,10 @@
 /// longer than a restart, so that a restart moves nothing.
 const REPLACED_AFTER: Duration = Duration::from_secs(15);
 
+/// A daemon that heard of no new one for so long knows the others: they speak to each other
+/// once a second, and tell of news at once.
+const SETTLE: Duration = Duration::from_millis(1200);
+
 /// How many parts a limit is divided into at least, where it is large enough: the loss of
 /// one daemon then costs a sixth.
 const LEAST_PARTS: usize = 6;
@@ -37,6 +41,8 @@
     hosts: BTreeMap<Arc<str>, BTreeSet<HostId>>,
     /// Since when daemons have not answered.
     absent: BTreeMap<HostId, Instant>,
+    /// When a daemon was last heard of for the first time.
+    grown: Option<Instant>,
 }
 
 impl Holders {
@@ -60,10 +66,25 @@
                 absent.insert(Arc::clone(&row.host), since);
             }
         }
+        let known = |held: &BTreeMap<Arc<str>, BTreeSet<HostId>>, host: &HostId| {
+            held.values().any(|hosts| hosts.contains(host))
+        };
+        if hosts.values().flatten().any(|host| !known(&self.hosts, host)) {
+            self.grown = Some(now);
+        }
         self.hosts = hosts;
         self.absent = absent;
     }
 
+    /// Returns for how much longer this daemon may not know the others well enough to hold
+    /// parts; none where it does. A daemon that starts hears of the others within some
+    /// exchanges, and a fleet that starts whole of new ones all the time.
+    #[must_use]
+    pub fn unsettled_for(&self, now: Instant) -> Option<Duration> {
+        let settled = self.grown.map_or(now + SETTLE, |grown| grown + SETTLE);
+        Some(settled.saturating_duration_since(now)).filter(|wait| !wait.is_zero())
+    }
+
     /// Returns where the parts of a zone's daemons are counted.
     fn place(&self, zone: &Arc<str>) -> Arc<str> {
         if self.zones.is_empty() { Arc::default() } else { Arc::clone(zone) }
--- a/crates/harefield/src/domain/accounts/limit.rs
+++ b/crates/harefield/src/domain/accounts/limit.rs
@@ -9,9 +9,9 @@
 use super::reserve::VALID;
 use crate::domain::resources::Account;
 
-/// The share of the margin that is given out as burst on top of the account's own, so that
-/// parts which are drawn on unevenly refuse nothing inside the limit.
-const BURST_SHARE: f64 = 0.125;
+/// The part of what is allowed within a window that is given out; the rest is for parts that
+/// two daemons hold for a while: one in six, which is a seventh of all.
+const GIVEN_OUT: f64 = 0.857;
 
 /// How far the fleet may go above an account's limit within a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,10 +56,12 @@
             return None;
         }
         let limit = account.rate * overage.window.as_secs_f64() + account.burst;
-        let margin = limit * overage.share + overage.slack;
-        let late = account.rate * VALID.as_secs_f64();
-        let added = (margin * BURST_SHARE).min(margin - late);
-        Some(Self { rate: account.rate, burst: account.burst + added })
+        let allowed = limit * (1.0 + overage.share) + overage.slack;
+        let flow = account.rate * (overage.window + VALID).as_secs_f64();
+        // All that the margin leaves is burst: parts are drawn on unevenly, and what one lacks
+        // is refused though others have it.
+        let burst = (allowed * GIVEN_OUT - flow).max((allowed - flow).min(account.burst));
+        Some(Self { rate: account.rate, burst })
     }
 
     /// Returns how many parts it is divided into, `wanted` at most: each gives out whole
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -35,7 +35,6 @@
 pub mod resources;
 pub mod revision;
 pub mod routing;
-pub mod settled;
 pub mod snapshot;
 pub mod suspects;
 pub mod time;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -20,6 +20,7 @@
 mod report;
 mod router;
 mod searcher;
+mod settled;
 mod sharing;
 mod window;
 mod zones;
--- a/crates/harefield/src/domain/settled.rs
+++ b/crates/harefield/src/domain/routing/settled.rs
@@ -10,14 +10,13 @@
 
 /// Since when a daemon runs, and whether it has heard of another.
 #[derive(Clone, Copy, Debug)]
-pub struct Settled {
+pub(super) struct Settled {
     start: Instant,
     met: bool,
 }
 
 impl Settled {
     /// Creates the state of a daemon that starts.
-    #[must_use]
     pub fn new(now: Instant) -> Self {
         Self { start: now, met: false }
     }
@@ -29,7 +28,6 @@
 
     /// Says whether it has a part, where there are to be `others`. One that starts while it
     /// is cut off from them has none.
-    #[must_use]
     pub fn has_part(self, others: bool, now: Instant) -> bool {
         now.saturating_duration_since(self.start) >= SETTLE && (self.met || !others)
     }
--- a/crates/harefield/src/engine/permits.rs
+++ b/crates/harefield/src/engine/permits.rs
@@ -97,10 +97,12 @@
 
     /// Says that an account asks more than it may, or that nobody could be asked.
     fn over_limit(&self, client: &Client, parts: u32, empty: bool) -> Refusal {
+        let now = self.ports.clock.now();
         if !empty {
-            return Refusal { code: Code::LimitUnknown, wait: Some(COME_BACK) };
+            // Where this daemon does not know the others yet, they may not know each other.
+            let wait = self.unsettled_for(now).unwrap_or(COME_BACK);
+            return Refusal { code: Code::LimitUnknown, wait: Some(wait) };
         }
-        let now = self.ports.clock.now();
         let wait = self
             .with_reserve(client, |reserve| (0..parts).filter_map(|part| reserve.empty_for(part, now)).min());
         Refusal { code: Code::LimitReached, wait: Some(wait.unwrap_or(COME_BACK)) }
@@ -190,7 +192,7 @@
     fn grant_own(&self, ask: &PermitAsk, limit: &FleetLimit) -> PermitReply {
         let now = self.ports.clock.now();
         let parts = limit.parts(self.holders.borrow().wanted());
-        if ask.part >= parts || !self.settled.get().has_part(self.settings.others, now) {
+        if ask.part >= parts || self.unsettled_for(now).is_some() {
             return PermitReply::NotHeld;
         }
         let slot = (Arc::clone(&ask.account), ask.part);
@@ -200,6 +202,13 @@
         }
     }
 
+    /// Returns for how much longer this daemon may not hold parts; none where it may.
+    fn unsettled_for(&self, now: Instant) -> Option<Duration> {
+        let alone = self.settings.others && !self.met.get();
+        let holders = self.holders.borrow();
+        holders.unsettled_for(now).or(alone.then_some(COME_BACK))
+    }
+
     /// Locks the parts; they are whole even where a thread panicked beside them.
     fn lock_grants(&self) -> MutexGuard<'_, Grants> {
         self.grants.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -50,11 +50,8 @@
             self.spare.borrow_mut().bound(rerun_part(slack, self.known.get()));
         }
         self.holders.borrow_mut().see(&peers.rows, self.ports.clock.now());
-        if peers.rows.iter().any(|row| row.host != self.settings.host) {
-            let mut settled = self.settled.get();
-            settled.meet();
-            self.settled.set(settled);
-        }
+        let met = peers.rows.iter().any(|row| row.host != self.settings.host);
+        self.met.set(self.met.get() || met);
         let others = peers.rows.iter().filter(|row| row.host != self.settings.host);
         self.router.borrow_mut().see_daemons(others);
         *self.peers.borrow_mut() = peers;
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -49,7 +49,6 @@
 use crate::domain::routing::RERUN_SHARE;
 use crate::domain::routing::Router;
 use crate::domain::routing::rerun_part;
-use crate::domain::settled::Settled;
 use crate::domain::suspects::Suspects;
 use crate::domain::view::View;
 use crate::memory::Memory;
@@ -182,8 +181,8 @@
     pub(super) memory: Memory,
     /// How many bytes the replies of each lookup's requests come to.
     pub(super) sizes: RefCell<HashMap<Arc<str>, usize>>,
-    /// Whether this daemon knows the others well enough to hold parts.
-    pub(super) settled: Cell<Settled>,
+    /// Whether another daemon was ever heard of.
+    pub(super) met: Cell<bool>,
     numbered: Cell<u64>,
 }
 
@@ -218,7 +217,6 @@
         control: Sender<ToControl>,
         telemetry: Telemetry,
     ) -> Rc<Self> {
-        let now = ports.clock.now();
         let holders = Holders::over(settings.places.regions.keys());
         let budgets = match settings.slack {
             Some(slack) => Budgets::by_service(FleetSlack { share: settings.extra, slack }, settings.daemons),
@@ -271,7 +269,7 @@
             sizes: RefCell::default(),
             reserves: RefCell::default(),
             quiet: RefCell::default(),
-            settled: Cell::new(Settled::new(now)),
+            met: Cell::new(false),
             numbered: Cell::new(0),
         })
     }
--- a/crates/harefield/tests/decisions/accounts.rs
+++ b/crates/harefield/tests/decisions/accounts.rs
@@ -182,6 +182,23 @@
     assert!(reserve.take(after(start, 1200)).is_none());
 }
 
+#[test]
+fn starts_settle() {
+    // One that hears of others all the time does not know them yet; who is seen how is no news.
+    let start = Instant::now();
+    let mut holders = Holders::over(&[Arc::from("a")]);
+    assert!(holders.unsettled_for(start).is_some(), "it knows nobody");
+    for number in 0..4 {
+        let rows: Vec<_> = (0..=number).map(|n| row(n, "a")).collect();
+        holders.see(&rows, after(start, 500 * number as u64));
+    }
+    assert_eq!(holders.unsettled_for(after(start, 1600)), Some(Duration::from_millis(1100)));
+    let mut rows: Vec<_> = (0..4).map(|n| row(n, "a")).collect();
+    rows[2].state = PeerState::Suspect;
+    holders.see(&rows, after(start, 2600));
+    assert_eq!(holders.unsettled_for(after(start, 2700)), None);
+}
+
 #[test]
 fn cut_off_takes_nothing_over() {
     // A daemon that sees nobody answer ranks the others as before.
--- a/crates/harefield/tests/processes/not_run.rs
+++ b/crates/harefield/tests/processes/not_run.rs
@@ -73,6 +73,12 @@
     // with the request that waited in its socket.
     let world = World::start(1, "");
     world.query(0);
+    // The first request's hedges have run by then, or been taken back: they are not counted.
+    crate::support::await_true("nothing is under way", || {
+        let status = world.daemons[0].status();
+        let mut upstreams = status.workers.values().flat_map(|worker| &worker.upstreams);
+        status.lookups.contains_key("parcels") && upstreams.all(|upstream| upstream.running == 0)
+    });
     world.daemons[0].signal("STOP");
     let to = world.daemons[0].addresses.callers;
     let before = world.searchers.tally().ran;
