--- a/crates/harefield/src/commands/fetch.rs
+++ b/crates/harefield/src/commands/fetch.rs
@@ -20,14 +20,14 @@
 
 const MOST_REPLY: usize = 256 << 20;
 
-/// How operators' addresses are asked.
+/// How daemons' addresses are asked.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Asker {
     token: Option<String>,
 }
 
 impl Asker {
-    /// Reads the token that operators show.
+    /// Reads the token that operators show, or the key of a client account.
     pub fn with_token(path: &str) -> Result<Self, Failure> {
         let token = read_token(Some(Path::new(path))).map_err(|error| {
             Failure::new(Exit::Invalid, miette::miette!("{}: {path}: {error}", Code::SettingsUnreadable))
--- a/crates/harefield/src/commands/query.rs
+++ b/crates/harefield/src/commands/query.rs
@@ -30,6 +30,7 @@
   --id TEXT          the caller's own id of the request
   --ticket TEXT      send a once-only lookup again under its ticket
   --deadline-ms N    a shorter deadline than the lookup's
+  --key-file FILE    show the client account's key in this file's first line
 ";
 
 /// How long an answer is awaited beyond any lookup's deadline.
@@ -39,22 +40,23 @@
 struct Options {
     to: Option<SocketAddr>,
     lookup: Option<String>,
+    asker: Asker,
     body: Map<String, Value>,
 }
 
 pub(super) fn run(mut arguments: Arguments) -> Outcome {
     arguments.set_help(HELP);
-    let Options { to, lookup, mut body } = read(&mut arguments)?;
+    let Options { to, lookup, asker, mut body } = read(&mut arguments)?;
     let to = to.ok_or_else(|| lexopt::Error::from("--to IP:PORT is needed"))?;
     let lookup = lookup.ok_or_else(|| lexopt::Error::from("a LOOKUP is needed"))?;
     body.entry("query").or_insert(Value::Null);
-    let mut answer = ask(to, &lookup, &body)?;
+    let mut answer = ask(&asker, to, &lookup, &body)?;
     if answer.code == Code::TicketRequired
         && let Some(ticket) = &answer.ticket
     {
         eprintln!("ticket: {ticket}");
         body.insert("ticket".to_owned(), Value::String(ticket.clone()));
-        answer = ask(to, &lookup, &body)?;
+        answer = ask(&asker, to, &lookup, &body)?;
     }
     println!("{}", serde_json::to_string_pretty(&answer).unwrap_or_default());
     Ok(match answer.outcome {
@@ -70,6 +72,7 @@
     while let Some(argument) = arguments.next()? {
         match argument {
             Argument::Option(name) => match name.as_str() {
+                "key-file" => options.asker = Asker::with_token(&arguments.value()?)?,
                 "to" => options.to = Some(parse(&arguments.value()?)?),
                 "id" | "ticket" => {
                     options.body.insert(name, Value::String(arguments.value()?));
@@ -97,9 +100,9 @@
     text.parse().map_err(|error: T::Err| format!("{text:?}: {error}").into())
 }
 
-fn ask(to: SocketAddr, lookup: &str, body: &Map<String, Value>) -> Result<Answer, Failure> {
+fn ask(asker: &Asker, to: SocketAddr, lookup: &str, body: &Map<String, Value>) -> Result<Answer, Failure> {
     let text = Value::Object(body.clone()).to_string();
-    let reply = Asker::default().call(Method::POST, to, &format!("/v1/lookups/{lookup}"), text, LIMIT);
+    let reply = asker.call(Method::POST, to, &format!("/v1/lookups/{lookup}"), text, LIMIT);
     let reply = reply.ok_or_else(|| unreachable(&[to]))?;
     serde_json::from_slice(&reply).map_err(|_error| unreachable(&[to]))
 }
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real processes under failure: daemons are separate processes,
 //! the platform and the searchers are stand-ins on threads of the test.
 
+mod accounts;
 mod administration;
 mod bad_input;
 mod configuration;
--- a/demo.sh
+++ b/demo.sh
@@ -70,5 +70,17 @@
 sleep 0.3
 "$bin/harefield" explain "$request" --from 127.0.0.1:17301
 
+echo "== a client account: no lookup without a key"
+tell '/searchers/*' '{"service-ms":2,"frozen":false}'
+key=belt-side-key
+digest=$(printf %s "$key" | sha256sum | cut -d' ' -f1)
+"$bin/standin" tell --admin 127.0.0.1:17892 /publish/config \
+    "{\"accounts/sortdesk\":{\"keys\":[\"$digest\"],\"rate\":5,\"burst\":2}}" >/dev/null
+sleep 1
+"$bin/harefield" query --to 127.0.0.1:17103 parcels >"$work/refused" && exit 1
+grep '"code"' "$work/refused"
+echo "$key" >"$work/key"
+"$bin/harefield" query --to 127.0.0.1:17103 parcels --key-file "$work/key" | grep '"code"'
+
 kill "$searchers"
 echo "== done"
