Keys open nothing by an older edition than callers have seen

A daemon that hands requests on had answered under a member's newer edition, and went on to accept keys by its own older one: a key that is taken away opened again what it had not a moment before (found by reading; site_editions::keys_of_seen_edition was seen failing: the second request was handed on).

Cause: only members waited for an edition that was seen.

--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -96,10 +96,12 @@
     }
 
     /// Finds the plan again where callers have seen a newer edition here than the one
-    /// in force, which is on its way: nothing runs here under the older one.
+    /// in force, which is on its way: nothing runs here under the older one, nor does a key
+    /// open anything by it that another daemon would run.
     async fn find_current(&self, request: &LookupRequest, found: Found) -> Result<Found, Code> {
         let is_current = || self.edition() >= self.seen_edition();
-        if is_current() || !found.plan.member {
+        let decides = found.plan.member || self.view.borrow().directory.is_required();
+        if is_current() || !decides {
             return Ok(found);
         }
         let until = found.deadline.min(found.start + CONFIRM_WAIT);
--- a/crates/harefield/tests/processes/site_editions.rs
+++ b/crates/harefield/tests/processes/site_editions.rs
@@ -13,8 +13,10 @@
 
 use serde::Serialize;
 use serde_bytes::ByteBuf;
+use serde_json::json;
 
 use crate::site_support::Site;
+use crate::site_support::ask;
 use crate::site_support::routes;
 use crate::support::await_true;
 use harefield::domain::code::Code;
@@ -149,3 +151,28 @@
     site.publish(NEWER, &routes());
     await_true("it serves", || site.ask("/all/x", "e4").status == 200);
 }
+
+#[test]
+fn keys_of_seen_edition() {
+    // Who opens what is decided under no older edition than callers have seen here, also where
+    // another daemon runs the request.
+    let other = Other::default();
+    let site = Site::start_beside(other.start(), 1);
+    let account = json!({ "name": "apex", "apiKeys": ["key-a"], "ratePerS": 0 });
+    site.publish_for(2, &routes(), Some(&[account]));
+    let asked = || other.asked.lock().expect("nobody panicked").clone();
+    let key = "Attempt-Id: k1\r\nDeadline-Remaining: 2000\r\nAuthorization: Bearer key-a\r\n";
+    let ask_with_key = || ask(site.daemon.addresses.callers, "/all/x", key);
+    await_true("keys are asked for", || site.ask("/all/x", "k0").status == 401);
+    let before = asked().len();
+    await_true("the other daemon runs it", || {
+        ask_with_key();
+        asked().len() > before
+    });
+    let seen = asked().len();
+    let answer = ask_with_key();
+    assert!(String::from_utf8_lossy(&answer.body).contains(&Code::OlderView.to_string()), "{answer:?}");
+    assert_eq!(asked().len(), seen, "it was not handed on under the older edition");
+    site.publish_for(NEWER, &routes(), Some(&[]));
+    await_true("the key opens nothing", || ask_with_key().status == 401);
+}
