Soak: keys that move and are taken away with each version

Every caller shows a key and forges an account; one shows keys of the last five versions, some of which moved to another account or were taken away.

--- a/crates/harefield/tests/soak/callers.rs
+++ b/crates/harefield/tests/soak/callers.rs
@@ -14,7 +14,10 @@
 
 use crate::client::Connection;
 use crate::client::Ending;
+use crate::configuration::STEADY_KEY;
+use crate::configuration::key_of;
 use crate::ledger::Fatal;
+use crate::ledger::KeyUse;
 use crate::ledger::Ledger;
 use crate::ledger::Request;
 use crate::ledger::Route;
@@ -44,7 +47,7 @@
 
 impl Calling {
     /// Starts callers of any daemon, one for each daemon that asks for the version in
-    /// force, and one whose requests end upstreams.
+    /// force, one whose requests end upstreams, and one that shows keys old and new.
     pub fn start(&self, callers: u64) -> Vec<JoinHandle<()>> {
         let any = (0..callers).map(|number| {
             let this = self.clone();
@@ -56,7 +59,9 @@
         });
         let this = self.clone();
         let ending = std::thread::spawn(move || this.end_upstreams());
-        any.chain(watchers).chain([ending]).collect()
+        let this = self.clone();
+        let keys = std::thread::spawn(move || this.show_keys());
+        any.chain(watchers).chain([ending, keys]).collect()
     }
 
     fn is_done(&self) -> bool {
@@ -104,6 +109,23 @@
         }
     }
 
+    /// Shows the keys of the last few versions, some of which were taken away, to any daemon.
+    fn show_keys(&self) {
+        let mut random = StdRng::seed_from_u64(self.seed.rotate_left(29));
+        let mut asked = 0;
+        while !self.is_done() {
+            std::thread::sleep(Duration::from_millis(random.random_range(40..160)));
+            let daemon = random.random_range(0..self.world.nodes.len());
+            let version = self.world.version().saturating_sub(random.random_range(0..5));
+            let Some(mut connection) = Connection::open(self.world.nodes[daemon].callers) else { continue };
+            asked += 1;
+            let sent = Instant::now();
+            let ending = connection.ask(&head_with(&key_of(version), "/one/x", &format!("k{asked}")), WAIT);
+            let shown = KeyUse { version, daemon, sent, ended: Instant::now(), ending };
+            self.ledger.pages().keys.push(shown);
+        }
+    }
+
     fn watch(&self, daemon: usize) {
         let mut asked = 0;
         while !self.is_done() {
@@ -137,8 +159,13 @@
 }
 
 fn head(path: &str, id: &str) -> String {
+    head_with(STEADY_KEY, path, id)
+}
+
+fn head_with(key: &str, path: &str, id: &str) -> String {
     format!(
-        "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: {}\r\n\r\n",
+        "GET {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining: {}\r\n\
+         Authorization: Bearer {key}\r\nTenant: forged\r\n\r\n",
         DEADLINE.as_millis()
     )
 }
--- a/crates/harefield/tests/soak/checks/mod.rs
+++ b/crates/harefield/tests/soak/checks/mod.rs
@@ -1,9 +1,10 @@
 //! The promises, checked against what callers and upstreams saw.
 //!
-//! `answers` is about what callers were told, `runs` about where their requests ran,
+//! `accounts` is about whose requests run, `answers` about what callers were told, `runs` about where their requests ran,
 //! `versions` about how soon a change is in force, `extra` about load beyond the
 //! requests, `harm` about requests that end upstreams.
 
+mod accounts;
 mod answers;
 mod extra;
 mod harm;
@@ -64,6 +65,8 @@
             self.not_withheld(request);
         }
         self.versions();
+        self.named();
+        self.keys();
         self.leaving();
         self.extra_load();
         self.harm();
--- a/crates/harefield/tests/soak/checks/versions.rs
+++ b/crates/harefield/tests/soak/checks/versions.rs
@@ -54,7 +54,7 @@
     /// Says whether anything of the kinds chosen was disturbed between a word of the
     /// store and a moment, within the time that its word takes to be in force. That time
     /// runs from the return of a store that was away: nobody waits for lost answers.
-    fn was_disturbed(&self, word: Instant, until: Instant, of: impl Fn(Kind) -> bool) -> bool {
+    pub(super) fn was_disturbed(&self, word: Instant, until: Instant, of: impl Fn(Kind) -> bool) -> bool {
         let from = word.max(until.checked_sub(IN_FORCE).unwrap_or(word));
         let is_store = |kind| matches!(kind, Kind::Store | Kind::StoreLink(_));
         let store = |kind| is_store(kind) && of(kind);
--- a/crates/harefield/tests/soak/configuration.rs
+++ b/crates/harefield/tests/soak/configuration.rs
@@ -17,7 +17,33 @@
 pub(crate) fn configuration(version: u64, shards: &[String], services: &BTreeSet<&str>) -> Value {
     let services: Vec<Value> =
         services.iter().map(|name| json!({ "name": name, "connectionLimit": CONNECTIONS })).collect();
-    json!({ "version": version, "routes": routes(version, shards), "services": services, "limits": limits() })
+    json!({
+        "version": version, "routes": routes(version, shards), "services": services, "limits": limits(),
+        "tenants": accounts(version),
+    })
+}
+
+/// The key that most callers show, of the account `steady`.
+pub(crate) const STEADY_KEY: &str = "steady-key";
+
+/// The account that most callers are of.
+pub(crate) const STEADY: &str = "steady";
+
+/// The two accounts that keys move between; each begins so.
+pub(crate) const TURN: &str = "turn-";
+
+/// Returns the key that comes with a version, moves to another account with the next one, and
+/// is taken away with the one after.
+pub(crate) fn key_of(version: u64) -> String {
+    format!("key-of-{version}")
+}
+
+fn accounts(version: u64) -> [Value; 2] {
+    let keys = [key_of(version), key_of(version.saturating_sub(1))];
+    [
+        json!({ "name": STEADY, "apiKeys": [STEADY_KEY], "ratePerS": 0 }),
+        json!({ "name": format!("{TURN}{}", version % 2), "apiKeys": keys, "priority": 1, "ratePerS": 0 }),
+    ]
 }
 
 fn routes(version: u64, shards: &[String]) -> [Value; 4] {
--- a/crates/harefield/tests/soak/ledger.rs
+++ b/crates/harefield/tests/soak/ledger.rs
@@ -85,6 +85,16 @@
     pub daemon: usize,
 }
 
+/// A request that showed the key that came with a version.
+#[derive(Clone, Debug)]
+pub(crate) struct KeyUse {
+    pub version: u64,
+    pub daemon: usize,
+    pub sent: Instant,
+    pub ended: Instant,
+    pub ending: Ending,
+}
+
 /// Everything that was written down.
 #[derive(Debug, Default)]
 pub(crate) struct Pages {
@@ -93,6 +103,7 @@
     pub published: Vec<Published>,
     pub leaving: Vec<Leaving>,
     pub fatal: Vec<Fatal>,
+    pub keys: Vec<KeyUse>,
 }
 
 impl Pages {
--- a/crates/harefield/tests/soak/world.rs
+++ b/crates/harefield/tests/soak/world.rs
@@ -238,6 +238,11 @@
         before
     }
 
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::SeqCst)
+    }
+
     /// Says whether every daemon says that it is ready.
     pub fn is_ready(&self) -> bool {
         self.nodes.iter().all(Node::is_ready)
