Test of a stop beside requests handed on: all three are at the member when it begins

Cause: the stop began once six shard requests had run, which hedges count among, so that one of the three requests could still be on its way to the one member of the cell, which declines what comes once it stops. What it asserts is the same.

--- a/crates/harefield/tests/processes/planned_stop.rs
+++ b/crates/harefield/tests/processes/planned_stop.rs
@@ -64,7 +64,8 @@
     // Slow enough to be in progress when the stop begins, quick enough that
     // two in a row fit into the deadline.
     world.searchers.change_all(|b| b.service_ms = 350.0);
-    let before = world.searchers.tally().ran;
+    let admitted = |world: &World| world.daemons[member].timeline("kind=admitted").len();
+    let before = admitted(&world);
     let askers: Vec<_> = world
         .daemons
         .iter()
@@ -73,7 +74,8 @@
             thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))
         })
         .collect();
-    await_true("they run", || world.searchers.tally().ran >= before + 6);
+    // Runs at searchers would count hedges, and one request may not be here yet.
+    await_true("all three run", || admitted(&world) >= before + 3);
     world.daemons[member].signal("TERM");
     for asker in askers {
         let answer = asker.join().expect("no panic").expect("no request is cut");
