Accounts, memory: what was written twice, and one more place where a key could show

Read over as a whole; behaviour stays. - A request's work was digested twice as its plan was found, and a third time for an account: once now, and once more where an account changes it. - whose request it is has two cases, not three; when to come back without a region stands in one place; the regions of a lookup and an account are joined in one. - Keys have a module of their own: resources and accounts named each other. - What a caller says of who asks is a type whose Debug hides it: Debug of a query showed the key (nothing printed it; accounts::key_hidden covers it now). - Gauges by use and not by its name; constants above the types; a comma. - Tests: start_cells is start_with; one check of what upstreams are told.

--- a/crates/harefield/examples/accounts.rs
+++ b/crates/harefield/examples/accounts.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use harefield::domain::accounts::Credential;
 use harefield::domain::accounts::Directory;
 use harefield::domain::accounts::FleetLimit;
 use harefield::domain::accounts::Grants;
 use harefield::domain::accounts::Identity;
 use harefield::domain::accounts::Overage;
 use harefield::domain::accounts::Reserve;
+use harefield::domain::key::Credential;
 use harefield::domain::resources::ResourceSet;
 
 const ACCOUNTS: u32 = 10_000;
--- a/crates/harefield/src/adapters/http/body.rs
+++ b/crates/harefield/src/adapters/http/body.rs
@@ -69,7 +69,10 @@
         chunks.push(chunk);
     }
     let whole = join(chunks, total);
-    Ok(held.map_or_else(|| whole.clone(), |held| held.bind(whole.clone())))
+    Ok(match held {
+        Some(held) => held.bind(whole),
+        None => whole,
+    })
 }
 
 /// Counts one more chunk, once all together are worth it.
--- a/crates/harefield/src/adapters/http/token.rs
+++ b/crates/harefield/src/adapters/http/token.rs
@@ -4,7 +4,7 @@
 use hyper::header::AUTHORIZATION;
 use subtle::ConstantTimeEq;
 
-use crate::domain::accounts::Credential;
+use crate::domain::key::Credential;
 
 /// What a key follows, in any case.
 const KEY_SCHEME: &str = "bearer ";
--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -232,7 +232,7 @@
         // A family's metric is returned under a lock, which the next one would wait for.
         let gauge = |held_for: Use| {
             let metric = self.held.get_or_create(&kind(held_for.name())).clone();
-            (held_for.name(), metric)
+            (held_for, metric)
         };
         let ended = |name: &str| self.ended.get_or_create(&kind(name)).clone();
         let (stalled, evicted) = (ended("stalled"), ended("evicted"));
--- a/crates/harefield/src/adapters/operators/resources.rs
+++ b/crates/harefield/src/adapters/operators/resources.rs
@@ -116,9 +116,7 @@
         add_faults(kind, &status, &mut items);
         Some(items)
     }
-}
 
-impl Operators {
     /// Returns the accounts with how many keys each has, and no key.
     fn accounts(&self, set: &ResourceSet) -> Vec<Item> {
         let item = |(name, account): (&Arc<str>, &Arc<Account>)| Item {
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -112,7 +112,7 @@
 }
 
 impl HttpPeers {
-    /// Creates the adapter on one thread's executor; `token` is shown to peers
+    /// Creates the adapter on one thread's executor; `token` is shown to peers,
     /// `traffic` counts what control sends, and `memory` what is held of messages.
     #[must_use]
     pub fn new(
--- a/crates/harefield/src/domain/accounts/directory.rs
+++ b/crates/harefield/src/domain/accounts/directory.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use super::asker::Asker;
-use super::key::Credential;
-use super::key::KeyDigest;
 use crate::domain::ids::AccountId;
+use crate::domain::key::Credential;
+use crate::domain::key::KeyDigest;
 use crate::domain::resources::Account;
 use crate::domain::resources::ResourceSet;
 
--- a/crates/harefield/src/domain/accounts/grants.rs
+++ b/crates/harefield/src/domain/accounts/grants.rs
@@ -10,6 +10,12 @@
 /// Turns to come back are given out so far ahead at most.
 const HORIZON: Duration = Duration::from_secs(2);
 
+/// How often the parts that are full are dropped: one that is made anew is full as well.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// The time in which a part that gives out next to nothing is taken to fill.
+const LONGEST: Duration = Duration::from_secs(86_400);
+
 /// What a holder says to who wants permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -38,12 +44,6 @@
     buckets: HashMap<SlotId, Bucket>,
 }
 
-/// How often the parts that are full are dropped: one that is made anew is full as well.
-const SWEEP_EVERY: Duration = Duration::from_secs(1);
-
-/// The time in which a part that gives out next to nothing is taken to fill.
-const LONGEST: Duration = Duration::from_secs(86_400);
-
 impl Grants {
     /// Creates the parts of a daemon that starts: all of them are empty, since what a former
     /// process of it granted is not known.
--- a/crates/harefield/src/domain/accounts/mod.rs
+++ b/crates/harefield/src/domain/accounts/mod.rs
@@ -1,7 +1,7 @@
 //! Client accounts: who asks, what an account may ask over the whole fleet, and which
 //! daemons hold its limit.
 //!
-//! A request shows a [`Credential`]; the [`Directory`] of the configuration in force says
+//! A request shows a [`Credential`](super::key::Credential); the [`Directory`] of the configuration in force says
 //! whose it is. What an account may ask is divided into parts ([`FleetLimit`]), each held by
 //! one daemon ([`Holders`]) that grants permits from it ([`Grants`]); who is asked by a
 //! caller keeps granted permits for a moment ([`Reserve`]).
@@ -10,7 +10,6 @@
 mod directory;
 mod grants;
 mod holders;
-mod key;
 mod limit;
 mod reserve;
 mod unknown;
@@ -23,9 +22,6 @@
 pub use grants::Grants;
 pub use holders::Holders;
 pub use holders::SlotId;
-pub use key::Credential;
-pub use key::KeyDigest;
-pub use key::MOST_KEY_BYTES;
 pub use limit::FleetLimit;
 pub use limit::Overage;
 pub use limit::PartLimit;
--- a/crates/harefield/src/domain/accounts/unknown.rs
+++ b/crates/harefield/src/domain/accounts/unknown.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::key::KeyDigest;
+use crate::domain::key::KeyDigest;
 
 /// The most keys that are remembered.
 const MOST_KEPT: usize = 1024;
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -19,6 +19,7 @@
 pub mod hlc;
 pub mod hosts;
 pub mod ids;
+pub mod key;
 pub mod lease;
 pub mod membership;
 pub mod merge;
--- a/crates/harefield/src/domain/query.rs
+++ b/crates/harefield/src/domain/query.rs
@@ -23,15 +23,34 @@
     pub body: Bytes,
     /// The headers that say who asks, as the caller sent them: they go on only where no
     /// client accounts are in force.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub claims: Vec<Header>,
+    #[serde(default, skip_serializing_if = "Claims::is_empty")]
+    pub claims: Claims,
+}
+
+/// The headers that say who asks, a key among them: never shown.
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Claims(pub Vec<Header>);
+
+impl Claims {
+    /// Returns whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl std::fmt::Debug for Claims {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Claims(..)")
+    }
 }
 
 impl ByteQuery {
     /// Returns the value of a header; empty where there is none.
     #[must_use]
     pub fn header(&self, name: &str) -> &[u8] {
-        let found = self.headers.iter().chain(&self.claims).find(|(held, _)| &**held == name);
+        let found = self.headers.iter().chain(&self.claims.0).find(|(held, _)| &**held == name);
         found.map_or(&[], |(_, value)| value)
     }
 }
@@ -51,7 +70,7 @@
     pub fn without_claims(&self) -> Self {
         match self {
             Self::Bytes(query) if !query.claims.is_empty() => {
-                Self::Bytes(Arc::new(ByteQuery { claims: Vec::new(), ..(**query).clone() }))
+                Self::Bytes(Arc::new(ByteQuery { claims: Claims::default(), ..(**query).clone() }))
             }
             other => other.clone(),
         }
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -8,9 +8,9 @@
 
 use super::fault::Fault;
 use super::set::ResourceSet;
-use crate::domain::accounts::KeyDigest;
 use crate::domain::code::Code;
 use crate::domain::ids::Key;
+use crate::domain::key::KeyDigest;
 
 const MAX_DEADLINE_MS: u64 = 600_000;
 
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -7,12 +7,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::domain::accounts::KeyDigest;
 use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
+use crate::domain::key::KeyDigest;
 use crate::domain::residency::Regions;
 use crate::domain::residency::Residency;
 
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -53,7 +53,7 @@
     ///
     /// Returns that its account and its lookup have no region in common.
     pub fn asked_by(mut self, asker: &Asker, request: &LookupRequest) -> Result<Self, Code> {
-        self.regions = both(&self.plan.lookup.regions, &asker.regions).ok_or(Code::NoRegion)?;
+        self.regions = regions_of(&self.plan, asker)?;
         self.work = Work::new(&request.lookup, asker.account.as_ref(), &request.query);
         self.asker = asker.clone();
         Ok(self)
@@ -135,12 +135,11 @@
         };
         let objective = aim.map(|aim| start + aim.time);
         let late = aim.is_some_and(|aim| aim.late);
-        let work = Work::new(&request.lookup, None, &request.query);
-        let regions = Arc::clone(&plan.lookup.regions);
         let deadline = start + time;
-        let asker = Asker::default();
-        Found { plan, work, start, deadline, objective, again, late, asker, regions }
-            .asked_by(&request.asker, request)
+        let asker = request.asker.clone();
+        let regions = regions_of(&plan, &asker)?;
+        let work = Work::new(&request.lookup, asker.account.as_ref(), &request.query);
+        Ok(Found { plan, work, start, deadline, objective, again, late, asker, regions })
     }
 
     /// Returns for how long what is read now may have waited here.
@@ -199,6 +198,11 @@
     }
 }
 
+/// Returns the regions in which an asker's requests for a lookup may be served.
+fn regions_of(plan: &LookupPlan, asker: &Asker) -> Result<Regions, Code> {
+    both(&plan.lookup.regions, &asker.regions).ok_or(Code::NoRegion)
+}
+
 /// Within which time an answer is given that has enough shards.
 #[derive(Clone, Copy)]
 struct Aim {
--- a/crates/harefield/src/engine/identity.rs
+++ b/crates/harefield/src/engine/identity.rs
@@ -10,19 +10,19 @@
 use super::message::Origin;
 use super::message::ToControl;
 use super::permits::Permit;
-use super::run::CHANGE_AWAITED;
 use super::run::refuse;
 use super::run::turn_away;
+use super::run::wait_for;
 use super::worker::Worker;
 use crate::domain::accounts::Asker;
 use crate::domain::accounts::Asking;
 use crate::domain::accounts::Client;
 use crate::domain::accounts::Identity;
-use crate::domain::accounts::KeyDigest;
 use crate::domain::accounts::UnknownKeys;
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
+use crate::domain::key::KeyDigest;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
 use crate::domain::time::millis;
@@ -47,10 +47,8 @@
 /// Whose request it is.
 #[derive(Debug)]
 pub(super) enum Whose {
-    /// Anyone's, as it was sent.
-    AsSent,
-    /// Anyone's, where client accounts are in force.
-    Public(Asker),
+    /// Anyone's, or of one that another daemon named.
+    Anyone(Asker),
     /// An account's.
     Account(Arc<Client>),
 }
@@ -77,7 +75,7 @@
     /// one has looked.
     pub(super) async fn identify(&self, request: &LookupRequest, found: &Found) -> Result<Whose, Refusal> {
         if request.origin != Origin::Caller {
-            return Ok(Whose::AsSent);
+            return Ok(Whose::Anyone(request.asker.clone()));
         }
         match self.identity(request, found) {
             Identity::Unknown(key) => self.identify_newer(request, found, key).await,
@@ -91,8 +89,7 @@
 
     fn admit(&self, identity: Identity) -> Result<Whose, Refusal> {
         match identity {
-            Identity::Anyone(asker) if asker.is_open() => Ok(Whose::AsSent),
-            Identity::Anyone(asker) => Ok(Whose::Public(asker)),
+            Identity::Anyone(asker) => Ok(Whose::Anyone(asker)),
             Identity::Known(client) if self.vouches_for_keys() => Ok(Whose::Account(client)),
             Identity::Known(_) => Err(UNCONFIRMED),
             Identity::Missing => Err(Refusal::for_good(Code::KeyRequired)),
@@ -144,19 +141,21 @@
         trace: &mut Trace<C>,
     ) -> Answer {
         let asker = match &whose {
-            Whose::AsSent => return self.answer_found(request, &found, trace).await,
-            Whose::Public(asker) => asker.clone(),
+            Whose::Anyone(asker) if *asker == request.asker => {
+                return self.answer_found(request, &found, trace).await;
+            }
+            Whose::Anyone(asker) => asker.clone(),
             Whose::Account(client) => client.asker(),
         };
         let query = request.query.without_claims();
         let request = LookupRequest { query, asker: asker.clone(), ..request.clone() };
         let found = match found.asked_by(&asker, &request) {
             Ok(found) => found,
-            Err(code) => return refuse(trace, code, CHANGE_AWAITED),
+            Err(code) => return refuse(trace, code, wait_for(code)),
         };
         match whose {
             Whose::Account(client) => self.answer_within(&client, &request, &found, trace).await,
-            Whose::Public(_) | Whose::AsSent => self.answer_found(&request, &found, trace).await,
+            Whose::Anyone(_) => self.answer_found(&request, &found, trace).await,
         }
     }
 
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -6,11 +6,11 @@
 use std::time::Instant;
 
 use crate::domain::accounts::Asker;
-use crate::domain::accounts::Credential;
 use crate::domain::feed::News;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::Edition;
 use crate::domain::ids::HostId;
+use crate::domain::key::Credential;
 use crate::domain::membership::Row;
 use crate::domain::query::Query;
 use crate::domain::suspects::Suspect;
--- a/crates/harefield/src/engine/permits.rs
+++ b/crates/harefield/src/engine/permits.rs
@@ -22,6 +22,7 @@
 use crate::domain::places::Distance;
 use crate::domain::time::millis;
 use crate::ports::Clock;
+use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::PermitAsk;
 use crate::ports::PermitReply;
@@ -164,7 +165,7 @@
     }
 
     /// Notes that a holder did not answer.
-    fn note_quiet(&self, host: &HostId, error: crate::ports::PeerError) -> PermitReply {
+    fn note_quiet(&self, host: &HostId, error: PeerError) -> PermitReply {
         debug!("{host} gives no permits: {error}");
         let now = self.ports.clock.now();
         let mut quiet = self.quiet.borrow_mut();
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -321,8 +321,8 @@
     Answer::not_run(request, code, Some(wait))
 }
 
-/// Returns when to come back after a code that says so itself.
-fn wait_for(code: Code) -> Duration {
+/// Returns when to come back where a code alone says so.
+pub(super) fn wait_for(code: Code) -> Duration {
     if code == Code::NoRegion { CHANGE_AWAITED } else { COME_BACK }
 }
 
@@ -345,8 +345,7 @@
     answer.failure = finished.failure;
     answer.merge = found.plan.lookup.merge;
     if answer.outcome == Outcome::NotRun {
-        let wait = if answer.code == Code::NoRegion { CHANGE_AWAITED } else { COME_BACK };
-        answer.retry_after = Some(millis(wait));
+        answer.retry_after = Some(millis(wait_for(answer.code)));
     }
     answer
 }
--- a/crates/harefield/src/memory/mod.rs
+++ b/crates/harefield/src/memory/mod.rs
@@ -7,6 +7,7 @@
 mod held;
 mod writer;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -42,7 +43,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Meters {
     /// Bytes held, by use.
-    pub held: HashMap<&'static str, Gauge>,
+    pub held: BTreeMap<Use, Gauge>,
     /// Connections ended, since their peers took nothing for long.
     pub stalled: Counter,
     /// Connections ended to make room.
@@ -146,10 +147,8 @@
     /// Shows how much is held for each use.
     pub fn show(&self) {
         let account = self.lock();
-        for held_for in Use::ALL {
-            if let Some(gauge) = self.shared.meters.held.get(held_for.name()) {
-                gauge.set(i64::try_from(account.buffers.held(held_for)).unwrap_or(i64::MAX));
-            }
+        for (held_for, gauge) in &self.shared.meters.held {
+            gauge.set(i64::try_from(account.buffers.held(*held_for)).unwrap_or(i64::MAX));
         }
     }
 
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -10,9 +10,9 @@
 use serde::Deserializer;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::domain::accounts::KeyDigest;
 use crate::domain::ids::AccountId;
 use crate::domain::ids::shard_id;
+use crate::domain::key::KeyDigest;
 use crate::domain::resources::Account;
 use crate::domain::resources::Bounds;
 use crate::domain::resources::Catalog;
--- a/crates/harefield/src/platform/headers.rs
+++ b/crates/harefield/src/platform/headers.rs
@@ -5,6 +5,7 @@
 use hyper::body::Bytes;
 use hyper::header::HeaderMap;
 
+use crate::domain::query::Claims;
 use crate::domain::reply::Header;
 
 /// Names one attempt of a client; the product's caller's id.
@@ -78,8 +79,8 @@
 }
 
 /// Takes those headers out that say who asks.
-pub(super) fn take_claims(headers: &mut Vec<Header>) -> Vec<Header> {
-    headers.extract_if(.., |(name, _)| CLAIMS.contains(&&**name)).collect()
+pub(super) fn take_claims(headers: &mut Vec<Header>) -> Claims {
+    Claims(headers.extract_if(.., |(name, _)| CLAIMS.contains(&&**name)).collect())
 }
 
 /// Adds headers that were handed on to a message.
--- a/crates/harefield/src/platform/upstreams.rs
+++ b/crates/harefield/src/platform/upstreams.rs
@@ -47,7 +47,7 @@
         let left = millis(call.remaining).max(1);
         headers::put_all(request.headers_mut(), &query.headers);
         if call.asker.is_open() {
-            headers::put_all(request.headers_mut(), &query.claims);
+            headers::put_all(request.headers_mut(), &query.claims.0);
         }
         if let Some(account) = &call.asker.account {
             headers::put(request.headers_mut(), headers::ACCOUNT, account);
--- a/crates/harefield/tests/decisions/accounts.rs
+++ b/crates/harefield/tests/decisions/accounts.rs
@@ -13,21 +13,22 @@
 use crate::support::row;
 use crate::support::values;
 use harefield::domain::accounts::Asking;
-use harefield::domain::accounts::Credential;
 use harefield::domain::accounts::Directory;
 use harefield::domain::accounts::FleetLimit;
 use harefield::domain::accounts::GrantAnswer;
 use harefield::domain::accounts::Grants;
 use harefield::domain::accounts::Holders;
 use harefield::domain::accounts::Identity;
-use harefield::domain::accounts::KeyDigest;
-use harefield::domain::accounts::MOST_KEY_BYTES;
 use harefield::domain::accounts::Overage;
 use harefield::domain::accounts::Reserve;
 use harefield::domain::accounts::UnknownKeys;
 use harefield::domain::code::Code;
 use harefield::domain::feed::Change;
+use harefield::domain::key::Credential;
+use harefield::domain::key::KeyDigest;
+use harefield::domain::key::MOST_KEY_BYTES;
 use harefield::domain::membership::PeerState;
+use harefield::domain::query::Claims;
 use harefield::domain::residency::both;
 use harefield::domain::resources::Account;
 use harefield::domain::resources::ResourceSet;
@@ -75,8 +76,9 @@
 #[test]
 fn key_hidden() {
     let key = KeyDigest::of(b"secret");
-    let shown =
-        format!("{key:?} {:?} {:?}", Credential::Key(key), Account { keys: vec![key], ..Account::default() });
+    let claims = Claims(vec![("authorization".into(), "Bearer secret".into())]);
+    let account = Account { keys: vec![key], ..Account::default() };
+    let shown = format!("{key:?} {claims:?} {:?} {account:?}", Credential::Key(key));
     assert!(!shown.contains(&key.hex()) && !shown.contains("secret"), "{shown}");
     // A key that is written in the place of its digest is not repeated by the fault.
     let mut all = values(1, 1, &[1]);
--- a/crates/harefield/tests/decisions/work.rs
+++ b/crates/harefield/tests/decisions/work.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use harefield::domain::query::ByteQuery;
+use harefield::domain::query::Claims;
 use harefield::domain::query::Query;
 use harefield::domain::work::Work;
 
@@ -17,7 +18,7 @@
             ("authorization".into(), "Bearer one".into()),
         ],
         body: "body".into(),
-        claims: Vec::new(),
+        claims: Claims::default(),
     }
 }
 
--- a/crates/harefield/tests/processes/accounts.rs
+++ b/crates/harefield/tests/processes/accounts.rs
@@ -6,8 +6,8 @@
 
 use serde_json::json;
 
-use harefield::domain::accounts::KeyDigest;
 use harefield::domain::code::Code;
+use harefield::domain::key::KeyDigest;
 use harefield::domain::outcome::Answer;
 
 use crate::support::Daemon;
--- a/crates/harefield/tests/processes/site_accounts.rs
+++ b/crates/harefield/tests/processes/site_accounts.rs
@@ -91,20 +91,24 @@
     }
 }
 
+/// Asks as `apex` with a forged account, and checks what the upstreams that run it are told.
+fn assert_named(site: &Site, daemon: &Daemon, path: &str, id: &str) {
+    let forged = "Tenant: birch\r\nTENANT: cedar\r\n";
+    let head = format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n{}{forged}", bearer("key-a"));
+    assert_eq!(ask(daemon.addresses.callers, path, &head).status, 200, "{path}");
+    let heads = heads(site, id);
+    assert!(!heads.is_empty(), "{path} ran");
+    for head in heads {
+        assert_eq!(head.get("tenant"), Some(&vec!["apex".to_owned()]), "{path}: {head:?}");
+        assert_eq!(head.get("authorization"), None, "{path}: {head:?}");
+    }
+}
+
 #[test]
 fn account_named_upstream() {
     let site = start();
-    let forged = "Tenant: birch\r\nTENANT: cedar\r\n";
     for path in ["/all/x", "/one/x", "/one/once/x"] {
-        let id = path.replace('/', "-");
-        let head = format!("Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\n{}{forged}", bearer("key-a"));
-        assert_eq!(ask(site.daemon.addresses.callers, path, &head).status, 200, "{path}");
-        let heads = heads(&site, &id);
-        assert!(!heads.is_empty(), "{path} ran");
-        for head in heads {
-            assert_eq!(head.get("tenant"), Some(&vec!["apex".to_owned()]), "{path}: {head:?}");
-            assert_eq!(head.get("authorization"), None, "{path}: {head:?}");
-        }
+        assert_named(&site, &site.daemon, path, &path.replace('/', "-"));
     }
 }
 
@@ -114,18 +118,7 @@
     publish(&site, 2, &[account("apex", &["key-a"])]);
     for (number, daemon) in site.daemons().enumerate() {
         for path in ["/all/x", "/one/x"] {
-            let id = format!("m{number}{}", path.replace('/', "-"));
-            let head = format!(
-                "Attempt-Id: {id}\r\nDeadline-Remaining: 2000\r\nTenant: birch\r\n{}",
-                bearer("key-a")
-            );
-            assert_eq!(ask(daemon.addresses.callers, path, &head).status, 200, "{path}");
-            let heads = heads(&site, &id);
-            assert!(!heads.is_empty(), "{path} ran");
-            for head in heads {
-                assert_eq!(head.get("tenant"), Some(&vec!["apex".to_owned()]), "{path}: {head:?}");
-                assert_eq!(head.get("authorization"), None, "{path}: {head:?}");
-            }
+            assert_named(&site, daemon, path, &format!("m{number}{}", path.replace('/', "-")));
         }
     }
 }
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -90,7 +90,8 @@
         self.others.push(Daemon::start(&settings(&self.store, platform, &seed, routing)));
     }
 
-    /// Starts as many daemons that know each other, with a further section of settings.
+    /// Starts as many daemons that know each other, with further settings of their routing, or
+    /// sections behind it.
     pub fn start_with(count: usize, section: &str) -> Self {
         let mut site = Self::bare_with("", section);
         site.join(count - 1, section);
@@ -119,15 +120,7 @@
 
     /// Starts as many daemons, of which `members` may ask the upstreams of an index.
     pub fn start_cells(count: usize, members: usize) -> Self {
-        let routing = format!("cell-size = {members}\n");
-        let mut site = Self::bare_with("", &routing);
-        site.join(count - 1, &routing);
-        site.fill();
-        let known = |daemon: &Daemon| daemon.status().peers.len() == count;
-        await_true("they know each other", || site.daemons().all(known));
-        let serves = |daemon: &Daemon| ask_at(daemon, "/all/x", "r0", 2000).status == 200;
-        await_true("all have the configuration", || site.daemons().all(serves));
-        site
+        Self::start_with(count, &format!("cell-size = {members}\n"))
     }
 
     /// Starts one daemon that knows another one as its seed, with a cell of so many
