A request that waited while its cell moved is handed on, not refused

Cause: a request that is let in waits at the gate or for room while the hosts change; its daemon is no member any more, and from then on its upstreams count as leaving here. Nothing handed such a request on.

Ruled out: asking those upstreams for a while longer. Their leaving is not heard of here any more, and 3 s may pass before a change is in force.

--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -130,7 +130,7 @@
         let (sender, receiver) = async_channel::bounded(1);
         let this = Rc::clone(self);
         let request = request.clone();
-        let found = Found { plan: std::sync::Arc::clone(&found.plan), ..found.clone() };
+        let found = found.clone();
         let mut own = self.request_trace(trace.request().map(|id| &**id));
         self.running.set(self.running.get() + 1);
         let task = async move {
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -177,10 +177,15 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        match (found.plan.member, &request.origin) {
-            (true, _) => self.run(request, found, trace).await,
-            (false, Origin::Caller) => self.forward(request, found, trace).await,
-            (false, Origin::Peer { .. }) => refuse(trace, Code::NotMember, Duration::ZERO),
+        if found.plan.member {
+            let answer = self.run(request, found, trace).await;
+            if answer.code != Code::NotMember {
+                return answer;
+            }
+        }
+        match &request.origin {
+            Origin::Caller => self.forward(request, found, trace).await,
+            Origin::Peer { .. } => refuse(trace, Code::NotMember, Duration::ZERO),
         }
     }
 
@@ -243,6 +248,9 @@
             self.learn_size(found, &ended.finished);
             let again = tried.is_none() && self.better_elsewhere(&ended.finished, &plan, found);
             if !again {
+                if self.is_moved(found, &ended.finished) {
+                    return refuse(trace, Code::NotMember, Duration::ZERO);
+                }
                 if let Some(permit) = permit {
                     permit.leave(ended.crowd);
                 }
@@ -296,6 +304,15 @@
         held.set(overrun);
     }
 
+    /// Says whether the cell moved while a request waited here that ran nowhere, so that a
+    /// member may run it. What an upstream may have refused meanwhile is paid for.
+    fn is_moved(&self, found: &Found, finished: &Finished) -> bool {
+        let moved = !self.router.borrow().is_member(&found.plan.lookup.index, &self.settings.host);
+        let unsent = finished.sent.iter().all(|sent| *sent == 0);
+        let is_paid = || unsent || self.spare.borrow_mut().spend_retry();
+        moved && finished.code == Code::NoReplica && is_paid()
+    }
+
     /// Says whether another snapshot promises more than what was found.
     fn better_elsewhere(&self, finished: &Finished, plan: &Arc<Plan>, found: &Found) -> bool {
         let unheld = |gap: Gap| matches!(gap, Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved);
--- a/crates/harefield/tests/processes/forwarding.rs
+++ b/crates/harefield/tests/processes/forwarding.rs
@@ -5,9 +5,11 @@
 
 use serde_json::json;
 
+use crate::support::Daemon;
 use crate::support::World;
 use crate::support::ask;
 use crate::support::await_true;
+use harefield::domain::cell::weight;
 use harefield::domain::code::Code;
 use harefield::domain::event::Cause;
 use harefield::domain::event::Event;
@@ -118,6 +120,28 @@
     assert_eq!(world.searchers.tally().ran, 12, "four tickets, three shards, once each");
 }
 
+#[test]
+fn waiting_handed_on() {
+    // Requests wait at the gate of a member when the cell moves to another daemon: they are
+    // handed on, since the first may ask nobody any more.
+    let settings = "[routing]\ncell-size = 1\n[limits]\nrunning = 2\n";
+    let world = World::start(1, settings);
+    let weight = |daemon: &Daemon| weight("parcels", &daemon.addresses.peers.to_string());
+    let own = weight(&world.daemons[0]);
+    let heavier = std::iter::repeat_with(|| Daemon::start(&world.settings(settings)));
+    let next = heavier.into_iter().find(|daemon| weight(daemon) > own).expect("ports differ");
+    world.searchers.change_all(|b| b.service_ms = 250.0);
+    let to = world.daemons[0].addresses.callers;
+    let askers: Vec<_> =
+        (0..6).map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))).collect();
+    thread::sleep(Duration::from_millis(80));
+    world.list_daemon(&next, "live");
+    for asker in askers {
+        let answer = asker.join().expect("no panic").expect("an answer");
+        assert_eq!(answer.code, Code::Whole, "{:?}", answer.coverage);
+    }
+}
+
 #[test]
 fn views_differ() {
     // The listed hosts change while requests are handed on: answers stay whole.
--- a/crates/harefield/tests/processes/support.rs
+++ b/crates/harefield/tests/processes/support.rs
@@ -183,7 +183,8 @@
         )
     }
 
-    fn list_daemon(&self, daemon: &Daemon, state: &str) {
+    /// Lists a daemon in a state.
+    pub fn list_daemon(&self, daemon: &Daemon, state: &str) {
         let key = format!("hosts/{}", daemon.addresses.peers);
         let row = json!({ "role": "harefield", "state": state, "zone": "hall-1a" });
         self.platform.publish("hosts", vec![(key, Some(row))]);
