What is lost waits for the first answer, whether or not its upstream is seen to have ended

Change: while nobody has answered a request of four shards or more, or a group, every lost reply and every group that is taken back holds the request's retries until the first answer. A retry that no budget pays for is not waited for. A look goes on after the 100 ms that a shard waits for it, so that the fleet hears of an upstream that ended. What is given up so says "reply lost" or "not asked" in place of "upstream ended".

Ruled out: a longer look alone (it holds up a request of one shard, and no length is enough).

--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -43,9 +43,9 @@
 /// tenth of it, and some tenths from upstreams that are slow or pause.
 const SUSPECT_AFTER: Duration = Duration::from_secs(1);
 
-/// How long it may take to see whether an upstream has ended: a way to another region and
-/// back is 16 ms at the users' sites, and what waits for it is a retry.
-const LOOK_LIMIT: Duration = Duration::from_millis(100);
+/// How long a look whether an upstream has ended may take; within the time in which a
+/// connection is given up, since one that is not answered says nothing.
+const LOOK_LIMIT: Duration = Duration::from_millis(400);
 
 /// The most bytes of one shard's reply.
 const MOST_REPLY: usize = 4 << 20;
--- a/crates/harefield/src/domain/fanout/caution.rs
+++ b/crates/harefield/src/domain/fanout/caution.rs
@@ -24,7 +24,7 @@
 const WIDE: usize = 4;
 
 impl Fanout {
-    /// Lets a shard wait whose upstream ended.
+    /// Lets a shard wait whose upstream may have ended.
     pub(super) fn hold(&mut self, shard: usize) {
         self.held.insert(shard);
         let state = &mut self.shards[shard];
@@ -42,7 +42,14 @@
             return self.is_suspect();
         }
         let hedged = self.shards.iter().any(|shard| shard.hedge == Hedge::Sent);
-        self.ended || hedged || self.rules.trials == 0
+        self.lost || hedged || self.rules.trials == 0
+    }
+
+    /// Notes that a reply was lost, or a group was taken back. Few shards wait for nothing
+    /// unless their upstream is known to have ended: there may be no other answer to wait for.
+    pub(super) fn note_lost(&mut self, why: Gap) {
+        let waits = self.shards.len() >= WIDE || self.rules.trials == 0;
+        self.lost |= why == Gap::UpstreamEnded || why == Gap::ReplyLost && waits;
     }
 
     /// Asks nobody alone: the request is known to have ended several upstreams, and who runs
@@ -51,10 +58,10 @@
         self.rules.trials = 0;
     }
 
-    /// Says whether nothing more of the request is to leave for now: an upstream ended while
-    /// it had it, and nobody has answered.
+    /// Says whether nothing more of the request is to leave for now: an upstream may have ended
+    /// while it had it, and nobody has answered.
     pub(super) fn is_suspect(&self) -> bool {
-        self.ended && !self.is_answered()
+        self.lost && !self.is_answered()
     }
 
     /// Lets shards that wait go on where an upstream has answered, or one of them where
@@ -98,7 +105,8 @@
         self.held.clear();
         for shard in held.iter().copied() {
             if self.shards[shard].is_open() {
-                self.close(shard, Gap::UpstreamEnded, step);
+                let why = if self.shards[shard].ran { Gap::ReplyLost } else { Gap::NotAsked };
+                self.close(shard, why, step);
             }
         }
     }
--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -218,6 +218,7 @@
             step.now,
         );
         step.emit(Event::GroupRevoked { from: Arc::clone(&hand.host), attempt: hand.attempt });
+        self.note_lost(Gap::ReplyLost);
         for shard in hand.shards.iter().copied() {
             if self.land(shard, hand.attempt).is_none() {
                 continue;
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -50,8 +50,8 @@
     pub(super) handed: Vec<Hand>,
     open: usize,
     cut: bool,
-    /// Whether an upstream ended while it had the request.
-    pub(super) ended: bool,
+    /// Whether an upstream may have ended while it had the request.
+    pub(super) lost: bool,
     /// The shards that wait for a sign that the request does not end who runs it.
     pub(super) held: BTreeSet<usize>,
     /// How many upstreams were asked alone after that.
@@ -78,7 +78,7 @@
             handed: Vec::new(),
             open,
             cut: false,
-            ended: false,
+            lost: false,
             held: BTreeSet::new(),
             trials: 0,
         }
@@ -265,7 +265,7 @@
             }
             failed => {
                 let (why, ran) = (failed.gap().unwrap_or(Gap::Failed), failed.may_have_run());
-                self.ended |= why == Gap::UpstreamEnded;
+                self.note_lost(why);
                 self.shards[shard].note_failure(&upstream, &failed);
                 step.emit(Event::AttemptFailed { shard: name, upstream, attempt, why, ran });
                 self.after_failure(shard, step);
@@ -333,13 +333,19 @@
     }
 
     fn retry_or_hold<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
-        if self.is_suspect() {
+        if self.is_suspect() && self.is_paid(shard, step) {
             self.hold(shard);
         } else {
             self.retry(shard, step);
         }
     }
 
+    /// Says whether the budget would pay for asking for a shard now; where it does not, there
+    /// is nothing to wait for.
+    fn is_paid<S: Sink>(&self, shard: usize, step: &mut Step<'_, S>) -> bool {
+        self.shards[shard].sent == 0 || step.router.budget(&self.plan.shards[shard].shard).has_retry()
+    }
+
     fn after_failure<S: Sink>(&mut self, shard: usize, step: &mut Step<'_, S>) {
         let state = &self.shards[shard];
         if state.is_awaited() {
--- a/crates/harefield/src/engine/caution.rs
+++ b/crates/harefield/src/engine/caution.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -29,6 +30,7 @@
 use crate::domain::fanout::Finished;
 use crate::domain::fanout::Rules;
 use crate::domain::ids::HostId;
+use crate::domain::ids::UpstreamId;
 use crate::domain::ids::WorkId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
@@ -58,6 +60,9 @@
 /// met one of them and were refused.
 const TRIAL_ATTEMPTS: u32 = 4;
 
+/// How long a shard waits for a look whether its upstream has ended.
+const LOOK_PATIENCE: Duration = Duration::from_millis(100);
+
 /// How often a request looks whether the trial of its work has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(2);
 
@@ -115,11 +120,15 @@
 
     /// Takes how an attempt ended as a sign of what its work does; a reply that was lost
     /// with its upstream is told apart from others.
-    pub(super) async fn judge_end(&self, attempt: &Attempt, out: &Out, mut end: CallEnd) -> CallEnd {
+    pub(super) async fn judge_end(
+        self: &Rc<Self>,
+        attempt: &Attempt,
+        out: &Out,
+        mut end: CallEnd,
+    ) -> CallEnd {
         match &end.end {
             AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => self.note_answered(&attempt.job),
-            AttemptEnd::Lost { why: Gap::ReplyLost } if self.is_suspect_end(attempt).await => {
-                self.note_ended(attempt, out.is_alone());
+            AttemptEnd::Lost { why: Gap::ReplyLost } if self.is_suspect_end(attempt, out).await => {
                 end.end = AttemptEnd::Lost { why: Gap::UpstreamEnded };
             }
             _ => {}
@@ -135,15 +144,43 @@
         self.tell_suspects(changed);
     }
 
-    /// Says whether an upstream lost a reply with its end, and nobody else answered the
-    /// request by now.
-    async fn is_suspect_end(&self, attempt: &Attempt) -> bool {
-        let answered = || attempt.job.shown.answered.get();
-        !answered() && self.has_ended(attempt).await && !answered()
+    /// Says whether an upstream is known by now to have lost a reply with its end, where
+    /// nobody else answered the request.
+    ///
+    /// A look that takes longer goes on by itself: on a daemon that stood still it would count
+    /// as an upstream that runs, and the fleet would not hear of the one that ended.
+    async fn is_suspect_end(self: &Rc<Self>, attempt: &Attempt, out: &Out) -> bool {
+        if attempt.job.shown.answered.get() {
+            return false;
+        }
+        let mut look = self.executor.spawn(Rc::clone(self).look(
+            attempt.job.clone(),
+            Arc::clone(&attempt.send.upstream),
+            out.is_alone(),
+        ));
+        let looked = async { Some((&mut look).await) };
+        let expired = async {
+            self.ports.clock.sleep(LOOK_PATIENCE).await;
+            None
+        };
+        let known = looked.or(expired).await;
+        if known.is_none() {
+            look.detach();
+        }
+        known.unwrap_or(false)
+    }
+
+    /// Looks whether an upstream has ended, and notes it where nobody answered the request;
+    /// returns whether it did.
+    async fn look(self: Rc<Self>, job: Job, upstream: UpstreamId, alone: bool) -> bool {
+        let ended = self.has_ended(&upstream).await && !job.shown.answered.get();
+        if ended {
+            self.note_ended(&job, &upstream, alone);
+        }
+        ended
     }
 
-    async fn has_ended(&self, attempt: &Attempt) -> bool {
-        let upstream = &attempt.send.upstream;
+    async fn has_ended(&self, upstream: &UpstreamId) -> bool {
         let found = self.router.borrow().searcher(upstream).map(|s| (s.spec().address, s.share()));
         // One that the configuration no longer names has ended, or is about to.
         let Some((address, share)) = found else { return true };
@@ -151,8 +188,7 @@
         self.ports.upstreams.has_ended(&place, share).await
     }
 
-    fn note_ended(&self, attempt: &Attempt, alone: bool) {
-        let (job, upstream) = (&attempt.job, &attempt.send.upstream);
+    fn note_ended(&self, job: &Job, upstream: &UpstreamId, alone: bool) {
         let alone = alone && job.whole;
         let now = self.ports.clock.now();
         let changed = self.suspects.borrow_mut().end(&job.work, upstream, alone, now);
--- a/crates/harefield/tests/decisions/caution.rs
+++ b/crates/harefield/tests/decisions/caution.rs
@@ -33,9 +33,38 @@
     world.end(place, AttemptEnd::Lost { why: Gap::UpstreamEnded }, Verdict::Lost);
 }
 
+/// Returns how an upstream's end shows: known as such, or as a reply that was lost where the
+/// daemon stood still and could not look.
+fn loss(known: bool) -> AttemptEnd {
+    AttemptEnd::Lost { why: if known { Gap::UpstreamEnded } else { Gap::ReplyLost } }
+}
+
 proptest! {
     #![proptest_config(cases(300))]
 
+    /// Nor do more where it is not known of all of them that they ended.
+    #[test]
+    fn unseen_ends_few(
+        shards in 4_usize..40,
+        order in prop::collection::vec((any::<usize>(), 0_u64..40, any::<bool>()), 200),
+    ) {
+        let mut world = fanout(shards, MOST_TRIALS);
+        let mut ended = 0;
+        for (place, millis, known) in order {
+            world.pass(Duration::from_millis(millis));
+            if world.fanout.is_done() {
+                break;
+            }
+            if !world.flying.is_empty() {
+                ended += 1;
+                world.end(place, loss(known), Verdict::Lost);
+            }
+        }
+        prop_assert!(world.fanout.is_done(), "it is answered");
+        prop_assert!(ended + world.flying.len() <= shards + MOST_EXTRA, "{} of {} shards", ended, shards);
+        prop_assert_eq!(world.fanout.finish().outcome, Outcome::MayHaveRun);
+    }
+
     /// In whatever order and time its upstreams end, few more than one a shard do.
     #[test]
     fn ends_few(
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -154,6 +154,12 @@
         self.act(actions);
     }
 
+    /// Answers the first shard, which shows that the request can be run.
+    fn answer_first(&mut self) {
+        let send = self.sends[0].clone();
+        self.answer(&send, "direct");
+    }
+
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis.div_ceil(100) {
             self.now += Duration::from_millis(millis.min(100));
@@ -278,6 +284,7 @@
     let mut world = World::start(true);
     world.pass(150);
     assert_eq!((world.revoked, world.sends.len()), (0, 2), "its answer is not yet due");
+    world.answer_first();
     world.pass(100);
     assert_eq!((world.revoked, world.sends.len()), (1, 2));
     world.pass(5);
@@ -343,6 +350,7 @@
     let only = world.hands[0].only.clone();
     assert_eq!(only.len(), 4);
     assert!(only.iter().all(|(_, replicas)| replicas.len() == 2));
+    world.answer_first();
     world.pass(250);
     world.pass(5);
     let again: Vec<Send> = world.sends[2..].to_vec();
