A request that began before its cell moved goes on, by what the upstreams' own state allows

Change: an upstream that the configuration still names, at the same address and start, is kept for as long as a request of the view may take; whether it leaves, or its zone is evacuated, is taken from each new view, and upstreams' own words were heard by all daemons before. What the configuration no longer names gets nothing, as before. Only requests that began as a member's can ask it: plans of other cells are not worked out.

Ruled out: handing the rest on (JSON lookups have no groups, and whole requests would ask more upstreams than a lookup's attempts).

--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -155,7 +155,9 @@
     /// Takes a new view: upstreams come and go, their state otherwise stays.
     pub fn apply(&mut self, view: &View, now: Instant) {
         let own = &view.upstreams;
-        self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0);
+        let longest = longest_deadline(view);
+        let kept = |s: &Searcher| s.under_way() > 0 || s.left_within(longest, now);
+        self.searchers.retain(|name, s| own.contains_key(name) || kept(s));
         for (name, upstream) in own {
             let OwnUpstream { spec, sharers, connections, cold } = upstream;
             let cold = cold.map(|cold| self.own.cold_part(cold));
@@ -169,12 +171,19 @@
                 .or_insert_with(|| Searcher::new(Arc::clone(spec), sharers, share).told(now));
             searcher.cold.allow(cold);
             searcher.place(self.places.distance(&spec.zone));
-            searcher.list(spec.leaving || view.leaving.contains(&spec.address));
-            searcher.evacuate(view.evacuated.contains(&spec.zone), now);
+            searcher.join_cell();
+            list(searcher, spec, view, now);
         }
         for (name, searcher) in &mut self.searchers {
-            if !own.contains_key(name) {
-                searcher.list(true);
+            if own.contains_key(name) {
+                continue;
+            }
+            searcher.leave_cell(now);
+            // Requests that began before the cell moved may go on; the upstream's own state
+            // binds them as before.
+            match view.set.upstreams.get(name).filter(|spec| searcher.is_same(spec)) {
+                Some(spec) => list(searcher, spec, view, now),
+                None => searcher.list(true),
             }
         }
         self.cells.clone_from(&view.cells);
@@ -298,6 +307,18 @@
     }
 }
 
+/// Takes what a view says of an upstream that may be asked.
+fn list(searcher: &mut Searcher, spec: &Upstream, view: &View, now: Instant) {
+    searcher.list(spec.leaving || view.leaving.contains(&spec.address));
+    searcher.evacuate(view.evacuated.contains(&spec.zone), now);
+}
+
+/// Returns how long a request of a view may take.
+fn longest_deadline(view: &View) -> Duration {
+    let deadlines = view.lookups.values().map(|plan| plan.lookup.deadline_ms);
+    Duration::from_millis(deadlines.max().unwrap_or(0))
+}
+
 /// Returns the services that an upstream holds shards of.
 fn services_of(upstream: &Upstream) -> impl Iterator<Item = &str> {
     upstream.holds.iter().map(|shard| service_of(shard))
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -35,6 +35,8 @@
     pub(super) distance: Distance,
     pub(super) word: Word,
     pub(super) listed: bool,
+    /// When this daemon left the last cell of the upstream; none while it is in one.
+    pub(super) left: Option<Instant>,
     pub(super) evacuated: bool,
     pub(super) cold: Spell,
     pub(super) shed: Option<Instant>,
@@ -63,6 +65,7 @@
             distance: Distance::Near,
             word: Word::default(),
             listed: false,
+            left: None,
             evacuated: false,
             cold: Spell::default(),
             shed: None,
@@ -85,7 +88,7 @@
     /// One that crashed and came back under its name would be left alone for as long as the
     /// failures of the former one ask for, up to 4 s, and be judged by its times.
     pub fn update(&mut self, spec: &Arc<Upstream>, share: u32, now: Instant) {
-        if spec.address != self.spec.address || spec.born != self.spec.born {
+        if !self.is_same(spec) {
             let before = std::mem::take(&mut self.cold);
             *self = Self { cold: before, ..Self::new(Arc::clone(spec), 1, share) };
             // Its entry may be of before its start, and say that it is warm.
@@ -136,6 +139,26 @@
         &self.window
     }
 
+    /// Takes that this daemon is in a cell that may ask the upstream.
+    pub(super) fn join_cell(&mut self) {
+        self.left = None;
+    }
+
+    /// Takes that this daemon is in no cell any more that may ask the upstream.
+    pub(super) fn leave_cell(&mut self, now: Instant) {
+        self.left.get_or_insert(now);
+    }
+
+    /// Says whether this daemon left the upstream's cell less than `time` ago, or not yet.
+    pub(super) fn left_within(&self, time: Duration, now: Instant) -> bool {
+        self.left.is_none_or(|at| now.saturating_duration_since(at) < time)
+    }
+
+    /// Says whether a specification is of the same start of the upstream.
+    pub(super) fn is_same(&self, spec: &Upstream) -> bool {
+        spec.address == self.spec.address && spec.born == self.spec.born
+    }
+
     /// Takes whether the platform lists the host as leaving.
     pub fn list(&mut self, leaving: bool) {
         self.listed = leaving;
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -85,6 +85,8 @@
     pub edition: Edition,
     /// The revision of the host list.
     pub listed: Option<Revision>,
+    /// The set in force.
+    pub set: Arc<ResourceSet>,
     /// The addresses listed as leaving.
     pub leaving: HashSet<SocketAddr>,
     /// The lookups, by name.
@@ -138,6 +140,7 @@
             revision: sources.revision,
             edition: sources.set.edition(),
             listed: sources.listed,
+            set: Arc::clone(sources.set),
             leaving: sources.hosts.leaving(),
             lookups,
             cells,
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -23,6 +23,7 @@
 use harefield::domain::routing::Until;
 use harefield::domain::routing::Verdict;
 use harefield::domain::routing::Window;
+use harefield::domain::view::View;
 use harefield::domain::word::Word;
 use harefield::domain::word::WordStamp;
 
@@ -324,3 +325,31 @@
         assert_eq!(choose(&mut router, &names, at(now, 12)), Ok(Arc::clone(&names[1])));
     }
 }
+
+#[test]
+fn begun_before_move() {
+    // A request waits for room while its cell moves to another daemon: it goes on, by what
+    // the upstreams' own state allows.
+    let now = Instant::now();
+    let set = set(1, 2, &[1]);
+    let held = view(&set);
+    let mut moved = held.clone();
+    moved.upstreams.clear();
+    let names = [replica(0, 0), replica(0, 1)];
+    let after = |view: &View, millis: u64| {
+        let mut router = router(&held, now);
+        router.apply(&moved, now);
+        router.apply(view, at(now, millis));
+        choose(&mut router, &names, at(now, millis))
+    };
+    assert!(after(&moved, 50).is_ok());
+    let address = |name: &UpstreamId| set.upstreams[name].address;
+    let mut leaving = moved.clone();
+    leaving.leaving = names.iter().map(address).collect();
+    assert_eq!(after(&leaving, 50), Err(Gap::Leaving));
+    let mut gone = moved.clone();
+    gone.set = Arc::default();
+    assert_eq!(after(&gone, 50), Err(Gap::Leaving), "nobody names them any more");
+    let longest = held.lookups["l"].lookup.deadline_ms;
+    assert_eq!(after(&moved, longest), Err(Gap::NoReplica), "no such request is left");
+}
