The daemon that carries a shard chooses its replica

The daemon that sent a group named the two, and it is the one that sees few of the shard's requests; the daemon that carries the shard sees nearly all of its zone.

Change: the sender keeps one replica for the case that the group fails; the carrier may ask that one, and chooses among all for the rest of the attempts. Both together stay within the attempts whatever either does (carriers::both_within_attempts, drawn), one place deciding on each. Messages name one replica a shard in place of two; an empty name stands for the free choice, so that former versions keep to the named one.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -33,6 +33,7 @@
 use crate::domain::routing::Router;
 use crate::domain::routing::Wanted;
 use crate::domain::routing::share;
+use crate::domain::view::ReplicaLimit;
 use crate::domain::view::ShardPlan;
 
 /// The fewest shards that are worth handing on: one alone costs as many bytes
@@ -161,7 +162,7 @@
         let due = due.map_or(slow, |due| due + way + OVERDUE);
         let revoke = start + due.max(way + LEAST_PATIENCE);
         let lost = revoke + LOST;
-        let only = self.narrow(&wanted, step);
+        let kept = self.keep_one(&wanted, step);
         let shards: Vec<usize> = wanted.into_iter().map(|wanted| wanted.at).collect();
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
@@ -171,20 +172,24 @@
             state.flights.push(Flight { attempt, upstream: Arc::clone(&host), start, cause: Cause::First });
         }
         step.emit(Event::GroupSent { to: Arc::clone(&host), shards: shards.len(), attempt });
-        let hand = Hand { host, attempt, shards, start, only, gather, lost };
+        let free = self.rules.attempts.saturating_sub(1);
+        let hand = Hand { host, attempt, shards, start, kept, free, gather, lost };
         self.handed.push(hand.clone());
         step.actions.push(Action::Hand(hand));
     }
 
-    /// Narrows shards with more replicas than attempts to the best of them.
-    fn narrow<S: Sink>(&mut self, wanted: &[Wanted], step: &Step<'_, S>) -> Vec<(usize, Vec<UpstreamId>)> {
+    /// Keeps one replica of each shard with more replicas than attempts, for the case that
+    /// the group fails. The daemon that the group goes to knows best which one to ask first:
+    /// the shards' requests pass there, and few pass here.
+    fn keep_one<S: Sink>(&mut self, wanted: &[Wanted], step: &Step<'_, S>) -> Vec<(usize, UpstreamId)> {
         let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
         let mut all = Vec::new();
         for Wanted { at, zone, .. } in wanted {
             let replicas = &self.plan.shards[*at].replicas;
-            if replicas.len() > most {
-                let best = step.router.best(replicas, zone, most, step.now);
-                self.shards[*at].only = Some(best.clone());
+            if replicas.len() > most
+                && let Some(best) = step.router.best(replicas, zone, step.now)
+            {
+                self.shards[*at].limit = Some(ReplicaLimit { named: vec![Arc::clone(&best)], free: 0 });
                 all.push((*at, best));
             }
         }
@@ -320,6 +325,7 @@
         }
         let state = &mut self.shards[shard];
         state.sent = state.sent.saturating_sub(1);
+        state.limit = None;
         if !state.is_open() || state.is_awaited() {
             return;
         }
--- a/crates/harefield/src/domain/fanout/hand.rs
+++ b/crates/harefield/src/domain/fanout/hand.rs
@@ -20,9 +20,12 @@
     pub shards: Vec<usize>,
     /// When it was decided.
     pub start: Instant,
-    /// Of shards with more replicas than attempts, those that may be asked: this
-    /// daemon and that one stay within the attempts together, whoever asks.
-    pub only: Vec<(usize, Vec<UpstreamId>)>,
+    /// Of shards with more replicas than attempts, the one that this daemon asks where the
+    /// other one fails; that one may ask it too, and chooses among all for the rest of the
+    /// attempts. Both together stay within them, whoever asks.
+    pub kept: Vec<(usize, UpstreamId)>,
+    /// How many other replicas of these shards that daemon may ask.
+    pub free: u32,
     /// How long the daemon may gather before it answers with what it has; none
     /// where nothing is due before the deadline.
     pub gather: Option<Duration>,
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -31,6 +31,7 @@
 use crate::domain::routing::Router;
 use crate::domain::time::micros;
 use crate::domain::view::Plan;
+use crate::domain::view::ShardPlan;
 
 /// The fan-out of one request at one snapshot.
 #[derive(Debug)]
@@ -62,7 +63,8 @@
     /// Creates a fan-out over a plan; `first` numbers its first attempt.
     #[must_use]
     pub fn new(plan: Arc<Plan>, rules: Rules, first: AttemptId) -> Self {
-        let shards: Vec<_> = plan.shards.iter().map(|_| Shard::default()).collect();
+        let shard = |plan: &ShardPlan| Shard { limit: plan.limit.clone(), ..Shard::default() };
+        let shards: Vec<_> = plan.shards.iter().map(shard).collect();
         let open = shards.len();
         let own = (0..open).collect();
         Self {
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -112,7 +112,7 @@
 
     fn ask<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> Ask<'a> {
         Ask {
-            replicas: self.shards[shard].only.as_deref().unwrap_or(&self.plan.shards[shard].replicas),
+            replicas: self.shards[shard].only().unwrap_or(&self.plan.shards[shard].replicas),
             tried,
             version: self.plan.version,
             kind: &self.rules.kind,
@@ -162,7 +162,7 @@
         }
         let name = self.name(shard);
         let state = &mut self.shards[shard];
-        state.sent += 1;
+        state.count(&upstream);
         state.flights.push(Flight { attempt, upstream: Arc::clone(&upstream), start, cause });
         step.emit(Event::ReplicaChosen { shard: Arc::clone(&name), upstream: Arc::clone(&upstream), scores });
         step.emit(Event::Sent { shard: name, upstream: Arc::clone(&upstream), attempt, cause });
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -8,6 +8,7 @@
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Gap;
 use crate::domain::reply::Reply;
+use crate::domain::view::ReplicaLimit;
 
 /// A request to an upstream that is to be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -122,8 +123,8 @@
 pub(super) struct Shard {
     /// Attempts under way.
     pub flights: Vec<Flight>,
-    /// The only replicas that may be asked; none for all.
-    pub only: Option<Vec<UpstreamId>>,
+    /// Which replicas may be asked; all where there is no bound.
+    pub limit: Option<ReplicaLimit>,
     /// Replicas that failed and are passed over until all have.
     pub failed: Vec<UpstreamId>,
     /// Replicas that cannot serve this request at all.
@@ -162,6 +163,21 @@
         self.ran || !self.flights.is_empty()
     }
 
+    /// Returns the only replicas that may be asked; none for all.
+    pub fn only(&self) -> Option<&[UpstreamId]> {
+        self.limit.as_ref().filter(|bound| bound.free == 0).map(|bound| &*bound.named)
+    }
+
+    /// Counts an attempt that leaves for a replica.
+    pub fn count(&mut self, upstream: &UpstreamId) {
+        self.sent += 1;
+        if let Some(bound) = &mut self.limit
+            && !bound.named.contains(upstream)
+        {
+            bound.free = bound.free.saturating_sub(1);
+        }
+    }
+
     /// Returns when a hedge is due.
     pub fn hedge_at(&self) -> Option<Instant> {
         match self.hedge {
--- a/crates/harefield/src/domain/routing/zones.rs
+++ b/crates/harefield/src/domain/routing/zones.rs
@@ -113,21 +113,21 @@
         Some(zones)
     }
 
-    /// Returns the `most` best of some replicas: those that may be asked first,
-    /// then those of an availability zone, then the quicker ones.
+    /// Returns the best of some replicas: one that may be asked first, then one of an
+    /// availability zone, then the quickest.
     #[must_use]
-    pub fn best(&self, replicas: &[UpstreamId], zone: &str, most: usize, now: Instant) -> Vec<UpstreamId> {
-        let mut ranked: Vec<_> = replicas
-            .iter()
-            .map(|name| {
-                let found = self.searchers.get(name);
-                let usable = found.is_some_and(|s| s.is_healthy(0.0, now));
-                let elsewhere = found.is_none_or(|s| *s.spec().zone != *zone);
-                (!usable, elsewhere, found.map_or(f64::INFINITY, |s| s.observed_time(0.0)), name)
-            })
-            .collect();
-        ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-        ranked.into_iter().take(most).map(|(.., name)| Arc::clone(name)).collect()
+    pub fn best(&self, replicas: &[UpstreamId], zone: &str, now: Instant) -> Option<UpstreamId> {
+        let rank = |name: &UpstreamId| {
+            let found = self.searchers.get(name);
+            let usable = found.is_some_and(|s| s.is_healthy(0.0, now));
+            let elsewhere = found.is_none_or(|s| *s.spec().zone != *zone);
+            (!usable, elsewhere, found.map_or(f64::INFINITY, |s| s.observed_time(0.0)))
+        };
+        let order = |a: &&UpstreamId, b: &&UpstreamId| {
+            let (a, b) = (rank(a), rank(b));
+            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+        };
+        replicas.iter().min_by(order).map(Arc::clone)
     }
 
     /// Returns whether an upstream stands in another availability zone.
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -163,7 +163,7 @@
             for name in names {
                 let shard = shard_id(service, name);
                 let replicas = self.sources.set.replicas(&shard).cloned().collect();
-                shards.push(ShardPlan { shard, replicas, abroad: false });
+                shards.push(ShardPlan { shard, replicas, abroad: false, limit: None });
             }
         }
         let whole = Plan { index: Arc::clone(index), version: snapshot.version, shards };
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -19,6 +19,7 @@
 use self::paths::Paths;
 pub use self::plan::LookupPlan;
 pub use self::plan::Plan;
+pub use self::plan::ReplicaLimit;
 pub use self::plan::ShardPlan;
 pub use self::plan::Weighted;
 use super::accounts::Directory;
--- a/crates/harefield/src/domain/view/plan.rs
+++ b/crates/harefield/src/domain/view/plan.rs
@@ -18,6 +18,36 @@
     pub replicas: Vec<UpstreamId>,
     /// Whether all its replicas stand in other regions.
     pub abroad: bool,
+    /// Which of them may be asked where another daemon may ask as well; all where there is
+    /// no bound.
+    pub limit: Option<ReplicaLimit>,
+}
+
+/// Which replicas a daemon may ask for another one, so that both together stay within the
+/// lookup's attempts whatever either of them does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaLimit {
+    /// The replicas that the other daemon may ask as well.
+    pub named: Vec<UpstreamId>,
+    /// How many others may be asked besides.
+    pub free: u32,
+}
+
+impl ShardPlan {
+    /// Takes a bound; replicas that may not be asked by it are left out.
+    fn bind(&mut self, bound: ReplicaLimit) {
+        if bound.free == 0 {
+            self.replicas.retain(|name| bound.named.contains(name));
+        } else {
+            self.limit = Some(bound);
+        }
+    }
+
+    /// Returns how many replicas are asked at the most.
+    fn most_asked(&self) -> usize {
+        let bound = |bound: &ReplicaLimit| bound.named.len().saturating_add(bound.free as usize);
+        self.limit.as_ref().map_or(usize::MAX, bound).min(self.replicas.len())
+    }
 }
 
 /// The shards of one snapshot that a lookup asks.
@@ -38,6 +68,9 @@
         for shard in &mut self.shards {
             let before = shard.replicas.len();
             shard.replicas.retain(&keeps);
+            if let Some(bound) = &mut shard.limit {
+                bound.named.retain(&keeps);
+            }
             shard.abroad |= before > 0 && shard.replicas.is_empty();
         }
         self
@@ -69,24 +102,27 @@
 }
 
 impl LookupPlan {
-    /// Returns the plan of a group of shards that another daemon names; `only` holds, by
-    /// place in the group, the replicas that may be asked where that daemon knows more
-    /// than the lookup's attempts.
+    /// Returns the plan of a group of shards that another daemon names, with the bounds on
+    /// some of them by their places in the group.
     ///
     /// There is none where a shard is not known, or where this daemon knows more replicas
     /// of one than may be asked and that daemon did not say which: the two would choose
     /// theirs apart, and together ask more than the lookup allows.
     #[must_use]
-    pub fn group(&self, names: &[ShardId], only: &[(usize, Vec<UpstreamId>)]) -> Option<Plan> {
+    pub fn group(
+        &self,
+        names: &[ShardId],
+        bounds: impl IntoIterator<Item = (usize, ReplicaLimit)>,
+    ) -> Option<Plan> {
         let whole = self.plans.first()?;
         let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
         let mut shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
-        for (at, only) in only {
-            shards.get_mut(*at)?.replicas.retain(|name| only.contains(name));
+        for (at, bound) in bounds {
+            shards.get_mut(at)?.bind(bound);
         }
         let most =
             self.lookup.attempts.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
-        let bounded = shards.iter().all(|shard| shard.replicas.len() <= most);
+        let bounded = shards.iter().all(|shard| shard.most_asked() <= most);
         bounded.then(|| Plan { index: Arc::clone(&whole.index), version: whole.version, shards })
     }
 }
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -26,6 +26,7 @@
 use crate::domain::routing::RelayVerdict;
 use crate::domain::time::micros;
 use crate::domain::view::Plan;
+use crate::domain::view::ReplicaLimit;
 use crate::ports::Clock;
 use crate::ports::Group;
 use crate::ports::GroupReply;
@@ -90,7 +91,7 @@
             request: job.request.to_string(),
             lookup: job.kind.to_string(),
             index: plan.index.to_string(),
-            only: narrowed(hand),
+            only: limits(hand),
             shards: hand.shards.iter().map(|at| Arc::clone(&plan.shards[*at].shard)).collect(),
             query,
             most: job.merge.unwrap_or(usize::MAX),
@@ -148,10 +149,18 @@
     }
 }
 
-/// Returns the replicas that may be asked, by the shards' places in the group.
-fn narrowed(hand: &Hand) -> Vec<(usize, Vec<UpstreamId>)> {
+/// Returns which replicas may be asked, by the shards' places in the group.
+fn limits(hand: &Hand) -> Vec<(usize, Vec<UpstreamId>)> {
     let place = |shard: usize| hand.shards.iter().position(|other| *other == shard);
-    hand.only.iter().filter_map(|(shard, only)| Some((place(*shard)?, only.clone()))).collect()
+    let free = (0..hand.free).map(|_| UpstreamId::from(""));
+    let names = |kept: &UpstreamId| std::iter::once(Arc::clone(kept)).chain(free.clone()).collect();
+    hand.kept.iter().filter_map(|(shard, kept)| Some((place(*shard)?, names(kept)))).collect()
+}
+
+/// Returns which replicas may be asked, from their names in a message.
+pub(super) fn limit_of(names: &[UpstreamId]) -> ReplicaLimit {
+    let (free, named): (Vec<_>, Vec<_>) = names.iter().map(Arc::clone).partition(|name| name.is_empty());
+    ReplicaLimit { named, free: u32::try_from(free.len()).unwrap_or(u32::MAX) }
 }
 
 /// Sorts a reply by the shards of the group, each once. The merged records go
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use super::find::Found;
+use super::group::limit_of;
 use super::job::Job;
 use super::job::Shown;
 use super::worker::Worker;
@@ -118,7 +119,8 @@
         }
         let parts = plan.parts.iter().map(|part| &part.plan);
         let plan = std::iter::once(plan).chain(parts).find(|plan| plan.lookup.index == group.index)?;
-        let shards = self.narrow(plan.group(&group.shards, &group.only)?, &group.regions);
+        let limits = group.only.iter().map(|(at, names)| (*at, limit_of(names)));
+        let shards = self.narrow(plan.group(&group.shards, limits)?, &group.regions);
         let found = Found {
             plan: Arc::clone(plan),
             work,
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -93,8 +93,9 @@
     pub index: String,
     /// The shards.
     pub shards: Vec<ShardId>,
-    /// Of some shards, by their places in the group, the only replicas that may
-    /// be asked.
+    /// Of some shards, by their places in the group, the only replicas that may be asked. An
+    /// empty name stands for one that the daemon chooses; former versions know none, and
+    /// keep to the others.
     pub only: Vec<(usize, Vec<UpstreamId>)>,
     /// The query.
     pub query: ByteQuery,
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod budgets;
 mod buffers;
+mod carriers;
 mod caution;
 mod cells;
 mod clock;
