A fleet that starts together pulls from its own zones: news cross to a region a few times

Each daemon that starts asked one daemon after the other, of any region, every 100 ms until one vouched, and then sixteen more; whoever had newer news was pulled from. So the whole configuration crossed to nearly every daemon, and rows sixteen times.

Change: a daemon that starts draws whom to ask as it does later, mostly of its own zone; it asks few of other zones; while it asks others before the platform, it leaves it to the readers of its zone to pull from another region; and one that runs waits 0.4 s before it pulls from there, since its zone has the news as well. Nothing is missed where those are gone: after that time each pulls by itself.

Test: joining::few_pulls_cross, 60 control duties in three regions: 40 pulls cross before (fails), at most 24 now, whatever the number of daemons (two readers a zone, and as many while they do not know each other).

--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -126,6 +126,9 @@
     pub(super) telemetry: Telemetry,
     pub(super) board: Arc<Board>,
     pub(super) joined: Cell<bool>,
+    /// Until when this daemon, which starts, leaves it to others of its zone to pull what
+    /// other regions have.
+    pub(super) learning: Cell<Option<Instant>>,
     pub(super) confirming: Cell<bool>,
     /// Who wants whatever is newer than what is held.
     pub(super) refreshing: RefCell<Vec<Sender<bool>>>,
@@ -190,6 +193,7 @@
             telemetry,
             board,
             joined: Cell::new(false),
+            learning: Cell::new(None),
             confirming: Cell::new(false),
             refreshing: RefCell::default(),
             seeds,
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -99,6 +99,11 @@
     }
 
     pub(super) fn draw_peers(&self, count: usize) -> Vec<HostId> {
+        self.draw_near(self.others(), count)
+    }
+
+    /// Returns all other daemons that are known, listed or named as seeds.
+    pub(super) fn others(&self) -> Vec<HostId> {
         let mut peers = self.members.borrow().peers();
         let listed = self.list.borrow().daemons();
         let known: Vec<HostId> = self.seeds.borrow().iter().chain(&listed).map(Arc::clone).collect();
@@ -107,7 +112,7 @@
                 peers.push(host);
             }
         }
-        self.draw_near(peers, count)
+        peers
     }
 
     /// Draws daemons, most of them from the own availability zone: bytes between
@@ -127,10 +132,15 @@
     }
 
     fn reaches(&self, host: &HostId, reach: Distance) -> bool {
+        self.distance_of(host) <= reach
+    }
+
+    /// Returns how far a daemon is.
+    pub(super) fn distance_of(&self, host: &HostId) -> Distance {
         let members = self.members.borrow();
         // One that is not known yet, such as a seed, may stand anywhere.
         let zone = members.row(host).map_or("", |row| &row.zone);
-        self.settings.places.distance(zone) <= reach
+        self.settings.places.distance(zone)
     }
 
     /// Speaks to one daemon and takes what it has that is newer; returns
@@ -177,10 +187,10 @@
     }
 
     async fn pull_newer(self: &Rc<Self>, host: &HostId, mark: Mark) {
-        if !self.lacks(&mark) {
+        if !self.lacks(&mark) || self.leaves_to_others(host) {
             return;
         }
-        if mark.revision > self.revision(mark.space) && self.hears_platform() {
+        if mark.revision > self.revision(mark.space) && self.hears_otherwise(host) {
             self.ports.clock.sleep(PULL_PATIENCE).await;
         }
         self.await_pull_turn().await;
@@ -202,6 +212,28 @@
         self.ports.clock.sleep_until(last + FOLD_PAUSE).await;
     }
 
+    /// Says whether this daemon, which starts, leaves it to the readers of its zone to pull
+    /// from another region: what all daemons of a fleet that starts pull there would cross
+    /// once for each of them. One that knows nobody of its zone cannot tell who reads.
+    fn leaves_to_others(&self, host: &HostId) -> bool {
+        let learning = self.learning.get().is_some_and(|until| self.ports.clock.now() < until);
+        learning && self.distance_of(host) == Distance::Far && (self.is_alone() || !self.is_reader())
+    }
+
+    /// Says whether no other daemon of the own availability zone is known.
+    fn is_alone(&self) -> bool {
+        let members = self.members.borrow();
+        let own = &self.settings.own;
+        !members.rows().any(|row| row.zone == own.zone && row.host != own.host)
+    }
+
+    /// Returns whether what a daemon has that is newer is on its way here without it: by the
+    /// watch, or by the daemons of the own zone, which hold it as well.
+    fn hears_otherwise(&self, host: &HostId) -> bool {
+        let is_far = self.joined.get() && self.distance_of(host) == Distance::Far;
+        is_far || self.hears_platform()
+    }
+
     /// Returns whether this daemon holds the watch itself and it works, so that
     /// the platform tells it what others have told first.
     fn hears_platform(&self) -> bool {
--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -5,19 +5,17 @@
 //! read the whole of it once a daemon. There the seeds read it, and the others ask those
 //! that they know first: what one vouches for is as good as a listing.
 
-use std::collections::HashSet;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use log::debug;
 use log::info;
 use log::warn;
-use rand::seq::IndexedRandom;
 
 use super::duty::Control;
 use crate::domain::ids::HostId;
+use crate::domain::places::Distance;
 use crate::domain::readers::platform_after;
 use crate::ports::Clock;
 use crate::ports::Peers;
@@ -30,6 +28,10 @@
 /// The most daemons asked at the start: enough that one of them is up to date.
 const MOST_ASKED: usize = 16;
 
+/// The most of them in other zones of the region, and in other regions, where there are
+/// daemons in the own zone.
+const MOST_BEYOND: usize = 2;
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Asks until every copy and daemon has answered or refused, or the time
     /// is up; with no configuration at all, it goes on in the background.
@@ -50,10 +52,10 @@
         } else {
             self.learn_or_read().await;
         }
-        let mut asked: HashSet<HostId> = HashSet::new();
+        let mut asked: Vec<HostId> = Vec::new();
         while let Some(host) = self.next_to_ask(&asked) {
-            asked.insert(Arc::clone(&host));
             self.ask_daemon(&host).await;
+            asked.push(host);
         }
         self.await_entered().await;
     }
@@ -63,17 +65,19 @@
     async fn learn_or_read(self: &Rc<Self>) {
         let is_seed = self.seeds.borrow().contains(&self.settings.own.host);
         let wait = platform_after(is_seed, self.settings.first_start, self.settings.join);
+        self.learning.set(Some(self.ports.clock.now() + wait));
         let reading = async {
             self.ports.clock.sleep(wait).await;
             self.read_until_answered().await;
         };
         self.ask_known().or(reading).await;
+        self.learning.set(None);
     }
 
     /// Asks one daemon after the other until one vouches for what it has.
     async fn ask_known(self: &Rc<Self>) {
         while self.is_overdue() {
-            if let Some(host) = self.draw_known() {
+            if let Some(host) = self.draw_peers(1).pop() {
                 self.ask_daemon(&host).await;
             }
             self.ports.clock.sleep(AGAIN).await;
@@ -89,14 +93,6 @@
         }
     }
 
-    /// Draws one of the daemons that are known or named as seeds.
-    fn draw_known(&self) -> Option<HostId> {
-        let mut known = self.members.borrow().peers();
-        let seeds = self.seeds.borrow();
-        known.extend(seeds.iter().filter(|seed| **seed != self.settings.own.host).map(Arc::clone));
-        known.choose(&mut rand::rng()).map(Arc::clone)
-    }
-
     async fn read_copies(self: &Rc<Self>) {
         for copy in self.settings.copies.clone() {
             for space in self.spaces() {
@@ -120,16 +116,23 @@
         }
     }
 
-    fn next_to_ask(&self, asked: &HashSet<HostId>) -> Option<HostId> {
+    /// Returns the next daemon to ask: those of the own availability zone first, and few of
+    /// others, since what all of a fleet that starts ask there crosses regions.
+    fn next_to_ask(&self, asked: &[HostId]) -> Option<HostId> {
         if asked.len() >= MOST_ASKED {
             return None;
         }
-        let listed = self.list.borrow().daemons();
-        let known = self.members.borrow().peers();
-        let seeds = self.seeds.borrow();
-        let all = seeds.iter().chain(&listed).chain(&known);
-        let other = |host: &&HostId| **host != self.settings.own.host && !asked.contains(*host);
-        all.into_iter().find(other).map(Arc::clone)
+        let others = self.others();
+        let has_near = others.iter().any(|host| self.distance_of(host) == Distance::Near);
+        let most = if has_near { MOST_BEYOND } else { MOST_ASKED };
+        let may = |host: &&HostId| {
+            let distance = self.distance_of(host);
+            let beyond = asked.iter().filter(|other| self.distance_of(other) == distance).count();
+            !asked.contains(host) && (distance == Distance::Near || beyond < most)
+        };
+        let members = self.members.borrow();
+        let reads = |host: &HostId| members.row(host).is_some_and(|row| !row.blind);
+        others.iter().filter(may).min_by_key(|host| (self.distance_of(host), !reads(host))).cloned()
     }
 
     async fn ask_daemon(self: &Rc<Self>, host: &HostId) {
--- a/crates/harefield/tests/fleet/link.rs
+++ b/crates/harefield/tests/fleet/link.rs
@@ -60,6 +60,10 @@
     pub listings: usize,
     /// The bytes of news that daemons were sent.
     pub pulled: usize,
+    /// The region of each daemon.
+    pub regions: Vec<usize>,
+    /// How often news were pulled from another region.
+    pub crossed: usize,
     /// The most changes that one watch tells; none for all.
     pub most: Option<usize>,
 }
@@ -88,6 +92,11 @@
         inbox.cloned().ok_or(PeerError::Unreachable)
     }
 
+    fn is_far(&self, to: &HostId) -> bool {
+        let shared = self.shared.borrow();
+        shared.regions.get(self.own) != shared.regions.get(number(to))
+    }
+
     async fn call<R>(&self, to: &HostId, wrap: impl FnOnce(Sender<R>) -> ToControl) -> Result<R, PeerError> {
         let (sender, receiver) = async_channel::bounded(1);
         let inbox = self.reach(to)?;
@@ -146,7 +155,10 @@
     async fn pull(&self, host: &HostId, message: Pull, _: Duration) -> Result<News, PeerError> {
         let news = self.call(host, |reply| ToControl::Pull(message, reply)).await?;
         let size = rmp_serde::to_vec_named(&news).map_or(0, |bytes| bytes.len());
-        self.shared.borrow_mut().pulled += size;
+        let far = usize::from(self.is_far(host));
+        let mut shared = self.shared.borrow_mut();
+        shared.pulled += size;
+        shared.crossed += far;
         Ok(news)
     }
 }
--- a/crates/harefield/tests/fleet/main.rs
+++ b/crates/harefield/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod current;
 mod eras;
+mod joining;
 mod link;
 mod split;
 mod support;
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -60,6 +60,19 @@
 pub const CARRY: CarryTimes =
     CarryTimes { upstream: Duration::from_millis(1500), operator: Duration::from_millis(2500) };
 
+/// The regions of a fleet, and its availability zones.
+const REGIONS: usize = 3;
+pub const ZONES: usize = 6;
+
+/// A lookup.
+pub const LOOKUP: &str =
+    r#"{"index":"i","urgency":"bulk","deadline-ms":5,"repeatable":true,"prefer":"time"}"#;
+
+/// Returns the name of the availability zone of a daemon.
+fn zone_of(own: usize) -> Arc<str> {
+    format!("z{}", own % ZONES).into()
+}
+
 /// Several daemons' control duties.
 pub struct Fleet {
     executor: Rc<LocalExecutor<'static>>,
@@ -103,7 +116,34 @@
         own
     }
 
+    /// Starts a fleet of which the first three daemons are seeds, in three regions of two
+    /// availability zones, beside a configuration of `lookups` lookups.
+    pub fn start_in_regions(count: usize, lookups: usize, tuning: Tuning) -> Self {
+        let mut fleet = Self::start_as(0, tuning);
+        for number in 0..lookups {
+            fleet.publish(&format!("lookups/l{number}"), LOOKUP);
+        }
+        fleet.shared.borrow_mut().regions = (0..count).map(|own| own % REGIONS).collect();
+        for own in 0..count {
+            let regions = |zone: usize| (zone_of(zone), format!("r{}", zone % REGIONS).into());
+            let places = Places { zone: zone_of(own), regions: (0..ZONES).map(regions).collect() };
+            fleet.add_at(own, REGIONS, tuning, places);
+        }
+        fleet.newest = RefCell::new(vec![None; count]);
+        fleet
+    }
+
+    /// Returns how often daemons pulled news from another region.
+    pub fn crossed(&self) -> usize {
+        self.shared.borrow().crossed
+    }
+
     fn add(&mut self, own: usize, count: usize, tuning: Tuning) {
+        self.add_at(own, count, tuning, Places { zone: "a".into(), ..Places::default() });
+    }
+
+    fn add_at(&mut self, own: usize, count: usize, tuning: Tuning, places: Places) {
+        let listed = places.regions.is_empty();
         let (control, inbox) = async_channel::bounded(1024);
         self.shared.borrow_mut().inboxes.insert(host(own), control);
         let link = Link { own, shared: Rc::clone(&self.shared) };
@@ -111,7 +151,7 @@
         let settings = ControlSettings {
             own: Row {
                 host: host(own),
-                zone: "a".into(),
+                zone: Arc::clone(&places.zone),
                 operators: "127.0.0.1:1".into(),
                 incarnation: 1,
                 version: 0,
@@ -122,17 +162,17 @@
             copies: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
             seeds: (0..count).map(host).collect(),
             exchange: tuning.exchange,
-            join: Duration::from_millis(200),
-            first_start: false,
+            join: if listed { Duration::from_millis(200) } else { Duration::from_secs(3) },
+            first_start: !listed,
             watch: tuning.watch,
             pace: Pace::new(tuning.apply),
             readers: tuning.readers,
             carry: CARRY,
             cold: Bound::default(),
             cell: CellSize::default(),
-            places: Places::default(),
+            places,
             keyed: false,
-            listed: true,
+            listed,
         };
         let ports = ControlPorts { platform: link.clone(), peers: link, clock: SystemClock };
         let (worker, told) = async_channel::unbounded();
