What the fleet may send again adds up to the slack at any size

Found by reading: each daemon had one extra request for each service at the least. At 584 daemons the parts came to 968 of 640 allowed, or 1,168 where each is cut off from the others; at 7,154 to 7,538.

Change: where an equal part would be less than one request, the first so many sharers have one each and the others none, by an order that all work out alike. Requests that are handed to a second member are paid for at that member, which are few, and no longer at the daemon that they came to, which may be any; a member that cannot pay declines as one that is no member, so that the first one's silence stays "may have run". Only requests that a member was sent count as such.

Ruled out: ranking all daemons for requests handed on (456 of 584 could never try a second member); asking a holder for permits as accounts do (a round trip before a retry).

--- a/crates/harefield/src/domain/routing/budgets.rs
+++ b/crates/harefield/src/domain/routing/budgets.rs
@@ -33,6 +33,15 @@
     pub slack: f64,
 }
 
+/// The daemons that ask for one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Sharers {
+    /// The most that were ever known.
+    most: u32,
+    /// How many of them come before this one.
+    rank: u32,
+}
+
 /// The budgets of one worker: one for all that it asks, or one a service where
 /// the fleet as a whole is bound for each service.
 #[derive(Clone, Debug)]
@@ -40,8 +49,7 @@
     all: Budget,
     fleet: Option<FleetSlack>,
     daemons: u32,
-    /// The most daemons that were ever known to ask for each service.
-    sharers: HashMap<Arc<str>, u32>,
+    sharers: HashMap<Arc<str>, Sharers>,
     services: HashMap<Arc<str>, Budget>,
 }
 
@@ -73,12 +81,16 @@
         }
     }
 
-    /// Takes how many daemons ask for some services; the most that were ever
-    /// known counts, since one that is not seen now may be asking all the same.
-    pub fn share_services<'a>(&mut self, services: impl Iterator<Item = &'a str>, sharers: u32) {
+    /// Takes how many daemons ask for some services, and how many of them come before this
+    /// one; the most that were ever known counts, since one that is not seen now may be asking
+    /// all the same.
+    pub fn share_services<'a>(&mut self, services: impl Iterator<Item = &'a str>, sharers: u32, rank: u32) {
         for service in services {
-            if self.sharers.get(service).is_none_or(|known| *known < sharers) {
-                self.sharers.insert(service.into(), sharers);
+            let known = self.sharers.get(service).copied();
+            let most = known.map_or(sharers, |known| known.most.max(sharers));
+            let now = Sharers { most, rank };
+            if known != Some(now) {
+                self.sharers.insert(service.into(), now);
                 self.bind(service);
             }
         }
@@ -95,9 +107,10 @@
     /// where services have no budgets of their own.
     fn most(&self, service: &str) -> Option<f64> {
         let fleet = self.fleet?;
-        let sharers = self.sharers.get(service).copied().unwrap_or(self.daemons);
-        let used = if sharers < self.daemons { MEMBERS_SLACK } else { USED_SLACK };
-        Some((fleet.slack * used / f64::from(sharers.max(1))).max(LEAST_MOST))
+        let alike = Sharers { most: self.daemons, rank: 0 };
+        let Sharers { most, rank } = self.sharers.get(service).copied().unwrap_or(alike);
+        let used = if most < self.daemons { MEMBERS_SLACK } else { USED_SLACK };
+        Some(part(fleet.slack * used, most, rank))
     }
 
     /// Returns the budget that a shard's attempts are paid from.
@@ -116,9 +129,25 @@
     shard.split_once('/').map_or(shard, |(service, _)| service)
 }
 
-/// Returns a daemon's part of what whole requests handed to a second daemon may
-/// add to each service, in requests: one at a time at the least.
+/// Returns the part of what whole requests handed to a second daemon may add to each
+/// service, in requests, of one of `members` daemons that run them, before which come `rank`
+/// others.
+#[must_use]
+pub fn rerun_part(slack: f64, members: u32, rank: u32) -> f64 {
+    part(slack * RERUN_SLACK, members, rank)
+}
+
+/// Returns a sharer's part of an amount of requests: equal parts, or one request for each of
+/// the first sharers where an equal part would be less. All parts together are no more than
+/// the amount, however many share it.
 #[must_use]
-pub fn rerun_part(slack: f64, daemons: u32) -> f64 {
-    (slack * RERUN_SLACK / f64::from(daemons.max(1))).max(LEAST_MOST)
+pub fn part(amount: f64, sharers: u32, rank: u32) -> f64 {
+    let equal = amount / f64::from(sharers.max(1));
+    if equal >= LEAST_MOST {
+        equal
+    } else if f64::from(rank) + LEAST_MOST <= amount {
+        LEAST_MOST
+    } else {
+        0.0
+    }
 }
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -29,6 +29,7 @@
 pub use budgets::Budgets;
 pub use budgets::FleetSlack;
 pub use budgets::RERUN_SHARE;
+pub use budgets::part;
 pub use budgets::rerun_part;
 pub use choice::Ask;
 pub use choice::Choice;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -159,11 +159,11 @@
         let kept = |s: &Searcher| s.under_way() > 0 || s.left_within(longest, now);
         self.searchers.retain(|name, s| own.contains_key(name) || kept(s));
         for (name, upstream) in own {
-            let OwnUpstream { spec, sharers, connections, cold } = upstream;
+            let OwnUpstream { spec, sharers, rank, connections, cold } = upstream;
             let cold = cold.map(|cold| self.own.cold_part(cold));
             let sharers = (*sharers).max(self.least_sharers);
             let share = connection_share(*connections, sharers);
-            self.budgets.share_services(services_of(spec), sharers);
+            self.budgets.share_services(services_of(spec), sharers, *rank);
             let searcher = self
                 .searchers
                 .entry(Arc::clone(name))
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -46,6 +46,8 @@
     pub spec: Arc<Upstream>,
     /// How many members share its limits.
     pub sharers: u32,
+    /// How many of them come before this one, in an order that is the same for all.
+    pub rank: u32,
     /// How many connections it takes in all.
     pub connections: u32,
     /// What this daemon may send to it while it is cold; none where that is not bound.
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -42,7 +42,6 @@
         found: &Found,
         trace: &mut Trace<C>,
     ) -> Answer {
-        self.spare.borrow_mut().earn();
         loop {
             let answer = self.forward_once(request, found, trace).await;
             // Those asked have another view of the cell or an older configuration:
@@ -102,15 +101,13 @@
         let in_time = self.ports.clock.now() < found.deadline;
         let lookup = &found.plan.lookup;
         let may = lookup.repeatable && lookup.attempts.is_none();
-        in_time && may && self.spare.borrow_mut().spend_hedge()
+        in_time && may
     }
 
     fn may_retry(&self, handed: &Handed, found: &Found) -> bool {
         let in_time = self.ports.clock.now() < found.deadline;
         let safe = found.plan.lookup.repeatable || !handed.sent;
-        // Where nothing was sent before, what is sent now is no extra load.
-        let paid = || !handed.sent || self.spare.borrow_mut().spend_retry();
-        in_time && safe && handed.under_way == 0 && paid()
+        in_time && safe && handed.under_way == 0
     }
 
     /// Hands a request to one more member, if there is one.
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -182,7 +182,7 @@
             ticket: request.ticket.clone(),
             remaining: millis(found.deadline.saturating_duration_since(now)),
             edition: self.newest_edition(),
-            again: !handed.tried.is_empty(),
+            again: handed.sent || handed.under_way > 0,
             late: found.late,
             suspects: self.reports(&found.work),
             asker: found.asker.clone(),
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -168,7 +168,23 @@
         if unnamed || origin.terms().edition.max(self.seen_edition()) > self.edition() {
             return Some(Code::OlderView);
         }
-        self.is_stopping().then_some(Code::NotMember)
+        if self.is_stopping() {
+            return Some(Code::NotMember);
+        }
+        self.pay_again(origin.terms().again)
+    }
+
+    /// Pays for a request that another member may be running as well. It is paid for here,
+    /// where it runs, and not where it came in: members are few, so that their parts of what
+    /// the fleet may add are worth something, and add up to no more.
+    fn pay_again(&self, again: bool) -> Option<Code> {
+        let mut spare = self.spare.borrow_mut();
+        if !again {
+            spare.earn();
+            return None;
+        }
+        let paid = spare.spend_retry();
+        (!paid).then_some(Code::NotMember)
     }
 
     async fn run_or_forward(
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -45,9 +45,8 @@
     fn take_peers(&self, peers: Arc<PeerView>) {
         let known = u32::try_from(peers.rows.len()).unwrap_or(u32::MAX);
         self.known.set(self.known.get().max(known));
-        if let Some(slack) = self.settings.slack {
+        if self.settings.slack.is_some() {
             self.router.borrow_mut().share_with(self.known.get());
-            self.spare.borrow_mut().bound(rerun_part(slack, self.known.get()));
         }
         self.holders.borrow_mut().see(&peers.rows, self.ports.clock.now());
         let met = peers.rows.iter().any(|row| row.host != self.settings.host);
@@ -69,9 +68,25 @@
             self.unknown_keys.borrow_mut().clear();
             self.reserves.borrow_mut().retain(|name, _| view.directory.client(name).is_some());
         }
+        self.bind_reruns(&view);
         *self.view.borrow_mut() = view;
     }
 
+    /// Bounds what whole requests that are handed on a second time may add here, by the
+    /// largest cell that this daemon is in.
+    fn bind_reruns(&self, view: &View) {
+        let Some(slack) = self.settings.slack else { return };
+        let own = &self.settings.host;
+        let part = |members: usize, before: usize| {
+            let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+            rerun_part(slack, count(members), count(before))
+        };
+        let cells = view.cells.values().filter(|cell| cell.contains(own));
+        let parts = cells.map(|cell| part(cell.len(), cell.iter().filter(|host| *host < own).count()));
+        let least = parts.min_by(f64::total_cmp);
+        self.spare.borrow_mut().bound(least.unwrap_or_else(|| rerun_part(slack, self.known.get(), 0)));
+    }
+
     /// Renews the lease on a short timer; asks for a confirmation after a pause.
     pub async fn keep_lease(self: Rc<Self>) {
         loop {
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -223,7 +223,7 @@
             None => Budgets::one(settings.extra),
         };
         let spare = match settings.slack {
-            Some(slack) => Budget::strict(RERUN_SHARE, rerun_part(slack, settings.daemons)),
+            Some(slack) => Budget::strict(RERUN_SHARE, rerun_part(slack, settings.daemons, 0)),
             None => Budget::new(settings.extra),
         };
         let router = Router::new(settings.policy, budgets, settings.seed, ports.clock.now());
--- a/crates/harefield/tests/decisions/budgets.rs
+++ b/crates/harefield/tests/decisions/budgets.rs
@@ -5,6 +5,7 @@
 use harefield::domain::routing::Budget;
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::FleetSlack;
+use harefield::domain::routing::part;
 use harefield::domain::routing::rerun_part;
 
 use crate::support::cases;
@@ -56,7 +57,7 @@
 /// Returns how much is in hand for a service after much was earned.
 fn in_hand(budgets: &mut Budgets, shard: &str) -> u32 {
     let shard = shard.into();
-    for _ in 0..10_000 {
+    for _ in 0..1000 {
         budgets.of(&shard).earn();
     }
     let mut sent = 0;
@@ -70,12 +71,38 @@
 fn members_share_slack() {
     let fleet = FleetSlack { share: 0.2, slack: 160.0 };
     let mut budgets = Budgets::by_service(fleet, 60);
-    budgets.share_services(["s"].into_iter(), 12);
+    budgets.share_services(["s"].into_iter(), 12, 3);
     let member = in_hand(&mut budgets, "s/all");
     assert_eq!(member, 8, "three fifths of the slack over twelve members");
-    let reruns = rerun_part(fleet.slack, 60) * 60.0;
+    let reruns = rerun_part(fleet.slack, 12, 3) * 12.0;
     assert!(f64::from(member) * 12.0 + reruns <= fleet.slack, "{reruns} for requests handed on again");
-    budgets.share_services(["s"].into_iter(), 6);
+    budgets.share_services(["s"].into_iter(), 6, 3);
     assert_eq!(in_hand(&mut budgets, "s/all"), 8, "members that are not seen now may spend all the same");
     assert_eq!(in_hand(&mut budgets, "other/all"), 2, "four fifths over all sixty");
 }
+
+#[test]
+fn parts_within_slack() {
+    // A floor of one request for each daemon came to 1,168 of 640 at 584 daemons.
+    for daemons in [1, 3, 24, 584, 2700, 7154_u32] {
+        for slack in [0.0, 0.5, 10.0, 54.0, 640.0] {
+            let all = (0..daemons).map(|rank| part(slack, daemons, rank));
+            assert!(all.sum::<f64>() <= slack + 1e-6, "{slack} among {daemons}");
+        }
+    }
+}
+
+#[test]
+fn all_budgets_within_slack() {
+    // What daemons have in hand together, those that run requests again among them.
+    let fleet = FleetSlack { share: 0.2, slack: 54.0 };
+    for (daemons, sharers) in [(24, 24), (584, 24), (584, 584), (7154, 2700)] {
+        let mut together = 0.0;
+        for rank in 0..sharers {
+            let mut budgets = Budgets::by_service(fleet, daemons);
+            budgets.share_services(["s"].into_iter(), sharers, rank);
+            together += f64::from(in_hand(&mut budgets, "s/all")) + rerun_part(fleet.slack, sharers, rank);
+        }
+        assert!(together <= fleet.slack, "{together} of {} among {sharers} of {daemons}", fleet.slack);
+    }
+}
