An upstream that rejects though it has room is ranked by how often it does

Cause: what the last request showed decided. An upstream that rejects three requests in five was taken for well after each answer; and probes of it took the attempt that a rejected request is sent again with.

Change: a rate of rejections (up by half of the rest at each, down by two fifths at an answer) puts it behind; while any of a shard's upstreams rejects, those that answered within 2 s go before those that nothing was heard of. It is not probed: one in sixteen first attempts tries one that was quiet for 2 s, and leaves the second attempt for another. One that says that it is full is passed over until it answers, as before.

Tests: rejecting_model::known_soon, known_where_few_come, back_when_well; routing::often_rejecting_passed_over, asked_again_once_well.

--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::policy::Policy;
+use super::rejections::TRIED_SHARE;
 use super::report::Bar;
 use super::report::Until;
 use super::router::Router;
@@ -22,15 +23,29 @@
     pub scores: Vec<Score>,
 }
 
-/// How a candidate ranks: those that failed last, fell silent, or take much
-/// longer than the quickest, come after all others; then the nearer ones lead.
+/// How a candidate ranks: those that failed last, fell silent, reject often or take much
+/// longer than the quickest, come after all others; then, where some reject, those that
+/// answered a moment ago lead, and the nearer ones.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
     passed_over: bool,
+    unproven: bool,
     distance: Distance,
     cost: f64,
 }
 
+/// What is known of a shard's replicas of which some reject often.
+#[derive(Debug)]
+struct Rejecting {
+    /// The one that is to be tried again, if any.
+    again: Option<UpstreamId>,
+}
+
+impl Rank {
+    /// Before all others.
+    const FIRST: Self = Self { passed_over: false, unproven: false, distance: Distance::Near, cost: 0.0 };
+}
+
 /// What is asked for when a replica is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -63,6 +78,7 @@
             return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
         let typical = self.pace(ask.kind).mean().as_secs_f64();
+        let rejects = self.rejecting(ask, now);
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
@@ -75,7 +91,10 @@
             });
             match found {
                 Ok(cost) => {
-                    let rank = self.rank(name, cost, ask, typical, now);
+                    let rank = match &rejects {
+                        Some(Rejecting { again: Some(again) }) if again == name => Rank::FIRST,
+                        _ => self.rank(name, cost, ask, rejects.is_some(), (typical, now)),
+                    };
                     if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                         best = Some((rank, Arc::clone(name)));
                     }
@@ -89,6 +108,20 @@
         }
     }
 
+    /// Returns what is known of a shard's replicas that reject often; none where none does.
+    fn rejecting(&mut self, ask: &Ask<'_>, now: Instant) -> Option<Rejecting> {
+        let rejects = |name| self.searchers.get(name).is_some_and(|s| s.rejections.is_rejecting(now));
+        if !ask.replicas.iter().any(rejects) {
+            return None;
+        }
+        // Only a first attempt leaves others to send to what is rejected.
+        let tries = ask.tried.is_empty() && self.draw() < TRIED_SHARE;
+        let found = |name| self.searchers.get(name).map(|searcher| (name, searcher));
+        let warm = ask.replicas.iter().filter_map(found).filter(|(_, s)| tries && !s.cold.is_cold(now));
+        let due = warm.filter_map(|(name, searcher)| Some((searcher.rejections.due(now)?, name)));
+        Some(Rejecting { again: due.max().map(|(_, name)| Arc::clone(name)) })
+    }
+
     fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
         let draw = self.draw();
         let unknown = Bar { gap: Gap::NoReplica, until: Until::Never };
@@ -100,18 +133,27 @@
         Ok(self.policy.cost(searcher, typical, draw, now))
     }
 
-    /// Ranks a replica beside the others that may be asked.
-    fn rank(&self, name: &UpstreamId, cost: f64, ask: &Ask<'_>, typical: f64, now: Instant) -> Rank {
+    /// Ranks a replica beside the others that may be asked, of which some reject often or
+    /// none does.
+    fn rank(
+        &self,
+        name: &UpstreamId,
+        cost: f64,
+        ask: &Ask<'_>,
+        rejects: bool,
+        (typical, now): (f64, Instant),
+    ) -> Rank {
         let found = self.searchers.get(name).filter(|_| self.policy == Policy::Cost);
         let Some(searcher) = found else {
-            return Rank { passed_over: false, distance: Distance::Near, cost };
+            return Rank { passed_over: false, unproven: false, distance: Distance::Near, cost };
         };
         let others =
             ask.untried().filter(|other| *other != name).filter_map(|other| self.searchers.get(other));
         let mut good = others.filter(|s| !s.on_probation() && s.admits(ask.version, now).is_ok());
-        let slow = searcher.on_probation() || good.any(|other| searcher.passed_over(other, typical));
+        let slow = searcher.on_probation() || good.any(|other| searcher.passed_over(other, typical, now));
         let passed_over = slow || searcher.is_silent(typical, now) || searcher.cold.is_cold(now);
-        Rank { passed_over, distance: searcher.distance, cost }
+        let unproven = rejects && !searcher.rejections.has_answered(now);
+        Rank { passed_over, unproven, distance: searcher.distance, cost }
     }
 
     /// Returns a replica that is passed over and should be looked at, by an
@@ -125,7 +167,8 @@
             let found = self.searchers.get(*name);
             found.is_some_and(|s| {
                 s.distance <= chosen_one.distance
-                    && s.passed_over(chosen_one, typical)
+                    && s.passed_over(chosen_one, typical, now)
+                    && !s.rejects_beside(chosen_one, now)
                     && s.probe_due(now)
                     && !s.cold.is_cold(now)
                     && s.admits(ask.version, now).is_ok()
--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -31,7 +31,8 @@
         let base = self.observed_time(typical).max(self.oldest_age(now) - self.way);
         let ahead = f64::from(u32::try_from(self.under_way()).unwrap_or(u32::MAX));
         let wait = base * ahead / f64::from(self.spec.slots.max(1));
-        base * self.reported_factor(now) + wait + self.connect_time() + self.way
+        let once = base * self.reported_factor(now) + wait + self.connect_time() + self.way;
+        once * self.rejections.factor(now)
     }
 
     /// Returns the observed time of a request, in seconds; `typical` where
@@ -48,11 +49,18 @@
     }
 
     /// Returns whether it is passed over beside another replica: it failed last,
-    /// or takes much longer by itself and longer with the way. A request takes
-    /// `typical` seconds where nothing was observed yet.
+    /// rejects much more often, or takes much longer by itself and longer with the way. A
+    /// request takes `typical` seconds where nothing was observed yet.
     #[must_use]
-    pub fn passed_over(&self, other: &Self, typical: f64) -> bool {
-        self.probation || self.is_slower(other, typical)
+    pub fn passed_over(&self, other: &Self, typical: f64, now: Instant) -> bool {
+        self.probation || self.rejects_beside(other, now) || self.is_slower(other, typical)
+    }
+
+    /// Returns whether it rejects much more often than another replica. It is not probed for
+    /// that: a probe would take the attempt that a rejected request is sent again with.
+    #[must_use]
+    pub fn rejects_beside(&self, other: &Self, now: Instant) -> bool {
+        self.rejections.passed_over(&other.rejections, now)
     }
 
     /// Returns whether it takes much longer than another replica by itself, and
--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -60,8 +60,8 @@
         self.heard = Some(now);
         self.load = report.load.filter(|load| self.believes(*load, took)).map(|load| (load, now));
         match verdict {
-            Verdict::Good => self.good(took, under_way),
-            Verdict::Full(wait) => self.full(wait, now),
+            Verdict::Good => self.good(took, under_way, now),
+            Verdict::Full(wait) => self.full(wait, report.load, now),
             Verdict::Declined => {}
             Verdict::Abandoned => self.abandoned(took),
             Verdict::Lost => self.lost(now),
@@ -75,7 +75,8 @@
         self.best.is_none_or(|best| took >= best * (1.0 + queue) * BELIEF)
     }
 
-    fn good(&mut self, took: f64, under_way: usize) {
+    fn good(&mut self, took: f64, under_way: usize, now: Instant) {
+        self.rejections.answer(now);
         self.failures = 0;
         self.retry = None;
         self.shed = None;
@@ -110,15 +111,19 @@
         });
     }
 
-    fn full(&mut self, wait: Option<Duration>, now: Instant) {
+    fn full(&mut self, wait: Option<Duration>, load: Option<Load>, now: Instant) {
         self.window.shrink();
-        // Beside one that takes its requests it is passed over until it answers.
-        self.probation = true;
+        // Beside one that takes its requests it is passed over: until it answers, or for as
+        // long as it has rejected often where it says that it has room.
+        if load.is_some_and(|load| load.queued == 0 && load.active < self.spec.slots.max(1)) {
+            self.rejections.reject(now);
+        } else {
+            self.probation = true;
+        }
         let Some(wait) = wait else { return };
         let doubled = wait.saturating_mul(1 << self.failures.min(4));
         self.shed = Some(now + wait.max(doubled.min(LONGEST_BACKOFF)).min(LONGEST_SHED));
         self.failures = self.failures.saturating_add(1);
-        self.probation = true;
     }
 
     /// A reply that was lost says little by itself; several in a row do.
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod policy;
 mod readiness;
+mod rejections;
 mod relays;
 mod report;
 mod router;
--- a/crates/harefield/src/domain/routing/searcher.rs
+++ b/crates/harefield/src/domain/routing/searcher.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::rejections::Rejections;
 use super::report::Bar;
 use super::report::Load;
 use super::report::Until;
@@ -41,6 +42,7 @@
     pub(super) cold: Spell,
     pub(super) shed: Option<Instant>,
     pub(super) failures: u32,
+    pub(super) rejections: Rejections,
     pub(super) retry: Option<Instant>,
     pub(super) idle: usize,
 }
@@ -70,6 +72,7 @@
             cold: Spell::default(),
             shed: None,
             failures: 0,
+            rejections: Rejections::default(),
             retry: None,
             idle: 0,
         }
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -30,6 +30,7 @@
 mod readers;
 mod readiness;
 mod recent;
+mod rejecting_model;
 mod residency;
 mod revisions;
 mod routing;
--- /dev/null
+++ b/crates/harefield/tests/decisions/rejecting_model.rs
@@ -0,0 +1,215 @@
+//! A model of daemons that carry shards of which most upstreams begin to reject.
+//!
+//! The load: of each shard's twelve replicas, four in each of three regions, four of five
+//! reject three requests in five from one moment on, and report that they are idle. A request
+//! asks two of a shard's replicas at the most, and needs nearly all shards.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use harefield::domain::fanout::Action;
+use harefield::domain::fanout::AttemptEnd;
+use harefield::domain::fanout::Fanout;
+use harefield::domain::fanout::MOST_TRIALS;
+use harefield::domain::fanout::Rules;
+use harefield::domain::fanout::Send;
+use harefield::domain::ids::UpstreamId;
+use harefield::domain::outcome::Gap;
+use harefield::domain::places::Places;
+use harefield::domain::reply::ByteReply;
+use harefield::domain::reply::Reply;
+use harefield::domain::resources::Preference;
+use harefield::domain::resources::ResourceSet;
+use harefield::domain::routing::Budgets;
+use harefield::domain::routing::FleetSlack;
+use harefield::domain::routing::Load;
+use harefield::domain::routing::Policy;
+use harefield::domain::routing::Report;
+use harefield::domain::routing::Router;
+use harefield::domain::routing::Verdict;
+use harefield::domain::view::Plan;
+
+use crate::support::at;
+use crate::support::items;
+use crate::support::replica;
+use crate::support::values;
+use crate::support::view;
+
+const SHARDS: usize = 100;
+const REPLICAS: usize = 12;
+
+/// How long an attempt takes, in milliseconds.
+const ANSWERED_MS: u64 = 2;
+
+/// The share of the shards that an answer needs.
+const NEEDED: f64 = 0.95;
+
+/// One daemon that carries shards.
+struct Carrier {
+    router: Router,
+    plan: Arc<Plan>,
+    now: Instant,
+    draw: u64,
+    /// How many requests a second it carries of each shard.
+    carried: u64,
+    rejecting: bool,
+    asked: Vec<UpstreamId>,
+}
+
+impl Carrier {
+    fn start(seed: u64, carried: u64) -> Self {
+        let now = Instant::now();
+        let mut values = values(SHARDS, REPLICAS, &[7]);
+        for shard in 0..SHARDS {
+            for number in 0..REPLICAS {
+                let upstream = values.get_mut(&format!("upstreams/{}", replica(shard, number)));
+                let upstream = upstream.expect("it is there");
+                upstream["zone"] = ["a", "b", "c"][number / 4].into();
+                upstream["address"] = format!("127.0.0.1:{}", 1000 + shard * REPLICAS + number).into();
+                upstream["slots"] = 3.into();
+                upstream["connections"] = 175.into();
+            }
+        }
+        let set = Arc::new(ResourceSet::parse(&items(values)).expect("the values are valid"));
+        let view = view(&set);
+        let regions =
+            [("a", "r1"), ("b", "r2"), ("c", "r3")].map(|(zone, region)| (zone.into(), region.into()));
+        let places = Places { zone: "a".into(), regions: BTreeMap::from(regions) };
+        let budgets = Budgets::by_service(FleetSlack { share: 0.2, slack: 640.0 * SHARDS as f64 }, 24);
+        let mut router = Router::new(Policy::Cost, budgets, seed, now).at(places);
+        router.apply(&view, now);
+        let plan = Arc::clone(&view.lookups["l"].plans[0]);
+        Self { router, plan, now, draw: seed, carried, rejecting: false, asked: Vec::new() }
+    }
+
+    /// Draws a number below 1000.
+    fn draw(&mut self) -> u64 {
+        self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.draw >> 33) % 1000
+    }
+
+    fn rejects(&mut self, upstream: &UpstreamId) -> bool {
+        let bad = xxhash_rust::xxh3::xxh3_64_with_seed(upstream.as_bytes(), 5) % 5 < 4;
+        self.rejecting && bad && self.draw() < 600
+    }
+
+    /// Runs one request; returns the share of the shards that were had.
+    fn run(&mut self) -> f64 {
+        let rules = Rules {
+            kind: "l".into(),
+            repeatable: true,
+            prefer: Preference::Coverage,
+            start: self.now,
+            deadline: at(self.now, 2000),
+            hedge: Some(1.6),
+            fixed: None,
+            objective: Some(at(self.now, 300)),
+            cut: Some(at(self.now, 300)),
+            least_share: 0.0,
+            possible: None,
+            grouped: false,
+            again: false,
+            attempts: 2,
+            trials: MOST_TRIALS,
+        };
+        let (mut now, mut events) = (self.now, Vec::new());
+        let mut fanout = Fanout::new(Arc::clone(&self.plan), rules, 0);
+        let mut flying = sends(fanout.start(now, &mut self.router, &mut events));
+        while !fanout.is_done() {
+            now += Duration::from_millis(1);
+            for send in std::mem::take(&mut flying) {
+                if now < at(send.start, ANSWERED_MS) {
+                    flying.push(send);
+                    continue;
+                }
+                self.asked.push(Arc::clone(&send.upstream));
+                let report = Report { load: Some(Load { active: 0, queued: 0, slowness: None }), word: None };
+                let rejected = self.rejects(&send.upstream);
+                let (end, verdict) = if rejected {
+                    (AttemptEnd::Refused { why: Gap::Overloaded, begun: false }, Verdict::Full(None))
+                } else {
+                    (answer(), Verdict::Good)
+                };
+                self.router.end(&send.upstream, send.start, verdict, &report, now);
+                let place = (send.shard, send.attempt);
+                flying.extend(sends(fanout.on_end(place, end, now, &mut self.router, &mut events)));
+            }
+            flying.extend(sends(fanout.on_time(now, &mut self.router, &mut events)));
+        }
+        let finished = fanout.finish();
+        finished.parts.len() as f64 / SHARDS as f64
+    }
+
+    /// Runs requests for a time; returns the share of them that had enough.
+    fn serve(&mut self, millis: u64) -> f64 {
+        let (mut served, count) = (0, millis * self.carried / 1000);
+        for _ in 0..count {
+            self.now += Duration::from_millis(1000 / self.carried);
+            self.router.lease_mut().renew(self.now);
+            served += u32::from(self.run() >= NEEDED);
+        }
+        f64::from(served) / count as f64
+    }
+}
+
+fn sends(actions: Vec<Action>) -> Vec<Send> {
+    actions.into_iter().filter_map(|a| if let Action::Send(send) = a { Some(send) } else { None }).collect()
+}
+
+fn answer() -> AttemptEnd {
+    let reply = ByteReply { status: 200, signature: Some("s".into()), ..ByteReply::default() };
+    AttemptEnd::Answered(Reply::Bytes(Arc::new(reply)))
+}
+
+/// Returns the shares served in each second after upstreams began to reject.
+fn after_onset(seeds: std::ops::Range<u64>, windows: usize, carried: u64) -> Vec<f64> {
+    let mut all = vec![0.0; windows];
+    let count = seeds.end - seeds.start;
+    for seed in seeds {
+        let mut carrier = Carrier::start(seed, carried);
+        let before = carrier.serve(4000);
+        assert!(before > 0.99, "{before}");
+        carrier.rejecting = true;
+        for window in &mut all {
+            *window += carrier.serve(1000) / count as f64;
+        }
+    }
+    all
+}
+
+#[test]
+fn known_soon() {
+    // Which upstreams reject is known after a dozen requests, and stays known: those that
+    // reject are tried again by few requests.
+    let served = after_onset(1..3, 10, 9);
+    assert!(served[1] > 0.8, "from 1 s on: {served:.2?}");
+    let settled = &served[2..];
+    let mean = settled.iter().sum::<f64>() / settled.len() as f64;
+    assert!(mean > 0.9, "{served:.2?}");
+}
+
+#[test]
+fn known_where_few_come() {
+    // Of a shard that gets two requests a second, too.
+    let served = after_onset(1..3, 10, 2);
+    let settled = served[6..].iter().sum::<f64>() / 4.0;
+    assert!(settled > 0.8, "{served:.2?}");
+}
+
+#[test]
+fn back_when_well() {
+    // Once they take all requests, those that rejected are asked again, the near ones first.
+    let mut carrier = Carrier::start(1, 9);
+    carrier.serve(2000);
+    carrier.rejecting = true;
+    carrier.serve(4000);
+    carrier.rejecting = false;
+    carrier.serve(12_000);
+    carrier.asked.clear();
+    carrier.serve(2000);
+    let is_near = |name: &&UpstreamId| (0..4).any(|number| name.ends_with(&format!("-{number}")));
+    let near = carrier.asked.iter().filter(is_near).count();
+    assert!(near * 10 > carrier.asked.len() * 8, "{near} of {} to near ones", carrier.asked.len());
+}
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -326,6 +326,52 @@
     }
 }
 
+/// How often one of two replicas is asked first, of 100 requests 20 ms apart, that takes two
+/// requests of five and reports that it has room; the other one takes all.
+fn asked_though_rejecting(load: Load) -> u32 {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    let report = Report { load: Some(load), word: None };
+    serve(&mut router, &names[0], 4, 20, now, &Report::default());
+    serve(&mut router, &names[1], 4, 20, now, &Report::default());
+    let mut asked = 0;
+    for n in 0..100_u64 {
+        let now = at(now, 20 * n);
+        router.lease_mut().renew(now);
+        if n % 10 == 0 {
+            // As many probes as there are twice a second.
+            let verdict = if n % 50 < 20 { Verdict::Good } else { Verdict::Full(None) };
+            router.begin(&names[0], now);
+            router.end(&names[0], now, verdict, &report, at(now, 4));
+        }
+        if choose(&mut router, &names, at(now, 5)) == Ok(Arc::clone(&names[0])) {
+            asked += 1;
+        }
+    }
+    asked
+}
+
+#[test]
+fn often_rejecting_passed_over() {
+    let idle = Load { active: 0, queued: 0, slowness: None };
+    let asked = asked_though_rejecting(idle);
+    assert!(asked <= 15, "{asked} of 100 are sent to one that rejects three in five");
+}
+
+#[test]
+fn asked_again_once_well() {
+    let now = Instant::now();
+    let (mut router, names) = two(now);
+    serve(&mut router, &names[1], 4, 20, now, &Report::default());
+    for n in 0..10 {
+        router.begin(&names[0], at(now, n));
+        router.end(&names[0], at(now, n), Verdict::Full(None), &Report::default(), at(now, n));
+    }
+    serve(&mut router, &names[0], 4, 8, at(now, 20), &Report::default());
+    let chosen = (0..100).filter(|_| choose(&mut router, &names, at(now, 30)) == Ok(Arc::clone(&names[0])));
+    assert!(chosen.count() > 20, "eight answers in a row show that it takes its requests");
+}
+
 #[test]
 fn begun_before_move() {
     // A request waits for room while its cell moves to another daemon: it goes on, by what
