A shard's requests meet at one daemon where its replicas are more than its attempts

Cause: where one daemon of a zone could carry a wide fan-out alone, any of the zone's four members did, so that each saw a quarter of each shard's requests, and knew four times as late which replicas reject.

Change: such a fan-out is shared among the daemons beside the replicas whatever it takes, by the same rendezvous order at all senders.

Test: sharing::requests_meet, eight senders: at least 0.9 of a shard's requests at one daemon (not shared at all before).

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -113,7 +113,10 @@
         step: &mut Step<'_, S>,
     ) -> Vec<usize> {
         let carriers = step.router.carriers(&self.plan.index, region, &self.rules.kind, step.now);
-        let portions = self.allowance(step).and_then(|allowance| share(&wanted, &carriers, allowance));
+        let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
+        let meeting = wanted.iter().any(|wanted| self.plan.shards[wanted.at].replicas.len() > most);
+        let allowance = self.allowance(step).map(|allowance| Allowance { meeting, ..allowance });
+        let portions = allowance.and_then(|allowance| share(&wanted, &carriers, allowance));
         let Some(portions) = portions else { return self.hand_by_zone(wanted, step) };
         let mut own = Vec::new();
         for Portion { carrier, shards } in portions {
--- a/crates/harefield/src/domain/routing/sharing.rs
+++ b/crates/harefield/src/domain/routing/sharing.rs
@@ -8,7 +8,12 @@
 //! all requests from 0.70 to 0.88, and of the kind with an objective of 100 ms from 0.28
 //! to 0.66.
 //!
-//! The limit is a small part of the objective: what one daemon sends within it, it sends
+//! Where shards have more replicas than a request may ask, a fan-out is shared whatever it
+//! takes: a shard's requests then meet at one daemon, which sees which replicas reject. Carried
+//! alone by any of four daemons of a zone, each of them saw a quarter, and took four times as
+//! long to know.
+//!
+//! Else the limit is a small part of the objective: what one daemon sends within it, it sends
 //! alone, since each further daemon costs a message, bytes and a hop. Beyond it the
 //! daemons beside the replicas share, and if they are too few for it those of the region.
 
@@ -82,13 +87,15 @@
     pub shard: Duration,
     /// How long sending may take.
     pub allowed: Duration,
+    /// Whether a shard's requests are to meet at one daemon.
+    pub meeting: bool,
 }
 
 impl Allowance {
     /// Creates the allowance of a fan-out that has `left` until its objective.
     #[must_use]
     pub fn new(shard: Duration, left: Duration) -> Self {
-        Self { shard, allowed: left * SENDING_PERCENT / 100 }
+        Self { shard, allowed: left * SENDING_PERCENT / 100, meeting: false }
     }
 
     /// Says whether a daemon of `capacity` sends `shards` within the time allowed.
@@ -119,7 +126,8 @@
     for shard in wanted {
         *zones.entry(&shard.zone).or_default() += 1;
     }
-    if zones.iter().all(|(zone, shards)| is_carried_alone(*shards, zone, carriers, allowance)) {
+    let alone = || zones.iter().all(|(zone, shards)| is_carried_alone(*shards, zone, carriers, allowance));
+    if !allowance.meeting && alone() {
         return None;
     }
     let (beside, others): (Vec<_>, Vec<_>) =
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -23,6 +23,7 @@
 use harefield::domain::routing::Carrier;
 use harefield::domain::routing::Own;
 use harefield::domain::routing::Policy;
+use harefield::domain::routing::Portion;
 use harefield::domain::routing::Router;
 use harefield::domain::routing::Wanted;
 use harefield::domain::routing::share;
@@ -310,7 +311,8 @@
             at, shard: format!("s/{at:03}").into(), zone: if at.is_multiple_of(3) { "c" } else { "a" }.into(),
         };
         let wanted: Vec<Wanted> = (0..shards).map(wanted).collect();
-        let allowance = Allowance { shard: SHARD_TIME, allowed: Duration::from_micros(micros) };
+        let allowance =
+            Allowance { shard: SHARD_TIME, allowed: Duration::from_micros(micros), meeting: false };
         if let Some(portions) = share(&wanted, &carriers, allowance) {
             let places: Vec<usize> = portions.iter().flat_map(|portion| portion.shards.iter().map(|wanted| wanted.at)).collect();
             prop_assert_eq!(places.len(), shards);
@@ -318,3 +320,35 @@
         }
     }
 }
+
+#[test]
+fn requests_meet() {
+    // Strong daemons that could each carry a fan-out alone: a shard's requests meet at one of
+    // them all the same, whoever sends them, where it has more replicas than may be asked.
+    let zones = ["a", "a", "a", "a", "b", "b", "b", "b"];
+    let allowance = Allowance::new(Duration::from_micros(40), Duration::from_millis(300));
+    let wanted: Vec<Wanted> =
+        (0..180).map(|at| Wanted { at, shard: format!("s{at}/all").into(), zone: "a".into() }).collect();
+    let carriers = |sender: usize| -> Vec<Carrier> {
+        let carrier = |(number, zone): (usize, &&str)| Carrier {
+            host: format!("10.1.0.{number}:8503").into(),
+            own: number == sender,
+            capacity: 500,
+            zone: (*zone).into(),
+        };
+        zones.iter().enumerate().map(carrier).collect()
+    };
+    let mut met: Vec<BTreeMap<HostId, usize>> = vec![BTreeMap::new(); wanted.len()];
+    for sender in 0..zones.len() {
+        let carriers = carriers(sender);
+        assert!(share(&wanted, &carriers, allowance).is_none(), "one of them could carry it");
+        let portions = share(&wanted, &carriers, Allowance { meeting: true, ..allowance });
+        for Portion { carrier, shards } in portions.expect("it is shared") {
+            for shard in shards {
+                *met[shard.at].entry(Arc::clone(&carrier.host)).or_default() += 1;
+            }
+        }
+    }
+    let most: usize = met.iter().filter_map(|hosts| hosts.values().max()).sum();
+    assert!(most * 100 >= wanted.len() * zones.len() * 90, "{most} of {}", wanted.len() * zones.len());
+}
