--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -156,8 +156,11 @@
     pub fn apply(&mut self, view: &View, now: Instant) {
         let own = &view.upstreams;
         let longest = longest_deadline(view);
-        let kept = |s: &Searcher| s.under_way() > 0 || s.left_within(longest, now);
-        self.searchers.retain(|name, s| own.contains_key(name) || kept(s));
+        let listed = |name: &UpstreamId, s: &Searcher| {
+            view.set.upstreams.get(name).is_some_and(|spec| s.is_same(spec))
+        };
+        let begun = |name: &UpstreamId, s: &Searcher| s.left_within(longest, now) && listed(name, s);
+        self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0 || begun(name, s));
         for (name, upstream) in own {
             let OwnUpstream { spec, sharers, rank, connections, cold } = upstream;
             let cold = cold.map(|cold| self.own.cold_part(cold));
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -223,6 +223,11 @@
             Ok(room) => room,
             Err(wait) => return refuse(trace, Code::NoRoom, wait),
         };
+        // Nothing has run: whoever is a member now takes it, and this daemon's room is for what
+        // it began before.
+        if !self.is_member(found) {
+            return refuse(trace, Code::NotMember, Duration::ZERO);
+        }
         let waited = self.ports.clock.now().saturating_duration_since(found.start);
         let job = Job::new(request, found, trace.request());
         trace.emit(Event::Admitted {
@@ -320,10 +325,15 @@
         held.set(overrun);
     }
 
+    /// Says whether this daemon is still in the cell of a request's index.
+    fn is_member(&self, found: &Found) -> bool {
+        self.router.borrow().is_member(&found.plan.lookup.index, &self.settings.host)
+    }
+
     /// Says whether the cell moved while a request waited here that ran nowhere, so that a
     /// member may run it. What an upstream may have refused meanwhile is paid for.
     fn is_moved(&self, found: &Found, finished: &Finished) -> bool {
-        let moved = !self.router.borrow().is_member(&found.plan.lookup.index, &self.settings.host);
+        let moved = !self.is_member(found);
         let unsent = finished.sent.iter().all(|sent| *sent == 0);
         let is_paid = || unsent || self.spare.borrow_mut().spend_retry();
         moved && finished.code == Code::NoReplica && is_paid()
