A rejecting upstream is checked by the attempt that is named, not by the free choice

Cause: of two attempts on a shard that a carrier was handed, one is of its own choice and the other is for the replica that the sender keeps, which knows nothing of who rejects.

Change: in such a group only the kept replica is checked, and the free choice goes to one that takes the request.

--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -111,9 +111,13 @@
     }
 
     fn ask<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> Ask<'a> {
+        let all = &self.plan.shards[shard].replicas;
+        let limit = self.shards[shard].limit.as_ref();
         Ask {
-            replicas: self.shards[shard].only().unwrap_or(&self.plan.shards[shard].replicas),
+            replicas: self.shards[shard].only().unwrap_or(all),
             tried,
+            // The free choice is for one that takes the request.
+            checked: limit.map_or(all, |limit| &limit.named),
             version: self.plan.version,
             kind: &self.rules.kind,
         }
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -53,6 +53,8 @@
     pub replicas: &'a [UpstreamId],
     /// Those already tried, in vain or still under way.
     pub tried: &'a [UpstreamId],
+    /// Those that may be asked to see whether they still reject.
+    pub checked: &'a [UpstreamId],
     /// The snapshot's version.
     pub version: Version,
     /// The kind of request, for its pace.
@@ -117,7 +119,7 @@
         // Only a first attempt leaves others to send to what is rejected.
         let tries = ask.tried.is_empty() && self.draw() < TRIED_SHARE;
         let found = |name| self.searchers.get(name).map(|searcher| (name, searcher));
-        let warm = ask.replicas.iter().filter_map(found).filter(|(_, s)| tries && !s.cold.is_cold(now));
+        let warm = ask.checked.iter().filter_map(found).filter(|(_, s)| tries && !s.cold.is_cold(now));
         let due = warm.filter_map(|(name, searcher)| Some((searcher.rejections.due(now)?, name)));
         Some(Rejecting { again: due.max().map(|(_, name)| Arc::clone(name)) })
     }
