--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -230,8 +230,8 @@
     /// Returns whether what a daemon has that is newer is on its way here without it: by the
     /// watch, or by the daemons of the own zone, which hold it as well.
     fn hears_otherwise(&self, host: &HostId) -> bool {
-        let is_far = self.joined.get() && self.distance_of(host) == Distance::Far;
-        is_far || self.hears_platform()
+        let settled = self.joined.get() && !self.confirming.get();
+        settled && self.distance_of(host) == Distance::Far || self.hears_platform()
     }
 
     /// Returns whether this daemon holds the watch itself and it works, so that
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -123,7 +123,7 @@
 pub(super) struct Shard {
     /// Attempts under way.
     pub flights: Vec<Flight>,
-    /// Which replicas may be asked; all where there is no bound.
+    /// Which replicas may be asked; all where there is no limit.
     pub limit: Option<ReplicaLimit>,
     /// Replicas that failed and are passed over until all have.
     pub failed: Vec<UpstreamId>,
@@ -165,16 +165,16 @@
 
     /// Returns the only replicas that may be asked; none for all.
     pub fn only(&self) -> Option<&[UpstreamId]> {
-        self.limit.as_ref().filter(|bound| bound.free == 0).map(|bound| &*bound.named)
+        self.limit.as_ref().filter(|limit| limit.free == 0).map(|limit| &*limit.named)
     }
 
     /// Counts an attempt that leaves for a replica.
     pub fn count(&mut self, upstream: &UpstreamId) {
         self.sent += 1;
-        if let Some(bound) = &mut self.limit
-            && !bound.named.contains(upstream)
+        if let Some(limit) = &mut self.limit
+            && !limit.named.contains(upstream)
         {
-            bound.free = bound.free.saturating_sub(1);
+            limit.free = limit.free.saturating_sub(1);
         }
     }
 
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -37,7 +37,7 @@
 /// What is known of a shard's replicas of which some reject often.
 #[derive(Debug)]
 struct Rejecting {
-    /// The one that is to be tried again, if any.
+    /// The one that is to be checked now, if any.
     again: Option<UpstreamId>,
 }
 
@@ -113,10 +113,10 @@
     /// Returns what is known of a shard's replicas that reject often; none where none does.
     fn rejecting(&mut self, ask: &Ask<'_>, now: Instant) -> Option<Rejecting> {
         let rejects = |name| self.searchers.get(name).is_some_and(|s| s.rejections.is_rejecting(now));
-        if !ask.replicas.iter().any(rejects) {
+        if self.policy != Policy::Cost || !ask.replicas.iter().any(rejects) {
             return None;
         }
-        // Only a first attempt leaves others to send to what is rejected.
+        // What a first attempt meets as a rejection can be sent to another.
         let tries = ask.tried.is_empty() && self.draw() < TRIED_SHARE;
         let found = |name| self.searchers.get(name).map(|searcher| (name, searcher));
         let warm = ask.checked.iter().filter_map(found).filter(|(_, s)| tries && !s.cold.is_cold(now));
--- a/crates/harefield/src/domain/view/plan.rs
+++ b/crates/harefield/src/domain/view/plan.rs
@@ -19,7 +19,7 @@
     /// Whether all its replicas stand in other regions.
     pub abroad: bool,
     /// Which of them may be asked where another daemon may ask as well; all where there is
-    /// no bound.
+    /// no limit.
     pub limit: Option<ReplicaLimit>,
 }
 
@@ -34,19 +34,19 @@
 }
 
 impl ShardPlan {
-    /// Takes a bound; replicas that may not be asked by it are left out.
-    fn bind(&mut self, bound: ReplicaLimit) {
-        if bound.free == 0 {
-            self.replicas.retain(|name| bound.named.contains(name));
+    /// Takes a limit; replicas that may not be asked by it are left out.
+    fn bind(&mut self, limit: ReplicaLimit) {
+        if limit.free == 0 {
+            self.replicas.retain(|name| limit.named.contains(name));
         } else {
-            self.limit = Some(bound);
+            self.limit = Some(limit);
         }
     }
 
     /// Returns how many replicas are asked at the most.
     fn most_asked(&self) -> usize {
-        let bound = |bound: &ReplicaLimit| bound.named.len().saturating_add(bound.free as usize);
-        self.limit.as_ref().map_or(usize::MAX, bound).min(self.replicas.len())
+        let most = |limit: &ReplicaLimit| limit.named.len().saturating_add(limit.free as usize);
+        self.limit.as_ref().map_or(usize::MAX, most).min(self.replicas.len())
     }
 }
 
@@ -68,8 +68,8 @@
         for shard in &mut self.shards {
             let before = shard.replicas.len();
             shard.replicas.retain(&keeps);
-            if let Some(bound) = &mut shard.limit {
-                bound.named.retain(&keeps);
+            if let Some(limit) = &mut shard.limit {
+                limit.named.retain(&keeps);
             }
             shard.abroad |= before > 0 && shard.replicas.is_empty();
         }
@@ -102,7 +102,7 @@
 }
 
 impl LookupPlan {
-    /// Returns the plan of a group of shards that another daemon names, with the bounds on
+    /// Returns the plan of a group of shards that another daemon names, with the limits on
     /// some of them by their places in the group.
     ///
     /// There is none where a shard is not known, or where this daemon knows more replicas
@@ -112,13 +112,13 @@
     pub fn group(
         &self,
         names: &[ShardId],
-        bounds: impl IntoIterator<Item = (usize, ReplicaLimit)>,
+        limits: impl IntoIterator<Item = (usize, ReplicaLimit)>,
     ) -> Option<Plan> {
         let whole = self.plans.first()?;
         let find = |name: &ShardId| whole.shards.iter().find(|shard| shard.shard == *name).cloned();
         let mut shards = names.iter().map(find).collect::<Option<Vec<_>>>()?;
-        for (at, bound) in bounds {
-            shards.get_mut(at)?.bind(bound);
+        for (at, limit) in limits {
+            shards.get_mut(at)?.bind(limit);
         }
         let most =
             self.lookup.attempts.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
