A member's refusal says nothing of a request that another member may have run

Found by reading: a request whose member was killed after it was sent goes to a second one; where that one refused it ("not run"), the caller was told so, though the first had begun it. Change: such a refusal is no answer; where no other member answers, the caller is told that it may have run.

Test: forwarding::refused_after_silence, a member killed while all upstreams begin to shed: three of six answers said "not run" before.

--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -94,11 +94,20 @@
         }
     }
 
+    /// Says whether a member may have run the request, or may be running it.
+    fn may_run_elsewhere(&self) -> bool {
+        self.sent || self.under_way > 0
+    }
+
     /// Takes how one handing ended; returns the answer where there is one that is
     /// not left to others.
     pub fn take(&mut self, result: Result<Answer, PeerError>) -> Option<Answer> {
         self.under_way -= 1;
         match result {
+            // What one of them refused, another one may have run.
+            Ok(answer) if answer.outcome == Outcome::NotRun && self.may_run_elsewhere() => {
+                self.disagreed = true;
+            }
             Ok(answer) if !is_elsewhere(answer.code) => return Some(answer),
             Ok(_) => self.disagreed = true,
             Err(PeerError::Unreachable) => {}
