--- a/crates/harefield/tests/decisions/rejecting_model.rs
+++ b/crates/harefield/tests/decisions/rejecting_model.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use harefield::domain::fanout::Action;
 use harefield::domain::fanout::AttemptEnd;
 use harefield::domain::fanout::Fanout;
@@ -32,7 +34,6 @@
 use harefield::domain::routing::Verdict;
 use harefield::domain::view::Plan;
 use harefield::domain::view::ReplicaLimit;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::support::at;
 use crate::support::items;
@@ -47,6 +48,9 @@
 /// is a service by itself at the users' site.
 const SLACK: f64 = 64_000.0;
 
+/// The members of a cell, which share that.
+const MEMBERS: u32 = 24;
+
 /// How long an attempt takes, in milliseconds.
 const ANSWERED_MS: u64 = 2;
 
@@ -84,7 +88,7 @@
         let regions =
             [("a", "r1"), ("b", "r2"), ("c", "r3")].map(|(zone, region)| (zone.into(), region.into()));
         let places = Places { zone: "a".into(), regions: BTreeMap::from(regions) };
-        let budgets = Budgets::by_service(FleetSlack { share: 0.2, slack: SLACK }, 24);
+        let budgets = Budgets::by_service(FleetSlack { share: 0.2, slack: SLACK }, MEMBERS);
         let mut router = Router::new(Policy::Cost, budgets, seed, now).at(places);
         router.apply(&view, now);
         let plan = Arc::clone(&view.lookups["l"].plans[0]);
