Read over: one piece where the change had two, and the field's words

Behaviour stays. - The rank among hosts, and what a view still names of an upstream, were worked out twice each: cell::rank, router::named.

--- a/crates/harefield/src/domain/cell.rs
+++ b/crates/harefield/src/domain/cell.rs
@@ -72,6 +72,13 @@
     xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(index.as_bytes(), 0))
 }
 
+/// Returns how many of some hosts come before `own`, in an order that is the same for all.
+#[must_use]
+pub fn rank<'a>(hosts: impl IntoIterator<Item = &'a HostId>, own: &HostId) -> u32 {
+    let before = hosts.into_iter().filter(|host| *host < own).count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
 /// Returns the names of the upstreams that hold any shard of an index.
 #[must_use]
 pub fn index_upstreams<'a>(set: &'a ResourceSet, index: &Index) -> HashSet<&'a UpstreamId> {
--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -114,8 +114,8 @@
     ) -> Vec<usize> {
         let carriers = step.router.carriers(&self.plan.index, region, &self.rules.kind, step.now);
         let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
-        let meeting = wanted.iter().any(|wanted| self.plan.shards[wanted.at].replicas.len() > most);
-        let allowance = self.allowance(step).map(|allowance| Allowance { meeting, ..allowance });
+        let affinity = wanted.iter().any(|wanted| self.plan.shards[wanted.at].replicas.len() > most);
+        let allowance = self.allowance(step).map(|allowance| Allowance { affinity, ..allowance });
         let portions = allowance.and_then(|allowance| share(&wanted, &carriers, allowance));
         let Some(portions) = portions else { return self.hand_by_zone(wanted, step) };
         let mut own = Vec::new();
@@ -165,7 +165,7 @@
         let due = due.map_or(slow, |due| due + way + OVERDUE);
         let revoke = start + due.max(way + LEAST_PATIENCE);
         let lost = revoke + LOST;
-        let kept = self.keep_one(&wanted, step);
+        let fallbacks = self.choose_fallbacks(&wanted, step);
         let shards: Vec<usize> = wanted.into_iter().map(|wanted| wanted.at).collect();
         step.router.relays_mut().begin(&host, start);
         for shard in &shards {
@@ -176,15 +176,19 @@
         }
         step.emit(Event::GroupSent { to: Arc::clone(&host), shards: shards.len(), attempt });
         let free = self.rules.attempts.saturating_sub(1);
-        let hand = Hand { host, attempt, shards, start, kept, free, gather, lost };
+        let hand = Hand { host, attempt, shards, start, fallbacks, free, gather, lost };
         self.handed.push(hand.clone());
         step.actions.push(Action::Hand(hand));
     }
 
-    /// Keeps one replica of each shard with more replicas than attempts, for the case that
-    /// the group fails. The daemon that the group goes to knows best which one to ask first:
-    /// the shards' requests pass there, and few pass here.
-    fn keep_one<S: Sink>(&mut self, wanted: &[Wanted], step: &Step<'_, S>) -> Vec<(usize, UpstreamId)> {
+    /// Chooses a fallback for each shard with more replicas than attempts, which this daemon
+    /// asks where the group fails. Which replica to ask first is left to the daemon that the
+    /// group goes to: it carries nearly all of the shard's requests, and sees who rejects.
+    fn choose_fallbacks<S: Sink>(
+        &mut self,
+        wanted: &[Wanted],
+        step: &Step<'_, S>,
+    ) -> Vec<(usize, UpstreamId)> {
         let most = usize::try_from(self.rules.attempts).unwrap_or(usize::MAX);
         let mut all = Vec::new();
         for Wanted { at, zone, .. } in wanted {
--- a/crates/harefield/src/domain/fanout/hand.rs
+++ b/crates/harefield/src/domain/fanout/hand.rs
@@ -20,10 +20,10 @@
     pub shards: Vec<usize>,
     /// When it was decided.
     pub start: Instant,
-    /// Of shards with more replicas than attempts, the one that this daemon asks where the
-    /// other one fails; that one may ask it too, and chooses among all for the rest of the
-    /// attempts. Both together stay within them, whoever asks.
-    pub kept: Vec<(usize, UpstreamId)>,
+    /// The fallbacks of shards with more replicas than attempts: this daemon asks no other one
+    /// where the group fails. The daemon that the group goes to may ask them too, and chooses
+    /// among all replicas for the rest of the attempts, so that both stay within them.
+    pub fallbacks: Vec<(usize, UpstreamId)>,
     /// How many other replicas of these shards that daemon may ask.
     pub free: u32,
     /// How long the daemon may gather before it answers with what it has; none
--- a/crates/harefield/src/domain/fanout/sending.rs
+++ b/crates/harefield/src/domain/fanout/sending.rs
@@ -117,7 +117,7 @@
             replicas: self.shards[shard].only().unwrap_or(all),
             tried,
             // The free choice is for one that takes the request.
-            checked: limit.map_or(all, |limit| &limit.named),
+            checkable: limit.map_or(all, |limit| &limit.named),
             version: self.plan.version,
             kind: &self.rules.kind,
         }
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::policy::Policy;
-use super::rejections::TRIED_SHARE;
+use super::rejections::CHECKED_SHARE;
 use super::report::Bar;
 use super::report::Until;
 use super::router::Router;
@@ -34,13 +34,6 @@
     cost: f64,
 }
 
-/// What is known of a shard's replicas of which some reject often.
-#[derive(Debug)]
-struct Rejecting {
-    /// The one that is to be checked now, if any.
-    again: Option<UpstreamId>,
-}
-
 impl Rank {
     /// Before all others.
     const FIRST: Self = Self { passed_over: false, unproven: false, distance: Distance::Near, cost: 0.0 };
@@ -54,7 +47,7 @@
     /// Those already tried, in vain or still under way.
     pub tried: &'a [UpstreamId],
     /// Those that may be asked to see whether they still reject.
-    pub checked: &'a [UpstreamId],
+    pub checkable: &'a [UpstreamId],
     /// The snapshot's version.
     pub version: Version,
     /// The kind of request, for its pace.
@@ -62,6 +55,12 @@
 }
 
 impl<'a> Ask<'a> {
+    /// Asks for any of a shard's replicas, none of which was tried.
+    #[must_use]
+    pub fn first(replicas: &'a [UpstreamId], version: Version, kind: &'a Arc<str>) -> Self {
+        Self { replicas, tried: &[], checkable: replicas, version, kind }
+    }
+
     /// Returns the replicas that were not tried.
     fn untried(&self) -> impl Iterator<Item = &'a UpstreamId> {
         let tried = self.tried;
@@ -80,7 +79,8 @@
             return Err(Bar { gap: Gap::Unconfirmed, until: Until::Soon });
         }
         let typical = self.pace(ask.kind).mean().as_secs_f64();
-        let rejects = self.rejecting(ask, now);
+        let rejects = self.any_rejects(ask, now);
+        let check = if rejects { self.draw_check(ask, now) } else { None };
         let mut scores = Vec::with_capacity(ask.replicas.len());
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut bar = Bar { gap: Gap::NoReplica, until: Until::Never };
@@ -93,9 +93,10 @@
             });
             match found {
                 Ok(cost) => {
-                    let rank = match &rejects {
-                        Some(Rejecting { again: Some(again) }) if again == name => Rank::FIRST,
-                        _ => self.rank(name, cost, ask, rejects.is_some(), (typical, now)),
+                    let rank = if check.as_ref() == Some(name) {
+                        Rank::FIRST
+                    } else {
+                        self.rank(name, cost, ask, rejects, (typical, now))
                     };
                     if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                         best = Some((rank, Arc::clone(name)));
@@ -110,18 +111,23 @@
         }
     }
 
-    /// Returns what is known of a shard's replicas that reject often; none where none does.
-    fn rejecting(&mut self, ask: &Ask<'_>, now: Instant) -> Option<Rejecting> {
+    /// Says whether any of a shard's replicas rejects often.
+    fn any_rejects(&self, ask: &Ask<'_>, now: Instant) -> bool {
         let rejects = |name| self.searchers.get(name).is_some_and(|s| s.rejections.is_rejecting(now));
-        if self.policy != Policy::Cost || !ask.replicas.iter().any(rejects) {
+        self.policy == Policy::Cost && ask.replicas.iter().any(rejects)
+    }
+
+    /// Draws whether a request checks a replica that rejects often, and returns that one.
+    ///
+    /// Only first attempts do: what is rejected can still go to another replica.
+    fn draw_check(&mut self, ask: &Ask<'_>, now: Instant) -> Option<UpstreamId> {
+        if !ask.tried.is_empty() || self.draw() >= CHECKED_SHARE {
             return None;
         }
-        // What a first attempt meets as a rejection can be sent to another.
-        let tries = ask.tried.is_empty() && self.draw() < TRIED_SHARE;
         let found = |name| self.searchers.get(name).map(|searcher| (name, searcher));
-        let warm = ask.checked.iter().filter_map(found).filter(|(_, s)| tries && !s.cold.is_cold(now));
+        let warm = ask.checkable.iter().filter_map(found).filter(|(_, s)| !s.cold.is_cold(now));
         let due = warm.filter_map(|(name, searcher)| Some((searcher.rejections.due(now)?, name)));
-        Some(Rejecting { again: due.max().map(|(_, name)| Arc::clone(name)) })
+        due.max().map(|(_, name)| Arc::clone(name))
     }
 
     fn score(&mut self, name: &UpstreamId, version: Version, typical: f64, now: Instant) -> Result<f64, Bar> {
--- a/crates/harefield/src/domain/routing/rejections.rs
+++ b/crates/harefield/src/domain/routing/rejections.rs
@@ -6,9 +6,9 @@
 //! take their requests; while any of a shard's upstreams rejects, those that answered a
 //! moment ago go before those that nothing was heard of since.
 //!
-//! The limits: one that is passed over is tried again by few of a shard's first attempts, so
-//! that what it rejects can still go to another. It is not probed, since a probe
-//! would take the attempt that a rejected request is sent again with.
+//! The limits: few of a shard's first attempts check one that is passed over, so that what it
+//! rejects can still go to another. It is not probed, since a probe would take the attempt
+//! that a rejected request is sent again with.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -22,12 +22,12 @@
 /// After this time without news half of the rate is left.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 
-/// One that is passed over is tried again once nothing was heard of it for this time.
-const TRIED_AFTER: Duration = Duration::from_secs(2);
+/// One that is passed over is checked once nothing was heard of it for this time.
+const CHECKED_AFTER: Duration = Duration::from_secs(2);
 
-/// The share of a shard's first attempts that such tries take: each of them may be rejected,
-/// and takes an attempt that others are needed for.
-pub const TRIED_SHARE: f64 = 1.0 / 16.0;
+/// The share of a shard's first attempts that are checks: each of them may be rejected, and
+/// takes an attempt that another replica is needed for.
+pub const CHECKED_SHARE: f64 = 1.0 / 16.0;
 
 /// An answer shows for this time that an upstream takes its requests.
 const SHOWN_FOR: Duration = Duration::from_secs(2);
@@ -76,11 +76,11 @@
         rate >= PASSED_OVER && other.rate(now) * 2.0 <= rate
     }
 
-    /// Returns for how long nothing was heard of an upstream that is to be tried again.
+    /// Returns for how long nothing was heard of an upstream that is due to be checked.
     #[must_use]
     pub fn due(&self, now: Instant) -> Option<Duration> {
         let quiet = now.saturating_duration_since(self.heard?);
-        (self.is_rejecting(now) && quiet >= TRIED_AFTER).then_some(quiet)
+        (self.is_rejecting(now) && quiet >= CHECKED_AFTER).then_some(quiet)
     }
 
     /// Says whether it answered a moment ago.
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -156,10 +156,8 @@
     pub fn apply(&mut self, view: &View, now: Instant) {
         let own = &view.upstreams;
         let longest = longest_deadline(view);
-        let listed = |name: &UpstreamId, s: &Searcher| {
-            view.set.upstreams.get(name).is_some_and(|spec| s.is_same(spec))
-        };
-        let begun = |name: &UpstreamId, s: &Searcher| s.left_within(longest, now) && listed(name, s);
+        let begun =
+            |name: &UpstreamId, s: &Searcher| s.left_within(longest, now) && named(view, name, s).is_some();
         self.searchers.retain(|name, s| own.contains_key(name) || s.under_way() > 0 || begun(name, s));
         for (name, upstream) in own {
             let OwnUpstream { spec, sharers, rank, connections, cold } = upstream;
@@ -184,7 +182,7 @@
             searcher.leave_cell(now);
             // Requests that began before the cell moved may go on; the upstream's own state
             // binds them as before.
-            match view.set.upstreams.get(name).filter(|spec| searcher.is_same(spec)) {
+            match named(view, name, searcher) {
                 Some(spec) => list(searcher, spec, view, now),
                 None => searcher.list(true),
             }
@@ -310,6 +308,11 @@
     }
 }
 
+/// Returns what a view says of an upstream; none where it names no such start of it.
+fn named<'a>(view: &'a View, name: &UpstreamId, searcher: &Searcher) -> Option<&'a Arc<Upstream>> {
+    view.set.upstreams.get(name).filter(|spec| searcher.is_same(spec))
+}
+
 /// Takes what a view says of an upstream that may be asked.
 fn list(searcher: &mut Searcher, spec: &Upstream, view: &View, now: Instant) {
     searcher.list(spec.leaving || view.leaving.contains(&spec.address));
--- a/crates/harefield/src/domain/routing/sharing.rs
+++ b/crates/harefield/src/domain/routing/sharing.rs
@@ -9,9 +9,9 @@
 //! to 0.66.
 //!
 //! Where shards have more replicas than a request may ask, a fan-out is shared whatever it
-//! takes: a shard's requests then meet at one daemon, which sees which replicas reject. Carried
-//! alone by any of four daemons of a zone, each of them saw a quarter, and took four times as
-//! long to know.
+//! takes: a shard's requests then go to the same daemon, which sees soon which replicas reject.
+//! Where any of four daemons of a zone carries such a fan-out alone, each of them sees a
+//! quarter of the rejections.
 //!
 //! Else the limit is a small part of the objective: what one daemon sends within it, it sends
 //! alone, since each further daemon costs a message, bytes and a hop. Beyond it the
@@ -87,15 +87,15 @@
     pub shard: Duration,
     /// How long sending may take.
     pub allowed: Duration,
-    /// Whether a shard's requests are to meet at one daemon.
-    pub meeting: bool,
+    /// Whether a shard's requests are to go to the same daemon, whoever sends them.
+    pub affinity: bool,
 }
 
 impl Allowance {
     /// Creates the allowance of a fan-out that has `left` until its objective.
     #[must_use]
     pub fn new(shard: Duration, left: Duration) -> Self {
-        Self { shard, allowed: left * SENDING_PERCENT / 100, meeting: false }
+        Self { shard, allowed: left * SENDING_PERCENT / 100, affinity: false }
     }
 
     /// Says whether a daemon of `capacity` sends `shards` within the time allowed.
@@ -127,7 +127,7 @@
         *zones.entry(&shard.zone).or_default() += 1;
     }
     let alone = || zones.iter().all(|(zone, shards)| is_carried_alone(*shards, zone, carriers, allowance));
-    if !allowance.meeting && alone() {
+    if !allowance.affinity && alone() {
         return None;
     }
     let (beside, others): (Vec<_>, Vec<_>) =
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -183,8 +183,7 @@
         let own = members.into_iter().filter_map(|(name, hosts)| {
             let spec = Arc::clone(set.upstreams.get(name)?);
             let sharers = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
-            let before = hosts.iter().filter(|host| **host < self.sources.own).count();
-            let rank = u32::try_from(before).unwrap_or(u32::MAX);
+            let rank = cell::rank(hosts, self.sources.own);
             let connections = cell::connections(set, &spec);
             let cold = self.cold_allowance(name, &spec);
             Some((Arc::clone(name), OwnUpstream { spec, sharers, rank, connections, cold }))
--- a/crates/harefield/src/engine/caution.rs
+++ b/crates/harefield/src/engine/caution.rs
@@ -60,8 +60,8 @@
 /// met one of them and were refused.
 const TRIAL_ATTEMPTS: u32 = 4;
 
-/// How long a shard waits for a look whether its upstream has ended.
-const LOOK_PATIENCE: Duration = Duration::from_millis(100);
+/// How long a shard waits for the check whether its upstream has ended.
+const CHECK_WAIT: Duration = Duration::from_millis(100);
 
 /// How often a request looks whether the trial of its work has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(2);
@@ -147,32 +147,32 @@
     /// Says whether an upstream is known by now to have lost a reply with its end, where
     /// nobody else answered the request.
     ///
-    /// A look that takes longer goes on by itself: on a daemon that stood still it would count
+    /// A check that takes longer goes on by itself: on a daemon that stood still it would count
     /// as an upstream that runs, and the fleet would not hear of the one that ended.
     async fn is_suspect_end(self: &Rc<Self>, attempt: &Attempt, out: &Out) -> bool {
         if attempt.job.shown.answered.get() {
             return false;
         }
-        let mut look = self.executor.spawn(Rc::clone(self).look(
+        let mut check = self.executor.spawn(Rc::clone(self).check_ended(
             attempt.job.clone(),
             Arc::clone(&attempt.send.upstream),
             out.is_alone(),
         ));
-        let looked = async { Some((&mut look).await) };
+        let checked = async { Some((&mut check).await) };
         let expired = async {
-            self.ports.clock.sleep(LOOK_PATIENCE).await;
+            self.ports.clock.sleep(CHECK_WAIT).await;
             None
         };
-        let known = looked.or(expired).await;
+        let known = checked.or(expired).await;
         if known.is_none() {
-            look.detach();
+            check.detach();
         }
         known.unwrap_or(false)
     }
 
-    /// Looks whether an upstream has ended, and notes it where nobody answered the request;
+    /// Checks whether an upstream has ended, and notes it where nobody answered the request;
     /// returns whether it did.
-    async fn look(self: Rc<Self>, job: Job, upstream: UpstreamId, alone: bool) -> bool {
+    async fn check_ended(self: Rc<Self>, job: Job, upstream: UpstreamId, alone: bool) -> bool {
         let ended = self.has_ended(&upstream).await && !job.shown.answered.get();
         if ended {
             self.note_ended(&job, &upstream, alone);
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -153,8 +153,8 @@
 fn limits(hand: &Hand) -> Vec<(usize, Vec<UpstreamId>)> {
     let place = |shard: usize| hand.shards.iter().position(|other| *other == shard);
     let free = (0..hand.free).map(|_| UpstreamId::from(""));
-    let names = |kept: &UpstreamId| std::iter::once(Arc::clone(kept)).chain(free.clone()).collect();
-    hand.kept.iter().filter_map(|(shard, kept)| Some((place(*shard)?, names(kept)))).collect()
+    let names = |fallback: &UpstreamId| std::iter::once(Arc::clone(fallback)).chain(free.clone()).collect();
+    hand.fallbacks.iter().filter_map(|(shard, fallback)| Some((place(*shard)?, names(fallback)))).collect()
 }
 
 /// Returns which replicas may be asked, from their names in a message.
--- a/crates/harefield/src/engine/handing.rs
+++ b/crates/harefield/src/engine/handing.rs
@@ -94,9 +94,10 @@
         }
     }
 
-    /// Says whether a member may have run the request, or may be running it.
-    fn may_run_elsewhere(&self) -> bool {
-        self.sent || self.under_way > 0
+    /// Says whether an answer says "not run" of a request that another member may have run,
+    /// or may be running.
+    fn may_contradict(&self, answer: &Answer) -> bool {
+        answer.outcome == Outcome::NotRun && (self.sent || self.under_way > 0)
     }
 
     /// Takes how one handing ended; returns the answer where there is one that is
@@ -104,12 +105,10 @@
     pub fn take(&mut self, result: Result<Answer, PeerError>) -> Option<Answer> {
         self.under_way -= 1;
         match result {
-            // What one of them refused, another one may have run.
-            Ok(answer) if answer.outcome == Outcome::NotRun && self.may_run_elsewhere() => {
+            Ok(answer) if is_elsewhere(answer.code) || self.may_contradict(&answer) => {
                 self.disagreed = true;
             }
-            Ok(answer) if !is_elsewhere(answer.code) => return Some(answer),
-            Ok(_) => self.disagreed = true,
+            Ok(answer) => return Some(answer),
             Err(PeerError::Unreachable) => {}
             Err(PeerError::Silent) => self.sent = true,
         }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -171,13 +171,13 @@
         if self.is_stopping() {
             return Some(Code::NotMember);
         }
-        self.pay_again(origin.terms().again)
+        self.pay_for_repeat(origin.terms().again)
     }
 
     /// Pays for a request that another member may be running as well. It is paid for here,
     /// where it runs, and not where it came in: members are few, so that their parts of what
     /// the fleet may add are worth something, and add up to no more.
-    fn pay_again(&self, again: bool) -> Option<Code> {
+    fn pay_for_repeat(&self, again: bool) -> Option<Code> {
         let mut spare = self.spare.borrow_mut();
         if !again {
             spare.earn();
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -10,8 +10,10 @@
 use super::message::ToControl;
 use super::message::ToWorker;
 use super::worker::Worker;
+use crate::domain::cell::rank;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
+use crate::domain::ids::HostId;
 use crate::domain::lease::RENEW_EVERY;
 use crate::domain::lease::Renewal;
 use crate::domain::routing::rerun_part;
@@ -77,13 +79,12 @@
     fn bind_reruns(&self, view: &View) {
         let Some(slack) = self.settings.slack else { return };
         let own = &self.settings.host;
-        let part = |members: usize, before: usize| {
-            let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
-            rerun_part(slack, count(members), count(before))
+        let part = |cell: &Arc<[HostId]>| {
+            let members = u32::try_from(cell.len()).unwrap_or(u32::MAX);
+            rerun_part(slack, members, rank(cell.iter(), own))
         };
         let cells = view.cells.values().filter(|cell| cell.contains(own));
-        let parts = cells.map(|cell| part(cell.len(), cell.iter().filter(|host| *host < own).count()));
-        let least = parts.min_by(f64::total_cmp);
+        let least = cells.map(part).min_by(f64::total_cmp);
         self.spare.borrow_mut().bound(least.unwrap_or_else(|| rerun_part(slack, self.known.get(), 0)));
     }
 
--- a/crates/harefield/tests/decisions/carriers.rs
+++ b/crates/harefield/tests/decisions/carriers.rs
@@ -13,7 +13,6 @@
 use harefield::domain::routing::Verdict;
 use harefield::domain::view::ReplicaLimit;
 
-use crate::support::at;
 use crate::support::cases;
 use crate::support::replica;
 use crate::world::Step;
@@ -66,22 +65,18 @@
 #[test]
 fn carrier_chooses() {
     // The replica that the other daemon would ask rejects: who knows it asks another.
-    let mut world = daemon(4, 2, 1);
     let rejecting = replica(0, 0);
-    for millis in 0..4 {
-        let now = at(world.now, millis);
-        world.router.begin(&rejecting, now);
-        world.router.end(&rejecting, now, Verdict::Full(None), &Report::default(), now);
-    }
-    let (start, limit) = (world.start, Some(ReplicaLimit { named: vec![Arc::clone(&rejecting)], free: 1 }));
+    let limit = Some(ReplicaLimit { named: vec![Arc::clone(&rejecting)], free: 1 });
     let first = World::limited(
         1,
         4,
         true,
         |_| limit.clone(),
         |rules, router| {
-            rules.start = start;
-            std::mem::swap(router, &mut world.router);
+            for _ in 0..4 {
+                router.begin(&rejecting, rules.start);
+                router.end(&rejecting, rules.start, Verdict::Full(None), &Report::default(), rules.start);
+            }
         },
     );
     assert_ne!(first.sent[0].upstream, rejecting);
--- a/crates/harefield/tests/decisions/cold.rs
+++ b/crates/harefield/tests/decisions/cold.rs
@@ -135,13 +135,8 @@
     fn send(&mut self, now: Instant) -> bool {
         self.router.lease_mut().renew(now);
         let Some(plan) = self.view.lookups["l"].plans.first() else { return false };
-        let ask = Ask {
-            replicas: &plan.shards[0].replicas,
-            checked: &plan.shards[0].replicas,
-            tried: &[],
-            version: 1,
-            kind: &"l".into(),
-        };
+        let kind = "l".into();
+        let ask = Ask::first(&plan.shards[0].replicas, 1, &kind);
         let Ok(choice) = self.router.choose(&ask, now) else { return false };
         self.router.begin(&choice.upstream, now);
         self.router.end(&choice.upstream, now, Verdict::Good, &Report::default(), now);
@@ -276,12 +271,7 @@
     node.router.lease_mut().renew(now);
     node.router.lease_mut().confirm(now, now);
     let plan = Arc::clone(&node.view.lookups["l"].plans[0]);
-    let ask = Ask {
-        replicas: &plan.shards[0].replicas,
-        checked: &plan.shards[0].replicas,
-        tried: &[],
-        version: 1,
-        kind: &"l".into(),
-    };
+    let kind = "l".into();
+    let ask = Ask::first(&plan.shards[0].replicas, 1, &kind);
     assert!(node.router.choose(&ask, now).is_err_and(|bar| bar.gap == Gap::Cold));
 }
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -349,7 +349,7 @@
     // With three replicas and two attempts, the daemon that the group went to may have asked
     // one of its own choice: this one asks the one that it kept.
     let mut world = World::with(true, 3, Budgets::one(0.05));
-    let (kept, free) = (world.hands[0].kept.clone(), world.hands[0].free);
+    let (kept, free) = (world.hands[0].fallbacks.clone(), world.hands[0].free);
     assert_eq!((kept.len(), free), (4, 1));
     world.answer_first();
     world.pass(250);
--- a/crates/harefield/tests/decisions/residency.rs
+++ b/crates/harefield/tests/decisions/residency.rs
@@ -123,7 +123,8 @@
             router.apply(&view, now);
             router.lease_mut().renew(now);
             for shard in &view.lookups["l"].plans[0].shards {
-                let ask = Ask { replicas: &shard.replicas, checked: &shard.replicas, tried: &[], version: 1, kind: &"l".into() };
+                let kind = "l".into();
+                let ask = Ask::first(&shard.replicas, 1, &kind);
                 let is_empty = |name: &Arc<str>| empty.get(&*set.upstreams[name].zone) == Some(&true);
                 match router.choose(&ask, now) {
                     Ok(choice) => prop_assert!(!is_empty(&choice.upstream)),
--- a/crates/harefield/tests/decisions/routing.rs
+++ b/crates/harefield/tests/decisions/routing.rs
@@ -33,7 +33,7 @@
 
 fn choose(router: &mut Router, replicas: &[UpstreamId], now: Instant) -> Result<UpstreamId, Gap> {
     let index: Arc<str> = "i".into();
-    let ask = Ask { replicas, checked: replicas, tried: &[], version: 1, kind: &index };
+    let ask = Ask::first(replicas, 1, &index);
     router.choose(&ask, now).map(|choice| choice.upstream).map_err(|bar| bar.gap)
 }
 
@@ -87,7 +87,7 @@
     serve(&mut router, &names[0], 40, 40, now, &Report::default());
     serve(&mut router, &names[1], 4, 30, now, &Report::default());
     let index: Arc<str> = "i".into();
-    let ask = Ask { replicas: &names, checked: &names, tried: &[], version: 1, kind: &index };
+    let ask = Ask::first(&names, 1, &index);
     let soon = router.probe(&ask, &names[1], at(now, 200));
     assert_eq!(soon, None, "it was heard of a moment ago");
     router.lease_mut().renew(at(now, 600));
@@ -112,7 +112,7 @@
         router.begin(&names[1], at(now, 50));
     }
     let index: Arc<str> = "i".into();
-    let ask = Ask { replicas: &names[1..], checked: &names[1..], tried: &[], version: 1, kind: &index };
+    let ask = Ask::first(&names[1..], 1, &index);
     let bar = router.choose(&ask, at(now, 50)).expect_err("the quick one has no room now");
     assert_eq!((bar.gap, bar.until), (Gap::Overloaded, Until::Soon));
     assert!(choose(&mut router, &names, at(now, 50)).is_ok_and(|name| name == names[0]));
@@ -211,7 +211,7 @@
         router.begin(&names[0], time);
         router.end(&names[0], time, Verdict::Broken, &Report::default(), time);
         let index: Arc<str> = "i".into();
-        let ask = Ask { replicas: only, checked: only, tried: &[], version: 1, kind: &index };
+        let ask = Ask::first(only, 1, &index);
         router.lease_mut().renew(time);
         let bar = router.choose(&ask, time).expect_err("it is backed off");
         let Until::At(until) = bar.until else { panic!("{bar:?}") };
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -312,7 +312,7 @@
         };
         let wanted: Vec<Wanted> = (0..shards).map(wanted).collect();
         let allowance =
-            Allowance { shard: SHARD_TIME, allowed: Duration::from_micros(micros), meeting: false };
+            Allowance { shard: SHARD_TIME, allowed: Duration::from_micros(micros), affinity: false };
         if let Some(portions) = share(&wanted, &carriers, allowance) {
             let places: Vec<usize> = portions.iter().flat_map(|portion| portion.shards.iter().map(|wanted| wanted.at)).collect();
             prop_assert_eq!(places.len(), shards);
@@ -322,9 +322,9 @@
 }
 
 #[test]
-fn requests_meet() {
-    // Strong daemons that could each carry a fan-out alone: a shard's requests meet at one of
-    // them all the same, whoever sends them, where it has more replicas than may be asked.
+fn shard_affinity() {
+    // Strong daemons that could each carry a fan-out alone: a shard's requests go to the
+    // same one of them, whoever sends them, where it has more replicas than may be asked.
     let zones = ["a", "a", "a", "a", "b", "b", "b", "b"];
     let allowance = Allowance::new(Duration::from_micros(40), Duration::from_millis(300));
     let wanted: Vec<Wanted> =
@@ -342,7 +342,7 @@
     for sender in 0..zones.len() {
         let carriers = carriers(sender);
         assert!(share(&wanted, &carriers, allowance).is_none(), "one of them could carry it");
-        let portions = share(&wanted, &carriers, Allowance { meeting: true, ..allowance });
+        let portions = share(&wanted, &carriers, Allowance { affinity: true, ..allowance });
         for Portion { carrier, shards } in portions.expect("it is shared") {
             for shard in shards {
                 *met[shard.at].entry(Arc::clone(&carrier.host)).or_default() += 1;
--- a/crates/harefield/tests/processes/forwarding.rs
+++ b/crates/harefield/tests/processes/forwarding.rs
@@ -1,6 +1,8 @@
 //! Cells smaller than the fleet: requests are handed to members.
 
+use std::net::SocketAddr;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use serde_json::json;
@@ -14,6 +16,7 @@
 use harefield::domain::event::Cause;
 use harefield::domain::event::Event;
 use harefield::domain::event::Record;
+use harefield::domain::outcome::Answer;
 use harefield::domain::outcome::Outcome;
 
 const SMALL_CELL: &str = "[routing]\ncell-size = 2\n";
@@ -24,6 +27,25 @@
     (0..world.daemons.len()).filter(fanned).collect()
 }
 
+/// Sends six requests at once.
+fn begin_six(to: SocketAddr) -> Vec<JoinHandle<Option<Answer>>> {
+    (0..6).map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))).collect()
+}
+
+/// Starts daemons of which two are members; returns those, and one that is not.
+fn start_small(count: usize, settings: &str) -> (World, Vec<usize>, usize) {
+    let world = World::start(count, settings);
+    for daemon in 0..count {
+        for _ in 0..3 {
+            world.query(daemon);
+        }
+    }
+    await_true("they report", || members(&world).len() == 2);
+    let inside = members(&world);
+    let outside = (0..count).find(|n| !inside.contains(n)).expect("one is outside");
+    (world, inside, outside)
+}
+
 #[test]
 fn handed_once() {
     let world = World::start(5, SMALL_CELL);
@@ -41,19 +63,10 @@
 
 #[test]
 fn member_killed() {
-    let mut world = World::start(4, SMALL_CELL);
-    for daemon in 0..4 {
-        for _ in 0..3 {
-            world.query(daemon);
-        }
-    }
-    await_true("they report", || members(&world).len() == 2);
-    let inside = members(&world);
-    let outside = (0..4).find(|n| !inside.contains(n)).expect("some are outside");
+    let (mut world, inside, outside) = start_small(4, SMALL_CELL);
     world.searchers.change_all(|b| b.service_ms = 200.0);
     let to = world.daemons[outside].addresses.callers;
-    let askers: Vec<_> =
-        (0..6).map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))).collect();
+    let askers = begin_six(to);
     await_true("they run", || world.searchers.tally().ran > 40);
     world.daemons[inside[0]].signal("KILL");
     world.daemons[inside[0]].wait();
@@ -67,20 +80,11 @@
 fn refused_after_silence() {
     // A member is killed while it runs requests, and the next one is refused by all upstreams:
     // the first may have run them.
-    let mut world = World::start(4, &format!("{SMALL_CELL}hedge = false\n"));
-    for daemon in 0..4 {
-        for _ in 0..3 {
-            world.query(daemon);
-        }
-    }
-    await_true("they report", || members(&world).len() == 2);
-    let inside = members(&world);
-    let outside = (0..4).find(|n| !inside.contains(n)).expect("some are outside");
+    let (mut world, inside, outside) = start_small(4, &format!("{SMALL_CELL}hedge = false\n"));
     world.searchers.change_all(|b| b.service_ms = 600.0);
     let to = world.daemons[outside].addresses.callers;
     let before = world.searchers.tally().ran;
-    let askers: Vec<_> =
-        (0..6).map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))).collect();
+    let askers = begin_six(to);
     // Six requests of three shards, none of them hedged.
     await_true("all have begun", || world.searchers.tally().ran >= before + 18);
     world.searchers.change_all(|b| b.shed_ms = Some(3000));
@@ -94,15 +98,7 @@
 
 #[test]
 fn member_frozen() {
-    let world = World::start(3, "[routing]\ncell-size = 2\n");
-    for daemon in 0..3 {
-        for _ in 0..3 {
-            world.query(daemon);
-        }
-    }
-    await_true("they report", || members(&world).len() == 2);
-    let inside = members(&world);
-    let outside = (0..3).find(|n| !inside.contains(n)).expect("one is outside");
+    let (world, inside, outside) = start_small(3, SMALL_CELL);
     world.daemons[inside[0]].signal("STOP");
     for _ in 0..6 {
         let answer = world.query(outside);
@@ -161,8 +157,7 @@
     let next = heavier.into_iter().find(|daemon| weight(daemon) > own).expect("ports differ");
     world.searchers.change_all(|b| b.service_ms = 250.0);
     let to = world.daemons[0].addresses.callers;
-    let askers: Vec<_> =
-        (0..6).map(|_| thread::spawn(move || ask(to, "parcels", &json!({ "query": 1 })))).collect();
+    let askers = begin_six(to);
     thread::sleep(Duration::from_millis(80));
     world.list_daemon(&next, "live");
     for asker in askers {
--- a/crates/harefield/tests/processes/own_answer.rs
+++ b/crates/harefield/tests/processes/own_answer.rs
@@ -61,7 +61,7 @@
     world.searchers.change("parcels-00-0", |b| b.fault = Fault::Cross);
     world.searchers.change("parcels-01-1", |b| b.fault = Fault::Cross);
     for answer in ask_at_once(&world, 6, 10) {
-        assert_eq!(answer.code, Code::Whole, "the other replica answers");
+        assert_eq!(answer.code, Code::Whole, "the other replica answers: {:?}", answer.coverage);
     }
 }
 
@@ -70,7 +70,7 @@
     let world = World::start(1, "");
     world.searchers.change("parcels-00-0", |b| b.fault = Fault::Truncate);
     for answer in ask_at_once(&world, 4, 10) {
-        assert_eq!(answer.code, Code::Whole);
+        assert_eq!(answer.code, Code::Whole, "{:?}", answer.coverage);
     }
 }
 
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -21,6 +21,7 @@
 use harefield::adapters::peers::HttpPeers;
 use harefield::domain::accounts::Asker;
 use harefield::domain::event::Event;
+use harefield::domain::event::Record;
 use harefield::domain::hlc::Stamp;
 use harefield::domain::query::ByteQuery;
 use harefield::domain::residency::Regions;
@@ -210,12 +211,21 @@
     assert_eq!(worker(&site).waiting, 0, "none of them waits at the gate");
 }
 
-/// Returns a group of two shards as another daemon hands it on, with 400 ms left.
-fn group(site: &Site) -> Group {
-    let chosen = site.daemon.timeline("kind=snapshot-chosen");
-    let index = chosen.iter().find_map(|record| match &record.event {
+/// Returns the index of a request of all three shards.
+fn whole_index(record: &Record) -> Option<String> {
+    match &record.event {
         Event::SnapshotChosen { index, shards: 3, .. } => Some(index.clone()),
         _ => None,
+    }
+}
+
+/// Returns a group of two shards as another daemon hands it on, with 400 ms left.
+fn group(site: &Site) -> Group {
+    let mut index = None;
+    // The time line tells of a request a moment after its answer.
+    await_true("a request has run", || {
+        index = site.daemon.timeline("kind=snapshot-chosen").iter().find_map(whole_index);
+        index.is_some()
     });
     let headers = vec![("attempt-id".into(), "g1".into())];
     let query = ByteQuery {
@@ -230,7 +240,7 @@
         stamp: Stamp { micros: 0, count: 0 },
         request: "g1".to_owned(),
         lookup: "all".to_owned(),
-        index: index.expect("a request has run"),
+        index: index.expect("it was awaited"),
         shards: vec!["s1/all".into(), "s2/all".into()],
         only: Vec::new(),
         query,
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// A connection ends that takes nothing for this long.
+pub const STALL: Duration = Duration::from_millis(1500);
+
 /// A store, upstreams by service, and daemons, the first of which is asked.
 pub struct Site {
     pub store: SiteStore,
@@ -52,12 +55,10 @@
         Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() }
     }
 
-    /// Starts a daemon that keeps a connection for as long although its caller takes nothing.
+    /// Starts a daemon that ends a connection which takes nothing for `stall`.
     pub fn start_stalling(stall: Duration) -> Self {
         let store = SiteStore::start();
-        let own = format!("stall-ms = {}", stall.as_millis());
-        let text = settings(&store, "", "", "").replace("stall-ms = 1500", &own);
-        let daemon = Daemon::start(&text);
+        let daemon = Daemon::start(&settings_of(&store, "", "", "", stall));
         let mut site = Self { daemon, store, searchers: BTreeMap::new(), others: Vec::new() };
         site.fill();
         let serves = || ask_at(&site.daemon, "/all/x", "r0", 2000).status == 200;
@@ -213,12 +214,17 @@
 }
 
 fn settings(store: &SiteStore, platform: &str, peers: &str, routing: &str) -> String {
+    settings_of(store, platform, peers, routing, STALL)
+}
+
+fn settings_of(store: &SiteStore, platform: &str, peers: &str, routing: &str, stall: Duration) -> String {
     format!(
         "[host]\nzone = \"hall\"\n[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          operators = \"127.0.0.1:0\"\n[platform]\nkind = \"store\"\naddresses = [\"{}\"]\n\
-         {platform}[peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\nstall-ms = 1500\n[routing]\nextra-load = 0.2\n\
+         {platform}[peers]\nexchange-ms = 100\njoin-ms = 200\n{peers}[limits]\nbody-ms = 400\nstall-ms = {}\n[routing]\nextra-load = 0.2\n\
          extra-slack = 50\n{routing}",
-        store.address()
+        store.address(),
+        stall.as_millis()
     )
 }
 
--- a/crates/harefield/tests/processes/slow_peers.rs
+++ b/crates/harefield/tests/processes/slow_peers.rs
@@ -15,6 +15,7 @@
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use standin::entry_at;
 
+use crate::site_support::STALL;
 use crate::site_support::Site;
 use crate::site_support::ask_at;
 use crate::site_support::read_answer;
@@ -25,9 +26,6 @@
 /// The records of an answer of one megabyte.
 const RECORDS: usize = 65_536;
 
-/// A connection ends that takes nothing for this long.
-const STALL: Duration = Duration::from_millis(1500);
-
 /// The most waves of ten requests until one of them does not fit.
 const MOST_WAVES: u32 = 300;
 
