Add the interfaces of scheduling: ranks, delays of groups, settings

Adds the rank of a lookup, which a group carries, the queueing delays that a group's answer may report, the section scheduling of the settings, and the rule that decides which indexes are scheduled. Nothing uses them yet.

--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -163,6 +163,7 @@
         expects_peers: settings.peers.seeds.iter().any(|seed| seed.to_string() != *context.host),
         gate: GateLimits { running: settings.limits.running, waiting: settings.limits.waiting },
         policy: routing.policy,
+        scheduling: settings.scheduling.scheduling(),
         extra: routing.extra_load,
         slack: routing.extra_slack,
         daemons: settings.peers.daemons,
--- a/crates/harefield/src/domain/fanout/rules.rs
+++ b/crates/harefield/src/domain/fanout/rules.rs
@@ -25,6 +25,8 @@
 pub struct AnswerRules {
     /// The kind of request (the lookup's name), which selects the latency statistics.
     pub kind: Arc<str>,
+    /// The rank of its lookup; 0 is the most urgent.
+    pub rank: u32,
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// Whether time or coverage has priority.
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -140,6 +140,9 @@
     pub services: Vec<String>,
     /// The priority of its requests, which an account may override.
     pub urgency: Urgency,
+    /// Orders the lookups of one index more finely than `urgency`; 0 is the most urgent.
+    #[serde(default)]
+    pub rank: u32,
     /// The time limit of a request, in milliseconds.
     pub deadline_ms: u64,
     /// Whether a request may safely run more than once.
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -6,6 +6,7 @@
 //! this daemon for each shard, `readiness` decides how many connections are kept open. `zones`
 //! and `relays` deal with upstreams and daemons in other availability zones, `sharing` with wide
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
+//! `scheduling` decides which indexes are scheduled.
 
 mod budget;
 mod budgets;
@@ -19,6 +20,7 @@
 mod relays;
 mod report;
 mod router;
+mod scheduling;
 mod shard_time;
 mod sharing;
 mod startup_delay;
@@ -46,6 +48,7 @@
 pub use report::Report;
 pub use router::LocalDaemon;
 pub use router::Router;
+pub use scheduling::Scheduling;
 pub use shard_time::MIN_SAMPLE_SHARDS;
 pub use sharing::Assignment;
 pub use sharing::Delegate;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -15,6 +15,7 @@
 use super::relays::Relays;
 use super::report::AttemptOutcome;
 use super::report::Report;
+use super::scheduling::Scheduling;
 use super::shard_time::ShardTime;
 use super::startup_delay::StartupDelay;
 use super::upstream_state::UpstreamState;
@@ -51,6 +52,7 @@
     pub(super) lease: Lease,
     /// Whether this daemon knows the others well enough to send to cold upstreams.
     pub(super) startup: StartupDelay,
+    scheduling: Scheduling,
     seed: u64,
 }
 
@@ -101,6 +103,7 @@
             shard_time: ShardTime::default(),
             lease: Lease::new(now),
             startup: StartupDelay::new(now),
+            scheduling: Scheduling::default(),
             seed,
         }
     }
@@ -119,6 +122,19 @@
         self
     }
 
+    /// Sets how requests that compete for the upstreams of an index are scheduled.
+    #[must_use]
+    pub fn with_scheduling(mut self, scheduling: Scheduling) -> Self {
+        self.scheduling = scheduling;
+        self
+    }
+
+    /// Returns whether the shards of an index are scheduled.
+    #[must_use]
+    pub fn schedules(&self, index: &str) -> bool {
+        self.scheduling.covers(index)
+    }
+
     /// Returns the time that one shard of a fan-out takes on a whole core.
     #[must_use]
     pub fn shard_time(&self) -> Duration {
@@ -189,6 +205,7 @@
             }
         }
         self.cells.clone_from(&view.cells);
+        self.scheduling.apply(view, &self.topology);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
--- /dev/null
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -0,0 +1,77 @@
+//! Which indexes are scheduled: their requests wait at one daemon of each region for the slots of
+//! the replica there.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::domain::topology::Topology;
+use crate::domain::view::LookupPlan;
+use crate::domain::view::View;
+
+/// The weights of the ranks that are used where the settings state none.
+const DEFAULT_SHARES: [u32; 4] = [8, 4, 2, 1];
+
+/// Indexes with fewer shards are not scheduled: one daemon queries all of them.
+const MIN_SHARDS: usize = 40;
+
+/// Decides which indexes are scheduled, and holds the weights of the ranks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scheduling {
+    enabled: bool,
+    shares: Vec<u32>,
+    indexes: HashSet<Arc<str>>,
+}
+
+impl Default for Scheduling {
+    fn default() -> Self {
+        Self::new(false, &DEFAULT_SHARES)
+    }
+}
+
+impl Scheduling {
+    /// Creates the scheduling of a router, without any index. `shares` are the weights of the
+    /// ranks, the most urgent first; the last one applies to all further ranks.
+    #[must_use]
+    pub fn new(enabled: bool, shares: &[u32]) -> Self {
+        let shares = if shares.is_empty() { DEFAULT_SHARES.to_vec() } else { shares.to_vec() };
+        Self { enabled, shares, indexes: HashSet::new() }
+    }
+
+    /// Returns the weights of the ranks, the most urgent first.
+    #[must_use]
+    pub fn shares(&self) -> &[u32] {
+        &self.shares
+    }
+
+    /// Returns whether an index is scheduled.
+    #[must_use]
+    pub fn covers(&self, index: &str) -> bool {
+        self.indexes.contains(index)
+    }
+
+    /// Applies a new view.
+    pub(super) fn apply(&mut self, view: &View, topology: &Topology) {
+        self.indexes.clear();
+        if !self.enabled {
+            return;
+        }
+        let regions: HashSet<&Arc<str>> = topology.regions.values().collect();
+        let suitable = view.lookups.values().filter(|plan| is_suitable(plan, regions.len()));
+        self.indexes.extend(suitable.map(|plan| plan.lookup.index.as_str().into()));
+    }
+}
+
+/// Returns whether the shards of a lookup are scheduled in a fleet of `regions` regions.
+///
+/// The lookup must have an objective and be wide. A region must have at most one replica of a shard,
+/// so that its requests compete for that one; and a request must not be able to try all replicas,
+/// since it could otherwise simply move on to the next one.
+fn is_suitable(plan: &LookupPlan, regions: usize) -> bool {
+    let (Some(attempts), Some(newest)) = (plan.lookup.attempts, plan.plans.first()) else { return false };
+    let attempts = usize::try_from(attempts).unwrap_or(usize::MAX);
+    let replicas = || newest.shards.iter().map(|shard| shard.replicas.len());
+    plan.lookup.objective_ms.is_some()
+        && newest.shards.len() >= MIN_SHARDS
+        && replicas().any(|count| count > attempts)
+        && replicas().all(|count| count <= regions)
+}
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -99,6 +99,7 @@
             remaining: micros(left),
             gather: group.gather_time.map(micros),
             again: rules.repeated,
+            rank: rules.rank,
             possible: Some(rules.min_possible(group.shards.len(), plan.shards.len())),
             suspects: self.reports(&job.work),
             regions: Arc::clone(&job.regions),
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -84,6 +84,7 @@
         let rules = AnswerRules {
             min_share,
             min_possible: group.possible,
+            rank: group.rank,
             grouped: false,
             repeated: group.again,
             trials: 0,
@@ -177,6 +178,7 @@
             parts: parts.collect(),
             missing: missing.collect(),
             records: serde_bytes::ByteBuf::from(records),
+            delays: Vec::new(),
         }
     }
 }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -309,6 +309,7 @@
     ) -> AnswerRules {
         let lookup = &resolved.plan.lookup;
         AnswerRules {
+            rank: lookup.rank,
             repeatable: lookup.repeatable,
             prefer: lookup.prefer,
             start: resolved.start,
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -47,6 +47,7 @@
 use crate::domain::routing::MAX_RERUN_SHARE;
 use crate::domain::routing::Policy;
 use crate::domain::routing::Router;
+use crate::domain::routing::Scheduling;
 use crate::domain::routing::rerun_quota;
 use crate::domain::suspects::Suspects;
 use crate::domain::topology::Topology;
@@ -79,6 +80,8 @@
     pub gate: GateLimits,
     /// The policy by which a replica is chosen.
     pub policy: Policy,
+    /// How requests that compete for the upstreams of an index are scheduled.
+    pub scheduling: Scheduling,
     /// Extra requests allowed for each needed one.
     pub extra: f64,
     /// What the whole fleet may send to one service beyond that within a window, in requests; none
@@ -238,6 +241,7 @@
         };
         let router =
             router.with_topology(settings.topology.clone()).with_sharers(settings.daemons).with_local(local);
+        let router = router.with_scheduling(settings.scheduling.clone());
         let known = settings.daemons;
         Rc::new(Self {
             settings,
--- a/crates/harefield/src/platform/documents.rs
+++ b/crates/harefield/src/platform/documents.rs
@@ -309,6 +309,7 @@
         index,
         services: Vec::new(),
         urgency: urgency(route.priority),
+        rank: route.priority,
         deadline_ms: route.timeout_ms,
         repeatable: route.kind == "safe",
         prefer: Preference::Coverage,
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -109,6 +109,10 @@
     pub gather: Option<u64>,
     /// Whether the request was sent to another daemon before.
     pub again: bool,
+    /// The rank of the lookup, as known to the delegating daemon. 0 from daemons that do not write
+    /// the field.
+    #[serde(default)]
+    pub rank: u32,
     /// How many shards must still be able to contribute; once fewer are, the replies received so
     /// far are sent at once. `None` from daemons that do not write the field, which means as many
     /// as are needed.
@@ -185,6 +189,19 @@
     pub missing: Vec<GroupGap>,
     /// The greatest records of all shards that contributed.
     pub records: ByteBuf,
+    /// How long a new request of the group's rank would wait for some of the shards; not at all for
+    /// the others. Empty from daemons that do not write the field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub delays: Vec<GroupDelay>,
+}
+
+/// The queueing delay of a shard of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupDelay {
+    /// The position of the shard in the group.
+    pub at: usize,
+    /// How long a new request would wait before it is sent, in microseconds.
+    pub micros: u64,
 }
 
 /// How far a daemon is in one space: its high-water mark.
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -98,6 +98,7 @@
         router.update_daemons([&daemon(zone, live)]);
         let rules = AnswerRules {
             kind: "l".into(),
+            rank: 0,
             repeatable: true,
             prefer: Preference::Coverage,
             start: now,
--- a/crates/harefield/tests/decisions/rejecting_model.rs
+++ b/crates/harefield/tests/decisions/rejecting_model.rs
@@ -123,6 +123,7 @@
     fn run(&mut self) -> f64 {
         let rules = AnswerRules {
             kind: "l".into(),
+            rank: 0,
             repeatable: true,
             prefer: Preference::Coverage,
             start: self.now,
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -129,6 +129,7 @@
         router.lease_mut().renew(now);
         let rules = AnswerRules {
             kind: "l".into(),
+            rank: 0,
             repeatable: true,
             prefer: Preference::Coverage,
             start: now,
--- a/crates/harefield/tests/decisions/world.rs
+++ b/crates/harefield/tests/decisions/world.rs
@@ -118,6 +118,7 @@
         let mut router = router(&view, start);
         let mut rules = AnswerRules {
             kind: "l".into(),
+            rank: 0,
             repeatable,
             prefer: Preference::Coverage,
             start,
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -100,6 +100,7 @@
         remaining: 0,
         gather: None,
         again: false,
+        rank: 0,
         possible: None,
         suspects: Vec::new(),
         regions: Regions::default(),
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -258,6 +258,7 @@
         remaining: 400_000,
         gather: Some(100_000),
         again: false,
+        rank: 0,
         possible: None,
         suspects: Vec::new(),
         regions: Regions::default(),
