Send the shards of a scheduled index to their carriers

Any of a region's daemons could send to a shard's replica, each with a limit of its own. In a scheduled index each shard now has one carrier in each region, which every daemon computes from the same members: rendezvous hashing weighted by capacity, bounded at 1.2 times a daemon's share, among members with at least half of the largest capacity. The router keeps the result until the members or the shards change.

A carrier has a backoff of its own. The one of other groups starts at 500 ms and also follows groups that are merely overdue, so that one of them would have moved a carrier's shards at one daemon but not at the others.

Without scheduling nothing changes.

--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -3,16 +3,19 @@
 //!
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
-//! probes, `groups` delegates groups of shards to other daemons, `crash_guard` limits the damage of
+//! probes, `groups` delegates groups of shards to other daemons, `regions` and `carried` select the
+//! daemons, `crash_guard` limits the damage of
 //! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
+mod carried;
 mod context;
 mod crash_guard;
 mod group_request;
 mod groups;
 mod machine;
 mod overrun;
+mod regions;
 mod result;
 mod rules;
 mod shard;
--- /dev/null
+++ b/crates/harefield/src/domain/routing/carriers.rs
@@ -0,0 +1,106 @@
+//! Carriers: the daemons of a region that the requests for a scheduled index's shards go through.
+//!
+//! All requests of a region for a shard meet at its carrier, so that one queue orders them and one
+//! daemon counts what is in flight at the replica. Every daemon computes the same carriers from the
+//! same members, without any message.
+
+use std::cmp::Ordering;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::domain::cell::weight;
+use crate::domain::ids::HostId;
+use crate::domain::ids::ShardId;
+
+/// A carrier has at least this percentage of the capacity of the largest candidate. A small daemon
+/// beside large ones would take a few shards, and delay every fan-out that needs them.
+const MIN_CAPACITY_PERCENT: u64 = 50;
+
+/// A carrier takes at most this percentage of its share by capacity. A lower bound moves more of the
+/// other carriers' shards when one goes, a higher one lets chance overload a carrier.
+const BOUND_PERCENT: u64 = 120;
+
+/// A daemon of a region that may carry shards.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CarrierCandidate {
+    /// The name of the daemon.
+    pub host: HostId,
+    /// Its CPU capacity, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// The assignment of an index's shards to the daemons of one region.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Carriers {
+    candidates: Vec<CarrierCandidate>,
+    assigned: HashMap<ShardId, usize>,
+}
+
+impl Carriers {
+    /// Assigns shards to candidates, by rendezvous hashing weighted and bounded by capacity. The
+    /// order of either doesn't matter.
+    #[must_use]
+    pub fn assign(shards: &[ShardId], candidates: &[CarrierCandidate]) -> Self {
+        let largest = candidates.iter().map(capacity).max().unwrap_or(0);
+        let large =
+            |candidate: &&CarrierCandidate| capacity(candidate) * 100 >= largest * MIN_CAPACITY_PERCENT;
+        let mut candidates: Vec<CarrierCandidate> = candidates.iter().filter(large).cloned().collect();
+        candidates.sort_unstable();
+        candidates.dedup_by(|a, b| a.host == b.host);
+        let mut shards: Vec<&ShardId> = shards.iter().collect();
+        shards.sort_unstable();
+        shards.dedup();
+        let total: u64 = candidates.iter().map(capacity).sum();
+        let bound = |candidate| {
+            let bound =
+                (shards.len() as u64 * capacity(candidate) * BOUND_PERCENT).div_ceil(total.max(1) * 100);
+            usize::try_from(bound).unwrap_or(usize::MAX)
+        };
+        let mut room: Vec<usize> = candidates.iter().map(bound).collect();
+        let mut assigned = HashMap::with_capacity(shards.len());
+        for shard in shards {
+            let Some(best) = best(shard, &candidates, |at| room[at] > 0) else { continue };
+            room[best] -= 1;
+            assigned.insert(Arc::clone(shard), best);
+        }
+        Self { candidates, assigned }
+    }
+
+    /// Returns the daemon that carries a shard, of those that are `available`.
+    ///
+    /// The shards of a carrier that isn't available go to the next one of each shard's own order,
+    /// without a bound: this lasts only until the members show that it is gone, and must not move
+    /// any other shard.
+    #[must_use]
+    pub fn carrier(&self, shard: &ShardId, available: impl Fn(&HostId) -> bool) -> Option<&HostId> {
+        let usable = |at: usize| available(&self.candidates[at].host);
+        let assigned = self.assigned.get(shard).copied().filter(|at| usable(*at));
+        let at = assigned.or_else(|| best(shard, &self.candidates, usable))?;
+        Some(&self.candidates[at].host)
+    }
+}
+
+fn capacity(candidate: &CarrierCandidate) -> u64 {
+    u64::from(candidate.capacity.max(1))
+}
+
+/// Returns the candidate with the highest weight for a shard, of those that `may` take it.
+fn best(shard: &str, candidates: &[CarrierCandidate], may: impl Fn(usize) -> bool) -> Option<usize> {
+    let order = |a: &(usize, f64), b: &(usize, f64)| match a.1.total_cmp(&b.1) {
+        Ordering::Equal => b.0.cmp(&a.0),
+        other => other,
+    };
+    let open = candidates.iter().enumerate().filter(|(at, _)| may(*at));
+    let weights = open.map(|(at, candidate)| (at, weighted(shard, candidate)));
+    weights.max_by(order).map(|(at, _)| at)
+}
+
+/// Returns the weight of a candidate for a shard: `-capacity / ln(u)` for a hash `u` in 0..1. The
+/// probability of the highest weight is then proportional to the capacity.
+fn weighted(shard: &str, candidate: &CarrierCandidate) -> f64 {
+    const BITS: i32 = 52;
+    #[expect(clippy::cast_precision_loss, reason = "the value has 52 bits")]
+    let hash = (weight(shard, &candidate.host) >> (64 - BITS)) as f64;
+    let unit = (hash + 0.5) / 2.0_f64.powi(BITS);
+    -f64::from(candidate.capacity.max(1)) / unit.ln()
+}
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -6,10 +6,14 @@
 //! this daemon for each shard, `readiness` decides how many connections are kept open. `zones`
 //! and `relays` deal with upstreams and daemons in other availability zones, `sharing` with wide
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
-//! `scheduling` decides which indexes are scheduled.
+//! `scheduling` decides which indexes are scheduled, `carriers` which daemon of a region their
+//! requests go through; `carrier_cache` and `carrier_backoff` hold the state that this needs.
 
 mod budget;
 mod budgets;
+mod carrier_backoff;
+mod carrier_cache;
+mod carriers;
 mod choice;
 mod estimate;
 mod latency;
@@ -34,6 +38,8 @@
 pub use budgets::MAX_RERUN_SHARE;
 pub use budgets::quota;
 pub use budgets::rerun_quota;
+pub use carriers::CarrierCandidate;
+pub use carriers::Carriers;
 pub use choice::Choice;
 pub use choice::ChoiceRequest;
 pub use latency::LatencyStats;
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::carrier_backoff::CarrierBackoff;
 use super::latency::LatencyStats;
 use crate::domain::backoff::backoff;
 use crate::domain::ids::HostId;
@@ -59,6 +60,7 @@
     starts: Vec<Instant>,
     failures: u32,
     retry_at: Option<Instant>,
+    carrying: CarrierBackoff,
 }
 
 /// How a group that was delegated to a daemon ended.
@@ -95,7 +97,15 @@
             });
             let relay = match self.hosts.remove(&host) {
                 Some(known) => Relay { zone, live, capacity, ..known },
-                None => Relay { zone, live, capacity, starts: Vec::new(), failures: 0, retry_at: None },
+                None => Relay {
+                    zone,
+                    live,
+                    capacity,
+                    starts: Vec::new(),
+                    failures: 0,
+                    retry_at: None,
+                    carrying: CarrierBackoff::default(),
+                },
             };
             hosts.insert(host, relay);
         }
@@ -140,6 +150,19 @@
         self.usable(kind, now).map(|(host, relay)| (host, &relay.zone, relay.capacity))
     }
 
+    /// Returns the daemons that answer gossip with their availability zones and CPU capacities,
+    /// including those that are backed off.
+    pub(super) fn live(&self) -> impl Iterator<Item = (&HostId, &Arc<str>, u32)> {
+        let live = self.hosts.iter().filter(|(_, relay)| relay.live);
+        live.map(|(host, relay)| (host, &relay.zone, relay.capacity))
+    }
+
+    /// Returns whether a daemon can be sent the shards that it carries.
+    pub(super) fn may_carry(&self, host: &HostId, now: Instant) -> bool {
+        let may = |relay: &Relay| relay.live && relay.carrying.allows(relay.starts.len(), now);
+        self.hosts.get(host).is_some_and(may)
+    }
+
     /// Returns the round-trip time to a daemon.
     #[must_use]
     pub fn rtt_of(&self, host: &HostId) -> Duration {
@@ -194,8 +217,14 @@
         if let Some(at) = relay.starts.iter().position(|sent| *sent == start) {
             relay.starts.swap_remove(at);
         }
+        match outcome {
+            RelayOutcome::Silent => relay.carrying.record_silence(start, now),
+            RelayOutcome::Declined => relay.carrying.record_decline(now),
+            RelayOutcome::Answered(_) | RelayOutcome::Abandoned => {}
+        }
         match outcome {
             RelayOutcome::Answered(rtt) => {
+                relay.carrying.record_answer(now);
                 relay.failures = 0;
                 relay.retry_at = None;
                 let average = self.rtts.entry(Arc::clone(&relay.zone)).or_insert(rtt);
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -10,6 +10,7 @@
 use super::budget::Budget;
 use super::budgets::Budgets;
 use super::budgets::service_of;
+use super::carrier_cache::CarrierCache;
 use super::latency::LatencyStats;
 use super::policy::Policy;
 use super::relays::Relays;
@@ -52,7 +53,8 @@
     pub(super) lease: Lease,
     /// Whether this daemon knows the others well enough to send to cold upstreams.
     pub(super) startup: StartupDelay,
-    scheduling: Scheduling,
+    pub(super) scheduling: Scheduling,
+    pub(super) carriers: CarrierCache,
     seed: u64,
 }
 
@@ -104,6 +106,7 @@
             lease: Lease::new(now),
             startup: StartupDelay::new(now),
             scheduling: Scheduling::default(),
+            carriers: CarrierCache::default(),
             seed,
         }
     }
@@ -206,6 +209,8 @@
         }
         self.cells.clone_from(&view.cells);
         self.scheduling.apply(view, &self.topology);
+        self.carriers.retain(|index| self.scheduling.covers(index));
+        self.carriers.invalidate();
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -1,9 +1,12 @@
 //! Which indexes are scheduled: their requests wait at one daemon of each region for the slots of
 //! the replica there.
 
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use crate::domain::ids::ShardId;
 use crate::domain::topology::Topology;
 use crate::domain::view::LookupPlan;
 use crate::domain::view::View;
@@ -19,7 +22,8 @@
 pub struct Scheduling {
     enabled: bool,
     shares: Vec<u32>,
-    indexes: HashSet<Arc<str>>,
+    /// The scheduled indexes, with all shards of their plans in the order of their names.
+    indexes: HashMap<Arc<str>, Arc<[ShardId]>>,
 }
 
 impl Default for Scheduling {
@@ -34,7 +38,7 @@
     #[must_use]
     pub fn new(enabled: bool, shares: &[u32]) -> Self {
         let shares = if shares.is_empty() { DEFAULT_SHARES.to_vec() } else { shares.to_vec() };
-        Self { enabled, shares, indexes: HashSet::new() }
+        Self { enabled, shares, indexes: HashMap::new() }
     }
 
     /// Returns the weights of the ranks, the most urgent first.
@@ -46,7 +50,12 @@
     /// Returns whether an index is scheduled.
     #[must_use]
     pub fn covers(&self, index: &str) -> bool {
-        self.indexes.contains(index)
+        self.indexes.contains_key(index)
+    }
+
+    /// Returns all shards of a scheduled index in the order of their names.
+    pub(super) fn shards(&self, index: &str) -> Option<Arc<[ShardId]>> {
+        self.indexes.get(index).map(Arc::clone)
     }
 
     /// Applies a new view.
@@ -57,7 +66,8 @@
         }
         let regions: HashSet<&Arc<str>> = topology.regions.values().collect();
         let suitable = view.lookups.values().filter(|plan| is_suitable(plan, regions.len()));
-        self.indexes.extend(suitable.map(|plan| plan.lookup.index.as_str().into()));
+        let names: BTreeSet<&str> = suitable.map(|plan| plan.lookup.index.as_str()).collect();
+        self.indexes.extend(names.into_iter().map(|name| (name.into(), shards_of(view, name))));
     }
 }
 
@@ -75,3 +85,10 @@
         && replicas().any(|count| count > attempts)
         && replicas().all(|count| count <= regions)
 }
+
+/// Returns the shards of all plans of an index, of each snapshot, in the order of their names.
+fn shards_of(view: &View, index: &str) -> Arc<[ShardId]> {
+    let plans = view.lookups.values().filter(|plan| plan.lookup.index == *index).flat_map(|plan| &plan.plans);
+    let shards: BTreeSet<&ShardId> = plans.flat_map(|plan| &plan.shards).map(|plan| &plan.shard).collect();
+    shards.into_iter().map(Arc::clone).collect()
+}
--- a/crates/harefield/src/domain/routing/zones.rs
+++ b/crates/harefield/src/domain/routing/zones.rs
@@ -33,6 +33,7 @@
             self.startup.record_peer();
         }
         self.relays.update(daemons);
+        self.carriers.invalidate();
     }
 
     /// Returns the daemon and worker that this router belongs to.
