--- a/crates/harefield/src/adapters/settings/load.rs
+++ b/crates/harefield/src/adapters/settings/load.rs
@@ -118,6 +118,7 @@
                 !(1..=8).contains(&self.scheduling.shares.len()) || self.scheduling.shares.contains(&0),
                 "scheduling.shares must be 1 to 8 numbers of at least 1",
             ),
+            (self.scheduling.min_shards == 0, "scheduling.min-shards must be at least 1"),
             (self.accounts.window_ms == 0, "accounts.window-ms must be at least 1"),
             (!(0.0..=100.0).contains(&self.accounts.overage), "accounts.overage must be from 0 to 100"),
             (!(0.0..=1e9).contains(&self.accounts.slack), "accounts.slack must be from 0 to 1000000000"),
--- a/crates/harefield/src/adapters/settings/mod.rs
+++ b/crates/harefield/src/adapters/settings/mod.rs
@@ -1,10 +1,12 @@
 //! The settings file, in TOML. `docs/settings/` has a page for each section.
 
 mod load;
+mod scheduling;
 mod sections;
 
 pub use load::SettingsError;
 pub use load::read_token;
+pub use scheduling::SchedulingSettings;
 pub use sections::EventSettings;
 pub use sections::Host;
 pub use sections::Limits;
--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -8,11 +8,11 @@
 
 use serde::Deserialize;
 
+use super::scheduling::SchedulingSettings;
 use crate::domain::accounts::Overage;
 use crate::domain::cell::CellSize;
 use crate::domain::cold::ColdBounds;
 use crate::domain::routing::Policy;
-use crate::domain::routing::Scheduling;
 use crate::domain::time::millis;
 
 /// All settings of a daemon.
@@ -297,31 +297,6 @@
     }
 }
 
-/// How requests that compete for the upstreams of an index are scheduled.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
-pub struct SchedulingSettings {
-    /// Whether indexes that allow it are scheduled; see `docs/SCHEDULING.md`.
-    pub enabled: bool,
-    /// The weights of the ranks, the most urgent first. The last one also applies to all further
-    /// ranks, and to requests whose objective has passed.
-    pub shares: Vec<u32>,
-}
-
-impl Default for SchedulingSettings {
-    fn default() -> Self {
-        Self { enabled: false, shares: Scheduling::default().shares().to_vec() }
-    }
-}
-
-impl SchedulingSettings {
-    /// Returns the scheduling of a router.
-    #[must_use]
-    pub fn scheduling(&self) -> Scheduling {
-        Scheduling::new(self.enabled, &self.shares)
-    }
-}
-
 /// Keys and limits of client accounts.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -14,7 +14,7 @@
 /// The weights of the ranks that are used where the settings state none.
 const DEFAULT_SHARES: [u32; 4] = [8, 4, 2, 1];
 
-/// Indexes with fewer shards are not scheduled: one daemon queries all of them.
+/// Indexes with fewer shards are not scheduled by default: one daemon queries all of them.
 const MIN_SHARDS: usize = 40;
 
 /// Decides which indexes are scheduled, and holds the weights of the ranks.
@@ -22,6 +22,7 @@
 pub struct Scheduling {
     enabled: bool,
     shares: Vec<u32>,
+    min_shards: usize,
     /// The scheduled indexes, with all shards of their plans in the order of their names.
     indexes: HashMap<Arc<str>, Arc<[ShardId]>>,
 }
@@ -38,7 +39,20 @@
     #[must_use]
     pub fn new(enabled: bool, shares: &[u32]) -> Self {
         let shares = if shares.is_empty() { DEFAULT_SHARES.to_vec() } else { shares.to_vec() };
-        Self { enabled, shares, indexes: HashMap::new() }
+        Self { enabled, shares, min_shards: MIN_SHARDS, indexes: HashMap::new() }
+    }
+
+    /// Sets the fewest shards of an index that is scheduled.
+    #[must_use]
+    pub fn with_min_shards(mut self, min_shards: usize) -> Self {
+        self.min_shards = min_shards;
+        self
+    }
+
+    /// Returns the fewest shards of an index that is scheduled.
+    #[must_use]
+    pub fn min_shards(&self) -> usize {
+        self.min_shards
     }
 
     /// Returns the weights of the ranks, the most urgent first.
@@ -65,23 +79,24 @@
             return;
         }
         let regions: HashSet<&Arc<str>> = topology.regions.values().collect();
-        let suitable = view.lookups.values().filter(|plan| is_suitable(plan, regions.len()));
+        let suitable = view.lookups.values().filter(|plan| is_suitable(plan, self.min_shards, regions.len()));
         let names: BTreeSet<&str> = suitable.map(|plan| plan.lookup.index.as_str()).collect();
         self.indexes.extend(names.into_iter().map(|name| (name.into(), shards_of(view, name))));
     }
 }
 
-/// Returns whether the shards of a lookup are scheduled in a fleet of `regions` regions.
+/// Returns whether the shards of a lookup are scheduled in a fleet of `regions` regions, if it has
+/// at least `min_shards`.
 ///
 /// The lookup must have an objective and be wide. A region must have at most one replica of a shard,
 /// so that its requests compete for that one; and a request must not be able to try all replicas,
 /// since it could otherwise simply move on to the next one.
-fn is_suitable(plan: &LookupPlan, regions: usize) -> bool {
+fn is_suitable(plan: &LookupPlan, min_shards: usize, regions: usize) -> bool {
     let (Some(attempts), Some(newest)) = (plan.lookup.attempts, plan.plans.first()) else { return false };
     let attempts = usize::try_from(attempts).unwrap_or(usize::MAX);
     let replicas = || newest.shards.iter().map(|shard| shard.replicas.len());
     plan.lookup.objective_ms.is_some()
-        && newest.shards.len() >= MIN_SHARDS
+        && newest.shards.len() >= min_shards
         && replicas().any(|count| count > attempts)
         && replicas().all(|count| count <= regions)
 }
--- a/crates/harefield/tests/decisions/settings.rs
+++ b/crates/harefield/tests/decisions/settings.rs
@@ -62,3 +62,14 @@
     let error = Settings::load(std::path::Path::new("/nonexistent/daemon.toml")).expect_err("no file");
     assert!(error.to_string().starts_with("HF5001"), "{error}");
 }
+
+#[test]
+fn scheduling_bounds() {
+    for faulty in ["shares = []", "shares = [8, 0]", "min-shards = 0"] {
+        let found = errors(&format!("{MINIMAL}\n[scheduling]\n{faulty}\n"));
+        assert!(found.iter().any(|(_, text)| text.contains("scheduling.")), "{faulty}: {found:?}");
+    }
+    let settings = Settings::parse("daemon.toml", MINIMAL).expect("the rest has defaults");
+    assert!(!settings.scheduling.enabled);
+    assert_eq!((&*settings.scheduling.shares, settings.scheduling.min_shards), (&[8, 4, 2, 1][..], 40));
+}
