--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod budgets;
 mod buffers;
+mod carriers;
 mod cells;
 mod clock;
 mod codes;
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod administration;
 mod bad_input;
+mod carriers;
 mod configuration;
 mod crashing;
 mod crashing_support;
