Schedule the soak's merged index in half of the seeds

Seeds 2, 3, 6, 7 and so on: each zone is a region with one replica of each shard, and all daemons are in the cell, so that regions have up to two carriers.

--- a/crates/harefield/tests/soak/cluster.rs
+++ b/crates/harefield/tests/soak/cluster.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -26,6 +25,7 @@
 use crate::proxy;
 use crate::proxy::OpenedProxy;
 use crate::proxy::Proxy;
+use crate::run::SoakOptions;
 
 /// The availability zones; the first two belong to one region.
 pub(crate) const ZONES: [&str; 3] = ["z1", "z2", "z3"];
@@ -90,15 +90,16 @@
 }
 
 impl Cluster {
-    /// Starts the store, the upstreams and the daemons; settings and logs go to `folder`.
-    pub fn start(daemons: usize, shards: usize, program: &Path, folder: &Path, ledger: &Ledger) -> Self {
+    /// Starts the store, the upstreams and the daemons.
+    pub fn start(soak: &SoakOptions, ledger: &Ledger) -> Self {
+        let SoakOptions { daemons, shards, program, folder, .. } = soak;
         let (store, proxy_thread) = (SiteStore::start(), proxy::start());
         let open = |number| Node::open(number, &store, &proxy_thread, folder);
-        let nodes: Vec<Node> = (0..daemons).map(open).collect();
+        let nodes: Vec<Node> = (0..*daemons).map(open).collect();
         let seeds: Vec<SocketAddr> =
             nodes.iter().take(SEED_DAEMONS).map(|node| node.peers.address()).collect();
         for node in &nodes {
-            node.write_settings(&seeds);
+            node.write_settings(&seeds, soak.is_scheduled());
         }
         let cluster = Self {
             nodes,
@@ -110,12 +111,12 @@
             next_number: AtomicU64::new(0),
             proxy_thread,
             crashes: async_channel::unbounded(),
-            program: program.to_owned(),
+            program: program.clone(),
         };
         for number in 0..PLAIN_UPSTREAMS {
             cluster.add("plain", ZONES[number % ZONES.len()], &[5]);
         }
-        let first = cluster.make_shards(shards);
+        let first = cluster.make_shards(*shards);
         cluster.publish(Some(first), ledger);
         for node in &cluster.nodes {
             node.start(program);
--- a/crates/harefield/tests/soak/node.rs
+++ b/crates/harefield/tests/soak/node.rs
@@ -31,6 +31,9 @@
 /// The number of daemons in a cell, which connect to the same upstreams of an index.
 const CELL_SIZE: usize = 3;
 
+/// The same where the index is scheduled: more than there are daemons.
+const SCHEDULED_CELL_SIZE: usize = 24;
+
 /// The timeout of one readiness query.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -73,17 +76,22 @@
         }
     }
 
-    /// Writes its settings, with the daemons that it uses as gossip seeds.
-    pub fn write_settings(&self, seeds: &[SocketAddr]) {
+    /// Writes its settings, with the daemons that it uses as gossip seeds. If `scheduled` is set,
+    /// each zone is a region, so that the merged route's index is scheduled, and all daemons are in
+    /// its cell, so that regions have two carriers.
+    pub fn write_settings(&self, seeds: &[SocketAddr], scheduled: bool) {
         let [callers, peers, operators] = addresses(self.number);
         let zone = ZONES[self.number % ZONES.len()];
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let second = if scheduled { "r3" } else { "r1" };
+        let cell = if scheduled { SCHEDULED_CELL_SIZE } else { CELL_SIZE };
         let text = format!(
-            "[host]\nzone = \"{zone}\"\n[host.regions]\nz1 = \"r1\"\nz2 = \"r1\"\nz3 = \"r2\"\n\
+            "[host]\nzone = \"{zone}\"\n[host.regions]\nz1 = \"r1\"\nz2 = \"{second}\"\nz3 = \"r2\"\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nknown-as = \"{}\"\noperators = \"{operators}\"\n\
              [platform]\nkind = \"store\"\naddresses = [\"{}\"]\nwatch-ms = 4000\nreaders = 1\n\
              [peers]\nseeds = [{}]\nexchange-ms = 1000\njoin-ms = 2000\ndaemons = 5\n\
-             [routing]\nextra-load = 0.2\nextra-slack = {EXTRA_SLACK}\ncell-size = {CELL_SIZE}\n\
+             [routing]\nextra-load = 0.2\nextra-slack = {EXTRA_SLACK}\ncell-size = {cell}\n\
+             [scheduling]\nenabled = {scheduled}\nmin-shards = 3\n\
              [stop]\nlinger-ms = 500\nlimit-ms = 5500\n[events]\ndetail-every = 1\n",
             self.peers.address(),
             self.store.address(),
--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -45,6 +45,15 @@
     pub folder: PathBuf,
 }
 
+impl SoakOptions {
+    /// Returns whether the daemons schedule the index of the merged route. Every other pair of
+    /// seeds does, so that both even seeds, whose store stays available, and odd ones are among
+    /// them.
+    pub fn is_scheduled(&self) -> bool {
+        self.seed / 2 % 2 == 1
+    }
+}
+
 /// The results of a soak.
 #[derive(Clone, Debug)]
 pub(crate) struct Report {
@@ -64,8 +73,7 @@
 pub(crate) fn play(soak: &SoakOptions) -> Report {
     std::fs::create_dir_all(&soak.folder).expect("the folder can be created");
     let ledger: Arc<Ledger> = Arc::default();
-    let cluster = Cluster::start(soak.daemons, soak.shards, &soak.program, &soak.folder, &ledger);
-    let cluster = Arc::new(cluster);
+    let cluster = Arc::new(Cluster::start(soak, &ledger));
     let done = Arc::new(AtomicBool::new(false));
     await_ready(&cluster, &soak.folder);
     let context = CallerContext {
