Add the wait queues of shards: fair between ranks, earliest due first

Requests that compete for a shard were sent in the order in which fan-outs happened to check for capacity. Adds a pure module that holds a queue for each shard: start-time fair queuing between ranks on the expected work, the earliest due first within a rank, those past their due time with the last class. A waiter that may use some replicas only lets others pass while these are full. Queues are dropped with their last waiter. Nothing uses it yet.

--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -44,3 +44,6 @@
 /// Orders complete sets of what operators published. Unlike a revision, it does not change with
 /// what upstreams publish about themselves.
 pub type Edition = u64;
+
+/// Numbers the fan-outs of one worker whose shards are scheduled.
+pub type FanoutId = u64;
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -12,6 +12,7 @@
 pub mod code;
 pub mod cold;
 pub mod configuration;
+pub mod dispatch;
 pub mod event;
 pub mod fanout;
 pub mod feed;
