Let shards of scheduled indexes wait in their queue

A first attempt or retry that finds no free capacity, or that would overtake another, waits in the queue of its shard; the end of a request at one of its replicas notifies the first waiter. Hedges and probes are not sent while a request waits. Tickets are given up when the shard is answered, closed or cut. Where the index isn't scheduled, nothing changes.

In the replay of tests/decisions/turns.rs (long requests of 15 ms for 1.25 times the capacity of a shard, one urgent request of 5 ms for each ten), no urgent request waits longer than one in service; with scheduling off some wait longer, which the test checks too.

--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -42,6 +42,10 @@
         step: &mut StepContext<'_, S>,
     ) {
         self.shards[shard].retry_at = None;
+        if let Err(exclusion) = self.check_turn(shard, step) {
+            self.schedule_retry(shard, exclusion, step);
+            return;
+        }
         let mut chosen = self.choose(shard, step);
         if chosen.is_err() && !self.shards[shard].failed.is_empty() {
             self.shards[shard].failed.clear();
@@ -74,7 +78,7 @@
         if !self.may_send(shard) {
             return;
         }
-        if self.delays_hedges() {
+        if self.delays_hedges() || self.yields_to_waiters(shard, step) {
             self.shards[shard].hedge = Hedge::Due(step.now + DENIED_INTERVAL);
             return;
         }
@@ -102,7 +106,7 @@
     /// measured again, without delaying the request.
     fn probe<S: Sink>(&mut self, shard: usize, chosen: &UpstreamId, step: &mut StepContext<'_, S>) {
         let hedges = self.rules.hedge_factor.is_some() && self.rules.fixed_delay.is_none();
-        if !self.rules.repeatable || !hedges || !self.may_send(shard) {
+        if !self.rules.repeatable || !hedges || !self.may_send(shard) || self.yields_to_waiters(shard, step) {
             return;
         }
         let tried = self.shards[shard].tried();
@@ -158,6 +162,9 @@
                 step.emit(Event::Waiting { shard: name, why: exclusion.gap });
             }
         }
+        if self.wait_turn(shard, exclusion, step) {
+            return;
+        }
         match retry_at.filter(|at| *at < self.rules.deadline) {
             Some(at) => self.shards[shard].retry_at = Some(at),
             None => self.close(shard, exclusion.gap, step),
@@ -169,6 +176,9 @@
         let (attempt, start) = (self.next_id, step.now);
         self.next_id += 1;
         step.router.begin(&upstream, start);
+        if matches!(cause, Cause::First | Cause::Retry) {
+            self.take_turn(shard, step);
+        }
         if cause == Cause::First && !self.rules.repeated {
             step.router.budget(&self.plan.shards[shard].shard).earn();
         }
--- a/crates/harefield/src/domain/fanout/crash_guard.rs
+++ b/crates/harefield/src/domain/fanout/crash_guard.rs
@@ -95,6 +95,7 @@
                 return true;
             }
             if self.shards[shard].is_open() {
+                self.leave_queue(shard, step);
                 self.suspend(shard);
             }
         }
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -22,6 +22,7 @@
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
 use crate::domain::ids::AttemptId;
+use crate::domain::ids::FanoutId;
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Contribution;
 use crate::domain::outcome::Coverage;
@@ -40,6 +41,10 @@
     pub(super) rules: AnswerRules,
     pub(super) shards: Vec<Shard>,
     pub(super) next_id: AttemptId,
+    /// Its name in the wait queues; `None` where the index isn't scheduled.
+    pub(super) id: Option<FanoutId>,
+    /// The shards that wait in their queues.
+    pub(super) queued: BTreeSet<usize>,
     contributed: usize,
     /// When the fan-out started, and when half of its shards and enough for an answer had
     /// contributed.
@@ -73,6 +78,8 @@
             rules,
             shards,
             next_id: first,
+            id: None,
+            queued: BTreeSet::new(),
             contributed: 0,
             started: None,
             half: None,
@@ -136,6 +143,7 @@
     pub fn start_groups(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = StepContext::new(now, router, sink);
         self.started = Some(now);
+        self.join_dispatch(step.router);
         self.direct = self.delegate_groups(&mut step);
         step.actions
     }
@@ -143,6 +151,7 @@
     /// Sends first attempts for all shards that were not delegated.
     pub fn start(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = StepContext::new(now, router, sink);
+        self.join_dispatch(step.router);
         for shard in std::mem::take(&mut self.direct) {
             if self.shards[shard].is_open() {
                 self.start_attempt(shard, Cause::First, &mut step);
@@ -286,6 +295,7 @@
             self.enough = Some(step.now);
         }
         self.open -= 1;
+        self.leave_queue(shard, step);
         self.cancel_in_flight(shard, step);
     }
 
@@ -317,6 +327,7 @@
     }
 
     pub(super) fn close<S: Sink>(&mut self, shard: usize, gap: Gap, step: &mut StepContext<'_, S>) {
+        self.leave_queue(shard, step);
         let name = self.name(shard);
         let state = &mut self.shards[shard];
         state.close(gap);
@@ -334,8 +345,9 @@
         }
     }
 
-    fn retry_or_suspend<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
+    pub(super) fn retry_or_suspend<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
         if self.is_suspect() && self.has_budget(shard, step) {
+            self.leave_queue(shard, step);
             self.suspend(shard);
         } else {
             self.retry(shard, step);
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
-//! probes, `groups` delegates groups of shards to other daemons, `crash_guard` limits the damage of
+//! probes, `turns` decides when those of scheduled indexes wait, `groups` delegates groups of shards to other daemons, `crash_guard` limits the damage of
 //! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
@@ -16,6 +16,7 @@
 mod result;
 mod rules;
 mod shard;
+mod turns;
 mod verify;
 
 pub use crash_guard::MAX_TRIALS;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -6,7 +6,8 @@
 //! this daemon for each shard, `readiness` decides how many connections are kept open. `zones`
 //! and `relays` deal with upstreams and daemons in other availability zones, `sharing` with wide
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
-//! `scheduling` decides which indexes are scheduled.
+//! `scheduling` decides which indexes are scheduled, `placement` and `turns` connect the wait queues
+//! of their shards with the upstreams.
 
 mod budget;
 mod budgets;
@@ -14,6 +15,7 @@
 mod estimate;
 mod latency;
 mod learning;
+mod placement;
 mod policy;
 mod readiness;
 mod rejections;
@@ -24,6 +26,7 @@
 mod shard_time;
 mod sharing;
 mod startup_delay;
+mod turns;
 mod upstream_state;
 mod window;
 mod zones;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -11,6 +11,7 @@
 use super::budgets::Budgets;
 use super::budgets::service_of;
 use super::latency::LatencyStats;
+use super::placement::Placement;
 use super::policy::Policy;
 use super::relays::Relays;
 use super::report::AttemptOutcome;
@@ -24,6 +25,7 @@
 use crate::domain::cell::Cells;
 use crate::domain::cell::connection_share;
 use crate::domain::cold::Allowance;
+use crate::domain::dispatch::Dispatch;
 use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
@@ -53,6 +55,9 @@
     /// Whether this daemon knows the others well enough to send to cold upstreams.
     pub(super) startup: StartupDelay,
     scheduling: Scheduling,
+    pub(super) placement: Placement,
+    /// The requests that wait for shards of scheduled indexes.
+    pub(super) dispatch: Dispatch,
     seed: u64,
 }
 
@@ -104,6 +109,8 @@
             lease: Lease::new(now),
             startup: StartupDelay::new(now),
             scheduling: Scheduling::default(),
+            placement: Placement::default(),
+            dispatch: Dispatch::new(Scheduling::default().shares()),
             seed,
         }
     }
@@ -125,6 +132,7 @@
     /// Sets how requests that compete for the upstreams of an index are scheduled.
     #[must_use]
     pub fn with_scheduling(mut self, scheduling: Scheduling) -> Self {
+        self.dispatch = Dispatch::new(scheduling.shares());
         self.scheduling = scheduling;
         self
     }
@@ -206,6 +214,8 @@
         }
         self.cells.clone_from(&view.cells);
         self.scheduling.apply(view, &self.topology);
+        self.placement = Placement::new(view, &self.scheduling);
+        self.notify_all(now);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
@@ -285,6 +295,7 @@
             state.set_rtt(rtt);
             state.end(start, outcome, report, now);
         }
+        self.notify_upstream(name, now);
     }
 
     /// Records the time of a good reply, less the round-trip time, in the latency of its kind of
--- /dev/null
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -0,0 +1,63 @@
+//! The router's side of the wait queues: notifies waiters of free capacity, and estimates how long
+//! a new one would wait.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::router::Router;
+use crate::domain::dispatch::Dispatch;
+use crate::domain::ids::ShardId;
+use crate::domain::ids::UpstreamId;
+use crate::domain::topology::Distance;
+
+impl Router {
+    /// Returns the requests that wait for shards.
+    #[must_use]
+    pub fn dispatch(&self) -> &Dispatch {
+        &self.dispatch
+    }
+
+    /// Returns the requests that wait for shards, to change them.
+    pub fn dispatch_mut(&mut self) -> &mut Dispatch {
+        &mut self.dispatch
+    }
+
+    /// Returns how many replicas a shard of a scheduled index has.
+    #[must_use]
+    pub fn replica_count(&self, shard: &ShardId) -> usize {
+        self.placement.replicas_of(shard).len()
+    }
+
+    /// Notifies the first waiter of each shard that an upstream holds.
+    pub(super) fn notify_upstream(&mut self, name: &UpstreamId, now: Instant) {
+        for shard in self.placement.shards_of(name) {
+            self.dispatch.notify(shard, now);
+        }
+    }
+
+    /// Notifies the first waiter of each shard.
+    pub(super) fn notify_all(&mut self, now: Instant) {
+        let shards: Vec<ShardId> = self.dispatch.shards().cloned().collect();
+        for shard in shards {
+            self.dispatch.notify(&shard, now);
+        }
+    }
+
+    /// Returns how long a new request of a rank would wait for a shard before it is sent.
+    #[must_use]
+    pub fn shard_delay(&self, shard: &ShardId, rank: u32, now: Instant) -> Duration {
+        if !self.dispatch.has_waiters(shard) {
+            return Duration::ZERO;
+        }
+        self.dispatch.delay(shard, rank, self.slots_for(shard, now))
+    }
+
+    /// Returns how many requests for a shard this daemon may have in flight at its available
+    /// replicas: a replica's slots in its own region, one in another; at least one.
+    fn slots_for(&self, shard: &ShardId, now: Instant) -> u32 {
+        let found = self.placement.replicas_of(shard).iter().filter_map(|name| self.upstreams.get(name));
+        let available = found.filter(|s| s.accepts_work().is_ok() && !s.is_backed_off(now));
+        let slots = available.map(|s| if s.distance == Distance::Far { 1 } else { s.spec.slots.max(1) });
+        slots.sum::<u32>().max(1)
+    }
+}
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -43,6 +43,7 @@
 mod starts;
 mod support;
 mod suspects;
+mod turns;
 mod views;
 mod work;
 mod world;
