Wake the fan-outs that are next, and report delays of groups

The engine keeps the channels of running fan-outs that may wait, and sends them a turn after each event that may have freed capacity. Dropping the future of a fan-out, as when its caller disconnects, removes its tickets and wakes the next waiter. A group's answer names the queueing delays of its shards.

--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -53,6 +53,8 @@
     Shard { shard: usize, attempt: AttemptId, end: AttemptEnd },
     /// A group of shards that was delegated to another daemon.
     Group(GroupRequest, GroupOutcome),
+    /// A waiting shard may be next: capacity has become free.
+    Turn { shard: usize },
 }
 
 /// The tasks of one fan-out. Dropping them cancels them.
@@ -108,6 +110,8 @@
         let now = self.worker.ports.clock.now();
         let mut router = self.worker.router.borrow_mut();
         router.end(upstream, *start, AttemptOutcome::Declined, &Report::default(), now);
+        drop(router);
+        self.worker.deliver_turns();
     }
 }
 
@@ -137,6 +141,7 @@
         let mut tasks = Tasks::default();
         let now = self.ports.clock.now();
         let actions = fanout.start_groups(now, &mut self.router.borrow_mut(), trace);
+        let _turns = self.register_turns(fanout.id(), &sender);
         if !actions.is_empty() {
             self.apply_actions(job, plan, rules, actions, (&sender, &mut tasks));
             // Lets the group tasks write their messages first.
@@ -146,6 +151,7 @@
         let actions = fanout.start(now, &mut self.router.borrow_mut(), trace);
         let sent = actions.len();
         self.apply_actions(job, plan, rules, actions, (&sender, &mut tasks));
+        self.deliver_turns();
         self.measure_sending(sent, now);
         while !fanout.is_done() {
             let wake = fanout.next_wake();
@@ -165,12 +171,14 @@
                     CompletedAttempt::Group(group, end) => {
                         fanout.on_group_end(&group, &end, now, &mut router, trace)
                     }
+                    CompletedAttempt::Turn { shard } => fanout.on_turn(shard, now, &mut router, trace),
                 });
                 ready = completed.try_recv().ok();
             }
             let now = self.ports.clock.now();
             actions.extend(fanout.on_timer(now, &mut self.router.borrow_mut(), trace));
             self.apply_actions(job, plan, rules, actions, (&sender, &mut tasks));
+            self.deliver_turns();
             if fanout.is_straggling(now)
                 && let Some(permit) = permit.take_if(|permit| !permit.late)
             {
@@ -252,6 +260,7 @@
             drop(pending);
             guard.completed = true;
             this.record_outcome(&attempt, &end);
+            this.deliver_turns();
             let (shard, number) = (attempt.send.shard, attempt.send.attempt);
             let (failure, ran) = (end.end.gap(), end.end.may_have_run());
             let completed = CompletedAttempt::Shard { shard, attempt: number, end: end.end };
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! `run` drives a request from arrival to answer. `identity` and `permits` check its key and its
 //! account's limit, `find` resolves its plan and `gate` admits it, with `room` for the memory of
-//! its replies. `attempt` runs its fan-out, whose attempts share a `job`; `group` and `relay` are
-//! for shards of other availability zones. `forward`, with `members` and `forward_attempt`, is for
-//! requests that another daemon runs, `once` for those that run once, and `suspects` for those that
-//! may crash upstreams. `updates`, `status` and `warm` are the worker's background tasks.
+//! its replies. `attempt` runs its fan-out, whose attempts share a `job`; `turns` wakes it when
+//! capacity is free for a shard that waits; `group` and `relay` are for shards of other
+//! availability zones. `forward`, with `members` and `forward_attempt`, is for requests that
+//! another daemon runs, `once` for those that run once, and `suspects` for those that may crash
+//! upstreams. `updates`, `status` and `warm` are the worker's background tasks.
 //!
 //! Everything here is generic over the ports. Workers share no state but what [`Shared`] holds.
 
@@ -26,6 +27,7 @@
 mod run;
 mod status;
 mod suspects;
+mod turns;
 mod updates;
 mod warm;
 mod worker;
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -28,6 +28,7 @@
 use crate::domain::work::Work;
 use crate::ports::Clock;
 use crate::ports::Group;
+use crate::ports::GroupDelay;
 use crate::ports::GroupGap;
 use crate::ports::GroupPart;
 use crate::ports::GroupReply;
@@ -93,7 +94,8 @@
         let ended = self.fan_out(&job, &plan, &rules, 0, (&mut None, &mut trace)).await;
         self.record_overrun(&self.overruns.groups, &rules);
         let took = self.ports.clock.now().saturating_duration_since(start);
-        self.group_reply(&group.shards, &ended.finished, group.most, took)
+        let reply = self.group_reply(&group.shards, &ended.finished, group.most, took);
+        GroupReply { delays: self.group_delays(&group), ..reply }
     }
 
     fn declined(&self) -> GroupReply {
@@ -154,6 +156,19 @@
         plan.filtered(|name| residency.allows(region(name).as_ref()))
     }
 
+    /// Returns how long a new request of a group's rank would wait for each of its shards, where
+    /// that isn't zero. Empty where the index isn't scheduled.
+    fn group_delays(&self, group: &Group) -> Vec<GroupDelay> {
+        let (router, now) = (self.router.borrow(), self.ports.clock.now());
+        if !router.schedules(&group.index) {
+            return Vec::new();
+        }
+        let delay = |shard| micros(router.shard_delay(shard, group.rank, now));
+        let delays =
+            group.shards.iter().enumerate().map(|(at, shard)| GroupDelay { at, micros: delay(shard) });
+        delays.filter(|delay| delay.micros > 0).collect()
+    }
+
     fn group_reply(
         &self,
         shards: &[ShardId],
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -63,6 +63,7 @@
 
     fn apply_view(&self, view: Arc<View>) {
         self.router.borrow_mut().apply(&view, self.ports.clock.now());
+        self.deliver_turns();
         self.ports.upstreams.keep_only(|name| view.upstreams.contains_key(name));
         let mut gates = self.gates.borrow_mut();
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -17,6 +17,7 @@
 use async_executor::LocalExecutor;
 use log::debug;
 
+use super::attempt::CompletedAttempt;
 use super::message::PeerView;
 use super::message::ToControl;
 use crate::domain::accounts::Grants;
@@ -33,6 +34,7 @@
 use crate::domain::hlc::HybridClock;
 use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
+use crate::domain::ids::FanoutId;
 use crate::domain::ids::HostId;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
@@ -143,6 +145,8 @@
     pub(super) peers: RefCell<Arc<PeerView>>,
     pub(super) gates: RefCell<HashMap<Arc<str>, Gate>>,
     pub(super) waiters: RefCell<HashMap<WaiterKey, Sender<Dequeued>>>,
+    /// The running fan-outs that may wait for shards.
+    pub(super) turns: RefCell<HashMap<FanoutId, Sender<CompletedAttempt>>>,
     /// When the requests in flight at each daemon were forwarded to it.
     pub(super) forwards: RefCell<HashMap<HostId, Vec<Instant>>>,
     pub(super) rerun_budget: RefCell<Budget>,
@@ -252,6 +256,7 @@
             peers: RefCell::default(),
             gates: RefCell::default(),
             waiters: RefCell::default(),
+            turns: RefCell::default(),
             forwards: RefCell::default(),
             rerun_budget: RefCell::new(rerun_budget),
             ledger: shared.ledger,
