Test the wait queue on a daemon

A daemon with 40 shards in two regions, whose upstreams are slow: its answer to a group names the delays of shards that requests wait for, and none once their callers have gone. Without the removal of tickets in engine/turns.rs the test fails: 389 ms are reported although nothing waits.

--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -35,3 +35,4 @@
 mod support;
 mod time_line;
 mod true_coverage;
+mod wait_queue;
