--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
-//! probes, `groups` delegates groups of shards to other daemons, `regions` and `carried` select the
-//! daemons, `crash_guard` limits the damage of
+//! probes, `turns` decides when those of scheduled indexes wait. `groups` delegates groups of shards
+//! to other daemons, `regions` and `carried` select the daemons. `crash_guard` limits the damage of
 //! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
@@ -19,6 +19,7 @@
 mod result;
 mod rules;
 mod shard;
+mod turns;
 mod verify;
 
 pub use crash_guard::MAX_TRIALS;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -8,6 +8,7 @@
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
 //! `scheduling` decides which indexes are scheduled, `carriers` which daemon of a region their
 //! requests go through; `carrier_cache` and `carrier_backoff` hold the state that this needs.
+//! `placement` and `turns` connect the wait queues of their shards with the upstreams.
 
 mod budget;
 mod budgets;
@@ -18,6 +19,7 @@
 mod estimate;
 mod latency;
 mod learning;
+mod placement;
 mod policy;
 mod readiness;
 mod rejections;
@@ -28,6 +30,7 @@
 mod shard_time;
 mod sharing;
 mod startup_delay;
+mod turns;
 mod upstream_state;
 mod window;
 mod zones;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -12,6 +12,7 @@
 use super::budgets::service_of;
 use super::carrier_cache::CarrierCache;
 use super::latency::LatencyStats;
+use super::placement::Placement;
 use super::policy::Policy;
 use super::relays::Relays;
 use super::report::AttemptOutcome;
@@ -25,6 +26,7 @@
 use crate::domain::cell::Cells;
 use crate::domain::cell::connection_share;
 use crate::domain::cold::Allowance;
+use crate::domain::dispatch::Dispatch;
 use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
@@ -55,6 +57,9 @@
     pub(super) startup: StartupDelay,
     pub(super) scheduling: Scheduling,
     pub(super) carriers: CarrierCache,
+    pub(super) placement: Placement,
+    /// The requests that wait for shards of scheduled indexes.
+    pub(super) dispatch: Dispatch,
     seed: u64,
 }
 
@@ -107,6 +112,8 @@
             startup: StartupDelay::new(now),
             scheduling: Scheduling::default(),
             carriers: CarrierCache::default(),
+            placement: Placement::default(),
+            dispatch: Dispatch::new(Scheduling::default().shares()),
             seed,
         }
     }
@@ -128,6 +135,7 @@
     /// Sets how requests that compete for the upstreams of an index are scheduled.
     #[must_use]
     pub fn with_scheduling(mut self, scheduling: Scheduling) -> Self {
+        self.dispatch = Dispatch::new(scheduling.shares());
         self.scheduling = scheduling;
         self
     }
@@ -211,6 +219,8 @@
         self.scheduling.apply(view, &self.topology);
         self.carriers.retain(|index| self.scheduling.covers(index));
         self.carriers.invalidate();
+        self.placement = Placement::new(view, &self.scheduling);
+        self.notify_all(now);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
@@ -290,6 +300,7 @@
             state.set_rtt(rtt);
             state.end(start, outcome, report, now);
         }
+        self.notify_upstream(name, now);
     }
 
     /// Records the time of a good reply, less the round-trip time, in the latency of its kind of
