Limit the requests in flight at the replicas of scheduled indexes

A replica with two slots received requests from up to eighteen daemons, each with a window of at least one; what is queued at a paused replica can no longer be reordered or moved. A daemon now has at most the replica's slots in flight in its own region and one request in another region, divided among its workers. The adaptive window still applies, but a reported queue no longer shrinks it below the limit: the regions' limits alone make such a queue.

Without a free slot at the best replica, a request waits for it where it is expected to end sooner than at the best free one; so a far replica is used only where the wait for the near one is longer than the extra round trip. Probes stop when half of the slots are in use. Requests of other indexes are chosen as before.

--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -106,7 +106,7 @@
             return;
         }
         let tried = self.shards[shard].tried();
-        let due = step.router.probe(&self.choice_request(shard, &tried), chosen, step.now);
+        let due = step.router.probe(&self.choice_request(shard, &tried, step.router), chosen, step.now);
         let Some(upstream) = due else { return };
         if step.router.budget(&self.plan.shards[shard].shard).spend_probe() {
             let choice = Choice { upstream, scores: Vec::new() };
@@ -119,7 +119,12 @@
         self.shards[shard].sent < self.rules.attempts
     }
 
-    fn choice_request<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> ChoiceRequest<'a> {
+    fn choice_request<'a>(
+        &'a self,
+        shard: usize,
+        tried: &'a [UpstreamId],
+        router: &Router,
+    ) -> ChoiceRequest<'a> {
         let all = &self.plan.shards[shard].replicas;
         let limit = self.shards[shard].limit.as_ref();
         ChoiceRequest {
@@ -130,12 +135,15 @@
             check_candidates: limit.map_or(all, |limit| &limit.named),
             version: self.plan.version,
             kind: &self.rules.kind,
+            scheduled: router.schedules(&self.plan.index),
+            ahead: 0,
         }
     }
 
     fn choose<S: Sink>(&self, shard: usize, step: &mut StepContext<'_, S>) -> Result<Choice, Exclusion> {
         let tried = self.shards[shard].tried();
-        let chosen = step.router.choose(&self.choice_request(shard, &tried), step.now);
+        let request = self.choice_request(shard, &tried, step.router);
+        let chosen = step.router.choose(&request, step.now);
         let outside = self.plan.shards[shard].outside_regions;
         chosen.map_err(
             |exclusion| if outside { Exclusion { gap: Gap::OutsideRegions, ..exclusion } } else { exclusion },
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -52,16 +52,20 @@
     pub version: Version,
     /// The kind of request, which determines its usual latency.
     pub kind: &'a Arc<str>,
+    /// Whether its index is scheduled, so that the slots of replicas limit the requests in flight.
+    pub scheduled: bool,
+    /// How many requests that wait for the shard precede it, if its index is scheduled.
+    pub ahead: u32,
 }
 
 impl<'a> ChoiceRequest<'a> {
     /// Creates the request of a first attempt: any of a shard's replicas, none tried before.
     #[must_use]
     pub fn first(replicas: &'a [UpstreamId], version: Version, kind: &'a Arc<str>) -> Self {
-        Self { replicas, tried: &[], check_candidates: replicas, version, kind }
+        Self { replicas, tried: &[], check_candidates: replicas, version, kind, scheduled: false, ahead: 0 }
     }
 
-    fn untried(&self) -> impl Iterator<Item = &'a UpstreamId> {
+    pub(super) fn untried(&self) -> impl Iterator<Item = &'a UpstreamId> {
         let tried = self.tried;
         self.replicas.iter().filter(move |name| !tried.contains(name))
     }
@@ -84,7 +88,7 @@
         let mut best: Option<(Rank, UpstreamId)> = None;
         let mut exclusion = Exclusion { gap: Gap::NoReplica, until: ExclusionEnd::Never };
         for name in request.untried() {
-            let found = self.score(name, request.version, typical, now);
+            let found = self.score(name, request, typical, now);
             scores.push(Score {
                 upstream: Arc::clone(name),
                 cost: found.ok().map(|cost| cost * 1000.0),
@@ -105,6 +109,14 @@
             }
         }
         match best {
+            Some((_, upstream))
+                if request.scheduled
+                    && self.policy == Policy::Cost
+                    && check.as_ref() != Some(&upstream)
+                    && self.waits_for_slot(request, &upstream, (typical, now)) =>
+            {
+                Err(Exclusion { gap: Gap::Overloaded, until: ExclusionEnd::Soon })
+            }
             Some((_, upstream)) => Ok(Choice { upstream, scores }),
             None => Err(exclusion),
         }
@@ -134,14 +146,14 @@
     fn score(
         &mut self,
         name: &UpstreamId,
-        version: Version,
+        request: &ChoiceRequest<'_>,
         typical: f64,
         now: Instant,
     ) -> Result<f64, Exclusion> {
         let draw = self.draw();
         let unknown = Exclusion { gap: Gap::NoReplica, until: ExclusionEnd::Never };
         let upstream = self.upstreams.get(name).ok_or(unknown)?;
-        upstream.check_available(version, now)?;
+        upstream.check_available(request.version, request.scheduled, now)?;
         if upstream.cold.is_cold(now) && !self.startup.has_quota(self.local.expects_peers, now) {
             return Err(Exclusion { gap: Gap::Cold, until: ExclusionEnd::Never });
         }
@@ -164,8 +176,9 @@
         };
         let others =
             request.untried().filter(|other| *other != name).filter_map(|other| self.upstreams.get(other));
-        let mut good =
-            others.filter(|s| !s.on_probation() && s.check_available(request.version, now).is_ok());
+        let mut good = others.filter(|s| {
+            !s.on_probation() && s.check_available(request.version, request.scheduled, now).is_ok()
+        });
         let slow = upstream.on_probation() || good.any(|other| upstream.ranks_behind(other, typical, now));
         let deprioritized = slow || upstream.is_silent(typical, now) || upstream.cold.is_cold(now);
         let unproven = rejects && !upstream.rejections.answered_recently(now);
@@ -184,6 +197,9 @@
     ) -> Option<UpstreamId> {
         let typical = self.latency(request.kind).mean().as_secs_f64();
         let current = self.upstreams.get(chosen)?;
+        if request.scheduled && !self.has_spare_slots(request) {
+            return None;
+        }
         let due = |name: &&UpstreamId| {
             let found = self.upstreams.get(*name);
             found.is_some_and(|s| {
@@ -192,7 +208,7 @@
                     && !s.rejects_more(current, now)
                     && s.probe_due(now)
                     && !s.cold.is_cold(now)
-                    && s.check_available(request.version, now).is_ok()
+                    && s.check_available(request.version, request.scheduled, now).is_ok()
             })
         };
         let others = request.untried().filter(|name| *name != chosen);
--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -94,7 +94,7 @@
         usable && !self.cold.is_cold(now) && !self.on_probation() && !self.is_silent(typical, now)
     }
 
-    fn oldest_age(&self, now: Instant) -> f64 {
+    pub(super) fn oldest_age(&self, now: Instant) -> f64 {
         let oldest = self.starts.iter().min();
         oldest.map_or(0.0, |start| now.saturating_duration_since(*start).as_secs_f64())
     }
--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -88,7 +88,11 @@
         if queued <= self.spec.slots {
             self.window.grow(in_flight);
         } else {
+            // The slot limits of the regions add up to a queue of one for each other region, which
+            // is no reason to use fewer slots.
+            let least = f64::from(self.slot_limit().unwrap_or(0)).min(self.window.size());
             self.window.scale(QUEUE_SHRINK);
+            self.window.raise_to(least);
         }
     }
 
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -6,7 +6,8 @@
 //! this daemon for each shard, `readiness` decides how many connections are kept open. `zones`
 //! and `relays` deal with upstreams and daemons in other availability zones, `sharing` with wide
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
-//! `scheduling` decides which indexes are scheduled.
+//! `scheduling` decides which indexes are scheduled, `slots` limits the requests in flight at their
+//! replicas.
 
 mod budget;
 mod budgets;
@@ -23,6 +24,7 @@
 mod scheduling;
 mod shard_time;
 mod sharing;
+mod slots;
 mod startup_delay;
 mod upstream_state;
 mod window;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -52,7 +52,7 @@
     pub(super) lease: Lease,
     /// Whether this daemon knows the others well enough to send to cold upstreams.
     pub(super) startup: StartupDelay,
-    scheduling: Scheduling,
+    pub(super) scheduling: Scheduling,
     seed: u64,
 }
 
@@ -206,6 +206,7 @@
         }
         self.cells.clone_from(&view.cells);
         self.scheduling.apply(view, &self.topology);
+        self.apply_slots(view);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
--- a/crates/harefield/src/domain/routing/upstream_state.rs
+++ b/crates/harefield/src/domain/routing/upstream_state.rs
@@ -11,6 +11,7 @@
 use super::report::Exclusion;
 use super::report::ExclusionEnd;
 use super::report::Load;
+use super::slots::SlotLimit;
 use super::window::Window;
 use crate::domain::announcement::Announcement;
 use crate::domain::cold::ColdPeriod;
@@ -45,6 +46,7 @@
     pub(super) rejections: Rejections,
     pub(super) retry_at: Option<Instant>,
     pub(super) idle: usize,
+    pub(super) slots: SlotLimit,
 }
 
 impl UpstreamState {
@@ -76,6 +78,7 @@
             rejections: Rejections::default(),
             retry_at: None,
             idle: 0,
+            slots: SlotLimit::default(),
         }
     }
 
@@ -207,12 +210,13 @@
         if self.evacuated { Err(Gap::Evacuated) } else { Ok(()) }
     }
 
-    /// Checks that a request for `version` may be sent now.
+    /// Checks that a request for `version` may be sent now; `scheduled` tells whether its index is
+    /// scheduled.
     ///
     /// # Errors
     ///
     /// Returns why not, and when that ends.
-    pub fn check_available(&self, version: Version, now: Instant) -> Result<(), Exclusion> {
+    pub fn check_available(&self, version: Version, scheduled: bool, now: Instant) -> Result<(), Exclusion> {
         self.may_serve(version).map_err(|gap| Exclusion { gap, until: ExclusionEnd::Never })?;
         if let Some(at) = self.retry_at.filter(|at| now < *at) {
             return Err(Exclusion { gap: Gap::Unreachable, until: ExclusionEnd::At(at) });
@@ -226,7 +230,7 @@
         if !self.window.has_room(self.in_flight()) {
             return Err(Exclusion { gap: Gap::Overloaded, until: ExclusionEnd::Soon });
         }
-        Ok(())
+        if scheduled { self.check_slots() } else { Ok(()) }
     }
 
     /// Returns whether the upstream is backed off after failures.
--- a/crates/harefield/src/domain/routing/window.rs
+++ b/crates/harefield/src/domain/routing/window.rs
@@ -42,6 +42,11 @@
         self.size = (self.size * factor).clamp(1.0, self.max);
     }
 
+    /// Raises the window to at least `size`, as far as the connections allow.
+    pub fn raise_to(&mut self, size: f64) {
+        self.size = self.size.max(size.min(self.max));
+    }
+
     /// Returns the window's size, in requests.
     #[must_use]
     pub fn size(&self) -> f64 {
--- a/crates/harefield/src/domain/routing/zones.rs
+++ b/crates/harefield/src/domain/routing/zones.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns the round-trip time to an upstream, in seconds; it is only counted to other regions.
-    fn rtt(&self, upstream: &UpstreamState) -> f64 {
+    pub(super) fn rtt(&self, upstream: &UpstreamState) -> f64 {
         match upstream.distance {
             Distance::Near | Distance::Region => 0.0,
             Distance::Far => self.relays.rtt_to(&upstream.spec().zone).as_secs_f64(),
