Detect a sudden slowdown of a scheduled replica within a second

The observed time rises by a tenth with each slow reply, which is too slow for replicas that become six times slower for some seconds. For upstreams of scheduled indexes, three slow requests in a row that were not in flight together now set the observed time, and the age of the oldest request in flight counts as one of them; two quick replies in a row set it back. Pauses and single stragglers do not make such a run. Probes of these replicas are due after 250 ms.

In the tests, with ten requests a second, a slowdown by six is known after 513 ms (1,068 ms before) and a recovery after 328 ms from the first probe.

--- a/crates/harefield/src/domain/routing/estimate.rs
+++ b/crates/harefield/src/domain/routing/estimate.rs
@@ -19,6 +19,10 @@
 /// users' upstreams pause for 150 to 250 ms.
 const SILENT_MIN: f64 = 0.06;
 
+/// The minimum time between probes of a replica of a scheduled index: two probes that are answered
+/// show within a second that it has recovered.
+const SCHEDULED_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How long a load report stays valid.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(200);
 
@@ -52,7 +56,7 @@
     /// nothing was observed yet.
     #[must_use]
     pub fn ranks_behind(&self, other: &Self, typical: f64, now: Instant) -> bool {
-        self.probation || self.rejects_more(other, now) || self.is_slower(other, typical)
+        self.probation || self.rejects_more(other, now) || self.is_slower(other, typical, now)
     }
 
     /// Returns whether it rejects much more often than another replica. Such a replica isn't
@@ -65,16 +69,24 @@
     /// Returns whether it takes much longer than another replica without the round trips, and
     /// longer with them.
     #[must_use]
-    pub fn is_slower(&self, other: &Self, typical: f64) -> bool {
-        let quick = other.observed_time(typical);
+    pub fn is_slower(&self, other: &Self, typical: f64, now: Instant) -> bool {
+        let quick = other.current_time(typical, now);
         let slower = |time: f64| time > quick * SLOW_FACTOR && time + self.rtt > quick + other.rtt;
-        self.observed.is_some_and(slower)
+        self.observed.is_some() && slower(self.current_time(typical, now))
+    }
+
+    /// Returns the observed time, or a longer one that the requests in flight show if the upstream
+    /// serves a scheduled index.
+    pub(super) fn current_time(&self, typical: f64, now: Instant) -> f64 {
+        let pending = self.shift.pending(self.starts.iter().min().copied(), now);
+        pending.unwrap_or(0.0).max(self.observed_time(typical))
     }
 
     /// Returns whether a probe is due: no request to it ended for a while, and none is in flight.
     #[must_use]
     pub fn probe_due(&self, now: Instant) -> bool {
-        let quiet = self.last_end.is_some_and(|at| now.saturating_duration_since(at) >= PROBE_INTERVAL);
+        let interval = if self.slots.is_scheduled() { SCHEDULED_PROBE_INTERVAL } else { PROBE_INTERVAL };
+        let quiet = self.last_end.is_some_and(|at| now.saturating_duration_since(at) >= interval);
         quiet && self.starts.is_empty()
     }
 
--- a/crates/harefield/src/domain/routing/learning.rs
+++ b/crates/harefield/src/domain/routing/learning.rs
@@ -61,15 +61,30 @@
         self.last_end = Some(now);
         self.load = report.load.filter(|load| self.is_plausible(*load, took)).map(|load| (load, now));
         match outcome {
-            AttemptOutcome::Succeeded => self.record_success(took, in_flight, now),
+            AttemptOutcome::Succeeded => {
+                let shift = self.find_shift(took, (start, now), false);
+                self.record_success(took, in_flight, now);
+                self.observed = shift.or(self.observed);
+            }
             AttemptOutcome::Rejected(wait) => self.record_rejection(wait, report.load, now),
             AttemptOutcome::Declined => {}
-            AttemptOutcome::Abandoned => self.record_abandoned(took),
+            AttemptOutcome::Abandoned => {
+                let shift = self.find_shift(took, (start, now), true);
+                self.record_abandoned(took);
+                self.observed = shift.or(self.observed);
+            }
             AttemptOutcome::Lost => self.record_loss(now),
             AttemptOutcome::Failed => self.record_failure(now),
         }
     }
 
+    /// Returns the new observed time if several requests in a row show that the upstream of a
+    /// scheduled index has become much slower or faster.
+    fn find_shift(&mut self, took: f64, times: (Instant, Instant), abandoned: bool) -> Option<f64> {
+        let expected = self.observed.filter(|_| self.slots.is_scheduled())?;
+        self.shift.record(expected, took, times, abandoned)
+    }
+
     /// Returns whether a reported queue fits the time that the reply took.
     fn is_plausible(&self, load: Load, took: f64) -> bool {
         let queue = f64::from(load.queued) / f64::from(self.spec.slots.max(1));
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -7,13 +7,14 @@
 //! and `relays` deal with upstreams and daemons in other availability zones, `sharing` with wide
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
 //! `scheduling` decides which indexes are scheduled, `slots` limits the requests in flight at their
-//! replicas.
+//! replicas, and `latency_shift` detects sudden changes of their latency.
 
 mod budget;
 mod budgets;
 mod choice;
 mod estimate;
 mod latency;
+mod latency_shift;
 mod learning;
 mod policy;
 mod readiness;
--- a/crates/harefield/src/domain/routing/slots.rs
+++ b/crates/harefield/src/domain/routing/slots.rs
@@ -40,6 +40,11 @@
         let most = if state.distance == Distance::Far { FAR_LIMIT } else { slots };
         Self { limit: Some(worker_part(name, most, local)), part: worker_part(name, slots, local) }
     }
+
+    /// Returns whether the upstream serves a scheduled index.
+    pub fn is_scheduled(self) -> bool {
+        self.limit.is_some()
+    }
 }
 
 /// Returns the part of a worker in a daemon's limit. The worker that the remainder starts at
@@ -80,7 +85,7 @@
     fn slot_wait(&self, ahead: u32, typical: f64, now: Instant) -> f64 {
         let limit = f64::from(self.slots.limit.unwrap_or(0)).min(self.window.size().floor()).max(1.0);
         let before = f64::from(u32::try_from(self.in_flight()).unwrap_or(u32::MAX)) + f64::from(ahead);
-        (before / limit * self.observed_time(typical)).max(self.oldest_age(now))
+        (before / limit * self.current_time(typical, now)).max(self.oldest_age(now))
     }
 }
 
@@ -110,7 +115,8 @@
         (typical, now): (f64, Instant),
     ) -> bool {
         let Some(chosen) = self.upstreams.get(best) else { return false };
-        let sent = chosen.observed_time(typical).max(chosen.oldest_age(now) - chosen.rtt) + self.rtt(chosen);
+        let sent =
+            chosen.current_time(typical, now).max(chosen.oldest_age(now) - chosen.rtt) + self.rtt(chosen);
         let avoided = chosen.is_silent(typical, now) || chosen.cold.is_cold(now);
         let mut full = request.untried().filter(|name| *name != best).filter_map(|n| self.upstreams.get(n));
         full.any(|s| {
@@ -121,7 +127,8 @@
                 && !s.is_silent(typical, now)
                 && !s.cold.is_cold(now)
                 && !s.ranks_behind(chosen, typical, now)
-                && s.slot_wait(request.ahead, typical, now) + s.observed_time(typical) + self.rtt(s) <= sent
+                && s.slot_wait(request.ahead, typical, now) + s.current_time(typical, now) + self.rtt(s)
+                    <= sent
         })
     }
 
--- a/crates/harefield/src/domain/routing/upstream_state.rs
+++ b/crates/harefield/src/domain/routing/upstream_state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::latency_shift::LatencyShift;
 use super::rejections::Rejections;
 use super::report::Exclusion;
 use super::report::ExclusionEnd;
@@ -47,6 +48,7 @@
     pub(super) retry_at: Option<Instant>,
     pub(super) idle: usize,
     pub(super) slots: SlotLimit,
+    pub(super) shift: LatencyShift,
 }
 
 impl UpstreamState {
@@ -79,6 +81,7 @@
             retry_at: None,
             idle: 0,
             slots: SlotLimit::default(),
+            shift: LatencyShift::default(),
         }
     }
 
