Revoke the groups of an answer that is out of reach

When too few shards were left for an answer, the fan-out ended but its groups ran on until their own cutoff, and used up slots for nothing. For scheduled indexes they are now revoked: the task is dropped, the connection closes, and the delegate cancels its attempts. Other indexes are served as before.

--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -331,6 +331,7 @@
         let least = self.rules.min_possible.unwrap_or_else(|| self.rules.min_shards(self.plan.shards.len()));
         if self.rules.repeatable && !self.is_cut && self.open > 0 && self.contributed + self.open < least {
             self.cut_answer(step);
+            self.revoke_all(step);
         }
     }
 
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -3,8 +3,9 @@
 //!
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
-//! probes, `groups` delegates groups of shards to other daemons, `crash_guard` limits the damage of
-//! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
+//! probes, `groups` delegates groups of shards to other daemons, `revocation` revokes them when
+//! the answer is out of reach, `crash_guard` limits the damage of requests that crash upstreams, and
+//! `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
 mod context;
@@ -14,6 +15,7 @@
 mod machine;
 mod overrun;
 mod result;
+mod revocation;
 mod rules;
 mod shard;
 mod verify;
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod crash_guard;
 mod delegates;
+mod early_end;
 mod entries;
 mod eras;
 mod eras_world;
