--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -24,8 +24,8 @@
 /// How often a shard without an available replica checks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
-/// How often a delayed hedge is tried again, when the budget denied it or an answer is awaited
-/// first.
+/// How often a delayed hedge is tried again, when the budget denied it, an answer is awaited
+/// first, or no replica of a scheduled index has a free slot.
 const DENIED_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Fanout {
@@ -83,9 +83,12 @@
             return;
         }
         let Ok(choice) = self.choose(shard, step) else {
+            // Under overload, the hedges of all shards may be due while no slot is free.
+            let scheduled = step.router.schedules(&self.plan.index);
+            let again = step.now + if scheduled { DENIED_INTERVAL } else { POLL_INTERVAL };
             self.shards[shard].hedge = match before {
-                Hedge::Denied(_) => Hedge::Denied(step.now + POLL_INTERVAL),
-                _ => Hedge::Due(step.now + POLL_INTERVAL),
+                Hedge::Denied(_) => Hedge::Denied(again),
+                _ => Hedge::Due(again),
             };
             return;
         };
@@ -110,7 +113,7 @@
             return;
         }
         let tried = self.shards[shard].tried();
-        let due = step.router.probe(&self.choice_request(shard, &tried), chosen, step.now);
+        let due = step.router.probe(&self.choice_request(shard, &tried, step.router), chosen, step.now);
         let Some(upstream) = due else { return };
         if step.router.budget(&self.plan.shards[shard].shard).spend_probe() {
             let choice = Choice { upstream, scores: Vec::new() };
@@ -123,7 +126,12 @@
         self.shards[shard].sent < self.rules.attempts
     }
 
-    fn choice_request<'a>(&'a self, shard: usize, tried: &'a [UpstreamId]) -> ChoiceRequest<'a> {
+    fn choice_request<'a>(
+        &'a self,
+        shard: usize,
+        tried: &'a [UpstreamId],
+        router: &Router,
+    ) -> ChoiceRequest<'a> {
         let all = &self.plan.shards[shard].replicas;
         let limit = self.shards[shard].limit.as_ref();
         ChoiceRequest {
@@ -134,12 +142,15 @@
             check_candidates: limit.map_or(all, |limit| &limit.named),
             version: self.plan.version,
             kind: &self.rules.kind,
+            scheduled: router.schedules(&self.plan.index),
+            ahead: 0,
         }
     }
 
     fn choose<S: Sink>(&self, shard: usize, step: &mut StepContext<'_, S>) -> Result<Choice, Exclusion> {
         let tried = self.shards[shard].tried();
-        let chosen = step.router.choose(&self.choice_request(shard, &tried), step.now);
+        let request = self.choice_request(shard, &tried, step.router);
+        let chosen = step.router.choose(&request, step.now);
         let outside = self.plan.shards[shard].outside_regions;
         chosen.map_err(
             |exclusion| if outside { Exclusion { gap: Gap::OutsideRegions, ..exclusion } } else { exclusion },
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -4,8 +4,9 @@
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
 //! probes, `turns` decides when those of scheduled indexes wait. `groups` delegates groups of shards
-//! to other daemons, `regions` and `carried` select the daemons. `crash_guard` limits the damage of
-//! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
+//! to other daemons, `regions` and `carried` select the daemons, `revocation` revokes groups when the
+//! answer is out of reach. `crash_guard` limits the damage of requests that crash upstreams, and
+//! `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
 mod carried;
@@ -17,6 +18,7 @@
 mod overrun;
 mod regions;
 mod result;
+mod revocation;
 mod rules;
 mod shard;
 mod turns;
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -8,7 +8,9 @@
 //! fan-outs that are split among several daemons; `budget` and `budgets` limit extra load.
 //! `scheduling` decides which indexes are scheduled, `carriers` which daemon of a region their
 //! requests go through; `carrier_cache` and `carrier_backoff` hold the state that this needs.
-//! `placement` and `turns` connect the wait queues of their shards with the upstreams.
+//! `placement` and `turns` connect the wait queues of their shards with the upstreams. `slots` limits
+//! the requests in flight at their replicas, and `latency_shift` detects sudden changes of their
+//! latency.
 
 mod budget;
 mod budgets;
@@ -18,6 +20,7 @@
 mod choice;
 mod estimate;
 mod latency;
+mod latency_shift;
 mod learning;
 mod placement;
 mod policy;
@@ -29,6 +32,7 @@
 mod scheduling;
 mod shard_time;
 mod sharing;
+mod slots;
 mod startup_delay;
 mod turns;
 mod upstream_state;
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -221,6 +221,7 @@
         self.carriers.invalidate();
         self.placement = Placement::new(view, &self.scheduling);
         self.notify_all(now);
+        self.apply_slots(view);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
