Count the other waiters of a shard in the choice between near and far replicas

The first waiter alone would wait for the next slot of the near replica, which is free sooner than a round trip to another region takes, while the queue behind it grows and the far replicas are idle. All waiters gain where one is sent far.

--- a/crates/harefield/src/domain/dispatch/dispatcher.rs
+++ b/crates/harefield/src/domain/dispatch/dispatcher.rs
@@ -45,6 +45,12 @@
         self.queues.contains_key(shard)
     }
 
+    /// Returns how many waiters a shard has, besides one that may be among them.
+    #[must_use]
+    pub fn others(&self, shard: &ShardId, ticket: Ticket) -> usize {
+        self.queues.get(shard).map_or(0, |queue| queue.len() - usize::from(queue.contains(ticket)))
+    }
+
     /// Returns the shards with waiters.
     pub fn shards(&self) -> impl Iterator<Item = &ShardId> {
         self.queues.keys()
--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -143,7 +143,7 @@
             version: self.plan.version,
             kind: &self.rules.kind,
             scheduled: router.schedules(&self.plan.index),
-            ahead: 0,
+            ahead: self.waiting_others(shard, router),
         }
     }
 
--- a/crates/harefield/src/domain/fanout/turns.rs
+++ b/crates/harefield/src/domain/fanout/turns.rs
@@ -94,6 +94,13 @@
         Err(Exclusion { gap: Gap::Overloaded, until: ExclusionEnd::Soon })
     }
 
+    /// Returns how many other requests wait for a shard. All of them gain where this one is sent to
+    /// a far replica with a free slot, so they count towards the wait for the near one.
+    pub(super) fn waiting_others(&self, shard: usize, router: &Router) -> u32 {
+        let others = |ticket| router.dispatch().others(&self.plan.shards[shard].shard, ticket);
+        self.ticket(shard).map_or(0, |ticket| u32::try_from(others(ticket)).unwrap_or(u32::MAX))
+    }
+
     /// Returns whether a hedge or probe must not be sent because requests wait for the shard.
     pub(super) fn yields_to_waiters<S>(&self, shard: usize, step: &StepContext<'_, S>) -> bool {
         self.id.is_some() && step.router.dispatch().has_waiters(&self.plan.shards[shard].shard)
--- a/crates/harefield/src/domain/routing/choice.rs
+++ b/crates/harefield/src/domain/routing/choice.rs
@@ -54,7 +54,7 @@
     pub kind: &'a Arc<str>,
     /// Whether its index is scheduled, so that the slots of replicas limit the requests in flight.
     pub scheduled: bool,
-    /// How many requests that wait for the shard precede it, if its index is scheduled.
+    /// How many other requests wait for the shard, if its index is scheduled.
     pub ahead: u32,
 }
 
