--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -6,12 +6,16 @@
 use std::time::Instant;
 
 use super::congestion::Congestion;
+use super::decision::Admission;
+use super::decision::Dequeued;
+use super::decision::GateLimits;
 use super::queue::Arrival;
 use super::queue::GAIN;
 use super::queue::Queue;
 use super::queue::Waiter;
 use super::queue::WaiterId;
 use super::queue::to_f64;
+use super::retry_schedule::RankedRetries;
 use super::retry_schedule::RetrySchedule;
 use super::virtual_clock::VirtualClock;
 use crate::domain::code::Code;
@@ -72,36 +76,6 @@
 /// The initial value of the average times of fan-outs, in seconds.
 const INITIAL_TIME: f64 = 0.01;
 
-/// The fixed bounds of a gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct GateLimits {
-    /// The most requests that run concurrently; the adaptive limit stays within it.
-    pub running: usize,
-    /// The most requests that wait in each queue: one for each urgency, and one for late requests.
-    pub waiting: usize,
-}
-
-/// The gate's decision on a request that arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// The request runs now.
-    Run,
-    /// The request waits in a queue under this identifier.
-    Wait(WaiterId),
-    /// The request is rejected, with the reason and the delay after which to retry.
-    Refuse(Code, Duration),
-}
-
-/// A request that the gate removed from a queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dequeued {
-    /// The request runs now.
-    Run(WaiterId),
-    /// The request can no longer meet its objective or deadline; its caller may retry after this
-    /// delay.
-    Refuse(WaiterId, Duration),
-}
-
 /// The gate of one index in one worker.
 #[derive(Debug)]
 pub struct Gate {
@@ -126,6 +100,7 @@
     next_id: WaiterId,
     picks: u32,
     retries: RetrySchedule,
+    room_retries: RankedRetries,
     clock: VirtualClock,
 }
 
@@ -165,6 +140,7 @@
             next_id: 0,
             picks: 0,
             retries: RetrySchedule::default(),
+            room_retries: RankedRetries::default(),
             clock: VirtualClock::default(),
         }
     }
@@ -307,10 +283,20 @@
         self.schedule_retry(self.expected_wait(Urgency::Ordinary), now)
     }
 
+    /// Assigns a retry delay to a caller that passed the gate but whose shards have no room for at
+    /// least `wait`.
+    pub fn retry_after_room(&mut self, rank: u32, wait: Duration, now: Instant) -> Duration {
+        self.room_retries.assign(rank, wait, self.interval(), now)
+    }
+
     /// Assigns a retry delay to a rejected caller whose expected wait is `wait`.
     fn schedule_retry(&mut self, wait: Duration, now: Instant) -> Duration {
-        let interval = Duration::from_secs_f64(self.run_time / self.limit);
-        self.retries.assign(wait, interval, now)
+        self.retries.assign(wait, self.interval(), now)
+    }
+
+    /// Returns the average time between two requests that leave.
+    fn interval(&self) -> Duration {
+        Duration::from_secs_f64(self.run_time / self.limit)
     }
 
     /// Returns why a request can't wait, with its expected wait; none where it can.
@@ -340,7 +326,7 @@
     /// or its deadline where it has none.
     #[must_use]
     pub fn refuse_at(&self, arrival: &Arrival) -> Instant {
-        refuse_at(arrival, self.enough)
+        arrival.refuse_at(self.enough)
     }
 
     /// Returns the expected wait of a new arrival of an urgency, at the end of its queue.
@@ -354,7 +340,7 @@
         let wait = self.expected_wait(Urgency::Ordinary);
         let mut dequeued = Vec::new();
         let enough = self.enough;
-        let late = |w: &Waiter| now + need > w.arrival.deadline || now > refuse_at(&w.arrival, enough);
+        let late = |w: &Waiter| now + need > w.arrival.deadline || now > w.arrival.refuse_at(enough);
         let mut refused = Vec::new();
         for queue in &mut self.queues {
             refused.extend(queue.waiters.iter().filter(|w| late(w)).map(|w| w.id));
@@ -407,11 +393,3 @@
         self.queues[class].dequeue(at, now)
     }
 }
-
-/// Returns when a waiting request is rejected, given that `enough` seconds are usually needed
-/// until enough shards are in.
-fn refuse_at(arrival: &Arrival, enough: f64) -> Instant {
-    let usual = Duration::from_secs_f64(enough);
-    let due = arrival.due.map_or(arrival.deadline, |due| due.checked_sub(usual).unwrap_or(due));
-    due.min(arrival.deadline)
-}
--- a/crates/harefield/src/domain/admission/queue.rs
+++ b/crates/harefield/src/domain/admission/queue.rs
@@ -30,6 +30,16 @@
     pub late: bool,
 }
 
+impl Arrival {
+    /// Returns when the request is rejected if it still waits, given that `enough` seconds are
+    /// usually needed until enough shards are in.
+    pub(super) fn refuse_at(&self, enough: f64) -> Instant {
+        let usual = Duration::from_secs_f64(enough);
+        let due = self.due.map_or(self.deadline, |due| due.checked_sub(usual).unwrap_or(due));
+        due.min(self.deadline)
+    }
+}
+
 /// A request in a queue.
 #[derive(Clone, Debug)]
 pub(super) struct Waiter {
--- a/crates/harefield/src/domain/admission/retry_schedule.rs
+++ b/crates/harefield/src/domain/admission/retry_schedule.rs
@@ -32,3 +32,31 @@
         retry_time - now
     }
 }
+
+/// The ranks with a schedule of their own; the last one is for all higher ranks as well.
+const RANKS: usize = 4;
+
+/// Retry times for callers whose shards had no room.
+///
+/// Each caller's time is at least its wait, and after the times of those refused before it with
+/// the same or a more urgent rank. Callers that are refused by the same shard have the same wait:
+/// spacing them from now on, as [`RetrySchedule`] does, would give that wait to all of them. A less
+/// urgent caller refused before doesn't delay a more urgent one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RankedRetries {
+    /// The latest time that was assigned to each rank.
+    last: [Option<Instant>; RANKS],
+}
+
+impl RankedRetries {
+    /// Assigns the next retry time of a rank, at least `wait` from now unless the horizon is
+    /// shorter, and returns the delay until then; `interval` is the spacing of two retries.
+    pub fn assign(&mut self, rank: u32, wait: Duration, interval: Duration, now: Instant) -> Duration {
+        let rank = usize::try_from(rank).unwrap_or(RANKS).min(RANKS - 1);
+        let last = self.last[..=rank].iter().flatten().max();
+        let next = last.map_or(now, |last| *last + interval);
+        let retry_time = next.max(now + wait).min(now + HORIZON);
+        self.last[rank] = Some(retry_time);
+        retry_time - now
+    }
+}
--- a/crates/harefield/src/domain/routing/mod.rs
+++ b/crates/harefield/src/domain/routing/mod.rs
@@ -21,6 +21,7 @@
 mod report;
 mod router;
 mod scheduling;
+mod shard_delay;
 mod shard_time;
 mod sharing;
 mod startup_delay;
