Add HF2020, its events and metrics

left-out names up to 16 of the shards that are not queried, no-shard-room the four with the longest delays of a refused request. Two counters by lookup.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -51,6 +51,7 @@
 }
 
 type Kinds = Family<Kind, Counter>;
+type Lookups = Family<Lookup, Counter>;
 type Times = Family<Lookup, Histogram, fn() -> Histogram>;
 
 /// The metrics of a daemon.
@@ -64,6 +65,8 @@
     gaps: Kinds,
     events: Kinds,
     groups: Kinds,
+    shards_left_out: Lookups,
+    refused_no_room: Lookups,
     ended: Kinds,
     held: Family<Kind, Gauge>,
     dropped: Counter,
@@ -115,6 +118,15 @@
         let events = family("events", "Other decisions by kind");
         let groups = family("groups", "Groups of shards handed on or taken");
         let ended = family("connections_ended", "Connections ended since their peers do not read");
+        let mut lookup_family = |name: &str, help: &str| {
+            let family = Lookups::default();
+            registry.register(name, help, family.clone());
+            family
+        };
+        let help = "Shards not queried, since they could not answer in time, by lookup";
+        let shards_left_out = lookup_family("shards_left_out", help);
+        let help = "Requests refused, since too few shards could answer in time, by lookup";
+        let refused_no_room = lookup_family("refused_no_room", help);
         let bytes = Family::<Kind, Gauge>::default();
         registry.register("held_bytes", "Bytes held for others, by use", bytes.clone());
         let (dropped, revision) = (Counter::default(), Gauge::default());
@@ -143,6 +155,8 @@
             gaps,
             events,
             groups,
+            shards_left_out,
+            refused_no_room,
             ended,
             held: bytes,
             dropped,
@@ -170,6 +184,13 @@
             Event::Sent { cause, .. } => count(&self.sent, cause_name(*cause)),
             Event::AttemptFailed { why, .. } => count(&self.failures, why.name()),
             Event::ShardMissing { why, .. } => count(&self.gaps, why.name()),
+            Event::LeftOut { lookup, count, .. } => {
+                let count = u64::try_from(*count).unwrap_or(u64::MAX);
+                self.shards_left_out.get_or_create(&self.label(lookup)).inc_by(count);
+            }
+            Event::NoShardRoom { lookup, .. } => {
+                self.refused_no_room.get_or_create(&self.label(lookup)).inc();
+            }
             Event::GroupSent { .. } => count(&self.groups, "sent"),
             Event::GroupTaken { .. } => count(&self.groups, "taken"),
             Event::GroupRevoked { .. } => count(&self.groups, "revoked"),
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -72,6 +72,7 @@
     LimitUnknown = 2017, 503, "not run: nobody that holds a part of the account's limit answers";
     KeyUnconfirmed = 2018, 503, "not run: the daemon cannot make sure whether the key opens anything";
     NoRoom = 2019, 503, "not run: the daemon has no memory for what it would bring";
+    NoShardRoom = 2020, 503, "not run: too few shards have room in time";
     ReplyLost = 3001, 504, "may have run: an upstream was sent the request and its reply was lost";
     DeadlinePassed = 3002, 504, "may have run: the deadline passed with requests under way";
     TicketGone = 3003, 504, "may have run: the daemon that the ticket names is gone";
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -56,6 +56,18 @@
     pub barred: Option<Gap>,
 }
 
+/// The most shards that [`Event::LeftOut`] names.
+pub const MAX_LEFT_OUT_NAMED: usize = 16;
+
+/// The queueing delay of a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardDelay {
+    /// The shard.
+    pub shard: ShardId,
+    /// How long a new request would wait before it is sent, in microseconds.
+    pub micros: u64,
+}
+
 /// A decision, with the facts that it was based on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -80,6 +92,12 @@
     LimitRefused { account: AccountId, code: Code, retry_after: u64 },
     /// A request was refused before it ran.
     Refused { lookup: String, code: Code, retry_after: Option<u64> },
+    /// `count` shards are not queried, since they cannot answer in time; `shards` names the first
+    /// [`MAX_LEFT_OUT_NAMED`].
+    LeftOut { lookup: String, count: usize, shards: Vec<ShardId> },
+    /// A request is refused, since `count` shards cannot answer in time, which is more than its
+    /// answer may lack; `shards` names those with the longest queueing delays.
+    NoShardRoom { lookup: String, count: usize, shards: Vec<ShardDelay> },
     /// The snapshot for the answer was chosen.
     SnapshotChosen { index: String, version: Version, shards: usize },
     /// A replica was chosen from several.
