Leave out or refuse by the delays of shards before a fan-out

The engine asks Room before the first fan-out of a request over a scheduled index, and records the delays in groups' answers. Shards that are left out are closed before anything is sent, and groups may lack that many fewer. A refused request gives its permit back as an abandoned one does.

AnswerRules has a new field, which tests that build one have to set.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -88,7 +88,7 @@
         let typical = step.router.latency(&self.rules.kind).mean().as_secs_f64();
         let mut regions: BTreeMap<Arc<str>, Vec<PendingShard>> = BTreeMap::new();
         let mut away: BTreeMap<usize, Vec<Arc<str>>> = BTreeMap::new();
-        for (index, ShardPlan { shard, replicas, .. }) in self.plan.shards.iter().enumerate() {
+        for (index, ShardPlan { shard, replicas, .. }) in self.open_shards() {
             if let Some(found) = step.router.remote_zones(replicas, typical, step.now) {
                 away.insert(index, found);
                 continue;
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -136,6 +136,7 @@
     pub fn start_groups(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = StepContext::new(now, router, sink);
         self.started = Some(now);
+        self.leave_out(&mut step);
         self.direct = self.delegate_groups(&mut step);
         step.actions
     }
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -4,13 +4,14 @@
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
 //! probes, `groups` delegates groups of shards to other daemons, `crash_guard` limits the damage of
-//! requests that crash upstreams, and `rules`, `overrun` and `result` decide on the answer.
+//! requests that crash upstreams, `leave_out` closes the shards that cannot answer in time, and `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
 mod context;
 mod crash_guard;
 mod group_request;
 mod groups;
+mod leave_out;
 mod machine;
 mod overrun;
 mod result;
--- a/crates/harefield/src/domain/fanout/rules.rs
+++ b/crates/harefield/src/domain/fanout/rules.rs
@@ -50,6 +50,9 @@
     /// make an answer. For a group this is lower, since other groups may compensate for its missing
     /// shards.
     pub min_possible: Option<usize>,
+    /// The positions of the shards that are left out before anything is sent, since they cannot
+    /// answer in time. They count among the shards that the answer may lack.
+    pub left_out: Vec<usize>,
     /// Whether distant shards are delegated in groups.
     pub grouped: bool,
     /// Whether another daemon has already queried these shards for the same request. First attempts
@@ -89,7 +92,7 @@
     /// them: if each lacked 27, there would be too few for an answer.
     #[must_use]
     pub fn needed(&self, group: usize, total: usize) -> usize {
-        let lacking = total - self.min_shards(total);
+        let lacking = self.may_lack(total);
         let part = (lacking * group * UNEVEN_FACTOR).div_ceil(total.max(1));
         group.saturating_sub(lacking.min(part))
     }
@@ -98,7 +101,12 @@
     /// an answer, if all other shards contribute.
     #[must_use]
     pub fn min_possible(&self, group: usize, total: usize) -> usize {
-        group.saturating_sub(total - self.min_shards(total))
+        group.saturating_sub(self.may_lack(total))
+    }
+
+    /// Returns how many of the shards that are queried an answer may lack.
+    fn may_lack(&self, total: usize) -> usize {
+        total.saturating_sub(self.min_shards(total) + self.left_out.len())
     }
 
     /// Returns how many of `total` shards make an answer; at least one.
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -63,6 +63,7 @@
     ) -> Task<()> {
         let message = self.group_message(job, plan, rules, &group);
         let (this, job) = (Rc::clone(self), job.clone());
+        let (plan, rank) = (Arc::clone(plan), rules.rank);
         let pending = job.evidence.begin();
         let task = async move {
             let _pending = pending;
@@ -71,6 +72,10 @@
             let left = job.deadline.saturating_duration_since(this.ports.clock.now());
             let result = this.ports.peers.delegate(&group.host, &message, left + TRANSIT_ALLOWANCE).await;
             guard.completed = true;
+            let reported = result.as_ref().ok().filter(|reply| !reply.declined);
+            if let Some(reply) = reported {
+                this.record_delays(&plan, rank, &group, &reply.delays);
+            }
             let (outcome, end) = this.group_outcome(&group, result);
             this.release_relay(&job.lookup, &group, outcome);
             this.record_group(&job, &group, outcome, &end);
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `run` drives a request from arrival to answer. `identity` and `permits` check its key and its
 //! account's limit, `find` resolves its plan and `gate` admits it, with `room` for the memory of
-//! its replies. `attempt` runs its fan-out, whose attempts share a `job`; `group` and `relay` are
+//! its replies, and `shard_room` for the room that its shards have. `fan_out_request` chooses its
+//! snapshot and `attempt` runs its fan-out, whose attempts share a `job`; `group` and `relay` are
 //! for shards of other availability zones. `forward`, with `members` and `forward_attempt`, is for
 //! requests that another daemon runs, `once` for those that run once, and `suspects` for those that
 //! may crash upstreams. `updates`, `status` and `warm` are the worker's background tasks.
@@ -10,6 +11,7 @@
 //! Everything here is generic over the ports. Workers share no state but what [`Shared`] holds.
 
 mod attempt;
+mod fan_out_request;
 mod find;
 mod forward;
 mod forward_attempt;
@@ -24,6 +26,7 @@
 mod relay;
 mod room;
 mod run;
+mod shard_room;
 mod status;
 mod suspects;
 mod updates;
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -1,13 +1,11 @@
 //! The life of one request in a worker, from its arrival to its answer.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::find::ResolvedRequest;
-use super::gate::GatePermit;
 use super::identity::Refusal;
 use super::job::Job;
 use super::message::LookupRequest;
@@ -16,20 +14,12 @@
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
-use crate::domain::fanout::AnswerRules;
 use crate::domain::fanout::FanoutResult;
-use crate::domain::fanout::MAX_ATTEMPTS;
-use crate::domain::fanout::MAX_TRIALS;
-use crate::domain::fanout::Overrun;
 use crate::domain::hlc::Stamp;
-use crate::domain::ids::AttemptId;
 use crate::domain::outcome::Answer;
-use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
 use crate::domain::outcome::SnapshotName;
 use crate::domain::query::Query;
-use crate::domain::resources::Preference;
-use crate::domain::snapshot;
 use crate::domain::time::micros;
 use crate::domain::time::millis;
 use crate::domain::view::Plan;
@@ -40,16 +30,12 @@
 use crate::telemetry::Trace;
 
 /// How long a refused caller is told to wait when no better estimate is known.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// How long a refused caller is told to wait when only another configuration helps: the users
 /// require one to be active within 3 to 5 s.
 pub(super) const CONFIG_RETRY: Duration = Duration::from_secs(5);
 
-/// The margin kept for an answer's return is divided by this: one part is for this daemon's own
-/// processing.
-const PROCESSING_DIVISOR: u32 = 2;
-
 /// Counts a request or group as in progress until dropped, and reports it as abandoned if its
 /// caller disconnected first.
 pub(super) struct RequestGuard<'a, U, P, C> {
@@ -245,137 +231,10 @@
         self.fan_out_with_fallback(&job, resolved, permit, trace).await
     }
 
-    /// Fans out at the best snapshot, and once more at another where the first turned out not to be
-    /// held by its upstreams and the request may be repeated.
-    async fn fan_out_with_fallback(
-        self: &Rc<Self>,
-        job: &Job,
-        resolved: &ResolvedRequest,
-        permit: GatePermit<U, P, C>,
-        trace: &mut Trace<C>,
-    ) -> Answer {
-        let mut first: AttemptId = 0;
-        let mut tried = None;
-        let mut permit = Some(permit);
-        loop {
-            let Some(plan) = self.choose_snapshot(resolved) else {
-                return refuse(trace, Code::NoReplica, RETRY_AFTER);
-            };
-            let (index, version) = (plan.index.to_string(), plan.version);
-            trace.emit(Event::SnapshotChosen { index, version, shards: plan.shards.len() });
-            let grouped = is_mergeable(job);
-            let reserved = self.settings.margin / PROCESSING_DIVISOR;
-            let rules = AnswerRules {
-                grouped,
-                repeated: resolved.again,
-                ..self.rules(resolved, self.overruns.own.get(), reserved)
-            };
-            let run = self.fan_out(job, &plan, &rules, first, (&mut permit, trace)).await;
-            self.record_overrun(&self.overruns.own, &rules);
-            self.record_size(resolved, &run.finished);
-            let again = tried.is_none() && self.has_better_snapshot(&run.finished, &plan, resolved);
-            if !again {
-                if self.has_cell_moved(resolved, &run.finished) {
-                    return refuse(trace, Code::NotMember, Duration::ZERO);
-                }
-                if let Some(permit) = permit {
-                    permit.release(run.congestion);
-                }
-                return build_answer(trace, &plan, run.finished, resolved);
-            }
-            let missing = run.finished.coverage.missing.len();
-            trace.emit(Event::SnapshotAbandoned { version, missing });
-            tried = Some(version);
-            first = run.next;
-        }
-    }
-
-    pub(super) fn choose_snapshot(&self, resolved: &ResolvedRequest) -> Option<Arc<Plan>> {
-        let router = self.router.borrow();
-        let plans = &resolved.plan.plans;
-        let plan = snapshot::choose(plans, |upstream, version| router.can_serve(upstream, version))?;
-        if resolved.requester.regions.is_empty() {
-            return Some(Arc::clone(plan));
-        }
-        drop(router);
-        Some(Arc::new(self.restrict_regions((**plan).clone(), &resolved.regions)))
-    }
-
-    pub(super) fn rules(
-        &self,
-        resolved: &ResolvedRequest,
-        overrun: Overrun,
-        reserved: Duration,
-    ) -> AnswerRules {
-        let lookup = &resolved.plan.lookup;
-        AnswerRules {
-            rank: lookup.rank,
-            repeatable: lookup.repeatable,
-            prefer: lookup.prefer,
-            start: resolved.start,
-            deadline: resolved.deadline,
-            hedge_factor: self.settings.hedge,
-            fixed_delay: self.settings.fixed_hedge,
-            kind: Arc::clone(&resolved.plan.name),
-            objective: resolved.objective,
-            cutoff: resolved
-                .objective
-                .map(|objective| overrun.cutoff(self.ports.clock.now(), objective, reserved)),
-            min_share: lookup.least_share,
-            min_possible: None,
-            grouped: false,
-            repeated: false,
-            attempts: lookup.attempts.unwrap_or(MAX_ATTEMPTS),
-            trials: MAX_TRIALS,
-        }
-    }
-
-    /// Records how long after its cutoff an answer is given, which is now.
-    pub(super) fn record_overrun(&self, overruns: &Cell<Overrun>, rules: &AnswerRules) {
-        let (Some(cut), Some(objective)) = (rules.cutoff, rules.objective) else { return };
-        let time = objective.saturating_duration_since(rules.start);
-        let mut overrun = overruns.get();
-        overrun.sample(cut, time, self.ports.clock.now());
-        overruns.set(overrun);
-    }
-
     /// Returns whether this daemon is still in the cell of a request's index.
-    fn is_member(&self, resolved: &ResolvedRequest) -> bool {
+    pub(super) fn is_member(&self, resolved: &ResolvedRequest) -> bool {
         self.router.borrow().is_member(&resolved.plan.lookup.index, &self.settings.host)
     }
-
-    /// Returns whether the cell moved while a request waited here and ran nowhere, so that a member
-    /// may run it. Attempts that an upstream may have refused meanwhile are charged to the rerun
-    /// budget.
-    fn has_cell_moved(&self, resolved: &ResolvedRequest, finished: &FanoutResult) -> bool {
-        let moved = !self.is_member(resolved);
-        let unsent = finished.sent.iter().all(|sent| *sent == 0);
-        let is_paid = || unsent || self.rerun_budget.borrow_mut().spend_retry();
-        moved && finished.code == Code::NoReplica && is_paid()
-    }
-
-    /// Returns whether another snapshot promises a better answer than this result.
-    fn has_better_snapshot(
-        &self,
-        finished: &FanoutResult,
-        plan: &Arc<Plan>,
-        resolved: &ResolvedRequest,
-    ) -> bool {
-        let unheld = |gap: Gap| matches!(gap, Gap::SnapshotMissing | Gap::SnapshotWrong | Gap::ShardMoved);
-        let lost = finished.coverage.missing.iter().any(|missing| unheld(missing.why));
-        let time_left = self.ports.clock.now() < resolved.start + (resolved.deadline - resolved.start) / 2;
-        let lookup = &resolved.plan.lookup;
-        let worth =
-            lookup.prefer == Preference::Coverage || finished.coverage.contributed.is_empty() || time_left;
-        let other = self.choose_snapshot(resolved).is_some_and(|next| next.version != plan.version);
-        lookup.repeatable && lost && time_left && worth && other
-    }
-}
-
-/// Returns whether a request's shards may be delegated in groups: the delegates merge the records,
-/// and what is lost with a daemon may be queried again.
-fn is_mergeable(job: &Job) -> bool {
-    job.merge.is_some() && !job.once && matches!(job.query, Query::Opaque(_))
 }
 
 pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -27,6 +27,7 @@
 use crate::domain::admission::Dequeued;
 use crate::domain::admission::Gate;
 use crate::domain::admission::GateLimits;
+use crate::domain::admission::Room;
 use crate::domain::admission::WaiterId;
 use crate::domain::code::Code;
 use crate::domain::fanout::Overrun;
@@ -142,6 +143,8 @@
     pub(super) view: RefCell<Arc<View>>,
     pub(super) peers: RefCell<Arc<PeerView>>,
     pub(super) gates: RefCell<HashMap<Arc<str>, Gate>>,
+    /// The room that the shards of scheduled indexes have.
+    pub(super) shard_room: RefCell<Room>,
     pub(super) waiters: RefCell<HashMap<WaiterKey, Sender<Dequeued>>>,
     /// When the requests in flight at each daemon were forwarded to it.
     pub(super) forwards: RefCell<HashMap<HostId, Vec<Instant>>>,
@@ -251,6 +254,7 @@
             view: RefCell::default(),
             peers: RefCell::default(),
             gates: RefCell::default(),
+            shard_room: RefCell::default(),
             waiters: RefCell::default(),
             forwards: RefCell::default(),
             rerun_budget: RefCell::new(rerun_budget),
--- a/crates/harefield/src/ports/mod.rs
+++ b/crates/harefield/src/ports/mod.rs
@@ -11,6 +11,7 @@
 pub use peers::Forward;
 pub use peers::ForwardAnswer;
 pub use peers::Group;
+pub use peers::GroupDelay;
 pub use peers::GroupGap;
 pub use peers::GroupPart;
 pub use peers::GroupReply;
--- a/crates/harefield/tests/decisions/groups.rs
+++ b/crates/harefield/tests/decisions/groups.rs
@@ -112,6 +112,7 @@
             grouped: true,
             repeated: false,
             attempts: 2,
+            left_out: Vec::new(),
             trials: MAX_TRIALS,
         };
         let fanout = Fanout::new(Arc::clone(&view.lookups["l"].plans[0]), rules, 0);
--- a/crates/harefield/tests/decisions/rejecting_model.rs
+++ b/crates/harefield/tests/decisions/rejecting_model.rs
@@ -137,6 +137,7 @@
             grouped: false,
             repeated: false,
             attempts: 2,
+            left_out: Vec::new(),
             trials: MAX_TRIALS,
         };
         let (mut now, mut events) = (self.now, Vec::new());
--- a/crates/harefield/tests/decisions/sharing.rs
+++ b/crates/harefield/tests/decisions/sharing.rs
@@ -143,6 +143,7 @@
             grouped: true,
             repeated: false,
             attempts: 2,
+            left_out: Vec::new(),
             trials: MAX_TRIALS,
         };
         let mut fanout = Fanout::new(Arc::clone(&view.lookups["l"].plans[0]), rules, 0);
--- a/crates/harefield/tests/decisions/world.rs
+++ b/crates/harefield/tests/decisions/world.rs
@@ -132,6 +132,7 @@
             repeated: false,
             min_share: 0.0,
             attempts: MAX_ATTEMPTS,
+            left_out: Vec::new(),
             trials: MAX_TRIALS,
         };
         change(&mut rules, &mut router);
