--- a/crates/harefield/src/domain/fanout/carried.rs
+++ b/crates/harefield/src/domain/fanout/carried.rs
@@ -30,6 +30,9 @@
         let mut groups: BTreeMap<HostId, Vec<PendingShard>> = BTreeMap::new();
         let mut direct = Vec::new();
         for (index, ShardPlan { shard, replicas, .. }) in plan.shards.iter().enumerate() {
+            if !self.shards[index].is_open() {
+                continue;
+            }
             let zone = step.router.serving_zone(replicas, typical, step.now);
             let zone = zone.unwrap_or_else(|| Arc::clone(&own_zone));
             let region = step.router.region_of(&zone);
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -144,6 +144,7 @@
         let mut step = StepContext::new(now, router, sink);
         self.started = Some(now);
         self.join_dispatch(step.router);
+        self.leave_out(&mut step);
         self.direct = self.delegate_groups(&mut step);
         step.actions
     }
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -3,10 +3,11 @@
 //!
 //! A state machine without I/O. The caller passes in events with their times, and carries out the
 //! returned actions. `machine` handles events, `attempts` sends first attempts, retries, hedges and
-//! probes, `turns` decides when those of scheduled indexes wait. `groups` delegates groups of shards
-//! to other daemons, `regions` and `carried` select the daemons, `revocation` revokes groups when the
-//! answer is out of reach. `crash_guard` limits the damage of requests that crash upstreams, and
-//! `rules`, `overrun` and `result` decide on the answer.
+//! probes, `turns` decides when those of scheduled indexes wait, `leave_out` closes the shards that
+//! cannot answer in time. `groups` delegates groups of shards to other daemons, `regions` and
+//! `carried` select the daemons, `revocation` revokes groups when the answer is out of reach.
+//! `crash_guard` limits the damage of requests that crash upstreams, and `rules`, `overrun` and
+//! `result` decide on the answer.
 
 mod attempts;
 mod carried;
@@ -14,6 +15,7 @@
 mod crash_guard;
 mod group_request;
 mod groups;
+mod leave_out;
 mod machine;
 mod overrun;
 mod regions;
--- a/crates/harefield/tests/decisions/turns.rs
+++ b/crates/harefield/tests/decisions/turns.rs
@@ -110,6 +110,7 @@
             min_share: 0.0,
             attempts: 2,
             trials: 0,
+            left_out: Vec::new(),
         };
         let mut fanout = Fanout::new(Arc::clone(&self.plan), rules, 0);
         let actions = fanout.start(now, &mut self.router, &mut Vec::new());
