--- a/crates/harefield/tests/processes/carriers.rs
+++ b/crates/harefield/tests/processes/carriers.rs
@@ -19,8 +19,9 @@
 
 const DEADLINE: Duration = Duration::from_millis(900);
 
-/// Starts four daemons in one region, and replicas of three shards in each of three.
-fn start() -> Site {
+/// Starts four daemons in one region, and replicas of three shards in each of three; returns the
+/// index in `others` of a daemon that carries a shard.
+fn start() -> (Site, usize) {
     let mut site = Site::start_with(4, SCHEDULED);
     for (service, held) in [("s1", [9, 1]), ("s2", [8, 2]), ("s3", [7, 3])] {
         for zone in ["barn", "yard"] {
@@ -34,16 +35,17 @@
     for upstream in site.upstreams.values() {
         upstream.set_mode(ReplyMode::Good, Duration::from_millis(15));
     }
-    let mut number = 0;
+    let (mut number, mut found) = (0, Vec::new());
     await_true("the index is scheduled", || {
         number += 1;
         site.daemons().enumerate().for_each(|(at, daemon)| {
             request_at(daemon, "/all/x", &format!("start-{number}-{at}"), 2000);
         });
         std::thread::sleep(Duration::from_millis(100));
-        carriers(&site, &format!("start-{number}-0")).len() >= 2
+        found = carriers(&site, &format!("start-{number}-0"));
+        found.len() >= 2
     });
-    site
+    (site, found[0])
 }
 
 /// Returns the other daemons that the first one sent groups of a request to, by index in `others`.
@@ -62,13 +64,8 @@
 /// Sends requests to the first daemon for two seconds, and a signal to one of its carriers after
 /// half a second; returns how many answers were not whole.
 fn strike(signal: &str) -> usize {
-    let site = start();
-    await_true("the request has carriers", || {
-        request_at(&site.daemon, "/all/x", "before", 2000);
-        std::thread::sleep(Duration::from_millis(50));
-        !carriers(&site, "before").is_empty()
-    });
-    let victim = &site.others[carriers(&site, "before")[0]];
+    let (site, carrier) = start();
+    let victim = &site.others[carrier];
     let request = |id: String| {
         let start = Instant::now();
         let answer = request_at(&site.daemon, "/all/x", &id, 900);
