--- a/crates/harefield/tests/decisions/carriers.rs
+++ b/crates/harefield/tests/decisions/carriers.rs
@@ -196,6 +196,7 @@
     fn request(&self, router: &mut Router, now: Instant) -> (Vec<HostId>, Fanout) {
         router.lease_mut().renew(now);
         let rules = AnswerRules {
+            left_out: Vec::new(),
             kind: "l".into(),
             rank: 0,
             repeatable: true,
