--- a/crates/harefield/tests/decisions/scheduled.rs
+++ b/crates/harefield/tests/decisions/scheduled.rs
@@ -83,7 +83,6 @@
 
 /// Returns the rules of a request that may try two replicas of each shard and needs all shards.
 pub fn rules(start: Instant) -> AnswerRules {
-    left_out: Vec::new(),
     AnswerRules {
         kind: "l".into(),
         rank: 0,
@@ -101,5 +100,6 @@
         repeated: false,
         attempts: 2,
         trials: MAX_TRIALS,
+        left_out: Vec::new(),
     }
 }
