Keep the groups of live carriers, and don't query late shards again

A group that was overdue was revoked once its shards could be paid for: the replies that it had were dropped and all of its shards were queried again, when they had the least capacity. The shards that a carrier returned as late or not sent were queried at once by the coordinator, also where the answer was possible without them. Of the shards' requests in a collapse a tenth were such.

--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -9,15 +9,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use super::context::StepContext;
-use super::group_request::GroupOutcome;
 use super::group_request::GroupRequest;
-use super::group_request::ShardResult;
 use super::machine::Fanout;
 use super::shard::Action;
-use super::shard::AttemptEnd;
 use super::shard::Hedge;
 use super::shard::InFlight;
 use crate::domain::event::Cause;
@@ -30,7 +26,6 @@
 use crate::domain::routing::DelegationLimits;
 use crate::domain::routing::PendingShard;
 use crate::domain::routing::RelayOutcome;
-use crate::domain::routing::Router;
 use crate::domain::routing::assign_shards;
 use crate::domain::view::ReplicaLimit;
 
@@ -202,7 +197,8 @@
         let holds =
             |group: &GroupRequest| self.shards[shard].in_flight.iter().any(|f| f.attempt == group.attempt);
         let Some(at) = self.groups.iter().position(holds) else { return false };
-        if step.now < self.groups[at].lost_at && !self.replaceable(at, step) {
+        if self.is_carried_on(at, step) || (step.now < self.groups[at].lost_at && !self.replaceable(at, step))
+        {
             for shard in &self.groups[at].shards {
                 self.shards[*shard].hedge = Hedge::Due(step.now + RECHECK_INTERVAL);
             }
@@ -254,93 +250,4 @@
         }
         expected >= self.rules.min_shards(self.shards.len())
     }
-
-    /// Handles the outcome of a group.
-    pub fn on_group_end(
-        &mut self,
-        group: &GroupRequest,
-        end: &GroupOutcome,
-        now: Instant,
-        router: &mut Router,
-        sink: &mut impl Sink,
-    ) -> Vec<Action> {
-        let mut step = StepContext::new(now, router, sink);
-        match end {
-            GroupOutcome::Results(all) => {
-                for (shard, result) in all {
-                    self.record_result(*shard, group, result, &mut step);
-                }
-            }
-            GroupOutcome::NotSent => {
-                for shard in &group.shards {
-                    self.record_unsent(*shard, group, &mut step);
-                }
-            }
-            GroupOutcome::Silent => {
-                let lost = AttemptEnd::Lost { why: Gap::ReplyLost };
-                for shard in &group.shards {
-                    self.record_group_end(*shard, group, lost.clone(), &mut step);
-                }
-            }
-        }
-        self.resume_suspended(&mut step);
-        step.actions
-    }
-
-    fn record_result<S: Sink>(
-        &mut self,
-        shard: usize,
-        group: &GroupRequest,
-        result: &ShardResult,
-        step: &mut StepContext<'_, S>,
-    ) {
-        let end = match result {
-            ShardResult::Part(reply) => AttemptEnd::Answered(reply.clone()),
-            ShardResult::Missing { ran: false, sent: 0, .. } => {
-                return self.record_unsent(shard, group, step);
-            }
-            ShardResult::Missing { why, ran, sent } => {
-                // The daemon's attempts count against the shard's limit.
-                if let Some(state) = self.shards.get_mut(shard) {
-                    state.sent = state.sent.saturating_add(sent.saturating_sub(1));
-                }
-                if *ran {
-                    AttemptEnd::Lost { why: *why }
-                } else {
-                    AttemptEnd::Refused { why: *why, begun: false }
-                }
-            }
-        };
-        self.record_group_end(shard, group, end, step);
-    }
-
-    /// Handles a shard that was sent to no upstream: its next attempt counts as a first one.
-    fn record_unsent<S: Sink>(&mut self, shard: usize, group: &GroupRequest, step: &mut StepContext<'_, S>) {
-        if self.remove_in_flight(shard, group.attempt).is_none() {
-            return;
-        }
-        let state = &mut self.shards[shard];
-        state.sent = state.sent.saturating_sub(1);
-        state.limit = None;
-        if !state.is_open() || state.is_awaited() {
-            return;
-        }
-        if self.is_suspect() {
-            self.suspend(shard);
-        } else {
-            self.start_attempt(shard, Cause::First, step);
-        }
-    }
-
-    fn record_group_end<S: Sink>(
-        &mut self,
-        shard: usize,
-        group: &GroupRequest,
-        end: AttemptEnd,
-        step: &mut StepContext<'_, S>,
-    ) {
-        if let Some(flight) = self.remove_in_flight(shard, group.attempt) {
-            self.record_end(shard, flight, end, step);
-        }
-    }
 }
--- a/crates/harefield/src/domain/routing/carrier_backoff.rs
+++ b/crates/harefield/src/domain/routing/carrier_backoff.rs
@@ -48,6 +48,11 @@
         self.is_over(now) && (self.failures == 0 || outstanding == 0)
     }
 
+    /// Returns whether the daemon has answered a group since `since`.
+    pub(super) fn has_answered_since(&self, since: Instant) -> bool {
+        self.answered_at.is_some_and(|at| at >= since)
+    }
+
     fn is_over(&self, now: Instant) -> bool {
         self.retry_at.is_none_or(|at| now >= at)
     }
--- a/crates/harefield/src/domain/routing/relays.rs
+++ b/crates/harefield/src/domain/routing/relays.rs
@@ -163,6 +163,12 @@
         self.hosts.get(host).is_some_and(may)
     }
 
+    /// Returns whether a daemon has answered a group since `since`.
+    #[must_use]
+    pub fn has_answered_since(&self, host: &HostId, since: Instant) -> bool {
+        self.hosts.get(host).is_some_and(|relay| relay.carrying.has_answered_since(since))
+    }
+
     /// Returns the round-trip time to a daemon.
     #[must_use]
     pub fn rtt_of(&self, host: &HostId) -> Duration {
