Estimate delays by the near slots and slow replies; keep them out of the gate

The delays counted the slots of other regions, which are as short of capacity: shards seemed twice as quick as they were. The usual time on a shard was its mean, where a fan-out needs nearly all of its shards. And the gate counted shards that wait by design as congestion.

--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -103,7 +103,8 @@
     /// Returns what the fan-out shows of the load on the upstreams.
     #[must_use]
     pub fn congestion(&self, now: Instant) -> Congestion {
-        let waited = self.shards.iter().filter(|shard| shard.waited).count();
+        // Requests for the shards of a scheduled index wait by design, and are refused by their delays.
+        let waited = self.shards.iter().filter(|shard| shard.waited && self.id.is_none()).count();
         let progress = self.rules.cutoff.zip(self.started).map(|(cut, started)| Progress {
             half: self.half.unwrap_or(now).saturating_duration_since(started),
             enough: self.enough.unwrap_or(now).saturating_duration_since(started),
--- a/crates/harefield/src/domain/routing/turns.rs
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -52,12 +52,15 @@
         self.dispatch.delay(shard, rank, self.slots_for(shard, now))
     }
 
-    /// Returns how many requests for a shard this daemon may have in flight at its available
-    /// replicas: a replica's slots in its own region, one in another; at least one.
+    /// Returns how many slots serve the requests for a shard that wait here: those of the available
+    /// replicas in its own region, or one where there is none.
+    ///
+    /// Slots of other regions don't count. Where requests wait, the other regions usually need them
+    /// as much, and what is sent there is returned the same way.
     fn slots_for(&self, shard: &ShardId, now: Instant) -> u32 {
         let found = self.placement.replicas_of(shard).iter().filter_map(|name| self.upstreams.get(name));
         let available = found.filter(|s| s.accepts_work().is_ok() && !s.is_backed_off(now));
-        let slots = available.map(|s| if s.distance == Distance::Far { 1 } else { s.spec.slots.max(1) });
-        slots.sum::<u32>().max(1)
+        let near = available.filter(|s| s.distance != Distance::Far);
+        near.map(|s| s.spec.slots.max(1)).sum::<u32>().max(1)
     }
 }
--- a/crates/harefield/src/engine/shard_room.rs
+++ b/crates/harefield/src/engine/shard_room.rs
@@ -46,7 +46,8 @@
         }
         let now = self.ports.clock.now();
         let until = if resolved.late { None } else { rules.cutoff };
-        let mean = router.latency(&rules.kind).mean();
+        let latency = router.latency(&rules.kind);
+        let (mean, slow) = (latency.mean(), latency.slow());
         let request = RoomRequest {
             shards: &plan.shards,
             rank: rules.rank,
@@ -61,7 +62,8 @@
             let delay = |rank| router.shard_delay(&shard.shard, rank, now);
             (0..rules.rank.min(ranks)).map(delay).fold(delay(rules.rank), Duration::max)
         };
-        let usual = |shard: &ShardPlan| mean + round_trip(&router, shard);
+        // A fan-out needs nearly all of its shards, so that the slow replies decide.
+        let usual = |shard: &ShardPlan| slow + round_trip(&router, shard);
         let decision = self.shard_room.borrow_mut().decide(&request, local, usual, now);
         match decision {
             RoomDecision::Admit { leave_out } => {
