Hold hedges while a lost reply is checked

Callers saw nothing wrong in their answers, but a request that crashes each upstream that runs it crashed 6 upstreams where 5 are allowed, on a busy machine (crashing::one_service_known).

Cause: traces of seven failing runs show the same in each. The second sending of the request, of one shard, lost its reply, and 39 to 126 ms later, before the check whether its upstream had exited was reported to the fan-out, its hedge came due and crashed one upstream more. Hedges of requests of fewer than four shards waited for the first answer only after such a report. In three of the seven, the daemon knew by then that three upstreams had crashed.

Hedges now wait for the first answer while a lost reply is being checked, and also where upstreams ended during the same work before and nobody has answered it since: otherwise a hedge that is due before the reply is lost does the same. They are tried again each 10 ms, so a check that finds the upstream running delays a hedge by no more than that.

The wait for a check was a second way to the same failure, which was not seen to be the cause of one: in four of the seven runs it expired once, after 101 to 157 ms, before a check that took 60 to 200 ms. The timer ran on while the daemon did not. Clock::sleep_running counts a stall as one step of 10 ms. The 100 ms for an upstream that does not respond are unchanged where the daemon runs.

--- a/crates/harefield/src/domain/fanout/crash_guard.rs
+++ b/crates/harefield/src/domain/fanout/crash_guard.rs
@@ -38,6 +38,9 @@
     /// A request that crashes its upstreams after 60 ms would otherwise be hedged after about 45
     /// ms, and crash as many more upstreams as the budget allows.
     pub(super) fn delays_hedges(&self) -> bool {
+        if self.hedges_held && !self.is_answered() {
+            return true;
+        }
         if self.is_answered() || self.shards.len() < WIDE_SHARDS {
             return self.is_suspect();
         }
@@ -52,6 +55,15 @@
         self.loss_seen |= why == Gap::UpstreamEnded || why == Gap::ReplyLost && waits;
     }
 
+    /// Sets whether hedges have to wait for the first answer because of what is known outside this
+    /// fan-out: upstreams crashed during the same work before, or a lost reply is being checked.
+    ///
+    /// While a check took up to 150 ms on a busy machine, a request of one shard was hedged, and
+    /// crashed a second upstream.
+    pub fn hold_hedges(&mut self, hold: bool) {
+        self.hedges_held = hold;
+    }
+
     /// Disables trials: the request is known to have crashed several upstreams, and the fleet
     /// allows only one trial of it at a time.
     pub fn disable_trials(&mut self) {
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -54,6 +54,8 @@
     is_cut: bool,
     /// Whether an upstream may have crashed while it had the request.
     pub(super) loss_seen: bool,
+    /// Whether hedges wait for the first answer whatever this fan-out has seen.
+    pub(super) hedges_held: bool,
     /// The shards that wait for evidence that the request does not crash upstreams.
     pub(super) suspended: BTreeSet<usize>,
     /// How many trial attempts were sent since.
@@ -82,6 +84,7 @@
             open,
             is_cut: false,
             loss_seen: false,
+            hedges_held: false,
             suspended: BTreeSet::new(),
             trials: 0,
         }
--- a/crates/harefield/src/domain/suspects/registry.rs
+++ b/crates/harefield/src/domain/suspects/registry.rs
@@ -131,6 +131,13 @@
         lasting.map(|held| held.evidence.clearance(now)).max().unwrap_or(Clearance::Free)
     }
 
+    /// Returns whether upstreams ended during a work that nobody has answered since.
+    #[must_use]
+    pub fn has_ends(&self, work: &Work, now: Instant) -> bool {
+        let known = work.ids().filter_map(|id| self.entries.get(&id));
+        known.map(|held| &held.evidence).any(|held| !held.ends().is_empty() && !held.is_expired(now))
+    }
+
     /// Returns the evidence about a work, for each of its identifiers that is held.
     #[must_use]
     pub fn suspects_for(&self, work: &Work) -> Vec<Suspect> {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -168,6 +168,7 @@
                 });
                 ready = completed.try_recv().ok();
             }
+            fanout.hold_hedges(self.may_end_upstreams(job));
             let now = self.ports.clock.now();
             actions.extend(fanout.on_timer(now, &mut self.router.borrow_mut(), trace));
             self.apply_actions(job, plan, rules, actions, (&sender, &mut tasks));
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -59,6 +59,8 @@
 pub(super) struct WorkEvidence {
     /// The number of attempts and groups in flight.
     pending: Rc<Cell<u32>>,
+    /// The number of lost replies whose upstreams are being checked.
+    checks: Rc<Cell<u32>>,
     /// Whether an upstream has answered.
     pub answered: Rc<Cell<bool>>,
 }
@@ -77,6 +79,29 @@
         self.pending.set(others + 1);
         PendingAttempt { pending: Rc::clone(&self.pending), began_alone: others == 0 }
     }
+
+    /// Counts a check whether an upstream has exited as in progress until dropped.
+    pub fn begin_check(&self) -> PendingCheck {
+        self.checks.set(self.checks.get() + 1);
+        PendingCheck { checks: Rc::clone(&self.checks) }
+    }
+
+    /// Returns whether an upstream is being checked.
+    pub fn is_checking(&self) -> bool {
+        self.checks.get() > 0
+    }
+}
+
+/// A check in progress.
+#[derive(Debug)]
+pub(super) struct PendingCheck {
+    checks: Rc<Cell<u32>>,
+}
+
+impl Drop for PendingCheck {
+    fn drop(&mut self) {
+        self.checks.set(self.checks.get() - 1);
+    }
 }
 
 impl PendingAttempt {
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -63,7 +63,9 @@
 /// of them and were refused.
 const TRIAL_ATTEMPTS: u32 = 4;
 
-/// How long a shard waits for the check whether its upstream has exited.
+/// How long a shard waits for the check whether its upstream has exited. Time in which this daemon
+/// does not run does not count: with a single timer, the wait ended before checks that took 60 to
+/// 200 ms on a busy machine.
 const CHECK_WAIT: Duration = Duration::from_millis(100);
 
 /// How often a request checks whether the trial of its work has ended.
@@ -114,6 +116,12 @@
         self.suspects.borrow().clearance(work, self.ports.clock.now())
     }
 
+    /// Returns whether upstreams may be ending under a request: one of its lost replies is being
+    /// checked, or upstreams ended during its work before and nobody has answered it since.
+    pub(super) fn may_end_upstreams(&self, job: &Job) -> bool {
+        job.evidence.is_checking() || self.suspects.borrow().has_ends(&job.work, self.ports.clock.now())
+    }
+
     fn publish_suspects(&self, changed: impl IntoIterator<Item = Suspect>) {
         for suspect in changed {
             if self.control.try_send(ToControl::Suspect(suspect)).is_err() {
@@ -158,6 +166,7 @@
         if attempt.job.evidence.answered.get() {
             return false;
         }
+        let _check = attempt.job.evidence.begin_check();
         let mut check = self.executor.spawn(Rc::clone(self).check_exit(
             attempt.job.clone(),
             Arc::clone(&attempt.send.upstream),
@@ -165,7 +174,7 @@
         ));
         let checked = async { Some((&mut check).await) };
         let expired = async {
-            self.ports.clock.sleep(CHECK_WAIT).await;
+            self.ports.clock.sleep_running(CHECK_WAIT).await;
             None
         };
         let known = checked.or(expired).await;
--- a/crates/harefield/tests/decisions/crash_guard.rs
+++ b/crates/harefield/tests/decisions/crash_guard.rs
@@ -134,6 +134,26 @@
     assert!(hedges(&world) > 1, "an upstream has answered");
 }
 
+#[test]
+fn held_hedges_await_answer() {
+    // Guards against a second upstream that a narrow request crashes by a hedge while the first
+    // one's lost reply is being checked, or after upstreams crashed during the same work before.
+    for shards in [1, 3, 20] {
+        let mut world = fanout(shards, MAX_TRIALS);
+        let hedges = |world: &World| world.sent.iter().filter(|send| send.cause == Cause::Hedge).count();
+        world.fanout.hold_hedges(true);
+        world.advance(Duration::from_millis(500));
+        assert_eq!(hedges(&world), 0, "{shards} shards: no upstream has answered");
+        if shards > 1 {
+            world.answer(0);
+        } else {
+            world.fanout.hold_hedges(false);
+        }
+        world.advance(Duration::from_millis(20));
+        assert!(hedges(&world) > 0, "{shards} shards: the request is hedged again");
+    }
+}
+
 #[test]
 fn groups_send_no_trials() {
     let mut world = fanout(6, 0);
--- a/crates/harefield/tests/decisions/suspects.rs
+++ b/crates/harefield/tests/decisions/suspects.rs
@@ -48,6 +48,19 @@
     }
 }
 
+#[test]
+fn ends_known_until_answered() {
+    // Guards against hedges of a work that is about to be restricted: they crash one upstream more.
+    let (start, mut suspects) = (Instant::now(), Suspects::default());
+    let work = work(1);
+    assert!(!suspects.has_ends(&work, start));
+    suspects.record_end(&work, &upstream(1), true, start);
+    assert!(suspects.has_ends(&work, start), "one end is enough");
+    assert!(!suspects.has_ends(&work, start + Duration::from_secs(60)), "the evidence expires");
+    suspects.record_answer(&work, at(start, 50));
+    assert!(!suspects.has_ends(&work, at(start, 60)), "an answer refutes it");
+}
+
 #[test]
 fn isolated_then_withheld() {
     let (start, mut suspects) = (Instant::now(), Suspects::default());
