Renew proofs by the age of the one passed on

Daemons that do not read the platform held a proof of freshness of up to 3.0 s where 2.4 s are planned and current::proofs_among_changes allows 2.9 s. Past 3.0 s they query other daemons and the platform themselves, so that what the tree is to save is asked for by each of them.

Cause: a proof is passed on only if it is newer by 0.1 of apply-ms than the one passed on before. The watch that a change ends proves only up to its request; where that was 0.5 s after the last proof passed on, the new proof stayed with the reader. The next watch was timed by the reader's own age, so the next proof that was passed on came 2.4 s after the unsent one: 2.95 s after the last one that others had.

Watches and batches are now timed by the proof that was last passed on where the own one is newer by too little to be passed on. That costs no message more, and a watch sooner by up to 0.1 of apply-ms in such a case.

Ruled out: the machine alone. A test with two changes 220 ms and 2120 ms after a proof failed before on an idle machine and passes now (proofs_after_two_changes). A busy machine only shifted the phase of the changes. The bound of 2.9 s is unchanged.

--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -66,6 +66,7 @@
     /// Sends the marks of this daemon to its children.
     pub(super) fn notify_children(&self) {
         self.last_sent.set(self.proven());
+        self.freshness.borrow_mut().values_mut().for_each(Freshness::record_sent);
         let children = {
             let members = self.members.borrow();
             members.row(&self.settings.own.host).map(|own| children(own, members.rows())).unwrap_or_default()
@@ -80,6 +81,17 @@
         self.freshness.borrow().get(&space).and_then(|freshness| freshness.age(now))
     }
 
+    /// Returns the age by which the next proof of a space is due here, for this daemon and for those
+    /// that it passes proofs on to. `None` before the first proof.
+    ///
+    /// Measured by this daemon's own proof alone, a proof that followed a change, 0.5 s newer than
+    /// the one before and so not passed on, left the others without a new one for 2.9 s instead of
+    /// 2.4 s.
+    pub(super) fn renewal_age(&self, space: Space) -> Option<Duration> {
+        let (step, now) = (self.settings.freshness.min_step(), self.ports.clock.now());
+        self.freshness.borrow().get(&space).and_then(|freshness| freshness.renewal_age(step, now))
+    }
+
     /// Returns the greatest age of all spaces. `None` until all have been proven once.
     fn max_age(&self) -> Option<Duration> {
         let now = self.ports.clock.now();
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -136,10 +136,10 @@
         let Some(seen) = self.seen(space) else {
             return self.list(replica, space).await;
         };
-        let wait = self.settings.max_watch.min(self.settings.freshness.watch_wait(self.age(space)));
+        let wait = self.settings.max_watch.min(self.settings.freshness.watch_wait(self.renewal_age(space)));
         self.watch(replica, space, seen, wait).await?;
         if self.seen(space) > Some(seen) {
-            let batch_time = self.settings.freshness.batch_time(self.age(space), BATCH_PAUSE);
+            let batch_time = self.settings.freshness.batch_time(self.renewal_age(space), BATCH_PAUSE);
             self.ports.clock.sleep(batch_time).await;
         }
         Ok(())
--- a/crates/harefield/src/domain/freshness.rs
+++ b/crates/harefield/src/domain/freshness.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     proven: Option<Instant>,
+    /// The proof that was last passed on to other daemons.
+    sent: Option<Instant>,
 }
 
 impl Freshness {
@@ -32,6 +34,20 @@
         self.proven
     }
 
+    /// Records that the proof is passed on to other daemons.
+    pub fn record_sent(&mut self) {
+        self.sent = self.proven;
+    }
+
+    /// Returns the age by which the next proof is due: that of the proof that other daemons have,
+    /// where the last one was not passed on because it is newer by less than `step`.
+    #[must_use]
+    pub fn renewal_age(&self, step: Duration, now: Instant) -> Option<Duration> {
+        let proven = self.proven?;
+        let sent = self.sent.filter(|sent| proven.saturating_duration_since(*sent) < step);
+        Some(now.saturating_duration_since(sent.unwrap_or(proven)))
+    }
+
     /// Returns how long ago the oldest change may have been confirmed that is missing here.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- a/crates/harefield/tests/decisions/freshness.rs
+++ b/crates/harefield/tests/decisions/freshness.rs
@@ -25,6 +25,22 @@
     assert_eq!(freshness.age(start), Some(Duration::ZERO), "the proof is in the future");
 }
 
+#[test]
+fn renewal_counts_from_sent_proof() {
+    // Guards against a proof that is too little newer to be passed on, and postpones the next one.
+    let (start, step) = (Instant::now(), Duration::from_millis(600));
+    let now = after(start, 2200);
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.renewal_age(step, now), None);
+    freshness.record_proof(start);
+    assert_eq!(freshness.renewal_age(step, now), Some(Duration::from_millis(2200)), "nothing was sent");
+    freshness.record_sent();
+    freshness.record_proof(after(start, 550));
+    assert_eq!(freshness.renewal_age(step, now), Some(Duration::from_millis(2200)), "others have less");
+    freshness.record_proof(after(start, 700));
+    assert_eq!(freshness.renewal_age(step, now), Some(Duration::from_millis(1500)), "it is passed on");
+}
+
 #[test]
 fn unchanged_watch_proves_wait() {
     let start = Instant::now();
--- a/crates/harefield/tests/fleet/current.rs
+++ b/crates/harefield/tests/fleet/current.rs
@@ -79,6 +79,23 @@
     }
 }
 
+#[test]
+fn proofs_after_two_changes() {
+    // The proof after the second change is newer by less than what is passed on, so the next one has
+    // to come in time for the daemons that have only the one before.
+    let fleet = quiet_fleet();
+    while fleet.max_age() > 0.1 {
+        fleet.run_for(Duration::from_millis(10));
+    }
+    fleet.run_for(Duration::from_millis(220));
+    fleet.publish("lookups/l1", LOOKUP);
+    fleet.run_for(Duration::from_millis(1900));
+    fleet.publish("lookups/l2", LOOKUP);
+    for _ in 0..20 {
+        expect_current(&fleet);
+    }
+}
+
 #[test]
 fn announcements_after_pause() {
     // A daemon that was paused receives the announcements made meanwhile before its knowledge is
