Leave joining once a daemon has given a proof

A daemon that starts beside a seed read the store although the seed had given it the configuration in time.

Cause: after each query of another daemon it paused for 100 ms before it looked whether it had a proof of freshness. Of the 150 ms after which it reads the store, 50 ms were left for the answer. Traces of store_read_by_few show daemons that have the proof after 53 to 146 ms and list the store at 151 to 191 ms. It now looks before it pauses.

--- a/crates/harefield/src/control/join.rs
+++ b/crates/harefield/src/control/join.rs
@@ -80,6 +80,9 @@
             if let Some(host) = self.draw_peers(1).pop() {
                 self.query_daemon(&host).await;
             }
+            if !self.is_overdue() {
+                return;
+            }
             self.ports.clock.sleep(RETRY_PAUSE).await;
         }
     }
