Let delays fall at half the rate; time for two attempts; a small share for late requests

Between two reports of a shard's delay, 23 other members admit requests to it: all of them counted on a queue that drains at its full rate. A request was admitted where one slow reply was in time. Requests past their objective got a seventh of an overloaded shard's slots.

--- a/crates/harefield/src/domain/admission/room.rs
+++ b/crates/harefield/src/domain/admission/room.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::shard_delays::DRAIN_FACTOR;
 use super::shard_delays::ShardDelays;
 use crate::domain::ids::ShardId;
 use crate::domain::view::ShardPlan;
@@ -21,7 +22,7 @@
 
 /// The longest delay that is believed. While a longer one refuses every request, nobody is told a
 /// shorter one; callers return after 2 s at the latest.
-const MAX_DELAY: Duration = Duration::from_secs(2);
+const MAX_DELAY: Duration = Duration::from_secs(1);
 
 /// How often drained shards are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -148,7 +149,7 @@
             if past.is_zero() {
                 delayed.extend(known);
             } else {
-                short.push(ShortShard { at, delay, wait: past.min(delay), known });
+                short.push(ShortShard { at, delay, wait: past.min(delay) * DRAIN_FACTOR, known });
             }
         }
         let may_lack = request.shards.len().saturating_sub(request.min_shards);
--- a/crates/harefield/src/domain/admission/shard_delays.rs
+++ b/crates/harefield/src/domain/admission/shard_delays.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// A delay is assumed to fall by its whole length in this many times its length. Other members
+/// admit requests between two reports as well: while all of them counted on a queue that drains at
+/// its full rate, they admitted twice what a shard in overload served in time.
+pub(super) const DRAIN_FACTOR: u32 = 2;
+
 /// The queueing delays of one shard.
 ///
-/// A delay is kept as the time at which a new request would be sent, so that it falls as time
-/// passes.
+/// A delay is kept as the time at which it will have fallen to zero.
 #[derive(Clone, Debug)]
 pub(super) struct ShardDelays {
-    /// When a new request of each rank would be sent, by ascending rank.
+    /// When the delay of each rank will have fallen to zero, by ascending rank.
     ranks: Vec<(u32, Instant)>,
     /// When the delay was last reported, or a request last admitted to the shard.
     asked: Instant,
@@ -24,12 +28,15 @@
     /// ones. A less urgent rank's delay says nothing about it.
     pub fn delay(&self, rank: u32, now: Instant) -> Duration {
         let counted = self.ranks.iter().take_while(|(other, _)| *other <= rank);
-        counted.map(|(_, at)| *at).max().map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+        counted
+            .map(|(_, at)| *at)
+            .max()
+            .map_or(Duration::ZERO, |at| at.saturating_duration_since(now) / DRAIN_FACTOR)
     }
 
     /// Replaces the delay of a rank by a reported one.
     pub fn report(&mut self, rank: u32, delay: Duration, now: Instant) {
-        self.set(rank, now + delay);
+        self.set(rank, now + delay * DRAIN_FACTOR);
         self.ranks.retain(|(_, at)| *at > now);
         self.asked = now;
     }
@@ -40,10 +47,10 @@
         self.asked = now;
         let delay = self.delay(rank, now);
         for (_, at) in self.ranks.iter_mut().filter(|(other, at)| *other > rank && *at > now) {
-            *at += work;
+            *at += work * DRAIN_FACTOR;
         }
         if !delay.is_zero() {
-            self.set(rank, now + delay + work);
+            self.set(rank, now + (delay + work) * DRAIN_FACTOR);
         }
     }
 
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -12,7 +12,10 @@
 use crate::domain::view::View;
 
 /// The weights of the ranks that are used where the settings state none.
-const DEFAULT_SHARES: [u32; 4] = [8, 4, 2, 1];
+///
+/// Requests past their objective get a small share: with a seventh, they used up capacity in overload
+/// that others needed to be in time, which then were late as well.
+const DEFAULT_SHARES: [u32; 4] = [64, 32, 16, 1];
 
 /// Indexes with fewer shards are not scheduled by default: one daemon queries all of them.
 const MIN_SHARDS: usize = 40;
--- a/crates/harefield/src/engine/shard_room.rs
+++ b/crates/harefield/src/engine/shard_room.rs
@@ -26,6 +26,9 @@
 use crate::ports::Upstreams;
 use crate::telemetry::Trace;
 
+/// A request is admitted if there is time for this many attempts on a shard, one after the other.
+const ATTEMPTS_ALLOWED: u32 = 2;
+
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Returns the shards of a plan that a request leaves out, by their positions; none where the
     /// index is not scheduled.
@@ -62,8 +65,9 @@
             let delay = |rank| router.shard_delay(&shard.shard, rank, now);
             (0..rules.rank.min(ranks)).map(delay).fold(delay(rules.rank), Duration::max)
         };
-        // A fan-out needs nearly all of its shards, so that the slow replies decide.
-        let usual = |shard: &ShardPlan| slow + round_trip(&router, shard);
+        // A fan-out needs nearly all of its shards, so that slow replies decide, and those that are
+        // only in time because they were hedged: time for two attempts.
+        let usual = |shard: &ShardPlan| slow * ATTEMPTS_ALLOWED + round_trip(&router, shard);
         let decision = self.shard_room.borrow_mut().decide(&request, local, usual, now);
         match decision {
             RoomDecision::Admit { leave_out } => {
