Carry shards in the availability zone of their replica

Each shard is now carried in the zone of its replica in the region, unless its daemons are too weak for the shortest objective; then by all of the region.

A trial by the zones of all replicas of the index changed nothing, since an index has replicas in each zone.

--- a/crates/harefield/src/domain/routing/carrier_cache.rs
+++ b/crates/harefield/src/domain/routing/carrier_cache.rs
@@ -1,18 +1,27 @@
 //! The router's carriers of each scheduled index and region, kept until the members or the shards
 //! change.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::carriers::CarrierCandidate;
+use super::carriers::CarrierGroup;
 use super::carriers::Carriers;
 use super::router::LocalDaemon;
 use super::router::Router;
+use super::sharing::DelegationLimits;
 use crate::domain::ids::HostId;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::topology::Distance;
 
+/// The time that a shard takes on a whole core, for the question whether the daemons in the zone of
+/// the replicas can carry them alone. Not the measured time: that differs by daemon, and all
+/// have to find the same carriers. `docs/CAPACITY.md` has it for requests that arrive one by one.
+const SHARD_TIME: Duration = Duration::from_micros(100);
+
 /// The carriers of the scheduled indexes, by index and region.
 #[derive(Debug, Default)]
 pub(super) struct CarrierCache {
@@ -24,8 +33,7 @@
 struct Entry {
     index: Arc<str>,
     region: Arc<str>,
-    shards: Arc<[ShardId]>,
-    candidates: Vec<CarrierCandidate>,
+    groups: Vec<CarrierGroup>,
     carriers: Arc<Carriers>,
     /// Whether the members may have changed since.
     stale: bool,
@@ -53,24 +61,25 @@
     /// whether or not this daemon has backed one off: that would change the bounds of all, and
     /// differently at each daemon.
     pub fn carriers(&mut self, index: &str, region: &str) -> Option<Arc<Carriers>> {
-        let shards = self.scheduling.shards(index)?;
+        if !self.scheduling.covers(index) {
+            return None;
+        }
         let known = self.carriers.entries.iter().position(|e| *e.index == *index && *e.region == *region);
         if let Some(entry) = known.map(|at| &self.carriers.entries[at]).filter(|entry| !entry.stale) {
             return Some(Arc::clone(&entry.carriers));
         }
-        let candidates = self.carrier_candidates(index, region);
+        let groups = self.carrier_groups(index, region);
         if let Some(at) = known {
             let entry = &mut self.carriers.entries[at];
-            if entry.candidates == candidates && entry.shards == shards {
+            if entry.groups == groups {
                 entry.stale = false;
                 return Some(Arc::clone(&entry.carriers));
             }
             self.carriers.entries.swap_remove(at);
         }
-        let carriers = Arc::new(Carriers::assign(&shards, &candidates));
+        let carriers = Arc::new(Carriers::assign_groups(&groups));
         let (index, region) = (index.into(), region.into());
-        let entry =
-            Entry { index, region, shards, candidates, carriers: Arc::clone(&carriers), stale: false };
+        let entry = Entry { index, region, groups, carriers: Arc::clone(&carriers), stale: false };
         self.carriers.entries.push(entry);
         Some(carriers)
     }
@@ -84,13 +93,45 @@
         carriers.carrier(shard, available).map(Arc::clone)
     }
 
-    fn carrier_candidates(&self, index: &str, region: &str) -> Vec<CarrierCandidate> {
+    /// Returns the shards of an index by the availability zone of their replica in a region, each
+    /// with the daemons that may carry them: those in that zone, or all of the region if these are
+    /// too weak. Shards without a known replica there may be carried by all as well.
+    fn carrier_groups(&self, index: &str, region: &str) -> Vec<CarrierGroup> {
+        let candidates = self.carrier_candidates(index, region);
+        let shards = self.scheduling.shards(index).unwrap_or_default();
+        let mut zones: BTreeMap<Option<Arc<str>>, Vec<ShardId>> = BTreeMap::new();
+        for shard in shards.iter() {
+            zones.entry(self.replica_zone(shard, region)).or_default().push(Arc::clone(shard));
+        }
+        let objective = self.scheduling.objective(index);
+        let group = |(zone, shards): (Option<Arc<str>>, Vec<ShardId>)| {
+            let there = candidates.iter().filter(|(_, host_zone)| Some(host_zone) == zone.as_ref());
+            let near: Vec<_> = there.map(|(candidate, _)| candidate.clone()).collect();
+            let all = || candidates.iter().map(|(candidate, _)| candidate.clone()).collect();
+            let candidates = if can_carry(shards.len(), &near, objective) { near } else { all() };
+            CarrierGroup { shards, candidates }
+        };
+        zones.into_iter().map(group).collect()
+    }
+
+    /// Returns the daemons of a region that may carry shards of an index, with their zones.
+    fn carrier_candidates(&self, index: &str, region: &str) -> Vec<(CarrierCandidate, Arc<str>)> {
         let LocalDaemon { host, capacity, .. } = &self.local;
         let all = std::iter::once((host, &self.topology.zone, *capacity)).chain(self.relays.live());
         let there = all.filter(|(host, zone, _)| {
             **self.topology.region_of(zone) == *region && self.is_member(index, host)
         });
-        there.map(|(host, _, capacity)| CarrierCandidate { host: Arc::clone(host), capacity }).collect()
+        let candidate = |(host, zone, capacity): (&HostId, &Arc<str>, u32)| {
+            (CarrierCandidate { host: Arc::clone(host), capacity }, Arc::clone(zone))
+        };
+        there.map(candidate).collect()
+    }
+
+    /// Returns the availability zone of a shard's replica in a region.
+    fn replica_zone(&self, shard: &ShardId, region: &str) -> Option<Arc<str>> {
+        let found = self.placement.replicas_of(shard).iter().filter_map(|name| self.upstreams.get(name));
+        let mut zones = found.map(|upstream| &upstream.spec().zone);
+        zones.find(|zone| **self.topology.region_of(zone) == *region).map(Arc::clone)
     }
 
     /// Returns the availability zone whose region serves a shard of a scheduled index.
@@ -118,3 +159,8 @@
         far.into_iter().nth(at).map(|(_, zone)| zone)
     }
 }
+
+/// Returns whether daemons send the requests for their shards early enough before the objective.
+fn can_carry(shards: usize, candidates: &[CarrierCandidate], objective: Duration) -> bool {
+    DelegationLimits::new(SHARD_TIME, objective).allows(shards, Carriers::capacity(candidates))
+}
--- a/crates/harefield/src/domain/routing/carriers.rs
+++ b/crates/harefield/src/domain/routing/carriers.rs
@@ -31,6 +31,15 @@
     pub capacity: u32,
 }
 
+/// Shards whose replicas are in one availability zone, with the daemons that may carry them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CarrierGroup {
+    /// The shards.
+    pub shards: Vec<ShardId>,
+    /// The daemons.
+    pub candidates: Vec<CarrierCandidate>,
+}
+
 /// The assignment of an index's shards to the daemons of one region.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Carriers {
@@ -43,10 +52,7 @@
     /// order of either doesn't matter.
     #[must_use]
     pub fn assign(shards: &[ShardId], candidates: &[CarrierCandidate]) -> Self {
-        let largest = candidates.iter().map(capacity).max().unwrap_or(0);
-        let large =
-            |candidate: &&CarrierCandidate| capacity(candidate) * 100 >= largest * MIN_CAPACITY_PERCENT;
-        let mut candidates: Vec<CarrierCandidate> = candidates.iter().filter(large).cloned().collect();
+        let mut candidates: Vec<CarrierCandidate> = large(candidates).cloned().collect();
         candidates.sort_unstable();
         candidates.dedup_by(|a, b| a.host == b.host);
         let mut shards: Vec<&ShardId> = shards.iter().collect();
@@ -68,6 +74,32 @@
         Self { candidates, assigned }
     }
 
+    /// Assigns the shards of each group to its candidates. Where none of these is available, any
+    /// candidate of the others takes their place.
+    #[must_use]
+    pub fn assign_groups(groups: &[CarrierGroup]) -> Self {
+        let parts: Vec<Self> =
+            groups.iter().map(|group| Self::assign(&group.shards, &group.candidates)).collect();
+        let mut candidates: Vec<CarrierCandidate> =
+            parts.iter().flat_map(|part| part.candidates.iter().cloned()).collect();
+        candidates.sort_unstable();
+        candidates.dedup_by(|a, b| a.host == b.host);
+        let position = |host: &HostId| candidates.iter().position(|candidate| candidate.host == *host);
+        let assigned = parts.iter().flat_map(|part| {
+            let found = |(shard, at): (&ShardId, &usize)| {
+                Some((Arc::clone(shard), position(&part.candidates[*at].host)?))
+            };
+            part.assigned.iter().filter_map(found)
+        });
+        Self { assigned: assigned.collect(), candidates: candidates.clone() }
+    }
+
+    /// Returns the capacity of the candidates that would carry shards, in thousandths of a core.
+    #[must_use]
+    pub fn capacity(candidates: &[CarrierCandidate]) -> u64 {
+        large(candidates).map(capacity).sum()
+    }
+
     /// Returns the daemon that carries a shard, of those that are `available`.
     ///
     /// The shards of a carrier that isn't available go to the next one of each shard's own order,
@@ -82,6 +114,12 @@
     }
 }
 
+/// Returns the candidates with enough capacity to carry shards.
+fn large(candidates: &[CarrierCandidate]) -> impl Iterator<Item = &CarrierCandidate> {
+    let largest = candidates.iter().map(capacity).max().unwrap_or(0);
+    candidates.iter().filter(move |candidate| capacity(candidate) * 100 >= largest * MIN_CAPACITY_PERCENT)
+}
+
 fn capacity(candidate: &CarrierCandidate) -> u64 {
     u64::from(candidate.capacity.max(1))
 }
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::domain::ids::ShardId;
 use crate::domain::topology::Topology;
@@ -26,8 +27,16 @@
     enabled: bool,
     shares: Vec<u32>,
     min_shards: usize,
-    /// The scheduled indexes, with all shards of their plans in the order of their names.
-    indexes: HashMap<Arc<str>, Arc<[ShardId]>>,
+    indexes: HashMap<Arc<str>, ScheduledIndex>,
+}
+
+/// What is known of a scheduled index.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ScheduledIndex {
+    /// All shards of its plans, in the order of their names.
+    shards: Arc<[ShardId]>,
+    /// The shortest objective of its lookups.
+    objective: Duration,
 }
 
 impl Default for Scheduling {
@@ -72,7 +81,12 @@
 
     /// Returns all shards of a scheduled index in the order of their names.
     pub(super) fn shards(&self, index: &str) -> Option<Arc<[ShardId]>> {
-        self.indexes.get(index).map(Arc::clone)
+        self.indexes.get(index).map(|index| Arc::clone(&index.shards))
+    }
+
+    /// Returns the shortest objective of the lookups of a scheduled index.
+    pub(super) fn objective(&self, index: &str) -> Duration {
+        self.indexes.get(index).map_or(Duration::ZERO, |index| index.objective)
     }
 
     /// Applies a new view.
@@ -84,7 +98,9 @@
         let regions: HashSet<&Arc<str>> = topology.regions.values().collect();
         let suitable = view.lookups.values().filter(|plan| is_suitable(plan, self.min_shards, regions.len()));
         let names: BTreeSet<&str> = suitable.map(|plan| plan.lookup.index.as_str()).collect();
-        self.indexes.extend(names.into_iter().map(|name| (name.into(), shards_of(view, name))));
+        let index =
+            |name| ScheduledIndex { shards: shards_of(view, name), objective: objective_of(view, name) };
+        self.indexes.extend(names.into_iter().map(|name| (name.into(), index(name))));
     }
 }
 
@@ -104,6 +120,13 @@
         && replicas().all(|count| count <= regions)
 }
 
+/// Returns the shortest objective of the lookups of an index.
+fn objective_of(view: &View, index: &str) -> Duration {
+    let lookups = view.lookups.values().filter(|plan| plan.lookup.index == *index);
+    let shortest = lookups.filter_map(|plan| plan.lookup.objective_ms).min();
+    Duration::from_millis(shortest.unwrap_or(0))
+}
+
 /// Returns the shards of all plans of an index, of each snapshot, in the order of their names.
 fn shards_of(view: &View, index: &str) -> Arc<[ShardId]> {
     let plans = view.lookups.values().filter(|plan| plan.lookup.index == *index).flat_map(|plan| &plan.plans);
--- a/crates/harefield/tests/decisions/carriers.rs
+++ b/crates/harefield/tests/decisions/carriers.rs
@@ -257,7 +257,7 @@
     let fleet = Fleet::new(6, true);
     let mut router = fleet.router(0, &[]);
     let (before, mut fanout) = fleet.request(&mut router, fleet.start);
-    let victim = Arc::clone(&fleet.rows[3].host);
+    let victim = Arc::clone(&fleet.rows[2].host);
     let lost = before.iter().filter(|host| **host == victim).count();
     assert!(lost > 0, "the daemon carries shards");
     // Its groups are revoked while the members still show it as live.
@@ -267,8 +267,8 @@
     let revoked = actions.iter().filter(|action| matches!(action, Action::Revoke(_))).count();
     assert!(revoked > 0, "groups without an answer are revoked");
     // Once it is seen not to answer, the others take its shards and keep nearly all of theirs.
-    fleet.update(&mut router, &[3]);
-    let (after, _) = fleet.request(&mut fleet.router(0, &[3]), fleet.start);
+    fleet.update(&mut router, &[2]);
+    let (after, _) = fleet.request(&mut fleet.router(0, &[2]), fleet.start);
     assert!(after.iter().all(|host| *host != victim && !host.is_empty()));
     let kept = before.iter().zip(&after).filter(|(before, after)| before == after).count();
     assert!(kept >= (SHARDS - lost) * 8 / 10, "{kept} of {} kept", SHARDS - lost);
@@ -290,7 +290,7 @@
     // the carrier answered another group meanwhile.
     let fleet = Fleet::new(6, true);
     let mut router = fleet.router(0, &[]);
-    let host = Arc::clone(&fleet.rows[3].host);
+    let host = Arc::clone(&fleet.rows[2].host);
     let kind = "l".into();
     let carries =
         |router: &mut Router, millis| fleet.request(router, at(fleet.start, millis)).0.contains(&host);
