Show the wait queues in metrics and in harefield status

Operators saw which requests were refused for lack of room, but not where requests wait. It looks only at shards with waiters, and does nothing where scheduling is disabled.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -20,6 +20,7 @@
 use crate::domain::event::Event;
 use crate::domain::outcome::Outcome;
 use crate::memory::Meters;
+use crate::telemetry::RankQueue;
 
 /// The upper bound of the first latency bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.002;
@@ -50,8 +51,15 @@
     lookup: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Rank {
+    rank: u64,
+}
+
 type Kinds = Family<Kind, Counter>;
 type Lookups = Family<Lookup, Counter>;
+type Ranks = Family<Rank, Gauge>;
+type RankTimes = Family<Rank, Gauge<f64, AtomicU64>>;
 type Times = Family<Lookup, Histogram, fn() -> Histogram>;
 
 /// The metrics of a daemon.
@@ -67,6 +75,8 @@
     groups: Kinds,
     shards_left_out: Lookups,
     refused_no_room: Lookups,
+    dispatch_waiting: Ranks,
+    dispatch_delay: RankTimes,
     ended: Kinds,
     held: Family<Kind, Gauge>,
     dropped: Counter,
@@ -127,6 +137,11 @@
         let shards_left_out = lookup_family("shards_left_out", help);
         let help = "Requests refused, since too few shards could answer in time, by lookup";
         let refused_no_room = lookup_family("refused_no_room", help);
+        let (dispatch_waiting, dispatch_delay) = (Ranks::default(), RankTimes::default());
+        let help = "Requests that wait for shards of scheduled indexes, by rank";
+        registry.register("dispatch_waiting", help, dispatch_waiting.clone());
+        let help = "The longest time that a new request would wait for a shard, by rank";
+        registry.register("dispatch_delay_ms", help, dispatch_delay.clone());
         let bytes = Family::<Kind, Gauge>::default();
         registry.register("held_bytes", "Bytes held for others, by use", bytes.clone());
         let (dropped, revision) = (Counter::default(), Gauge::default());
@@ -157,6 +172,8 @@
             groups,
             shards_left_out,
             refused_no_room,
+            dispatch_waiting,
+            dispatch_delay,
             ended,
             held: bytes,
             dropped,
@@ -246,6 +263,15 @@
         self.age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     }
 
+    /// Sets the gauges of the wait queues, by rank.
+    pub fn set_queues(&self, ranks: &[RankQueue]) {
+        for (rank, queue) in (0..).zip(ranks) {
+            let waiting = i64::try_from(queue.waiting).unwrap_or(i64::MAX);
+            self.dispatch_waiting.get_or_create(&Rank { rank }).set(waiting);
+            self.dispatch_delay.get_or_create(&Rank { rank }).set(queue.delay_ms);
+        }
+    }
+
     /// Returns the metrics that memory accounting updates.
     #[must_use]
     pub fn meters(&self) -> Meters {
--- a/crates/harefield/src/commands/status.rs
+++ b/crates/harefield/src/commands/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::Exit;
 use super::Outcome;
@@ -12,6 +13,8 @@
 use super::fetch::Fleet;
 use super::fetch::find_fleet;
 use crate::domain::revision::Revision;
+use crate::telemetry::MAX_QUEUES_NAMED;
+use crate::telemetry::ShardQueue;
 use crate::telemetry::Status;
 
 const HELP: &str = "\
@@ -19,7 +22,10 @@
 
 Fetches the status of every daemon that can be found and prints it: the revision
 in force, the revision of the host list, requests. Then prints the differences:
-daemons with an older revision, daemons that others do not see as live.
+daemons with an older revision, daemons that others do not see as live. Then the
+shards of scheduled indexes that new requests would wait longest for, at most 8:
+the daemon where they wait, the waiting requests by rank, and that daemon's
+requests in flight at each replica.
 
 Options:
   --json           each daemon's status as a JSON line
@@ -55,6 +61,7 @@
     }
     if !json {
         print_differences(&fleet);
+        print_queues(&fleet);
     }
     Ok(Exit::Success)
 }
@@ -103,3 +110,28 @@
         println!("upstreams leaving: {}", Vec::from_iter(leaving).join(", "));
     }
 }
+
+/// Prints the shards with the longest delays. Each daemon names at most [`MAX_QUEUES_NAMED`].
+fn print_queues(fleet: &Fleet) {
+    let of_daemon = |status: &Status| {
+        status.queues().longest.into_iter().map(|q| (Arc::clone(&status.host), q)).collect()
+    };
+    let mut queues: Vec<_> = fleet.answered.iter().flat_map(|(_, s)| -> Vec<_> { of_daemon(s) }).collect();
+    queues.sort_by(|(_, a), (_, b)| b.delay_ms.total_cmp(&a.delay_ms));
+    for (host, queue) in queues.iter().take(MAX_QUEUES_NAMED) {
+        println!("waiting: {}", format_queue(host, queue));
+    }
+}
+
+fn format_queue(host: &str, queue: &ShardQueue) -> String {
+    let by_rank: Vec<String> = queue.waiting.iter().map(usize::to_string).collect();
+    let in_flight: Vec<String> =
+        queue.in_flight.iter().map(|(name, count)| format!("{name} {count}")).collect();
+    format!(
+        "{} at {host} delay {:.0} ms, requests by rank {}, in flight {}",
+        queue.shard,
+        queue.delay_ms,
+        by_rank.join(" "),
+        in_flight.join(", "),
+    )
+}
--- a/crates/harefield/src/domain/dispatch/dispatcher.rs
+++ b/crates/harefield/src/domain/dispatch/dispatcher.rs
@@ -66,6 +66,12 @@
         all
     }
 
+    /// Returns how many waiters each class of a shard has.
+    #[must_use]
+    pub fn waiting_for(&self, shard: &ShardId) -> Vec<usize> {
+        self.queues.get(shard).map(|queue| queue.waiting().collect()).unwrap_or_default()
+    }
+
     /// Returns whether no other waiter of a shard precedes one, which may wait already or not.
     /// Demotes those past their due time first.
     pub fn goes_first(&mut self, shard: &ShardId, waiter: &Waiter, now: Instant) -> bool {
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -52,6 +52,12 @@
         self
     }
 
+    /// Returns whether indexes may be scheduled.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        self.enabled
+    }
+
     /// Returns the fewest shards of an index that is scheduled.
     #[must_use]
     pub fn min_shards(&self) -> usize {
--- a/crates/harefield/src/domain/routing/turns.rs
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -28,6 +28,13 @@
         self.placement.replicas_of(shard).len()
     }
 
+    /// Returns how many requests this worker has in flight at each replica of a shard of a scheduled
+    /// index; those for other shards count as well.
+    pub fn in_flight_for(&self, shard: &ShardId) -> impl Iterator<Item = (&UpstreamId, usize)> {
+        let replicas = self.placement.replicas_of(shard).iter();
+        replicas.filter_map(|name| Some((name, self.upstreams.get(name)?.in_flight())))
+    }
+
     /// Notifies the first waiter of each shard that an upstream holds.
     pub(super) fn notify_upstream(&mut self, name: &UpstreamId, now: Instant) {
         for shard in self.placement.shards_of(name) {
--- a/crates/harefield/src/engine/status.rs
+++ b/crates/harefield/src/engine/status.rs
@@ -6,10 +6,16 @@
 
 use super::worker::Worker;
 use crate::domain::admission::Gate;
+use crate::domain::ids::ShardId;
+use crate::domain::routing::Router;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
 use crate::telemetry::Board;
+use crate::telemetry::MAX_QUEUES_NAMED;
+use crate::telemetry::QueueStatus;
+use crate::telemetry::RankQueue;
+use crate::telemetry::ShardQueue;
 use crate::telemetry::UpstreamStatus;
 use crate::telemetry::WorkerStatus;
 
@@ -21,7 +27,7 @@
     pub async fn report(self: Rc<Self>, board: Arc<Board>, opened: impl Fn() -> u64) {
         loop {
             let status = self.status(opened());
-            board.status().workers.insert(self.settings.number, status);
+            board.put_worker(self.settings.number, status);
             self.ports.clock.sleep(REPORT_EVERY).await;
         }
     }
@@ -49,6 +55,35 @@
             extra: counts.extra,
             opened,
             upstreams,
+            queues: self.queues(&router),
         }
     }
+
+    /// Returns the wait queues. It looks only at the shards with waiters.
+    fn queues(&self, router: &Router) -> QueueStatus {
+        let (dispatch, now) = (router.dispatch(), self.ports.clock.now());
+        if !self.settings.scheduling.is_enabled() {
+            return QueueStatus::default();
+        }
+        let rank = |waiting| RankQueue { waiting, delay_ms: 0.0 };
+        let mut ranks: Vec<_> = dispatch.waiting().into_iter().map(rank).collect();
+        let mut shards: Vec<(f64, &ShardId)> = Vec::new();
+        for shard in dispatch.shards() {
+            let mut longest = 0.0;
+            for (rank, queue) in (0..).zip(&mut ranks) {
+                let delay = router.shard_delay(shard, rank, now).as_secs_f64() * 1000.0;
+                queue.delay_ms = queue.delay_ms.max(delay);
+                longest = delay.max(longest);
+            }
+            shards.push((longest, shard));
+        }
+        shards.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        let longest = shards.into_iter().take(MAX_QUEUES_NAMED).map(|(delay_ms, shard)| ShardQueue {
+            shard: Arc::clone(shard),
+            delay_ms,
+            waiting: dispatch.waiting_for(shard),
+            in_flight: router.in_flight_for(shard).map(|(name, count)| (Arc::clone(name), count)).collect(),
+        });
+        QueueStatus { ranks, longest: longest.collect() }
+    }
 }
--- a/crates/harefield/src/telemetry/board.rs
+++ b/crates/harefield/src/telemetry/board.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::queues::QueueStatus;
 use super::store::Store;
 use super::tally::LookupStatus;
 use crate::adapters::metrics::Metrics;
@@ -81,6 +82,9 @@
     pub opened: u64,
     /// The upstreams that the worker knows.
     pub upstreams: Vec<UpstreamStatus>,
+    /// The requests that wait for shards of scheduled indexes.
+    #[serde(default)]
+    pub queues: QueueStatus,
 }
 
 /// How one account's requests were decided at this daemon since it started.
@@ -120,6 +124,16 @@
     pub dropped: u64,
 }
 
+impl Status {
+    /// Returns the wait queues of all workers.
+    #[must_use]
+    pub fn queues(&self) -> QueueStatus {
+        let mut queues = QueueStatus::default();
+        self.workers.values().for_each(|worker| queues.add(&worker.queues));
+        queues
+    }
+}
+
 /// Status, configuration, events and metrics, shared between the threads that publish them and
 /// the operators' listener.
 ///
@@ -164,6 +178,13 @@
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Publishes the status of a worker, and the metrics of all workers' wait queues.
+    pub fn put_worker(&self, number: usize, worker: WorkerStatus) {
+        let mut status = self.status();
+        status.workers.insert(number, worker);
+        self.metrics.set_queues(&status.queues().ranks);
+    }
+
     /// Returns the resource set in force.
     #[must_use]
     pub fn set(&self) -> Arc<ResourceSet> {
--- a/crates/harefield/src/telemetry/mod.rs
+++ b/crates/harefield/src/telemetry/mod.rs
@@ -5,6 +5,7 @@
 
 mod board;
 mod collector;
+mod queues;
 mod ring;
 mod store;
 mod tally;
@@ -17,6 +18,10 @@
 pub use board::UpstreamStatus;
 pub use board::WorkerStatus;
 pub use collector::run;
+pub use queues::MAX_QUEUES_NAMED;
+pub use queues::QueueStatus;
+pub use queues::RankQueue;
+pub use queues::ShardQueue;
 pub use ring::Batch;
 pub use ring::Telemetry;
 pub use ring::ring;
