Test refusals and left-out shards by reported delays with real daemons

Until now only tests of decisions and of the simulated fleet covered the way from a carrier's delays to HF2020 and to a left-out shard. A further test covers the metrics and the status of the queues.

--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -16,6 +16,7 @@
 mod overload;
 mod own_answer;
 mod planned_stop;
+mod short_shards;
 mod silent_connections;
 mod site;
 mod site_accounts;
--- a/crates/harefield/tests/processes/wait_queue.rs
+++ b/crates/harefield/tests/processes/wait_queue.rs
@@ -2,6 +2,7 @@
 //! and what is left of requests whose callers have gone.
 
 use std::net::TcpStream;
+use std::process::Command;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::site_support::limits;
 use crate::site_support::read_answer;
 use crate::site_support::request_at;
+use crate::site_support::send_request;
 use crate::support::Daemon;
 use crate::support::await_true;
 use harefield::adapters::http::Traffic;
@@ -165,3 +167,29 @@
         assert_eq!((answer.status, answer.header("missing-parts")), (200, "0"));
     }
 }
+
+/// Guards against queues that operators don't see, and against ones that are shown for good.
+#[test]
+fn queues_shown() {
+    let site = Scheduled::start();
+    let shows = |waiting: bool| {
+        let metrics = send_request(site.daemon.addresses.operators, "/metrics", "");
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let from = site.daemon.addresses.operators.to_string();
+        let output = Command::new(env!("CARGO_BIN_EXE_harefield")).args(["status", "--from", &from]).output();
+        let lines = String::from_utf8_lossy(&output.expect("the command runs").stdout).into_owned();
+        let names = ["harefield_dispatch_waiting", "harefield_dispatch_delay_ms"];
+        let zeros = ["0", "0.0"].map(|zero| format!("{{rank=\"0\"}} {zero}"));
+        let is_zero =
+            |name| zeros.iter().any(|zero| text.lines().any(|line| line == format!("{name}{zero}")));
+        let known = names.iter().all(|name| text.contains(&format!("{name}{{rank=\"3\"}}")));
+        let shards = lines.lines().filter(|line| line.starts_with("waiting: s")).count();
+        known && names.iter().all(|name| is_zero(name) != waiting) && shards == if waiting { 8 } else { 0 }
+    };
+    await_true("nothing waits", || shows(false));
+    site.set_delay(600);
+    let callers = site.begin(8);
+    await_true("the queues are shown", || shows(true));
+    drop(callers);
+    await_true("nothing waits again", || shows(false));
+}
