--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -32,6 +32,7 @@
 mod once;
 mod overload;
 mod overrun;
+mod queue_status;
 mod reach;
 mod readers;
 mod readiness;
