Keep the format of groups readable by earlier versions

Groups identify their fields by position. The field `rank` was added before `possible`, so that daemons of two versions read each other's groups with all later fields shifted by one, and rejected them ("TypeMismatch"), also where no index is scheduled. `delays` in a reply was rejected by earlier versions too.

`rank` is now the last field and written only where the index is scheduled; `asker` is written whenever a field follows. Replies state `delays` only to daemons that stated a rank.

group_messages::earlier_versions failed before.

--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -86,6 +86,8 @@
 
     fn group_message(&self, job: &Job, plan: &Plan, rules: &AnswerRules, group: &GroupRequest) -> Group {
         let left = job.deadline.saturating_duration_since(self.ports.clock.now());
+        let rank = self.router.borrow().schedules(&plan.index).then_some(rules.rank);
+        let has_asker = rank.is_some() || !job.requester.is_open();
         let query = match &job.query {
             Query::Opaque(query) => (**query).clone(),
             Query::Json(_) => OpaqueQuery::default(),
@@ -104,11 +106,11 @@
             remaining: micros(left),
             gather: group.gather_time.map(micros),
             again: rules.repeated,
-            rank: rules.rank,
             possible: Some(rules.min_possible(group.shards.len(), plan.shards.len())),
             suspects: self.reports(&job.work),
             regions: Arc::clone(&job.regions),
-            asker: job.requester.clone(),
+            asker: has_asker.then(|| job.requester.clone()),
+            rank,
         }
     }
 
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -11,6 +11,7 @@
 use super::job::Job;
 use super::job::WorkEvidence;
 use super::worker::Worker;
+use crate::domain::accounts::Requester;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
 use crate::domain::fanout::AnswerRules;
@@ -51,14 +52,15 @@
         let mut trace = self.request_trace(Some(&group.request));
         self.merge_reports(&group.suspects);
         let query = Query::Opaque(Arc::new(std::mem::take(&mut group.query)));
-        let work = Work::new(&group.lookup, group.asker.account.as_ref(), &query);
+        let requester = group.asker.take().unwrap_or_default();
+        let work = Work::new(&group.lookup, requester.account.as_ref(), &query);
         trace.emit(Event::GroupTaken {
             from: Arc::clone(&group.from),
             work: work.exact,
             shards: group.shards.len(),
             gather: group.gather,
         });
-        let Some((resolved, plan)) = self.resolve_group(&group, work, start) else {
+        let Some((resolved, plan)) = self.resolve_group(&group, &requester, work, start) else {
             return self.declined();
         };
         if self.running() >= self.settings.gate.running {
@@ -77,7 +79,7 @@
             once: false,
             merge: Some(group.most),
             regions: Arc::clone(&group.regions),
-            requester: group.asker.clone(),
+            requester,
             whole: false,
             evidence: WorkEvidence::default(),
         };
@@ -85,7 +87,7 @@
         let rules = AnswerRules {
             min_share,
             min_possible: group.possible,
-            rank: group.rank,
+            rank: group.rank.unwrap_or(resolved.plan.lookup.rank),
             grouped: false,
             repeated: group.again,
             trials: 0,
@@ -114,6 +116,7 @@
     fn resolve_group(
         &self,
         group: &Group,
+        requester: &Requester,
         work: Work,
         start: Instant,
     ) -> Option<(ResolvedRequest, Arc<Plan>)> {
@@ -123,7 +126,7 @@
         }
         let view = self.view.borrow();
         let plan = view.lookups.get(group.lookup.as_str())?;
-        if !group.asker.checked && view.directory.is_required() {
+        if !requester.checked && view.directory.is_required() {
             return None;
         }
         let parts = plan.parts.iter().map(|part| &part.plan);
@@ -138,7 +141,7 @@
             objective: group.gather.map(|time| start + Duration::from_micros(time)),
             again: group.again,
             late: false,
-            requester: group.asker.clone(),
+            requester: requester.clone(),
             regions: Arc::clone(&group.regions),
         };
         Some((resolved, Arc::new(shards)))
@@ -157,13 +160,14 @@
     }
 
     /// Returns how long a new request of a group's rank would wait for each of its shards, where
-    /// that isn't zero. Empty where the index isn't scheduled.
+    /// that isn't zero. Empty where the index isn't scheduled here or at the delegating daemon.
     fn group_delays(&self, group: &Group) -> Vec<GroupDelay> {
+        let Some(rank) = group.rank else { return Vec::new() };
         let (router, now) = (self.router.borrow(), self.ports.clock.now());
         if !router.schedules(&group.index) {
             return Vec::new();
         }
-        let delay = |shard| micros(router.shard_delay(shard, group.rank, now));
+        let delay = |shard| micros(router.shard_delay(shard, rank, now));
         let delays =
             group.shards.iter().enumerate().map(|(at, shard)| GroupDelay { at, micros: delay(shard) });
         delays.filter(|delay| delay.micros > 0).collect()
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -109,10 +109,6 @@
     pub gather: Option<u64>,
     /// Whether the request was sent to another daemon before.
     pub again: bool,
-    /// The rank of the lookup, as known to the delegating daemon. 0 from daemons that do not write
-    /// the field.
-    #[serde(default)]
-    pub rank: u32,
     /// How many shards must still be able to contribute; once fewer are, the replies received so
     /// far are sent at once. `None` from daemons that do not write the field, which means as many
     /// as are needed.
@@ -125,9 +121,14 @@
     /// region if empty. The receiving daemon obeys these and those that it knows itself.
     #[serde(default)]
     pub regions: Regions,
-    /// Whose request it is.
-    #[serde(default, skip_serializing_if = "Requester::is_open")]
-    pub asker: Requester,
+    /// Whose request it is; `None` where no client accounts are in force and no field follows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub asker: Option<Requester>,
+    /// The rank of the lookup if the delegating daemon schedules the index; the reply may then state
+    /// `delays`. `None` from daemons that do not write the field, which reject a group with it: they
+    /// identify fields by position and read no more of them than they know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u32>,
 }
 
 /// Requests permits from the holder of a part of an account's limit.
@@ -190,7 +191,8 @@
     /// The greatest records of all shards that contributed.
     pub records: ByteBuf,
     /// How long a new request of the group's rank would wait for some of the shards; not at all for
-    /// the others. Empty from daemons that do not write the field.
+    /// the others. Empty from daemons that do not write the field, and to those that do not read it:
+    /// they state no rank.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub delays: Vec<GroupDelay>,
 }
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -21,6 +21,7 @@
 mod fair_shares;
 mod fanout;
 mod freshness;
+mod group_messages;
 mod groups;
 mod latency_shifts;
 mod lease;
--- a/crates/harefield/tests/processes/silent_connections.rs
+++ b/crates/harefield/tests/processes/silent_connections.rs
@@ -100,11 +100,11 @@
         remaining: 0,
         gather: None,
         again: false,
-        rank: 0,
         possible: None,
         suspects: Vec::new(),
         regions: Regions::default(),
-        asker: Requester::default(),
+        asker: None,
+        rank: None,
     }
 }
 
--- a/crates/harefield/tests/processes/site.rs
+++ b/crates/harefield/tests/processes/site.rs
@@ -20,7 +20,6 @@
 use crate::support::await_true;
 use harefield::adapters::http::Traffic;
 use harefield::adapters::peers::HttpPeers;
-use harefield::domain::accounts::Requester;
 use harefield::domain::event::Event;
 use harefield::domain::event::Record;
 use harefield::domain::hlc::Stamp;
@@ -258,11 +257,11 @@
         remaining: 400_000,
         gather: Some(100_000),
         again: false,
-        rank: 0,
         possible: None,
         suspects: Vec::new(),
         regions: Regions::default(),
-        asker: Requester::default(),
+        asker: None,
+        rank: None,
     }
 }
 
--- a/crates/harefield/tests/processes/wait_queue.rs
+++ b/crates/harefield/tests/processes/wait_queue.rs
@@ -109,11 +109,11 @@
             remaining: millis * 1000,
             gather: Some(millis * 500),
             again: false,
-            rank: 0,
             possible: None,
             suspects: Vec::new(),
             regions: Regions::default(),
-            asker: Requester::default(),
+            asker: Some(Requester::default()),
+            rank: Some(0),
         };
         let executor: Rc<LocalExecutor<'static>> = Rc::default();
         let peers = HttpPeers::new(Rc::clone(&executor), None, Traffic::default(), Memory::default());
