Decide whether a fan-out joins the wait queues only when it starts

A fan-out was also given its name in the wait queues when it sent its own first attempts, where its index had become scheduled since its groups were sent. The engine registers the name before that, so the fan-out was neither woken nor were its tickets removed when its caller went away. The first such ticket in a shard's queue then kept all later requests of this worker for the shard waiting.

view_changes::scheduled_between_groups_and_start failed before.

--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -156,7 +156,9 @@
     /// Sends first attempts for all shards that were not delegated.
     pub fn start(&mut self, now: Instant, router: &mut Router, sink: &mut impl Sink) -> Vec<Action> {
         let mut step = StepContext::new(now, router, sink);
-        self.join_dispatch(step.router);
+        if self.started.is_none() {
+            self.join_dispatch(step.router);
+        }
         for shard in std::mem::take(&mut self.direct) {
             if self.shards[shard].is_open() {
                 self.start_attempt(shard, Cause::First, &mut step);
--- a/crates/harefield/src/domain/fanout/turns.rs
+++ b/crates/harefield/src/domain/fanout/turns.rs
@@ -47,10 +47,11 @@
         step.actions
     }
 
-    /// Gets the fan-out a name in the wait queues if its index is scheduled. It is decided once, so
-    /// that a change of the view leaves no ticket behind.
+    /// Gets the fan-out a name in the wait queues if its index is scheduled. It is decided once, when
+    /// the fan-out starts: the caller then arranges that its tickets are given up, and a change of
+    /// the view leaves none behind.
     pub(super) fn join_dispatch(&mut self, router: &mut Router) {
-        if self.id.is_none() && router.schedules(&self.plan.index) {
+        if router.schedules(&self.plan.index) {
             self.id = Some(router.dispatch_mut().next_id());
         }
     }
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -54,6 +54,7 @@
 mod suspects;
 mod turns;
 mod uneven;
+mod view_changes;
 mod views;
 mod work;
 mod world;
