Drop the run of slow replies when an index is no longer scheduled

Only the upstreams of scheduled indexes are judged by a few replies in a row. The run of slow ones was kept when a view unscheduled the index, and was never cleared after that: a single request in flight then made the upstream count as slow, unlike where nothing is scheduled.

view_changes::slow_run_ends_with_scheduling failed before.

--- a/crates/harefield/src/domain/routing/slots.rs
+++ b/crates/harefield/src/domain/routing/slots.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::choice::ChoiceRequest;
+use super::latency_shift::LatencyShift;
 use super::report::Exclusion;
 use super::report::ExclusionEnd;
 use super::router::LocalDaemon;
@@ -90,7 +91,8 @@
 }
 
 impl Router {
-    /// Sets the limits of the upstreams of all scheduled indexes.
+    /// Sets the limits of the upstreams of all scheduled indexes. Those of others are no longer
+    /// judged by a few replies, so the run of these is dropped.
     pub(super) fn apply_slots(&mut self, view: &View) {
         for state in self.upstreams.values_mut() {
             state.slots = SlotLimit::default();
@@ -103,6 +105,9 @@
                 }
             }
         }
+        for state in self.upstreams.values_mut().filter(|state| !state.slots.is_scheduled()) {
+            state.shift = LatencyShift::default();
+        }
     }
 
     /// Returns whether a request of a scheduled index waits for a replica without a free slot rather
--- a/crates/harefield/tests/decisions/view_changes.rs
+++ b/crates/harefield/tests/decisions/view_changes.rs
@@ -4,10 +4,13 @@
 use std::time::Instant;
 
 use crate::scheduled::SHARDS;
+use crate::scheduled::answer;
 use crate::scheduled::router_with;
 use crate::scheduled::rules;
 use crate::scheduled::scheduled_view;
+use crate::support::at;
 use crate::support::items;
+use crate::support::replica;
 use crate::support::values;
 use crate::support::view;
 use harefield::domain::fanout::Fanout;
@@ -43,3 +46,24 @@
     fanout.start(now, &mut router, &mut Vec::new());
     assert_eq!(fanout.id(), None, "the fan-out would wait under a name that nobody registered");
 }
+
+/// Guards against a run of slow replies that is kept when an index stops being scheduled, and then
+/// makes an upstream count as slow by its requests in flight, which only scheduling does.
+#[test]
+fn slow_run_ends_with_scheduling() {
+    let start = Instant::now();
+    let scheduled = scheduled_view(3, 2);
+    let mut router = scheduling_router(&scheduled);
+    let (slow, other) = (replica(0, 0), replica(0, 1));
+    answer(&mut router, &other, 10, 20, start);
+    answer(&mut router, &slow, 10, 20, start);
+    answer(&mut router, &slow, 100, 2, at(start, 200));
+    router.apply(&unscheduled_view(), at(start, 500));
+    let is_slower = |router: &Router, now| {
+        let states = [&slow, &other].map(|name| router.upstream(name).expect("it is known"));
+        states[0].is_slower(states[1], 0.01, now)
+    };
+    assert!(!is_slower(&router, at(start, 500)));
+    router.begin(&slow, at(start, 500));
+    assert!(!is_slower(&router, at(start, 560)));
+}
