Send carried shards to no daemon of a region where the request may not be served

Where no daemon of a shard's region could take it, or no replica was usable, the carrier of the own region was chosen in its place. A request that is bound to other regions, and whose caller came to a daemon of this one, was so sent with its body to more daemons here. These are now chosen only if the plan, which is without the replicas of other regions, has replicas here; else this daemon queries the shards itself.

carried_regions::body_stays_in_regions failed before. Groups of indexes that are not scheduled have the same fault where no replica is healthy (Fanout::by_region); they are unchanged.

--- a/crates/harefield/src/domain/fanout/carried.rs
+++ b/crates/harefield/src/domain/fanout/carried.rs
@@ -10,6 +10,7 @@
 use crate::domain::ids::ShardId;
 use crate::domain::routing::Carriers;
 use crate::domain::routing::PendingShard;
+use crate::domain::routing::Router;
 use crate::domain::view::ShardPlan;
 
 /// The carriers of the regions that a fan-out needs, each looked up once.
@@ -25,6 +26,7 @@
         let own_zone = Arc::clone(step.router.local_zone());
         let home = step.router.region_of(&own_zone);
         let own = Arc::clone(&step.router.local().host);
+        let home_serves = self.has_replicas_in(&home, step.router);
         let typical = step.router.latency(&self.rules.kind).mean().as_secs_f64();
         let mut known = RegionCarriers::new();
         let mut groups: BTreeMap<HostId, Vec<PendingShard>> = BTreeMap::new();
@@ -34,12 +36,13 @@
                 continue;
             }
             let zone = step.router.serving_zone(replicas, typical, step.now);
-            let zone = zone.unwrap_or_else(|| Arc::clone(&own_zone));
-            let region = step.router.region_of(&zone);
+            let region = zone.as_ref().map(|zone| step.router.region_of(zone));
             // A region without an available carrier may still have replicas that can be reached.
-            let carrier = self
-                .carrier(&region, shard, &mut known, step)
-                .or_else(|| self.carrier(&home, shard, &mut known, step));
+            let mut carrier = region.and_then(|region| self.carrier(&region, shard, &mut known, step));
+            if carrier.is_none() && home_serves {
+                carrier = self.carrier(&home, shard, &mut known, step);
+            }
+            let zone = zone.unwrap_or_else(|| Arc::clone(&own_zone));
             match carrier.filter(|host| *host != own) {
                 Some(host) => {
                     let pending = PendingShard { index, shard: Arc::clone(shard), zone };
@@ -54,6 +57,13 @@
         direct
     }
 
+    /// Returns whether the plan has replicas in a region. A request that may not be served in a region
+    /// has none there, and is sent to no daemon there either.
+    fn has_replicas_in(&self, region: &Arc<str>, router: &Router) -> bool {
+        let mut names = self.plan.shards.iter().flat_map(|shard| &shard.replicas);
+        names.any(|name| router.upstream(name).is_some_and(|s| router.region_of(&s.spec().zone) == *region))
+    }
+
     /// Returns the available carrier of a shard in a region.
     fn carrier<S: Sink>(
         &self,
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod budgets;
 mod buffers;
+mod carried_regions;
 mod carriers;
 mod cells;
 mod clock;
