Free an upstream's slot where an attempt is dropped before it runs

An attempt counts as in flight from the decision to send it. The guard that takes it off the count was created inside its task, so that a request whose caller left before the task was first polled left its upstream with one request in flight forever. With the slot limits of scheduled indexes, one at a replica of another region, that replica is then never asked again by this worker; before, the window just lost one place. Groups had the same fault: a carrier that had failed once and has a group outstanding is not used again.

Both guards now exist from the decision on. dropped_tasks::dropped_before_it_runs failed before, over a worker with fakes at its ports.

--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts on upstreams. Each runs as a task of its own, so that its outcome is recorded even
 //! after its request has been answered.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
@@ -93,17 +94,17 @@
     }
 }
 
-/// Takes an attempt off its upstream's in-flight count when the task is dropped before it
-/// completes.
-struct AttemptGuard<'a, U: Upstreams, P: Peers, C: Clock> {
-    worker: &'a Worker<U, P, C>,
-    attempt: &'a Attempt,
-    completed: bool,
+/// One attempt in flight. It is taken off its upstream's in-flight count when dropped before it
+/// completes, also where its task has not run yet.
+struct AttemptGuard<U: Upstreams, P: Peers, C: Clock> {
+    worker: Rc<Worker<U, P, C>>,
+    attempt: Attempt,
+    completed: Cell<bool>,
 }
 
-impl<U: Upstreams, P: Peers, C: Clock> std::ops::Drop for AttemptGuard<'_, U, P, C> {
+impl<U: Upstreams, P: Peers, C: Clock> std::ops::Drop for AttemptGuard<U, P, C> {
     fn drop(&mut self) {
-        if self.completed {
+        if self.completed.get() {
             return;
         }
         let SendAttempt { upstream, start, .. } = &self.attempt.send;
@@ -252,21 +253,21 @@
             Cause::First => counts.first += 1,
             Cause::Retry | Cause::Hedge | Cause::Probe => counts.extra += 1,
         });
-        let this = Rc::clone(self);
         let pending = attempt.job.evidence.begin();
+        let guard = AttemptGuard { worker: Rc::clone(self), attempt, completed: Cell::new(false) };
         let task = async move {
-            let mut guard = AttemptGuard { worker: &this, attempt: &attempt, completed: false };
-            let end = this.query_upstream(&attempt).await;
-            let end = this.classify_end(&attempt, &pending, end).await;
+            let AttemptGuard { worker: this, attempt, completed } = &guard;
+            let end = this.query_upstream(attempt).await;
+            let end = this.classify_end(attempt, &pending, end).await;
             drop(pending);
-            guard.completed = true;
-            this.record_outcome(&attempt, &end);
+            completed.set(true);
+            this.record_outcome(attempt, &end);
             this.deliver_turns();
             let (shard, number) = (attempt.send.shard, attempt.send.attempt);
             let (failure, ran) = (end.end.gap(), end.end.may_have_run());
-            let completed = CompletedAttempt::Shard { shard, attempt: number, end: end.end };
-            if sender.try_send(completed).is_err() {
-                this.record_late(&attempt, failure, ran);
+            let ended = CompletedAttempt::Shard { shard, attempt: number, end: end.end };
+            if sender.try_send(ended).is_err() {
+                this.record_late(attempt, failure, ran);
             }
         };
         self.executor.spawn(task)
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -1,6 +1,7 @@
 //! Groups of shards of other availability zones, delegated to a daemon near their replicas. What
 //! that daemon does with them is in `relay`.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,18 +36,19 @@
 use crate::ports::Upstreams;
 use crate::telemetry::Batch;
 
-/// Takes a group off its daemon's in-flight count when the task is dropped before it completes.
-struct GroupGuard<'a, U: Upstreams, P: Peers, C: Clock> {
-    worker: &'a Worker<U, P, C>,
-    lookup: &'a Arc<str>,
-    group: &'a GroupRequest,
-    completed: bool,
+/// One group in flight. It is taken off its daemon's in-flight count when dropped before it
+/// completes, also where its task has not run yet.
+struct GroupGuard<U: Upstreams, P: Peers, C: Clock> {
+    worker: Rc<Worker<U, P, C>>,
+    lookup: Arc<str>,
+    group: GroupRequest,
+    completed: Cell<bool>,
 }
 
-impl<U: Upstreams, P: Peers, C: Clock> Drop for GroupGuard<'_, U, P, C> {
+impl<U: Upstreams, P: Peers, C: Clock> Drop for GroupGuard<U, P, C> {
     fn drop(&mut self) {
-        if !self.completed {
-            self.worker.release_relay(self.lookup, self.group, RelayOutcome::Abandoned);
+        if !self.completed.get() {
+            self.worker.release_relay(&self.lookup, &self.group, RelayOutcome::Abandoned);
         }
     }
 }
@@ -62,23 +64,24 @@
         sender: Sender<CompletedAttempt>,
     ) -> Task<()> {
         let message = self.group_message(job, plan, rules, &group);
-        let (this, job) = (Rc::clone(self), job.clone());
+        let job = job.clone();
         let (plan, rank) = (Arc::clone(plan), rules.rank);
         let pending = job.evidence.begin();
+        let (worker, lookup) = (Rc::clone(self), Arc::clone(&job.lookup));
+        let guard = GroupGuard { worker, lookup, group, completed: Cell::new(false) };
         let task = async move {
             let _pending = pending;
-            let mut guard =
-                GroupGuard { worker: &this, lookup: &job.lookup, group: &group, completed: false };
+            let GroupGuard { worker: this, group, completed, .. } = &guard;
             let left = job.deadline.saturating_duration_since(this.ports.clock.now());
             let result = this.ports.peers.delegate(&group.host, &message, left + TRANSIT_ALLOWANCE).await;
-            guard.completed = true;
+            completed.set(true);
             let reported = result.as_ref().ok().filter(|reply| !reply.declined);
             if let Some(reply) = reported {
-                this.record_delays(&plan, rank, &group, &reply.delays);
+                this.record_delays(&plan, rank, group, &reply.delays);
             }
-            let (outcome, end) = this.group_outcome(&group, result);
-            this.release_relay(&job.lookup, &group, outcome);
-            this.record_group(&job, &group, outcome, &end);
+            let (outcome, end) = this.group_outcome(group, result);
+            this.release_relay(&job.lookup, group, outcome);
+            this.record_group(&job, group, outcome, &end);
             let _ = sender.try_send(CompletedAttempt::Group(group.clone(), end)).is_ok();
         };
         self.executor.spawn(task)
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod crash_guard;
 mod delegates;
 mod dispatch;
+mod dropped_tasks;
 mod early_end;
 mod entries;
 mod eras;
