Report delays by a worker's own part of the slots

A daemon of several workers divides the slots of a replica among them, but each estimated the delay of its waiting requests by all slots. With two workers and two slots the reported delay was half of the real one, so that requests were admitted that could not be answered in time.

slots::delay_by_own_slots failed before: 20 ms in place of 40 ms.

--- a/crates/harefield/src/domain/routing/turns.rs
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -52,8 +52,8 @@
         self.dispatch.delay(shard, rank, self.slots_for(shard, now))
     }
 
-    /// Returns how many slots serve the requests for a shard that wait here: those of the available
-    /// replicas in its own region, or one where there is none.
+    /// Returns how many slots serve the requests for a shard that wait here: this worker's part of
+    /// those of the available replicas in its own region, or one where there is none.
     ///
     /// Slots of other regions don't count. Where requests wait, the other regions usually need them
     /// as much, and what is sent there is returned the same way.
@@ -61,6 +61,6 @@
         let found = self.placement.replicas_of(shard).iter().filter_map(|name| self.upstreams.get(name));
         let available = found.filter(|s| s.accepts_work().is_ok() && !s.is_backed_off(now));
         let near = available.filter(|s| s.distance != Distance::Far);
-        near.map(|s| s.spec.slots.max(1)).sum::<u32>().max(1)
+        near.map(|s| s.slot_limit().unwrap_or(s.spec.slots)).sum::<u32>().max(1)
     }
 }
--- a/crates/harefield/tests/decisions/slots.rs
+++ b/crates/harefield/tests/decisions/slots.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use proptest::prelude::*;
@@ -17,6 +18,8 @@
 use crate::support::at;
 use crate::support::cases;
 use crate::support::replica;
+use harefield::domain::dispatch::Ticket;
+use harefield::domain::dispatch::Waiter;
 use harefield::domain::fanout::Action;
 use harefield::domain::fanout::Fanout;
 use harefield::domain::ids::UpstreamId;
@@ -283,3 +286,24 @@
     site.begin(2);
     assert!(!probed(&site), "three of six slots are in use");
 }
+
+/// Guards against delays that are reported too short by a daemon of several workers: each has its
+/// part of the slots only, but counted all of them.
+#[test]
+fn delay_by_own_slots() {
+    let now = Instant::now();
+    let view = scheduled_view(3, 2);
+    let shard = Arc::clone(&view.lookups["l"].plans[0].shards[0].shard);
+    let delay = |workers, worker| {
+        let local = LocalDaemon { workers, worker, ..LocalDaemon::default() };
+        let mut router = scheduled_router(&view, 3, 0, local);
+        for fanout in 0..4 {
+            let ticket = Ticket { fanout, shard: 0 };
+            let waiter = Waiter { ticket, rank: 0, due: None, cost: Duration::from_millis(10) };
+            router.dispatch_mut().wait(&shard, waiter, now);
+        }
+        router.shard_delay(&shard, 0, now)
+    };
+    assert_eq!(delay(1, 0), Duration::from_millis(20));
+    assert_eq!([delay(2, 0), delay(2, 1)], [Duration::from_millis(40); 2]);
+}
