Scheduling: shorter functions, and names that say what is decided

Splits the events off the decision on a shard's room, and what a view changes in scheduling off Router::apply. Renames is_carried_on to is_still_served, is_spared to skips_retry and record_spared to close_without_retry. No change of behavior.

--- a/crates/harefield/src/domain/fanout/group_results.rs
+++ b/crates/harefield/src/domain/fanout/group_results.rs
@@ -25,7 +25,7 @@
     ///
     /// Its requests then wait in the queues of their shards. Revoking the group would discard the
     /// replies that it has, and query all of its shards again when they have the least capacity.
-    pub(super) fn is_carried_on<S>(&self, at: usize, step: &StepContext<'_, S>) -> bool {
+    pub(super) fn is_still_served<S>(&self, at: usize, step: &StepContext<'_, S>) -> bool {
         let since = step.now.checked_sub(ALIVE_FOR).unwrap_or(step.now);
         step.router.schedules(&self.plan.index)
             && step.router.relays().has_answered_since(&self.groups[at].host, since)
@@ -34,7 +34,7 @@
     /// Returns whether a shard that a carrier could not query in time is not queried again: the
     /// answer is possible without it, and each further request for it would compete with those that
     /// are still in time.
-    fn is_spared<S>(&self, shard: usize, why: Gap, step: &StepContext<'_, S>) -> bool {
+    fn skips_retry<S>(&self, shard: usize, why: Gap, step: &StepContext<'_, S>) -> bool {
         let late = matches!(why, Gap::Late | Gap::NotAsked | Gap::Overloaded);
         if !late || !step.router.schedules(&self.plan.index) {
             return false;
@@ -45,7 +45,7 @@
     }
 
     /// Closes a shard that isn't queried again.
-    fn record_spared<S: Sink>(
+    fn close_without_retry<S: Sink>(
         &mut self,
         shard: usize,
         group: &GroupRequest,
@@ -104,8 +104,8 @@
     ) {
         let end = match result {
             ShardResult::Part(reply) => AttemptEnd::Answered(reply.clone()),
-            ShardResult::Missing { why, ran, .. } if self.is_spared(shard, *why, step) => {
-                return self.record_spared(shard, group, (*why, *ran), step);
+            ShardResult::Missing { why, ran, .. } if self.skips_retry(shard, *why, step) => {
+                return self.close_without_retry(shard, group, (*why, *ran), step);
             }
             ShardResult::Missing { ran: false, sent: 0, .. } => {
                 return self.record_unsent(shard, group, step);
--- a/crates/harefield/src/domain/fanout/groups.rs
+++ b/crates/harefield/src/domain/fanout/groups.rs
@@ -197,7 +197,8 @@
         let holds =
             |group: &GroupRequest| self.shards[shard].in_flight.iter().any(|f| f.attempt == group.attempt);
         let Some(at) = self.groups.iter().position(holds) else { return false };
-        if self.is_carried_on(at, step) || (step.now < self.groups[at].lost_at && !self.replaceable(at, step))
+        if self.is_still_served(at, step)
+            || (step.now < self.groups[at].lost_at && !self.replaceable(at, step))
         {
             for shard in &self.groups[at].shards {
                 self.shards[*shard].hedge = Hedge::Due(step.now + RECHECK_INTERVAL);
--- a/crates/harefield/src/domain/routing/router.rs
+++ b/crates/harefield/src/domain/routing/router.rs
@@ -140,6 +140,15 @@
         self
     }
 
+    fn apply_scheduling(&mut self, view: &View, now: Instant) {
+        self.scheduling.apply(view, &self.topology);
+        self.carriers.retain(|index| self.scheduling.covers(index));
+        self.carriers.invalidate();
+        self.placement = Placement::new(view, &self.scheduling);
+        self.notify_all(now);
+        self.apply_slots(view);
+    }
+
     /// Returns whether the shards of an index are scheduled.
     #[must_use]
     pub fn schedules(&self, index: &str) -> bool {
@@ -216,12 +225,7 @@
             }
         }
         self.cells.clone_from(&view.cells);
-        self.scheduling.apply(view, &self.topology);
-        self.carriers.retain(|index| self.scheduling.covers(index));
-        self.carriers.invalidate();
-        self.placement = Placement::new(view, &self.scheduling);
-        self.notify_all(now);
-        self.apply_slots(view);
+        self.apply_scheduling(view, now);
         self.latencies.retain(|kind, _| view.lookups.contains_key(kind));
         for (kind, plan) in &view.lookups {
             if let Some(millis) = plan.lookup.objective_ms {
--- a/crates/harefield/src/engine/shard_room.rs
+++ b/crates/harefield/src/engine/shard_room.rs
@@ -71,21 +71,11 @@
         let decision = self.shard_room.borrow_mut().decide(&request, local, usual, now);
         match decision {
             RoomDecision::Admit { leave_out } => {
-                if !leave_out.is_empty() {
-                    let named = leave_out.iter().take(MAX_LEFT_OUT_NAMED);
-                    let shards = named.map(|at| Arc::clone(&plan.shards[*at].shard)).collect();
-                    let lookup = resolved.plan.name.to_string();
-                    trace.emit(Event::LeftOut { lookup, count: leave_out.len(), shards });
-                }
+                report_left_out(resolved, plan, &leave_out, trace);
                 Ok(leave_out)
             }
             RoomDecision::Refuse { wait, short, longest } => {
-                let named = |short: &ShortShard| ShardDelay {
-                    shard: Arc::clone(&plan.shards[short.at].shard),
-                    micros: micros(short.delay),
-                };
-                let (lookup, shards) = (resolved.plan.name.to_string(), longest.iter().map(named).collect());
-                trace.emit(Event::NoShardRoom { lookup, count: short, shards });
+                report_refusal(resolved, plan, (short, &longest), trace);
                 let mut gates = self.gates.borrow_mut();
                 let gate = gates.get_mut(&plan.index);
                 Err(gate.map_or(wait, |gate| gate.retry_after_room(rules.rank, wait, now)))
@@ -109,6 +99,35 @@
     }
 }
 
+fn report_left_out<C: Clock>(
+    resolved: &ResolvedRequest,
+    plan: &Plan,
+    leave_out: &[usize],
+    trace: &mut Trace<C>,
+) {
+    if leave_out.is_empty() {
+        return;
+    }
+    let named = leave_out.iter().take(MAX_LEFT_OUT_NAMED);
+    let shards = named.map(|at| Arc::clone(&plan.shards[*at].shard)).collect();
+    let lookup = resolved.plan.name.to_string();
+    trace.emit(Event::LeftOut { lookup, count: leave_out.len(), shards });
+}
+
+fn report_refusal<C: Clock>(
+    resolved: &ResolvedRequest,
+    plan: &Plan,
+    (count, longest): (usize, &[ShortShard]),
+    trace: &mut Trace<C>,
+) {
+    let named = |short: &ShortShard| ShardDelay {
+        shard: Arc::clone(&plan.shards[short.at].shard),
+        micros: micros(short.delay),
+    };
+    let shards = longest.iter().map(named).collect();
+    trace.emit(Event::NoShardRoom { lookup: resolved.plan.name.to_string(), count, shards });
+}
+
 /// Returns how many requests a replica of a plan's shards runs concurrently.
 fn slots(router: &Router, plan: &Plan) -> u32 {
     let first = plan.shards.iter().flat_map(|shard| &shard.replicas).find_map(|name| router.upstream(name));
