--- a/crates/harefield/src/domain/routing/turns.rs
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -79,14 +79,14 @@
         replicas.iter().map(|name| self.rtt_to(name)).min().unwrap_or_default()
     }
 
-    /// Returns how many slots serve the requests for a shard that wait here: those of the available
-    /// replicas in its own region, or one where there is none.
+    /// Returns how many slots serve the requests for a shard that wait here: this worker's part of
+    /// those of the available replicas in its own region, or one where there is none.
     ///
     /// Slots of other regions don't count. Where requests wait, the other regions usually need them
     /// as much, and what is sent there is returned the same way.
     fn slots_for(&self, shard: &ShardId, now: Instant) -> u32 {
         let near = self.placement.near(shard).iter().filter_map(|name| self.upstreams.get(name));
         let available = near.filter(|s| s.accepts_work().is_ok() && !s.is_backed_off(now));
-        available.map(|s| s.spec.slots.max(1)).sum::<u32>().max(1)
+        available.map(|s| s.slot_limit().unwrap_or(s.spec.slots)).sum::<u32>().max(1)
     }
 }
