--- a/crates/harefield/src/domain/dispatch/dispatcher.rs
+++ b/crates/harefield/src/domain/dispatch/dispatcher.rs
@@ -166,13 +166,13 @@
         self.queues.get(shard).map_or(Duration::ZERO, |queue| queue.work_before(rank) / slots.max(1))
     }
 
-    /// Returns the longest of the delays of a new waiter of a rank and of all more urgent ones.
+    /// Returns the most work that precedes a new waiter of a rank or of any more urgent one; `None`
+    /// where the shard has no waiters.
     #[must_use]
-    pub fn longest_delay(&self, shard: &ShardId, rank: u32, slots: u32) -> Duration {
+    pub fn most_work(&self, shard: &ShardId, rank: u32) -> Option<Duration> {
         let last = u32::try_from(self.shares.len() - 1).unwrap_or(u32::MAX);
-        let Some(queue) = self.queues.get(shard) else { return Duration::ZERO };
-        let work = (0..=rank.min(last)).map(|rank| queue.work_before(rank)).max();
-        work.unwrap_or_default() / slots.max(1)
+        let queue = self.queues.get(shard)?;
+        (0..=rank.min(last)).map(|rank| queue.work_before(rank)).max()
     }
 
     /// Returns how many waiters all shards have.
--- a/crates/harefield/src/domain/routing/turns.rs
+++ b/crates/harefield/src/domain/routing/turns.rs
@@ -54,10 +54,8 @@
     /// Returns the longest of the delays of a new request of a rank and of all more urgent ones.
     #[must_use]
     pub fn longest_shard_delay(&self, shard: &ShardId, rank: u32, now: Instant) -> Duration {
-        if !self.dispatch.has_waiters(shard) {
-            return Duration::ZERO;
-        }
-        self.dispatch.longest_delay(shard, rank, self.slots_for(shard, now))
+        let work = self.dispatch.most_work(shard, rank);
+        work.map_or(Duration::ZERO, |work| work / self.slots_for(shard, now))
     }
 
     /// Returns the round-trip time to the nearest replica of a shard of a scheduled index.
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -27,6 +27,7 @@
 mod lease;
 mod leaving_out;
 mod limits_model;
+mod load_model;
 mod members;
 mod merging;
 mod objectives;
--- a/crates/harefield/tests/decisions/scheduled.rs
+++ b/crates/harefield/tests/decisions/scheduled.rs
@@ -33,8 +33,13 @@
 
 /// Returns the view of an index whose replica `n` of each shard is in region `n`.
 pub fn scheduled_view(regions: usize, slots: u32) -> View {
-    let mut values = values(SHARDS, regions, &[7]);
-    for shard in 0..SHARDS {
+    wide_view(SHARDS, regions, slots)
+}
+
+/// Returns such a view of an index with `shards` shards.
+pub fn wide_view(shards: usize, regions: usize, slots: u32) -> View {
+    let mut values = values(shards, regions, &[7]);
+    for shard in 0..shards {
         for region in 0..regions {
             let key = format!("upstreams/{}", replica(shard, region));
             let upstream = values.get_mut(&key).expect("the upstream exists");
--- a/crates/harefield/tests/processes/wait_queue.rs
+++ b/crates/harefield/tests/processes/wait_queue.rs
@@ -165,3 +165,20 @@
         assert_eq!((answer.status, answer.header("missing-parts")), (200, "0"));
     }
 }
+
+/// Guards against a request that is sent although too few shards can answer in time, and against a
+/// refusal that says neither why nor when to return.
+#[test]
+fn refused_unsent() {
+    let site = Scheduled::start();
+    site.set_delay(600);
+    let callers = site.begin(8);
+    await_true("all are in progress", || site.running() == callers.len());
+    await_true("requests wait for both shards", || site.delegate(100).delays.len() == 2);
+    let answer = request_at(&site.daemon, "/all/x", "late", 40);
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after") != "", "{answer:?}");
+    let refused = || site.daemon.timeline("kind=no-shard-room").len();
+    await_true("the time line names the reason", || refused() > 0);
+    drop(callers);
+}
