Test the delay over ranks and the nearest round trip

Both replace look-ups in the decision on room, which must decide as before. Shards without waiters are passed over before anything is computed.

--- a/crates/harefield/src/domain/dispatch/dispatcher.rs
+++ b/crates/harefield/src/domain/dispatch/dispatcher.rs
@@ -170,8 +170,8 @@
     /// where the shard has no waiters.
     #[must_use]
     pub fn most_work(&self, shard: &ShardId, rank: u32) -> Option<Duration> {
-        let last = u32::try_from(self.shares.len() - 1).unwrap_or(u32::MAX);
         let queue = self.queues.get(shard)?;
+        let last = u32::try_from(self.shares.len() - 1).unwrap_or(u32::MAX);
         (0..=rank.min(last)).map(|rank| queue.work_before(rank)).max()
     }
 
--- a/crates/harefield/tests/decisions/slots.rs
+++ b/crates/harefield/tests/decisions/slots.rs
@@ -283,3 +283,24 @@
     site.begin(2);
     assert!(!probed(&site), "three of six slots are in use");
 }
+
+/// Guards against a shard without a replica in the own region that counts as near.
+#[test]
+fn nearest_round_trip() {
+    let view = scheduled_view(3, 2);
+    let round_trip = |region: usize, replicas: &[UpstreamId]| {
+        let router = scheduled_router(&view, 4, region, LocalDaemon::default());
+        (
+            router.nearest_rtt(replicas),
+            replicas.iter().map(|name| router.rtt_to(name)).min().unwrap_or_default(),
+        )
+    };
+    let replicas: Vec<UpstreamId> = (0..3).map(|region| replica(0, region)).collect();
+    for region in 0..3 {
+        let (nearest, expected) = round_trip(region, &replicas);
+        assert_eq!((nearest, expected.is_zero()), (expected, true), "region {region}");
+    }
+    let (nearest, expected) = round_trip(3, &replicas);
+    assert_eq!(nearest, expected);
+    assert!(!nearest.is_zero(), "no replica is in the fourth region");
+}
--- a/crates/harefield/tests/decisions/turns.rs
+++ b/crates/harefield/tests/decisions/turns.rs
@@ -266,6 +266,26 @@
     assert_eq!(load.router.shard_delay(&shard, 0, now), Duration::ZERO);
 }
 
+/// Guards against a request that is admitted by the short wait of its own rank while a more urgent
+/// one has a backlog, or that counts the backlog of a less urgent one.
+#[test]
+fn longest_of_ranks() {
+    let mut load = Load::new(true);
+    for _ in 0..SLOTS {
+        load.begin(0, 50);
+    }
+    for rank in [0, 0, 0, 1, 2, 2, 2, 2, 5] {
+        load.begin(rank, 5);
+    }
+    let (shard, now) = (Arc::clone(&load.plan.shards[0].shard), load.time());
+    for rank in 0..7 {
+        let expected = (0..=rank).map(|rank| load.router.shard_delay(&shard, rank, now)).max();
+        let longest = load.router.longest_shard_delay(&shard, rank, now);
+        assert_eq!(Some(longest), expected, "rank {rank}");
+        assert!(longest > Duration::ZERO, "rank {rank}");
+    }
+}
+
 /// Guards against tickets that are kept when the answer is cut.
 #[test]
 fn cut_leaves() {
