--- a/crates/harefield/src/engine/shard_room.rs
+++ b/crates/harefield/src/engine/shard_room.rs
@@ -56,7 +56,12 @@
             rank: rules.rank,
             left: until.unwrap_or(rules.deadline).saturating_duration_since(now),
             work: mean / slots(&router, plan),
-            min_shards: rules.min_shards(plan.shards.len()),
+            // A request that cannot be repeated is not answered in part by plan.
+            min_shards: if rules.repeatable {
+                rules.min_shards(plan.shards.len())
+            } else {
+                plan.shards.len()
+            },
         };
         // A rank whose share is unused may wait less than a more urgent one. Counting the longest
         // wait of both refuses the less urgent request first all the same.
