Allow two requests in flight at a replica of another region

With one, a slot that another region needs is idle during its round trip of 17 ms: as long as the shorter works take. At most 6 requests meet at a replica of 2 slots in 3 regions (4 before); the bound holds as before by own counts alone.

--- a/crates/harefield/src/domain/routing/slots.rs
+++ b/crates/harefield/src/domain/routing/slots.rs
@@ -21,9 +21,10 @@
 use crate::domain::topology::Distance;
 use crate::domain::view::View;
 
-/// The limit of a daemon at a replica in another region. The other regions together then add few
-/// requests to those of the replica's own region, whatever each of them knows of the others.
-const FAR_LIMIT: u32 = 1;
+/// The limit of a daemon at a replica in another region. One request in flight over a round trip of
+/// 17 ms would leave a slot idle for as long as the shorter works take; with more, the regions
+/// together would queue more at a replica than its own region can reorder.
+const FAR_LIMIT: u32 = 2;
 
 /// A worker's limit on the requests of scheduled indexes in flight at one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,7 +39,7 @@
     /// Returns the limit of a worker. The parts of a daemon's workers add up to the daemon's limit.
     fn new(name: &UpstreamId, state: &UpstreamState, local: &LocalDaemon) -> Self {
         let slots = state.spec.slots.max(1);
-        let most = if state.distance == Distance::Far { FAR_LIMIT } else { slots };
+        let most = if state.distance == Distance::Far { FAR_LIMIT.min(slots) } else { slots };
         Self { limit: Some(worker_part(name, most, local)), part: worker_part(name, slots, local) }
     }
 
