--- a/crates/harefield/src/domain/admission/room.rs
+++ b/crates/harefield/src/domain/admission/room.rs
@@ -20,7 +20,7 @@
 /// requests a second over 24 members) a member admits a request about that often.
 const REPEAT_AFTER: Duration = Duration::from_millis(500);
 
-/// The longest delay that is believed. While a longer one refuses every request, nobody is told a
+/// The longest delay that is used. While a longer one refuses every request, nobody is told a
 /// shorter one; callers return after 2 s at the latest.
 const MAX_DELAY: Duration = Duration::from_secs(1);
 
--- a/crates/harefield/src/domain/fanout/carried.rs
+++ b/crates/harefield/src/domain/fanout/carried.rs
@@ -20,7 +20,7 @@
     /// Sends each shard to its carrier, in one group for each daemon; returns those that this daemon
     /// carries or that nobody else can take.
     ///
-    /// Groups of a single shard are sent too: all requests for a shard are to meet at its carrier.
+    /// Groups of a single shard are sent too: all requests for a shard go through its carrier.
     pub(super) fn delegate_carried<S: Sink>(&mut self, step: &mut StepContext<'_, S>) -> Vec<usize> {
         let plan = Arc::clone(&self.plan);
         let own_zone = Arc::clone(step.router.local_zone());
--- a/crates/harefield/src/domain/routing/carriers.rs
+++ b/crates/harefield/src/domain/routing/carriers.rs
@@ -1,6 +1,6 @@
 //! Carriers: the daemons of a region that the requests for a scheduled index's shards go through.
 //!
-//! All requests of a region for a shard meet at its carrier, so that one queue orders them and one
+//! All requests of a region for a shard go through its carrier, so that one queue orders them and one
 //! daemon counts what is in flight at the replica. Every daemon computes the same carriers from the
 //! same members, without any message.
 
