Tell the size and time of configuration changes, and count views by cause

Nothing told a rejected revision from a slow one in a metric, nor a view for a change from one for a suspicion, nor how large what a daemon pulled was. config-accepted carries values and bytes, the time of the pull and the time until the workers are informed, and is emitted after that; metrics views, config_rejected, config_changed_values and config_changed_bytes. No decision changes.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -78,6 +78,10 @@
     dispatch_waiting: Ranks,
     dispatch_delay: RankTimes,
     ended: Kinds,
+    views: Kinds,
+    changed_values: Counter,
+    changed_bytes: Counter,
+    rejected: Gauge,
     held: Family<Kind, Gauge>,
     dropped: Counter,
     revision: Gauge,
@@ -128,6 +132,7 @@
         let events = family("events", "Other decisions by kind");
         let groups = family("groups", "Groups of shards handed on or taken");
         let ended = family("connections_ended", "Connections ended since their peers do not read");
+        let views = family("views", "Views computed, by what changed");
         let mut lookup_family = |name: &str, help: &str| {
             let family = Lookups::default();
             registry.register(name, help, family.clone());
@@ -144,6 +149,14 @@
         registry.register("dispatch_delay_ms", help, dispatch_delay.clone());
         let bytes = Family::<Kind, Gauge>::default();
         registry.register("held_bytes", "Bytes held for others, by use", bytes.clone());
+        let (changed_values, changed_bytes) = (Counter::default(), Counter::default());
+        let help = "Values of the configuration that changed";
+        registry.register("config_changed_values", help, changed_values.clone());
+        let help = "Bytes of the new ones";
+        registry.register("config_changed_bytes", help, changed_bytes.clone());
+        let rejected = Gauge::default();
+        let help = "1 while the newest revision of the platform is rejected";
+        registry.register("config_rejected", help, rejected.clone());
         let (dropped, revision) = (Counter::default(), Gauge::default());
         let left_out = Gauge::default();
         let help = "Entries of the platform that name no upstream, as this daemon read them";
@@ -175,6 +188,10 @@
             dispatch_waiting,
             dispatch_delay,
             ended,
+            views,
+            changed_values,
+            changed_bytes,
+            rejected,
             held: bytes,
             dropped,
             revision,
@@ -211,7 +228,9 @@
             Event::GroupSent { .. } => count(&self.groups, "sent"),
             Event::GroupTaken { .. } => count(&self.groups, "taken"),
             Event::GroupRevoked { .. } => count(&self.groups, "revoked"),
-            Event::ConfigAccepted { revision, .. } => {
+            Event::ConfigAccepted { revision, size, .. } => {
+                self.changed_values.inc_by(size.values.try_into().unwrap_or(u64::MAX));
+                self.changed_bytes.inc_by(size.bytes.try_into().unwrap_or(u64::MAX));
                 self.revision.set(i64::try_from(revision.number).unwrap_or(i64::MAX));
                 self.era.set(i64::try_from(revision.era).unwrap_or(i64::MAX));
             }
@@ -263,6 +282,16 @@
         self.age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     }
 
+    /// Counts a view that was computed since something of this kind changed.
+    pub fn count_view(&self, kind: &str) {
+        count(&self.views, kind);
+    }
+
+    /// Sets whether the newest revision of the platform is rejected.
+    pub fn set_rejected(&self, rejected: bool) {
+        self.rejected.set(rejected.into());
+    }
+
     /// Sets the gauges of the wait queues, by rank.
     pub fn set_queues(&self, ranks: &[RankQueue]) {
         for (rank, queue) in (0..).zip(ranks) {
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -17,6 +17,7 @@
 use log::warn;
 
 use super::announcements::Announcements;
+use super::publish::ViewCause;
 use super::recently_removed::RecentlyRemoved;
 use crate::domain::cell::Candidate;
 use crate::domain::cell::CellSize;
@@ -42,6 +43,7 @@
 use crate::domain::retained::RetentionTimes;
 use crate::domain::revision::Revision;
 use crate::domain::suspects::Suspects;
+use crate::domain::time::micros;
 use crate::domain::time::millis;
 use crate::domain::topology::Topology;
 use crate::domain::view::View;
@@ -93,6 +95,24 @@
     pub lists_daemons: bool,
 }
 
+/// Where a change came from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin<'a> {
+    /// The platform or a daemon.
+    pub(super) from: &'a str,
+    /// How long the transfer from a daemon took.
+    pub(super) transfer: Duration,
+    /// When it had arrived.
+    pub(super) received: Instant,
+}
+
+impl Origin<'_> {
+    /// Returns the origin of a change that was read from the platform.
+    pub(super) fn platform(received: Instant) -> Self {
+        Self { from: "platform", transfer: Duration::ZERO, received }
+    }
+}
+
 /// The ports of the control duty.
 #[derive(Clone, Debug)]
 pub struct ControlPorts<F, P, C> {
@@ -218,7 +238,7 @@
         let listening = self.executor.spawn(Rc::clone(&self).listen(inbox));
         self.join().await;
         self.joined.set(true);
-        self.publish();
+        self.publish(ViewCause::Update);
         let _ = ready.try_send(());
         for space in self.spaces() {
             self.executor.spawn(Rc::clone(&self).read_space(*space)).detach();
@@ -261,15 +281,22 @@
         }
     }
 
-    /// Applies updates from a peer; returns whether any were newer.
-    pub(super) fn apply_news(self: &Rc<Self>, space: Space, news: News, from: &str) -> bool {
+    /// Applies updates from a peer that took `transfer` to arrive; returns whether any were newer.
+    pub(super) fn apply_news(
+        self: &Rc<Self>,
+        space: Space,
+        news: News,
+        from: &str,
+        transfer: Duration,
+    ) -> bool {
+        let received = self.ports.clock.now();
         let (news, retained) = news.split();
         let changed = match space {
             Space::Config => self.apply_config_news(news, retained),
             Space::Hosts => self.apply_host_news(news),
         };
         if changed {
-            self.on_change(space, from);
+            self.on_change(space, Origin { from, transfer, received });
         }
         changed
     }
@@ -307,9 +334,9 @@
     }
 
     /// Handles the outcome of a revision that was read from the platform.
-    pub(super) fn handle_offer(self: &Rc<Self>, offer: &OfferOutcome) {
+    pub(super) fn handle_offer(self: &Rc<Self>, offer: &OfferOutcome, received: Instant) {
         match offer {
-            OfferOutcome::Accepted => self.on_change(Space::Config, "platform"),
+            OfferOutcome::Accepted => self.on_change(Space::Config, Origin::platform(received)),
             OfferOutcome::Stale => {}
             OfferOutcome::Rejected(faults) => {
                 let revision = self.config.borrow().seen().unwrap_or_default();
@@ -323,15 +350,13 @@
     }
 
     /// Publishes a newer revision of a space to the workers, and its mark to peers at once.
-    pub(super) fn on_change(self: &Rc<Self>, space: Space, from: &str) {
+    pub(super) fn on_change(self: &Rc<Self>, space: Space, origin: Origin<'_>) {
         let revision = self.revision(space).unwrap_or_default();
-        self.record_era(space, revision.era, from);
+        self.record_era(space, revision.era, origin.from);
         match space {
             Space::Config => {
                 self.report_retained();
                 self.expire_retained();
-                info!("revision {revision} is in force, from {from}");
-                self.emit(Event::ConfigAccepted { revision, from: from.to_owned() });
                 let set = Arc::clone(self.config.borrow().set());
                 self.announcements.borrow_mut().prune(|upstream| set.upstreams.contains_key(upstream));
             }
@@ -345,12 +370,29 @@
             }
         }
         if self.joined.get() {
-            self.publish();
+            self.publish(ViewCause::Update);
+        }
+        if space == Space::Config {
+            self.report_accepted(revision, origin);
+        }
+        if self.joined.get() {
             self.relay_marks();
             self.notify_children();
         }
     }
 
+    fn report_accepted(&self, revision: Revision, origin: Origin<'_>) {
+        let Origin { from, transfer, received } = origin;
+        info!("revision {revision} is in force, from {from}");
+        self.emit(Event::ConfigAccepted {
+            revision,
+            from: from.to_owned(),
+            size: self.config.borrow_mut().take_accepted_size(),
+            transfer: millis(transfer),
+            micros: micros(self.ports.clock.now().saturating_duration_since(received)),
+        });
+    }
+
     pub(super) fn emit(&self, event: Event) {
         Trace::new(None, true, &self.hybrid, self.ports.clock, &self.telemetry).emit(event);
     }
--- a/crates/harefield/src/control/eras.rs
+++ b/crates/harefield/src/control/eras.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use super::duty::Control;
+use super::publish::ViewCause;
 use crate::domain::event::Event;
 use crate::domain::ids::Era;
 use crate::domain::ids::HostId;
@@ -180,7 +181,7 @@
             this.ports.clock.sleep_until(until).await;
             this.expiry_pending.set(false);
             this.expire_retained();
-            this.publish();
+            this.publish(ViewCause::Expiry);
         };
         self.executor.spawn(wait).detach();
     }
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -196,11 +196,13 @@
         if !self.is_behind(&mark) {
             return;
         }
-        self.last_pull.set(Some(self.ports.clock.now()));
+        let started = self.ports.clock.now();
+        self.last_pull.set(Some(started));
         let (space, retained) = (mark.space, self.retained_mark(mark.space));
         let pull = Pull { space, have: self.revision(space), retained };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_TIMEOUT).await {
-            self.apply_news(mark.space, news, host);
+            let transfer = self.ports.clock.now().saturating_duration_since(started);
+            self.apply_news(mark.space, news, host, transfer);
         }
     }
 
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -23,9 +23,31 @@
 use crate::ports::Space;
 use crate::telemetry::ConfigStatus;
 
+/// Why a view is computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ViewCause {
+    /// The configuration or the host list changed.
+    Update,
+    /// The daemons that cells are assigned among changed.
+    Fleet,
+    /// The time is over for which a value or an upstream was kept.
+    Expiry,
+}
+
+impl ViewCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Update => "update",
+            Self::Fleet => "fleet",
+            Self::Expiry => "expiry",
+        }
+    }
+}
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Computes the view and sends it to the workers.
-    pub(super) fn publish(self: &Rc<Self>) {
+    pub(super) fn publish(self: &Rc<Self>, cause: ViewCause) {
+        self.board.metrics().count_view(cause.name());
         *self.fleet.borrow_mut() = self.candidates();
         let view = Arc::new(self.next_view());
         *self.view.borrow_mut() = Arc::clone(&view);
@@ -75,7 +97,7 @@
     pub(super) fn members_changed(self: &Rc<Self>) {
         let changed = *self.fleet.borrow() != self.candidates();
         if changed && self.joined.get() {
-            self.publish();
+            self.publish(ViewCause::Fleet);
         } else {
             self.publish_peers();
         }
@@ -121,6 +143,7 @@
     pub(super) fn publish_config(&self) {
         let config = self.config.borrow();
         let refused = config.rejected();
+        self.board.metrics().set_rejected(refused.is_some());
         self.board.put_set(Arc::clone(config.set()));
         self.board.status().config = ConfigStatus {
             revision: config.revision(),
@@ -148,7 +171,7 @@
         let wait = async move {
             this.ports.clock.sleep_until(until).await;
             this.removal_pending.set(false);
-            this.publish();
+            this.publish(ViewCause::Expiry);
         };
         self.executor.spawn(wait).detach();
     }
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use super::duty::Control;
+use super::duty::Origin;
 use crate::domain::backoff::backoff;
 use crate::domain::configuration::OfferOutcome;
 use crate::domain::event::Event;
@@ -161,6 +162,7 @@
     ) -> Result<(), PlatformError> {
         let started = self.record_query(space);
         let mut listing = self.ports.platform.list(replica, space).await?;
+        let received = self.ports.clock.now();
         while listing.first < listing.last {
             let watched = self.ports.platform.watch(replica, space, listing.first, Duration::ZERO).await?;
             catch_up(&mut listing, watched)?;
@@ -173,24 +175,24 @@
             self.report_stale(space, listed);
             return Err(PlatformError::Behind(listed));
         }
-        self.apply_listing(space, listing);
+        self.apply_listing(space, listing, received);
         if self.is_of_era(space, listed.era) {
             self.record_proof(space, started);
         }
         Ok(())
     }
 
-    fn apply_listing(self: &Rc<Self>, space: Space, listing: Listing) {
+    fn apply_listing(self: &Rc<Self>, space: Space, listing: Listing, received: Instant) {
         let Listing { first, items, .. } = listing;
         match space {
             Space::Config => {
                 let offer = self.config.borrow_mut().offer_all(first, &items);
-                self.handle_offer(&offer);
+                self.handle_offer(&offer, received);
             }
             Space::Hosts => {
                 let newer = self.replace_hosts(first, &items);
                 if newer {
-                    self.on_change(Space::Hosts, "platform");
+                    self.on_change(Space::Hosts, Origin::platform(received));
                 }
             }
         }
@@ -271,12 +273,13 @@
 
     /// Applies changes in order, and publishes their combined result once.
     fn apply_deltas(self: &Rc<Self>, space: Space, deltas: &[Delta]) {
+        let received = self.ports.clock.now();
         let newer = match space {
             Space::Config => self.offer_deltas(deltas),
             Space::Hosts => deltas.iter().filter(|delta| self.apply_hosts(delta)).count() > 0,
         };
         if newer {
-            self.on_change(space, "platform");
+            self.on_change(space, Origin::platform(received));
         }
     }
 
@@ -291,7 +294,7 @@
             match offer {
                 OfferOutcome::Accepted => newer = true,
                 OfferOutcome::Stale => {}
-                OfferOutcome::Rejected(_) => self.handle_offer(&offer),
+                OfferOutcome::Rejected(_) => self.handle_offer(&offer, self.ports.clock.now()),
             }
         }
         newer
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::feed::Change;
+use super::feed::ChangeSize;
 use super::feed::Delta;
 use super::feed::DeltaKind;
 use super::feed::Feed;
@@ -62,6 +63,8 @@
     /// The kind of delta that the pending changes form.
     kind: DeltaKind,
     rejected: Option<RejectedRevision>,
+    /// The size of what was accepted since it was last taken.
+    accepted_size: ChangeSize,
 }
 
 impl Configuration {
@@ -181,6 +184,11 @@
         self.rejected.as_ref().filter(|r| Some(r.revision) > self.revision())
     }
 
+    /// Returns the size of the changes that were accepted since the last call.
+    pub fn take_accepted_size(&mut self) -> ChangeSize {
+        std::mem::take(&mut self.accepted_size)
+    }
+
     /// Returns what brings a peer at revision `have` up to date.
     #[must_use]
     pub fn since(&self, have: Option<Revision>) -> News {
@@ -224,6 +232,7 @@
         let Ok(set) = self.published.apply(&changes) else { return false };
         let left_era = deltas.last().and_then(|last| self.left_era(last.revision));
         self.published = Arc::new(set);
+        self.accepted_size.add(ChangeSize::of(&changes));
         for delta in deltas {
             self.accepted.advance(delta.revision, &delta.changes, delta.kind);
         }
@@ -282,6 +291,7 @@
         let set = self.published.apply(changes)?;
         let left_era = self.left_era(revision);
         self.published = Arc::new(set);
+        self.accepted_size.add(ChangeSize::of(changes));
         self.accepted.advance(revision, changes, kind);
         self.update_retained(left_era, changes);
         Ok(())
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::code::Code;
+use super::feed::ChangeSize;
 use super::hlc::Stamp;
 use super::ids::AccountId;
 use super::ids::AttemptId;
@@ -160,7 +161,19 @@
     /// The caller disconnected before its answer.
     CallerGone { lookup: String },
     /// A revision came into force.
-    ConfigAccepted { revision: Revision, from: String },
+    ConfigAccepted {
+        revision: Revision,
+        from: String,
+        /// How many values it changed, and the bytes of the new ones.
+        #[serde(default)]
+        size: ChangeSize,
+        /// How long the transfer from another daemon took, in milliseconds; 0 for the platform.
+        #[serde(default)]
+        transfer: u64,
+        /// The time from its receipt until the workers were informed, in microseconds.
+        #[serde(default)]
+        micros: u64,
+    },
     /// A revision was rejected.
     ConfigRefused { revision: Revision, faults: usize, first: String },
     /// What the platform returned is older than what is held and was ignored. Emitted once for each
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -30,6 +30,30 @@
     pub value: Option<Arc<str>>,
 }
 
+/// How large a set of changes is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeSize {
+    /// The number of changed values.
+    pub values: usize,
+    /// The bytes of the new values.
+    pub bytes: usize,
+}
+
+impl ChangeSize {
+    /// Returns the size of some changes.
+    #[must_use]
+    pub fn of(changes: &[Change]) -> Self {
+        let bytes = changes.iter().filter_map(|change| change.value.as_ref()).map(|value| value.len()).sum();
+        Self { values: changes.len(), bytes }
+    }
+
+    /// Adds the size of further changes.
+    pub fn add(&mut self, other: Self) {
+        self.values += other.values;
+        self.bytes += other.bytes;
+    }
+}
+
 /// Which changes a delta lists.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DeltaKind {
