Tests of large configurations, which fail: rejected, sent whole, viewed anew

Real daemons against the stand-in of the store, which can pace its replies and page its listings: - near_store_limit: 4,200 routes in less than the platform's megabyte are rejected with HF4006 and never in force. - small_after_large: a change of one route among 1,400 is 413,557 bytes. - suspicion::costs_no_view: one suspicion, one view, though the cells stay.

--- a/crates/harefield/examples/configuration.rs
+++ b/crates/harefield/examples/configuration.rs
@@ -35,7 +35,9 @@
 
 fn main() {
     println!("one changed route, in microseconds, and what is sent for it, in bytes:");
-    println!("| routes | document | decode | accept | view | all | bytes to a daemon | one suspected | find |");
+    println!(
+        "| routes | document | decode | accept | view | all | bytes to a daemon | one suspected | find |"
+    );
     println!("|---|---|---|---|---|---|---|---|---|");
     for routes in [30, 1430, 5000] {
         measure_change(routes);
--- a/crates/harefield/tests/fleet/main.rs
+++ b/crates/harefield/tests/fleet/main.rs
@@ -8,3 +8,4 @@
 mod preconnect;
 mod split;
 mod support;
+mod suspicion;
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -27,6 +27,7 @@
 mod site_evacuation;
 mod site_foreign;
 mod site_homes;
+mod site_large;
 mod site_outage;
 mod site_regions;
 mod site_store;
--- /dev/null
+++ b/crates/harefield/tests/processes/site_large.rs
@@ -0,0 +1,132 @@
+//! Configurations of thousands of routes, in one document of the platform.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::site_support::Site;
+use crate::site_support::request_at;
+use crate::site_support::routes;
+use crate::support::Daemon;
+use crate::support::await_true;
+use harefield::domain::event::Event;
+use harefield::domain::feed::ChangeSize;
+
+/// The routes that one large change adds.
+const LARGE: usize = 1400;
+
+/// The largest value of the platform, in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+
+/// The time within which a confirmed change has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// The number of hosts with little processor time.
+const HOSTS: usize = 12;
+
+/// The bytes per second of the slowest link, of 10 Mbit/s.
+const SLOW_LINK: u32 = 1_250_000;
+
+/// Returns the usual routes and `count` more, of which the first has a path of its own in each
+/// `version`.
+fn many_routes(count: usize, version: u64) -> Vec<Value> {
+    let more = (0..count).map(|number| {
+        let prefix = if number == 0 { format!("/v{version}/") } else { format!("/many{number}/") };
+        json!({
+            "name": format!("many-{number}"), "host": "x.example", "pathPrefix": prefix, "kind": "safe",
+            "timeoutMs": 1000, "targetLatencyMs": 300, "priority": 2, "attempts": 2, "service": "one",
+        })
+    });
+    routes().into_iter().chain(more).collect()
+}
+
+fn serves(daemon: &Daemon, path: &str) -> bool {
+    request_at(daemon, path, "r1", 2000).status == 200
+}
+
+/// Waits until all daemons serve a path; returns how long that took.
+fn await_path(site: &Site, path: &str) -> Duration {
+    let start = Instant::now();
+    await_true("all daemons serve the path", || site.daemons().all(|daemon| serves(daemon, path)));
+    start.elapsed()
+}
+
+/// Returns the size and source of the last accepted revision of a daemon.
+fn last_accepted(daemon: &Daemon) -> (ChangeSize, String) {
+    let events = daemon.timeline("kind=config-accepted");
+    let accepted = events.into_iter().filter_map(|record| match record.event {
+        Event::ConfigAccepted { size, from, .. } => Some((size, from)),
+        _ => None,
+    });
+    accepted.last().expect("a revision was accepted")
+}
+
+/// Guards against a document that the platform holds but no daemon accepts, since its decoded form
+/// exceeds a limit.
+#[test]
+fn near_store_limit() {
+    let mut site = Site::start_reading(3, "readers = 1\n");
+    let all = many_routes(3 * LARGE, 2);
+    let bytes = json!(all).to_string().len();
+    assert!((VALUE_BYTES / 2..VALUE_BYTES).contains(&bytes), "the platform holds {bytes} bytes");
+    site.publish(2, &all);
+    await_path(&site, "/many4199/x");
+    site.add("one", "i-two", &[5]);
+    site.store.put("servers/i-one", None);
+    await_true("entries of upstreams are in force after it", || {
+        site.request("/one/x", "r2");
+        site.upstreams["i-two"].runs().iter().any(|run| run == "r2")
+    });
+}
+
+/// Guards against a change of one route that is sent to every daemon with all other routes.
+#[test]
+fn small_after_large() {
+    let site = Site::start_reading(4, "readers = 1\n");
+    site.publish(2, &many_routes(LARGE, 2));
+    await_path(&site, "/many1399/x");
+    let accepted = || -> Vec<(ChangeSize, String)> { site.daemons().map(last_accepted).collect() };
+    let mut version = 2;
+    await_true("daemons receive a change from each other", || {
+        version += 1;
+        site.publish(version, &many_routes(LARGE, version));
+        await_path(&site, &format!("/v{version}/x"));
+        accepted().iter().any(|(_, from)| from != "platform")
+    });
+    let accepted = accepted();
+    for (size, from) in accepted {
+        assert!(size.bytes < 10_000, "one route in {size:?} from {from}");
+    }
+}
+
+/// Guards against changes behind a large one that wait for it on a host with little processor
+/// time: the daemons run a tenth of the time.
+#[test]
+fn slow_hosts_in_time() {
+    let site = Site::start_reading(HOSTS, "readers = 1\n");
+    site.store.set_pace(Some(SLOW_LINK));
+    let ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !ended.load(Ordering::SeqCst) {
+                site.daemons().for_each(|daemon| daemon.signal("STOP"));
+                std::thread::sleep(Duration::from_millis(90));
+                site.daemons().for_each(|daemon| daemon.signal("CONT"));
+                std::thread::sleep(Duration::from_millis(6));
+            }
+            site.daemons().for_each(|daemon| daemon.signal("CONT"));
+        });
+        site.publish(2, &many_routes(LARGE, 2));
+        let mut latest = await_path(&site, "/many1399/x");
+        for version in 3..6 {
+            site.publish(version, &many_routes(LARGE, version));
+            latest = latest.max(await_path(&site, &format!("/v{version}/x")));
+        }
+        ended.store(true, Ordering::SeqCst);
+        assert!(latest < IN_FORCE, "a change was in force after {latest:?}");
+    });
+}
--- a/crates/standin/src/site_store.rs
+++ b/crates/standin/src/site_store.rs
@@ -14,6 +14,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
@@ -53,6 +54,10 @@
     down: bool,
     /// While set, new calls and waiting watches are never answered.
     silent: bool,
+    /// The bytes per second at which replies leave; unlimited if `None`.
+    pace: Option<u32>,
+    /// The maximum number of items in a page of a listing; unlimited if `None`.
+    page_items: Option<usize>,
     /// Watches that arrived since the store went silent.
     unanswered: usize,
     /// Pages of whole listings that were read.
@@ -194,6 +199,16 @@
         state.unanswered = 0;
     }
 
+    /// Sets the bytes per second at which replies leave, as over a slow link.
+    pub fn set_pace(&self, bytes_per_s: Option<u32>) {
+        lock(&self.state).pace = bytes_per_s;
+    }
+
+    /// Sets the maximum number of items in a page of a listing.
+    pub fn set_page_items(&self, most: Option<usize>) {
+        lock(&self.state).page_items = most;
+    }
+
     /// Returns how many pages of whole listings were read.
     #[must_use]
     pub fn page_count(&self) -> usize {
@@ -218,23 +233,33 @@
 }
 
 async fn handle(state: Arc<Mutex<Store>>, request: Request<Incoming>) -> Reply {
+    let reply = answer(&state, request).await;
+    let pace = lock(&state).pace;
+    if let Some(pace) = pace {
+        let bytes = u32::try_from(reply.body().size_hint().lower()).unwrap_or(u32::MAX);
+        Timer::after(Duration::from_secs_f64(f64::from(bytes) / f64::from(pace.max(1)))).await;
+    }
+    reply
+}
+
+async fn answer(state: &Mutex<Store>, request: Request<Incoming>) -> Reply {
     let query: BTreeMap<String, String> =
         serde_urlencoded::from_str(request.uri().query().unwrap_or("")).unwrap_or_default();
     let waits = query.get("waitMs").is_some_and(|wait| wait != "0");
-    if check_silent(&state, usize::from(waits)) {
+    if check_silent(state, usize::from(waits)) {
         return std::future::pending().await;
     }
     {
-        let store = lock(&state);
+        let store = lock(state);
         if store.down {
             return reply(&store, 503, &json!({}));
         }
     }
     match request.uri().path() {
-        "/-/kv-key" => read_key(&lock(&state), query.get("privateKey").map_or("", |key| key)),
-        "/-/kv-range" => read_range(&mut lock(&state), query.get("pathPrefix").map_or("", |prefix| prefix)),
-        "/-/kv-watch" => watch(&state, &query).await,
-        _ => reply(&lock(&state), 404, &json!({})),
+        "/-/kv-key" => read_key(&lock(state), query.get("privateKey").map_or("", |key| key)),
+        "/-/kv-range" => read_range(&mut lock(state), &query),
+        "/-/kv-watch" => watch(state, &query).await,
+        _ => reply(&lock(state), 404, &json!({})),
     }
 }
 
@@ -278,14 +303,19 @@
     }
 }
 
-fn read_range(store: &mut Store, prefix: &str) -> Reply {
+fn read_range(store: &mut Store, query: &BTreeMap<String, String>) -> Reply {
     store.page_count += 1;
-    let found: Vec<Value> = current_items(store)
+    let text = |name: &str| query.get(name).map_or("", |text| text);
+    let (prefix, after) = (text("pathPrefix"), text("after"));
+    let mut found: Vec<Value> = current_items(store)
         .into_iter()
-        .filter(|(key, _)| key.starts_with(prefix))
+        .filter(|(key, _)| key.starts_with(prefix) && *key > after)
         .map(|(key, (revision, value))| json!({ "privateKey": key, "value": value, "revision": revision }))
         .collect();
-    let page = json!({ "items": found, "truncated": false, "storeRevision": store.revision });
+    let most = store.page_items.unwrap_or(usize::MAX);
+    let truncated = found.len() > most;
+    found.truncate(most);
+    let page = json!({ "items": found, "truncated": truncated, "storeRevision": store.revision });
     let page = reply(store, 200, &page);
     if let Some(backup) = store.next_backup.take() {
         store.restore(backup);
