Hold and pass on a catalog as one value for each resource

Callers were served by an older configuration for up to 12.8 s on the users' larger deployments, after one change of 1,400 routes and small ones behind it.

Cause: the platform's document is one value, and so was the catalog that it is decoded to. A change of one route among 1,430 was a value of 413,557 bytes in the test and 458,146 bytes to each daemon in the example, parsed and checked whole at each, and kept whole for each of 1,024 revisions of the log. Class: work and bytes that grow with the state and not with the change.

A whole catalog is divided where it enters: a head under its key and each resource under a key of its own, of which only those that differ are changes. Deltas over several revisions that were divided apply at their base only. What is carried into a new era is joined again, so that its precedence goes by the edition as before. A daemon says in its pulls that it knows divided catalogs; others are sent whole ones, and what they send is divided.

site_large::small_after_large failed before and passes now; catalogs::* draw histories of watches, listings and pulls, also by daemons that know no divided catalogs.

--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -276,7 +276,11 @@
     /// Returns the updates that a peer lacks.
     pub(super) fn news(&self, pull: &Pull) -> News {
         match pull.space {
-            Space::Config => self.config.borrow().news(pull.have, pull.retained, self.ports.clock.now()),
+            Space::Config => {
+                let config = self.config.borrow();
+                let news = config.news(pull.have, pull.retained, self.ports.clock.now());
+                if pull.divided { news } else { config.joined(news) }
+            }
             Space::Hosts => self.hosts.borrow().since(pull.have),
         }
     }
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -199,7 +199,7 @@
         let started = self.ports.clock.now();
         self.last_pull.set(Some(started));
         let (space, retained) = (mark.space, self.retained_mark(mark.space));
-        let pull = Pull { space, have: self.revision(space), retained };
+        let pull = Pull { space, have: self.revision(space), retained, divided: true };
         if let Ok(news) = self.ports.peers.pull(host, pull, PULL_TIMEOUT).await {
             let transfer = self.ports.clock.now().saturating_duration_since(started);
             self.apply_news(mark.space, news, host, transfer);
--- /dev/null
+++ b/crates/harefield/src/domain/catalogs.rs
@@ -0,0 +1,269 @@
+//! Catalogs divided into one value for each resource, so that a change of one resource is small.
+//!
+//! The platform publishes a catalog as one value. A daemon holds its head under the catalog's key,
+//! marked as divided, and each of its resources under a key of its own,
+//! `catalogs/NAME/KIND/RESOURCE`. Only what differs from the held values is a change.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::feed::Change;
+use super::feed::Delta;
+use super::feed::DeltaKind;
+use super::feed::Items;
+use super::feed::News;
+use super::ids::Key;
+
+/// The prefix of the keys of catalogs.
+const PREFIX: &str = "catalogs/";
+
+/// The resources of one kind, as text.
+type RawResources<'a> = BTreeMap<Cow<'a, str>, &'a RawValue>;
+
+/// A catalog whose resources are left as text.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawCatalog<'a> {
+    #[serde(borrow, default, skip_serializing_if = "BTreeMap::is_empty")]
+    services: RawResources<'a>,
+    #[serde(borrow, default, skip_serializing_if = "BTreeMap::is_empty")]
+    indexes: RawResources<'a>,
+    #[serde(borrow, default, skip_serializing_if = "BTreeMap::is_empty")]
+    lookups: RawResources<'a>,
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    accounts: Option<RawResources<'a>>,
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    bounds: Option<&'a RawValue>,
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    edition: Option<&'a RawValue>,
+    #[serde(default, skip_serializing_if = "is_false")]
+    divided: bool,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+impl<'a> RawCatalog<'a> {
+    /// Takes the resources out; leaves the head.
+    fn take_parts(&mut self) -> Vec<(String, &'a RawValue)> {
+        let accounts = self.accounts.as_mut().map(std::mem::take).unwrap_or_default();
+        let kinds = [
+            ("services", std::mem::take(&mut self.services)),
+            ("indexes", std::mem::take(&mut self.indexes)),
+            ("lookups", std::mem::take(&mut self.lookups)),
+            ("accounts", accounts),
+        ];
+        let parts = kinds.into_iter().flat_map(|(kind, resources)| {
+            resources.into_iter().map(move |(name, value)| (format!("{kind}/{name}"), value))
+        });
+        self.divided = true;
+        parts.collect()
+    }
+
+    fn insert(&mut self, part: &'a str, value: &'a RawValue) {
+        let Some((kind, name)) = part.split_once('/') else { return };
+        let resources = match kind {
+            "services" => &mut self.services,
+            "indexes" => &mut self.indexes,
+            "lookups" => &mut self.lookups,
+            "accounts" => self.accounts.get_or_insert_default(),
+            _ => return,
+        };
+        resources.insert(Cow::Borrowed(name), value);
+    }
+}
+
+/// Returns the kind and name of the resource if a key is that of a divided catalog's resource.
+///
+/// The argument is what follows `catalogs/`.
+#[must_use]
+pub fn part_of(name: &str) -> Option<(&str, &str)> {
+    let (_catalog, part) = name.split_once('/')?;
+    part.split_once('/').filter(|(kind, _)| matches!(*kind, "services" | "indexes" | "lookups" | "accounts"))
+}
+
+/// Returns whether a key is that of a catalog or of its head.
+fn is_catalog(key: &str) -> bool {
+    key.strip_prefix(PREFIX).is_some_and(|name| part_of(name).is_none())
+}
+
+/// Returns whether a key is that of a catalog, its head or one of its resources.
+#[must_use]
+pub fn is_of_catalogs(key: &str) -> bool {
+    key.starts_with(PREFIX)
+}
+
+/// Divides the catalogs among changes of the held values.
+///
+/// Of a catalog only what differs from `held` is listed. A catalog that cannot be read is kept as
+/// it is, to be rejected.
+#[must_use]
+pub fn divide<'a>(changes: &'a [Change], held: &Items) -> Cow<'a, [Change]> {
+    if !changes.iter().any(|change| is_catalog(&change.key)) {
+        return Cow::Borrowed(changes);
+    }
+    let mut divided = DividedChanges { held, changes: BTreeMap::new(), replaced: false };
+    for change in changes {
+        divided.add(change);
+    }
+    if !divided.replaced {
+        return Cow::Borrowed(changes);
+    }
+    Cow::Owned(divided.changes.into_iter().map(|(key, value)| Change { key, value }).collect())
+}
+
+/// Changes of the held values, of which the last one of a key counts.
+struct DividedChanges<'a> {
+    held: &'a Items,
+    changes: BTreeMap<Key, Option<Arc<str>>>,
+    /// Whether a whole catalog was replaced or removed.
+    replaced: bool,
+}
+
+impl DividedChanges<'_> {
+    fn add(&mut self, change: &Change) {
+        let key = &change.key;
+        if !is_catalog(key) {
+            self.changes.insert(Arc::clone(key), change.value.clone());
+            return;
+        }
+        let catalog = match change.value.as_deref().map(serde_json::from_str::<RawCatalog<'_>>) {
+            Some(Ok(catalog)) if !catalog.divided => catalog,
+            None => RawCatalog::default(),
+            Some(_) => {
+                self.changes.insert(Arc::clone(key), change.value.clone());
+                return;
+            }
+        };
+        self.replace(key, catalog, change.value.is_none());
+    }
+
+    /// Replaces a catalog and all of its resources.
+    fn replace(&mut self, key: &Key, mut catalog: RawCatalog<'_>, removed: bool) {
+        self.replaced = true;
+        let mut missing = self.part_keys(key);
+        for (part, value) in catalog.take_parts() {
+            let part_key: Key = format!("{key}/{part}").into();
+            missing.remove(&part_key);
+            self.set(part_key, value.get());
+        }
+        for part_key in missing {
+            self.changes.insert(part_key, None);
+        }
+        let head = (!removed).then(|| serde_json::to_string(&catalog).unwrap_or_default().into());
+        self.changes.insert(Arc::clone(key), head);
+    }
+
+    fn set(&mut self, key: Key, value: &str) {
+        let is_held = self.held.get(&key).is_some_and(|held| **held == *value);
+        if !is_held || self.changes.contains_key(&key) {
+            self.changes.insert(key, Some(value.into()));
+        }
+    }
+
+    /// Returns the keys of a catalog's resources, held or changed.
+    fn part_keys(&self, key: &Key) -> BTreeSet<Key> {
+        let prefix: Key = format!("{key}/").into();
+        let of_catalog = |other: &&Key| other.starts_with(&*prefix);
+        let held = self.held.range(Arc::clone(&prefix)..).map(|(key, _)| key).take_while(of_catalog);
+        let changed = self.changes.range(Arc::clone(&prefix)..).filter(|(_, value)| value.is_some());
+        held.chain(changed.map(|(key, _)| key).take_while(of_catalog)).map(Arc::clone).collect()
+    }
+}
+
+/// Divides the catalogs of a delta that continues the held values.
+///
+/// A catalog that replaces several revisions at once tells nothing of those in between, so that the
+/// result applies at its base only.
+#[must_use]
+pub fn divide_delta(delta: &Delta, held: &Items) -> Delta {
+    let changes = divide(&delta.changes, held);
+    let is_divided = matches!(changes, Cow::Owned(_));
+    let kind =
+        if is_divided && delta.kind == DeltaKind::Cumulative { DeltaKind::Difference } else { delta.kind };
+    Delta { changes: changes.into_owned(), kind, ..*delta }
+}
+
+/// Divides the catalogs among values.
+#[must_use]
+pub fn divide_items(items: &Items) -> Cow<'_, Items> {
+    let catalogs: Vec<Change> = items
+        .iter()
+        .filter(|(key, _)| is_catalog(key))
+        .map(|(key, value)| Change { key: Arc::clone(key), value: Some(Arc::clone(value)) })
+        .collect();
+    let Cow::Owned(changes) = divide(&catalogs, &Items::new()) else { return Cow::Borrowed(items) };
+    let mut divided = items.clone();
+    divided.extend(changes.into_iter().filter_map(|change| Some((change.key, change.value?))));
+    Cow::Owned(divided)
+}
+
+/// Returns the values with each divided catalog as one value again.
+#[must_use]
+pub fn join_items(items: &Items) -> Items {
+    let mut joined: Items = items
+        .iter()
+        .filter(|(key, _)| !is_of_catalogs(key))
+        .map(|(key, value)| (Arc::clone(key), Arc::clone(value)))
+        .collect();
+    for (key, head) in items.range(Key::from(PREFIX)..).take_while(|(key, _)| is_of_catalogs(key)) {
+        if is_catalog(key) {
+            let catalog = join_catalog(key, head, items);
+            joined.insert(Arc::clone(key), catalog.unwrap_or_else(|| Arc::clone(head)));
+        }
+    }
+    joined
+}
+
+/// Returns a divided catalog as one text; `None` if it is not divided.
+fn join_catalog(key: &Key, head: &str, items: &Items) -> Option<Arc<str>> {
+    let mut catalog: RawCatalog<'_> = serde_json::from_str(head).ok()?;
+    if !catalog.divided {
+        return None;
+    }
+    catalog.divided = false;
+    let prefix: Key = format!("{key}/").into();
+    let parts = items.range(Arc::clone(&prefix)..).take_while(|(key, _)| key.starts_with(&*prefix));
+    for (part_key, value) in parts {
+        if let Ok(value) = serde_json::from_str(value) {
+            catalog.insert(&part_key[prefix.len()..], value);
+        }
+    }
+    Some(serde_json::to_string(&catalog).ok()?.into())
+}
+
+/// Returns updates for a daemon that knows no divided catalogs, where `items` are the newest
+/// values.
+#[must_use]
+pub fn join_news(news: News, items: &Items) -> News {
+    match news {
+        News::Current => News::Current,
+        News::Full { revision, items } => News::Full { revision, items: join_items(&items) },
+        News::Deltas(deltas) => {
+            News::Deltas(deltas.into_iter().map(|delta| join_delta(delta, items)).collect())
+        }
+        News::WithRetained { news, retained } => {
+            News::WithRetained { news: Box::new(join_news(*news, items)), retained }
+        }
+    }
+}
+
+fn join_delta(delta: Delta, items: &Items) -> Delta {
+    let (of_catalogs, mut changes): (Vec<Change>, Vec<Change>) =
+        delta.changes.into_iter().partition(|change| is_of_catalogs(&change.key));
+    for change in of_catalogs.into_iter().filter(|change| is_catalog(&change.key)) {
+        let head = items.get(&change.key);
+        let value =
+            head.map(|head| join_catalog(&change.key, head, items).unwrap_or_else(|| Arc::clone(head)));
+        changes.push(Change { key: change.key, value });
+    }
+    Delta { changes, ..delta }
+}
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -1,8 +1,15 @@
 //! The configuration in force, and what the platform has published since.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::catalogs::divide;
+use super::catalogs::divide_delta;
+use super::catalogs::divide_items;
+use super::catalogs::is_of_catalogs;
+use super::catalogs::join_items;
+use super::catalogs::join_news;
 use super::feed::Change;
 use super::feed::ChangeSize;
 use super::feed::Delta;
@@ -126,6 +133,12 @@
         revision > self.revision() || same && exceeds
     }
 
+    /// Returns the updates for a daemon that knows no divided catalogs.
+    #[must_use]
+    pub fn joined(&self, news: News) -> News {
+        join_news(news, self.accepted.items())
+    }
+
     /// Returns what brings a daemon up to date that is at `have` and has `mark`. A daemon without a
     /// mark does not understand retained values and is sent none.
     #[must_use]
@@ -200,7 +213,7 @@
         if self.seen.is_some_and(|seen| revision <= seen) {
             return OfferOutcome::Stale;
         }
-        self.pending = difference(self.accepted.items(), items);
+        self.pending = difference(self.accepted.items(), &divide_items(items));
         self.kind = DeltaKind::Difference;
         self.validate(revision)
     }
@@ -228,12 +241,13 @@
         if deltas.is_empty() || !is_chain(self.revision(), deltas) {
             return false;
         }
+        let deltas = self.divide_chain(deltas);
         let changes: Vec<Change> = deltas.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
         let Ok(set) = self.published.apply(&changes) else { return false };
         let left_era = deltas.last().and_then(|last| self.left_era(last.revision));
         self.published = Arc::new(set);
         self.accepted_size.add(ChangeSize::of(&changes));
-        for delta in deltas {
+        for delta in &deltas {
             self.accepted.advance(delta.revision, &delta.changes, delta.kind);
         }
         self.seen = self.revision();
@@ -241,6 +255,24 @@
         true
     }
 
+    /// Divides the catalogs of consecutive deltas, each by the values that the ones before it lead
+    /// to.
+    fn divide_chain(&self, deltas: &[Delta]) -> Vec<Delta> {
+        let changes_catalogs =
+            |delta: &&Delta| delta.changes.iter().any(|change| is_of_catalogs(&change.key));
+        let follow_up = deltas.iter().filter(changes_catalogs).count() > 1;
+        let mut held = Cow::Borrowed(self.accepted.items());
+        let mut divided: Vec<Delta> = Vec::with_capacity(deltas.len());
+        for delta in deltas {
+            let delta = divide_delta(delta, &held);
+            if follow_up {
+                apply_changes(held.to_mut(), &delta.changes);
+            }
+            divided.push(delta);
+        }
+        divided
+    }
+
     /// Merges accepted revisions received from a peer; returns whether any was newer.
     pub fn merge_news(&mut self, news: News) -> bool {
         let changed = match news.split().0 {
@@ -264,7 +296,7 @@
 
     fn merge_full(&mut self, revision: Revision, items: &Items) -> bool {
         let newer = self.revision().is_none_or(|own| revision > own);
-        let changes = difference(self.accepted.items(), items);
+        let changes = difference(self.accepted.items(), &divide_items(items));
         newer && self.accept(revision, &changes, DeltaKind::Difference).is_ok()
     }
 
@@ -287,6 +319,20 @@
         revision: Revision,
         changes: &[Change],
         kind: DeltaKind,
+    ) -> Result<(), Vec<ResourceError>> {
+        let Some(base) = self.revision() else {
+            return self.accept_divided(revision, &divide(changes, self.accepted.items()), kind);
+        };
+        let delta = Delta { base, revision, changes: changes.to_vec(), kind };
+        let delta = divide_delta(&delta, self.accepted.items());
+        self.accept_divided(revision, &delta.changes, delta.kind)
+    }
+
+    fn accept_divided(
+        &mut self,
+        revision: Revision,
+        changes: &[Change],
+        kind: DeltaKind,
     ) -> Result<(), Vec<ResourceError>> {
         let set = self.published.apply(changes)?;
         let left_era = self.left_era(revision);
@@ -301,7 +347,7 @@
     /// era.
     fn left_era(&self, revision: Revision) -> Option<(Revision, Items)> {
         let own = self.revision().filter(|own| revision.era > own.era)?;
-        Some((own, self.accepted.items().clone()))
+        Some((own, join_items(self.accepted.items())))
     }
 
     /// Determines the retained values if a new era was entered; otherwise applies the platform's
@@ -321,7 +367,8 @@
     fn rebuild(&mut self) {
         self.conflicts.clear();
         let retained = self.retained.as_ref().map(Retained::changes).filter(|changes| !changes.is_empty());
-        self.set = match retained.map(|changes| self.published.apply(&changes)) {
+        let applied = |changes: Vec<Change>| self.published.apply(&divide(&changes, self.accepted.items()));
+        self.set = match retained.map(applied) {
             None => Arc::clone(&self.published),
             Some(Ok(set)) => Arc::new(set),
             Some(Err(faults)) => {
@@ -332,6 +379,16 @@
     }
 }
 
+/// Applies changes to values.
+fn apply_changes(items: &mut Items, changes: &[Change]) {
+    for Change { key, value } in changes {
+        match value {
+            Some(value) => items.insert(Arc::clone(key), Arc::clone(value)),
+            None => items.remove(key),
+        };
+    }
+}
+
 /// Returns whether a delta applies to a revision.
 fn follows(at: Option<Revision>, delta: &Delta) -> bool {
     at == Some(delta.base) && delta.revision > delta.base
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -8,6 +8,7 @@
 pub mod announcement;
 pub mod backoff;
 pub mod buffers;
+pub mod catalogs;
 pub mod cell;
 pub mod code;
 pub mod cold;
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -8,6 +8,7 @@
 
 use super::error::ResourceError;
 use super::set::ResourceSet;
+use crate::domain::catalogs::part_of;
 use crate::domain::code::Code;
 use crate::domain::ids::Key;
 use crate::domain::key::KeyDigest;
@@ -52,9 +53,6 @@
         for key in keys {
             affected.add(self.set, key);
         }
-        if affected.catalogs {
-            return self.check_all();
-        }
         for name in &affected.upstreams {
             self.upstream(name);
         }
@@ -224,13 +222,15 @@
     removed: HashSet<&'k str>,
     /// Whether any account changed.
     accounts: bool,
-    /// Whether a catalog changed, and with it possibly any resource.
-    catalogs: bool,
 }
 
 impl<'k> AffectedResources<'k> {
     fn add(&mut self, set: &ResourceSet, key: &'k Key) {
-        match key.split_once('/') {
+        let resource = key.split_once('/').and_then(|(kind, name)| match kind {
+            "catalogs" => part_of(name),
+            _ => Some((kind, name)),
+        });
+        match resource {
             Some(("upstreams", name)) => {
                 self.upstreams.insert(name);
                 if !set.upstreams.contains_key(name) {
@@ -247,7 +247,6 @@
                 self.lookups.insert(name);
             }
             Some(("accounts", _)) => self.accounts = true,
-            Some(("catalogs", _)) => self.catalogs = true,
             _ => {}
         }
     }
@@ -275,7 +274,12 @@
 
     /// Returns the lookups to check: those that changed, or whose index changed.
     fn lookups<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
-        let index_changed = |name: &str| self.indexes.contains(set.lookups[name].index.as_str());
+        let index_changed = |name: &str| {
+            let lookup = &set.lookups[name];
+            let parts = lookup.split.iter().map(|part| part.index.as_str());
+            let mut indexes = std::iter::once(lookup.index.as_str()).chain(parts);
+            !self.indexes.is_empty() && indexes.any(|index| self.indexes.contains(index))
+        };
         let names = set.lookups.keys().map(|name| &**name);
         names.filter(|name| self.lookups.contains(name) || index_changed(name)).collect()
     }
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -80,6 +80,11 @@
     *number == 0
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 const fn default_connect_ms() -> u32 {
     6
 }
@@ -266,6 +271,9 @@
     /// The edition, which increases with each replacement of this catalog.
     #[serde(default)]
     pub edition: Edition,
+    /// Whether its resources are values of their own; see [`catalogs`](crate::domain::catalogs).
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub divided: bool,
 }
 
 /// Size limits for callers' requests; each is unset where it isn't published.
--- a/crates/harefield/src/domain/resources/parse.rs
+++ b/crates/harefield/src/domain/resources/parse.rs
@@ -6,7 +6,9 @@
 use super::check::Checker;
 use super::error::ResourceError;
 use super::set::ResourceSet;
+use crate::domain::catalogs::divide_items;
 use crate::domain::feed::Change;
+use crate::domain::feed::Items;
 use crate::domain::ids::Key;
 
 impl ResourceSet {
@@ -20,15 +22,17 @@
     ) -> Result<Self, Vec<ResourceError>> {
         let mut set = Self::default();
         let mut errors = Vec::new();
-        for (key, value) in items {
+        let items: Items =
+            items.into_iter().map(|(key, value)| (Arc::clone(key), Arc::clone(value))).collect();
+        for (key, value) in &*divide_items(&items) {
             errors.extend(set.put(key, Some(value)).err());
         }
         errors.extend(Checker::new(&set).check_all());
         if errors.is_empty() { Ok(set) } else { Err(errors) }
     }
 
-    /// Applies changes to a valid set, and validates the resources that they affect. The outcome
-    /// is the same as of parsing the whole new set.
+    /// Applies changes, whose catalogs are divided, to a valid set, and validates the resources
+    /// that they affect. The outcome is the same as of parsing the whole new set.
     ///
     /// # Errors
     ///
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -15,6 +15,7 @@
 use super::kinds::Lookup;
 use super::kinds::Service;
 use super::kinds::Upstream;
+use crate::domain::catalogs::part_of;
 use crate::domain::code::Code;
 use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
@@ -33,7 +34,7 @@
     pub lookups: BTreeMap<Arc<str>, Arc<Lookup>>,
     /// The indexes.
     pub indexes: BTreeMap<Arc<str>, Arc<Index>>,
-    /// The catalogs, whose resources are also in the maps by kind.
+    /// The heads of the catalogs, whose resources are in the maps by kind.
     pub catalogs: BTreeMap<Arc<str>, Arc<Catalog>>,
     /// The client accounts.
     pub accounts: BTreeMap<AccountId, Arc<Account>>,
@@ -46,9 +47,7 @@
 impl ResourceSet {
     /// Parses and inserts the value of a key, or removes the resource if there is no value.
     pub(super) fn put(&mut self, key: &Key, value: Option<&str>) -> Result<(), ResourceError> {
-        // The platform bounds a catalog in its own format, which may be much shorter.
-        let limited = !key.starts_with("catalogs/");
-        if let Some(size) = value.map(str::len).filter(|size| limited && *size > MAX_VALUE_BYTES) {
+        if let Some(size) = value.map(str::len).filter(|size| *size > MAX_VALUE_BYTES) {
             let detail = format!("{size} bytes");
             return Err(ResourceError { key: Arc::clone(key), code: Code::ResourceTooLarge, detail });
         }
@@ -100,19 +99,15 @@
         }
     }
 
-    /// Replaces the resources of a catalog's previous version; unchanged ones keep their
-    /// allocation.
+    /// Puts the head or a resource of a divided catalog.
     fn put_catalog(&mut self, key: &Key, name: &str, value: Option<&str>) -> Result<(), ResourceError> {
-        let before = self.catalogs.get(name).map(Arc::clone).unwrap_or_default();
-        put(&mut self.catalogs, key, name, value)?;
-        let after = self.catalogs.get(name).map(Arc::clone).unwrap_or_default();
-        replace(&mut self.services, &before.services, &after.services);
-        replace(&mut self.indexes, &before.indexes, &after.indexes);
-        replace(&mut self.lookups, &before.lookups, &after.lookups);
-        let none = BTreeMap::new();
-        let accounts = |catalog: &Catalog| catalog.accounts.as_ref().unwrap_or(&none).clone();
-        replace(&mut self.accounts, &accounts(&before), &accounts(&after));
-        Ok(())
+        match part_of(name) {
+            Some(("services", part)) => put(&mut self.services, key, part, value),
+            Some(("indexes", part)) => put(&mut self.indexes, key, part, value),
+            Some(("lookups", part)) => put(&mut self.lookups, key, part, value),
+            Some((_, part)) => put(&mut self.accounts, key, part, value),
+            None => put(&mut self.catalogs, key, name, value),
+        }
     }
 
     /// Returns the set with additional upstreams, which it no longer contains itself.
@@ -164,22 +159,6 @@
     }
 }
 
-/// Removes the resources that a catalog no longer contains, and inserts those that changed.
-fn replace<T: Clone + PartialEq>(
-    map: &mut BTreeMap<Arc<str>, Arc<T>>,
-    before: &BTreeMap<Arc<str>, T>,
-    after: &BTreeMap<Arc<str>, T>,
-) {
-    for name in before.keys().filter(|name| !after.contains_key(*name)) {
-        map.remove(name);
-    }
-    for (name, value) in after {
-        if map.get(name).is_none_or(|held| **held != *value) {
-            map.insert(Arc::clone(name), Arc::new(value.clone()));
-        }
-    }
-}
-
 fn put<T: DeserializeOwned + PartialEq>(
     map: &mut BTreeMap<Arc<str>, Arc<T>>,
     key: &Key,
--- a/crates/harefield/src/ports/formats.rs
+++ b/crates/harefield/src/ports/formats.rs
@@ -33,6 +33,8 @@
     era: Era,
     #[serde(default, rename = "carried")]
     retained: Option<RetainedMark>,
+    #[serde(default)]
+    divided: bool,
 }
 
 impl From<Mark> for MarkFormat {
@@ -52,16 +54,16 @@
 
 impl From<Pull> for PullFormat {
     fn from(pull: Pull) -> Self {
-        let Pull { space, have, retained } = pull;
+        let Pull { space, have, retained, divided } = pull;
         let (number, era) = split(have);
-        Self { space, have: number, era, retained }
+        Self { space, have: number, era, retained, divided }
     }
 }
 
 impl From<PullFormat> for Pull {
     fn from(format: PullFormat) -> Self {
-        let PullFormat { space, have, era, retained } = format;
-        Self { space, have: joined(have, era), retained }
+        let PullFormat { space, have, era, retained, divided } = format;
+        Self { space, have: joined(have, era), retained, divided }
     }
 }
 
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -255,6 +255,8 @@
     /// The mark of the sender's retained values. `None` from a daemon that does not understand
     /// them.
     pub retained: Option<RetainedMark>,
+    /// Whether the sender knows divided catalogs. False from daemons that do not write the field.
+    pub divided: bool,
 }
 
 /// Why a daemon gave no answer.
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod buffers;
 mod carried_regions;
 mod carriers;
+mod catalogs;
 mod cells;
 mod clock;
 mod codes;
--- a/crates/harefield/tests/decisions/revisions.rs
+++ b/crates/harefield/tests/decisions/revisions.rs
@@ -60,7 +60,8 @@
     };
     let bytes = rmp_serde::to_vec_named(&mark_sent).expect("it is written");
     assert_eq!(rmp_serde::from_slice::<Mark>(&bytes).expect("it is read"), mark_sent);
-    let pull = Pull { space: Space::Config, have: Some(Revision::new(1, 61)), retained: Some(mark) };
+    let pull =
+        Pull { space: Space::Config, have: Some(Revision::new(1, 61)), retained: Some(mark), divided: true };
     let bytes = rmp_serde::to_vec_named(&pull).expect("it is written");
     let read = rmp_serde::from_slice::<Pull>(&bytes).expect("it is read");
     assert_eq!((read.have, read.retained), (pull.have, pull.retained));
