Share what a change leaves as it is between resource sets and views

Cause: a changed value copied the maps of all resources, compared the inputs of each route's plan and built the list of routes anew, and each worker read all of it three times. What a change costs grew with the number of routes.

The maps of a resource set are shared until one of their resources changes; a view plans the lookups that differ, or all where an index, its upstreams or the cells changed; a divided catalog is compared with the held values in order. A lookup is checked again if an index of any part of its split changed.

--- a/crates/harefield/src/control/recently_removed.rs
+++ b/crates/harefield/src/control/recently_removed.rs
@@ -11,6 +11,7 @@
 
 use crate::domain::ids::UpstreamId;
 use crate::domain::resources::ResourceSet;
+use crate::domain::resources::Resources;
 use crate::domain::resources::Upstream;
 
 /// How long entries may be missing after the platform has recovered. The users' upstreams register
@@ -28,7 +29,7 @@
 /// The upstreams that stay in the view for some time after their removal.
 #[derive(Debug, Default)]
 pub(super) struct RecentlyRemoved {
-    previous: BTreeMap<UpstreamId, Arc<Upstream>>,
+    previous: Resources<Upstream>,
     kept: BTreeMap<UpstreamId, (Arc<Upstream>, Instant)>,
     /// The upstreams removed within the last [`OUTAGE_WINDOW`].
     removed: Vec<(UpstreamId, Arc<Upstream>, Instant)>,
@@ -58,7 +59,7 @@
             let removed = self.removed.drain(..);
             self.kept.extend(removed.map(|(name, upstream, _)| (name, (upstream, now + GRACE))));
         }
-        self.previous.clone_from(&set.upstreams);
+        self.previous = Arc::clone(&set.upstreams);
         if self.kept.is_empty() {
             return Arc::clone(set);
         }
@@ -67,7 +68,9 @@
 
     /// Treats an upstream as gone at once, since it has had the time to write again.
     pub(super) fn forget(&mut self, upstream: &str) {
-        self.previous.remove(upstream);
+        if self.previous.contains_key(upstream) {
+            Arc::make_mut(&mut self.previous).remove(upstream);
+        }
     }
 
     /// Returns when the next kept upstream is treated as gone.
--- a/crates/harefield/src/domain/accounts/directory.rs
+++ b/crates/harefield/src/domain/accounts/directory.rs
@@ -60,7 +60,7 @@
     #[must_use]
     pub fn new(set: &ResourceSet, required: bool) -> Self {
         let mut directory = Self { required: required || set.has_accounts(), ..Self::default() };
-        for (name, account) in &set.accounts {
+        for (name, account) in set.accounts.iter() {
             let client = Arc::new(Client { name: Arc::clone(name), account: Arc::clone(account) });
             for key in &account.keys {
                 directory.by_key.insert(*key, Arc::clone(&client));
--- a/crates/harefield/src/domain/catalogs.rs
+++ b/crates/harefield/src/domain/catalogs.rs
@@ -5,8 +5,8 @@
 //! `catalogs/NAME/KIND/RESOURCE`. Only what differs from the held values is a change.
 
 use std::borrow::Cow;
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -26,6 +26,13 @@
 /// The resources of one kind, as text.
 type RawResources<'a> = BTreeMap<Cow<'a, str>, &'a RawValue>;
 
+/// One resource of a catalog.
+struct Part<'a> {
+    kind: &'static str,
+    name: Cow<'a, str>,
+    value: &'a str,
+}
+
 /// A catalog whose resources are left as text.
 #[derive(Debug, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -52,20 +59,19 @@
 }
 
 impl<'a> RawCatalog<'a> {
-    /// Takes the resources out; leaves the head.
-    fn take_parts(&mut self) -> Vec<(String, &'a RawValue)> {
+    /// Takes the resources out, in the order of their kinds and names; leaves the head.
+    fn take_parts(&mut self) -> impl Iterator<Item = Part<'a>> + use<'a> {
+        self.divided = true;
         let accounts = self.accounts.as_mut().map(std::mem::take).unwrap_or_default();
         let kinds = [
-            ("services", std::mem::take(&mut self.services)),
+            ("accounts", accounts),
             ("indexes", std::mem::take(&mut self.indexes)),
             ("lookups", std::mem::take(&mut self.lookups)),
-            ("accounts", accounts),
+            ("services", std::mem::take(&mut self.services)),
         ];
-        let parts = kinds.into_iter().flat_map(|(kind, resources)| {
-            resources.into_iter().map(move |(name, value)| (format!("{kind}/{name}"), value))
-        });
-        self.divided = true;
-        parts.collect()
+        kinds.into_iter().flat_map(|(kind, resources)| {
+            resources.into_iter().map(move |(name, value)| Part { kind, name, value: value.get() })
+        })
     }
 
     fn insert(&mut self, part: &'a str, value: &'a RawValue) {
@@ -128,7 +134,7 @@
     replaced: bool,
 }
 
-impl DividedChanges<'_> {
+impl<'a> DividedChanges<'a> {
     fn add(&mut self, change: &Change) {
         let key = &change.key;
         if !is_catalog(key) {
@@ -149,33 +155,59 @@
     /// Replaces a catalog and all of its resources.
     fn replace(&mut self, key: &Key, mut catalog: RawCatalog<'_>, removed: bool) {
         self.replaced = true;
-        let mut missing = self.part_keys(key);
-        for (part, value) in catalog.take_parts() {
-            let part_key: Key = format!("{key}/{part}").into();
-            missing.remove(&part_key);
-            self.set(part_key, value.get());
-        }
-        for part_key in missing {
-            self.changes.insert(part_key, None);
-        }
+        let prefix: Key = format!("{key}/").into();
+        let before = self.parts_before(&prefix);
+        let changed = changed_parts(&prefix, &before, catalog.take_parts());
+        self.changes.extend(changed);
         let head = (!removed).then(|| serde_json::to_string(&catalog).unwrap_or_default().into());
         self.changes.insert(Arc::clone(key), head);
     }
 
-    fn set(&mut self, key: Key, value: &str) {
-        let is_held = self.held.get(&key).is_some_and(|held| **held == *value);
-        if !is_held || self.changes.contains_key(&key) {
-            self.changes.insert(key, Some(value.into()));
+    /// Returns the values, of which those with a prefix are as the changes so far leave them.
+    fn parts_before(&self, prefix: &Key) -> Cow<'a, Items> {
+        let changed = self.changes.range(Arc::clone(prefix)..);
+        let mut before = Cow::Borrowed(self.held);
+        for (key, value) in changed.take_while(|(key, _)| key.starts_with(&**prefix)) {
+            match value {
+                Some(value) => before.to_mut().insert(Arc::clone(key), Arc::clone(value)),
+                None => before.to_mut().remove(key),
+            };
         }
+        before
     }
+}
 
-    /// Returns the keys of a catalog's resources, held or changed.
-    fn part_keys(&self, key: &Key) -> BTreeSet<Key> {
-        let prefix: Key = format!("{key}/").into();
-        let of_catalog = |other: &&Key| other.starts_with(&*prefix);
-        let held = self.held.range(Arc::clone(&prefix)..).map(|(key, _)| key).take_while(of_catalog);
-        let changed = self.changes.range(Arc::clone(&prefix)..).filter(|(_, value)| value.is_some());
-        held.chain(changed.map(|(key, _)| key).take_while(of_catalog)).map(Arc::clone).collect()
+/// Returns the resources that differ between those held under a prefix and `parts`, by key. Both are
+/// in the same order.
+fn changed_parts<'a>(
+    prefix: &Key,
+    held: &Items,
+    parts: impl Iterator<Item = Part<'a>>,
+) -> Vec<(Key, Option<Arc<str>>)> {
+    let mut held =
+        held.range(Arc::clone(prefix)..).take_while(|(key, _)| key.starts_with(&**prefix)).peekable();
+    let mut parts = parts.peekable();
+    let mut changed = Vec::new();
+    loop {
+        let order = match (held.peek(), parts.peek()) {
+            (Some((key, _)), Some(part)) => {
+                key[prefix.len()..].split_once('/').cmp(&Some((part.kind, &*part.name)))
+            }
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (None, None) => return changed,
+        };
+        let old = if order == Ordering::Greater { None } else { held.next() };
+        let new = if order == Ordering::Less { None } else { parts.next() };
+        match (old, new) {
+            (Some((_, value)), Some(part)) if **value == *part.value => {}
+            (Some((key, _)), new) => changed.push((Arc::clone(key), new.map(|part| part.value.into()))),
+            (None, Some(part)) => {
+                let key = format!("{prefix}{}/{}", part.kind, part.name).into();
+                changed.push((key, Some(part.value.into())));
+            }
+            (None, None) => {}
+        }
     }
 }
 
--- a/crates/harefield/src/domain/resources/check.rs
+++ b/crates/harefield/src/domain/resources/check.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::error::ResourceError;
+use super::kinds::Lookup;
 use super::set::ResourceSet;
 use crate::domain::catalogs::part_of;
 use crate::domain::code::Code;
@@ -88,7 +89,7 @@
     /// Checks all accounts: no two may share a key. Errors don't contain the key.
     fn accounts(&mut self) {
         let mut owners: HashMap<KeyDigest, &str> = HashMap::new();
-        for (name, account) in &self.set.accounts {
+        for (name, account) in self.set.accounts.iter() {
             let valid = |number: f64| number.is_finite() && number >= 0.0;
             if !valid(account.rate) || !valid(account.burst) {
                 let detail = "rate and burst must be 0 or more".to_owned();
@@ -253,6 +254,9 @@
 
     /// Returns the services to check: those that changed, or that list a removed upstream.
     fn services<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
+        if self.services.is_empty() && self.removed.is_empty() {
+            return Vec::new();
+        }
         let lists_removed = |name: &str| {
             let replicas = set.services[name].shards.values().flatten();
             !self.removed.is_empty() && replicas.into_iter().any(|replica| self.removed.contains(&**replica))
@@ -263,6 +267,9 @@
 
     /// Returns the indexes to check: those that changed, or that refer to a changed service.
     fn indexes<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
+        if self.indexes.is_empty() && self.services.is_empty() {
+            return Vec::new();
+        }
         let refers_to_changed = |name: &str| {
             let services = set.indexes[name].snapshots.iter().flat_map(|snapshot| snapshot.shards.keys());
             !self.services.is_empty()
@@ -273,14 +280,22 @@
     }
 
     /// Returns the lookups to check: those that changed, or whose index changed.
-    fn lookups<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str> {
-        let index_changed = |name: &str| {
-            let lookup = &set.lookups[name];
+    fn lookups<'a>(&self, set: &'a ResourceSet) -> Vec<&'a str>
+    where
+        'k: 'a,
+    {
+        if self.indexes.is_empty() {
+            return self.lookups.iter().copied().filter(|name| set.lookups.contains_key(*name)).collect();
+        }
+        let index_changed = |lookup: &Lookup| {
             let parts = lookup.split.iter().map(|part| part.index.as_str());
             let mut indexes = std::iter::once(lookup.index.as_str()).chain(parts);
-            !self.indexes.is_empty() && indexes.any(|index| self.indexes.contains(index))
+            indexes.any(|index| self.indexes.contains(index))
         };
-        let names = set.lookups.keys().map(|name| &**name);
-        names.filter(|name| self.lookups.contains(name) || index_changed(name)).collect()
+        let affected = set
+            .lookups
+            .iter()
+            .filter(|(name, lookup)| self.lookups.contains(&***name) || index_changed(lookup));
+        affected.map(|(name, _)| &**name).collect()
     }
 }
--- a/crates/harefield/src/domain/resources/mod.rs
+++ b/crates/harefield/src/domain/resources/mod.rs
@@ -25,3 +25,5 @@
 pub use kinds::Upstream;
 pub use kinds::Urgency;
 pub use set::ResourceSet;
+pub use set::Resources;
+pub use set::changed_names;
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -1,5 +1,6 @@
 //! The set of all resources, built from JSON values by key.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -17,31 +18,55 @@
 use super::kinds::Upstream;
 use crate::domain::catalogs::part_of;
 use crate::domain::code::Code;
-use crate::domain::ids::AccountId;
 use crate::domain::ids::Edition;
 use crate::domain::ids::Key;
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 
+/// The resources of one kind by name. Successive sets share the map if none of them changed.
+pub type Resources<T> = Arc<BTreeMap<Arc<str>, Arc<T>>>;
+
+/// Returns the names under which two maps hold different resources, not even equal ones.
+#[must_use]
+pub fn changed_names<'a, T>(before: &'a Resources<T>, now: &'a Resources<T>) -> Vec<&'a Arc<str>> {
+    if Arc::ptr_eq(before, now) {
+        return Vec::new();
+    }
+    let mut changed = Vec::new();
+    let (mut old, mut new) = (before.iter().peekable(), now.iter().peekable());
+    loop {
+        let order = match (old.peek(), new.peek()) {
+            (Some((left, _)), Some((right, _))) => left.cmp(right),
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (None, None) => return changed,
+        };
+        let left = if order == Ordering::Greater { None } else { old.next() };
+        let right = if order == Ordering::Less { None } else { new.next() };
+        let same = matches!((left, right), (Some((_, left)), Some((_, right))) if Arc::ptr_eq(left, right));
+        changed.extend(left.or(right).filter(|_| !same).map(|(name, _)| name));
+    }
+}
+
 /// All resources of one revision, by kind and name. Successive sets share unchanged resources.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResourceSet {
     /// The services.
-    pub services: BTreeMap<Arc<str>, Arc<Service>>,
+    pub services: Resources<Service>,
     /// The upstreams.
-    pub upstreams: BTreeMap<Arc<str>, Arc<Upstream>>,
+    pub upstreams: Resources<Upstream>,
     /// The lookups.
-    pub lookups: BTreeMap<Arc<str>, Arc<Lookup>>,
+    pub lookups: Resources<Lookup>,
     /// The indexes.
-    pub indexes: BTreeMap<Arc<str>, Arc<Index>>,
+    pub indexes: Resources<Index>,
     /// The heads of the catalogs, whose resources are in the maps by kind.
-    pub catalogs: BTreeMap<Arc<str>, Arc<Catalog>>,
+    pub catalogs: Resources<Catalog>,
     /// The client accounts.
-    pub accounts: BTreeMap<AccountId, Arc<Account>>,
+    pub accounts: Resources<Account>,
     /// The evacuations, by availability zone.
-    pub evacuations: BTreeMap<Arc<str>, Arc<Evacuation>>,
+    pub evacuations: Resources<Evacuation>,
     /// The upstreams that announce each shard themselves, sorted by name.
-    pub holders: BTreeMap<ShardId, Arc<[UpstreamId]>>,
+    pub holders: Arc<BTreeMap<ShardId, Arc<[UpstreamId]>>>,
 }
 
 impl ResourceSet {
@@ -92,10 +117,11 @@
         let mut names = self.holders.get(shard).map_or(Vec::new(), |held| held.to_vec());
         change(&mut names);
         names.sort_unstable();
+        let holders = Arc::make_mut(&mut self.holders);
         if names.is_empty() {
-            self.holders.remove(shard);
+            holders.remove(shard);
         } else {
-            self.holders.insert(Arc::clone(shard), names.into());
+            holders.insert(Arc::clone(shard), names.into());
         }
     }
 
@@ -118,7 +144,7 @@
     ) -> Self {
         let mut set = self.clone();
         for (name, upstream) in others {
-            set.upstreams.insert(Arc::clone(name), Arc::clone(upstream));
+            Arc::make_mut(&mut set.upstreams).insert(Arc::clone(name), Arc::clone(upstream));
             for shard in &upstream.holds {
                 set.change_holders(shard, |names| names.push(Arc::clone(name)));
             }
@@ -159,21 +185,26 @@
     }
 }
 
-fn put<T: DeserializeOwned + PartialEq>(
-    map: &mut BTreeMap<Arc<str>, Arc<T>>,
+fn put<T: Clone + DeserializeOwned + PartialEq>(
+    map: &mut Resources<T>,
     key: &Key,
     name: &str,
     value: Option<&str>,
 ) -> Result<(), ResourceError> {
-    let before = map.remove(name);
-    let Some(value) = value else { return Ok(()) };
-    let parsed: T = serde_json::from_str(value).map_err(|error| ResourceError {
-        key: Arc::clone(key),
-        code: Code::ResourceMalformed,
-        detail: error.to_string(),
-    })?;
+    let parsed = match value.map(serde_json::from_str::<T>) {
+        Some(Ok(parsed)) => parsed,
+        missing => {
+            if map.contains_key(name) {
+                Arc::make_mut(map).remove(name);
+            }
+            let Some(Err(error)) = missing else { return Ok(()) };
+            let detail = error.to_string();
+            return Err(ResourceError { key: Arc::clone(key), code: Code::ResourceMalformed, detail });
+        }
+    };
     // An unchanged value keeps its allocation, so that nothing is recomputed for it.
-    let kept = before.filter(|before| **before == parsed);
-    map.insert(name.into(), kept.unwrap_or_else(|| Arc::new(parsed)));
+    if map.get(name).is_none_or(|held| **held != parsed) {
+        Arc::make_mut(map).insert(name.into(), Arc::new(parsed));
+    }
     Ok(())
 }
--- a/crates/harefield/src/domain/routing/placement.rs
+++ b/crates/harefield/src/domain/routing/placement.rs
@@ -24,8 +24,8 @@
     /// Finds the replicas in a view; `is_near` returns whether one is in the region of this daemon.
     pub fn new(view: &View, scheduling: &Scheduling, is_near: impl Fn(&UpstreamId) -> bool) -> Self {
         let mut all = Self::default();
-        let scheduled = view.lookups.values().filter(|plan| scheduling.covers(&plan.lookup.index));
-        for shard in scheduled.flat_map(|plan| &plan.plans).flat_map(|plan| &plan.shards) {
+        let scheduled = view.plans().iter().filter(|plan| scheduling.covers(&plan.index));
+        for shard in scheduled.flat_map(|plan| &plan.shards) {
             let replicas = all.replicas.entry(Arc::clone(&shard.shard)).or_default();
             for name in &shard.replicas {
                 if !replicas.contains(name) {
--- a/crates/harefield/src/domain/routing/scheduling.rs
+++ b/crates/harefield/src/domain/routing/scheduling.rs
@@ -135,7 +135,7 @@
 
 /// Returns the shards of all plans of an index, of each snapshot, in the order of their names.
 fn shards_of(view: &View, index: &str) -> Arc<[ShardId]> {
-    let plans = view.lookups.values().filter(|plan| plan.lookup.index == *index).flat_map(|plan| &plan.plans);
+    let plans = view.plans().iter().filter(|plan| *plan.index == *index);
     let shards: BTreeSet<&ShardId> = plans.flat_map(|plan| &plan.shards).map(|plan| &plan.shard).collect();
     shards.into_iter().map(Arc::clone).collect()
 }
--- a/crates/harefield/src/domain/routing/slots.rs
+++ b/crates/harefield/src/domain/routing/slots.rs
@@ -98,8 +98,10 @@
         for state in self.upstreams.values_mut() {
             state.slots = SlotLimit::default();
         }
-        let plans = view.lookups.values().flat_map(|lookup| &lookup.plans);
-        for plan in plans.filter(|plan| self.scheduling.covers(&plan.index)) {
+        for plan in view.plans() {
+            if !self.scheduling.covers(&plan.index) {
+                continue;
+            }
             for name in plan.shards.iter().flat_map(|shard| &shard.replicas) {
                 if let Some(state) = self.upstreams.get_mut(name) {
                     state.slots = SlotLimit::new(name, state, &self.local);
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -33,6 +33,7 @@
 use crate::domain::resources::Service;
 use crate::domain::resources::Snapshot;
 use crate::domain::resources::Upstream;
+use crate::domain::resources::changed_names;
 
 /// Builds one view.
 pub(super) struct Builder<'a> {
@@ -86,18 +87,18 @@
     pub(super) fn lookups(&self) -> (Arc<Lookups>, Vec<PlanChange>) {
         let before = &self.previous.lookups;
         let mut changes: Vec<PlanChange> = Vec::new();
-        for (name, lookup) in &self.inputs.set.lookups {
-            let old = before.get(name);
-            if old.is_some_and(|old| self.is_unchanged(old, lookup)) {
+        for name in self.affected_lookups() {
+            let (old, lookup) = (before.get(name), self.inputs.set.lookups.get(name));
+            if let (Some(old), Some(lookup)) = (old, lookup)
+                && self.is_unchanged(old, lookup)
+            {
                 continue;
             }
-            let new = self.plan(name, lookup);
+            let new = lookup.and_then(|lookup| self.plan(name, lookup));
             if old.is_some() || new.is_some() {
                 changes.push(PlanChange { old: old.map(Arc::clone), new });
             }
         }
-        let removed = before.iter().filter(|(name, _)| !self.inputs.set.lookups.contains_key(*name));
-        changes.extend(removed.map(|(_, old)| PlanChange { old: Some(Arc::clone(old)), new: None }));
         if changes.is_empty() {
             return (Arc::clone(before), changes);
         }
@@ -111,6 +112,21 @@
         (Arc::new(lookups), changes)
     }
 
+    /// Returns the names of the lookups that may be planned otherwise than in the previous view, or
+    /// that it lacks.
+    fn affected_lookups(&self) -> Vec<&Arc<str>> {
+        let (before, now) = (&self.previous.set, self.inputs.set);
+        let same_indexes = Arc::ptr_eq(&before.indexes, &now.indexes)
+            && Arc::ptr_eq(&before.services, &now.services)
+            && Arc::ptr_eq(&before.upstreams, &now.upstreams)
+            && Arc::ptr_eq(&before.holders, &now.holders);
+        if same_indexes && *self.cells == self.previous.cells {
+            return changed_names(&before.lookups, &now.lookups);
+        }
+        let removed = before.lookups.keys().filter(|name| !now.lookups.contains_key(*name));
+        now.lookups.keys().chain(removed).collect()
+    }
+
     /// Returns whether none of the inputs of a plan of the previous view have changed.
     fn is_unchanged(&self, plan: &LookupPlan, lookup: &Arc<Lookup>) -> bool {
         let split = lookup.split.iter().map(|part| part.index.as_str());
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -108,6 +108,8 @@
     /// The availability zones whose upstreams get no new requests.
     pub evacuated: HashSet<Arc<str>>,
     paths: Arc<PathIndex>,
+    /// The plans of all lookups, each once.
+    plans: Arc<[Arc<Plan>]>,
     daemons: Vec<HostId>,
     fleet: Vec<Candidate>,
     sizes: BTreeMap<Arc<str>, usize>,
@@ -120,9 +122,12 @@
     #[must_use]
     pub fn next(&self, inputs: &ViewInputs<'_>) -> Self {
         let daemons = inputs.hosts.daemons();
-        let same_set = Arc::ptr_eq(&self.set, inputs.set);
+        let same_upstreams = Arc::ptr_eq(&self.set.services, &inputs.set.services)
+            && Arc::ptr_eq(&self.set.indexes, &inputs.set.indexes)
+            && Arc::ptr_eq(&self.set.upstreams, &inputs.set.upstreams)
+            && Arc::ptr_eq(&self.set.holders, &inputs.set.holders);
         let count = daemons.len().max(inputs.fleet.len());
-        let sizes = if same_set && count == self.daemons.len().max(self.fleet.len()) {
+        let sizes = if same_upstreams && count == self.daemons.len().max(self.fleet.len()) {
             self.sizes.clone()
         } else {
             cell::sizes(inputs.set, inputs.size, count)
@@ -139,7 +144,8 @@
         let builder = Builder::new(inputs, &cells, self, &static_cells);
         let (lookups, changes) = builder.lookups();
         let paths = self.paths.next(&lookups, &changes);
-        let upstreams = if same_set
+        let plans = if changes.is_empty() { Arc::clone(&self.plans) } else { distinct_plans(&lookups) };
+        let upstreams = if same_upstreams
             && cells == self.cells
             && static_cells.is_empty()
             && self.own.as_ref() == Some(inputs.own)
@@ -155,6 +161,7 @@
         };
         Self {
             paths,
+            plans,
             directory,
             bounds: inputs.set.bounds(),
             evacuated: inputs.set.evacuations.keys().map(Arc::clone).collect(),
@@ -173,6 +180,12 @@
         }
     }
 
+    /// Returns the plans of all lookups, each once: lookups that query whole indexes share them.
+    #[must_use]
+    pub fn plans(&self) -> &[Arc<Plan>] {
+        &self.plans
+    }
+
     /// Returns whether the same daemons are members of the cells if `fleet` are the daemons. Only
     /// then may the view stay as it is: shares go by hosts, zones and capacities.
     #[must_use]
@@ -194,6 +207,12 @@
     }
 }
 
+fn distinct_plans(lookups: &Lookups) -> Arc<[Arc<Plan>]> {
+    let mut seen: HashSet<*const Plan> = HashSet::new();
+    let all = lookups.values().flat_map(|lookup| &lookup.plans);
+    all.filter(|plan| seen.insert(Arc::as_ptr(plan))).map(Arc::clone).collect()
+}
+
 /// Returns the cells as they would be if all daemons were live, so that the shares of a cold
 /// upstream's capacity don't change with the daemons that are seen as live. Empty if no service
 /// limits cold upstreams, or if the platform lists the daemons.
