Give up a large transfer when it stalls, not when it takes long

Cause: a read of the platform had 2 s and a pull 3 s for the whole of its answer, whatever its size. A document of 0.4 MB over a link of 100 KB a second was read for ever. Class: a bound on time that takes no account of size.

--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::body;
+use super::progress::Progress;
 use super::stall_guard::StallGuardedStream;
 
 /// How long an upstream, the platform or another daemon may accept none of the data sent to it. A
@@ -105,23 +106,47 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, ClientError> {
     let mut connection = connect(executor, address, limit).await?;
-    let expired = async {
-        Timer::after(limit).await;
-        Err(ClientError::Lost)
+    let exchange = async {
+        let (head, incoming) = send(&mut connection, request).await?.into_parts();
+        let whole = body::read(incoming, max_bytes).await.map_err(|_cut| ClientError::Lost)?;
+        Ok(Response::from_parts(head, whole))
     };
-    round_trip(&mut connection, request, max_bytes).or(expired).await
+    exchange.or(expire(limit)).await
 }
 
-async fn round_trip(
-    connection: &mut Connection,
+/// Does the same for a reply that may be large: `limit` applies to its head, and `stall_limit` to
+/// each interval in which its body makes no progress.
+///
+/// # Errors
+///
+/// Returns whether the request had been written when it failed.
+pub async fn exchange_large(
+    executor: &LocalExecutor<'_>,
+    address: SocketAddr,
     request: Request<Full<Bytes>>,
     max_bytes: usize,
+    limit: Duration,
+    stall_limit: Duration,
 ) -> Result<Response<Bytes>, ClientError> {
-    let reply = connection.send(request).await.map_err(|unsent| match unsent {
+    let mut connection = connect(executor, address, limit).await?;
+    let (head, incoming) = send(&mut connection, request).or(expire(limit)).await?.into_parts();
+    let progress = Progress::default();
+    let reading = body::read(progress.observe(incoming), max_bytes);
+    let whole = reading.or(progress.stalled(stall_limit)).await.map_err(|_cut| ClientError::Lost)?;
+    Ok(Response::from_parts(head, whole))
+}
+
+async fn send(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ClientError> {
+    connection.send(request).await.map_err(|unsent| match unsent {
         Some(_) => ClientError::NotSent,
         None => ClientError::Lost,
-    })?;
-    let (head, incoming) = reply.into_parts();
-    let whole = body::read(incoming, max_bytes).await.map_err(|_cut| ClientError::Lost)?;
-    Ok(Response::from_parts(head, whole))
+    })
+}
+
+async fn expire<T>(limit: Duration) -> Result<T, ClientError> {
+    Timer::after(limit).await;
+    Err(ClientError::Lost)
 }
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -10,8 +10,11 @@
 use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Bytes;
+use hyper::body::Incoming;
 use hyper::header::ACCEPT_ENCODING;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,7 +23,9 @@
 
 use super::http;
 use super::http::ClientError;
+use super::http::Connection;
 use super::http::Pool;
+use super::http::Progress;
 use super::http::Traffic;
 use super::opaque::OpaqueAnswer;
 use crate::domain::buffers::Purpose;
@@ -138,23 +143,69 @@
         };
         let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
         let mut pending = PendingCall { pool: &self.pool, address, since: Instant::now(), resolved: false };
-        let reply = self.round_trip(address, self.request(host, path, body)?, limit).or(expired).await;
+        let request = self.request(host, path, body)?;
+        let replied = async {
+            let (reply, connection) = self.send(address, request, limit).await?;
+            self.receive(address, reply, connection).await
+        };
+        let reply = replied.or(expired).await;
         pending.resolved = !matches!(reply, Err(PeerError::Silent));
         reply
     }
 
-    async fn round_trip<R: DeserializeOwned>(
+    /// Calls a daemon whose reply may be large: `limit` applies to the head of the reply, and to
+    /// each interval in which its body makes no progress.
+    async fn call_for_large<R: DeserializeOwned>(
+        &self,
+        host: &HostId,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(R, usize), PeerError> {
+        let expired = async {
+            Timer::after(limit).await;
+            Err(PeerError::Silent)
+        };
+        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
+        let mut pending = PendingCall { pool: &self.pool, address, since: Instant::now(), resolved: false };
+        let request = self.request(host, path, body)?;
+        let replied = async {
+            let (reply, connection) = self.send(address, request, limit).or(expired).await?;
+            let progress = Progress::default();
+            let reply = reply.map(|body| progress.observe(body));
+            let stalled = async { progress.stalled(limit).await.map_err(|_stalled| PeerError::Silent) };
+            self.receive(address, reply, connection).or(stalled).await
+        };
+        let reply = replied.await;
+        pending.resolved = !matches!(reply, Err(PeerError::Silent));
+        reply
+    }
+
+    async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(R, usize), PeerError> {
+    ) -> Result<(Response<Incoming>, Connection), PeerError> {
         let connecting = limit.min(CONNECT_LIMIT);
         let sent = self.pool.send(&self.executor, address, request, connecting).await;
-        let (reply, connection) = sent.map_err(|error| match error {
+        sent.map_err(|error| match error {
             ClientError::NotSent => PeerError::Unreachable,
             ClientError::Lost => PeerError::Silent,
-        })?;
+        })
+    }
+
+    /// Reads a reply, and keeps its connection for the next call.
+    async fn receive<B, R>(
+        &self,
+        address: SocketAddr,
+        reply: Response<B>,
+        connection: Connection,
+    ) -> Result<(R, usize), PeerError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+        R: DeserializeOwned,
+    {
         let (head, body) = reply.into_parts();
         let whole = http::read_counted(body, MAX_REPLY_BYTES, &self.memory, Purpose::Messages).await;
         let whole = whole.map_err(|_error| PeerError::Silent)?;
@@ -257,7 +308,11 @@
     }
 
     async fn pull(&self, host: &HostId, message: Pull, limit: Duration) -> Result<News, PeerError> {
-        self.control(host, PULL_PATH, &message, limit).await
+        let body = pack(&message)?;
+        let size = body.len();
+        let (reply, bytes) = self.call_for_large(host, PULL_PATH, body, limit).await?;
+        self.traffic.count(size, bytes);
+        Ok(reply)
     }
 }
 
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -26,8 +26,9 @@
 /// users' store sends as base64 text, a third longer.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
-/// The time limit of a read, not counting the wait of a watch. The users' store usually answers in
-/// 4 ms, and in about 240 ms when it is slow.
+/// How long a read may take until its answer begins, not counting the wait of a watch, and how long
+/// the answer may make no progress. The users' store usually answers in 4 ms, and in about 240 ms
+/// when it is slow.
 pub const READ_LIMIT: Duration = Duration::from_secs(2);
 
 /// How much longer than its wait a watch may take before it is abandoned, if that is more than
@@ -94,7 +95,9 @@
     ) -> Result<StoreReply<R>, PlatformError> {
         let request = Request::get(path).header("host", replica.to_string()).body(Full::default());
         let request = request.map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        let reply = http::exchange(&self.executor, replica, request, MAX_REPLY_BYTES, limit).await;
+        let reply =
+            http::exchange_large(&self.executor, replica, request, MAX_REPLY_BYTES, limit, READ_LIMIT);
+        let reply = reply.await;
         let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
         self.traffic.count(0, reply.body().len());
         let era = self.era_of(reply.headers())?;
--- a/crates/harefield/src/control/gossip.rs
+++ b/crates/harefield/src/control/gossip.rs
@@ -34,7 +34,7 @@
 /// be large. It is a small part of the 3 s within which a change has to be in force.
 const PULL_DELAY: Duration = Duration::from_millis(400);
 
-/// How long a pull may take, since a whole configuration may be large.
+/// How long a pull may take until its answer begins, and how long the answer may make no progress.
 const PULL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How often the peer of a gossip round may be in another availability zone of the region
--- a/crates/harefield/src/ports/peers.rs
+++ b/crates/harefield/src/ports/peers.rs
@@ -320,7 +320,8 @@
         limit: Duration,
     ) -> impl Future<Output = Result<Exchange, PeerError>>;
 
-    /// Pulls what a daemon has that is newer.
+    /// Pulls what a daemon has that is newer. It may be large: `limit` applies to the beginning of
+    /// the answer, and to each interval in which it makes no progress.
     ///
     /// # Errors
     ///
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -43,7 +44,54 @@
     pub others: Vec<Daemon>,
 }
 
+/// A link to an address, over which bytes come back at a limited rate.
+pub struct PacedLink {
+    pub address: SocketAddr,
+}
+
+impl PacedLink {
+    /// Opens a link to `target` with `rate` bytes per second for each connection.
+    pub fn open(target: SocketAddr, rate: u32) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let far = TcpStream::connect(target).expect("the target accepts connections");
+                let (from, to) = (stream.try_clone(), far.try_clone());
+                let (Ok(mut from), Ok(mut to)) = (from, to) else { continue };
+                std::thread::spawn(move || drop(std::io::copy(&mut from, &mut to)));
+                std::thread::spawn(move || copy_paced(far, stream, rate));
+            }
+        });
+        Self { address }
+    }
+}
+
+fn copy_paced(mut from: TcpStream, mut to: TcpStream, rate: u32) {
+    let mut chunk = [0; 4096];
+    while let Ok(count @ 1..) = from.read(&mut chunk) {
+        if to.write_all(&chunk[..count]).is_err() {
+            break;
+        }
+        let bytes = u32::try_from(count).expect("a chunk is small");
+        std::thread::sleep(Duration::from_secs_f64(f64::from(bytes) / f64::from(rate)));
+    }
+    drop(to.shutdown(std::net::Shutdown::Both));
+}
+
 impl Site {
+    /// Starts a daemon that reads the store over a link of `rate` bytes per second.
+    pub fn start_over_link(rate: u32) -> Self {
+        let store = SiteStore::start();
+        let link = PacedLink::open(store.address(), rate);
+        let settings = settings(&store, "", "", "");
+        let settings = settings.replace(&store.address().to_string(), &link.address.to_string());
+        let daemon = Daemon::start(&settings);
+        let mut site = Self { daemon, store, upstreams: BTreeMap::new(), others: Vec::new() };
+        site.fill();
+        site
+    }
+
     /// Starts a daemon beside an empty store, without a configuration.
     pub fn unconfigured() -> Self {
         Self::unconfigured_with("", "")
