List the platform where missed changes are too large for one answer

A daemon that had missed several large documents read them with one watch, whose answer exceeds the 8 MB that it accepts, and did so again and again: no change came into force there until others passed it on or the platform dropped its history.

Such a watch is taken for one whose history is gone: a listing has each value once. site_large::many_large_missed, ten documents of 0.8 MB, timed out before and passes now.

--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::body;
+use super::body::BodyError;
 use super::progress::Progress;
 use super::stall_guard::StallGuardedStream;
 
@@ -32,6 +33,9 @@
     /// The request was written, but no complete reply was received.
     #[error("the reply was lost")]
     Lost,
+    /// The reply exceeds the limit on its size.
+    #[error("the reply is too large")]
+    TooLarge,
 }
 
 /// An open connection that carries one request at a time.
@@ -108,7 +112,7 @@
     let mut connection = connect(executor, address, limit).await?;
     let exchange = async {
         let (head, incoming) = send(&mut connection, request).await?.into_parts();
-        let whole = body::read(incoming, max_bytes).await.map_err(|_cut| ClientError::Lost)?;
+        let whole = body::read(incoming, max_bytes).await.map_err(incomplete)?;
         Ok(Response::from_parts(head, whole))
     };
     exchange.or(expire(limit)).await
@@ -132,10 +136,17 @@
     let (head, incoming) = send(&mut connection, request).or(expire(limit)).await?.into_parts();
     let progress = Progress::default();
     let reading = body::read(progress.observe(incoming), max_bytes);
-    let whole = reading.or(progress.stalled(stall_limit)).await.map_err(|_cut| ClientError::Lost)?;
+    let whole = reading.or(progress.stalled(stall_limit)).await.map_err(incomplete)?;
     Ok(Response::from_parts(head, whole))
 }
 
+fn incomplete(error: BodyError) -> ClientError {
+    match error {
+        BodyError::TooLarge => ClientError::TooLarge,
+        BodyError::NoRoom | BodyError::CutShort => ClientError::Lost,
+    }
+}
+
 async fn send(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -191,7 +191,7 @@
         let sent = self.pool.send(&self.executor, address, request, connecting).await;
         sent.map_err(|error| match error {
             ClientError::NotSent => PeerError::Unreachable,
-            ClientError::Lost => PeerError::Silent,
+            ClientError::Lost | ClientError::TooLarge => PeerError::Silent,
         })
     }
 
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use super::http;
+use super::http::ClientError;
 use super::http::Traffic;
 use crate::domain::feed::Change;
 use crate::domain::feed::Delta;
@@ -86,7 +87,8 @@
     /// # Errors
     ///
     /// Returns `Unreachable` if the replica doesn't answer within `limit`, `Rejected` if it answers
-    /// with an error, and `Malformed` if its answer can't be parsed.
+    /// with an error, `TooLarge` if its answer exceeds `MAX_REPLY_BYTES`, and `Malformed` if it
+    /// can't be parsed.
     pub async fn get<R: DeserializeOwned>(
         &self,
         replica: SocketAddr,
@@ -98,7 +100,10 @@
         let reply =
             http::exchange_large(&self.executor, replica, request, MAX_REPLY_BYTES, limit, READ_LIMIT);
         let reply = reply.await;
-        let reply = reply.map_err(|_error| PlatformError::Unreachable)?;
+        let reply = reply.map_err(|error| match error {
+            ClientError::TooLarge => PlatformError::TooLarge,
+            ClientError::NotSent | ClientError::Lost => PlatformError::Unreachable,
+        })?;
         self.traffic.count(0, reply.body().len());
         let era = self.era_of(reply.headers())?;
         match reply.status() {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -219,7 +219,7 @@
             Space::Hosts => after,
         };
         let started = self.record_query(space);
-        let (deltas, at) = match self.ports.platform.watch(replica, space, after, wait).await? {
+        let (deltas, at) = match self.watch_platform(replica, space, after, wait).await? {
             WatchResult::Changes { deltas, at } => (deltas, at),
             WatchResult::Compacted => return self.list(replica, space).await,
             WatchResult::Restored(era) => return self.enter_era(replica, space, era).await,
@@ -241,6 +241,21 @@
         Ok(())
     }
 
+    /// Watches a space once. Changes that are together too large for a response are read by listing
+    /// the space, which returns each value once.
+    async fn watch_platform(
+        &self,
+        replica: SocketAddr,
+        space: Space,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchResult, PlatformError> {
+        match self.ports.platform.watch(replica, space, after, wait).await {
+            Err(PlatformError::TooLarge) => Ok(WatchResult::Compacted),
+            result => result,
+        }
+    }
+
     /// Continues reading at once while responses are as long as truncated ones. Otherwise a change
     /// behind thousands of others would wait for as many pauses as there are responses, and a
     /// truncated response proves nothing about later changes. With 580 changes a second from 1,350
@@ -256,7 +271,7 @@
         let mut last = watched.deltas.len();
         while last >= LONG_RESPONSE && watched.deltas.len() < MAX_BATCH {
             let started = self.record_query(space);
-            let next = self.ports.platform.watch(replica, space, watched.at, Duration::ZERO).await?;
+            let next = self.watch_platform(replica, space, watched.at, Duration::ZERO).await?;
             let (deltas, at) = match next {
                 WatchResult::Changes { deltas, at } => (deltas, at),
                 WatchResult::Compacted => return Ok(CatchUpEnd::Compacted),
--- a/crates/harefield/src/ports/platform.rs
+++ b/crates/harefield/src/ports/platform.rs
@@ -80,6 +80,9 @@
     /// It was restored from a copy while it was being read, so that what was read is from two eras.
     #[error("the platform was restored from a copy while it was being read")]
     Restored,
+    /// Its answer is larger than a daemon accepts.
+    #[error("the platform's answer is too large")]
+    TooLarge,
     /// It returned something that does not conform to its protocol.
     #[error("the platform's answer is invalid: {0}")]
     Malformed(String),
--- a/crates/harefield/tests/processes/site_large.rs
+++ b/crates/harefield/tests/processes/site_large.rs
@@ -136,6 +136,19 @@
     await_path(&site, "/many1399/x");
 }
 
+/// Guards against changes that are together larger than an answer may be: a daemon that missed them
+/// read them again and again.
+#[test]
+fn many_large_missed() {
+    let site = Site::start();
+    site.daemon.signal("STOP");
+    for version in 2..12 {
+        site.publish(version, &many_routes(3 * LARGE, version));
+    }
+    site.daemon.signal("CONT");
+    await_path(&site, "/v11/x");
+}
+
 /// Guards against changes behind a large one that wait for it on a host with little processor
 /// time: the daemons run a tenth of the time.
 #[test]
