Plan the parts of a split by their own cells

Found by reading: a plan was kept while the daemon's place in the cell of the first part's index stayed, so that another part went on by the cell before. Its upstreams were then asked by a daemon that has no share of their limits, or not asked by one that has.

--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -131,8 +131,10 @@
     fn is_unchanged(&self, plan: &LookupPlan, lookup: &Arc<Lookup>) -> bool {
         let split = lookup.split.iter().map(|part| part.index.as_str());
         let mut indexes = std::iter::once(lookup.index.as_str()).chain(split);
+        let same_member = |plan: &LookupPlan| plan.member == self.is_member(&plan.lookup.index);
         Arc::ptr_eq(&plan.lookup, lookup)
-            && plan.member == self.is_member(&lookup.index)
+            && same_member(plan)
+            && plan.parts.iter().all(|part| same_member(&part.plan))
             && indexes.all(|index| self.is_same_index(index, lookup.residency().is_restricted()))
     }
 
--- a/crates/harefield/tests/decisions/views.rs
+++ b/crates/harefield/tests/decisions/views.rs
@@ -99,3 +99,33 @@
     let view = next(&View::default(), 7200, &set, &hosts, 24);
     assert!(view.leaving.contains(&"127.0.0.1:1000".parse().expect("an address")));
 }
+
+/// Guards against a part of a split that is planned by a cell that has changed: the daemon is a member
+/// of the first part's cell as before.
+#[test]
+fn split_follows_cells() {
+    let mut all = values(3, 2, &[1]);
+    all.insert("indexes/j".to_owned(), all["indexes/i"].clone());
+    all.insert(
+        "lookups/l".to_owned(),
+        json!({
+            "index": "i", "urgency": "bulk", "deadline-ms": 5, "repeatable": true, "prefer": "time",
+            "split": [{ "index": "i", "weight": 1 }, { "index": "j", "weight": 1 }],
+        }),
+    );
+    let set = Arc::new(ResourceSet::parse(&items(all)).expect("it is valid"));
+    let is_member = |view: &View, index: &str, own: u16| {
+        view.cells[index].iter().any(|host| **host == *format!("127.0.0.1:{own}"))
+    };
+    let mut changed = 0;
+    for (own, count) in (7200..7208).flat_map(|own| (8..16).map(move |count| (own, count))) {
+        let before = next(&View::default(), own, &set, &hosts(count), 3);
+        let view = next(&before, own, &set, &hosts(count + 1), 3);
+        for part in &view.lookups["l"].parts {
+            assert_eq!(part.plan.member, is_member(&view, &part.plan.lookup.index, own));
+        }
+        let moved = |index| is_member(&before, index, own) != is_member(&view, index, own);
+        changed += usize::from(moved("j") && !moved("i"));
+    }
+    assert!(changed > 0, "some daemon is a member as before of the first part's cell alone");
+}
