--- a/crates/harefield/examples/configuration.rs
+++ b/crates/harefield/examples/configuration.rs
@@ -46,8 +46,8 @@
         measure_change(routes);
     }
     println!("\nall routes but 30 added by one change:");
-    println!("| routes | decode | accept read | accept pulled | view | worker | bytes |");
-    println!("|---|---|---|---|---|---|---|");
+    println!("| routes | decode | accept read | accept pulled | view | worker | bytes | compressed |");
+    println!("|---|---|---|---|---|---|---|---|");
     for routes in [1430, 5000] {
         measure_growth(routes);
     }
@@ -170,11 +170,13 @@
         [accept, pull, view_time, work]
     }
 
-    /// Returns the size of what a daemon that lacks the last revision is sent.
-    fn news_bytes(&self) -> usize {
+    /// Returns the size of what a daemon that lacks the last revision is sent, before and after
+    /// compression.
+    fn news_bytes(&self) -> (usize, usize) {
         let own = self.config.revision().expect("it has one");
         let news = self.config.since(Some(Revision::first(own.number - 1)));
-        rmp_serde::to_vec_named(&news).expect("news can be written").len()
+        let bytes = rmp_serde::to_vec_named(&news).expect("news can be written");
+        (bytes.len(), lz4_flex::block::compress_prepend_size(&bytes).len())
     }
 }
 
@@ -219,7 +221,7 @@
         time("pull"),
         time("view"),
         time("work"),
-        daemon.news_bytes(),
+        daemon.news_bytes().0,
         time("suspect"),
         time("find"),
     );
@@ -230,6 +232,8 @@
     let text = document(routes, 1);
     let (decoding, change) = timed(|| decode(&text));
     let [accepting, pulling, viewing, working] = daemon.apply(change);
-    let bytes = daemon.news_bytes();
-    println!("| {routes} | {decoding} | {accepting} | {pulling} | {viewing} | {working} | {bytes} |");
+    let (bytes, sent) = daemon.news_bytes();
+    println!(
+        "| {routes} | {decoding} | {accepting} | {pulling} | {viewing} | {working} | {bytes} | {sent} |"
+    );
 }
--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -13,10 +13,10 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use log::info;
 use log::warn;
 
 use super::announcements::Announcements;
+use super::publish::Origin;
 use super::publish::ViewCause;
 use super::recently_removed::RecentlyRemoved;
 use crate::domain::cell::Candidate;
@@ -43,7 +43,6 @@
 use crate::domain::retained::RetentionTimes;
 use crate::domain::revision::Revision;
 use crate::domain::suspects::Suspects;
-use crate::domain::time::micros;
 use crate::domain::time::millis;
 use crate::domain::topology::Topology;
 use crate::domain::view::View;
@@ -95,24 +94,6 @@
     pub lists_daemons: bool,
 }
 
-/// Where a change came from.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Origin<'a> {
-    /// The platform or a daemon.
-    pub(super) from: &'a str,
-    /// How long the transfer from a daemon took.
-    pub(super) transfer: Duration,
-    /// When it had arrived.
-    pub(super) received: Instant,
-}
-
-impl Origin<'_> {
-    /// Returns the origin of a change that was read from the platform.
-    pub(super) fn platform(received: Instant) -> Self {
-        Self { from: "platform", transfer: Duration::ZERO, received }
-    }
-}
-
 /// The ports of the control duty.
 #[derive(Clone, Debug)]
 pub struct ControlPorts<F, P, C> {
@@ -385,18 +366,6 @@
         }
     }
 
-    fn report_accepted(&self, revision: Revision, origin: Origin<'_>) {
-        let Origin { from, transfer, received } = origin;
-        info!("revision {revision} is in force, from {from}");
-        self.emit(Event::ConfigAccepted {
-            revision,
-            from: from.to_owned(),
-            size: self.config.borrow_mut().take_accepted_size(),
-            transfer: millis(transfer),
-            micros: micros(self.ports.clock.now().saturating_duration_since(received)),
-        });
-    }
-
     pub(super) fn emit(&self, event: Event) {
         Trace::new(None, true, &self.hybrid, self.ports.clock, &self.telemetry).emit(event);
     }
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -3,7 +3,10 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
+use log::info;
 use log::warn;
 
 use super::duty::Control;
@@ -13,6 +16,9 @@
 use crate::domain::event::Event;
 use crate::domain::membership::MemberRow;
 use crate::domain::membership::PeerState;
+use crate::domain::revision::Revision;
+use crate::domain::time::micros;
+use crate::domain::time::millis;
 use crate::domain::view::View;
 use crate::domain::view::ViewInputs;
 use crate::engine::PeerView;
@@ -44,6 +50,24 @@
     }
 }
 
+/// Where a change came from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin<'a> {
+    /// The platform or a daemon.
+    pub(super) from: &'a str,
+    /// How long the transfer from a daemon took.
+    pub(super) transfer: Duration,
+    /// When it had arrived.
+    pub(super) received: Instant,
+}
+
+impl Origin<'_> {
+    /// Returns the origin of a change that was read from the platform.
+    pub(super) fn platform(received: Instant) -> Self {
+        Self { from: "platform", transfer: Duration::ZERO, received }
+    }
+}
+
 impl<F: Platform, P: Peers, C: Clock> Control<F, P, C> {
     /// Computes the view and sends it to the workers.
     pub(super) fn publish(self: &Rc<Self>, cause: ViewCause) {
@@ -177,4 +201,17 @@
         };
         self.executor.spawn(wait).detach();
     }
+
+    /// Reports a revision of the configuration that came into force.
+    pub(super) fn report_accepted(&self, revision: Revision, origin: Origin<'_>) {
+        let Origin { from, transfer, received } = origin;
+        info!("revision {revision} is in force, from {from}");
+        self.emit(Event::ConfigAccepted {
+            revision,
+            from: from.to_owned(),
+            size: self.config.borrow_mut().take_accepted_size(),
+            transfer: millis(transfer),
+            micros: micros(self.ports.clock.now().saturating_duration_since(received)),
+        });
+    }
 }
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 use super::duty::Control;
-use super::duty::Origin;
+use super::publish::Origin;
 use crate::domain::backoff::backoff;
 use crate::domain::configuration::OfferOutcome;
 use crate::domain::event::Event;
--- a/crates/harefield/src/domain/catalogs.rs
+++ b/crates/harefield/src/domain/catalogs.rs
@@ -102,8 +102,7 @@
 }
 
 /// Returns whether a key is that of a catalog, its head or one of its resources.
-#[must_use]
-pub fn is_of_catalogs(key: &str) -> bool {
+fn is_of_catalogs(key: &str) -> bool {
     key.starts_with(PREFIX)
 }
 
@@ -224,6 +223,33 @@
     Delta { changes: changes.into_owned(), kind, ..*delta }
 }
 
+/// Divides the catalogs of consecutive deltas that continue the held values.
+#[must_use]
+pub fn divide_chain(deltas: &[Delta], held: &Items) -> Vec<Delta> {
+    let changes_catalogs = |delta: &&Delta| delta.changes.iter().any(|change| is_of_catalogs(&change.key));
+    let follow_up = deltas.iter().filter(changes_catalogs).count() > 1;
+    let mut held = Cow::Borrowed(held);
+    let mut divided: Vec<Delta> = Vec::with_capacity(deltas.len());
+    for delta in deltas {
+        let delta = divide_delta(delta, &held);
+        if follow_up {
+            apply_changes(held.to_mut(), &delta.changes);
+        }
+        divided.push(delta);
+    }
+    divided
+}
+
+/// Applies changes to values.
+fn apply_changes(items: &mut Items, changes: &[Change]) {
+    for Change { key, value } in changes {
+        match value {
+            Some(value) => items.insert(Arc::clone(key), Arc::clone(value)),
+            None => items.remove(key),
+        };
+    }
+}
+
 /// Divides the catalogs among values.
 #[must_use]
 pub fn divide_items(items: &Items) -> Cow<'_, Items> {
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -1,13 +1,12 @@
 //! The configuration in force, and what the platform has published since.
 
-use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Instant;
 
 use super::catalogs::divide;
+use super::catalogs::divide_chain;
 use super::catalogs::divide_delta;
 use super::catalogs::divide_items;
-use super::catalogs::is_of_catalogs;
 use super::catalogs::join_items;
 use super::catalogs::join_news;
 use super::feed::Change;
@@ -241,7 +240,7 @@
         if deltas.is_empty() || !is_chain(self.revision(), deltas) {
             return false;
         }
-        let deltas = self.divide_chain(deltas);
+        let deltas = divide_chain(deltas, self.accepted.items());
         let changes: Vec<Change> = deltas.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
         let Ok(set) = self.published.apply(&changes) else { return false };
         let left_era = deltas.last().and_then(|last| self.left_era(last.revision));
@@ -255,24 +254,6 @@
         true
     }
 
-    /// Divides the catalogs of consecutive deltas, each by the values that the ones before it lead
-    /// to.
-    fn divide_chain(&self, deltas: &[Delta]) -> Vec<Delta> {
-        let changes_catalogs =
-            |delta: &&Delta| delta.changes.iter().any(|change| is_of_catalogs(&change.key));
-        let follow_up = deltas.iter().filter(changes_catalogs).count() > 1;
-        let mut held = Cow::Borrowed(self.accepted.items());
-        let mut divided: Vec<Delta> = Vec::with_capacity(deltas.len());
-        for delta in deltas {
-            let delta = divide_delta(delta, &held);
-            if follow_up {
-                apply_changes(held.to_mut(), &delta.changes);
-            }
-            divided.push(delta);
-        }
-        divided
-    }
-
     /// Merges accepted revisions received from a peer; returns whether any was newer.
     pub fn merge_news(&mut self, news: News) -> bool {
         let changed = match news.split().0 {
@@ -379,16 +360,6 @@
     }
 }
 
-/// Applies changes to values.
-fn apply_changes(items: &mut Items, changes: &[Change]) {
-    for Change { key, value } in changes {
-        match value {
-            Some(value) => items.insert(Arc::clone(key), Arc::clone(value)),
-            None => items.remove(key),
-        };
-    }
-}
-
 /// Returns whether a delta applies to a revision.
 fn follows(at: Option<Revision>, delta: &Delta) -> bool {
     at == Some(delta.base) && delta.revision > delta.base
