--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -137,20 +137,12 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<(R, usize), PeerError> {
-        let expired = async {
-            Timer::after(limit).await;
-            Err(PeerError::Silent)
-        };
-        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
-        let mut pending = PendingCall { pool: &self.pool, address, since: Instant::now(), resolved: false };
-        let request = self.request(host, path, body)?;
+        let (address, request) = self.prepare(host, path, body)?;
         let replied = async {
             let (reply, connection) = self.send(address, request, limit).await?;
             self.receive(address, reply, connection).await
         };
-        let reply = replied.or(expired).await;
-        pending.resolved = !matches!(reply, Err(PeerError::Silent));
-        reply
+        self.track(address, replied.or(expire(limit))).await
     }
 
     /// Calls a daemon whose reply may be large: `limit` applies to the head of the reply, and to
@@ -162,20 +154,34 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<(R, usize), PeerError> {
-        let expired = async {
-            Timer::after(limit).await;
-            Err(PeerError::Silent)
-        };
-        let address: SocketAddr = host.parse().map_err(|_error| PeerError::Unreachable)?;
-        let mut pending = PendingCall { pool: &self.pool, address, since: Instant::now(), resolved: false };
-        let request = self.request(host, path, body)?;
+        let (address, request) = self.prepare(host, path, body)?;
         let replied = async {
-            let (reply, connection) = self.send(address, request, limit).or(expired).await?;
+            let (reply, connection) = self.send(address, request, limit).or(expire(limit)).await?;
             let progress = Progress::default();
             let reply = reply.map(|body| progress.observe(body));
             let stalled = async { progress.stalled(limit).await.map_err(|_stalled| PeerError::Silent) };
             self.receive(address, reply, connection).or(stalled).await
         };
+        self.track(address, replied).await
+    }
+
+    fn prepare(
+        &self,
+        host: &HostId,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(SocketAddr, Request<Full<Bytes>>), PeerError> {
+        let address = host.parse().map_err(|_error| PeerError::Unreachable)?;
+        Ok((address, self.request(host, path, body)?))
+    }
+
+    /// Waits for a call to a daemon as a [`PendingCall`].
+    async fn track<T>(
+        &self,
+        address: SocketAddr,
+        replied: impl Future<Output = Result<T, PeerError>>,
+    ) -> Result<T, PeerError> {
+        let mut pending = PendingCall { pool: &self.pool, address, since: Instant::now(), resolved: false };
         let reply = replied.await;
         pending.resolved = !matches!(reply, Err(PeerError::Silent));
         reply
@@ -319,3 +325,8 @@
 fn pack<M: Serialize>(message: &M) -> Result<Vec<u8>, PeerError> {
     rmp_serde::to_vec_named(message).map_err(|_error| PeerError::Unreachable)
 }
+
+async fn expire<T>(limit: Duration) -> Result<T, PeerError> {
+    Timer::after(limit).await;
+    Err(PeerError::Silent)
+}
