Tell the resources of a catalog from catalogs with slashes in their names

Found by reading the division of catalogs: a catalog named a/b was taken for resources of a, and removed with a's next change; one published as divided lost its resources. Kinds delimit names now, and only a head without resources counts as divided. catalogs::names_with_slashes, published_as_divided.

--- a/crates/harefield/src/domain/catalogs.rs
+++ b/crates/harefield/src/domain/catalogs.rs
@@ -23,6 +23,9 @@
 /// The prefix of the keys of catalogs.
 const PREFIX: &str = "catalogs/";
 
+/// The kinds of resources in catalogs, in the order of their keys.
+const KINDS: [&str; 4] = ["accounts", "indexes", "lookups", "services"];
+
 /// The resources of one kind, as text.
 type RawResources<'a> = BTreeMap<Cow<'a, str>, &'a RawValue>;
 
@@ -63,37 +66,47 @@
     fn take_parts(&mut self) -> impl Iterator<Item = Part<'a>> + use<'a> {
         self.divided = true;
         let accounts = self.accounts.as_mut().map(std::mem::take).unwrap_or_default();
-        let kinds = [
-            ("accounts", accounts),
-            ("indexes", std::mem::take(&mut self.indexes)),
-            ("lookups", std::mem::take(&mut self.lookups)),
-            ("services", std::mem::take(&mut self.services)),
+        let resources = [
+            accounts,
+            std::mem::take(&mut self.indexes),
+            std::mem::take(&mut self.lookups),
+            std::mem::take(&mut self.services),
         ];
-        kinds.into_iter().flat_map(|(kind, resources)| {
+        KINDS.into_iter().zip(resources).flat_map(|(kind, resources)| {
             resources.into_iter().map(move |(name, value)| Part { kind, name, value: value.get() })
         })
     }
 
-    fn insert(&mut self, part: &'a str, value: &'a RawValue) {
-        let Some((kind, name)) = part.split_once('/') else { return };
+    fn insert(&mut self, (kind, name): (&'a str, &'a str), value: &'a RawValue) {
         let resources = match kind {
             "services" => &mut self.services,
             "indexes" => &mut self.indexes,
             "lookups" => &mut self.lookups,
-            "accounts" => self.accounts.get_or_insert_default(),
-            _ => return,
+            _ => self.accounts.get_or_insert_default(),
         };
         resources.insert(Cow::Borrowed(name), value);
     }
+
+    /// Returns whether this is the head of a divided catalog.
+    fn is_head(&self) -> bool {
+        let none = self.services.is_empty() && self.indexes.is_empty() && self.lookups.is_empty();
+        self.divided && none && self.accounts.as_ref().is_none_or(BTreeMap::is_empty)
+    }
 }
 
 /// Returns the kind and name of the resource if a key is that of a divided catalog's resource.
 ///
-/// The argument is what follows `catalogs/`.
+/// The argument is what follows `catalogs/`. The name of the catalog may contain slashes.
 #[must_use]
 pub fn part_of(name: &str) -> Option<(&str, &str)> {
-    let (_catalog, part) = name.split_once('/')?;
-    part.split_once('/').filter(|(kind, _)| matches!(*kind, "services" | "indexes" | "lookups" | "accounts"))
+    let mut after_catalog = name.match_indices('/').map(|(at, _)| &name[at + 1..]);
+    after_catalog.find_map(split_part)
+}
+
+/// Splits what follows the key of a catalog into the kind and name of a resource; `None` if it is
+/// the end of another catalog's key.
+fn split_part(part: &str) -> Option<(&str, &str)> {
+    part.split_once('/').filter(|(kind, _)| KINDS.contains(kind))
 }
 
 /// Returns whether a key is that of a catalog or of its head.
@@ -141,7 +154,7 @@
             return;
         }
         let catalog = match change.value.as_deref().map(serde_json::from_str::<RawCatalog<'_>>) {
-            Some(Ok(catalog)) if !catalog.divided => catalog,
+            Some(Ok(catalog)) if !catalog.is_head() => catalog,
             None => RawCatalog::default(),
             Some(_) => {
                 self.changes.insert(Arc::clone(key), change.value.clone());
@@ -176,22 +189,22 @@
     }
 }
 
-/// Returns the resources that differ between those held under a prefix and `parts`, by key. Both are
-/// in the same order.
+/// Returns the resources of a catalog that differ between those held under its prefix and `parts`,
+/// by key. Both are in the same order.
 fn changed_parts<'a>(
     prefix: &Key,
     held: &Items,
     parts: impl Iterator<Item = Part<'a>>,
 ) -> Vec<(Key, Option<Arc<str>>)> {
-    let mut held =
-        held.range(Arc::clone(prefix)..).take_while(|(key, _)| key.starts_with(&**prefix)).peekable();
+    let with_prefix = held.range(Arc::clone(prefix)..).take_while(|(key, _)| key.starts_with(&**prefix));
+    let held_parts =
+        with_prefix.filter_map(|(key, value)| Some((key, split_part(&key[prefix.len()..])?, value)));
+    let mut held = held_parts.peekable();
     let mut parts = parts.peekable();
     let mut changed = Vec::new();
     loop {
         let order = match (held.peek(), parts.peek()) {
-            (Some((key, _)), Some(part)) => {
-                key[prefix.len()..].split_once('/').cmp(&Some((part.kind, &*part.name)))
-            }
+            (Some((_, held, _)), Some(part)) => held.cmp(&(part.kind, &*part.name)),
             (Some(_), None) => Ordering::Less,
             (None, Some(_)) => Ordering::Greater,
             (None, None) => return changed,
@@ -199,8 +212,8 @@
         let old = if order == Ordering::Greater { None } else { held.next() };
         let new = if order == Ordering::Less { None } else { parts.next() };
         match (old, new) {
-            (Some((_, value)), Some(part)) if **value == *part.value => {}
-            (Some((key, _)), new) => changed.push((Arc::clone(key), new.map(|part| part.value.into()))),
+            (Some((_, _, value)), Some(part)) if **value == *part.value => {}
+            (Some((key, ..)), new) => changed.push((Arc::clone(key), new.map(|part| part.value.into()))),
             (None, Some(part)) => {
                 let key = format!("{prefix}{}/{}", part.kind, part.name).into();
                 changed.push((key, Some(part.value.into())));
@@ -291,8 +304,9 @@
     let prefix: Key = format!("{key}/").into();
     let parts = items.range(Arc::clone(&prefix)..).take_while(|(key, _)| key.starts_with(&*prefix));
     for (part_key, value) in parts {
-        if let Ok(value) = serde_json::from_str(value) {
-            catalog.insert(&part_key[prefix.len()..], value);
+        let part = split_part(&part_key[prefix.len()..]);
+        if let (Some(part), Ok(value)) = (part, serde_json::from_str(value)) {
+            catalog.insert(part, value);
         }
     }
     Some(serde_json::to_string(&catalog).ok()?.into())
--- a/crates/harefield/tests/decisions/catalogs.rs
+++ b/crates/harefield/tests/decisions/catalogs.rs
@@ -194,3 +194,34 @@
     let states = [None, Some(catalog(&json!({ "r0": index })))];
     assert!(matches!(config.offer(&delta(&states, 0)), OfferOutcome::Rejected(_)));
 }
+
+/// Guards against a catalog that takes another one, whose name begins with its own, for its
+/// resources.
+#[test]
+fn names_with_slashes() {
+    let named = |name: &str, limit: u64| {
+        let lookup = json!({ "index": name, "urgency": "bulk", "deadline-ms": limit, "repeatable": true, "prefer": "time" });
+        let index = json!({ "snapshots": [{ "version": 1, "shards": {} }] });
+        json!({ "edition": 1, "lookups": { name: lookup }, "indexes": { name: index } }).to_string()
+    };
+    let mut items: Items = BTreeMap::new();
+    items.insert("catalogs/a".into(), named("l", 1).into());
+    items.insert("catalogs/a/b".into(), named("m", 1).into());
+    let mut config = Configuration::default();
+    assert_eq!(config.offer_all(number(0), &items), OfferOutcome::Accepted);
+    let change = Change { key: "catalogs/a".into(), value: Some(named("l", 2).into()) };
+    let (base, revision) = (number(0), number(1));
+    assert!(config.offer_chain(&[Delta { base, revision, changes: vec![change], kind: DeltaKind::Single }]));
+    let limits: Vec<u64> = config.set().lookups.values().map(|lookup| lookup.deadline_ms).collect();
+    assert_eq!(limits, [2, 1]);
+    assert_eq!(join_items(&items), items);
+}
+
+/// Guards against a published catalog that is marked as divided, and whose resources are then lost.
+#[test]
+fn published_as_divided() {
+    let text = catalog(1, &[1, 1]).replacen('{', "{\"divided\":true,", 1);
+    let mut config = Configuration::default();
+    assert_eq!(config.offer_all(number(0), &items_at(Some(&text.into()))), OfferOutcome::Accepted);
+    assert_eq!(config.set().lookups.len(), 2);
+}
