--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -152,6 +152,15 @@
         set
     }
 
+    /// Returns whether the indexes, services and upstreams are the same maps as those of `other`.
+    #[must_use]
+    pub fn shares_upstreams(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.indexes, &other.indexes)
+            && Arc::ptr_eq(&self.services, &other.services)
+            && Arc::ptr_eq(&self.upstreams, &other.upstreams)
+            && Arc::ptr_eq(&self.holders, &other.holders)
+    }
+
     /// Returns the replicas of a shard: those that its service lists, and those that announce it
     /// themselves.
     pub fn replicas(&self, shard: &ShardId) -> impl Iterator<Item = &UpstreamId> {
--- a/crates/harefield/src/domain/view/builder.rs
+++ b/crates/harefield/src/domain/view/builder.rs
@@ -116,11 +116,7 @@
     /// that it lacks.
     fn affected_lookups(&self) -> Vec<&Arc<str>> {
         let (before, now) = (&self.previous.set, self.inputs.set);
-        let same_indexes = Arc::ptr_eq(&before.indexes, &now.indexes)
-            && Arc::ptr_eq(&before.services, &now.services)
-            && Arc::ptr_eq(&before.upstreams, &now.upstreams)
-            && Arc::ptr_eq(&before.holders, &now.holders);
-        if same_indexes && *self.cells == self.previous.cells {
+        if before.shares_upstreams(now) && *self.cells == self.previous.cells {
             return changed_names(&before.lookups, &now.lookups);
         }
         let removed = before.lookups.keys().filter(|name| !now.lookups.contains_key(*name));
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -122,10 +122,7 @@
     #[must_use]
     pub fn next(&self, inputs: &ViewInputs<'_>) -> Self {
         let daemons = inputs.hosts.daemons();
-        let same_upstreams = Arc::ptr_eq(&self.set.services, &inputs.set.services)
-            && Arc::ptr_eq(&self.set.indexes, &inputs.set.indexes)
-            && Arc::ptr_eq(&self.set.upstreams, &inputs.set.upstreams)
-            && Arc::ptr_eq(&self.set.holders, &inputs.set.holders);
+        let same_upstreams = self.set.shares_upstreams(inputs.set);
         let count = daemons.len().max(inputs.fleet.len());
         let sizes = if same_upstreams && count == self.daemons.len().max(self.fleet.len()) {
             self.sizes.clone()
