--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -81,12 +81,8 @@
     address: SocketAddr,
     limit: Duration,
 ) -> Result<Connection, ClientError> {
-    let opened = async { Async::<TcpStream>::connect(address).await.ok() };
-    let expired = async {
-        Timer::after(limit).await;
-        None
-    };
-    let stream = opened.or(expired).await.ok_or(ClientError::NotSent)?;
+    let opened = async { Async::<TcpStream>::connect(address).await.map_err(|_error| ClientError::NotSent) };
+    let stream = opened.or(expire(limit, ClientError::NotSent)).await?;
     stream.get_ref().set_nodelay(true).map_err(|_error| ClientError::NotSent)?;
     let (sender, driver) =
         hyper::client::conn::http1::handshake(StallGuardedStream::new(stream, STALL_LIMIT))
@@ -115,7 +111,7 @@
         let whole = body::read(incoming, max_bytes).await.map_err(incomplete)?;
         Ok(Response::from_parts(head, whole))
     };
-    exchange.or(expire(limit)).await
+    exchange.or(expire(limit, ClientError::Lost)).await
 }
 
 /// Does the same for a reply that may be large: `limit` applies to its head, and `stall_limit` to
@@ -133,7 +129,8 @@
     stall_limit: Duration,
 ) -> Result<Response<Bytes>, ClientError> {
     let mut connection = connect(executor, address, limit).await?;
-    let (head, incoming) = send(&mut connection, request).or(expire(limit)).await?.into_parts();
+    let sent = send(&mut connection, request).or(expire(limit, ClientError::Lost));
+    let (head, incoming) = sent.await?.into_parts();
     let progress = Progress::default();
     let reading = body::read(progress.observe(incoming), max_bytes);
     let whole = reading.or(progress.stalled(stall_limit)).await.map_err(incomplete)?;
@@ -157,7 +154,12 @@
     })
 }
 
-async fn expire<T>(limit: Duration) -> Result<T, ClientError> {
+/// Waits for a time limit, and fails with an error.
+///
+/// # Errors
+///
+/// Always returns `error`.
+pub async fn expire<T, E>(limit: Duration, error: E) -> Result<T, E> {
     Timer::after(limit).await;
-    Err(ClientError::Lost)
+    Err(error)
 }
--- a/crates/harefield/src/adapters/http/mod.rs
+++ b/crates/harefield/src/adapters/http/mod.rs
@@ -21,6 +21,7 @@
 pub use client::connect;
 pub use client::exchange;
 pub use client::exchange_large;
+pub use client::expire;
 pub use compression::LZ4;
 pub use compression::accepts_lz4;
 pub use compression::compress;
--- a/crates/harefield/src/adapters/peer_server.rs
+++ b/crates/harefield/src/adapters/peer_server.rs
@@ -85,8 +85,8 @@
     if http::accepts_lz4(&head.headers) {
         reply = http::compress(reply).await;
     }
-    let size = hyper::body::Body::size_hint(reply.body()).exact().unwrap_or(0);
     if matches!(head.uri.path(), EXCHANGE_PATH | PULL_PATH) {
+        let size = hyper::body::Body::size_hint(reply.body()).exact().unwrap_or(0);
         server.traffic.count(body.len(), usize::try_from(size).unwrap_or(usize::MAX));
     }
     http::counted(reply, &server.memory).await
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -142,7 +142,7 @@
             let (reply, connection) = self.send(address, request, limit).await?;
             self.receive(address, reply, connection).await
         };
-        self.track(address, replied.or(expire(limit))).await
+        self.track(address, replied.or(http::expire(limit, PeerError::Silent))).await
     }
 
     /// Calls a daemon whose reply may be large: `limit` applies to the head of the reply, and to
@@ -154,9 +154,11 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<(R, usize), PeerError> {
-        let (address, request) = self.prepare(host, path, body)?;
+        let (address, mut request) = self.prepare(host, path, body)?;
+        request.headers_mut().insert(ACCEPT_ENCODING, http::LZ4);
         let replied = async {
-            let (reply, connection) = self.send(address, request, limit).or(expire(limit)).await?;
+            let expired = http::expire(limit, PeerError::Silent);
+            let (reply, connection) = self.send(address, request, limit).or(expired).await?;
             let progress = Progress::default();
             let reply = reply.map(|body| progress.observe(body));
             let stalled = async { progress.stalled(limit).await.map_err(|_stalled| PeerError::Silent) };
@@ -230,30 +232,20 @@
 
     fn request(&self, host: &HostId, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, PeerError> {
         let mut request = Request::post(path).header("host", &**host);
-        if path == PULL_PATH {
-            request = request.header(ACCEPT_ENCODING, http::LZ4);
-        }
         if let Some(token) = &self.token {
             request = request.header("authorization", format!("Bearer {token}"));
         }
         request.body(Full::new(Bytes::from(body))).map_err(|_error| PeerError::Unreachable)
     }
 
-    async fn control<M, R>(
+    /// Counts the bytes of a control message and of its reply.
+    async fn count<R>(
         &self,
-        host: &HostId,
-        path: &str,
-        message: &M,
-        limit: Duration,
-    ) -> Result<R, PeerError>
-    where
-        M: Serialize,
-        R: DeserializeOwned,
-    {
-        let body = pack(message)?;
-        let size = body.len();
-        let (reply, bytes) = self.call(host, path, body, limit).await?;
-        self.traffic.count(size, bytes);
+        sent: usize,
+        call: impl Future<Output = Result<(R, usize), PeerError>>,
+    ) -> Result<R, PeerError> {
+        let (reply, received) = call.await?;
+        self.traffic.count(sent, received);
         Ok(reply)
     }
 }
@@ -310,23 +302,16 @@
         message: &Exchange,
         limit: Duration,
     ) -> Result<Exchange, PeerError> {
-        self.control(host, EXCHANGE_PATH, message, limit).await
+        let body = pack(message)?;
+        self.count(body.len(), self.call(host, EXCHANGE_PATH, body, limit)).await
     }
 
     async fn pull(&self, host: &HostId, message: Pull, limit: Duration) -> Result<News, PeerError> {
         let body = pack(&message)?;
-        let size = body.len();
-        let (reply, bytes) = self.call_for_large(host, PULL_PATH, body, limit).await?;
-        self.traffic.count(size, bytes);
-        Ok(reply)
+        self.count(body.len(), self.call_for_large(host, PULL_PATH, body, limit)).await
     }
 }
 
 fn pack<M: Serialize>(message: &M) -> Result<Vec<u8>, PeerError> {
     rmp_serde::to_vec_named(message).map_err(|_error| PeerError::Unreachable)
 }
-
-async fn expire<T>(limit: Duration) -> Result<T, PeerError> {
-    Timer::after(limit).await;
-    Err(PeerError::Silent)
-}
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -369,12 +369,7 @@
     }
     let reached = at;
     for delta in deltas {
-        for change in delta.changes {
-            match change.value {
-                Some(value) => listing.items.insert(change.key, value),
-                None => listing.items.remove(&change.key),
-            };
-        }
+        delta.changes.iter().for_each(|change| change.apply_to(&mut listing.items));
         listing.first = delta.revision;
     }
     listing.first = listing.first.max(reached);
--- a/crates/harefield/src/domain/catalogs.rs
+++ b/crates/harefield/src/domain/catalogs.rs
@@ -5,10 +5,13 @@
 //! `catalogs/NAME/KIND/RESOURCE`. Only what differs from the held values is a change.
 
 use std::borrow::Cow;
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use itertools::EitherOrBoth::Both;
+use itertools::EitherOrBoth::Left;
+use itertools::EitherOrBoth::Right;
+use itertools::Itertools;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -19,6 +22,7 @@
 use super::feed::Items;
 use super::feed::News;
 use super::ids::Key;
+use super::is_default;
 
 /// The prefix of the keys of catalogs.
 const PREFIX: &str = "catalogs/";
@@ -52,15 +56,10 @@
     bounds: Option<&'a RawValue>,
     #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
     edition: Option<&'a RawValue>,
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "is_default")]
     divided: bool,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
 impl<'a> RawCatalog<'a> {
     /// Takes the resources out, in the order of their kinds and names; leaves the head.
     fn take_parts(&mut self) -> impl Iterator<Item = Part<'a>> + use<'a> {
@@ -110,7 +109,8 @@
 }
 
 /// Returns whether a key is that of a catalog or of its head.
-fn is_catalog(key: &str) -> bool {
+#[must_use]
+pub fn is_catalog(key: &str) -> bool {
     key.strip_prefix(PREFIX).is_some_and(|name| part_of(name).is_none())
 }
 
@@ -180,10 +180,7 @@
         let changed = self.changes.range(Arc::clone(prefix)..);
         let mut before = Cow::Borrowed(self.held);
         for (key, value) in changed.take_while(|(key, _)| key.starts_with(&**prefix)) {
-            match value {
-                Some(value) => before.to_mut().insert(Arc::clone(key), Arc::clone(value)),
-                None => before.to_mut().remove(key),
-            };
+            Change { key: Arc::clone(key), value: value.clone() }.apply_to(before.to_mut());
         }
         before
     }
@@ -199,41 +196,33 @@
     let with_prefix = held.range(Arc::clone(prefix)..).take_while(|(key, _)| key.starts_with(&**prefix));
     let held_parts =
         with_prefix.filter_map(|(key, value)| Some((key, split_part(&key[prefix.len()..])?, value)));
-    let mut held = held_parts.peekable();
-    let mut parts = parts.peekable();
-    let mut changed = Vec::new();
-    loop {
-        let order = match (held.peek(), parts.peek()) {
-            (Some((_, held, _)), Some(part)) => held.cmp(&(part.kind, &*part.name)),
-            (Some(_), None) => Ordering::Less,
-            (None, Some(_)) => Ordering::Greater,
-            (None, None) => return changed,
-        };
-        let old = if order == Ordering::Greater { None } else { held.next() };
-        let new = if order == Ordering::Less { None } else { parts.next() };
-        match (old, new) {
-            (Some((_, _, value)), Some(part)) if **value == *part.value => {}
-            (Some((key, ..)), new) => changed.push((Arc::clone(key), new.map(|part| part.value.into()))),
-            (None, Some(part)) => {
-                let key = format!("{prefix}{}/{}", part.kind, part.name).into();
-                changed.push((key, Some(part.value.into())));
-            }
-            (None, None) => {}
+    let pairs = held_parts.merge_join_by(parts, |(_, held, _), part| held.cmp(&(part.kind, &*part.name)));
+    let changed = pairs.filter_map(|pair| match pair {
+        Both((_, _, value), part) if **value == *part.value => None,
+        Both((key, ..), part) => Some((Arc::clone(key), Some(part.value.into()))),
+        Left((key, ..)) => Some((Arc::clone(key), None)),
+        Right(part) => {
+            let key = format!("{prefix}{}/{}", part.kind, part.name).into();
+            Some((key, Some(part.value.into())))
         }
-    }
+    });
+    changed.collect()
 }
 
-/// Divides the catalogs of a delta that continues the held values.
+/// Divides the catalogs among changes of the held values, and returns which changes are listed then.
 ///
 /// A catalog that replaces several revisions at once tells nothing of those in between, so that the
 /// result applies at its base only.
 #[must_use]
-pub fn divide_delta(delta: &Delta, held: &Items) -> Delta {
-    let changes = divide(&delta.changes, held);
+pub fn divide_kind<'a>(
+    changes: &'a [Change],
+    kind: DeltaKind,
+    held: &Items,
+) -> (Cow<'a, [Change]>, DeltaKind) {
+    let changes = divide(changes, held);
     let is_divided = matches!(changes, Cow::Owned(_));
-    let kind =
-        if is_divided && delta.kind == DeltaKind::Cumulative { DeltaKind::Difference } else { delta.kind };
-    Delta { changes: changes.into_owned(), kind, ..*delta }
+    let kind = if is_divided && kind == DeltaKind::Cumulative { DeltaKind::Difference } else { kind };
+    (changes, kind)
 }
 
 /// Divides the catalogs of consecutive deltas that continue the held values.
@@ -244,25 +233,17 @@
     let mut held = Cow::Borrowed(held);
     let mut divided: Vec<Delta> = Vec::with_capacity(deltas.len());
     for delta in deltas {
-        let delta = divide_delta(delta, &held);
+        let (changes, kind) = divide_kind(&delta.changes, delta.kind, &held);
+        let delta = Delta { changes: changes.into_owned(), kind, ..*delta };
         if follow_up {
-            apply_changes(held.to_mut(), &delta.changes);
+            let held = held.to_mut();
+            delta.changes.iter().for_each(|change| change.apply_to(held));
         }
         divided.push(delta);
     }
     divided
 }
 
-/// Applies changes to values.
-fn apply_changes(items: &mut Items, changes: &[Change]) {
-    for Change { key, value } in changes {
-        match value {
-            Some(value) => items.insert(Arc::clone(key), Arc::clone(value)),
-            None => items.remove(key),
-        };
-    }
-}
-
 /// Divides the catalogs among values.
 #[must_use]
 pub fn divide_items(items: &Items) -> Cow<'_, Items> {
--- a/crates/harefield/src/domain/configuration.rs
+++ b/crates/harefield/src/domain/configuration.rs
@@ -5,8 +5,8 @@
 
 use super::catalogs::divide;
 use super::catalogs::divide_chain;
-use super::catalogs::divide_delta;
 use super::catalogs::divide_items;
+use super::catalogs::divide_kind;
 use super::catalogs::join_items;
 use super::catalogs::join_news;
 use super::feed::Change;
@@ -301,26 +301,13 @@
         changes: &[Change],
         kind: DeltaKind,
     ) -> Result<(), Vec<ResourceError>> {
-        let Some(base) = self.revision() else {
-            return self.accept_divided(revision, &divide(changes, self.accepted.items()), kind);
-        };
-        let delta = Delta { base, revision, changes: changes.to_vec(), kind };
-        let delta = divide_delta(&delta, self.accepted.items());
-        self.accept_divided(revision, &delta.changes, delta.kind)
-    }
-
-    fn accept_divided(
-        &mut self,
-        revision: Revision,
-        changes: &[Change],
-        kind: DeltaKind,
-    ) -> Result<(), Vec<ResourceError>> {
-        let set = self.published.apply(changes)?;
+        let (changes, kind) = divide_kind(changes, kind, self.accepted.items());
+        let set = self.published.apply(&changes)?;
         let left_era = self.left_era(revision);
         self.published = Arc::new(set);
-        self.accepted_size.add(ChangeSize::of(changes));
-        self.accepted.advance(revision, changes, kind);
-        self.update_retained(left_era, changes);
+        self.accepted_size.add(ChangeSize::of(&changes));
+        self.accepted.advance(revision, &changes, kind);
+        self.update_retained(left_era, &changes);
         Ok(())
     }
 
--- a/crates/harefield/src/domain/feed.rs
+++ b/crates/harefield/src/domain/feed.rs
@@ -30,6 +30,16 @@
     pub value: Option<Arc<str>>,
 }
 
+impl Change {
+    /// Applies the change to values.
+    pub fn apply_to(&self, items: &mut Items) {
+        match &self.value {
+            Some(value) => items.insert(Arc::clone(&self.key), Arc::clone(value)),
+            None => items.remove(&self.key),
+        };
+    }
+}
+
 /// How large a set of changes is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeSize {
@@ -236,10 +246,7 @@
         if self.items.get(&change.key) == change.value.as_ref() {
             return false;
         }
-        match &change.value {
-            Some(value) => self.items.insert(Arc::clone(&change.key), Arc::clone(value)),
-            None => self.items.remove(&change.key),
-        };
+        change.apply_to(&mut self.items);
         true
     }
 
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -45,6 +45,11 @@
 pub mod view;
 pub mod work;
 
+/// Returns whether a value is its type's default, which is then not serialized.
+pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// Returns `part` divided by `whole`, or 1 if `whole` is 0.
 #[must_use]
 pub fn ratio(part: usize, whole: usize) -> f64 {
--- a/crates/harefield/src/domain/resources/kinds.rs
+++ b/crates/harefield/src/domain/resources/kinds.rs
@@ -12,6 +12,7 @@
 use crate::domain::ids::ShardId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::ids::Version;
+use crate::domain::is_default;
 use crate::domain::key::KeyDigest;
 use crate::domain::residency::Regions;
 use crate::domain::residency::Residency;
@@ -71,20 +72,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born: Option<u64>,
     /// How much longer it is cold, in milliseconds; 0 if it is warm.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cold_ms: u64,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
-const fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
 const fn default_connect_ms() -> u32 {
     6
 }
@@ -272,7 +263,7 @@
     #[serde(default)]
     pub edition: Edition,
     /// Whether its resources are values of their own; see [`catalogs`](crate::domain::catalogs).
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub divided: bool,
 }
 
--- a/crates/harefield/src/domain/resources/set.rs
+++ b/crates/harefield/src/domain/resources/set.rs
@@ -1,9 +1,12 @@
 //! The set of all resources, built from JSON values by key.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use itertools::EitherOrBoth::Both;
+use itertools::EitherOrBoth::Left;
+use itertools::EitherOrBoth::Right;
+use itertools::Itertools;
 use serde::de::DeserializeOwned;
 
 use super::error::MAX_VALUE_BYTES;
@@ -32,20 +35,12 @@
     if Arc::ptr_eq(before, now) {
         return Vec::new();
     }
-    let mut changed = Vec::new();
-    let (mut old, mut new) = (before.iter().peekable(), now.iter().peekable());
-    loop {
-        let order = match (old.peek(), new.peek()) {
-            (Some((left, _)), Some((right, _))) => left.cmp(right),
-            (Some(_), None) => Ordering::Less,
-            (None, Some(_)) => Ordering::Greater,
-            (None, None) => return changed,
-        };
-        let left = if order == Ordering::Greater { None } else { old.next() };
-        let right = if order == Ordering::Less { None } else { new.next() };
-        let same = matches!((left, right), (Some((_, left)), Some((_, right))) if Arc::ptr_eq(left, right));
-        changed.extend(left.or(right).filter(|_| !same).map(|(name, _)| name));
-    }
+    let pairs = before.iter().merge_join_by(now.iter(), |(old, _), (new, _)| old.cmp(new));
+    let changed = pairs.filter_map(|pair| match pair {
+        Both((_, old), (_, new)) if Arc::ptr_eq(old, new) => None,
+        Left((name, _)) | Right((name, _)) | Both(_, (name, _)) => Some(name),
+    });
+    changed.collect()
 }
 
 /// All resources of one revision, by kind and name. Successive sets share unchanged resources.
--- a/crates/harefield/src/domain/retained.rs
+++ b/crates/harefield/src/domain/retained.rs
@@ -23,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::catalogs::is_catalog;
 use super::feed::Change;
 use super::feed::Items;
 use super::ids::Edition;
@@ -354,10 +355,6 @@
     serde_json::from_str::<Catalog>(catalog).ok().map(|catalog| catalog.edition)
 }
 
-fn is_catalog(key: &Key) -> bool {
-    key.starts_with("catalogs/")
-}
-
 fn is_evacuation(key: &Key) -> bool {
     key.starts_with("evacuations/")
 }
--- a/crates/harefield/src/domain/view/mod.rs
+++ b/crates/harefield/src/domain/view/mod.rs
@@ -113,12 +113,10 @@
     daemons: Vec<HostId>,
     fleet: Vec<Candidate>,
     sizes: BTreeMap<Arc<str>, usize>,
-    /// The daemon that the view is for; `None` before the first view.
-    own: Option<HostId>,
 }
 
 impl View {
-    /// Returns the view that follows `self`.
+    /// Returns the view that follows `self`, for the same daemon.
     #[must_use]
     pub fn next(&self, inputs: &ViewInputs<'_>) -> Self {
         let daemons = inputs.hosts.daemons();
@@ -142,11 +140,7 @@
         let (lookups, changes) = builder.lookups();
         let paths = self.paths.next(&lookups, &changes);
         let plans = if changes.is_empty() { Arc::clone(&self.plans) } else { distinct_plans(&lookups) };
-        let upstreams = if same_upstreams
-            && cells == self.cells
-            && static_cells.is_empty()
-            && self.own.as_ref() == Some(inputs.own)
-        {
+        let upstreams = if same_upstreams && cells == self.cells && static_cells.is_empty() {
             Arc::clone(&self.upstreams)
         } else {
             Arc::new(builder.upstreams())
@@ -173,7 +167,6 @@
             daemons,
             fleet,
             sizes,
-            own: Some(Arc::clone(inputs.own)),
         }
     }
 
--- a/crates/harefield/src/ports/formats.rs
+++ b/crates/harefield/src/ports/formats.rs
@@ -8,6 +8,7 @@
 use super::peers::Pull;
 use super::platform::Space;
 use crate::domain::ids::Era;
+use crate::domain::is_default;
 use crate::domain::retained::RetainedMark;
 use crate::domain::revision::Revision;
 
@@ -67,10 +68,6 @@
     }
 }
 
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
-
 fn split(revision: Option<Revision>) -> (Option<u64>, Era) {
     (revision.map(|revision| revision.number), revision.map_or(0, |revision| revision.era))
 }
--- a/crates/harefield/tests/processes/site_large.rs
+++ b/crates/harefield/tests/processes/site_large.rs
@@ -161,6 +161,15 @@
     await_path(&site, "/v11/x");
 }
 
+#[test]
+fn listed_in_pages() {
+    let mut site = Site::start();
+    site.store.set_page_items(Some(2));
+    site.restart_all("");
+    await_path(&site, "/all/x");
+    assert_eq!(site.request("/all/x", "r2").header("missing-parts"), "0", "each page was read");
+}
+
 /// Guards against changes behind a large one that wait for it on a host with little processor
 /// time: the daemons run an eighth of the time.
 #[test]
