Review: one long time-out keeps a whole version and all drains out of force

A version with a time-out over ten minutes is rejected as a whole, and later changes of searchers' entries with it.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. With
 //! `TROUBLE=0` in the environment the case runs without its disruption.
 
+mod change;
 mod daemon;
 mod drain;
 mod http;
@@ -63,6 +64,7 @@
     record.add(&format!("case {case}, disruption: {}", if trouble { "yes" } else { "no" }));
     let verdict = match case.as_str() {
         "restart" => restart::run(&scratch, trouble, &mut record),
+        "change" => change::run(&scratch, trouble, &mut record),
         "drain" => drain::run(&scratch, trouble, &mut record),
         _ => Verdict::NotRun,
     };
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -79,7 +79,7 @@
         for searcher in &searchers {
             store.put(&searcher.key(), Some(&searcher.entry("ready", 1)));
         }
-        store.put("op/config", Some(&config(1)));
+        store.put("op/config", Some(&Config::FIRST.text()));
         let daemons = Daemon::plan(folder);
         let seeds = Daemon::seeds(&daemons);
         Self { store, searchers, daemons, seeds }
@@ -179,29 +179,46 @@
     Attempt { sent, id: id.to_owned(), kind: kind.name, status, served, took: sent.elapsed() }
 }
 
-/// Returns the operator's configuration.
-fn config(version: u64) -> String {
-    let shards: Vec<String> = (1..=20).map(|shard| format!("\"sortdesk-{shard}\"")).collect();
-    let names = shards.iter().cloned().chain(["\"doorstep\"".to_owned(), "\"bulkmail\"".to_owned()]);
-    let services: Vec<String> = names
-        .map(|name| {
-            let limit = if name.contains('-') { 26 } else { 100 };
-            format!(
-                "{{\"name\":{name},\"healthPath\":\"/health\",\"connectionLimit\":{limit},\
-                 \"protocol\":\"h1\",\"transportSecurity\":false}}"
-            )
-        })
-        .collect();
-    format!(
-        "{{\"version\":{version},\"routes\":[\
-         {{\"name\":\"belt\",\"host\":\"pupu76.example\",\"pathPrefix\":\"/belt/\",\"kind\":\"safe\",\
-         \"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,\"fanoutServices\":[{}],\"attempts\":2,\
-         \"resultLimit\":5,\"oldestVersion\":0.75}},\
-         {{\"name\":\"parcel\",\"host\":\"pupu76.example\",\"pathPrefix\":\"/parcel/\",\"kind\":\"unsafe\",\
-         \"timeoutMs\":6000,\"targetLatencyMs\":600,\"priority\":2,\"service\":\"doorstep\",\"attempts\":2}}],\
-         \"services\":[{}],\"limits\":{{\"headerBytes\":16384,\"bodyBytes\":262144,\
-         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-        shards.join(","),
-        services.join(",")
-    )
+/// What differs between the versions of the operator's configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    pub version: u64,
+    /// The service of the route `parcel`.
+    pub parcel: &'static str,
+    /// The time-out of the route `belt`, in milliseconds.
+    pub belt_ms: u64,
+}
+
+impl Config {
+    /// The version that precedes the start of traffic.
+    pub const FIRST: Self = Self { version: 1, parcel: "doorstep", belt_ms: 1000 };
+
+    /// Returns the document that the operator writes.
+    pub fn text(self) -> String {
+        let Self { version, parcel, belt_ms } = self;
+        let shards: Vec<String> = (1..=20).map(|shard| format!("\"sortdesk-{shard}\"")).collect();
+        let names = shards.iter().cloned().chain(["\"doorstep\"".to_owned(), "\"bulkmail\"".to_owned()]);
+        let services: Vec<String> = names
+            .map(|name| {
+                let limit = if name.contains('-') { 26 } else { 100 };
+                format!(
+                    "{{\"name\":{name},\"healthPath\":\"/health\",\"connectionLimit\":{limit},\
+                     \"protocol\":\"h1\",\"transportSecurity\":false}}"
+                )
+            })
+            .collect();
+        format!(
+            "{{\"version\":{version},\"routes\":[\
+             {{\"name\":\"belt\",\"host\":\"pupu76.example\",\"pathPrefix\":\"/belt/\",\"kind\":\"safe\",\
+             \"timeoutMs\":{belt_ms},\"targetLatencyMs\":100,\"priority\":2,\"fanoutServices\":[{}],\
+             \"attempts\":2,\"resultLimit\":5,\"oldestVersion\":0.75}},\
+             {{\"name\":\"parcel\",\"host\":\"pupu76.example\",\"pathPrefix\":\"/parcel/\",\
+             \"kind\":\"unsafe\",\"timeoutMs\":6000,\"targetLatencyMs\":600,\"priority\":2,\
+             \"service\":\"{parcel}\",\"attempts\":2}}],\
+             \"services\":[{}],\"limits\":{{\"headerBytes\":16384,\"bodyBytes\":262144,\
+             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+            shards.join(","),
+            services.join(",")
+        )
+    }
 }
