Review: a stale seed hands the fleet over to another deployment

With one of three seeds stale, and a machine of another deployment at its address, a planned restart of all daemons in turn makes them take over the other one's configuration: all requests run there.

--- a/review/standins/change.rs
+++ b/review/standins/change.rs
@@ -62,7 +62,7 @@
     site.load(&KINDS, BEFORE + BETWEEN + AFTER, "load", &attempts);
     std::thread::sleep(BEFORE);
     let belt_ms = if trouble { LONG_MS } else { USUAL_MS };
-    let second = Config { version: 4, parcel: "bulkmail", belt_ms };
+    let second = Config { version: 4, parcel: "bulkmail", belt_ms, ..Config::FIRST };
     let changed = site.store.put("op/config", Some(&second.text()));
     record.add(&format!(
         "version 4 moves the route parcel from doorstep to bulkmail; the time-out of belt is {belt_ms} ms"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod restart;
 mod searcher;
+mod seed;
 mod site;
 mod store;
 
@@ -66,6 +67,7 @@
         "restart" => restart::run(&scratch, trouble, &mut record),
         "change" => change::run(&scratch, trouble, &mut record),
         "drain" => drain::run(&scratch, trouble, &mut record),
+        "seed" => seed::run(&scratch, trouble, &mut record),
         _ => Verdict::NotRun,
     };
     record.add(&format!("verdict: {verdict:?}"));
