Reproduce late sends of a request that crashes its upstreams

What callers saw: a request under which three upstreams had ended was still sent (BUDGET), while others failed around it.

The stand-in learns to crash some time after it began to run a request, also without its caller, and to answer with failures of its own.

--- a/crates/harefield/tests/processes/crashing.rs
+++ b/crates/harefield/tests/processes/crashing.rs
@@ -56,7 +56,7 @@
 #[test]
 fn known_to_the_fleet() {
     for keep_names in [false, true] {
-        let fleet = Fleet::start(FleetOptions { keep_names, single_upstreams: 0 });
+        let fleet = Fleet::start(FleetOptions { keep_names, ..FleetOptions::default() });
         let served = repeat_fatal(&fleet, "all", 18);
         let (late, ended) = (fleet.late_sends(), fleet.ends().len());
         assert!(
@@ -74,7 +74,7 @@
 
 #[test]
 fn one_service_known() {
-    let fleet = Fleet::start(FleetOptions { keep_names: false, single_upstreams: 6 });
+    let fleet = Fleet::start(FleetOptions { single_upstreams: 6, ..FleetOptions::default() });
     let served = repeat_fatal(&fleet, "one", 18);
     let (late, ended) = (fleet.late_sends(), fleet.ends().len());
     assert!(late <= MAX_LATE_SENDS, "{late} sends after every daemon had to know, {ended} upstreams crashed");
@@ -123,7 +123,7 @@
 fn one_trial_in_the_fleet() {
     // Three or four upstreams of a service have crashed. Then the request is sent to all daemons
     // simultaneously, and only one of them tries it, on one upstream at a time.
-    let fleet = Fleet::start(FleetOptions { keep_names: false, single_upstreams: 9 });
+    let fleet = Fleet::start(FleetOptions { single_upstreams: 9, ..FleetOptions::default() });
     fleet.send_fatal(0, "one", 0);
     fleet.send_fatal(1, "one", 1);
     let before = fleet.fatal_attempts().len();
--- a/crates/harefield/tests/processes/crashing_support.rs
+++ b/crates/harefield/tests/processes/crashing_support.rs
@@ -19,6 +19,7 @@
 use standin::StartedRequest;
 
 use crate::site_support::Answer;
+use crate::site_support::begin;
 use crate::site_support::limits;
 use crate::site_support::request_at;
 use crate::support::Daemon;
@@ -37,12 +38,22 @@
 const WORK: Duration = Duration::from_millis(15);
 
 /// Variants of the fleet that a test starts.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct FleetOptions {
     /// Whether restarted upstreams keep their names.
     pub keep_names: bool,
     /// The number of upstreams of the service `one`, which has a single shard.
     pub single_upstreams: usize,
+    /// How long after its start a fatal request crashes its upstream.
+    pub crash_after: Duration,
+    /// Whether one upstream in seven answers 40% of its requests with a failure of its own.
+    pub some_fail: bool,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self { keep_names: false, single_upstreams: 0, crash_after: WORK, some_fail: false }
+    }
 }
 
 pub struct Fleet {
@@ -56,11 +67,14 @@
         let store = SiteStore::start();
         let mut upstreams = Vec::new();
         let mut add = |service: &str, number: usize, zone: usize| {
+            let fails = options.some_fail && upstreams.len() % 7 == 5;
             let spec = CrashingSpec {
                 id: format!("i-{service}-{number}"),
                 service: service.to_owned(),
                 zone: ZONES[zone % ZONES.len()].to_owned(),
                 work: WORK,
+                crash_after: options.crash_after,
+                failing_percent: if fails { 40 } else { 0 },
                 downtime: DOWNTIME,
                 keeps_name: options.keep_names,
             };
@@ -83,6 +97,15 @@
         fleet
     }
 
+    /// Kills all daemons and starts as many that know nothing of the past.
+    pub fn restart_all(&mut self) {
+        self.daemons.iter().for_each(|daemon| daemon.signal("KILL"));
+        self.daemons.clear();
+        for zone in ZONES {
+            self.join(zone);
+        }
+    }
+
     /// Starts one more daemon, whose seed is the first one.
     pub fn join(&mut self, zone: &str) {
         let seed = self.daemons.first().map(|daemon| format!("\"{}\"", daemon.addresses.peers));
@@ -106,6 +129,14 @@
         request_at(&self.daemons[daemon], &format!("/{path}{FATAL}"), &format!("fatal-{number}"), 2000)
     }
 
+    /// Sends such a request and closes its connection after `patience` without an answer.
+    pub fn leave_fatal(&self, daemon: usize, path: &str, number: usize, patience: Duration) {
+        let path = format!("/{path}{FATAL}");
+        let connection = begin(&self.daemons[daemon], &path, &format!("fatal-{number}"));
+        std::thread::sleep(patience);
+        drop(connection);
+    }
+
     /// Returns the attempts of fatal requests that upstreams began, by time.
     pub fn fatal_attempts(&self) -> Vec<StartedRequest> {
         let all = self.upstreams.iter().flat_map(CrashingSearcher::started);
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod carriers;
 mod configuration;
 mod crashing;
+mod crashing_evidence;
 mod crashing_support;
 mod forwarding;
 mod hot_requests;
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -41,6 +41,11 @@
     pub zone: String,
     /// The service time of a request.
     pub work: Duration,
+    /// How long after it started to run a fatal request it crashes, also if its caller has left by
+    /// then.
+    pub crash_after: Duration,
+    /// The percentage of requests that it does not run and answers with its own failure.
+    pub failing_percent: usize,
     /// How long it stays down after a crash.
     pub downtime: Duration,
     /// Whether it restarts under the same name.
@@ -64,6 +69,7 @@
 struct Shared {
     started: Vec<StartedRequest>,
     crash_times: Vec<Instant>,
+    received: usize,
 }
 
 /// A handle to an upstream that can crash.
@@ -113,6 +119,7 @@
 
     /// Serves requests until a crash, stays down, and starts again, without end.
     fn run(&self, spec: &CrashingSpec, store: &SiteStore, crashes: &Receiver<()>) {
+        let downtime = spec.downtime;
         for restarts in 0.. {
             let id = if spec.keeps_name || restarts == 0 {
                 spec.id.clone()
@@ -123,10 +130,10 @@
             let listener = net::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
             let entry = upstream_entry(net::local(&listener), &spec.zone, &spec.service, "ready");
             let executor: Rc<LocalExecutor<'static>> = Rc::default();
-            let (searcher, name, work) = (self.clone(), id.clone(), spec.work);
+            let (searcher, name, spec) = (self.clone(), id.clone(), spec.clone());
             let handle = Rc::new(move |request: Request<Incoming>| {
-                let (searcher, name) = (searcher.clone(), name.clone());
-                async move { searcher.answer(&request, name, work).await }
+                let (searcher, name, spec) = (searcher.clone(), name.clone(), spec.clone());
+                async move { searcher.answer(&request, name, &spec).await }
             });
             store.put(&key, Some(&entry));
             let serving = async { net::serve(&executor, listener, handle).await };
@@ -135,13 +142,13 @@
             // Dropping the executor ends its tasks, which closes the connections.
             drop(executor);
             self.lock().crash_times.push(Instant::now());
-            std::thread::sleep(spec.downtime);
+            std::thread::sleep(downtime);
             while crashes.try_recv().is_ok() {}
             store.put(&key, None);
         }
     }
 
-    async fn answer(&self, request: &Request<Incoming>, name: String, work: Duration) -> Reply {
+    async fn answer(&self, request: &Request<Incoming>, name: String, spec: &CrashingSpec) -> Reply {
         let header = |name: &str| {
             request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
         };
@@ -151,14 +158,35 @@
         let (id, target) = (header("attempt-id"), request.uri().to_string());
         let fatal = target.contains(FATAL);
         let seal = format!("{name}.{id}");
+        if self.fails_next(spec.failing_percent) {
+            return reply(StatusCode::INTERNAL_SERVER_ERROR, "server-seal", &seal);
+        }
         self.lock().started.push(StartedRequest { at: Instant::now(), id, target, upstream: name });
-        Timer::after(work).await;
         if fatal {
-            self.crash();
+            self.crash_later(spec.crash_after);
             return std::future::pending().await;
         }
+        Timer::after(spec.work).await;
         reply(StatusCode::OK, "server-seal", &seal)
     }
+
+    /// Returns whether the next request fails; the failures are spread evenly.
+    fn fails_next(&self, percent: usize) -> bool {
+        let mut shared = self.lock();
+        let failures = |received: usize| received * percent / 100;
+        shared.received += 1;
+        failures(shared.received) > failures(shared.received - 1)
+    }
+
+    /// Crashes it after a delay, whatever becomes of the request meanwhile.
+    fn crash_later(&self, delay: Duration) {
+        let searcher = self.clone();
+        let body = move || {
+            std::thread::sleep(delay);
+            searcher.crash();
+        };
+        std::thread::Builder::new().name("crash".to_owned()).spawn(body).expect("a thread can be started");
+    }
 }
 
 fn reply(status: StatusCode, name: &'static str, value: &str) -> Reply {
