Log why evidence about a request was kept, dropped or not passed on

Of the three hypotheses on late sends none could be told from a log: not which reply cleared a request, not whether an end counted, not how a trial ended. Adds the events evidence-cleared, evidence-unsent and trial-ended, and `kept` in upstream-ended; each at most once for a send, all counted in _events_total.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -259,6 +259,9 @@
             Event::WorkSuspected { .. } => "work-suspected",
             Event::WorkCleared { .. } => "work-cleared",
             Event::TrialBegun { .. } => "trial-begun",
+            Event::TrialEnded { .. } => "trial-ended",
+            Event::EvidenceCleared { .. } => "evidence-cleared",
+            Event::EvidenceUnsent { .. } => "evidence-unsent",
             _ => return,
         };
         count(&self.events, name);
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -69,6 +69,18 @@
     pub micros: u64,
 }
 
+/// How the run of a suspected work on a single upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TrialEnd {
+    /// The upstream answered.
+    Answered,
+    /// The upstream was sent the work and did not answer.
+    Unanswered,
+    /// No upstream was sent the work.
+    NotSent,
+}
+
 /// A decision, with the facts that it was based on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -128,8 +140,20 @@
     /// An attempt failed.
     AttemptFailed { shard: ShardId, upstream: UpstreamId, attempt: AttemptId, why: Gap, ran: bool },
     /// An upstream ended while it ran the request; `alone` says that no other upstream of the
-    /// fan-out did.
-    UpstreamEnded { work: WorkId, upstream: UpstreamId, alone: bool },
+    /// fan-out did. `kept` says that this is held as evidence; it isn't where the work was answered
+    /// a moment ago.
+    UpstreamEnded {
+        work: WorkId,
+        upstream: UpstreamId,
+        alone: bool,
+        #[serde(default)]
+        kept: bool,
+    },
+    /// What an upstream sent back ended the evidence about a piece of work.
+    EvidenceCleared { work: WorkId, upstream: UpstreamId },
+    /// The evidence about a piece of work could not be passed on, as the channel to the control
+    /// duty was full.
+    EvidenceUnsent { work: WorkId },
     /// A piece of work is run on one upstream at a time, or withheld for `withheld` milliseconds,
     /// because `ends` upstreams ended while they ran it, `alone` of them while they were the only
     /// one.
@@ -138,6 +162,8 @@
     WorkCleared { work: WorkId },
     /// A piece of suspected work is run on a single upstream.
     TrialBegun { work: WorkId, shard: ShardId },
+    /// That run ended.
+    TrialEnded { work: WorkId, end: TrialEnd },
     /// An attempt was cancelled; the upstream is notified if possible.
     Cancelled { shard: ShardId, upstream: UpstreamId, attempt: AttemptId },
     /// A shard was given up.
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -29,6 +29,7 @@
 use crate::domain::code::Code;
 use crate::domain::event::Event;
 use crate::domain::event::Sink;
+use crate::domain::event::TrialEnd;
 use crate::domain::fanout::AnswerRules;
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::FanoutResult;
@@ -124,8 +125,9 @@
 
     fn publish_suspects(&self, changed: impl IntoIterator<Item = Suspect>) {
         for suspect in changed {
+            let work = suspect.work;
             if self.control.try_send(ToControl::Suspect(suspect)).is_err() {
-                log::warn!("the control channel is full or closed: an update on a suspect request is lost");
+                self.duty_trace().emit(Event::EvidenceUnsent { work });
             }
         }
     }
@@ -139,7 +141,7 @@
         mut end: CallOutcome,
     ) -> CallOutcome {
         match &end.end {
-            AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => self.record_success(&attempt.job),
+            AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => self.record_success(attempt),
             AttemptEnd::Lost { why: Gap::ReplyLost } if self.is_upstream_exit(attempt, pending).await => {
                 end.end = AttemptEnd::Lost { why: Gap::UpstreamEnded };
             }
@@ -148,14 +150,25 @@
         end
     }
 
-    fn record_success(&self, job: &Job) {
+    fn record_success(&self, attempt: &Attempt) {
+        let job = &attempt.job;
         if job.evidence.answered.replace(true) {
             return;
         }
         let changed = self.suspects.borrow_mut().record_answer(&job.work, self.ports.clock.now());
+        if !changed.is_empty() {
+            let upstream = Arc::clone(&attempt.send.upstream);
+            self.record_event(job, Event::EvidenceCleared { work: job.work.exact, upstream });
+        }
         self.publish_suspects(changed);
     }
 
+    /// Records an event of a request beside those of its trace.
+    fn record_event(&self, job: &Job, event: Event) {
+        let request = Some(Arc::clone(&job.request));
+        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
+    }
+
     /// Returns whether an upstream is known by now to have lost a reply because it exited, where no
     /// other upstream answered the request.
     ///
@@ -210,9 +223,10 @@
         if job.whole || self.clearance(&job.work) != Clearance::Free {
             self.publish_suspects(changed);
         }
-        let event = Event::UpstreamEnded { work: job.work.exact, upstream: Arc::clone(upstream), alone };
-        let request = Some(Arc::clone(&job.request));
-        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
+        let kept = self.suspects.borrow().has_ends(&job.work, now);
+        let event =
+            Event::UpstreamEnded { work: job.work.exact, upstream: Arc::clone(upstream), alone, kept };
+        self.record_event(job, event);
     }
 
     /// Answers a request whose work may not run freely; returns none where it may.
@@ -324,6 +338,7 @@
         };
         let job = Job::new(request, resolved, trace.request());
         let run = self.fan_out(&job, &one, &rules, 0, (&mut None, trace)).await;
+        trace.emit(Event::TrialEnded { work: resolved.work.exact, end: trial_end(&run.finished) });
         if plan.shards.len() == 1 {
             return Some(build_answer(trace, &plan, run.finished, resolved));
         }
@@ -348,6 +363,14 @@
     !resolved.plan.lookup.repeatable && matches!(request.query, Query::Json(_))
 }
 
+fn trial_end(finished: &FanoutResult) -> TrialEnd {
+    match finished.outcome {
+        Outcome::Answered => TrialEnd::Answered,
+        Outcome::MayHaveRun => TrialEnd::Unanswered,
+        Outcome::NotRun => TrialEnd::NotSent,
+    }
+}
+
 /// Returns the answer to a request whose trial was not answered; none where it was answered.
 fn failed_trial<C: Clock>(finished: &FanoutResult, trace: &Trace<C>) -> Option<Answer> {
     match finished.outcome {
