Take an upstream's own failure for no proof that a request is harmless

What callers saw: beside upstreams that answer part of their requests with failures of their own, a request that crashes its upstreams was sent on and on; nearly all other requests failed meanwhile.

Cause: an attempt that ended in the upstream's failure counted as an answer. It cleared the request over the whole fleet and refuted all ends of the next 5 s, although such an upstream need not have run it.

Change: Proof says what each end of an attempt shows, and only an answer shows that a request is harmless. A trial that its upstream fails hands that failure to the caller, so that a request which upstreams always reject keeps its true answer while it runs alone.

--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -149,7 +149,7 @@
         #[serde(default)]
         kept: bool,
     },
-    /// What an upstream sent back ended the evidence about a piece of work.
+    /// An upstream's answer ended the evidence about a piece of work.
     EvidenceCleared { work: WorkId, upstream: UpstreamId },
     /// The evidence about a piece of work could not be passed on, as the channel to the control
     /// duty was full.
--- a/crates/harefield/src/domain/suspects/mod.rs
+++ b/crates/harefield/src/domain/suspects/mod.rs
@@ -10,16 +10,19 @@
 //! answer clears it or two upstreams have ended in isolation. Then it is withheld, with further
 //! trials after growing delays.
 //!
-//! [`Evidence`] is what is known about one work, and merges with what other daemons know;
+//! [`Proof`] is what the end of one attempt shows. [`Evidence`] is what is known about one work, and
+//! merges with what other daemons know;
 //! [`Suspects`] holds it for a bounded number of works.
 
 mod answered;
 mod evidence;
+mod proof;
 mod registry;
 mod report;
 
 pub use evidence::Clearance;
 pub use evidence::Evidence;
+pub use proof::Proof;
 pub use registry::MergeOutcome;
 pub use registry::Suspect;
 pub use registry::Suspects;
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -41,6 +41,7 @@
 use crate::domain::outcome::Outcome;
 use crate::domain::query::Query;
 use crate::domain::suspects::Clearance;
+use crate::domain::suspects::Proof;
 use crate::domain::suspects::Suspect;
 use crate::domain::suspects::SuspectReport;
 use crate::domain::view::Plan;
@@ -140,12 +141,12 @@
         pending: &PendingAttempt,
         mut end: CallOutcome,
     ) -> CallOutcome {
-        match &end.end {
-            AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => self.record_success(attempt),
-            AttemptEnd::Lost { why: Gap::ReplyLost } if self.is_upstream_exit(attempt, pending).await => {
+        match Proof::of(&end.end) {
+            Proof::Harmless => self.record_success(attempt),
+            Proof::CheckUpstream if self.is_upstream_exit(attempt, pending).await => {
                 end.end = AttemptEnd::Lost { why: Gap::UpstreamEnded };
             }
-            _ => {}
+            Proof::CheckUpstream | Proof::Nothing => {}
         }
         end
     }
@@ -376,6 +377,8 @@
     match finished.outcome {
         Outcome::Answered => None,
         Outcome::NotRun => Some(refuse(trace, finished.code, RETRY_AFTER)),
-        Outcome::MayHaveRun => Some(may_have_run(trace, finished.code)),
+        Outcome::MayHaveRun => {
+            Some(Answer { failure: finished.failure.clone(), ..may_have_run(trace, finished.code) })
+        }
     }
 }
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod codes;
 mod cold;
 mod configuration;
+mod crash_evidence;
 mod crash_guard;
 mod delegates;
 mod dispatch;
