Watch the upstreams of attempts that are given up

Cause: when a caller leaves, a group is revoked or the time is over, the attempt's connection is closed, and with it what would show the end of its upstream. Nobody looked afterwards.

Change: while nobody has answered its work, the upstream of such an attempt is watched for a second, by the connections that are open to it anyway: only where none is, one is opened, and is kept for the next request. An end that is seen then counts as one during the attempt. An upstream that is leaving doesn't count. A trial holds its place until its fate is known, so that no second one starts meanwhile.

Innocents: hot_requests::abandoned_then_repeated, 200 requests repeated after their callers left beside crashes of 13 of 40, none refused.

--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -186,6 +186,14 @@
         checked.or(expired).await
     }
 
+    fn is_connected(&self, upstream: &UpstreamId) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        pools.get_mut(upstream).is_some_and(|pool| {
+            pool.remove_closed();
+            pool.open > 0
+        })
+    }
+
     fn cancel(&self, upstream: &UpstreamId, request: &str) {
         let Some(address) = self.pools.borrow().get(upstream).map(|pool| pool.address) else {
             return;
--- a/crates/harefield/src/adapters/upstreams/pool.rs
+++ b/crates/harefield/src/adapters/upstreams/pool.rs
@@ -50,6 +50,14 @@
         Self { address, idle: Vec::new(), open: 0, preconnecting: 0, backoff_until: None, failures: 0 }
     }
 
+    /// Removes the idle connections that the upstream closed.
+    pub(super) fn remove_closed(&mut self) {
+        let before = self.idle.len();
+        self.idle.retain(|connection| !connection.is_closed());
+        let closed = u32::try_from(before - self.idle.len()).unwrap_or(u32::MAX);
+        self.open = self.open.saturating_sub(closed);
+    }
+
     /// Records whether a connection could be opened ahead of need.
     pub(super) fn end_preconnect(&mut self, opened: bool) {
         self.preconnecting = self.preconnecting.saturating_sub(1);
@@ -152,10 +160,7 @@
     pub(super) fn ready(&self, endpoint: &Endpoint) -> usize {
         let mut pools = self.pools.borrow_mut();
         let Some(pool) = pools.get_mut(&endpoint.upstream) else { return 0 };
-        let before = pool.idle.len();
-        pool.idle.retain(|connection| !connection.is_closed());
-        let closed = u32::try_from(before - pool.idle.len()).unwrap_or(u32::MAX);
-        pool.open = pool.open.saturating_sub(closed);
+        pool.remove_closed();
         pool.idle.len() + pool.preconnecting
     }
 
--- a/crates/harefield/src/domain/suspects/mod.rs
+++ b/crates/harefield/src/domain/suspects/mod.rs
@@ -14,12 +14,14 @@
 //! merges with what other daemons know;
 //! [`Suspects`] holds it for a bounded number of works.
 
+mod abandoned;
 mod answered;
 mod evidence;
 mod proof;
 mod registry;
 mod report;
 
+pub use abandoned::Abandoned;
 pub use evidence::Clearance;
 pub use evidence::Evidence;
 pub use proof::Proof;
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::gate::GatePermit;
 use super::job::Job;
+use super::job::PendingAttempt;
 use super::message::ToControl;
 use super::worker::Worker;
 use crate::domain::admission::Congestion;
@@ -78,6 +79,8 @@
     pub job: Job,
     plan: Arc<Plan>,
     pub send: SendAttempt,
+    /// Whether it was permitted to be written to its upstream.
+    pub sent: Cell<bool>,
 }
 
 impl Attempt {
@@ -99,6 +102,7 @@
 struct AttemptGuard<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
     attempt: Attempt,
+    pending: PendingAttempt,
     completed: Cell<bool>,
 }
 
@@ -113,6 +117,7 @@
         router.end(upstream, *start, AttemptOutcome::Declined, &Report::default(), now);
         drop(router);
         self.worker.deliver_turns();
+        self.worker.watch_abandoned(&self.attempt, &self.pending);
     }
 }
 
@@ -231,7 +236,8 @@
         for action in actions {
             match action {
                 Action::Send(send) => {
-                    let attempt = Attempt { job: job.clone(), plan: Arc::clone(plan), send };
+                    let (job, plan) = (job.clone(), Arc::clone(plan));
+                    let attempt = Attempt { job, plan, send, sent: Cell::new(false) };
                     tasks.attempts.push(self.spawn_attempt(attempt, sender.clone()));
                 }
                 Action::Delegate(group) => {
@@ -254,12 +260,12 @@
             Cause::Retry | Cause::Hedge | Cause::Probe => counts.extra += 1,
         });
         let pending = attempt.job.evidence.begin();
-        let guard = AttemptGuard { worker: Rc::clone(self), attempt, completed: Cell::new(false) };
+        let guard = AttemptGuard { worker: Rc::clone(self), attempt, pending, completed: Cell::new(false) };
         let task = async move {
-            let AttemptGuard { worker: this, attempt, completed } = &guard;
+            let AttemptGuard { worker: this, attempt, pending, completed } = &guard;
             let end = this.query_upstream(attempt).await;
-            let end = this.classify_end(attempt, &pending, end).await;
-            drop(pending);
+            let end = this.classify_end(attempt, pending, end).await;
+            pending.end();
             completed.set(true);
             this.record_outcome(attempt, &end);
             this.deliver_turns();
@@ -301,7 +307,9 @@
             // The upstream may have begun to leave, or its zone to be evacuated, while a connection
             // was opened.
             let accepts = router.upstream(&attempt.send.upstream).is_some_and(|s| s.accepts_work().is_ok());
-            now < attempt.job.deadline && !withheld && accepts && router.lease().held(now)
+            let permitted = now < attempt.job.deadline && !withheld && accepts && router.lease().held(now);
+            attempt.sent.set(permitted);
+            permitted
         };
         self.ports.upstreams.send(call, permit).await
     }
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -1,6 +1,8 @@
 //! What all attempts of one request share.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
@@ -9,6 +11,7 @@
 use super::message::LookupRequest;
 use crate::domain::accounts::Requester;
 use crate::domain::ids::RequestId;
+use crate::domain::ids::WorkId;
 use crate::domain::query::Query;
 use crate::domain::residency::Regions;
 use crate::domain::work::Work;
@@ -54,30 +57,63 @@
     }
 }
 
+/// Marks a work as on trial in this worker until dropped.
+#[derive(Debug)]
+pub(super) struct TrialGuard {
+    trials: Rc<RefCell<HashSet<WorkId>>>,
+    work: WorkId,
+}
+
+impl TrialGuard {
+    pub fn new(trials: &Rc<RefCell<HashSet<WorkId>>>, work: WorkId) -> Self {
+        trials.borrow_mut().insert(work);
+        Self { trials: Rc::clone(trials), work }
+    }
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        self.trials.borrow_mut().remove(&self.work);
+    }
+}
+
 /// What the attempts of one fan-out show about its work.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkEvidence {
     /// The number of attempts and groups in flight.
     pending: Rc<Cell<u32>>,
+    /// The number of attempts and groups that have begun.
+    begun: Rc<Cell<u32>>,
     /// The number of lost replies whose upstreams are being checked.
     checks: Rc<Cell<u32>>,
     /// Whether an upstream has answered.
     pub answered: Rc<Cell<bool>>,
+    /// Held by a trial until it is known what became of it, also after its caller has left.
+    pub trial: Option<Rc<TrialGuard>>,
 }
 
 /// An attempt or group in flight.
 #[derive(Debug)]
 pub(super) struct PendingAttempt {
     pending: Rc<Cell<u32>>,
-    began_alone: bool,
+    begun: Rc<Cell<u32>>,
+    /// How many had begun with this one, if no other was in flight then.
+    alone_at: Option<u32>,
+    ended: Cell<bool>,
 }
 
 impl WorkEvidence {
     /// Counts an attempt or group as in flight until dropped.
     pub fn begin(&self) -> PendingAttempt {
-        let others = self.pending.get();
-        self.pending.set(others + 1);
-        PendingAttempt { pending: Rc::clone(&self.pending), began_alone: others == 0 }
+        let others = self.pending.replace(self.pending.get() + 1);
+        let number = self.begun.get() + 1;
+        self.begun.set(number);
+        PendingAttempt {
+            pending: Rc::clone(&self.pending),
+            begun: Rc::clone(&self.begun),
+            alone_at: (others == 0).then_some(number),
+            ended: Cell::new(false),
+        }
     }
 
     /// Counts a check whether an upstream has exited as in progress until dropped.
@@ -106,14 +142,21 @@
 
 impl PendingAttempt {
     /// Returns whether no other attempt or group of the fan-out was in flight when this one began,
-    /// nor is now.
+    /// nor has begun since.
     pub fn is_alone(&self) -> bool {
-        self.began_alone && self.pending.get() == 1
+        self.alone_at == Some(self.begun.get())
+    }
+
+    /// Counts it as in flight no longer.
+    pub fn end(&self) {
+        if !self.ended.replace(true) {
+            self.pending.set(self.pending.get() - 1);
+        }
     }
 }
 
 impl Drop for PendingAttempt {
     fn drop(&mut self) {
-        self.pending.set(self.pending.get() - 1);
+        self.end();
     }
 }
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! Everything here is generic over the ports. Workers share no state but what [`Shared`] holds.
 
+mod abandoned;
 mod attempt;
 mod fan_out_request;
 mod find;
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -4,8 +4,6 @@
 //! A *work* identifies what is asked and for whom. A *trial* is a run of a suspect work on one
 //! upstream alone.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,11 +12,13 @@
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::abandoned::AbandonedAttempt;
 use super::attempt::Attempt;
 use super::find::ResolvedRequest;
 use super::forward_attempt::is_redirect;
 use super::job::Job;
 use super::job::PendingAttempt;
+use super::job::TrialGuard;
 use super::message::LookupRequest;
 use super::message::Origin;
 use super::message::ToControl;
@@ -34,8 +34,8 @@
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::FanoutResult;
 use crate::domain::ids::HostId;
+use crate::domain::ids::RequestId;
 use crate::domain::ids::UpstreamId;
-use crate::domain::ids::WorkId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
@@ -73,18 +73,6 @@
 /// How often a request checks whether the trial of its work has ended.
 const POLL_EVERY: Duration = Duration::from_millis(2);
 
-/// Marks a work as on trial in this worker until dropped.
-struct TrialGuard<'a> {
-    trials: &'a RefCell<HashSet<WorkId>>,
-    work: WorkId,
-}
-
-impl Drop for TrialGuard<'_> {
-    fn drop(&mut self) {
-        self.trials.borrow_mut().remove(&self.work);
-    }
-}
-
 impl<U: Upstreams, P: Peers, C: Clock> Worker<U, P, C> {
     /// Merges what the fleet knows of suspect works. Where an answer received here clears one,
     /// publishes that.
@@ -146,7 +134,8 @@
             Proof::CheckUpstream if self.is_upstream_exit(attempt, pending).await => {
                 end.end = AttemptEnd::Lost { why: Gap::UpstreamEnded };
             }
-            Proof::CheckUpstream | Proof::Nothing => {}
+            Proof::CheckUpstream => self.watch_abandoned(attempt, pending),
+            Proof::Nothing => {}
         }
         end
     }
@@ -159,14 +148,14 @@
         let changed = self.suspects.borrow_mut().record_answer(&job.work, self.ports.clock.now());
         if !changed.is_empty() {
             let upstream = Arc::clone(&attempt.send.upstream);
-            self.record_event(job, Event::EvidenceCleared { work: job.work.exact, upstream });
+            self.record_event(&job.request, Event::EvidenceCleared { work: job.work.exact, upstream });
         }
         self.publish_suspects(changed);
     }
 
     /// Records an event of a request beside those of its trace.
-    fn record_event(&self, job: &Job, event: Event) {
-        let request = Some(Arc::clone(&job.request));
+    fn record_event(&self, request: &RequestId, event: Event) {
+        let request = Some(Arc::clone(request));
         self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
     }
 
@@ -181,11 +170,9 @@
             return false;
         }
         let _check = attempt.job.evidence.begin_check();
-        let mut check = self.executor.spawn(Rc::clone(self).check_exit(
-            attempt.job.clone(),
-            Arc::clone(&attempt.send.upstream),
-            pending.is_alone(),
-        ));
+        let kept = AbandonedAttempt::new(&attempt.job, pending);
+        let upstream = Arc::clone(&attempt.send.upstream);
+        let mut check = self.executor.spawn(Rc::clone(self).check_exit(kept, upstream));
         let checked = async { Some((&mut check).await) };
         let expired = async {
             self.ports.clock.sleep_running(CHECK_WAIT).await;
@@ -200,15 +187,15 @@
 
     /// Checks whether an upstream has exited, and records it where no upstream answered the
     /// request. Returns whether it did.
-    async fn check_exit(self: Rc<Self>, job: Job, upstream: UpstreamId, alone: bool) -> bool {
-        let exited = self.has_exited(&upstream).await && !job.evidence.answered.get();
+    async fn check_exit(self: Rc<Self>, attempt: AbandonedAttempt, upstream: UpstreamId) -> bool {
+        let exited = self.has_exited(&upstream).await && !attempt.evidence.answered.get();
         if exited {
-            self.record_exit(&job, &upstream, alone);
+            self.record_exit(&attempt, &upstream);
         }
         exited
     }
 
-    async fn has_exited(&self, upstream: &UpstreamId) -> bool {
+    pub(super) async fn has_exited(&self, upstream: &UpstreamId) -> bool {
         let target = self.router.borrow().upstream(upstream).map(|s| (s.spec().address, s.share()));
         // An upstream that the configuration no longer names has exited, or is about to.
         let Some((address, connection_limit)) = target else { return true };
@@ -216,18 +203,19 @@
         self.ports.upstreams.has_ended(&endpoint, connection_limit).await
     }
 
-    fn record_exit(&self, job: &Job, upstream: &UpstreamId, alone: bool) {
-        let alone = alone && job.whole;
+    /// Records that an upstream ended while it ran an attempt.
+    pub(super) fn record_exit(&self, attempt: &AbandonedAttempt, upstream: &UpstreamId) {
+        let AbandonedAttempt { request, work, whole, alone, .. } = attempt;
+        let alone = *alone && *whole;
         let now = self.ports.clock.now();
-        let changed = self.suspects.borrow_mut().record_end(&job.work, upstream, alone, now);
+        let changed = self.suspects.borrow_mut().record_end(work, upstream, alone, now);
         // A group of shards may lack an answer that other parts of its request have.
-        if job.whole || self.clearance(&job.work) != Clearance::Free {
+        if *whole || self.clearance(work) != Clearance::Free {
             self.publish_suspects(changed);
         }
-        let kept = self.suspects.borrow().has_ends(&job.work, now);
-        let event =
-            Event::UpstreamEnded { work: job.work.exact, upstream: Arc::clone(upstream), alone, kept };
-        self.record_event(job, event);
+        let kept = self.suspects.borrow().has_ends(work, now);
+        let event = Event::UpstreamEnded { work: work.exact, upstream: Arc::clone(upstream), alone, kept };
+        self.record_event(request, event);
     }
 
     /// Answers a request whose work may not run freely; returns none where it may.
@@ -271,9 +259,8 @@
             }
             Clearance::Alone(_) => {}
         }
-        self.trials.borrow_mut().insert(work.exact);
-        let _trial = TrialGuard { trials: &self.trials, work: work.exact };
-        self.run_trial(request, resolved, trace).await
+        let guard = TrialGuard::new(&self.trials, work.exact);
+        self.run_trial(guard, request, resolved, trace).await
     }
 
     /// Returns the daemon that runs the trials of a work. All daemons choose the same one, of the
@@ -320,6 +307,7 @@
     /// or where the trial failed.
     async fn run_trial(
         self: &Rc<Self>,
+        guard: TrialGuard,
         request: &LookupRequest,
         resolved: &ResolvedRequest,
         trace: &mut Trace<C>,
@@ -337,7 +325,8 @@
             trials: 0,
             ..self.rules(resolved, self.overruns.own.get(), Duration::ZERO)
         };
-        let job = Job::new(request, resolved, trace.request());
+        let mut job = Job::new(request, resolved, trace.request());
+        job.evidence.trial = Some(Rc::new(guard));
         let run = self.fan_out(&job, &one, &rules, 0, (&mut None, trace)).await;
         trace.emit(Event::TrialEnded { work: resolved.work.exact, end: trial_end(&run.finished) });
         if plan.shards.len() == 1 {
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -17,6 +17,7 @@
 use async_executor::LocalExecutor;
 use log::debug;
 
+use super::abandoned::AbandonedAttempt;
 use super::attempt::CompletedAttempt;
 use super::message::PeerView;
 use super::message::ToControl;
@@ -52,6 +53,7 @@
 use crate::domain::routing::Router;
 use crate::domain::routing::Scheduling;
 use crate::domain::routing::rerun_quota;
+use crate::domain::suspects::Abandoned;
 use crate::domain::suspects::Suspects;
 use crate::domain::topology::Topology;
 use crate::domain::view::View;
@@ -157,7 +159,9 @@
     /// Works suspected of crashing upstreams, as the fleet knows them.
     pub(super) suspects: RefCell<Suspects>,
     /// Works that run alone here now.
-    pub(super) trials: RefCell<HashSet<WorkId>>,
+    pub(super) trials: Rc<RefCell<HashSet<WorkId>>>,
+    /// Attempts whose ends nobody awaits.
+    pub(super) abandoned: RefCell<Abandoned<AbandonedAttempt>>,
     pub(super) control: Sender<ToControl>,
     pub(super) hybrid: Rc<RefCell<HybridClock>>,
     pub(super) telemetry: Telemetry,
@@ -271,7 +275,8 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             suspects: RefCell::default(),
-            trials: RefCell::default(),
+            trials: Rc::default(),
+            abandoned: RefCell::default(),
             part_credits: RefCell::default(),
             time_limits: RefCell::default(),
             seen_edition: Cell::new(None),
--- a/crates/harefield/src/ports/upstreams.rs
+++ b/crates/harefield/src/ports/upstreams.rs
@@ -65,6 +65,9 @@
     /// connections, has not ended.
     fn has_ended(&self, endpoint: &Endpoint, connection_limit: u32) -> impl Future<Output = bool>;
 
+    /// Returns whether a connection to an upstream is open, whether or not it carries a request.
+    fn is_connected(&self, upstream: &UpstreamId) -> bool;
+
     /// Tells an upstream that a reply is no longer wanted, if that needs no new connection.
     fn cancel(&self, upstream: &UpstreamId, request: &str);
 
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -2,11 +2,14 @@
 //! crash upstreams.
 
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use harefield::domain::fanout::AttemptEnd;
 use harefield::domain::outcome::Gap;
 use harefield::domain::reply::OpaqueReply;
 use harefield::domain::reply::Reply;
+use harefield::domain::suspects::Abandoned;
 use harefield::domain::suspects::Proof;
 
 fn reply(status: u16) -> Reply {
@@ -51,3 +54,35 @@
 fn lost_reply_needs_check() {
     assert_eq!(Proof::of(&AttemptEnd::Lost { why: Gap::ReplyLost }), Proof::CheckUpstream);
 }
+
+#[test]
+fn abandoned_is_watched() {
+    let (start, mut abandoned) = (Instant::now(), Abandoned::default());
+    abandoned.add(&"u1".into(), 1, start);
+    abandoned.add(&"u1".into(), 2, start + Duration::from_millis(500));
+    abandoned.add(&"u2".into(), 3, start);
+    assert_eq!(abandoned.remove(&"u1".into()), [1, 2], "all that the upstream may have been running");
+    assert_eq!(abandoned.remove(&"u1".into()), [0_i32; 0], "its next end is another one's");
+    assert_eq!(abandoned.remove_expired(start + Duration::from_millis(900), |_| true), [0_i32; 0]);
+    assert_eq!(abandoned.remove_expired(start + Duration::from_secs(1), |_| true), [3]);
+    assert!(abandoned.is_empty());
+}
+
+#[test]
+fn abandoned_until_answered() {
+    let (start, mut abandoned) = (Instant::now(), Abandoned::default());
+    abandoned.add(&"u1".into(), 1, start);
+    abandoned.add(&"u1".into(), 2, start);
+    assert_eq!(abandoned.remove_expired(start, |attempt| *attempt != 1), [1], "1 was answered elsewhere");
+    assert_eq!(abandoned.remove(&"u1".into()), [2]);
+}
+
+#[test]
+fn abandoned_is_bounded() {
+    let (start, mut abandoned) = (Instant::now(), Abandoned::default());
+    for number in 0..5000 {
+        abandoned.add(&format!("u{}", number % 100).into(), number, start);
+    }
+    let held: usize = abandoned.upstreams().iter().map(|upstream| abandoned.remove(upstream).len()).sum();
+    assert_eq!(held, 1024);
+}
--- a/crates/harefield/tests/decisions/dropped_tasks.rs
+++ b/crates/harefield/tests/decisions/dropped_tasks.rs
@@ -67,6 +67,10 @@
         false
     }
 
+    fn is_connected(&self, _upstream: &UpstreamId) -> bool {
+        true
+    }
+
     fn cancel(&self, _upstream: &UpstreamId, _request: &str) {}
 
     fn preconnect(&self, _endpoint: &Endpoint, _connection_limit: u32, _want: usize) -> bool {
--- a/crates/harefield/tests/processes/hot_requests.rs
+++ b/crates/harefield/tests/processes/hot_requests.rs
@@ -1,11 +1,14 @@
 //! Requests that are sent many times a second while upstreams crash for unrelated reasons.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::crashing_support::Callers;
 use crate::crashing_support::DOWNTIME;
 use crate::crashing_support::Fleet;
 use crate::crashing_support::FleetOptions;
+use crate::crashing_support::code;
+use crate::site_support::begin;
 use crate::site_support::request_at;
 use crate::support::Daemon;
 use crate::support::await_true;
@@ -28,6 +31,29 @@
     assert!(served * 10 > answers.len() * 6, "{served} of {} are answered", answers.len());
 }
 
+#[test]
+fn abandoned_then_repeated() {
+    // Each caller leaves before its first answer, and repeats its request, while upstreams crash for
+    // unrelated reasons. No repetition is refused because of the attempt that was left.
+    let fleet = Fleet::start(FleetOptions::default());
+    let (mut answers, mut round) = (Vec::new(), Instant::now());
+    for number in 0..200 {
+        if round.elapsed() > DOWNTIME + Duration::from_secs(1) {
+            round = Instant::now();
+            fleet.upstreams.iter().skip(number % 3).step_by(3).for_each(standin::CrashingSearcher::crash);
+        }
+        let (daemon, path) = (&fleet.daemons[number % fleet.daemons.len()], format!("/all/left-{number}"));
+        let left = begin(daemon, &path, &format!("l{number}"));
+        std::thread::sleep(Duration::from_millis(5));
+        drop(left);
+        answers.push(request_at(daemon, &path, &format!("r{number}"), 1000));
+    }
+    let refused = answers.iter().filter(|answer| code(answer) == "HF2014").count();
+    assert_eq!(refused, 0, "of {} repeated requests", answers.len());
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    assert!(served * 10 > answers.len() * 9, "{served} of {} are answered", answers.len());
+}
+
 #[test]
 fn suspected_wrongly() {
     // A request that is in flight at many upstreams when all of them crash looks like the cause.
