Choose the trial host by what the fleet sees, not by what waits there

What callers saw: a request that crashes its upstreams was tried by two daemons at once, so that more upstreams ended than one at a time may.

Cause: the host that runs a suspect request alone was the highest-ranked member that this daemon found responsive. Requests wait at that host for their turn, by design for up to half of their time; a daemon whose request waited there for 250 ms took it for silent and chose another host.

Change: only whether the fleet takes a member for live decides, which is the same everywhere within an exchange.

A host that is frozen and not yet suspected now holds such requests until it is; the suspicion is raised by the first of them that it does not answer.

--- a/crates/harefield/src/engine/members.rs
+++ b/crates/harefield/src/engine/members.rs
@@ -90,9 +90,9 @@
         row.map_or(Distance::Far, |row| self.settings.topology.distance(&row.zone))
     }
 
-    /// Returns whether a daemon is neither known to be gone nor silent.
-    pub(super) fn is_responsive(&self, host: &HostId) -> bool {
-        is_live(self.peers.borrow().row(host)) && !self.is_silent(host)
+    /// Returns whether a daemon is not known to be gone.
+    pub(super) fn is_live(&self, host: &HostId) -> bool {
+        is_live(self.peers.borrow().row(host))
     }
 
     fn is_silent(&self, host: &HostId) -> bool {
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -263,14 +263,14 @@
         self.run_trial(guard, request, resolved, trace).await
     }
 
-    /// Returns the daemon that runs the trials of a work. All daemons choose the same one, of the
-    /// members of the cell that answer, so that the fleet has one trial at a time.
+    /// Returns the daemon that runs the trials of a work. All daemons choose the same one of the live
+    /// members of the cell, so that the fleet has one trial at a time. What this daemon alone sees of
+    /// a member, such as requests that wait there for their turn, has no part in it.
     fn trial_host(&self, resolved: &ResolvedRequest) -> Option<HostId> {
         let view = self.view.borrow();
         let cell = view.cells.get(resolved.plan.lookup.index.as_str())?;
         let answers = |host: &&HostId| {
-            self.may_serve(host, &resolved.regions)
-                && (**host == self.settings.host || self.is_responsive(host))
+            self.may_serve(host, &resolved.regions) && (**host == self.settings.host || self.is_live(host))
         };
         cell.iter()
             .filter(answers)
--- a/crates/harefield/tests/processes/crashing_evidence.rs
+++ b/crates/harefield/tests/processes/crashing_evidence.rs
@@ -101,3 +101,26 @@
     println!("{late} late sends, {ended} crashes");
     assert!(late <= MAX_LATE_SENDS, "{late} sends after every daemon had to know, {ended} crashes");
 }
+
+#[test]
+fn one_trial_host() {
+    // Requests that wait at the trial host for their turn must not make it look silent, so that
+    // another daemon takes its place.
+    let crash_after = Duration::from_millis(700);
+    let fleet = Fleet::start(FleetOptions { single_upstreams: 9, crash_after, ..FleetOptions::default() });
+    fleet.send_fatal(0, "one", 0);
+    fleet.send_fatal(1, "one", 1);
+    std::thread::sleep(Duration::from_millis(600));
+    let before = fleet.fatal_attempts().len();
+    std::thread::scope(|scope| {
+        for number in 0..24 {
+            let fleet = &fleet;
+            scope.spawn(move || fleet.send_fatal(number % fleet.daemons.len(), "one", 10 + number));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let trials: Vec<Instant> = fleet.fatal_attempts().iter().skip(before).map(|attempt| attempt.at).collect();
+    let apart = trials.windows(2).all(|two| two[1] - two[0] >= crash_after);
+    assert!(apart, "two of {} trials overlapped", trials.len());
+    assert!((1..=2).contains(&trials.len()), "{} trials", trials.len());
+}
