Withhold a request after one trial where many upstreams ended under it

Cause: two trials in isolation were always needed to withhold a request, also where it had just ended all upstreams of a fan-out. Upstreams that are all down move both trials past the time by which the users expect the request to be known, and a fleet that was killed whole needs them once more.

Change: a daemon that itself saw six upstreams end, twice as many as make a request suspect, takes one isolated run for enough and tells the result.

--- a/crates/harefield/src/domain/suspects/evidence.rs
+++ b/crates/harefield/src/domain/suspects/evidence.rs
@@ -13,6 +13,10 @@
 /// coincidence, such as another harmful request on the same upstream.
 const MIN_ALONE: u32 = 2;
 
+/// Where a daemon saw this many upstreams end under it, twice as many as make it suspect, one that
+/// ends in isolation is enough.
+const MASS_ENDS: usize = 2 * MIN_ENDS;
+
 /// The delay between the last end and a run in isolation. A common cause that makes many upstreams
 /// crash, such as the loss of a rack, does so within some tenths of a second.
 const ISOLATION_DELAY: Duration = Duration::from_millis(250);
@@ -76,6 +80,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     ends: Vec<End>,
+    /// How many upstreams ended that this daemon saw itself.
+    seen: usize,
     alone: u32,
     last: Option<Instant>,
     answered: Option<Instant>,
@@ -85,7 +91,7 @@
     /// Creates the evidence that another daemon reported.
     #[must_use]
     pub fn new(ends: Vec<End>, alone: u32, last: Option<Instant>, answered: Option<Instant>) -> Self {
-        let mut evidence = Self { ends: Vec::new(), alone, last, answered };
+        let mut evidence = Self { ends: Vec::new(), seen: 0, alone, last, answered };
         for end in ends {
             evidence.add(end);
         }
@@ -128,8 +134,10 @@
         // An end close to others, or before several are known, doesn't count as one in isolation.
         let apart = self.last.is_some_and(|last| at >= last + ISOLATION_DELAY);
         self.alone += u32::from(alone && apart && self.ends.len() >= MIN_ENDS);
-        self.add(End { upstream: Arc::clone(upstream), at });
+        let added = self.add(End { upstream: Arc::clone(upstream), at });
+        self.seen += usize::from(added);
         self.last = self.last.max(Some(at));
+        self.weigh_mass();
         before != self.rank()
     }
 
@@ -143,6 +151,7 @@
         }
         self.alone += 1;
         self.last = self.last.max(Some(at));
+        self.weigh_mass();
         true
     }
 
@@ -162,8 +171,11 @@
         self.answered = self.answered.max(other.answered);
         self.alone = self.alone.max(other.alone);
         self.last = self.last.max(other.last);
-        other.ends.iter().cloned().for_each(|end| self.add(end));
+        for end in other.ends.iter().cloned() {
+            self.add(end);
+        }
         self.drop_answered();
+        self.weigh_mass();
         newer || before != self.rank()
     }
 
@@ -225,19 +237,29 @@
         self.answered.is_none_or(|answered| at > answered + ANSWER_VALID)
     }
 
-    fn add(&mut self, end: End) {
+    /// Takes one isolated run for enough where this daemon saw many upstreams end. The others learn
+    /// the result.
+    fn weigh_mass(&mut self) {
+        if self.seen >= MASS_ENDS && self.alone > 0 {
+            self.alone = self.alone.max(MIN_ALONE);
+        }
+    }
+
+    /// Adds an end; returns whether it was not known.
+    fn add(&mut self, end: End) -> bool {
         let apart = |one: Instant, other: Instant| {
             one.saturating_duration_since(other).max(other.saturating_duration_since(one))
         };
         let same = |held: &End| held.upstream == end.upstream && apart(held.at, end.at) < DEDUP_WINDOW;
         if self.ends.iter().any(same) {
-            return;
+            return false;
         }
         let index = self.ends.partition_point(|held| (held.at, &held.upstream) < (end.at, &end.upstream));
         self.ends.insert(index, end);
         if self.ends.len() > MAX_ENDS {
             self.ends.remove(0);
         }
+        true
     }
 
     /// Drops the ends that the last answer refutes.
@@ -247,6 +269,7 @@
         if self.last.is_some_and(|last| last <= answered + ANSWER_VALID) {
             self.last = None;
             self.alone = 0;
+            self.seen = 0;
         }
     }
 }
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -127,3 +127,45 @@
     unknown.record_unanswered(&WORK, start);
     assert_eq!(unknown.clearance(&WORK, start), Clearance::Free, "no upstream ended");
 }
+
+#[test]
+fn one_trial_after_many() {
+    // Every trial of a harmful request costs an upstream. After many upstreams ended, one decides.
+    let (start, mut seen, mut told) = (Instant::now(), Suspects::default(), Suspects::default());
+    end_many(&mut seen, 20, start);
+    for suspect in seen.digest(start) {
+        told.merge(&suspect, start);
+    }
+    assert!(matches!(told.clearance(&WORK, at(start, 250)), Clearance::Alone(Duration::ZERO)));
+    let trial = at(start, 4000);
+    told.record_end(&WORK, &"u30".into(), true, trial);
+    assert!(matches!(told.clearance(&WORK, trial), Clearance::Alone(_)), "four ends are not many");
+    for suspect in told.digest(trial) {
+        seen.merge(&suspect, trial);
+    }
+    for suspect in seen.digest(trial) {
+        told.merge(&suspect, trial);
+    }
+    for known in [&seen, &told] {
+        assert_eq!(known.clearance(&WORK, trial), Clearance::Withheld(HALF_MINUTE));
+    }
+}
+
+#[test]
+fn ends_of_others_counted_once() {
+    // What other daemons tell again and again must not add up.
+    let (start, mut one, mut other) = (Instant::now(), Suspects::default(), Suspects::default());
+    end_many(&mut one, 4, start);
+    other.record_end(&WORK, &"u9".into(), false, at(start, 10));
+    for round in 0..20 {
+        let now = at(start, 1000 * round + 100);
+        for suspect in one.digest(now) {
+            other.merge(&suspect, now);
+        }
+        for suspect in other.digest(now) {
+            one.merge(&suspect, now);
+        }
+    }
+    one.record_end(&WORK, &"u10".into(), true, at(start, 30_000));
+    assert!(matches!(one.clearance(&WORK, at(start, 30_000)), Clearance::Alone(_)), "five ends, one alone");
+}
