Hand the number of ends that workers saw on to the control duty

The workers knew of 9 and 11 ends, but only the first four reach the control duty, which tells the others. It now learns of the count up to the six that matter. one_trial_after_many feeds it as workers do, and fails without this.

--- a/crates/harefield/src/domain/suspects/evidence.rs
+++ b/crates/harefield/src/domain/suspects/evidence.rs
@@ -80,7 +80,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     ends: Vec<End>,
-    /// How many upstreams ended that this daemon saw itself.
+    /// How many upstreams ended that this daemon saw itself; 0 in what others report.
     seen: usize,
     alone: u32,
     last: Option<Instant>,
@@ -170,6 +170,7 @@
         let newer = self.is_newer(other.answered);
         self.answered = self.answered.max(other.answered);
         self.alone = self.alone.max(other.alone);
+        self.seen = self.seen.max(other.seen);
         self.last = self.last.max(other.last);
         for end in other.ends.iter().cloned() {
             self.add(end);
@@ -221,8 +222,8 @@
     }
 
     /// Returns the counts that decide on the clearance, to detect a change.
-    fn rank(&self) -> (usize, u32) {
-        (self.ends.len(), self.alone)
+    fn rank(&self) -> (usize, u32, usize) {
+        (self.ends.len(), self.alone, self.seen.min(MASS_ENDS))
     }
 
     fn is_newer(&self, answered: Option<Instant>) -> bool {
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -13,6 +13,7 @@
 use harefield::domain::suspects::Abandoned;
 use harefield::domain::suspects::Clearance;
 use harefield::domain::suspects::Proof;
+use harefield::domain::suspects::SuspectReport;
 use harefield::domain::suspects::Suspects;
 use harefield::domain::work::Work;
 
@@ -102,6 +103,13 @@
     }
 }
 
+/// Sends one message with the evidence of one daemon to another.
+fn send_all(from: &mut Suspects, to: &mut Suspects, now: Instant) {
+    for suspect in from.digest(now) {
+        to.merge(&SuspectReport::new(&suspect, now).to_suspect(now), now);
+    }
+}
+
 #[test]
 fn silent_trials_count() {
     let (start, mut suspects) = (Instant::now(), Suspects::default());
@@ -132,20 +140,19 @@
 fn one_trial_after_many() {
     // Every trial of a harmful request costs an upstream. After many upstreams ended, one decides.
     let (start, mut seen, mut told) = (Instant::now(), Suspects::default(), Suspects::default());
-    end_many(&mut seen, 20, start);
-    for suspect in seen.digest(start) {
-        told.merge(&suspect, start);
+    let mut worker = Suspects::default();
+    for number in 0..20 {
+        for suspect in worker.record_end(&WORK, &format!("u{number}").into(), false, start) {
+            seen.merge(&suspect, start);
+        }
     }
+    send_all(&mut seen, &mut told, start);
     assert!(matches!(told.clearance(&WORK, at(start, 250)), Clearance::Alone(Duration::ZERO)));
     let trial = at(start, 4000);
     told.record_end(&WORK, &"u30".into(), true, trial);
     assert!(matches!(told.clearance(&WORK, trial), Clearance::Alone(_)), "four ends are not many");
-    for suspect in told.digest(trial) {
-        seen.merge(&suspect, trial);
-    }
-    for suspect in seen.digest(trial) {
-        told.merge(&suspect, trial);
-    }
+    send_all(&mut told, &mut seen, trial);
+    send_all(&mut seen, &mut told, trial);
     for known in [&seen, &told] {
         assert_eq!(known.clearance(&WORK, trial), Clearance::Withheld(HALF_MINUTE));
     }
@@ -159,12 +166,8 @@
     other.record_end(&WORK, &"u9".into(), false, at(start, 10));
     for round in 0..20 {
         let now = at(start, 1000 * round + 100);
-        for suspect in one.digest(now) {
-            other.merge(&suspect, now);
-        }
-        for suspect in other.digest(now) {
-            one.merge(&suspect, now);
-        }
+        send_all(&mut one, &mut other, now);
+        send_all(&mut other, &mut one, now);
     }
     one.record_end(&WORK, &"u10".into(), true, at(start, 30_000));
     assert!(matches!(one.clearance(&WORK, at(start, 30_000)), Clearance::Alone(_)), "five ends, one alone");
