Query one shard first where the fleet may have forgotten a harmful request

What callers saw: after all daemons were killed, a request that had crashed its upstreams before was sent to all shards at once again, and all their upstreams ended.

Cause: nothing of a fleet that is killed whole lasts, by design; its first fan-out is as wide as any. The same holds for a daemon that hears few others.

Change: for ten seconds after its start, a daemon that has met none which ran for that long (cautious-ms), or one that hears less than half of the others, queries the nearest shard of a wide request first, and the rest once that is answered; at most three shards without an answer. Requests that were answered already are not held up. Daemons that restart one by one are told by the others and do not wait.

A request that comes for the first time more than ten seconds after all were killed still is a first one.

--- a/crates/harefield/src/adapters/settings/sections.rs
+++ b/crates/harefield/src/adapters/settings/sections.rs
@@ -13,6 +13,7 @@
 use crate::domain::cell::CellSize;
 use crate::domain::cold::ColdBounds;
 use crate::domain::routing::Policy;
+use crate::domain::suspects::DEFAULT_CAUTION;
 use crate::domain::time::millis;
 
 /// All settings of a daemon.
@@ -247,6 +248,9 @@
     /// The number of extra requests that the fleet may send to one service within ten seconds on
     /// top of `extra_load`. If set, budgets are kept per service.
     pub extra_slack: Option<f64>,
+    /// How long a daemon that met none which has run for that long queries one shard of a request
+    /// before the others, in milliseconds; 0 for never.
+    pub cautious_ms: u64,
     /// The part of a lookup's objective that is reserved for returning the answer, in milliseconds.
     pub margin_ms: u64,
     /// Whether slow requests are hedged.
@@ -276,6 +280,7 @@
             policy: Policy::Cost,
             extra_load: 0.05,
             extra_slack: None,
+            cautious_ms: millis(DEFAULT_CAUTION),
             margin_ms: 10,
             hedge: true,
             hedge_factor: 1.2,
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -166,6 +166,7 @@
         scheduling: settings.scheduling.scheduling(),
         extra: routing.extra_load,
         slack: routing.extra_slack,
+        caution: Duration::from_millis(routing.cautious_ms),
         daemons: settings.peers.daemons,
         topology: topology(context),
         margin: Duration::from_millis(routing.margin_ms),
--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -71,6 +71,10 @@
     /// Handles a due hedge: revokes the group that the shard is in, or else sends a second attempt if
     /// the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
+        if self.probes.is_some() {
+            self.probe_beside(shard, step);
+            return;
+        }
         let before = std::mem::take(&mut self.shards[shard].hedge);
         if self.revoke(shard, step) {
             return;
--- a/crates/harefield/src/domain/fanout/leave_out.rs
+++ b/crates/harefield/src/domain/fanout/leave_out.rs
@@ -16,9 +16,9 @@
         }
     }
 
-    /// Returns the shards that are still to be queried, with their positions in the plan.
+    /// Returns the shards that nothing was sent for yet, with their positions in the plan.
     pub(super) fn open_shards(&self) -> impl Iterator<Item = (usize, &ShardPlan)> {
         let plans = self.plan.shards.iter().enumerate();
-        plans.zip(&self.shards).filter(|(_, state)| state.is_open()).map(|(plan, _)| plan)
+        plans.zip(&self.shards).filter(|(_, state)| state.is_untried()).map(|(plan, _)| plan)
     }
 }
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -65,6 +65,8 @@
     pub(super) suspended: BTreeSet<usize>,
     /// How many trial attempts were sent since.
     pub(super) trials: u32,
+    /// How many shards were queried alone, while the others wait for their answer.
+    pub(super) probes: Option<usize>,
 }
 
 impl Fanout {
@@ -94,6 +96,7 @@
             hedges_held: false,
             suspended: BTreeSet::new(),
             trials: 0,
+            probes: None,
         }
     }
 
@@ -149,7 +152,9 @@
         self.started = Some(now);
         self.join_dispatch(step.router);
         self.leave_out(&mut step);
-        self.direct = self.delegate_groups(&mut step);
+        if self.probes.is_none() {
+            self.direct = self.delegate_groups(&mut step);
+        }
         step.actions
     }
 
@@ -159,14 +164,24 @@
         if self.started.is_none() {
             self.join_dispatch(step.router);
         }
-        for shard in std::mem::take(&mut self.direct) {
-            if self.shards[shard].is_open() {
-                self.start_attempt(shard, Cause::First, &mut step);
-            }
+        let direct = std::mem::take(&mut self.direct);
+        if self.probes.is_some() {
+            self.probe_shard(&mut step);
+        } else {
+            self.start_direct(direct, &mut step);
         }
         step.actions
     }
 
+    /// Sends first attempts for shards that were not delegated.
+    pub(super) fn start_direct<S: Sink>(&mut self, direct: Vec<usize>, step: &mut StepContext<'_, S>) {
+        for shard in direct {
+            if self.shards[shard].is_untried() {
+                self.start_attempt(shard, Cause::First, step);
+            }
+        }
+    }
+
     /// Handles the end of an attempt.
     pub fn on_attempt_end(
         &mut self,
@@ -181,6 +196,7 @@
             self.record_end(shard, flight, end, &mut step);
         }
         self.resume_suspended(&mut step);
+        self.end_probing(&mut step);
         step.actions
     }
 
@@ -205,6 +221,7 @@
             }
         }
         self.resume_suspended(&mut step);
+        self.end_probing(&mut step);
         step.actions
     }
 
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -19,6 +19,7 @@
 mod leave_out;
 mod machine;
 mod overrun;
+mod probe_first;
 mod regions;
 mod result;
 mod revocation;
@@ -28,6 +29,7 @@
 mod verify;
 
 pub use crash_guard::MAX_TRIALS;
+pub use crash_guard::WIDE_SHARDS;
 pub use group_request::GroupOutcome;
 pub use group_request::GroupRequest;
 pub use group_request::ShardResult;
--- a/crates/harefield/src/domain/fanout/shard.rs
+++ b/crates/harefield/src/domain/fanout/shard.rs
@@ -150,6 +150,11 @@
         self.part.is_none() && !self.closed
     }
 
+    /// Returns whether nothing was done about it yet.
+    pub fn is_untried(&self) -> bool {
+        self.is_open() && self.sent == 0 && self.retry_at.is_none()
+    }
+
     /// Returns whether an attempt other than a probe is in flight.
     pub fn is_awaited(&self) -> bool {
         self.in_flight.iter().any(|flight| flight.cause != Cause::Probe)
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -1,6 +1,7 @@
 //! Type aliases for identifiers that are shared between modules.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Identifies a daemon by the address on which it accepts peers, as `IP:PORT`.
 pub type HostId = Arc<str>;
@@ -8,6 +9,16 @@
 /// Distinguishes runs of one daemon: its start time combined with random bits.
 pub type Incarnation = u64;
 
+/// How many low bits of an incarnation are random. The others are its start in milliseconds since the
+/// Unix epoch.
+pub const INCARNATION_RANDOM_BITS: u32 = 20;
+
+/// Returns when a daemon started, since the Unix epoch, by its own clock.
+#[must_use]
+pub fn started_at(incarnation: Incarnation) -> Duration {
+    Duration::from_millis(incarnation >> INCARNATION_RANDOM_BITS)
+}
+
 /// Counts how often a platform was restored from a backup copy.
 pub type Era = u64;
 
--- a/crates/harefield/src/domain/suspects/mod.rs
+++ b/crates/harefield/src/domain/suspects/mod.rs
@@ -17,6 +17,7 @@
 mod abandoned;
 mod answered;
 mod evidence;
+mod history;
 mod proof;
 mod registry;
 mod report;
@@ -24,6 +25,8 @@
 pub use abandoned::Abandoned;
 pub use evidence::Clearance;
 pub use evidence::Evidence;
+pub use history::DEFAULT_CAUTION;
+pub use history::History;
 pub use proof::Proof;
 pub use registry::MergeOutcome;
 pub use registry::Suspect;
--- a/crates/harefield/src/domain/suspects/registry.rs
+++ b/crates/harefield/src/domain/suspects/registry.rs
@@ -138,6 +138,12 @@
         lasting.map(|held| held.evidence.clearance(now)).max().unwrap_or(Clearance::Free)
     }
 
+    /// Returns whether an upstream is remembered to have answered a work.
+    #[must_use]
+    pub fn is_answered(&self, work: &Work) -> bool {
+        self.answered.last(work.exact).is_some()
+    }
+
     /// Returns whether upstreams ended during a work that nobody has answered since.
     #[must_use]
     pub fn has_ends(&self, work: &Work, now: Instant) -> bool {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -32,6 +32,7 @@
 use crate::domain::fanout::GroupRequest;
 use crate::domain::fanout::ReplyIdentity;
 use crate::domain::fanout::SendAttempt;
+use crate::domain::fanout::WIDE_SHARDS;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
@@ -158,6 +159,9 @@
         // Dropping this future, as when the caller disconnects, drops the tasks and so cancels
         // them.
         let mut tasks = Tasks::new(job.evidence.trial.is_some());
+        if job.cautious && plan.shards.len() >= WIDE_SHARDS {
+            fanout.probe_first();
+        }
         let now = self.ports.clock.now();
         let actions = fanout.start_groups(now, &mut self.router.borrow_mut(), trace);
         let _turns = self.register_turns(fanout.id(), &sender);
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -28,6 +28,8 @@
     pub work: Work,
     /// Whether it is a whole request rather than a group of another daemon's shards.
     pub whole: bool,
+    /// Whether one shard is queried first, as this daemon may lack what others know of the work.
+    pub cautious: bool,
     /// What the attempts have shown about the work.
     pub evidence: WorkEvidence,
     /// How many records are kept where replies are merged.
@@ -52,6 +54,7 @@
             regions: Arc::clone(&resolved.regions),
             requester: resolved.requester.clone(),
             whole: true,
+            cautious: false,
             evidence: WorkEvidence::default(),
         }
     }
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -106,6 +106,13 @@
         self.suspects.borrow().clearance(work, self.ports.clock.now())
     }
 
+    /// Returns whether upstreams may have ended under a work that this daemon knows nothing of.
+    pub(super) fn may_lack_evidence(&self, work: &Work) -> bool {
+        let now = self.ports.clock.now();
+        let age = now.saturating_duration_since(self.started);
+        !self.history.get().is_complete(age) && !self.suspects.borrow().is_answered(work)
+    }
+
     /// Returns whether upstreams may be ending under a request: one of its lost replies is being
     /// checked, or upstreams ended during its work before and nobody has answered it since.
     pub(super) fn may_end_upstreams(&self, job: &Job) -> bool {
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -58,6 +59,9 @@
         self.peer_seen.set(self.peer_seen.get() || has_peers);
         let others = peers.rows.iter().filter(|row| row.host != self.settings.host);
         self.router.borrow_mut().update_daemons(others);
+        let mut history = self.history.get();
+        history.update(&peers.rows, Duration::from_micros(self.ports.clock.wall()));
+        self.history.set(history);
         *self.peers.borrow_mut() = peers;
     }
 
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -54,6 +54,7 @@
 use crate::domain::routing::Scheduling;
 use crate::domain::routing::rerun_quota;
 use crate::domain::suspects::Abandoned;
+use crate::domain::suspects::History;
 use crate::domain::suspects::Suspects;
 use crate::domain::topology::Topology;
 use crate::domain::view::View;
@@ -92,6 +93,9 @@
     /// What the whole fleet may send to one service beyond that within a window, in requests; none
     /// for no such limit. Where set, budgets are kept for each service.
     pub slack: Option<f64>,
+    /// How long a daemon that met none which has run for that long queries one shard of a request
+    /// before the others.
+    pub caution: Duration,
     /// How many daemons are assumed to share it before any is known.
     pub daemons: u32,
     /// The availability zone of this daemon, and the regions of the zones.
@@ -158,6 +162,10 @@
     pub(super) ledger: Arc<Mutex<Ledger>>,
     /// Works suspected of crashing upstreams, as the fleet knows them.
     pub(super) suspects: RefCell<Suspects>,
+    /// What this daemon can know of such works.
+    pub(super) history: Cell<History>,
+    /// When it started.
+    pub(super) started: Instant,
     /// Works that run alone here now.
     pub(super) trials: Rc<RefCell<HashSet<WorkId>>>,
     /// Attempts whose ends nobody awaits.
@@ -253,7 +261,7 @@
         let router =
             router.with_topology(settings.topology.clone()).with_sharers(settings.daemons).with_local(local);
         let router = router.with_scheduling(settings.scheduling.clone());
-        let known = settings.daemons;
+        let (known, caution, started) = (settings.daemons, settings.caution, ports.clock.now());
         Rc::new(Self {
             settings,
             executor,
@@ -275,6 +283,8 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             suspects: RefCell::default(),
+            history: Cell::new(History::new(caution)),
+            started,
             trials: Rc::default(),
             abandoned: RefCell::default(),
             part_credits: RefCell::default(),
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -6,12 +6,18 @@
 use std::time::Instant;
 
 use crate::support::at;
+use crate::support::row;
 use harefield::domain::fanout::AttemptEnd;
+use harefield::domain::ids::INCARNATION_RANDOM_BITS;
+use harefield::domain::membership::MemberRow;
+use harefield::domain::membership::PeerState;
 use harefield::domain::outcome::Gap;
 use harefield::domain::reply::OpaqueReply;
 use harefield::domain::reply::Reply;
 use harefield::domain::suspects::Abandoned;
 use harefield::domain::suspects::Clearance;
+use harefield::domain::suspects::DEFAULT_CAUTION;
+use harefield::domain::suspects::History;
 use harefield::domain::suspects::Proof;
 use harefield::domain::suspects::SuspectReport;
 use harefield::domain::suspects::Suspects;
@@ -172,3 +178,40 @@
     one.record_end(&WORK, &"u10".into(), true, at(start, 30_000));
     assert!(matches!(one.clearance(&WORK, at(start, 30_000)), Clearance::Alone(_)), "five ends, one alone");
 }
+
+/// Returns the row of a daemon that started so many seconds after the Unix epoch.
+fn started(number: usize, second: u64) -> MemberRow {
+    MemberRow { incarnation: (second * 1000) << INCARNATION_RANDOM_BITS, ..row(number, "a") }
+}
+
+#[test]
+fn killed_fleet_knows_nothing() {
+    let (now, age) = (Duration::from_secs(1000), Duration::from_secs(5));
+    let mut history = History::new(DEFAULT_CAUTION);
+    assert!(!history.is_complete(age), "it has met nobody");
+    history.update(&[started(0, 995), started(1, 994)], now);
+    assert!(!history.is_complete(age), "nor anybody who is older");
+    assert!(history.is_complete(DEFAULT_CAUTION), "it was there all the time");
+    assert!(History::new(Duration::ZERO).is_complete(age), "it is not to be known");
+}
+
+#[test]
+fn restarted_daemon_is_told() {
+    let (now, age) = (Duration::from_secs(1000), Duration::from_secs(5));
+    let mut history = History::new(DEFAULT_CAUTION);
+    history.update(&[started(0, 995), started(1, 900), started(2, 999)], now);
+    assert!(history.is_complete(age), "an older daemon has told it");
+    history.update(&[started(0, 995), started(1, 1001), started(2, 999)], now);
+    assert!(history.is_complete(age), "also when that one has been replaced");
+}
+
+#[test]
+fn isolated_daemon_knows_part() {
+    let now = Duration::from_secs(1000);
+    let lost = |number| MemberRow { state: PeerState::Suspect, ..started(number, 1) };
+    let mut history = History::new(DEFAULT_CAUTION);
+    history.update(&[started(0, 1), started(1, 1), lost(2), lost(3), lost(4)], now);
+    assert!(!history.is_complete(now), "most of the fleet may know more");
+    history.update(&[started(0, 1), started(1, 1), started(2, 1), lost(3), lost(4)], now);
+    assert!(history.is_complete(now));
+}
--- a/crates/harefield/tests/decisions/dropped_tasks.rs
+++ b/crates/harefield/tests/decisions/dropped_tasks.rs
@@ -128,6 +128,7 @@
         scheduling: Scheduling::new(true, &[]),
         extra: 0.05,
         slack: None,
+        caution: Duration::ZERO,
         daemons: 1,
         topology: Topology { zone: "z0".into(), regions: regions.collect() },
         margin: Duration::from_millis(5),
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -39,6 +39,7 @@
 mod once;
 mod overload;
 mod overrun;
+mod probe_first;
 mod queue_status;
 mod reach;
 mod readers;
--- a/crates/harefield/tests/processes/crashing_evidence.rs
+++ b/crates/harefield/tests/processes/crashing_evidence.rs
@@ -7,6 +7,7 @@
 use crate::crashing_support::Callers;
 use crate::crashing_support::Fleet;
 use crate::crashing_support::FleetOptions;
+use crate::crashing_support::Others;
 use crate::crashing_support::PROPAGATION_TIME;
 
 /// The number of later sends that the users accept.
@@ -55,13 +56,13 @@
 
 #[test]
 fn failure_clears_nothing() {
-    check_answered(FleetOptions { some_fail: true, ..crashing_after(2) }, "all");
+    check_answered(FleetOptions { others: Others::Fail, ..crashing_after(2) }, "all");
 }
 
 #[test]
 fn failure_in_one_service() {
     for single_upstreams in [2, 6] {
-        check_answered(FleetOptions { some_fail: true, single_upstreams, ..crashing_after(2) }, "one");
+        check_answered(FleetOptions { others: Others::Fail, single_upstreams, ..crashing_after(2) }, "one");
     }
 }
 
@@ -87,7 +88,7 @@
 fn daemons_killed_together() {
     // The request comes back only when the new daemons have been up for so long that the users
     // count their sends.
-    let mut fleet = Fleet::start(crashing_after(2));
+    let mut fleet = Fleet::start(FleetOptions { cautious: true, ..crashing_after(2) });
     for number in 0..4 {
         fleet.send_fatal(number % fleet.daemons.len(), "all", number);
         std::thread::sleep(REPEAT_INTERVAL);
@@ -105,7 +106,7 @@
 #[test]
 fn silent_trials_bounded() {
     // A trial whose upstream stays silent shows nothing, and must not be repeated for ever.
-    let options = FleetOptions { single_upstreams: 8, some_silent: true, ..crashing_after(2) };
+    let options = FleetOptions { single_upstreams: 8, others: Others::StaySilent, ..crashing_after(2) };
     check_abandoned(options, "one", Duration::from_millis(300));
 }
 
--- a/crates/harefield/tests/processes/crashing_support.rs
+++ b/crates/harefield/tests/processes/crashing_support.rs
@@ -37,6 +37,17 @@
 const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 const WORK: Duration = Duration::from_millis(15);
 
+/// What some upstreams do with requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Others {
+    /// The same as all.
+    Same,
+    /// One in seven answers 40% of its requests with a failure of its own.
+    Fail,
+    /// The second half of the service `one` stays silent on a fatal request, and doesn't crash.
+    StaySilent,
+}
+
 /// Variants of the fleet that a test starts.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetOptions {
@@ -46,11 +57,10 @@
     pub single_upstreams: usize,
     /// How long after its start a fatal request crashes its upstream.
     pub crash_after: Duration,
-    /// Whether the second half of the upstreams of the service `one` stays silent on a fatal request
-    /// instead.
-    pub some_silent: bool,
-    /// Whether one upstream in seven answers 40% of its requests with a failure of its own.
-    pub some_fail: bool,
+    /// Whether daemons query one shard first for 10 s after the start of all, as they do by default.
+    pub cautious: bool,
+    /// What some upstreams do besides.
+    pub others: Others,
 }
 
 impl Default for FleetOptions {
@@ -59,8 +69,8 @@
             keep_names: false,
             single_upstreams: 0,
             crash_after: WORK,
-            some_silent: false,
-            some_fail: false,
+            cautious: false,
+            others: Others::Same,
         }
     }
 }
@@ -69,6 +79,7 @@
     pub store: SiteStore,
     pub daemons: Vec<Daemon>,
     pub upstreams: Vec<CrashingSearcher>,
+    cautious: bool,
 }
 
 impl Fleet {
@@ -76,8 +87,10 @@
         let store = SiteStore::start();
         let mut upstreams = Vec::new();
         let mut add = |service: &str, number: usize, zone: usize| {
-            let fails = options.some_fail && upstreams.len() % 7 == 5;
-            let silent = options.some_silent && service == "one" && number * 2 >= options.single_upstreams;
+            let fails = options.others == Others::Fail && upstreams.len() % 7 == 5;
+            let silent = options.others == Others::StaySilent
+                && service == "one"
+                && number * 2 >= options.single_upstreams;
             let spec = CrashingSpec {
                 id: format!("i-{service}-{number}"),
                 service: service.to_owned(),
@@ -100,7 +113,7 @@
             add("one", number, number);
         }
         store.put("op/config", Some(&configuration()));
-        let mut fleet = Self { store, daemons: Vec::new(), upstreams };
+        let mut fleet = Self { store, daemons: Vec::new(), upstreams, cautious: options.cautious };
         for zone in ZONES {
             fleet.join(zone);
         }
@@ -120,7 +133,8 @@
     /// Starts one more daemon, whose seed is the first one.
     pub fn join(&mut self, zone: &str) {
         let seed = self.daemons.first().map(|daemon| format!("\"{}\"", daemon.addresses.peers));
-        let settings = settings(&self.store, zone, &seed.unwrap_or_default());
+        let caution = if self.cautious { "" } else { "cautious-ms = 0\n" };
+        let settings = settings(&self.store, zone, &seed.unwrap_or_default()) + caution;
         self.daemons.push(Daemon::start(&settings));
     }
 
