--- a/crates/harefield/tests/soak/callers.rs
+++ b/crates/harefield/tests/soak/callers.rs
@@ -36,6 +36,9 @@
 /// The interval at which each daemon is queried for its active configuration version.
 const WATCH_INTERVAL: Duration = Duration::from_millis(120);
 
+/// The path of the fatal request whose callers leave.
+pub(crate) const LEFT_FATAL: &str = "/all/fatal/left";
+
 /// The state that all callers share.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerContext {
@@ -47,7 +50,8 @@
 
 impl CallerContext {
     /// Starts `callers` callers that send to any daemon, one per daemon that polls its active
-    /// version, one that sends fatal requests, and one that uses old and new API keys.
+    /// version, two that send fatal requests, one of which doesn't wait for the answers, and one that
+    /// uses old and new API keys.
     pub fn start(&self, callers: u64) -> Vec<JoinHandle<()>> {
         let any = (0..callers).map(|number| {
             let this = self.clone();
@@ -60,8 +64,10 @@
         let this = self.clone();
         let fatal = std::thread::spawn(move || this.send_fatal());
         let this = self.clone();
+        let left = std::thread::spawn(move || this.leave_fatal());
+        let this = self.clone();
         let keys = std::thread::spawn(move || this.send_keys());
-        any.chain(watchers).chain([fatal, keys]).collect()
+        any.chain(watchers).chain([fatal, left, keys]).collect()
     }
 
     fn is_done(&self) -> bool {
@@ -110,6 +116,23 @@
         }
     }
 
+    /// Repeatedly sends a request that crashes the upstreams that run it, to any daemon, and leaves
+    /// without its answer.
+    fn leave_fatal(&self) {
+        let mut random = StdRng::seed_from_u64(self.seed.rotate_left(37));
+        let mut count = 0;
+        while !self.is_done() {
+            std::thread::sleep(Duration::from_millis(random.random_range(400..2400)));
+            let daemon = random.random_range(0..self.cluster.nodes.len());
+            let patience = Duration::from_millis(random.random_range(2..300));
+            let Some(mut connection) = Connection::open(self.cluster.nodes[daemon].callers) else { continue };
+            count += 1;
+            let (id, path) = (format!("l{count}"), LEFT_FATAL);
+            self.ledger.observations().fatal.push(FatalRequest { id: id.clone(), path, daemon });
+            connection.send(&head(path, &id), patience);
+        }
+    }
+
     /// Sends requests to any daemon with the API keys of the last few versions, some of which
     /// have been revoked.
     fn send_keys(&self) {
--- a/crates/harefield/tests/soak/checks/fatal.rs
+++ b/crates/harefield/tests/soak/checks/fatal.rs
@@ -6,6 +6,7 @@
 
 use super::Checks;
 use super::Violation;
+use crate::callers::LEFT_FATAL;
 use crate::client::Outcome;
 use crate::ledger::FatalRequest;
 use crate::ledger::Request;
@@ -33,7 +34,7 @@
 
     /// A request that crashed three upstreams is sent only a few more times.
     pub(super) fn check_fatal(&mut self) {
-        for path in ["/all/fatal", "/one/fatal"] {
+        for path in ["/all/fatal", "/one/fatal", LEFT_FATAL] {
             let mut runs: Vec<(Instant, &FatalRequest)> = Vec::new();
             for fatal in self.observations.fatal.iter().filter(|fatal| fatal.path == path) {
                 let of_it = self.runs.get(&fatal.id).into_iter().flatten();
