--- a/crates/harefield/tests/soak/callers.rs
+++ b/crates/harefield/tests/soak/callers.rs
@@ -122,9 +122,9 @@
         let mut random = StdRng::seed_from_u64(self.seed.rotate_left(37));
         let mut count = 0;
         while !self.is_done() {
-            std::thread::sleep(Duration::from_millis(random.random_range(400..2400)));
+            std::thread::sleep(Duration::from_millis(random.random_range(200..900)));
             let daemon = random.random_range(0..self.cluster.nodes.len());
-            let patience = Duration::from_millis(random.random_range(2..300));
+            let patience = Duration::from_millis(random.random_range(1..10));
             let Some(mut connection) = Connection::open(self.cluster.nodes[daemon].callers) else { continue };
             count += 1;
             let (id, path) = (format!("l{count}"), LEFT_FATAL);
