Count an end that is found twice as one trial; look at upstreams once

An upstream's end could be found by a check that took long and again by the look at given-up attempts: the second one, over 250 ms later, counted as another trial in isolation, so that one trial could withhold a request. An end that is known already no longer counts, and only a check that found its upstream running hands the attempt on to be watched. same_end_is_one_trial failed before.

Each time the list of given-up attempts ran empty and was filled again within 25 ms, one more task looked at it; now there is one.

--- a/crates/harefield/src/domain/suspects/evidence.rs
+++ b/crates/harefield/src/domain/suspects/evidence.rs
@@ -133,8 +133,9 @@
         let before = self.rank();
         // An end close to others, or before several are known, doesn't count as one in isolation.
         let apart = self.last.is_some_and(|last| at >= last + ISOLATION_DELAY);
-        self.alone += u32::from(alone && apart && self.ends.len() >= MIN_ENDS);
+        let suspect = self.ends.len() >= MIN_ENDS;
         let added = self.add(End { upstream: Arc::clone(upstream), at });
+        self.alone += u32::from(added && alone && apart && suspect);
         self.seen += usize::from(added);
         self.last = self.last.max(Some(at));
         self.weigh_mass();
--- a/crates/harefield/src/engine/abandoned.rs
+++ b/crates/harefield/src/engine/abandoned.rs
@@ -53,10 +53,13 @@
         if job.evidence.answered.get() || !attempt.sent.get() {
             return;
         }
-        let kept = AbandonedAttempt::new(job, pending);
-        let idle = self.abandoned.borrow().is_empty();
-        self.abandoned.borrow_mut().add(&attempt.send.upstream, kept, self.ports.clock.now());
-        if idle {
+        self.watch(&attempt.send.upstream, AbandonedAttempt::new(job, pending));
+    }
+
+    /// Watches the upstream of an attempt.
+    pub(super) fn watch(self: &Rc<Self>, upstream: &UpstreamId, attempt: AbandonedAttempt) {
+        self.abandoned.borrow_mut().add(upstream, attempt, self.ports.clock.now());
+        if !self.watching.replace(true) {
             self.executor.spawn(Rc::clone(self).look_while_watched()).detach();
         }
     }
@@ -77,6 +80,7 @@
                 }
             }
         }
+        self.watching.set(false);
     }
 
     /// Records a trial whose upstream neither answered nor ended.
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -141,8 +141,7 @@
             Proof::CheckUpstream if self.is_upstream_exit(attempt, pending).await => {
                 end.end = AttemptEnd::Lost { why: Gap::UpstreamEnded };
             }
-            Proof::CheckUpstream => self.watch_abandoned(attempt, pending),
-            Proof::Nothing => {}
+            Proof::CheckUpstream | Proof::Nothing => {}
         }
         end
     }
@@ -193,11 +192,16 @@
     }
 
     /// Checks whether an upstream has exited, and records it where no upstream answered the
-    /// request. Returns whether it did.
+    /// request. Returns whether it did. An upstream that has not may still run the request.
     async fn check_exit(self: Rc<Self>, attempt: AbandonedAttempt, upstream: UpstreamId) -> bool {
-        let exited = self.has_exited(&upstream).await && !attempt.evidence.answered.get();
+        let exited = self.has_exited(&upstream).await;
+        if attempt.evidence.answered.get() {
+            return false;
+        }
         if exited {
             self.record_exit(&attempt, &upstream);
+        } else {
+            self.watch(&upstream, attempt);
         }
         exited
     }
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -170,6 +170,8 @@
     pub(super) trials: Rc<RefCell<HashSet<WorkId>>>,
     /// Attempts whose ends nobody awaits.
     pub(super) abandoned: RefCell<Abandoned<AbandonedAttempt>>,
+    /// Whether the upstreams of these are being looked at.
+    pub(super) watching: Cell<bool>,
     pub(super) control: Sender<ToControl>,
     pub(super) hybrid: Rc<RefCell<HybridClock>>,
     pub(super) telemetry: Telemetry,
@@ -287,6 +289,7 @@
             started,
             trials: Rc::default(),
             abandoned: RefCell::default(),
+            watching: Cell::default(),
             part_credits: RefCell::default(),
             time_limits: RefCell::default(),
             seen_edition: Cell::new(None),
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -215,3 +215,13 @@
     history.update(&[started(0, 1), started(1, 1), started(2, 1), lost(3), lost(4)], now);
     assert!(history.is_complete(now));
 }
+
+#[test]
+fn same_end_is_one_trial() {
+    // A slow check and a later look may both find the same end.
+    let (start, mut suspects) = (Instant::now(), Suspects::default());
+    end_many(&mut suspects, 4, start);
+    suspects.record_end(&WORK, &"u9".into(), true, at(start, 1000));
+    suspects.record_end(&WORK, &"u9".into(), true, at(start, 1400));
+    assert!(matches!(suspects.clearance(&WORK, at(start, 1400)), Clearance::Alone(_)));
+}
