Name the first single queries canaries; count those that reached an upstream

A newcomer would take them for the probes that measure a replica. Beside the names: a canary that reached no upstream no longer counts towards the three, so that a request is not given up because the nearest three shards are still down while the others could answer it; unreachable_tries_next holds it for twelve.

--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::canary::Stage;
 use super::context::StepContext;
 use super::machine::Fanout;
 use super::shard::Action;
@@ -71,8 +72,8 @@
     /// Handles a due hedge: revokes the group that the shard is in, or else sends a second attempt if
     /// the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
-        if self.probes.is_some() {
-            self.probe_beside(shard, step);
+        if self.stage == Stage::Canaries {
+            self.send_canary_beside(shard, step);
             return;
         }
         let before = std::mem::take(&mut self.shards[shard].hedge);
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::canary::Stage;
 use super::context::StepContext;
 use super::group_request::GroupRequest;
 use super::result::Conclusion;
@@ -65,8 +66,8 @@
     pub(super) suspended: BTreeSet<usize>,
     /// How many trial attempts were sent since.
     pub(super) trials: u32,
-    /// How many shards were queried alone, while the others wait for their answer.
-    pub(super) probes: Option<usize>,
+    /// Which shards are queried now.
+    pub(super) stage: Stage,
 }
 
 impl Fanout {
@@ -96,7 +97,7 @@
             hedges_held: false,
             suspended: BTreeSet::new(),
             trials: 0,
-            probes: None,
+            stage: Stage::All,
         }
     }
 
@@ -152,7 +153,7 @@
         self.started = Some(now);
         self.join_dispatch(step.router);
         self.leave_out(&mut step);
-        if self.probes.is_none() {
+        if self.stage == Stage::All {
             self.direct = self.delegate_groups(&mut step);
         }
         step.actions
@@ -165,8 +166,8 @@
             self.join_dispatch(step.router);
         }
         let direct = std::mem::take(&mut self.direct);
-        if self.probes.is_some() {
-            self.probe_shard(&mut step);
+        if self.stage == Stage::Canaries {
+            self.send_canary(&mut step);
         } else {
             self.start_direct(direct, &mut step);
         }
@@ -196,7 +197,7 @@
             self.record_end(shard, flight, end, &mut step);
         }
         self.resume_suspended(&mut step);
-        self.end_probing(&mut step);
+        self.end_canaries(&mut step);
         step.actions
     }
 
@@ -221,7 +222,7 @@
             }
         }
         self.resume_suspended(&mut step);
-        self.end_probing(&mut step);
+        self.end_canaries(&mut step);
         step.actions
     }
 
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -10,6 +10,7 @@
 //! upstreams, and `rules`, `overrun` and `result` decide on the answer.
 
 mod attempts;
+mod canary;
 mod carried;
 mod context;
 mod crash_guard;
@@ -19,7 +20,6 @@
 mod leave_out;
 mod machine;
 mod overrun;
-mod probe_first;
 mod regions;
 mod result;
 mod revocation;
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -160,7 +160,7 @@
         // them.
         let mut tasks = Tasks::new(job.evidence.trial.is_some());
         if job.cautious && plan.shards.len() >= WIDE_SHARDS {
-            fanout.probe_first();
+            fanout.canary_first();
         }
         let now = self.ports.clock.now();
         let actions = fanout.start_groups(now, &mut self.router.borrow_mut(), trace);
--- a/crates/harefield/tests/decisions/probe_first.rs
+++ b/crates/harefield/tests/decisions/canary.rs
@@ -30,7 +30,7 @@
     world.sent.clear();
     let rules = rules.expect("the rules were given");
     world.fanout = Fanout::new(std::sync::Arc::clone(&world.plan), rules, 1000);
-    world.fanout.probe_first();
+    world.fanout.canary_first();
     let actions = world.fanout.start(world.now, &mut world.router, &mut world.events);
     world.apply_actions(actions);
     world
@@ -63,15 +63,15 @@
 #[test]
 fn unreachable_tries_next() {
     // An upstream that just went away, or fails, must not decide about the whole request.
-    let mut world = cautious(6);
-    for _ in 0..2 {
+    let mut world = cautious(12);
+    for _ in 0..12 {
         world.end(0, AttemptEnd::NotSent { why: Gap::Unreachable }, AttemptOutcome::Failed);
         world.advance(Duration::from_millis(5));
     }
     assert!(!world.in_flight.is_empty(), "another shard is queried");
     world.answer(0);
     let queried: BTreeSet<usize> = world.sent.iter().map(|send| send.shard).collect();
-    assert_eq!(queried.len(), 6);
+    assert_eq!(queried.len(), 12);
 }
 
 #[test]
