--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -40,10 +40,9 @@
 use crate::domain::event::Event;
 use crate::domain::hlc::Stamp;
 use crate::domain::ids::HostId;
-use crate::domain::ids::INCARNATION_RANDOM_BITS;
 use crate::domain::ids::Incarnation;
+use crate::domain::ids::incarnation_of;
 use crate::domain::once::Ledger;
-use crate::domain::time::millis;
 use crate::engine::Shared;
 use crate::engine::ToControl;
 use crate::memory::Memory;
@@ -203,12 +202,9 @@
     })
 }
 
-/// Creates an incarnation: milliseconds since the epoch in the high bits, so that it is later than
-/// earlier ones of the same host, and random low bits, so that it is unlike any other.
 fn new_incarnation() -> Incarnation {
-    const RANDOM_BITS: u32 = INCARNATION_RANDOM_BITS;
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    (millis(since) << RANDOM_BITS) | u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS))
+    incarnation_of(since, rand::random())
 }
 
 /// Starts all threads and waits until the daemon has joined.
--- a/crates/harefield/src/domain/fanout/attempts.rs
+++ b/crates/harefield/src/domain/fanout/attempts.rs
@@ -30,6 +30,15 @@
 const DENIED_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Fanout {
+    /// Sends first attempts for shards that were not delegated.
+    pub(super) fn start_direct<S: Sink>(&mut self, direct: Vec<usize>, step: &mut StepContext<'_, S>) {
+        for shard in direct {
+            if self.shards[shard].is_untried() {
+                self.start_attempt(shard, Cause::First, step);
+            }
+        }
+    }
+
     pub(super) fn retry<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
         let cause = if self.shards[shard].sent == 0 { Cause::First } else { Cause::Retry };
         self.start_attempt(shard, cause, step);
@@ -69,14 +78,14 @@
         }
     }
 
-    /// Handles a due hedge: revokes the group that the shard is in, or else sends a second attempt if
-    /// the budget allows.
+    /// Handles a due hedge: sends another canary where one is awaited, revokes the group that the shard
+    /// is in, or else sends a second attempt if the budget allows.
     pub(super) fn hedge<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
+        let before = std::mem::take(&mut self.shards[shard].hedge);
         if self.stage == Stage::Canaries {
-            self.send_canary_beside(shard, step);
+            self.send_canary(step);
             return;
         }
-        let before = std::mem::take(&mut self.shards[shard].hedge);
         if self.revoke(shard, step) {
             return;
         }
--- a/crates/harefield/src/domain/fanout/canary.rs
+++ b/crates/harefield/src/domain/fanout/canary.rs
@@ -5,11 +5,13 @@
 //! harmful request to all shards at once.
 
 use super::context::StepContext;
+use super::crash_guard::WIDE_SHARDS;
 use super::machine::Fanout;
-use super::shard::Hedge;
+use super::shard::Shard;
 use crate::domain::event::Cause;
 use crate::domain::event::Sink;
 use crate::domain::outcome::Gap;
+use crate::domain::view::ShardPlan;
 
 /// The most canaries that may reach an upstream before one has answered: the users allow a request
 /// that they know to be harmful three sends.
@@ -25,9 +27,12 @@
 }
 
 impl Fanout {
-    /// Makes the fan-out query one shard, and the others only once that one has answered. Has to be
+    /// Makes a wide fan-out query one shard, and the others only once that one has answered. Has to be
     /// called before the start.
     pub fn canary_first(&mut self) {
+        if self.shards.len() < WIDE_SHARDS {
+            return;
+        }
         self.stage = Stage::Canaries;
         self.disable_trials();
     }
@@ -38,22 +43,20 @@
         if reached >= MAX_CANARIES {
             return false;
         }
-        let untried: Vec<usize> =
-            (0..self.shards.len()).filter(|shard| self.shards[*shard].is_untried()).collect();
-        let nearest = untried.iter().copied().min_by_key(|shard| self.distance(*shard, step));
-        let Some(near) = nearest.map(|shard| self.distance(shard, step)) else { return false };
+        let router = &*step.router;
+        let rtt = |plan: &ShardPlan| plan.replicas.iter().map(|name| router.rtt_to(name)).min();
+        let untried: Vec<_> = self.open_shards().map(|(shard, plan)| (rtt(plan), shard)).collect();
+        let nearest = untried.iter().map(|(rtt, _)| *rtt).min();
         let equal: Vec<usize> =
-            untried.into_iter().filter(|shard| self.distance(*shard, step) == near).collect();
+            untried.iter().filter(|(rtt, _)| Some(*rtt) == nearest).map(|(_, shard)| *shard).collect();
+        if equal.is_empty() {
+            return false;
+        }
         let shard = equal[step.router.draw_below(equal.len())];
         self.start_attempt(shard, Cause::First, step);
         true
     }
 
-    fn distance<S: Sink>(&self, shard: usize, step: &StepContext<'_, S>) -> std::time::Duration {
-        let replicas = self.plan.shards[shard].replicas.iter();
-        replicas.map(|name| step.router.rtt_to(name)).min().unwrap_or_default()
-    }
-
     /// Queries the other shards once the first has answered. Closes them where its upstream ended,
     /// and queries another one first where it could not be asked.
     pub(super) fn end_canaries<S: Sink>(&mut self, step: &mut StepContext<'_, S>) {
@@ -66,9 +69,9 @@
             self.start_direct(direct, step);
             return;
         }
-        let waits = |shard: &super::shard::Shard| shard.is_awaited() || shard.retry_at.is_some();
-        let is_pending = self.shards.iter().any(|shard| shard.is_open() && waits(shard));
-        if is_pending || !self.queued.is_empty() || (!self.loss_seen && self.send_canary(step)) {
+        let waits = |shard: &Shard| shard.is_open() && (shard.is_awaited() || shard.retry_at.is_some());
+        let is_pending = self.shards.iter().any(waits) || !self.queued.is_empty();
+        if is_pending || (!self.loss_seen && self.send_canary(step)) {
             return;
         }
         self.stage = Stage::All;
@@ -78,10 +81,4 @@
             }
         }
     }
-
-    /// Queries another shard beside the one whose answer is overdue.
-    pub(super) fn send_canary_beside<S: Sink>(&mut self, shard: usize, step: &mut StepContext<'_, S>) {
-        self.shards[shard].hedge = Hedge::Off;
-        self.send_canary(step);
-    }
 }
--- a/crates/harefield/src/domain/fanout/crash_guard.rs
+++ b/crates/harefield/src/domain/fanout/crash_guard.rs
@@ -21,7 +21,7 @@
 
 /// With at least this many shards, one has answered before a hedge is due, unless the request
 /// itself is the cause.
-pub const WIDE_SHARDS: usize = 4;
+pub(super) const WIDE_SHARDS: usize = 4;
 
 impl Fanout {
     /// Suspends retries and hedges of a shard whose upstream may have crashed.
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -174,15 +174,6 @@
         step.actions
     }
 
-    /// Sends first attempts for shards that were not delegated.
-    pub(super) fn start_direct<S: Sink>(&mut self, direct: Vec<usize>, step: &mut StepContext<'_, S>) {
-        for shard in direct {
-            if self.shards[shard].is_untried() {
-                self.start_attempt(shard, Cause::First, step);
-            }
-        }
-    }
-
     /// Handles the end of an attempt.
     pub fn on_attempt_end(
         &mut self,
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -29,7 +29,6 @@
 mod verify;
 
 pub use crash_guard::MAX_TRIALS;
-pub use crash_guard::WIDE_SHARDS;
 pub use group_request::GroupOutcome;
 pub use group_request::GroupRequest;
 pub use group_request::ShardResult;
--- a/crates/harefield/src/domain/ids.rs
+++ b/crates/harefield/src/domain/ids.rs
@@ -3,20 +3,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::time::millis;
+
 /// Identifies a daemon by the address on which it accepts peers, as `IP:PORT`.
 pub type HostId = Arc<str>;
 
 /// Distinguishes runs of one daemon: its start time combined with random bits.
 pub type Incarnation = u64;
 
-/// How many low bits of an incarnation are random. The others are its start in milliseconds since the
-/// Unix epoch.
-pub const INCARNATION_RANDOM_BITS: u32 = 20;
+/// How many low bits of an incarnation are random. The others are the start in milliseconds.
+const RANDOM_BITS: u32 = 20;
+
+/// Creates the incarnation of a daemon that started at `start` since the Unix epoch, so that it is
+/// later than earlier ones of the same host, and by its random bits unlike any other.
+#[must_use]
+pub fn incarnation_of(start: Duration, random: u32) -> Incarnation {
+    (millis(start) << RANDOM_BITS) | u64::from(random >> (u32::BITS - RANDOM_BITS))
+}
 
 /// Returns when a daemon started, since the Unix epoch, by its own clock.
 #[must_use]
 pub fn started_at(incarnation: Incarnation) -> Duration {
-    Duration::from_millis(incarnation >> INCARNATION_RANDOM_BITS)
+    Duration::from_millis(incarnation >> RANDOM_BITS)
 }
 
 /// Counts how often a platform was restored from a backup copy.
--- a/crates/harefield/src/domain/suspects/evidence.rs
+++ b/crates/harefield/src/domain/suspects/evidence.rs
@@ -13,8 +13,8 @@
 /// coincidence, such as another harmful request on the same upstream.
 const MIN_ALONE: u32 = 2;
 
-/// Where a daemon saw this many upstreams end under it, twice as many as make it suspect, one that
-/// ends in isolation is enough.
+/// Where a daemon saw this many upstreams end under it, twice as many as make it suspect, one run in
+/// isolation without an answer is enough.
 const MASS_ENDS: usize = 2 * MIN_ENDS;
 
 /// The delay between the last end and a run in isolation. A common cause that makes many upstreams
--- a/crates/harefield/src/domain/suspects/history.rs
+++ b/crates/harefield/src/domain/suspects/history.rs
@@ -1,6 +1,7 @@
 //! Whether a daemon would know of a work under which upstreams ended a while ago.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::started_at;
@@ -11,22 +12,25 @@
 /// within seconds.
 pub const DEFAULT_CAUTION: Duration = Duration::from_secs(10);
 
-/// What a daemon can know of the past: of the time since it started, and of all that a daemon knows
-/// that it met and that has run for longer.
+/// What a daemon can know of the past: what happened since it started, and what those know that it met
+/// and that have run for longer.
 #[derive(Clone, Copy, Debug)]
 pub struct History {
     /// How long a daemon has to have run; zero if nothing is to be known.
     caution: Duration,
+    started: Instant,
+    /// Whether a daemon was met that had run for that long.
     informed: bool,
+    /// Whether most of the known daemons are not heard.
     isolated: bool,
 }
 
 impl History {
-    /// Creates the history of a daemon that starts now. One that has run for `caution` has heard of
-    /// what is repeated.
+    /// Creates the history of a daemon that starts at `now`. One that has run for `caution` has heard
+    /// of what is repeated.
     #[must_use]
-    pub fn new(caution: Duration) -> Self {
-        Self { caution, informed: false, isolated: false }
+    pub fn new(caution: Duration, now: Instant) -> Self {
+        Self { caution, started: now, informed: false, isolated: false }
     }
 
     /// Takes over which daemons are known, at `wall` since the Unix epoch.
@@ -37,10 +41,11 @@
         self.isolated = live.count() * 2 < rows.len();
     }
 
-    /// Returns whether a daemon that has run for `age` would know of a work, as it or a daemon that
-    /// it met has run for long enough, and it now hears at least half of the others.
+    /// Returns whether the daemon would know of a work, as it or a daemon that it met has run for long
+    /// enough, and it hears at least half of the known daemons, itself included.
     #[must_use]
-    pub fn is_complete(&self, age: Duration) -> bool {
-        self.caution.is_zero() || (self.informed || age >= self.caution) && !self.isolated
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let is_old = now.saturating_duration_since(self.started) >= self.caution;
+        self.caution.is_zero() || (self.informed || is_old) && !self.isolated
     }
 }
--- a/crates/harefield/src/domain/suspects/mod.rs
+++ b/crates/harefield/src/domain/suspects/mod.rs
@@ -7,12 +7,13 @@
 //!
 //! So a work has one of three clearances. It runs freely until some upstreams have ended while
 //! they ran it. Then it runs in isolation, on one upstream at a time in the whole fleet, until an
-//! answer clears it or two upstreams have ended in isolation. Then it is withheld, with further
-//! trials after growing delays.
+//! answer clears it or two such runs, or one after many ends, had no answer. Then it is withheld, with
+//! further trials after growing delays.
 //!
-//! [`Proof`] is what the end of one attempt shows. [`Evidence`] is what is known about one work, and
-//! merges with what other daemons know;
-//! [`Suspects`] holds it for a bounded number of works.
+//! [`Proof`] is what the end of one attempt shows; [`Abandoned`] holds attempts whose ends are not
+//! known yet. [`Evidence`] is what is known about one work, and merges with what other daemons know;
+//! [`Suspects`] holds it for a bounded number of works. [`History`] tells whether more may be known
+//! elsewhere.
 
 mod abandoned;
 mod answered;
--- a/crates/harefield/src/domain/suspects/proof.rs
+++ b/crates/harefield/src/domain/suspects/proof.rs
@@ -17,8 +17,8 @@
 impl Proof {
     /// Returns what the end of an attempt shows.
     ///
-    /// A failure of the upstream's own shows nothing, whatever its status: an upstream that fails
-    /// answers before it has run the request.
+    /// A failure of the upstream's own shows nothing, whatever its status: an upstream that fails need
+    /// not have run the request.
     #[must_use]
     pub fn of(end: &AttemptEnd) -> Self {
         match end {
--- a/crates/harefield/src/engine/abandoned.rs
+++ b/crates/harefield/src/engine/abandoned.rs
@@ -23,9 +23,9 @@
 /// take no connections for 100 ms.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 
-/// What is kept of an attempt whose end nobody awaits.
+/// What is kept of an attempt without a reply, to tell what the end of its upstream shows.
 #[derive(Clone, Debug)]
-pub(super) struct AbandonedAttempt {
+pub(super) struct UnansweredAttempt {
     pub request: RequestId,
     pub work: Work,
     pub whole: bool,
@@ -33,7 +33,7 @@
     pub evidence: WorkEvidence,
 }
 
-impl AbandonedAttempt {
+impl UnansweredAttempt {
     pub fn new(job: &Job, pending: &PendingAttempt) -> Self {
         Self {
             request: Arc::clone(&job.request),
@@ -53,22 +53,23 @@
         if job.evidence.answered.get() || !attempt.sent.get() {
             return;
         }
-        self.watch(&attempt.send.upstream, AbandonedAttempt::new(job, pending));
+        self.watch(&attempt.send.upstream, UnansweredAttempt::new(job, pending));
     }
 
-    /// Watches the upstream of an attempt.
-    pub(super) fn watch(self: &Rc<Self>, upstream: &UpstreamId, attempt: AbandonedAttempt) {
+    /// Watches the upstream of an attempt for a while.
+    pub(super) fn watch(self: &Rc<Self>, upstream: &UpstreamId, attempt: UnansweredAttempt) {
         self.abandoned.borrow_mut().add(upstream, attempt, self.ports.clock.now());
         if !self.watching.replace(true) {
             self.executor.spawn(Rc::clone(self).look_while_watched()).detach();
         }
     }
 
+    /// Looks at the connections to all watched upstreams until none is left.
     async fn look_while_watched(self: Rc<Self>) {
         while !self.abandoned.borrow().is_empty() {
             self.ports.clock.sleep(LOOK_EVERY).await;
             let now = self.ports.clock.now();
-            let needed = |attempt: &AbandonedAttempt| !attempt.evidence.answered.get();
+            let needed = |attempt: &UnansweredAttempt| !attempt.evidence.answered.get();
             let expired = self.abandoned.borrow_mut().remove_expired(now, needed);
             for attempt in expired {
                 self.record_inconclusive(&attempt);
@@ -84,7 +85,7 @@
     }
 
     /// Records a trial whose upstream neither answered nor ended.
-    fn record_inconclusive(&self, attempt: &AbandonedAttempt) {
+    fn record_inconclusive(&self, attempt: &UnansweredAttempt) {
         if attempt.evidence.trial.is_none() || attempt.evidence.answered.get() {
             return;
         }
@@ -102,7 +103,8 @@
         if !accepts || !self.has_exited(&upstream).await {
             return;
         }
-        for attempt in self.abandoned.borrow_mut().remove(&upstream) {
+        let attempts = self.abandoned.borrow_mut().remove(&upstream);
+        for attempt in attempts {
             if !attempt.evidence.answered.get() {
                 self.record_exit(&attempt, &upstream);
             }
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -32,7 +32,6 @@
 use crate::domain::fanout::GroupRequest;
 use crate::domain::fanout::ReplyIdentity;
 use crate::domain::fanout::SendAttempt;
-use crate::domain::fanout::WIDE_SHARDS;
 use crate::domain::ids::AttemptId;
 use crate::domain::ids::ShardId;
 use crate::domain::outcome::Gap;
@@ -47,7 +46,6 @@
 use crate::ports::Endpoint;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
-use crate::telemetry::Batch;
 use crate::telemetry::Trace;
 
 /// How an attempt or a group of shards ended, as sent to the fan-out.
@@ -69,10 +67,6 @@
 }
 
 impl Tasks {
-    fn new(is_trial: bool) -> Self {
-        Self { attempts: Vec::new(), groups: Vec::new(), is_trial }
-    }
-
     /// Lets the unfinished tasks run on in the background.
     fn detach(&mut self) {
         self.attempts.drain(..).for_each(Task::detach);
@@ -158,8 +152,9 @@
         let mut fanout = Fanout::new(Arc::clone(plan), rules.clone(), first);
         // Dropping this future, as when the caller disconnects, drops the tasks and so cancels
         // them.
-        let mut tasks = Tasks::new(job.evidence.trial.is_some());
-        if job.cautious && plan.shards.len() >= WIDE_SHARDS {
+        let is_trial = job.evidence.trial.is_some();
+        let mut tasks = Tasks { attempts: Vec::new(), groups: Vec::new(), is_trial };
+        if job.whole && self.may_lack_evidence(&job.work) {
             fanout.canary_first();
         }
         let now = self.ports.clock.now();
@@ -282,7 +277,6 @@
             let AttemptGuard { worker: this, attempt, pending, completed } = &guard;
             let end = this.query_upstream(attempt).await;
             let end = this.classify_end(attempt, pending, end).await;
-            pending.end();
             completed.set(true);
             this.record_outcome(attempt, &end);
             this.deliver_turns();
@@ -367,14 +361,12 @@
     /// Records how an attempt ended after its request was answered: that its reply was dropped, or
     /// why there was none.
     fn record_late(&self, attempt: &Attempt, failure: Option<Gap>, ran: bool) {
-        let stamp = self.stamp();
         let (shard, number) = (attempt.shard(), attempt.send.attempt);
         let upstream = Arc::clone(&attempt.send.upstream);
         let event = match failure {
             None => Event::ReplyDropped { shard, upstream, attempt: number, why: Drop::Late },
             Some(why) => Event::AttemptFailed { shard, upstream, attempt: number, why, ran },
         };
-        let request = Some(Arc::clone(&attempt.job.request));
-        self.telemetry.send(Batch { request, events: vec![(stamp, event)] });
+        self.record_event(&attempt.job.request, event);
     }
 }
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -34,7 +34,6 @@
 use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
-use crate::telemetry::Batch;
 
 /// One group in flight. It is taken off its daemon's in-flight count when dropped before it
 /// completes, also where its task has not run yet.
@@ -159,8 +158,7 @@
             micros: micros(took),
             way: round_trip,
         };
-        let request = Some(Arc::clone(&job.request));
-        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
+        self.record_event(&job.request, event);
     }
 }
 
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -28,8 +28,6 @@
     pub work: Work,
     /// Whether it is a whole request rather than a group of another daemon's shards.
     pub whole: bool,
-    /// Whether one shard is queried first, as this daemon may lack what others know of the work.
-    pub cautious: bool,
     /// What the attempts have shown about the work.
     pub evidence: WorkEvidence,
     /// How many records are kept where replies are merged.
@@ -54,7 +52,6 @@
             regions: Arc::clone(&resolved.regions),
             requester: resolved.requester.clone(),
             whole: true,
-            cautious: false,
             evidence: WorkEvidence::default(),
         }
     }
@@ -102,7 +99,6 @@
     begun: Rc<Cell<u32>>,
     /// How many had begun with this one, if no other was in flight then.
     alone_at: Option<u32>,
-    ended: Cell<bool>,
 }
 
 impl WorkEvidence {
@@ -115,7 +111,6 @@
             pending: Rc::clone(&self.pending),
             begun: Rc::clone(&self.begun),
             alone_at: (others == 0).then_some(number),
-            ended: Cell::new(false),
         }
     }
 
@@ -149,17 +144,10 @@
     pub fn is_alone(&self) -> bool {
         self.alone_at == Some(self.begun.get())
     }
-
-    /// Counts it as in flight no longer.
-    pub fn end(&self) {
-        if !self.ended.replace(true) {
-            self.pending.set(self.pending.get() - 1);
-        }
-    }
 }
 
 impl Drop for PendingAttempt {
     fn drop(&mut self) {
-        self.end();
+        self.pending.set(self.pending.get() - 1);
     }
 }
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -81,7 +81,6 @@
             regions: Arc::clone(&group.regions),
             requester,
             whole: false,
-            cautious: false,
             evidence: WorkEvidence::default(),
         };
         let min_share = ratio(group.needed, group.shards.len());
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -218,8 +218,7 @@
             return refuse(trace, Code::NotMember, Duration::ZERO);
         }
         let waited = self.ports.clock.now().saturating_duration_since(resolved.start);
-        let cautious = self.may_lack_evidence(&resolved.work);
-        let job = Job { cautious, ..Job::new(request, resolved, trace.request()) };
+        let job = Job::new(request, resolved, trace.request());
         trace.emit(Event::Admitted {
             lookup: request.lookup.clone(),
             work: resolved.work.exact,
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::abandoned::AbandonedAttempt;
+use super::abandoned::UnansweredAttempt;
 use super::attempt::Attempt;
 use super::find::ResolvedRequest;
 use super::forward_attempt::is_redirect;
@@ -34,7 +34,6 @@
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::fanout::FanoutResult;
 use crate::domain::ids::HostId;
-use crate::domain::ids::RequestId;
 use crate::domain::ids::UpstreamId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
@@ -53,7 +52,6 @@
 use crate::ports::PeerError;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
-use crate::telemetry::Batch;
 use crate::telemetry::Trace;
 
 /// How long a caller is told to wait while the only trial of its work runs: about as long as one
@@ -108,9 +106,8 @@
 
     /// Returns whether upstreams may have ended under a work that this daemon knows nothing of.
     pub(super) fn may_lack_evidence(&self, work: &Work) -> bool {
-        let now = self.ports.clock.now();
-        let age = now.saturating_duration_since(self.started);
-        !self.history.get().is_complete(age) && !self.suspects.borrow().is_answered(work)
+        let is_complete = self.history.get().is_complete(self.ports.clock.now());
+        !is_complete && !self.suspects.borrow().is_answered(work)
     }
 
     /// Returns whether upstreams may be ending under a request: one of its lost replies is being
@@ -159,12 +156,6 @@
         self.publish_suspects(changed);
     }
 
-    /// Records an event of a request beside those of its trace.
-    pub(super) fn record_event(&self, request: &RequestId, event: Event) {
-        let request = Some(Arc::clone(request));
-        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
-    }
-
     /// Returns whether an upstream is known by now to have lost a reply because it exited, where no
     /// other upstream answered the request.
     ///
@@ -176,7 +167,7 @@
             return false;
         }
         let _check = attempt.job.evidence.begin_check();
-        let kept = AbandonedAttempt::new(&attempt.job, pending);
+        let kept = UnansweredAttempt::new(&attempt.job, pending);
         let upstream = Arc::clone(&attempt.send.upstream);
         let mut check = self.executor.spawn(Rc::clone(self).check_exit(kept, upstream));
         let checked = async { Some((&mut check).await) };
@@ -193,7 +184,7 @@
 
     /// Checks whether an upstream has exited, and records it where no upstream answered the
     /// request. Returns whether it did. An upstream that has not may still run the request.
-    async fn check_exit(self: Rc<Self>, attempt: AbandonedAttempt, upstream: UpstreamId) -> bool {
+    async fn check_exit(self: Rc<Self>, attempt: UnansweredAttempt, upstream: UpstreamId) -> bool {
         let exited = self.has_exited(&upstream).await;
         if attempt.evidence.answered.get() {
             return false;
@@ -215,8 +206,8 @@
     }
 
     /// Records that an upstream ended while it ran an attempt.
-    pub(super) fn record_exit(&self, attempt: &AbandonedAttempt, upstream: &UpstreamId) {
-        let AbandonedAttempt { request, work, whole, alone, .. } = attempt;
+    pub(super) fn record_exit(&self, attempt: &UnansweredAttempt, upstream: &UpstreamId) {
+        let UnansweredAttempt { request, work, whole, alone, .. } = attempt;
         let alone = *alone && *whole;
         let now = self.ports.clock.now();
         let changed = self.suspects.borrow_mut().record_end(work, upstream, alone, now);
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -17,7 +17,7 @@
 use async_executor::LocalExecutor;
 use log::debug;
 
-use super::abandoned::AbandonedAttempt;
+use super::abandoned::UnansweredAttempt;
 use super::attempt::CompletedAttempt;
 use super::message::PeerView;
 use super::message::ToControl;
@@ -32,6 +32,7 @@
 use crate::domain::admission::Room;
 use crate::domain::admission::WaiterId;
 use crate::domain::code::Code;
+use crate::domain::event::Event;
 use crate::domain::fanout::Overrun;
 use crate::domain::hlc::HybridClock;
 use crate::domain::ids::AccountId;
@@ -62,6 +63,7 @@
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
+use crate::telemetry::Batch;
 use crate::telemetry::Telemetry;
 use crate::telemetry::Trace;
 
@@ -164,12 +166,10 @@
     pub(super) suspects: RefCell<Suspects>,
     /// What this daemon can know of such works.
     pub(super) history: Cell<History>,
-    /// When it started.
-    pub(super) started: Instant,
     /// Works that run alone here now.
     pub(super) trials: Rc<RefCell<HashSet<WorkId>>>,
     /// Attempts whose ends nobody awaits.
-    pub(super) abandoned: RefCell<Abandoned<AbandonedAttempt>>,
+    pub(super) abandoned: RefCell<Abandoned<UnansweredAttempt>>,
     /// Whether the upstreams of these are being looked at.
     pub(super) watching: Cell<bool>,
     pub(super) control: Sender<ToControl>,
@@ -263,7 +263,8 @@
         let router =
             router.with_topology(settings.topology.clone()).with_sharers(settings.daemons).with_local(local);
         let router = router.with_scheduling(settings.scheduling.clone());
-        let (known, caution, started) = (settings.daemons, settings.caution, ports.clock.now());
+        let history = History::new(settings.caution, ports.clock.now());
+        let known = settings.daemons;
         Rc::new(Self {
             settings,
             executor,
@@ -285,8 +286,7 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             suspects: RefCell::default(),
-            history: Cell::new(History::new(caution)),
-            started,
+            history: Cell::new(history),
             trials: Rc::default(),
             abandoned: RefCell::default(),
             watching: Cell::default(),
@@ -370,6 +370,12 @@
         Trace::new(Some(request), detail, &self.hybrid, self.ports.clock, &self.telemetry)
     }
 
+    /// Records an event of a request beside those of its trace.
+    pub(super) fn record_event(&self, request: &RequestId, event: Event) {
+        let request = Some(Arc::clone(request));
+        self.telemetry.send(Batch { request, events: vec![(self.stamp(), event)] });
+    }
+
     pub(super) fn count(&self, change: impl FnOnce(&mut Counts)) {
         let mut counts = self.counts.get();
         change(&mut counts);
--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -8,7 +8,7 @@
 use crate::support::at;
 use crate::support::row;
 use harefield::domain::fanout::AttemptEnd;
-use harefield::domain::ids::INCARNATION_RANDOM_BITS;
+use harefield::domain::ids::incarnation_of;
 use harefield::domain::membership::MemberRow;
 use harefield::domain::membership::PeerState;
 use harefield::domain::outcome::Gap;
@@ -181,39 +181,42 @@
 
 /// Returns the row of a daemon that started so many seconds after the Unix epoch.
 fn started(number: usize, second: u64) -> MemberRow {
-    MemberRow { incarnation: (second * 1000) << INCARNATION_RANDOM_BITS, ..row(number, "a") }
+    MemberRow { incarnation: incarnation_of(Duration::from_secs(second), 0), ..row(number, "a") }
 }
 
 #[test]
 fn killed_fleet_knows_nothing() {
-    let (now, age) = (Duration::from_secs(1000), Duration::from_secs(5));
-    let mut history = History::new(DEFAULT_CAUTION);
-    assert!(!history.is_complete(age), "it has met nobody");
-    history.update(&[started(0, 995), started(1, 994)], now);
-    assert!(!history.is_complete(age), "nor anybody who is older");
-    assert!(history.is_complete(DEFAULT_CAUTION), "it was there all the time");
-    assert!(History::new(Duration::ZERO).is_complete(age), "it is not to be known");
+    let (start, wall) = (Instant::now(), Duration::from_secs(1000));
+    let soon = at(start, 5000);
+    let mut history = History::new(DEFAULT_CAUTION, start);
+    assert!(!history.is_complete(soon), "it has met nobody");
+    history.update(&[started(0, 995), started(1, 994)], wall);
+    assert!(!history.is_complete(soon), "nor anybody who is older");
+    assert!(history.is_complete(start + DEFAULT_CAUTION), "it was there all the time");
+    assert!(History::new(Duration::ZERO, start).is_complete(soon), "it is not to be known");
 }
 
 #[test]
 fn restarted_daemon_is_told() {
-    let (now, age) = (Duration::from_secs(1000), Duration::from_secs(5));
-    let mut history = History::new(DEFAULT_CAUTION);
-    history.update(&[started(0, 995), started(1, 900), started(2, 999)], now);
-    assert!(history.is_complete(age), "an older daemon has told it");
-    history.update(&[started(0, 995), started(1, 1001), started(2, 999)], now);
-    assert!(history.is_complete(age), "also when that one has been replaced");
+    let (start, wall) = (Instant::now(), Duration::from_secs(1000));
+    let soon = at(start, 5000);
+    let mut history = History::new(DEFAULT_CAUTION, start);
+    history.update(&[started(0, 995), started(1, 900), started(2, 999)], wall);
+    assert!(history.is_complete(soon), "an older daemon has told it");
+    history.update(&[started(0, 995), started(1, 1001), started(2, 999)], wall);
+    assert!(history.is_complete(soon), "also when that one has been replaced");
 }
 
 #[test]
 fn isolated_daemon_knows_part() {
-    let now = Duration::from_secs(1000);
+    let (start, wall) = (Instant::now(), Duration::from_secs(1000));
+    let late = start + wall;
     let lost = |number| MemberRow { state: PeerState::Suspect, ..started(number, 1) };
-    let mut history = History::new(DEFAULT_CAUTION);
-    history.update(&[started(0, 1), started(1, 1), lost(2), lost(3), lost(4)], now);
-    assert!(!history.is_complete(now), "most of the fleet may know more");
-    history.update(&[started(0, 1), started(1, 1), started(2, 1), lost(3), lost(4)], now);
-    assert!(history.is_complete(now));
+    let mut history = History::new(DEFAULT_CAUTION, start);
+    history.update(&[started(0, 1), started(1, 1), lost(2), lost(3), lost(4)], wall);
+    assert!(!history.is_complete(late), "most of the fleet may know more");
+    history.update(&[started(0, 1), started(1, 1), started(2, 1), lost(3), lost(4)], wall);
+    assert!(history.is_complete(late));
 }
 
 #[test]
