Log evidence-cleared only where there was evidence

It was written for each answer to a work that the registry still held, also long after its last end was refuted: every five seconds for a request that is answered often. An on-call engineer would have read it as another suspicion that ended. The registry, and what other daemons are told, are as before.

--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -148,8 +148,10 @@
         if job.evidence.answered.replace(true) {
             return;
         }
-        let changed = self.suspects.borrow_mut().record_answer(&job.work, self.ports.clock.now());
-        if !changed.is_empty() {
+        let now = self.ports.clock.now();
+        let had_ends = self.suspects.borrow().has_ends(&job.work, now);
+        let changed = self.suspects.borrow_mut().record_answer(&job.work, now);
+        if had_ends {
             let upstream = Arc::clone(&attempt.send.upstream);
             self.record_event(&job.request, Event::EvidenceCleared { work: job.work.exact, upstream });
         }
