Tests of requests that crash: one traffic loop, one exchange, one fatal request

What crashing_evidence, crash_evidence and the soak had written again is shared: the loop beside ordinary traffic with its two constants, the message between two daemons, and the sending of a fatal request.

--- a/crates/harefield/tests/decisions/crash_evidence.rs
+++ b/crates/harefield/tests/decisions/crash_evidence.rs
@@ -7,6 +7,7 @@
 
 use crate::support::at;
 use crate::support::row;
+use crate::support::send_all;
 use harefield::domain::fanout::AttemptEnd;
 use harefield::domain::ids::incarnation_of;
 use harefield::domain::membership::MemberRow;
@@ -19,7 +20,6 @@
 use harefield::domain::suspects::DEFAULT_CAUTION;
 use harefield::domain::suspects::History;
 use harefield::domain::suspects::Proof;
-use harefield::domain::suspects::SuspectReport;
 use harefield::domain::suspects::Suspects;
 use harefield::domain::work::Work;
 
@@ -109,13 +109,6 @@
     }
 }
 
-/// Sends one message with the evidence of one daemon to another.
-fn send_all(from: &mut Suspects, to: &mut Suspects, now: Instant) {
-    for suspect in from.digest(now) {
-        to.merge(&SuspectReport::new(&suspect, now).to_suspect(now), now);
-    }
-}
-
 #[test]
 fn silent_trials_count() {
     let (start, mut suspects) = (Instant::now(), Suspects::default());
--- a/crates/harefield/tests/decisions/support.rs
+++ b/crates/harefield/tests/decisions/support.rs
@@ -22,6 +22,8 @@
 use harefield::domain::routing::Budgets;
 use harefield::domain::routing::Policy;
 use harefield::domain::routing::Router;
+use harefield::domain::suspects::SuspectReport;
+use harefield::domain::suspects::Suspects;
 use harefield::domain::topology::Topology;
 use harefield::domain::view::View;
 use harefield::domain::view::ViewInputs;
@@ -108,6 +110,13 @@
     router
 }
 
+/// Sends one message with the evidence of one daemon to another.
+pub fn send_all(from: &mut Suspects, to: &mut Suspects, now: Instant) {
+    for suspect in from.digest(now) {
+        to.merge(&SuspectReport::new(&suspect, now).to_suspect(now), now);
+    }
+}
+
 /// Returns the row of a live daemon in an availability zone.
 pub fn row(number: usize, zone: &str) -> MemberRow {
     MemberRow {
--- a/crates/harefield/tests/decisions/suspects.rs
+++ b/crates/harefield/tests/decisions/suspects.rs
@@ -10,6 +10,7 @@
 
 use crate::support::at;
 use crate::support::cases;
+use crate::support::send_all;
 use harefield::domain::ids::UpstreamId;
 use harefield::domain::suspects::Clearance;
 use harefield::domain::suspects::Suspect;
@@ -41,13 +42,6 @@
     }
 }
 
-/// Sends one message with the evidence of one daemon to another.
-fn send_all(from: &mut Suspects, to: &mut Suspects, now: Instant) {
-    for suspect in from.digest(now) {
-        to.merge(&SuspectReport::new(&suspect, now).to_suspect(now), now);
-    }
-}
-
 #[test]
 fn ends_known_until_answered() {
     // Guards against hedges of a work that is about to be restricted: they crash one upstream more.
--- a/crates/harefield/tests/processes/crashing.rs
+++ b/crates/harefield/tests/processes/crashing.rs
@@ -10,34 +10,28 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::crashing_support::Callers;
 use crate::crashing_support::DOWNTIME;
 use crate::crashing_support::Fleet;
 use crate::crashing_support::FleetOptions;
+use crate::crashing_support::MAX_LATE_SENDS;
 use crate::crashing_support::PROPAGATION_TIME;
+use crate::crashing_support::REPEAT_INTERVAL;
 use crate::crashing_support::SHARDS;
 use crate::crashing_support::code;
+use crate::crashing_support::during_traffic;
 
 /// How many upstreams may crash besides the first one of each shard before the request is
 /// withheld: one in the trial on a single upstream, and one more if two daemons try it at once.
 const MAX_TRIALS: usize = 2;
 
-/// The number of later sends that the users accept.
-const MAX_LATE_SENDS: usize = 3;
-
-/// The pause between two repetitions of the fatal request.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Sends a fatal request repeatedly, to each daemon in turn, during ordinary traffic; returns
 /// the share of later ordinary requests that were answered with 200.
 fn repeat_fatal(fleet: &Fleet, path: &'static str, times: usize) -> f64 {
-    let ordinary = Callers::start(fleet, Duration::from_millis(75), |number| format!("/all/own-{number}"));
     let start = Instant::now();
-    for number in 0..times {
-        fleet.send_fatal(number % fleet.daemons.len(), path, number);
+    let answers = during_traffic(fleet, times, |daemon, number| {
+        fleet.send_fatal(daemon, path, number);
         std::thread::sleep(REPEAT_INTERVAL);
-    }
-    let answers = ordinary.stop();
+    });
     let later: Vec<_> = answers.iter().filter(|answered| answered.at > start + PROPAGATION_TIME).collect();
     let served = later.iter().filter(|answered| answered.status == 200).count();
     assert!(later.len() > 20, "too few ordinary requests were sent");
--- a/crates/harefield/tests/processes/crashing_evidence.rs
+++ b/crates/harefield/tests/processes/crashing_evidence.rs
@@ -4,17 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::crashing_support::Callers;
 use crate::crashing_support::Fleet;
 use crate::crashing_support::FleetOptions;
+use crate::crashing_support::MAX_LATE_SENDS;
 use crate::crashing_support::Others;
 use crate::crashing_support::PROPAGATION_TIME;
-
-/// The number of later sends that the users accept.
-const MAX_LATE_SENDS: usize = 3;
-
-/// The pause between two repetitions of the fatal request.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
+use crate::crashing_support::REPEAT_INTERVAL;
+use crate::crashing_support::during_traffic;
 
 /// How often it is repeated.
 const REPEATS: usize = 30;
@@ -23,13 +19,11 @@
 /// upstreams it is still sent to once every daemon has to know it.
 fn check_late_sends(options: FleetOptions, path: &'static str, send: impl Fn(&Fleet, usize, usize)) {
     let fleet = Fleet::start(options);
-    let ordinary = Callers::start(&fleet, Duration::from_millis(75), |number| format!("/all/own-{number}"));
-    for number in 0..REPEATS {
+    let answers = during_traffic(&fleet, REPEATS, |daemon, number| {
         let start = Instant::now();
-        send(&fleet, number % fleet.daemons.len(), number);
+        send(&fleet, daemon, number);
         std::thread::sleep(REPEAT_INTERVAL.saturating_sub(start.elapsed()));
-    }
-    let answers = ordinary.stop();
+    });
     let served = answers.iter().filter(|answered| answered.status == 200).count();
     let (late, ended) = (fleet.late_sends(), fleet.ends().len());
     println!("{path}: {late} late sends, {ended} crashes, {served} of {} others served", answers.len());
--- a/crates/harefield/tests/processes/crashing_support.rs
+++ b/crates/harefield/tests/processes/crashing_support.rs
@@ -34,6 +34,12 @@
 /// Within this time a suspect found by one daemon is known to every daemon that it can reach.
 pub const PROPAGATION_TIME: Duration = Duration::from_secs(4);
 
+/// The number of later sends that the users accept.
+pub const MAX_LATE_SENDS: usize = 3;
+
+/// The pause between two repetitions of a fatal request.
+pub const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
+
 const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 const WORK: Duration = Duration::from_millis(15);
 
@@ -185,6 +191,16 @@
     }
 }
 
+/// Runs `step` for some rounds, with the number of the round and each daemon in turn, during ordinary
+/// traffic; returns the answers to that.
+pub fn during_traffic(fleet: &Fleet, rounds: usize, step: impl Fn(usize, usize)) -> Vec<Answered> {
+    let ordinary = Callers::start(fleet, Duration::from_millis(75), |number| format!("/all/own-{number}"));
+    for number in 0..rounds {
+        step(number % fleet.daemons.len(), number);
+    }
+    ordinary.stop()
+}
+
 /// An answer that a caller got, with the time of its request.
 #[derive(Clone, Debug)]
 pub struct Answered {
--- a/crates/harefield/tests/processes/hot_requests.rs
+++ b/crates/harefield/tests/processes/hot_requests.rs
@@ -7,6 +7,7 @@
 use crate::crashing_support::DOWNTIME;
 use crate::crashing_support::Fleet;
 use crate::crashing_support::FleetOptions;
+use crate::crashing_support::Others;
 use crate::crashing_support::code;
 use crate::site_support::begin;
 use crate::site_support::request_at;
@@ -17,9 +18,19 @@
 
 #[test]
 fn unrelated_crashes() {
-    // Thirteen of 40 upstreams crash together, three times, while the same sweep is sent many
-    // times a second. The sweep does not cause the crashes and must not be refused.
-    let fleet = Fleet::start(FleetOptions::default());
+    crash_together(FleetOptions::default());
+}
+
+#[test]
+fn crashes_beside_failures() {
+    // An upstream's own failure clears nothing, so that the answers of others have to.
+    crash_together(FleetOptions { others: Others::Fail, ..FleetOptions::default() });
+}
+
+/// Crashes thirteen of 40 upstreams together, three times, while the same sweep is sent many times a
+/// second. The sweep does not cause the crashes and must not be refused.
+fn crash_together(options: FleetOptions) {
+    let fleet = Fleet::start(options);
     let hot = Callers::start(&fleet, Duration::from_millis(30), |_| "/all/hot".to_owned());
     for round in 0..3 {
         std::thread::sleep(Duration::from_secs(1));
--- a/crates/harefield/tests/soak/callers.rs
+++ b/crates/harefield/tests/soak/callers.rs
@@ -108,11 +108,8 @@
             std::thread::sleep(Duration::from_millis(random.random_range(200..1200)));
             let daemon = random.random_range(0..self.cluster.nodes.len());
             let path = if random.random_bool(0.5) { "/all/fatal" } else { "/one/fatal" };
-            let Some(mut connection) = Connection::open(self.cluster.nodes[daemon].callers) else { continue };
             count += 1;
-            let id = format!("f{count}");
-            self.ledger.observations().fatal.push(FatalRequest { id: id.clone(), path, daemon });
-            connection.send(&head(path, &id), RESPONSE_TIMEOUT);
+            self.request_fatal(daemon, path, format!("f{count}"), RESPONSE_TIMEOUT);
         }
     }
 
@@ -125,14 +122,19 @@
             std::thread::sleep(Duration::from_millis(random.random_range(200..900)));
             let daemon = random.random_range(0..self.cluster.nodes.len());
             let patience = Duration::from_millis(random.random_range(1..10));
-            let Some(mut connection) = Connection::open(self.cluster.nodes[daemon].callers) else { continue };
             count += 1;
-            let (id, path) = (format!("l{count}"), LEFT_FATAL);
-            self.ledger.observations().fatal.push(FatalRequest { id: id.clone(), path, daemon });
-            connection.send(&head(path, &id), patience);
+            self.request_fatal(daemon, LEFT_FATAL, format!("l{count}"), patience);
         }
     }
 
+    /// Sends a fatal request and waits for its answer for some time.
+    fn request_fatal(&self, daemon: usize, path: &'static str, id: String, patience: Duration) {
+        let Some(mut connection) = Connection::open(self.cluster.nodes[daemon].callers) else { return };
+        let head = head(path, &id);
+        self.ledger.observations().fatal.push(FatalRequest { id, path, daemon });
+        connection.send(&head, patience);
+    }
+
     /// Sends requests to any daemon with the API keys of the last few versions, some of which
     /// have been revoked.
     fn send_keys(&self) {
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -121,7 +121,6 @@
 
     /// Serves requests until a crash, stays down, and starts again, without end.
     fn run(&self, spec: &CrashingSpec, store: &SiteStore, crashes: &Receiver<()>) {
-        let downtime = spec.downtime;
         for restarts in 0.. {
             let id = if spec.keeps_name || restarts == 0 {
                 spec.id.clone()
@@ -132,10 +131,10 @@
             let listener = net::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
             let entry = upstream_entry(net::local(&listener), &spec.zone, &spec.service, "ready");
             let executor: Rc<LocalExecutor<'static>> = Rc::default();
-            let (searcher, name, spec) = (self.clone(), id.clone(), spec.clone());
+            let (searcher, name, behaviour) = (self.clone(), id.clone(), Rc::new(spec.clone()));
             let handle = Rc::new(move |request: Request<Incoming>| {
-                let (searcher, name, spec) = (searcher.clone(), name.clone(), spec.clone());
-                async move { searcher.answer(&request, name, &spec).await }
+                let (searcher, name, behaviour) = (searcher.clone(), name.clone(), Rc::clone(&behaviour));
+                async move { searcher.answer(&request, name, &behaviour).await }
             });
             store.put(&key, Some(&entry));
             let serving = async { net::serve(&executor, listener, handle).await };
@@ -144,7 +143,7 @@
             // Dropping the executor ends its tasks, which closes the connections.
             drop(executor);
             self.lock().crash_times.push(Instant::now());
-            std::thread::sleep(downtime);
+            std::thread::sleep(spec.downtime);
             while crashes.try_recv().is_ok() {}
             store.put(&key, None);
         }
