--- a/crates/harefield/tests/decisions/dropped_tasks.rs
+++ b/crates/harefield/tests/decisions/dropped_tasks.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use futures_lite::future;
 
 use crate::scheduled::scheduled_view;
@@ -16,6 +17,10 @@
 use harefield::domain::accounts::Grants;
 use harefield::domain::accounts::Overage;
 use harefield::domain::admission::GateLimits;
+use harefield::domain::announcement::Announcement;
+use harefield::domain::announcement::AnnouncementStamp;
+use harefield::domain::announcement::NamedAnnouncement;
+use harefield::domain::event::Event;
 use harefield::domain::feed::News;
 use harefield::domain::hlc::Stamp;
 use harefield::domain::ids::HostId;
@@ -48,12 +53,15 @@
 use harefield::ports::PermitRequest;
 use harefield::ports::Pull;
 use harefield::ports::Upstreams;
+use harefield::telemetry::Telemetry;
 use harefield::telemetry::ring;
 
 /// Upstreams that never answer, and count what they are sent.
 #[derive(Clone, Debug, Default)]
 struct SilentUpstreams {
     sent: Rc<Cell<usize>>,
+    /// Whether they have ended, and take no connections.
+    ended: Rc<Cell<bool>>,
 }
 
 impl Upstreams for SilentUpstreams {
@@ -64,11 +72,11 @@
     }
 
     async fn has_ended(&self, _endpoint: &Endpoint, _connection_limit: u32) -> bool {
-        false
+        self.ended.get()
     }
 
     fn is_connected(&self, _upstream: &UpstreamId) -> bool {
-        true
+        !self.ended.get()
     }
 
     fn cancel(&self, _upstream: &UpstreamId, _request: &str) {}
@@ -113,6 +121,14 @@
 type TestWorker = Worker<SilentUpstreams, NoPeers, SystemClock>;
 
 fn worker(executor: &Rc<LocalExecutor<'static>>, upstreams: SilentUpstreams) -> Rc<TestWorker> {
+    worker_with(executor, upstreams, ring().0)
+}
+
+fn worker_with(
+    executor: &Rc<LocalExecutor<'static>>,
+    upstreams: SilentUpstreams,
+    telemetry: Telemetry,
+) -> Rc<TestWorker> {
     let host: HostId = "127.0.0.1:7200".into();
     let regions = (0..3).map(|n| (format!("z{n}").into(), format!("r{n}").into()));
     let settings = WorkerSettings {
@@ -147,7 +163,6 @@
     };
     let ports = Ports { upstreams, peers: NoPeers, clock: SystemClock };
     let (control, _messages) = async_channel::unbounded();
-    let (telemetry, _batches) = ring();
     let worker = Worker::new(settings, Rc::clone(executor), ports, shared, control, telemetry);
     worker.apply(ToWorker::View(Arc::new(scheduled_view(3, 1))));
     worker.apply(ToWorker::Confirmed(Confirmed { started: SystemClock.now() }));
@@ -196,3 +211,34 @@
         assert_eq!(upstreams.sent.get(), 1, "the only slot is free again");
     });
 }
+
+/// Returns how many ends of upstreams are recorded after a group was dropped and its upstream, which
+/// may have begun to leave, ended.
+fn ends_after_drop(leaving: bool) -> usize {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let (upstreams, (telemetry, batches)) = (SilentUpstreams::default(), ring());
+    let worker = worker_with(&executor, upstreams.clone(), telemetry);
+    future::block_on(async {
+        let mut dropped = Box::pin(worker.group(group()));
+        assert!(future::poll_once(&mut dropped).await.is_none());
+        while executor.try_tick() {}
+        assert_eq!(upstreams.sent.get(), 1);
+        drop(dropped);
+        if leaving {
+            let stamp = AnnouncementStamp { start: 1, change: 1 };
+            let announcement = Announcement { stamp, draining: true, held: None };
+            let named = NamedAnnouncement { upstream: replica(0, 0), announcement };
+            worker.apply(ToWorker::Announcements(Arc::new([named])));
+        }
+        upstreams.ended.set(true);
+        executor.run(Timer::after(Duration::from_millis(300))).await;
+    });
+    let events = std::iter::from_fn(|| batches.try_recv().ok()).flat_map(|batch| batch.events);
+    events.filter(|(_, event)| matches!(event, Event::UpstreamEnded { .. })).count()
+}
+
+#[test]
+fn ended_after_drop() {
+    assert_eq!(ends_after_drop(false), 1, "the upstream may have ended by what was given up");
+    assert_eq!(ends_after_drop(true), 0, "an upstream that leaves ends as well");
+}
