error_rates: let the drawn crashes meet requests

The model drew requests at full tenths of a second and looked for crashes at the first 60 ms of full seconds after 60 ms of service: no request was ever in flight at one, so that nothing could be withheld.

Requests now begin at any time of a tenth, crashes hit those in flight, and ends that are seen before an answer are recorded before it, as daemons do. harmless_beside_faults holds the same bounds where 6% of the attempts end in failures of upstreams' own and callers of a fifth of the requests leave.

--- a/crates/harefield/tests/decisions/suspects.rs
+++ b/crates/harefield/tests/decisions/suspects.rs
@@ -272,16 +272,23 @@
     }
 }
 
-/// Measures the error rates in both directions over random histories: how often a harmless request
-/// is withheld or run in isolation because it was in flight at upstreams that crash together, and
-/// how often a harmful one still runs freely after it was sent three times.
+/// What happens to harmless requests besides crashes, as shares of the attempts and the requests.
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    /// Attempts that their upstreams answer with a failure of their own.
+    failing: f64,
+    /// Requests whose callers leave before any answer, so that upstreams' ends are found later.
+    left: f64,
+}
+
+/// Counts the harmless requests that are withheld, those that run in isolation, and all, over random
+/// histories.
 ///
 /// In each history, 13 of 40 upstreams crash together three times, 3 s apart. A frequent request
 /// is sent ten times per second, to 20 shards or to one service; others are sent once and retried
 /// once. An answer takes 10 to 60 ms.
-#[test]
-fn error_rates() {
-    let mut random = StdRng::seed_from_u64(20_261_203);
+fn harmless_rates(random: &mut StdRng, faults: Faults) -> (usize, usize, usize) {
+    let draw = |random: &mut StdRng, share: f64| share > 0.0 && random.random_bool(share);
     let (mut held, mut alone, mut sent_count) = (0, 0, 0);
     for _history in 0..200 {
         let start = Instant::now();
@@ -291,8 +298,9 @@
         for request in 0..90_u64 {
             let frequent = random.random_bool(0.7);
             let work = work(if frequent { 1 } else { 1000 + request / 2 });
-            let sent = request * 100;
-            let crash = [1000, 4000, 7000].into_iter().find(|at| (*at..*at + 60).contains(&(sent + 60)));
+            let sent = request * 100 + random.random_range(0..40);
+            let answer = sent + random.random_range(10..60);
+            let crash = [1030, 4030, 7030].into_iter().find(|at| (sent..answer).contains(at));
             sent_count += 1;
             match suspects.clearance(&work, at(start, sent)) {
                 Clearance::Withheld(_) => held += 1,
@@ -304,26 +312,40 @@
             for shard in 0..shards {
                 if crash.is_some() && random.random_bool(13.0 / 40.0) {
                     lost.push(shard);
-                } else {
+                } else if !draw(random, faults.failing) {
                     answered = true;
                 }
             }
+            let left = draw(random, faults.left);
+            // Those that are given up are looked at every 25 ms.
+            let found = crash.map_or(sent, |crash| if left { crash + 25 } else { crash });
+            for shard in lost {
+                suspects.record_end(&work, &upstream(shard), false, at(start, found));
+            }
             // Its fan-out has an answer, or retries the lost shard alone on the remaining
             // upstreams.
-            if answered {
-                suspects.record_answer(&work, at(start, sent + random.random_range(10..60)));
+            if left {
                 continue;
             }
-            for shard in lost {
-                suspects.record_end(&work, &upstream(shard), false, at(start, sent + 60));
-            }
-            if random.random_bool(13.0 / 40.0) {
-                suspects.record_end(&work, &upstream(30), true, at(start, sent + 80));
+            if answered {
+                suspects.record_answer(&work, at(start, answer));
+            } else if random.random_bool(13.0 / 40.0) {
+                suspects.record_end(&work, &upstream(30), true, at(start, found + 20));
             } else {
-                suspects.record_answer(&work, at(start, sent + 100));
+                suspects.record_answer(&work, at(start, found + 40));
             }
         }
     }
+    (held, alone, sent_count)
+}
+
+/// Measures the error rates in both directions over random histories: how often a harmless request
+/// is withheld or run in isolation because it was in flight at upstreams that crash together, and
+/// how often a harmful one still runs freely after it was sent three times.
+#[test]
+fn error_rates() {
+    let mut random = StdRng::seed_from_u64(20_261_203);
+    let (held, alone, sent_count) = harmless_rates(&mut random, Faults::default());
     assert_eq!(held, 0, "harmless requests withheld, of {sent_count}");
     assert!(alone * 1000 < sent_count, "{alone} harmless requests ran in isolation, of {sent_count}");
 
@@ -341,6 +363,17 @@
     assert!(free <= 1, "{free} harmful requests still run freely after three attempts, of 200");
 }
 
+#[test]
+fn harmless_beside_faults() {
+    // Neither upstreams that fail of their own nor callers that leave add to the errors.
+    let mut random = StdRng::seed_from_u64(20_261_204);
+    for faults in [Faults { failing: 0.06, left: 0.0 }, Faults { failing: 0.06, left: 0.2 }] {
+        let (held, alone, sent_count) = harmless_rates(&mut random, faults);
+        assert_eq!(held, 0, "harmless requests withheld, of {sent_count}");
+        assert!(alone * 1000 < sent_count, "{alone} harmless requests ran in isolation, of {sent_count}");
+    }
+}
+
 #[test]
 fn simultaneous_ends_inconclusive() {
     // Upstreams that end one after another, a tenth of a second apart, while a request is retried
