Send evidence again that the control duty could not take

What could happen: evidence about a request that found the channel to the control duty full was logged and lost; no other daemon heard of it until it changed again, which after four ends it rarely does.

--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -151,8 +151,8 @@
     },
     /// An upstream's answer ended the evidence about a piece of work.
     EvidenceCleared { work: WorkId, upstream: UpstreamId },
-    /// The evidence about a piece of work could not be passed on, as the channel to the control
-    /// duty was full.
+    /// The evidence about a piece of work is passed on later, as the channel to the control duty was
+    /// full.
     EvidenceUnsent { work: WorkId },
     /// A piece of work is run on one upstream at a time, or withheld for `withheld` milliseconds,
     /// because `ends` upstreams ended while they ran it; `alone` were sent it as the only one, and
--- a/crates/harefield/src/engine/suspects.rs
+++ b/crates/harefield/src/engine/suspects.rs
@@ -35,6 +35,7 @@
 use crate::domain::fanout::FanoutResult;
 use crate::domain::ids::HostId;
 use crate::domain::ids::UpstreamId;
+use crate::domain::ids::WorkId;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::Outcome;
@@ -116,15 +117,28 @@
         job.evidence.is_checking() || self.suspects.borrow().has_ends(&job.work, self.ports.clock.now())
     }
 
+    /// Tells the control duty, and by it the fleet, what has changed. What finds its channel full is
+    /// sent again.
     pub(super) fn publish_suspects(&self, changed: impl IntoIterator<Item = Suspect>) {
         for suspect in changed {
             let work = suspect.work;
-            if self.control.try_send(ToControl::Suspect(suspect)).is_err() {
+            let sent = self.control.try_send(ToControl::Suspect(suspect)).is_ok();
+            if !sent && self.unsent.borrow_mut().insert(work) {
                 self.duty_trace().emit(Event::EvidenceUnsent { work });
             }
         }
     }
 
+    /// Sends the evidence that found the channel to the control duty full, as it is now.
+    pub fn resend_evidence(&self) {
+        let registry = self.suspects.borrow();
+        let is_unsent = |work: &WorkId| {
+            let suspect = registry.suspect(*work);
+            suspect.is_some_and(|suspect| self.control.try_send(ToControl::Suspect(suspect)).is_err())
+        };
+        self.unsent.borrow_mut().retain(is_unsent);
+    }
+
     /// Records how an attempt ended as evidence about its work. A reply that was lost because its
     /// upstream exited is told apart from other lost replies.
     pub(super) async fn classify_end(
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -98,10 +98,12 @@
             .set_cap(least.unwrap_or_else(|| rerun_quota(slack, self.known_daemons.get(), 0)));
     }
 
-    /// Renews the lease on a short timer, and asks for a confirmation after a pause.
+    /// Renews the lease on a short timer, and asks for a confirmation after a pause. Sends evidence
+    /// again that the control duty could not take.
     pub async fn keep_lease(self: Rc<Self>) {
         loop {
             self.renew();
+            self.resend_evidence();
             self.ports.clock.sleep(RENEW_EVERY).await;
         }
     }
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -164,6 +164,8 @@
     pub(super) ledger: Arc<Mutex<Ledger>>,
     /// Works suspected of crashing upstreams, as the fleet knows them.
     pub(super) suspects: RefCell<Suspects>,
+    /// Those of which the control duty was not told yet.
+    pub(super) unsent: RefCell<HashSet<WorkId>>,
     /// What this daemon can know of such works.
     pub(super) history: Cell<History>,
     /// Works that run alone here now.
@@ -286,6 +288,7 @@
             stopping: Cell::new(false),
             counts: Cell::default(),
             suspects: RefCell::default(),
+            unsent: RefCell::default(),
             history: Cell::new(history),
             trials: Rc::default(),
             abandoned: RefCell::default(),
--- a/crates/harefield/tests/decisions/dropped_tasks.rs
+++ b/crates/harefield/tests/decisions/dropped_tasks.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
@@ -16,23 +17,33 @@
 use harefield::adapters::clock::SystemClock;
 use harefield::domain::accounts::Grants;
 use harefield::domain::accounts::Overage;
+use harefield::domain::accounts::Requester;
 use harefield::domain::admission::GateLimits;
 use harefield::domain::announcement::Announcement;
 use harefield::domain::announcement::AnnouncementStamp;
 use harefield::domain::announcement::NamedAnnouncement;
 use harefield::domain::event::Event;
+use harefield::domain::fanout::AttemptEnd;
 use harefield::domain::feed::News;
 use harefield::domain::hlc::Stamp;
 use harefield::domain::ids::HostId;
 use harefield::domain::ids::UpstreamId;
+use harefield::domain::key::Credential;
 use harefield::domain::once::Ledger;
+use harefield::domain::outcome::Gap;
 use harefield::domain::query::OpaqueQuery;
+use harefield::domain::query::Query;
+use harefield::domain::routing::AttemptOutcome;
 use harefield::domain::routing::Policy;
+use harefield::domain::routing::Report;
 use harefield::domain::routing::Scheduling;
 use harefield::domain::topology::Topology;
 use harefield::engine::Confirmed;
+use harefield::engine::LookupRequest;
+use harefield::engine::Origin;
 use harefield::engine::Ports;
 use harefield::engine::Shared;
+use harefield::engine::ToControl;
 use harefield::engine::ToWorker;
 use harefield::engine::Worker;
 use harefield::engine::WorkerSettings;
@@ -56,7 +67,7 @@
 use harefield::telemetry::Telemetry;
 use harefield::telemetry::ring;
 
-/// Upstreams that never answer, and count what they are sent.
+/// Upstreams that never answer, and count what they are sent. When they end, replies are lost.
 #[derive(Clone, Debug, Default)]
 struct SilentUpstreams {
     sent: Rc<Cell<usize>>,
@@ -68,7 +79,14 @@
     async fn send(&self, _call: Call, permit: impl Fn() -> bool) -> CallOutcome {
         assert!(permit(), "the request may be sent");
         self.sent.set(self.sent.get() + 1);
-        std::future::pending().await
+        while !self.ended.get() {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        CallOutcome {
+            end: AttemptEnd::Lost { why: Gap::ReplyLost },
+            outcome: AttemptOutcome::Lost,
+            report: Report::default(),
+        }
     }
 
     async fn has_ended(&self, _endpoint: &Endpoint, _connection_limit: u32) -> bool {
@@ -121,13 +139,14 @@
 type TestWorker = Worker<SilentUpstreams, NoPeers, SystemClock>;
 
 fn worker(executor: &Rc<LocalExecutor<'static>>, upstreams: SilentUpstreams) -> Rc<TestWorker> {
-    worker_with(executor, upstreams, ring().0)
+    worker_with(executor, upstreams, ring().0, async_channel::unbounded().0)
 }
 
 fn worker_with(
     executor: &Rc<LocalExecutor<'static>>,
     upstreams: SilentUpstreams,
     telemetry: Telemetry,
+    control: Sender<ToControl>,
 ) -> Rc<TestWorker> {
     let host: HostId = "127.0.0.1:7200".into();
     let regions = (0..3).map(|n| (format!("z{n}").into(), format!("r{n}").into()));
@@ -162,7 +181,6 @@
         memory: Memory::new(1 << 20, Duration::from_secs(1), Meters::default()),
     };
     let ports = Ports { upstreams, peers: NoPeers, clock: SystemClock };
-    let (control, _messages) = async_channel::unbounded();
     let worker = Worker::new(settings, Rc::clone(executor), ports, shared, control, telemetry);
     worker.apply(ToWorker::View(Arc::new(scheduled_view(3, 1))));
     worker.apply(ToWorker::Confirmed(Confirmed { started: SystemClock.now() }));
@@ -217,7 +235,7 @@
 fn ends_after_drop(leaving: bool) -> usize {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let (upstreams, (telemetry, batches)) = (SilentUpstreams::default(), ring());
-    let worker = worker_with(&executor, upstreams.clone(), telemetry);
+    let worker = worker_with(&executor, upstreams.clone(), telemetry, async_channel::unbounded().0);
     future::block_on(async {
         let mut dropped = Box::pin(worker.group(group()));
         assert!(future::poll_once(&mut dropped).await.is_none());
@@ -242,3 +260,33 @@
     assert_eq!(ends_after_drop(false), 1, "the upstream may have ended by what was given up");
     assert_eq!(ends_after_drop(true), 0, "an upstream that leaves ends as well");
 }
+
+/// Guards against evidence that no other daemon ever hears of, since the control duty could not take
+/// it at that moment.
+#[test]
+fn full_channel_delays_evidence() {
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let (control, messages) = async_channel::bounded(1);
+    let upstreams = SilentUpstreams::default();
+    upstreams.ended.set(true);
+    let worker = worker_with(&executor, upstreams, ring().0, control.clone());
+    assert!(control.try_send(ToControl::Unconfirmed).is_ok(), "the channel is full");
+    let request = LookupRequest {
+        request: None,
+        lookup: "l".to_owned(),
+        query: Query::Json(b"1".as_slice().into()),
+        ticket: None,
+        limit: None,
+        origin: Origin::Caller,
+        credential: Credential::default(),
+        requester: Requester::default(),
+    };
+    future::block_on(executor.run(worker.lookup(request)));
+    assert!(matches!(messages.try_recv(), Ok(ToControl::Unconfirmed)));
+    assert!(messages.try_recv().is_err(), "nothing else had room");
+    worker.resend_evidence();
+    let Ok(ToControl::Suspect(suspect)) = messages.try_recv() else { panic!("the evidence is sent") };
+    assert!(suspect.evidence.ends().len() >= 3, "all that is known by then");
+    worker.resend_evidence();
+    assert!(messages.try_recv().is_err(), "it is sent once");
+}
