Show in the time line why a request's shards wait for one

A canary could be told from other first sends by the order of lines alone. canary-sent names its shard; one line for each, counted in _events_total.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -258,6 +258,7 @@
             Event::UpstreamEnded { .. } => "upstream-ended",
             Event::WorkSuspected { .. } => "work-suspected",
             Event::WorkCleared { .. } => "work-cleared",
+            Event::CanarySent { .. } => "canary-sent",
             Event::TrialBegun { .. } => "trial-begun",
             Event::TrialEnded { .. } => "trial-ended",
             Event::TrialInconclusive { .. } => "trial-inconclusive",
--- a/crates/harefield/src/domain/event.rs
+++ b/crates/harefield/src/domain/event.rs
@@ -117,6 +117,9 @@
     ReplicaChosen { shard: ShardId, upstream: UpstreamId, scores: Vec<Score> },
     /// A shard waits because no replica may be used now.
     Waiting { shard: ShardId, why: Gap },
+    /// This shard is queried before the others, which wait until it is answered: the daemon may lack
+    /// what others know of the request.
+    CanarySent { shard: ShardId },
     /// A request was sent to an upstream.
     Sent { shard: ShardId, upstream: UpstreamId, attempt: AttemptId, cause: Cause },
     /// A group of shards was delegated to a daemon near their replicas.
--- a/crates/harefield/src/domain/fanout/canary.rs
+++ b/crates/harefield/src/domain/fanout/canary.rs
@@ -9,6 +9,7 @@
 use super::machine::Fanout;
 use super::shard::Shard;
 use crate::domain::event::Cause;
+use crate::domain::event::Event;
 use crate::domain::event::Sink;
 use crate::domain::outcome::Gap;
 use crate::domain::view::ShardPlan;
@@ -53,6 +54,7 @@
             return false;
         }
         let shard = equal[step.router.draw_below(equal.len())];
+        step.emit(Event::CanarySent { shard: self.name(shard) });
         self.start_attempt(shard, Cause::First, step);
         true
     }
--- a/crates/harefield/tests/decisions/canary.rs
+++ b/crates/harefield/tests/decisions/canary.rs
@@ -9,6 +9,7 @@
 use crate::world::World;
 use harefield::domain::code::Code;
 use harefield::domain::event::Cause;
+use harefield::domain::event::Event;
 use harefield::domain::fanout::AttemptEnd;
 use harefield::domain::fanout::Fanout;
 use harefield::domain::outcome::Gap;
@@ -40,6 +41,7 @@
 fn others_await_answer() {
     let mut world = cautious(20);
     assert_eq!(world.sent.len(), 1, "one shard is queried");
+    assert!(world.events.iter().any(|event| matches!(event, Event::CanarySent { .. })));
     world.advance(Duration::from_millis(2));
     assert_eq!(world.sent.len(), 1);
     world.answer(0);
