--- a/review/standins-2/drain.rs
+++ b/review/standins-2/drain.rs
@@ -9,7 +9,7 @@
 /// `drainMs` of the site.
 const DRAIN: Duration = Duration::from_millis(3000);
 /// The second and third searcher leave this long after the first.
-const GAP: Duration = Duration::from_millis(900);
+const GAP: Duration = Duration::from_millis(950);
 /// How long a searcher that leaves serves on: `drainMs` and a little longer.
 const SERVES_ON: Duration = Duration::from_millis(6000);
 /// The requests a second of all clients together.
@@ -26,11 +26,11 @@
     ];
     let mut fleet = Fleet::new(&store, &zones);
     let mut daemons = fleet.daemons(3);
-    let searchers: Vec<Searcher> = (0..7)
+    let searchers: Vec<Searcher> = (0..8)
         .map(|at| Searcher::start(&format!("i-door{at}"), "doorstep", zones[at % 3].0, 4, ms(20), &record))
         .collect();
     store.put("op/config", Some(CONFIG.as_bytes()));
-    for searcher in &searchers {
+    for searcher in &searchers[..7] {
         store.put(&searcher.key(), Some(searcher.entry("ready").as_bytes()));
     }
     for daemon in &mut daemons {
@@ -81,7 +81,9 @@
     thread::sleep(ms(3000));
     let mut gone = Vec::new();
     if has_trouble() {
-        record.line("three searchers leave: their entries go, and they serve on");
+        record.line("a searcher is added, and three leave: their entries go, and they serve on");
+        store.put(&searchers[7].key(), Some(searchers[7].entry("ready").as_bytes()));
+        thread::sleep(ms(30));
         gone.push((0, store.put(&searchers[0].key(), None)));
         thread::sleep(GAP);
         gone.push((1, store.put(&searchers[1].key(), None)));
