--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -372,6 +372,7 @@
     work: Arc<AtomicU64>,
     state: Arc<(Mutex<SearcherState>, Condvar)>,
     ended: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
 }
 
@@ -389,6 +390,7 @@
             work: Arc::new(AtomicU64::new(work.as_millis() as u64)),
             state: Arc::new((Mutex::new(state), Condvar::new())),
             ended: Arc::default(),
+            open: Arc::default(),
             record: record.clone(),
         };
         let served = searcher.clone();
@@ -415,6 +417,15 @@
         )
     }
 
+    /// Ends: open connections are reset, and new ones refused or reset.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        self.record.line(&format!("{}: ends", self.id));
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.0.lock().unwrap().arrivals.clone()
     }
@@ -422,6 +433,9 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
+        if let Ok(held) = stream.try_clone() {
+            self.open.lock().unwrap().push(held);
+        }
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
             let bytes = self.handle(&request);
@@ -493,7 +507,9 @@
     pub store: SocketAddr,
     pub zones: Vec<(String, String)>,
     pub seeds: Vec<SocketAddr>,
-    /// Lines for the settings that a deployment adds, by section.
+    /// `configurationApplyMs` of the site.
+    pub apply: Duration,
+    /// The lines that a site with tenants adds to the section of accounts.
     pub accounts: String,
     pub folder: PathBuf,
     pub program: PathBuf,
@@ -505,7 +521,15 @@
         let program =
             std::env::var("HAREFIELD").map_or_else(|_| "target/release/harefield".into(), PathBuf::from);
         let zones = zones.iter().map(|(zone, region)| ((*zone).to_owned(), (*region).to_owned())).collect();
-        Self { store: store.address, zones, seeds: Vec::new(), accounts: String::new(), folder, program }
+        Self {
+            store: store.address,
+            zones,
+            seeds: Vec::new(),
+            apply: ms(3000),
+            accounts: String::new(),
+            folder,
+            program,
+        }
     }
 
     /// Returns `count` daemons that aren't started yet; the first three are the seeds.
@@ -534,7 +558,7 @@
         let settings = format!(
             "[host]\nzone = \"{}\"\nregion = \"{region}\"\ncores = 0.25\nmemory-mb = 260\n\n[host.regions]\n{}\n\n\
              [listen]\ncallers = \"{}\"\npeers = \"{}\"\noperators = \"{}\"\n\n\
-             [platform]\nkind = \"store\"\naddresses = [\"{}\"]\napply-ms = 3000\nreaders = 1\nheartbeat-ms = 1200\n\n\
+             [platform]\nkind = \"store\"\naddresses = [\"{}\"]\napply-ms = {}\nreaders = 1\nheartbeat-ms = 1200\n\n\
              [peers]\nseeds = [{}]\ndaemons = 8\n{}\n[limits]\nconnections = 1500\nhead-ms = 20000\n\n\
              [routing]\nextra-load = 0.2\nextra-slack = 54\nmargin-ms = 14\nconnections = 3\n\n\
              [scheduling]\nenabled = true\n\n[accounts]\n{}\n[stop]\nlinger-ms = 3000\nlimit-ms = 5500\n\n\
@@ -545,6 +569,7 @@
             daemon.control,
             daemon.ready,
             self.store,
+            self.apply.as_millis(),
             seeds.join(", "),
             if first { "first-start = true\n" } else { "" },
             self.accounts,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,15 +2,15 @@
 //!
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
-mod drain;
 mod foreign;
 mod kit;
 mod stop;
+mod tenant;
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let code = match case.as_str() {
-        "drain" => drain::run(),
+        "tenant" => tenant::run(),
         "foreign" => foreign::run(),
         "stop" => stop::run(),
         other => {
