--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -372,6 +372,9 @@
     work: Arc<AtomicU64>,
     state: Arc<(Mutex<SearcherState>, Condvar)>,
     ended: Arc<AtomicBool>,
+    /// Since and until when it is cold, and how often its health path was asked.
+    health: Arc<Mutex<(Option<(Instant, Instant)>, usize)>>,
+    bears: Arc<AtomicUsize>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
 }
@@ -390,6 +393,8 @@
             work: Arc::new(AtomicU64::new(work.as_millis() as u64)),
             state: Arc::new((Mutex::new(state), Condvar::new())),
             ended: Arc::default(),
+            health: Arc::default(),
+            bears: Arc::default(),
             open: Arc::default(),
             record: record.clone(),
         };
@@ -417,6 +422,32 @@
         )
     }
 
+    /// Makes it cold from now on. It falls over at over `bears` requests within a second.
+    pub fn set_cold(&self, time: Duration, bears: usize) {
+        self.bears.store(bears, Ordering::SeqCst);
+        let now = Instant::now();
+        self.health.lock().unwrap().0 = Some((now, now + time));
+    }
+
+    /// Falls over if it is cold and got more requests within a second than it bears.
+    fn check_load(&self, arrivals: &[Arrival]) {
+        let now = Instant::now();
+        let cold = self.health.lock().unwrap().0;
+        let Some((since, _)) = cold.filter(|(_, until)| now < *until) else { return };
+        let recent = arrivals
+            .iter()
+            .rev()
+            .take_while(|arrival| arrival.at >= since && now.duration_since(arrival.at) < ms(1000));
+        if recent.count() > self.bears.load(Ordering::SeqCst) && !self.ended.load(Ordering::SeqCst) {
+            self.record.line(&format!("{}: falls over", self.id));
+            self.end();
+        }
+    }
+
+    pub fn health_calls(&self) -> usize {
+        self.health.lock().unwrap().1
+    }
+
     /// Ends: open connections are reset, and new ones refused or reset.
     pub fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -449,7 +480,14 @@
         let load = |state: &SearcherState| format!("{},{},{}", state.running, state.waiting, self.slots);
         if request.target() == "/health" {
             let load = load(&self.state.0.lock().unwrap());
-            return answer("200 OK", &[("instance-id", &self.id), ("server-load", &load)], b"");
+            let mut health = self.health.lock().unwrap();
+            health.1 += 1;
+            let left =
+                health.0.map_or(0, |(_, until)| until.saturating_duration_since(Instant::now()).as_millis());
+            let cold = left.to_string();
+            let headers =
+                [("instance-id", self.id.as_str()), ("server-load", &load), ("cold-remaining", &cold)];
+            return answer("200 OK", &headers, b"");
         }
         let id = request.header("attempt-id").unwrap_or("").to_owned();
         if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
@@ -465,6 +503,7 @@
         }
         state.arrivals.push(Arrival { at: Instant::now(), id: id.clone(), ran: true });
         self.record.line(&format!("{}: {id} arrives ({} {})", self.id, request.method(), request.target()));
+        self.check_load(&state.arrivals);
         state.waiting += 1;
         while state.running >= self.slots {
             state = changed.wait(state).unwrap();
@@ -509,6 +548,8 @@
     pub seeds: Vec<SocketAddr>,
     /// `configurationApplyMs` of the site.
     pub apply: Duration,
+    /// The lines that a site with cold searchers adds to the section of routing.
+    pub routing: String,
     /// The lines that a site with tenants adds to the section of accounts.
     pub accounts: String,
     pub folder: PathBuf,
@@ -526,6 +567,7 @@
             zones,
             seeds: Vec::new(),
             apply: ms(3000),
+            routing: String::new(),
             accounts: String::new(),
             folder,
             program,
@@ -560,7 +602,7 @@
              [listen]\ncallers = \"{}\"\npeers = \"{}\"\noperators = \"{}\"\n\n\
              [platform]\nkind = \"store\"\naddresses = [\"{}\"]\napply-ms = {}\nreaders = 1\nheartbeat-ms = 1200\n\n\
              [peers]\nseeds = [{}]\ndaemons = 8\n{}\n[limits]\nconnections = 1500\nhead-ms = 20000\n\n\
-             [routing]\nextra-load = 0.2\nextra-slack = 54\nmargin-ms = 14\nconnections = 3\n\n\
+             [routing]\nextra-load = 0.2\nextra-slack = 54\nmargin-ms = 14\n{}connections = 3\n\n\
              [scheduling]\nenabled = true\n\n[accounts]\n{}\n[stop]\nlinger-ms = 3000\nlimit-ms = 5500\n\n\
              [events]\nkeep = 2000\ndetail-every = 0\n",
             daemon.zone,
@@ -572,6 +614,7 @@
             self.apply.as_millis(),
             seeds.join(", "),
             if first { "first-start = true\n" } else { "" },
+            self.routing,
             self.accounts,
         );
         let path = self.folder.join(format!("{}.toml", daemon.name));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 //!
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod cold;
 mod foreign;
 mod kit;
 mod stop;
@@ -11,6 +12,7 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let code = match case.as_str() {
         "tenant" => tenant::run(),
+        "cold" => cold::run(),
         "foreign" => foreign::run(),
         "stop" => stop::run(),
         other => {
