--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -15,7 +15,7 @@
 /// When the clients send, after the SIGTERM: earlier than 3 s, so before the daemon closes connections.
 const SENT_AFTER: Duration = Duration::from_millis(2500);
 /// How long a searcher works on a request.
-const WORK: u64 = 1000;
+const WORK: u64 = 1600;
 const HOST: &str = "pupu76.example";
 
 struct End {
@@ -30,7 +30,7 @@
     let zones = [("aber-hall", "ceredigion"), ("casnewydd-hall", "gwent"), ("bangor-hall", "gwynedd")];
     let mut fleet = Fleet::new(&store, &zones);
     let mut daemons = fleet.daemons(3);
-    let searchers: Vec<Searcher> = (0..3)
+    let searchers: Vec<Searcher> = (0..7)
         .map(|at| Searcher::start(&format!("i-job{at}"), "jobboard", zones[at % 3].0, 4, ms(WORK), &record))
         .collect();
     store.put("op/config", Some(CONFIG.as_bytes()));
