Answer every request in progress before a planned stop ends the process

Cause: the stop limit was known to the main thread only. It ended the process at the limit whatever its workers did; no decision on a request knew that the daemon would be gone before the request's deadline.

Ruled out: that the gate alone is at fault (a request that waits for a replica, for another daemon or under a ticket was lost as well), and that the requests were never read (they are in the time line).

Change: a StopSchedule says until when requests may run, by when they are answered and when the process ends. The main thread sends it to the workers itself, and again while a channel is full. A request that arrives gets a deadline within it; the gate refuses those in its queue that would not get to run; a fan-out that no upstream has ends once no reply could be in time, any other keeps what it has; whatever a request waits for, it is answered before the limit. "Not run" is said where it was passed on to nobody. Retry-After says when another daemon can take it, or when this process has ended where no other is known.

On related paths: a second signal answers what is in progress; a signal is heeded while a daemon is still joining (before, after `join-ms`); a request that a stopping member refuses is taken by another member, or by the daemon that it came to once that one has become a member.

--- a/crates/harefield/src/adapters/callers.rs
+++ b/crates/harefield/src/adapters/callers.rs
@@ -77,9 +77,10 @@
     request: Request<Incoming>,
     limits: RequestLimits,
 ) -> Response<Full<Bytes>> {
-    let mut reply = match read(request, limits, worker.memory()).await {
-        Ok((body, lookup, credential)) => render(&look_up(&worker, body, lookup, credential).await),
-        Err(rejection) => render(&not_run(&rejection)),
+    let mut reply = match worker.before_stop(read(request, limits, worker.memory())).await {
+        Some(Ok((body, lookup, credential))) => render(&look_up(&worker, body, lookup, credential).await),
+        Some(Err(rejection)) => render(&not_run(&rejection)),
+        None => render(&worker.refuse_stopping()),
     };
     if worker.is_stopping() {
         reply.headers_mut().insert("connection", HeaderValue::from_static("close"));
--- a/crates/harefield/src/control/inbox.rs
+++ b/crates/harefield/src/control/inbox.rs
@@ -6,7 +6,6 @@
 
 use super::duty::Control;
 use crate::engine::ToControl;
-use crate::engine::ToWorker;
 use crate::ports::Clock;
 use crate::ports::Exchange;
 use crate::ports::Peers;
@@ -38,7 +37,6 @@
             ToControl::Seeds(seeds) => *self.seeds.borrow_mut() = seeds,
             ToControl::Stop => {
                 self.members.borrow_mut().leave();
-                self.send_workers(&ToWorker::Stop);
                 self.relay();
             }
         }
--- a/crates/harefield/src/daemon/start.rs
+++ b/crates/harefield/src/daemon/start.rs
@@ -13,6 +13,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_channel::TrySendError;
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::StreamExt;
@@ -43,8 +44,10 @@
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::incarnation_of;
 use crate::domain::once::Ledger;
+use crate::domain::stop::StopSchedule;
 use crate::engine::Shared;
 use crate::engine::ToControl;
+use crate::engine::ToWorker;
 use crate::memory::Memory;
 use crate::ports::Clock;
 use crate::telemetry;
@@ -90,10 +93,22 @@
 pub enum StopOutcome {
     /// All requests and connections ended within the stop limit.
     Complete,
-    /// The stop limit passed or a second signal came while workers were still serving.
+    /// The stop limit or a second signal ended requests that may have run, or connections that were
+    /// still open.
     Interrupted,
 }
 
+/// The threads of a daemon that its start and its stop deal with.
+struct Threads {
+    /// Each returns how many requests the stop ended that may have run.
+    workers: Vec<JoinHandle<usize>>,
+    messages: Vec<Sender<ToWorker>>,
+    /// Signalled once the daemon has joined.
+    joined: Receiver<()>,
+    /// Closed to accept callers.
+    open: Sender<()>,
+}
+
 struct Listeners {
     callers: TcpListener,
     peers: TcpListener,
@@ -125,15 +140,33 @@
     let (control, inbox) = async_channel::bounded(CONTROL_CAPACITY);
     let (telemetry, batches) = telemetry::ring();
     let context = make_context(settings, addresses, host, stop, control, telemetry)?;
-    let workers = match context.settings.platform.kind {
+    let threads = match context.settings.platform.kind {
         PlatformKind::Own => start_threads::<NativeProtocols>(&context, listeners, inbox, batches)?,
         PlatformKind::Store => start_threads::<PlatformProtocols>(&context, listeners, inbox, batches)?,
     };
-    record_event(&context, Event::Started { version: env!("CARGO_PKG_VERSION").to_owned() });
-    ready(&addresses);
-    info!("ready: callers {}, peers {}", addresses.callers, addresses.peers);
-    future::block_on(await_stop(&context, &mut signals));
-    Ok(stop_gracefully(&context, &stop_sender, &workers, signals))
+    if future::block_on(await_joined(&context, &threads, &mut signals)) {
+        record_event(&context, Event::Started { version: env!("CARGO_PKG_VERSION").to_owned() });
+        ready(&addresses);
+        info!("ready: callers {}, peers {}", addresses.callers, addresses.peers);
+        future::block_on(await_stop(&context, &mut signals));
+    }
+    Ok(stop_gracefully(&context, &stop_sender, threads, signals))
+}
+
+/// Waits until the daemon has joined, and then accepts callers. Returns whether it did so before the
+/// signal that begins a planned stop.
+async fn await_joined(context: &Context, threads: &Threads, signals: &mut Signals) -> bool {
+    let joined = async {
+        let _ = threads.joined.recv().await;
+        threads.open.close();
+        true
+    };
+    let stopped = async {
+        await_stop(context, signals).await;
+        info!("stopping before the daemon has joined");
+        false
+    };
+    future::or(joined, stopped).await
 }
 
 /// Waits for the signal that begins a planned stop; reloads the settings at each `SIGHUP` before it.
@@ -207,15 +240,13 @@
     incarnation_of(since, rand::random())
 }
 
-/// Starts all threads and waits until the daemon has joined.
-///
-/// Returns the workers' threads, which a planned stop waits for.
+/// Starts all threads.
 fn start_threads<P: Protocols>(
     context: &Context,
     listeners: Listeners,
     inbox: Receiver<ToControl>,
     batches: Receiver<Batch>,
-) -> Result<Vec<JoinHandle<()>>, DaemonError> {
+) -> Result<Threads, DaemonError> {
     let token = read_token(context.settings.events.token_file.as_deref())
         .map_err(|source| DaemonError::System { what: "events.token-file".to_owned(), source })?;
     let (board, telemetry) = (Arc::clone(&context.board), context.telemetry.clone());
@@ -238,13 +269,14 @@
         let thread_context = context.clone();
         let name = format!("worker-{number}");
         worker_threads.push(spawn(&name, move || {
-            threads::run_worker::<P>(&thread_context, number, &connections, received);
+            threads::run_worker::<P>(&thread_context, number, &connections, received)
         })?);
     }
     let (joined, wait) = async_channel::bounded(1);
     let thread_context = context.clone();
+    let to_workers = messages.clone();
     spawn("control", move || {
-        threads::run_control::<P>(&thread_context, messages, inbox, joined);
+        threads::run_control::<P>(&thread_context, to_workers, inbox, joined);
     })?;
     let thread_context = context.clone();
     let (callers, peers) = (listeners.callers, listeners.peers);
@@ -252,46 +284,74 @@
     spawn("accept", move || {
         accept::run(&thread_context, callers, peers, &arrivals, &opened);
     })?;
-    let _ = future::block_on(wait.recv());
-    open.close();
-    Ok(worker_threads)
+    Ok(Threads { workers: worker_threads, messages, joined: wait, open })
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, DaemonError> {
+fn spawn<T: Send + 'static>(
+    name: &str,
+    body: impl FnOnce() -> T + Send + 'static,
+) -> Result<JoinHandle<T>, DaemonError> {
     let built = std::thread::Builder::new().name(name.to_owned()).spawn(body);
     built.map_err(|source| DaemonError::System { what: format!("thread {name}"), source })
 }
 
+/// Messages of a planned stop that are not delivered yet, since a channel was full.
+struct StopMessages {
+    schedule: StopSchedule,
+    control: Option<Sender<ToControl>>,
+    workers: Vec<Sender<ToWorker>>,
+}
+
+impl StopMessages {
+    fn deliver(&mut self) {
+        self.control.take_if(|control| !is_full(&control.try_send(ToControl::Stop)));
+        let message = || ToWorker::Stop(self.schedule);
+        self.workers.retain(|worker| is_full(&worker.try_send(message())));
+    }
+}
+
+fn is_full<T>(sent: &Result<(), TrySendError<T>>) -> bool {
+    matches!(sent, Err(TrySendError::Full(_)))
+}
+
 /// Announces to the other daemons that this one is leaving, and waits for requests in progress.
 ///
-/// The wait ends early at the stop limit or at a second signal other than `SIGHUP`.
+/// The wait ends early at the stop limit, and soon after a second signal other than `SIGHUP`.
 fn stop_gracefully(
     context: &Context,
     stop: &Sender<()>,
-    workers: &[JoinHandle<()>],
+    threads: Threads,
     mut signals: Signals,
 ) -> StopOutcome {
-    let begun = Instant::now();
+    let Threads { workers, messages, .. } = threads;
+    let schedule = StopSchedule::new(Instant::now(), context.settings.stop_limit());
     let running = || context.connections.load(Ordering::Relaxed);
     info!("planned stop begun with {} open connections", running());
     record_event(context, Event::StopBegun { running: running() });
-    drop(context.control.try_send(ToControl::Stop));
+    let control = Some(context.control.clone());
+    let mut unsent = StopMessages { schedule, control, workers: messages.clone() };
+    unsent.deliver();
     stop.close();
-    let limit = context.settings.stop_limit();
-    let all_ended = |workers: &[JoinHandle<()>]| workers.iter().all(JoinHandle::is_finished);
-    while !all_ended(workers) {
+    let mut is_forced = false;
+    while !workers.iter().all(JoinHandle::is_finished) {
         let signal = future::block_on(future::poll_once(signals.next()));
-        let interrupted = signal.is_some_and(|signal| !matches!(signal, Some(Ok(Signal::Hup))));
-        if interrupted || begun.elapsed() > limit {
+        if !is_forced && signal.is_some_and(|signal| !matches!(signal, Some(Ok(Signal::Hup)))) {
+            is_forced = true;
+            unsent.schedule = StopSchedule::forced(Instant::now());
+            unsent.workers.clone_from(&messages);
+        }
+        unsent.deliver();
+        if Instant::now() > unsent.schedule.ends_at() {
             warn!("planned stop ended with {} connections still open", running());
             record_event(context, Event::StopEnded { cut: running() });
             return StopOutcome::Interrupted;
         }
         std::thread::sleep(POLL_INTERVAL);
     }
-    record_event(context, Event::StopEnded { cut: 0 });
-    info!("planned stop ended with all connections closed");
-    StopOutcome::Complete
+    let cut = workers.into_iter().map(|worker| worker.join().unwrap_or_default()).sum();
+    record_event(context, Event::StopEnded { cut });
+    info!("planned stop ended with all connections closed, {cut} requests cut");
+    if cut == 0 { StopOutcome::Complete } else { StopOutcome::Interrupted }
 }
 
 fn record_event(context: &Context, event: Event) {
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -55,13 +55,14 @@
     }
 }
 
-/// Runs a worker until its requests and connections have ended in a planned stop.
+/// Runs a worker until its requests and connections have ended in a planned stop. Returns how many
+/// requests the stop ended that may have run.
 pub(super) fn run_worker<P: Protocols>(
     context: &Context,
     number: usize,
     arrivals: &Receiver<AcceptedConnection>,
     messages: Receiver<ToWorker>,
-) {
+) -> usize {
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let memory = context.shared.memory.clone();
     let upstreams = HttpUpstreams::new(P::upstream_protocol(), Rc::clone(&executor), memory);
@@ -81,6 +82,7 @@
     let board = Arc::clone(&context.board);
     executor.spawn(Rc::clone(&worker).report(board, move || upstreams.opened())).detach();
     async_io::block_on(executor.run(serve_connections::<P>(context, &executor, &worker, arrivals)));
+    worker.cut()
 }
 
 /// Serves connections until the accept thread ends, then waits for requests
--- a/crates/harefield/src/domain/admission/gate.rs
+++ b/crates/harefield/src/domain/admission/gate.rs
@@ -335,6 +335,24 @@
         self.queues[class_of(urgency)].expected_wait(self.run_time / self.limit)
     }
 
+    /// Shortens the deadlines of all waiting requests to `until`, as a planned stop does. Returns the
+    /// refusals of those that would not get to run in time.
+    pub fn limit_deadlines(&mut self, until: Instant, now: Instant) -> Vec<Dequeued> {
+        let usual = self.run_time / self.limit;
+        let latest = self.begin_until(until);
+        let mut refused = Vec::new();
+        for queue in &mut self.queues {
+            refused.extend(queue.limit_deadlines(until, |wait| now + wait > latest, usual));
+        }
+        refused.into_iter().map(|id| Dequeued::Refuse(id, Duration::ZERO)).collect()
+    }
+
+    /// Returns until when a request may begin that has to end by `until`, given the best run time.
+    #[must_use]
+    pub fn begin_until(&self, until: Instant) -> Instant {
+        until.checked_sub(Duration::from_secs_f64(self.best.unwrap_or(0.0))).unwrap_or(until)
+    }
+
     fn expire(&mut self, now: Instant) -> Vec<Dequeued> {
         let need = Duration::from_secs_f64(self.run_time * TIME_MARGIN);
         let wait = self.expected_wait(Urgency::Ordinary);
--- a/crates/harefield/src/domain/admission/queue.rs
+++ b/crates/harefield/src/domain/admission/queue.rs
@@ -94,6 +94,24 @@
         }
     }
 
+    /// Shortens the waiters' deadlines to `until`. Removes those whose expected wait is too long, and
+    /// returns them.
+    pub fn limit_deadlines(
+        &mut self,
+        until: Instant,
+        is_too_long: impl Fn(Duration) -> bool,
+        usual: f64,
+    ) -> Vec<WaiterId> {
+        for waiter in &mut self.waiters {
+            waiter.arrival.deadline = waiter.arrival.deadline.min(until);
+        }
+        let kept =
+            (0..self.waiters.len()).take_while(|before| !is_too_long(self.wait_behind(*before, usual)));
+        let removed: Vec<WaiterId> = self.waiters.iter().skip(kept.count()).map(|waiter| waiter.id).collect();
+        self.remove(|waiter| removed.contains(&waiter.id));
+        removed
+    }
+
     fn uncount(&mut self, team: &Arc<str>) {
         let Some(count) = self.counts.get_mut(team) else { return };
         *count -= 1;
--- a/crates/harefield/src/domain/code.rs
+++ b/crates/harefield/src/domain/code.rs
@@ -80,6 +80,7 @@
     OutcomeForgotten = 3005, 504, "may have run: the ticket was used and its outcome is no longer held";
     TooFewShards = 3006, 504, "ran in part: fewer shards contributed than the lookup asks for";
     UpstreamFailed = 3007, 502, "ran: the upstream replied that it failed";
+    StopLimit = 3008, 504, "may have run: the daemon stopped with the request under way";
     ResourceMalformed = 4001, 422, "a resource is not valid JSON of its kind";
     ResourceUnknownKind = 4002, 422, "a key names no kind of resource";
     ResourceReference = 4003, 422, "a resource names another that does not exist";
--- a/crates/harefield/src/domain/fanout/machine.rs
+++ b/crates/harefield/src/domain/fanout/machine.rs
@@ -16,8 +16,10 @@
 use super::shard::Cancel;
 use super::shard::InFlight;
 use super::shard::Shard;
+use super::stop_limit::StopLimit;
 use crate::domain::admission::Congestion;
 use crate::domain::admission::Progress;
+use crate::domain::code::Code;
 use crate::domain::event::Cause;
 use crate::domain::event::Drop;
 use crate::domain::event::Event;
@@ -29,6 +31,7 @@
 use crate::domain::outcome::Coverage;
 use crate::domain::outcome::Gap;
 use crate::domain::outcome::MissingShard;
+use crate::domain::outcome::Outcome;
 use crate::domain::reply::Reply;
 use crate::domain::routing::Router;
 use crate::domain::time::micros;
@@ -68,6 +71,8 @@
     pub(super) trials: u32,
     /// Which shards are queried now.
     pub(super) stage: Stage,
+    /// How a planned stop of the daemon limits the fan-out.
+    pub(super) stop: StopLimit,
 }
 
 impl Fanout {
@@ -98,6 +103,7 @@
             suspended: BTreeSet::new(),
             trials: 0,
             stage: Stage::All,
+            stop: StopLimit::default(),
         }
     }
 
@@ -198,6 +204,10 @@
         if self.is_done() {
             return step.actions;
         }
+        if self.is_stopped(now) {
+            self.end_for_stop(&mut step);
+            return step.actions;
+        }
         if now >= self.rules.cutoff_at(self.contributed, self.shards.len()) {
             self.cut_answer(&mut step);
             return step.actions;
@@ -223,7 +233,7 @@
         let cut = self.rules.cutoff_at(self.contributed, self.shards.len());
         let open = self.shards.iter().filter(|shard| shard.is_open());
         let times = open.flat_map(|shard| [shard.retry_at, shard.hedge_at()]);
-        times.flatten().fold(cut, Instant::min)
+        times.flatten().chain(self.stop_due()).fold(cut, Instant::min)
     }
 
     /// Returns whether an upstream has answered.
@@ -256,7 +266,10 @@
         coverage.whole = coverage.missing.is_empty();
         let least = self.rules.min_shards(self.plan.shards.len());
         let conclusion = Conclusion { ran, is_cut: self.is_cut, repeatable: self.rules.repeatable, least };
-        let (outcome, code) = classify(&coverage, conclusion);
+        let (outcome, code) = match classify(&coverage, conclusion) {
+            (Outcome::NotRun, _) if self.stop.reached => (Outcome::NotRun, Code::Stopping),
+            classified => classified,
+        };
         FanoutResult { outcome, code, coverage, parts, failure, sent }
     }
 
@@ -326,7 +339,7 @@
         }
     }
 
-    fn cut_answer<S: Sink>(&mut self, step: &mut StepContext<'_, S>) {
+    pub(super) fn cut_answer<S: Sink>(&mut self, step: &mut StepContext<'_, S>) {
         self.is_cut = true;
         let awaited = self.open;
         for shard in 0..self.shards.len() {
--- a/crates/harefield/src/domain/fanout/mod.rs
+++ b/crates/harefield/src/domain/fanout/mod.rs
@@ -7,7 +7,8 @@
 //! cannot answer in time. `groups` delegates groups of shards to other daemons, `regions` and
 //! `carried` select the daemons, `group_results` handles what these return, `revocation` revokes
 //! groups when the answer is out of reach. `crash_guard` limits the damage of requests that crash
-//! upstreams, and `rules`, `overrun` and `result` decide on the answer.
+//! upstreams, `stop_limit` ends a fan-out at the daemon's planned stop, and `rules`, `overrun` and
+//! `result` decide on the answer.
 
 mod attempts;
 mod canary;
@@ -25,6 +26,7 @@
 mod revocation;
 mod rules;
 mod shard;
+mod stop_limit;
 mod turns;
 mod verify;
 
--- a/crates/harefield/src/domain/mod.rs
+++ b/crates/harefield/src/domain/mod.rs
@@ -39,6 +39,7 @@
 pub mod revision;
 pub mod routing;
 pub mod snapshot;
+pub mod stop;
 pub mod suspects;
 pub mod time;
 pub mod topology;
--- a/crates/harefield/src/domain/routing/latency.rs
+++ b/crates/harefield/src/domain/routing/latency.rs
@@ -1,4 +1,4 @@
-//! Latency of shard requests: a moving mean and a moving quantile.
+//! Latency of shard requests: a moving mean, a moving quantile and a recent minimum.
 
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 /// The weight of a sample in the moving mean.
 const GAIN: f64 = 0.02;
 
+/// The shortest reply is that of the last one or two times this many.
+const SHORTEST_OF: u32 = 16;
+
 /// The latency that is assumed before the first sample.
 const INITIAL: Duration = Duration::from_millis(10);
 
@@ -23,11 +26,15 @@
 pub struct LatencyStats {
     mean: f64,
     slow: f64,
+    /// The shortest of the last replies and of the [`SHORTEST_OF`] before them, in seconds.
+    shortest: [f64; 2],
+    /// The number of the last replies.
+    replies: u32,
 }
 
 impl Default for LatencyStats {
     fn default() -> Self {
-        Self { mean: INITIAL.as_secs_f64(), slow: INITIAL.as_secs_f64() }
+        Self::new(INITIAL.as_secs_f64())
     }
 }
 
@@ -37,12 +44,22 @@
     #[must_use]
     pub fn from_objective(objective: Duration) -> Self {
         let first = objective.as_secs_f64() * INITIAL_FRACTION;
-        Self { mean: first, slow: first }
+        Self::new(first)
+    }
+
+    const fn new(first: f64) -> Self {
+        Self { mean: first, slow: first, shortest: [f64::INFINITY; 2], replies: 0 }
     }
 
     /// Records the time of one reply.
     pub fn record(&mut self, took: Duration) {
         let took = took.as_secs_f64();
+        if self.replies >= SHORTEST_OF {
+            self.shortest = [f64::INFINITY, self.shortest[0]];
+            self.replies = 0;
+        }
+        self.replies += 1;
+        self.shortest[0] = self.shortest[0].min(took);
         self.mean += (took - self.mean) * GAIN;
         let weight = if took > self.slow { SLOW_QUANTILE } else { SLOW_QUANTILE - 1.0 };
         self.slow *= 1.0 + STEP * weight;
@@ -54,6 +71,13 @@
         Duration::from_secs_f64(self.mean.max(0.0))
     }
 
+    /// Returns the shortest time of recent replies; zero before the first.
+    #[must_use]
+    pub fn shortest(&self) -> Duration {
+        let shortest = self.shortest[0].min(self.shortest[1]);
+        if shortest.is_finite() { Duration::from_secs_f64(shortest.clamp(0.0, 60.0)) } else { Duration::ZERO }
+    }
+
     /// Returns the time after which a reply counts as slow, the moving 95th percentile.
     #[must_use]
     pub fn slow(&self) -> Duration {
--- a/crates/harefield/src/engine/attempt.rs
+++ b/crates/harefield/src/engine/attempt.rs
@@ -158,6 +158,10 @@
             fanout.canary_first();
         }
         let now = self.ports.clock.now();
+        self.limit_to_stop(&mut fanout);
+        if fanout.end_if_stopped(now, &mut self.router.borrow_mut(), trace) {
+            return self.fan_out_end(fanout);
+        }
         let actions = fanout.start_groups(now, &mut self.router.borrow_mut(), trace);
         let _turns = self.register_turns(fanout.id(), &sender);
         if !actions.is_empty() {
@@ -194,6 +198,7 @@
                 ready = completed.try_recv().ok();
             }
             fanout.hold_hedges(self.may_end_upstreams(job));
+            self.limit_to_stop(&mut fanout);
             let now = self.ports.clock.now();
             actions.extend(fanout.on_timer(now, &mut self.router.borrow_mut(), trace));
             self.apply_actions(job, plan, rules, actions, (&sender, &mut tasks));
@@ -206,10 +211,20 @@
         }
         // Unfinished attempts keep their connections and still report on their upstreams.
         tasks.detach();
+        self.fan_out_end(fanout)
+    }
+
+    fn fan_out_end(&self, fanout: Fanout) -> FanoutEnd {
         let (next, congestion) = (fanout.next_attempt(), fanout.congestion(self.ports.clock.now()));
         FanoutEnd { finished: fanout.finish(), next, congestion }
     }
 
+    fn limit_to_stop(&self, fanout: &mut Fanout) {
+        if let Some(schedule) = self.stop.schedule() {
+            fanout.limit_to_stop(schedule, &self.router.borrow());
+        }
+    }
+
     /// Measures how long this daemon takes for `sent` requests that were decided on at `start`: a
     /// task queued behind theirs runs once all of them are written.
     fn measure_sending(self: &Rc<Self>, sent: usize, start: Instant) {
@@ -225,6 +240,8 @@
         self.executor.spawn(measure).detach();
     }
 
+    /// Returns the next end of an attempt or group; none if `wake` comes first, or if a planned stop
+    /// begins.
     async fn next_completion(
         &self,
         completed: &Receiver<CompletedAttempt>,
@@ -234,7 +251,11 @@
             self.ports.clock.sleep_until(wake).await;
             None
         };
-        async { completed.recv().await.ok() }.or(timed).await
+        let stopped = async {
+            self.stop.changed().await;
+            None
+        };
+        async { completed.recv().await.ok() }.or(timed).or(stopped).await
     }
 
     fn apply_actions(
@@ -320,6 +341,9 @@
             let accepts = router.upstream(&attempt.send.upstream).is_some_and(|s| s.accepts_work().is_ok());
             let permitted = now < attempt.job.deadline && !withheld && accepts && router.lease().held(now);
             attempt.sent.set(permitted);
+            if permitted {
+                attempt.job.passed_on.set();
+            }
             permitted
         };
         self.ports.upstreams.send(call, permit).await
--- a/crates/harefield/src/engine/find.rs
+++ b/crates/harefield/src/engine/find.rs
@@ -6,6 +6,8 @@
 
 use super::message::ForwardTerms;
 use super::message::LookupRequest;
+use super::stop::Entry;
+use super::stop::PassedOn;
 use super::worker::Worker;
 use crate::domain::accounts::Requester;
 use crate::domain::admission::Arrival;
@@ -44,6 +46,8 @@
     /// The only regions in which it may be served, by its lookup and its account; every region
     /// where empty.
     pub regions: Regions,
+    /// Whether it may have reached an upstream or another daemon.
+    pub passed_on: PassedOn,
 }
 
 impl ResolvedRequest {
@@ -71,6 +75,11 @@
         }
     }
 
+    /// Returns when the request began, to resolve it again.
+    pub fn entry(&self) -> Entry {
+        Entry { at: self.start, passed_on: self.passed_on.clone() }
+    }
+
     /// Returns when half of the time until the deadline has passed.
     pub fn halfway(&self) -> Instant {
         self.start + self.deadline.saturating_duration_since(self.start) / 2
@@ -83,16 +92,16 @@
     pub(super) async fn resolve_confirmed(
         &self,
         request: &LookupRequest,
-        start: Instant,
+        entry: &Entry,
     ) -> Result<ResolvedRequest, Code> {
-        let resolved = self.resolve(request, start)?;
+        let resolved = self.resolve(request, entry)?;
         if self.is_confirmed() {
-            return self.resolve_current(request, resolved).await;
+            return self.resolve_current(request, resolved, entry).await;
         }
         if !self.wait_confirmed(&resolved).await {
             return Err(Code::Unconfirmed);
         }
-        self.resolve(request, start)
+        self.resolve(request, entry)
     }
 
     /// Resolves the request again where callers have seen a newer edition here than the active one,
@@ -102,6 +111,7 @@
         &self,
         request: &LookupRequest,
         resolved: ResolvedRequest,
+        entry: &Entry,
     ) -> Result<ResolvedRequest, Code> {
         let is_current = || self.edition() >= self.seen_edition();
         let decides = resolved.plan.member || self.view.borrow().directory.is_required();
@@ -115,7 +125,7 @@
             }
             self.ports.clock.sleep(CONFIRM_POLL).await;
         }
-        self.resolve(request, resolved.start)
+        self.resolve(request, entry)
     }
 
     fn is_confirmed(&self) -> bool {
@@ -123,7 +133,9 @@
         self.router.borrow().lease().held(now)
     }
 
-    fn resolve(&self, request: &LookupRequest, start: Instant) -> Result<ResolvedRequest, Code> {
+    /// Finds the plan of a request in the current view.
+    pub(super) fn resolve(&self, request: &LookupRequest, entry: &Entry) -> Result<ResolvedRequest, Code> {
+        let start = entry.at;
         let view = self.view.borrow();
         if view.revision.is_none() {
             return Err(Code::NoConfiguration);
@@ -139,11 +151,23 @@
         };
         let objective = target.map(|target| start + target.time);
         let late = target.is_some_and(|target| target.late);
-        let deadline = start + time;
+        let deadline = self.within_stop(start + time);
         let requester = request.requester.clone();
         let regions = allowed_regions(&plan, &requester)?;
         let work = Work::new(&request.lookup, requester.account.as_ref(), &request.query);
-        Ok(ResolvedRequest { plan, work, start, deadline, objective, again, late, requester, regions })
+        let passed_on = entry.passed_on.clone();
+        Ok(ResolvedRequest {
+            plan,
+            work,
+            start,
+            deadline,
+            objective,
+            again,
+            late,
+            requester,
+            regions,
+            passed_on,
+        })
     }
 
     /// Returns for how long a message that is read now may have waited in its socket.
--- a/crates/harefield/src/engine/forward.rs
+++ b/crates/harefield/src/engine/forward.rs
@@ -46,7 +46,8 @@
             let answer = self.forward_once(request, resolved, trace).await;
             // The members tried have another view of the cell or an older configuration. Either
             // theirs or this daemon's is about to change, and nothing has run.
-            if !is_redirect(answer.code) || self.ports.clock.now() >= resolved.halfway() {
+            let is_over = self.ports.clock.now() >= resolved.halfway() || self.is_member(resolved);
+            if !is_redirect(answer.code) || is_over {
                 return answer;
             }
             self.ports.clock.sleep(REFORWARD_EVERY).await;
--- a/crates/harefield/src/engine/forward_attempt.rs
+++ b/crates/harefield/src/engine/forward_attempt.rs
@@ -77,7 +77,7 @@
 /// Returns whether a daemon that answered with this code declined the request, so that another
 /// member is to run it.
 pub(super) fn is_redirect(code: Code) -> bool {
-    matches!(code, Code::NotMember | Code::OlderView)
+    matches!(code, Code::NotMember | Code::OlderView | Code::Stopping)
 }
 
 impl ForwardState {
@@ -142,6 +142,7 @@
     ) {
         let left = resolved.deadline.saturating_duration_since(self.ports.clock.now());
         trace.emit(Event::Forwarded { to: Arc::clone(&host) });
+        resolved.passed_on.set();
         let message = self.forward_message(request, resolved, &host, state, trace);
         state.tried.push(Arc::clone(&host));
         state.in_flight += 1;
--- a/crates/harefield/src/engine/gate.rs
+++ b/crates/harefield/src/engine/gate.rs
@@ -16,6 +16,7 @@
 use crate::domain::admission::Gate;
 use crate::domain::admission::WaiterId;
 use crate::domain::code::Code;
+use crate::domain::stop::StopSchedule;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -27,6 +28,13 @@
     pub wait: Duration,
 }
 
+/// What ends a request's wait at a gate, or changes how long it may last.
+enum GateEvent {
+    Called(Option<Dequeued>),
+    Expired,
+    StopChanged,
+}
+
 /// A permit to run, issued by a gate and released when dropped.
 pub(super) struct GatePermit<U: Upstreams, P: Peers, C: Clock> {
     worker: Rc<Worker<U, P, C>>,
@@ -130,13 +138,7 @@
             calls: calls.clone(),
             completed: false,
         };
-        let until = self.gates.borrow().get(index).map_or(arrival.deadline, |gate| gate.refuse_at(arrival));
-        let expired = async {
-            self.ports.clock.sleep_until(until).await;
-            None
-        };
-        let dequeued = async { calls.recv().await.ok() }.or(expired).await;
-        match dequeued {
+        match self.next_call(index, arrival, &calls).await {
             Some(Dequeued::Run(_)) => {
                 waiting.completed = true;
                 Ok(self.permit(index, arrival))
@@ -149,6 +151,52 @@
         }
     }
 
+    /// Returns how a waiting request leaves its queue; none if its time is up first.
+    async fn next_call(
+        &self,
+        index: &Arc<str>,
+        arrival: &Arrival,
+        calls: &Receiver<Dequeued>,
+    ) -> Option<Dequeued> {
+        loop {
+            let until = self.wait_until(index, arrival);
+            let expired = async {
+                self.ports.clock.sleep_until(until).await;
+                GateEvent::Expired
+            };
+            let stopped = async {
+                self.stop.changed().await;
+                GateEvent::StopChanged
+            };
+            let called = async { GateEvent::Called(calls.recv().await.ok()) };
+            match called.or(expired).or(stopped).await {
+                GateEvent::Called(call) => return call,
+                GateEvent::Expired => return None,
+                GateEvent::StopChanged => {}
+            }
+        }
+    }
+
+    /// Returns until when a request may wait.
+    fn wait_until(&self, index: &Arc<str>, arrival: &Arrival) -> Instant {
+        let gates = self.gates.borrow();
+        let Some(gate) = gates.get(index) else { return arrival.deadline };
+        let until = gate.refuse_at(arrival);
+        self.stop.schedule().map_or(until, |schedule| until.min(gate.begin_until(schedule.run_until())))
+    }
+
+    /// Shortens the deadlines of all waiting requests to what a planned stop leaves.
+    pub(super) fn limit_waiters(&self, schedule: StopSchedule) {
+        let now = self.ports.clock.now();
+        let mut refused = Vec::new();
+        for (index, gate) in self.gates.borrow_mut().iter_mut() {
+            refused.push((Arc::clone(index), gate.limit_deadlines(schedule.run_until(), now)));
+        }
+        for (index, calls) in refused {
+            self.deliver_calls(&index, calls);
+        }
+    }
+
     fn retry_delay(&self, index: &Arc<str>) -> Duration {
         let now = self.ports.clock.now();
         self.gates.borrow_mut().get_mut(index).map_or(Duration::ZERO, |gate| gate.retry_after(now))
@@ -167,7 +215,11 @@
             (Some(gate), None) => gate.abandon(team, now),
             (None, _) => Vec::new(),
         };
-        for call in dequeued {
+        self.deliver_calls(index, dequeued);
+    }
+
+    fn deliver_calls(&self, index: &Arc<str>, calls: Vec<Dequeued>) {
+        for call in calls {
             let (Dequeued::Run(id) | Dequeued::Refuse(id, _)) = call;
             let waiter = self.waiters.borrow_mut().remove(&(Arc::clone(index), id));
             if let Some(sender) = waiter {
--- a/crates/harefield/src/engine/group.rs
+++ b/crates/harefield/src/engine/group.rs
@@ -63,6 +63,7 @@
         sender: Sender<CompletedAttempt>,
     ) -> Task<()> {
         let message = self.group_message(job, plan, rules, &group);
+        job.passed_on.set();
         let job = job.clone();
         let (plan, rank) = (Arc::clone(plan), rules.rank);
         let pending = job.evidence.begin();
--- a/crates/harefield/src/engine/job.rs
+++ b/crates/harefield/src/engine/job.rs
@@ -9,6 +9,7 @@
 
 use super::find::ResolvedRequest;
 use super::message::LookupRequest;
+use super::stop::PassedOn;
 use crate::domain::accounts::Requester;
 use crate::domain::ids::RequestId;
 use crate::domain::ids::WorkId;
@@ -36,6 +37,8 @@
     pub regions: Regions,
     /// On whose behalf the request runs.
     pub requester: Requester,
+    /// Whether the request may have reached an upstream or another daemon.
+    pub passed_on: PassedOn,
 }
 
 impl Job {
@@ -53,6 +56,7 @@
             requester: resolved.requester.clone(),
             whole: true,
             evidence: WorkEvidence::default(),
+            passed_on: resolved.passed_on.clone(),
         }
     }
 }
--- a/crates/harefield/src/engine/message.rs
+++ b/crates/harefield/src/engine/message.rs
@@ -13,6 +13,7 @@
 use crate::domain::key::Credential;
 use crate::domain::membership::MemberRow;
 use crate::domain::query::Query;
+use crate::domain::stop::StopSchedule;
 use crate::domain::suspects::Suspect;
 use crate::domain::view::View;
 use crate::ports::Exchange;
@@ -119,8 +120,8 @@
     Confirmed(Confirmed),
     /// No change that was confirmed up to this time is missing here.
     Proven(Instant),
-    /// A planned stop has begun.
-    Stop,
+    /// A planned stop has begun, or ends sooner than was said.
+    Stop(StopSchedule),
 }
 
 /// A message from a worker to the control duty.
--- a/crates/harefield/src/engine/mod.rs
+++ b/crates/harefield/src/engine/mod.rs
@@ -6,8 +6,9 @@
 //! snapshot and `attempt` runs its fan-out, whose attempts share a `job`; `turns` wakes it when
 //! capacity is free for a shard that waits. `group` and `relay` are for shards of other availability
 //! zones. `forward`, with `members` and `forward_attempt`, is for requests that another daemon runs,
-//! `once` for those that run once, and `suspects` for those that may crash upstreams. `updates`,
-//! `status` and `warm` are the worker's background tasks.
+//! `once` for those that run once, and `suspects` for those that may crash upstreams. `stop` ends
+//! what is in progress at the limit of a planned stop. `updates`, `status` and `warm` are the worker's
+//! background tasks.
 //!
 //! Everything here is generic over the ports. Workers share no state but what [`Shared`] holds.
 
@@ -30,6 +31,7 @@
 mod run;
 mod shard_room;
 mod status;
+mod stop;
 mod suspects;
 mod turns;
 mod updates;
--- a/crates/harefield/src/engine/once.rs
+++ b/crates/harefield/src/engine/once.rs
@@ -10,6 +10,7 @@
 use super::message::Origin;
 use super::run::may_have_run;
 use super::run::refuse;
+use super::stop::end_at_stop;
 use super::worker::Worker;
 use crate::domain::code::Code;
 use crate::domain::event::Event;
@@ -115,7 +116,10 @@
                 SubmitAction::Wait if self.ports.clock.now() >= resolved.deadline => {
                     return may_have_run(trace, Code::DeadlinePassed);
                 }
-                SubmitAction::Wait => self.ports.clock.sleep(POLL_EVERY).await,
+                SubmitAction::Wait => {
+                    resolved.passed_on.set();
+                    self.ports.clock.sleep(POLL_EVERY).await;
+                }
             }
         }
     }
@@ -136,7 +140,8 @@
         let mut own = self.request_trace(trace.request().map(|id| &**id));
         self.running.set(self.running.get() + 1);
         let task = async move {
-            let answer = this.run(&request, &resolved, &mut own).await;
+            let ran = this.before_stop(this.run(&request, &resolved, &mut own)).await;
+            let answer = ran.unwrap_or_else(|| end_at_stop(&resolved.passed_on, &own));
             this.lock_ledger().finish(number, &answer, this.ports.clock.now());
             this.running.set(this.running.get() - 1);
             drop(sender.try_send(answer));
--- a/crates/harefield/src/engine/relay.rs
+++ b/crates/harefield/src/engine/relay.rs
@@ -10,6 +10,7 @@
 use super::group::parse_limit;
 use super::job::Job;
 use super::job::WorkEvidence;
+use super::stop::PassedOn;
 use super::worker::Worker;
 use crate::domain::accounts::Requester;
 use crate::domain::event::Event;
@@ -82,6 +83,7 @@
             requester,
             whole: false,
             evidence: WorkEvidence::default(),
+            passed_on: resolved.passed_on.clone(),
         };
         let min_share = ratio(group.needed, group.shards.len());
         let rules = AnswerRules {
@@ -137,12 +139,15 @@
             plan: Arc::clone(plan),
             work,
             start,
-            deadline: start + Duration::from_micros(group.remaining).saturating_sub(self.possible_delay()),
+            deadline: self.within_stop(
+                start + Duration::from_micros(group.remaining).saturating_sub(self.possible_delay()),
+            ),
             objective: group.gather.map(|time| start + Duration::from_micros(time)),
             again: group.again,
             late: false,
             requester: requester.clone(),
             regions: Arc::clone(&group.regions),
+            passed_on: PassedOn::default(),
         };
         Some((resolved, Arc::new(shards)))
     }
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -6,10 +6,13 @@
 use std::time::Instant;
 
 use super::find::ResolvedRequest;
+use super::forward_attempt::is_redirect;
 use super::identity::Refusal;
 use super::job::Job;
 use super::message::LookupRequest;
 use super::message::Origin;
+use super::stop::Entry;
+use super::stop::end_at_stop;
 use super::worker::Worker;
 use crate::domain::code::Code;
 use crate::domain::event::Event;
@@ -68,7 +71,10 @@
         let abandoned =
             Batch { request: trace.request().map(Arc::clone), events: vec![(trace.stamp(), abandoned)] };
         let mut progress = self.track_request(Some(abandoned));
-        let answer = self.process(&request, start, &mut trace).await;
+        let entry = Entry::new(start);
+        let answered = self.before_stop(self.process(&request, &entry, &mut trace)).await;
+        let mut answer = answered.unwrap_or_else(|| end_at_stop(&entry.passed_on, &trace));
+        self.finish_for_stop(&mut answer);
         self.record_answer(&request, &answer, start, &mut trace);
         progress.abandoned = None;
         answer
@@ -112,20 +118,29 @@
     async fn process(
         self: &Rc<Self>,
         request: &LookupRequest,
-        start: Instant,
+        entry: &Entry,
         trace: &mut Trace<C>,
     ) -> Answer {
         if let Some(code) = self.decline_reason(request) {
             return refuse(trace, code, Duration::ZERO);
         }
-        let resolved = match self.resolve_confirmed(request, start).await {
+        let resolved = match self.resolve_confirmed(request, entry).await {
             Ok(resolved) => resolved,
             Err(code) => return refuse(trace, code, retry_wait(code)),
         };
-        match self.identify(request, &resolved).await {
+        if self.is_too_long(&resolved) {
+            return refuse(trace, Code::Stopping, Duration::ZERO);
+        }
+        let (deadline, kind) = (resolved.deadline, Arc::clone(&resolved.plan.name));
+        let mut answer = match self.identify(request, &resolved).await {
             Ok(authorization) => self.answer_authorized(authorization, request, resolved, trace).await,
             Err(refusal) => reject_caller(trace, &refusal),
+        };
+        self.name_stop(&mut answer, deadline);
+        if answer.outcome == Outcome::Answered {
+            self.record_answer_time(&kind, entry.at);
         }
+        answer
     }
 
     /// Answers a request that is resolved and whose caller is authorized.
@@ -144,13 +159,14 @@
         self.once(request, resolved, trace).await
     }
 
-    /// Returns why this daemon declines a request that another one forwarded: it would run under an
-    /// older configuration than it was admitted under, was admitted by a daemon that does not know
-    /// of accounts yet, or must go to another member since this daemon is stopping.
+    /// Returns why this daemon declines a request: no time is left before its planned stop ends.
+    /// One that another daemon forwarded it declines also if it would run under an older
+    /// configuration than it was admitted under, was admitted by a daemon that does not know of
+    /// accounts yet, or must go to another member since this daemon is stopping.
     fn decline_reason(&self, request: &LookupRequest) -> Option<Code> {
         let origin = &request.origin;
         if *origin == Origin::Caller {
-            return None;
+            return self.is_past_stop(self.ports.clock.now()).then_some(Code::Stopping);
         }
         let unnamed = !request.requester.checked && self.view.borrow().directory.is_required();
         if unnamed || origin.terms().edition.max(self.seen_edition()) > self.edition() {
@@ -188,9 +204,18 @@
                 return answer;
             }
         }
-        match &request.origin {
-            Origin::Caller => self.forward(request, resolved, trace).await,
-            Origin::Peer { .. } => refuse(trace, Code::NotMember, Duration::ZERO),
+        if matches!(request.origin, Origin::Peer { .. }) {
+            return refuse(trace, Code::NotMember, Duration::ZERO);
+        }
+        let answer = self.forward(request, resolved, trace).await;
+        // The members left, as in a planned stop, and this daemon has taken the place of one.
+        let is_unserved = is_redirect(answer.code) || answer.code == Code::NoMember;
+        if !is_unserved || resolved.plan.member || !self.is_member(resolved) {
+            return answer;
+        }
+        match self.resolve(request, &resolved.entry()) {
+            Ok(current) => self.run(request, &current, trace).await,
+            Err(code) => refuse(trace, code, retry_wait(code)),
         }
     }
 
--- a/crates/harefield/src/engine/updates.rs
+++ b/crates/harefield/src/engine/updates.rs
@@ -44,7 +44,7 @@
             ToWorker::Peers(peers) => self.apply_peers(peers),
             ToWorker::Confirmed(confirmed) => self.confirm(confirmed.started),
             ToWorker::Proven(at) => self.proven.set(self.proven.get().max(Some(at))),
-            ToWorker::Stop => self.stopping.set(true),
+            ToWorker::Stop(schedule) => self.begin_stop(schedule),
         }
     }
 
@@ -73,6 +73,7 @@
         gates.retain(|index, gate| view.cells.contains_key(index) || gate.running() > 0);
         self.part_credits.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         self.reply_sizes.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
+        self.answer_times.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         self.time_limits.borrow_mut().retain(|name, _| view.lookups.contains_key(name));
         if !Arc::ptr_eq(&self.view.borrow().directory, &view.directory) {
             self.unknown_keys.borrow_mut().clear();
--- a/crates/harefield/src/engine/worker.rs
+++ b/crates/harefield/src/engine/worker.rs
@@ -21,6 +21,7 @@
 use super::attempt::CompletedAttempt;
 use super::message::PeerView;
 use super::message::ToControl;
+use super::stop::Stop;
 use crate::domain::accounts::Grants;
 use crate::domain::accounts::Holders;
 use crate::domain::accounts::Overage;
@@ -48,6 +49,7 @@
 use crate::domain::routing::Budget;
 use crate::domain::routing::Budgets;
 use crate::domain::routing::FleetSlack;
+use crate::domain::routing::LatencyStats;
 use crate::domain::routing::LocalDaemon;
 use crate::domain::routing::MAX_RERUN_SHARE;
 use crate::domain::routing::Policy;
@@ -178,7 +180,9 @@
     pub(super) hybrid: Rc<RefCell<HybridClock>>,
     pub(super) telemetry: Telemetry,
     pub(super) running: Cell<usize>,
-    pub(super) stopping: Cell<bool>,
+    pub(super) stop: Stop,
+    /// How long answers to the requests for each lookup take, wherever they run.
+    pub(super) answer_times: RefCell<HashMap<Arc<str>, LatencyStats>>,
     pub(super) counts: Cell<Counts>,
     /// The weighted round-robin credits of the parts of each divided lookup.
     pub(super) part_credits: RefCell<HashMap<Arc<str>, Vec<i64>>>,
@@ -285,7 +289,8 @@
             hybrid: Rc::default(),
             telemetry,
             running: Cell::new(0),
-            stopping: Cell::new(false),
+            stop: Stop::default(),
+            answer_times: RefCell::default(),
             counts: Cell::default(),
             suspects: RefCell::default(),
             unsent: RefCell::default(),
@@ -320,7 +325,7 @@
     /// Returns whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stop.schedule().is_some()
     }
 
     /// Returns the lookup that a caller's path leads to.
--- a/crates/harefield/src/platform/callers.rs
+++ b/crates/harefield/src/platform/callers.rs
@@ -40,12 +40,13 @@
     request: Request<Incoming>,
     limits: RequestLimits,
 ) -> Response<Full<Bytes>> {
-    let mut reply = match read(&worker, request, limits).await {
-        Ok(request) => {
+    let mut reply = match worker.before_stop(read(&worker, request, limits)).await {
+        Some(Ok(request)) => {
             let answer = worker.lookup(request).await;
             render(&answer)
         }
-        Err(code) => refuse(code, None),
+        Some(Err(code)) => refuse(code, None),
+        None => render(&worker.refuse_stopping()),
     };
     if worker.is_stopping() {
         headers::set(reply.headers_mut(), "connection", "close");
--- a/crates/harefield/tests/decisions/dropped_tasks.rs
+++ b/crates/harefield/tests/decisions/dropped_tasks.rs
@@ -69,7 +69,7 @@
 
 /// Upstreams that never answer, and count what they are sent. When they end, replies are lost.
 #[derive(Clone, Debug, Default)]
-struct SilentUpstreams {
+pub struct SilentUpstreams {
     sent: Rc<Cell<usize>>,
     /// Whether they have ended, and take no connections.
     ended: Rc<Cell<bool>>,
@@ -112,7 +112,7 @@
 
 /// No other daemon answers.
 #[derive(Clone, Debug)]
-struct NoPeers;
+pub struct NoPeers;
 
 impl Peers for NoPeers {
     async fn forward(&self, _: &HostId, _: &Forward, _: Duration) -> Result<ForwardAnswer, PeerError> {
@@ -136,9 +136,9 @@
     }
 }
 
-type TestWorker = Worker<SilentUpstreams, NoPeers, SystemClock>;
+pub type TestWorker = Worker<SilentUpstreams, NoPeers, SystemClock>;
 
-fn worker(executor: &Rc<LocalExecutor<'static>>, upstreams: SilentUpstreams) -> Rc<TestWorker> {
+pub fn worker(executor: &Rc<LocalExecutor<'static>>, upstreams: SilentUpstreams) -> Rc<TestWorker> {
     worker_with(executor, upstreams, ring().0, async_channel::unbounded().0)
 }
 
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -58,6 +58,7 @@
 mod snapshot;
 mod stamps;
 mod starts;
+mod stopping;
 mod support;
 mod suspects;
 mod turns;
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -36,6 +36,7 @@
 mod site_versions;
 mod slow_peers;
 mod snapshot;
+mod stop_limit;
 mod support;
 mod time_line;
 mod true_coverage;
--- a/crates/harefield/tests/processes/support.rs
+++ b/crates/harefield/tests/processes/support.rs
@@ -47,6 +47,15 @@
 impl Daemon {
     /// Starts a daemon and waits until it serves.
     pub fn start(settings: &str) -> Self {
+        Self::spawn(settings, true)
+    }
+
+    /// Starts a daemon and does not wait, so that its addresses are unknown.
+    pub fn start_joining(settings: &str) -> Self {
+        Self::spawn(settings, false)
+    }
+
+    fn spawn(settings: &str, is_awaited: bool) -> Self {
         static NUMBER: AtomicU64 = AtomicU64::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let name = format!("harefield-{}-{number}.toml", std::process::id());
@@ -61,10 +70,14 @@
             .expect("the daemon starts");
         let out = child.stdout.take().expect("its output is piped");
         let mut lines = BufReader::new(out).lines().map(|line| line.expect("the body is UTF-8"));
-        // Log lines precede and follow the line with the addresses.
-        let ready = lines.find_map(|line| serde_json::from_str(&line).ok());
-        let addresses = ready.expect("the daemon prints its addresses");
-        drop(std::fs::remove_file(&path));
+        let unknown = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut addresses = Addresses { callers: unknown, peers: unknown, operators: unknown };
+        if is_awaited {
+            // Log lines precede and follow the line with the addresses.
+            let ready = lines.find_map(|line| serde_json::from_str(&line).ok());
+            addresses = ready.expect("the daemon prints its addresses");
+            drop(std::fs::remove_file(&path));
+        }
         // Keeps draining the log, so that the daemon never writes to a closed pipe.
         std::thread::spawn(move || lines.for_each(drop));
         Self { child, addresses }
