Conclude an outage of the platform from missing proofs, not from a count

Cause: RecentlyRemoved took three removals within a second for an outage of the store, put all three back into the view, and counted their grace from when the third was seen. A single failed call of this daemon counted as an outage as well, for 2.2 s after each recovery.

Ruled out: late application of the removals (each is out of use at once, and comes back), and a grace that is merely too long: it is what upstreams need that register again after an outage.

Change: an outage is concluded from the time in which no proof of freshness, from any daemon, shows that the store answered. Entries end after three missing writes, so that only a gap of two heartbeat intervals or more can have ended any. Where normal operation does not explain the gap (0.8 of the deadline for applying a change), entries stay until 2.2 s after the first proof that followed it, all of them alike: a later removal no longer extends the time. Where a gap is possible but not certain, as on sites with a deadline of 5 s, entries that go three at a time stay too, but never longer than the last proof before their removal allows: deadline less 200 ms. Since the removal is later than that proof, the bound of each upstream holds whether there was an outage or not, at any size of the fleet. The decision is in the domain.

--- a/crates/harefield/src/control/duty.rs
+++ b/crates/harefield/src/control/duty.rs
@@ -18,7 +18,6 @@
 use super::announcements::Announcements;
 use super::publish::Origin;
 use super::publish::ViewCause;
-use super::recently_removed::RecentlyRemoved;
 use crate::domain::cell::Candidate;
 use crate::domain::cell::CellSize;
 use crate::domain::cold::ColdBounds;
@@ -38,7 +37,10 @@
 use crate::domain::ids::HostId;
 use crate::domain::membership::MemberRow;
 use crate::domain::membership::Membership;
+use crate::domain::outages::OutageTimes;
+use crate::domain::outages::Outages;
 use crate::domain::reach::Reachability;
+use crate::domain::recently_removed::RecentlyRemoved;
 use crate::domain::retained::RetainedReport;
 use crate::domain::retained::RetentionTimes;
 use crate::domain::revision::Revision;
@@ -81,6 +83,8 @@
     pub readers: usize,
     /// For how long values stay in force that a restored platform lacks.
     pub retention: RetentionTimes,
+    /// How often upstreams write their entries.
+    pub heartbeat: Duration,
     /// The availability zone of this daemon, and the region of each zone.
     pub topology: Topology,
     /// How large cells may be.
@@ -135,6 +139,8 @@
     pub(super) refresh_waiters: RefCell<Vec<Sender<bool>>>,
     /// Daemons to query besides the known ones.
     pub(super) seeds: RefCell<Vec<HostId>>,
+    /// The outages of the platform for the configuration.
+    pub(super) outages: RefCell<Outages>,
     /// Upstreams that may have been removed only because the platform was unreachable.
     pub(super) recently_removed: RefCell<RecentlyRemoved>,
     /// Whether a task is waiting to remove them.
@@ -175,6 +181,7 @@
         board: Arc<Board>,
     ) -> Rc<Self> {
         let members = Membership::new(settings.own.clone());
+        let times = OutageTimes::new(settings.heartbeat, settings.freshness.deadline());
         let seeds = RefCell::new(settings.seeds.clone());
         Rc::new(Self {
             settings,
@@ -198,6 +205,7 @@
             confirming: Cell::new(false),
             refresh_waiters: RefCell::default(),
             seeds,
+            outages: RefCell::new(Outages::new(times)),
             recently_removed: RefCell::default(),
             removal_pending: Cell::new(false),
             last_pull: Cell::new(None),
--- a/crates/harefield/src/control/freshness.rs
+++ b/crates/harefield/src/control/freshness.rs
@@ -37,6 +37,7 @@
         let now = self.ports.clock.now();
         self.reachability.borrow_mut().entry(space).or_default().record_proof(at, now);
         if space == Space::Config {
+            self.outages.borrow_mut().record_proof(at, now);
             self.board.record_proof(at);
             self.send_workers(&ToWorker::Proven(at));
         }
--- a/crates/harefield/src/control/mod.rs
+++ b/crates/harefield/src/control/mod.rs
@@ -11,7 +11,6 @@
 mod join;
 mod publish;
 mod reader;
-mod recently_removed;
 mod suspicion;
 
 pub use announcements::Announcements;
--- a/crates/harefield/src/control/publish.rs
+++ b/crates/harefield/src/control/publish.rs
@@ -10,12 +10,12 @@
 use log::warn;
 
 use super::duty::Control;
-use super::recently_removed::GRACE;
 use crate::domain::announcement::NamedAnnouncement;
 use crate::domain::cell::Candidate;
 use crate::domain::event::Event;
 use crate::domain::membership::MemberRow;
 use crate::domain::membership::PeerState;
+use crate::domain::outages::GRACE;
 use crate::domain::revision::Revision;
 use crate::domain::time::micros;
 use crate::domain::time::millis;
@@ -85,7 +85,8 @@
     fn next_view(&self) -> View {
         let config = self.config.borrow();
         let now = self.ports.clock.now();
-        let set = self.recently_removed.borrow_mut().patch(config.set(), self.platform_unreachable(), now);
+        let set =
+            self.recently_removed.borrow_mut().patch(config.set(), self.outages.borrow().lapse(now), now);
         self.view.borrow().next(&ViewInputs {
             own: &self.settings.own.host,
             revision: config.revision(),
--- a/crates/harefield/src/daemon/threads.rs
+++ b/crates/harefield/src/daemon/threads.rs
@@ -237,6 +237,7 @@
         freshness: FreshnessSchedule::new(settings.platform.apply_limit()),
         readers: settings.platform.readers,
         retention: RetentionTimes::new(Duration::from_millis(settings.platform.heartbeat_ms)),
+        heartbeat: Duration::from_millis(settings.platform.heartbeat_ms),
         topology: topology(context),
         cell_size: settings.cell(),
         cold_bounds: settings.routing.cold(),
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -38,6 +38,7 @@
 mod merging;
 mod objectives;
 mod once;
+mod outages;
 mod overload;
 mod overrun;
 mod queue_status;
--- a/crates/harefield/tests/fleet/support.rs
+++ b/crates/harefield/tests/fleet/support.rs
@@ -60,6 +60,9 @@
 pub const RETENTION: RetentionTimes =
     RetentionTimes { upstream: Duration::from_millis(1500), operator: Duration::from_millis(2500) };
 
+/// How often upstreams write their entries: four intervals are the time that they have to write again.
+const HEARTBEAT: Duration = Duration::from_millis(375);
+
 /// The number of regions and of availability zones of a fleet in several regions.
 const REGIONS: usize = 3;
 pub const ZONES: usize = 6;
@@ -168,6 +171,7 @@
             freshness: FreshnessSchedule::new(tuning.apply),
             readers: tuning.readers,
             retention: RETENTION,
+            heartbeat: HEARTBEAT,
             cold_bounds: ColdBounds::default(),
             cell_size: CellSize::default(),
             topology,
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -19,6 +19,7 @@
 mod planned_stop;
 mod short_shards;
 mod silent_connections;
+mod silent_leavers;
 mod site;
 mod site_accounts;
 mod site_cells;
