End replies that have no end by a bound of bytes, and collect bodies in one buffer

What callers saw: a daemon whose upstreams, or a shard's, reply with bytes without end stopped serving others in time (a chunk's size of zeros, interim replies), and took some hundred megabytes for bodies in small chunks.

Cause: a body's chunks were kept one by one until its end, each with the read buffer that it arrived in; only their bytes were accounted for. Nothing but the deadline, and a second after it in which a late reply is awaited, ended a reply that did not get beyond its head, its interim replies or a chunk's size: the connection's task was busy with each byte of them.

Ruled out: the limits on heads and trailers of the HTTP library (they hold, at 400 kB a connection), and the accounting itself (it counts what it is told).

Change: a body is collected in one buffer, whose capacity is accounted for before it is allocated. Each connection to an upstream, another daemon or the store counts what arrives for the reply in progress: more than 256 kB besides the body, and half a byte for each of the body's, end it as a broken reply. Its read buffer, and with it a reply's head, is limited to 64 kB. What ended is logged with bytes and time, at most once a second for each thread.

Evidence, real daemons: of the 20 tests in endless_replies three fail on the code before (interim replies, at one upstream and everywhere, and a chunk's size: other requests get 503 or wait 2.7 s), 20 pass; chunks_released fails before (1,048,576 chunks of one byte in memory at a time) and passes.

Not covered: callers' requests are bounded by the operator's limits as before, and have no new test.

--- a/crates/harefield/src/adapters/http/body.rs
+++ b/crates/harefield/src/adapters/http/body.rs
@@ -3,7 +3,6 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Bytes;
@@ -34,13 +33,9 @@
 /// Returns the reason why the body could not be read completely.
 pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
-    B: Body<Data = Bytes, Error = hyper::Error>,
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_cut) => Err(BodyError::CutShort),
-    }
+    Collector::new(&body, limit, None).collect(body).await
 }
 
 /// Reads a whole body of at most `limit` bytes, and accounts for its memory for as long as any part
@@ -50,7 +45,7 @@
 ///
 /// Returns the reason why the body could not be read completely.
 pub async fn read_counted<B>(
-    mut body: B,
+    body: B,
     limit: usize,
     memory: &Memory,
     held_for: Purpose,
@@ -58,49 +53,84 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let (mut chunks, mut total, mut held) = (Vec::new(), 0, None);
-    while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(|_cut| BodyError::CutShort)?.into_data() else { continue };
-        total += chunk.len();
-        if total > limit {
-            return Err(BodyError::TooLarge);
-        }
-        held = count(memory, held_for, held, (chunk.len(), total)).await?;
-        chunks.push(chunk);
-    }
-    let whole = join(chunks, total);
-    Ok(match held {
-        Some(held) => held.bind(whole),
-        None => whole,
-    })
+    Collector::new(&body, limit, Some((memory, held_for))).collect(body).await
 }
 
-/// Accounts for one more chunk, once the total is large enough to be counted.
-async fn count(
-    memory: &Memory,
-    held_for: Purpose,
+/// Collects the chunks of a body in one buffer, whatever their number. What it takes does not depend
+/// on how small they are.
+struct Collector<'a> {
+    /// The most bytes that the body may have.
+    limit: usize,
+    /// The length of the body, if it was announced.
+    announced: Option<usize>,
+    account: Option<(&'a Memory, Purpose)>,
     held: Option<HeldBytes>,
-    (chunk, total): (usize, usize),
-) -> Result<Option<HeldBytes>, BodyError> {
-    match held {
-        None if total < MIN_COUNTED => Ok(None),
-        None => memory.reserve(held_for, total).await.map(Some).ok_or(BodyError::NoRoom),
-        Some(mut held) => {
-            let fits = held.grow(chunk).await;
-            if fits { Ok(Some(held)) } else { Err(BodyError::NoRoom) }
+    /// The only chunk so far, which is not copied.
+    single: Bytes,
+    whole: BytesMut,
+}
+
+impl<'a> Collector<'a> {
+    fn new<B: Body>(body: &B, limit: usize, account: Option<(&'a Memory, Purpose)>) -> Self {
+        let announced = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+        Self { limit, announced, account, held: None, single: Bytes::new(), whole: BytesMut::new() }
+    }
+
+    async fn collect<B>(mut self, mut body: B) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
+        while let Some(frame) = body.frame().await {
+            let Ok(chunk) = frame.map_err(|_cut| BodyError::CutShort)?.into_data() else { continue };
+            self.add(chunk).await?;
         }
+        let whole = if self.whole.is_empty() { self.single } else { self.whole.freeze() };
+        Ok(match self.held {
+            Some(held) => held.bind(whole),
+            None => whole,
+        })
+    }
+
+    async fn add(&mut self, chunk: Bytes) -> Result<(), BodyError> {
+        let total = self.single.len() + self.whole.len() + chunk.len();
+        if total > self.limit {
+            return Err(BodyError::TooLarge);
+        }
+        if self.single.is_empty() && self.whole.is_empty() {
+            self.hold(total).await?;
+            self.single = chunk;
+            return Ok(());
+        }
+        if self.whole.capacity() < total {
+            let capacity = self.next_capacity(total);
+            self.hold(capacity).await?;
+            self.whole.reserve(capacity - self.whole.len());
+            self.whole.extend_from_slice(&std::mem::take(&mut self.single));
+        }
+        self.whole.extend_from_slice(&chunk);
+        Ok(())
     }
-}
 
-fn join(mut chunks: Vec<Bytes>, total: usize) -> Bytes {
-    if chunks.len() == 1 {
-        return chunks.remove(0);
+    /// Returns the capacity for at least `total` bytes: twice as many, but no more than the body has.
+    fn next_capacity(&self, total: usize) -> usize {
+        let most = self.announced.unwrap_or(self.limit).min(self.limit);
+        (total * 2).min(most).max(total)
     }
-    let mut whole = BytesMut::with_capacity(total);
-    for chunk in &chunks {
-        whole.extend_from_slice(chunk);
+
+    /// Accounts for `bytes` in all, once they are enough to be counted.
+    async fn hold(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let Some((memory, held_for)) = self.account.filter(|_| bytes >= MIN_COUNTED) else {
+            return Ok(());
+        };
+        let fits = match &mut self.held {
+            Some(held) => held.grow(bytes.saturating_sub(held.bytes())).await,
+            held => {
+                *held = memory.reserve(held_for, bytes).await;
+                held.is_some()
+            }
+        };
+        fits.then_some(()).ok_or(BodyError::NoRoom)
     }
-    whole.freeze()
 }
 
 /// Accounts for the body of a reply that was created here, until it has been written.
--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -12,12 +13,16 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
+use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
 
 use super::body;
 use super::body::BodyError;
 use super::progress::Progress;
+use super::reply_meter::MeteredStream;
+use super::reply_meter::READ_BUFFER;
+use super::reply_meter::ReplyBody;
+use super::reply_meter::ReplyMeter;
 use super::stall_guard::StallGuardedStream;
 
 /// How long an upstream, the platform or another daemon may accept none of the data sent to it. A
@@ -42,6 +47,13 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    meter: Rc<ReplyMeter>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.meter.report_incomplete();
+    }
 }
 
 impl Connection {
@@ -65,9 +77,11 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+    ) -> Result<Response<ReplyBody>, Option<Request<Full<Bytes>>>> {
+        self.meter.begin();
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| error.take_message())
+        let reply = sent.map_err(|mut error| error.take_message())?;
+        Ok(reply.map(|incoming| ReplyBody::new(incoming, Rc::clone(&self.meter))))
     }
 }
 
@@ -84,12 +98,12 @@
     let opened = async { Async::<TcpStream>::connect(address).await.map_err(|_error| ClientError::NotSent) };
     let stream = opened.or(expire(limit, ClientError::NotSent)).await?;
     stream.get_ref().set_nodelay(true).map_err(|_error| ClientError::NotSent)?;
-    let (sender, driver) =
-        hyper::client::conn::http1::handshake(StallGuardedStream::new(stream, STALL_LIMIT))
-            .await
-            .map_err(|_error| ClientError::NotSent)?;
+    let meter = Rc::new(ReplyMeter::new(address));
+    let stream = StallGuardedStream::new(MeteredStream::new(stream, Rc::clone(&meter)), STALL_LIMIT);
+    let handshake = Builder::new().max_buf_size(READ_BUFFER).handshake(stream).await;
+    let (sender, driver) = handshake.map_err(|_error| ClientError::NotSent)?;
     executor.spawn(async move { drop(driver.await) }).detach();
-    Ok(Connection { sender })
+    Ok(Connection { sender, meter })
 }
 
 /// Opens a connection, sends one request and reads its complete reply. `limit` applies to opening
@@ -147,7 +161,7 @@
 async fn send(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, ClientError> {
+) -> Result<Response<ReplyBody>, ClientError> {
     connection.send(request).await.map_err(|unsent| match unsent {
         Some(_) => ClientError::NotSent,
         None => ClientError::Lost,
--- a/crates/harefield/src/adapters/http/pool.rs
+++ b/crates/harefield/src/adapters/http/pool.rs
@@ -11,12 +11,12 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use log::debug;
 
 use super::client::ClientError;
 use super::client::Connection;
 use super::client::connect;
+use super::reply_meter::ReplyBody;
 
 /// The maximum number of idle connections to keep per address.
 const MAX_IDLE: usize = 64;
@@ -44,7 +44,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(Response<Incoming>, Connection), ClientError> {
+    ) -> Result<(Response<ReplyBody>, Connection), ClientError> {
         let mut request = request;
         loop {
             let idle = self.take_idle(address);
--- a/crates/harefield/src/adapters/peers.rs
+++ b/crates/harefield/src/adapters/peers.rs
@@ -14,7 +14,6 @@
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use hyper::header::ACCEPT_ENCODING;
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,6 +25,7 @@
 use super::http::Connection;
 use super::http::Pool;
 use super::http::Progress;
+use super::http::ReplyBody;
 use super::http::Traffic;
 use super::opaque::OpaqueAnswer;
 use crate::domain::buffers::Purpose;
@@ -194,7 +194,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(Response<Incoming>, Connection), PeerError> {
+    ) -> Result<(Response<ReplyBody>, Connection), PeerError> {
         let connecting = limit.min(CONNECT_LIMIT);
         let sent = self.pool.send(&self.executor, address, request, connecting).await;
         sent.map_err(|error| match error {
--- a/crates/harefield/src/adapters/upstreams/mod.rs
+++ b/crates/harefield/src/adapters/upstreams/mod.rs
@@ -18,13 +18,13 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 
 use self::pool::ConnectionSlot;
 use self::pool::Pool;
 use super::http;
 use super::http::Connection;
+use super::http::ReplyBody;
 use crate::domain::buffers::Purpose;
 use crate::domain::fanout::AttemptEnd;
 use crate::domain::ids::UpstreamId;
@@ -131,7 +131,7 @@
         call: &Call,
         slot: ConnectionSlot,
         connection: Connection,
-        reply: Response<Incoming>,
+        reply: Response<ReplyBody>,
     ) -> CallOutcome {
         let (head, body) = reply.into_parts();
         let Ok(whole) = http::read_counted(body, MAX_REPLY_BYTES, &self.memory, Purpose::Replies).await
--- a/crates/harefield/src/memory/held.rs
+++ b/crates/harefield/src/memory/held.rs
@@ -30,6 +30,12 @@
         Self { memory, purpose, bytes }
     }
 
+    /// Returns how many bytes are reserved.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reserves more bytes, as [`Memory::reserve`] does; returns whether they fit.
     pub async fn grow(&mut self, bytes: usize) -> bool {
         let Some(mut more) = self.memory.reserve(self.purpose, bytes).await else { return false };
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod codes;
 mod cold;
+mod collecting;
 mod configuration;
 mod crash_evidence;
 mod crash_guard;
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod crashing;
 mod crashing_evidence;
 mod crashing_support;
+mod endless_replies;
 mod forwarding;
 mod hot_requests;
 mod leaving;
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -148,6 +148,13 @@
         self.add_daemon_with(platform, "");
     }
 
+    /// Starts one more daemon, which asks `other` before the store, and takes it for another daemon.
+    pub fn add_daemon_beside(&mut self, other: SocketAddr) {
+        let store = format!("\"{}\"", self.store.address());
+        let settings = settings(&self.store, "", &format!("seeds = [\"{other}\"]\n"), "");
+        self.others.push(Daemon::start(&settings.replace(&store, &format!("\"{other}\", {store}"))));
+    }
+
     fn add_daemon_with(&mut self, platform: &str, routing: &str) {
         let seed = format!("seeds = [\"{}\"]\n", self.daemon.addresses.peers);
         self.others.push(Daemon::start(&settings(&self.store, platform, &seed, routing)));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod behaviour;
 mod crashing;
+mod endless;
 pub mod experiment;
 pub mod fleet;
 mod layout;
@@ -28,6 +29,9 @@
 pub use crashing::CrashingSearcher;
 pub use crashing::CrashingSpec;
 pub use crashing::StartedRequest;
+pub use endless::Endless;
+pub use endless::EndlessReply;
+pub use endless::EndlessServer;
 pub use layout::Deployment;
 pub use layout::Layout;
 pub use layout::SearcherSpec;
