Keep entries that go around a failed call, within the promise on upstreams that leave

Cause: a failed call of this daemon counted for nothing. It proves no outage, but where no proof from any daemon followed it, the store may have been away since the last proof.

Change: such entries stay until 2.2 s after the failure or the first proof that followed it, and never longer than the last proof before their removal allows, so that the bound holds as well where only this daemon was turned away.

--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -92,6 +92,9 @@
             return;
         }
         let now = self.ports.clock.now();
+        if space == Space::Config {
+            self.outages.borrow_mut().record_failure(now);
+        }
         if self.reachability.borrow_mut().entry(space).or_default().record_failure(now) {
             let waited = millis(now.saturating_duration_since(started));
             self.emit(Event::PlatformLost { space: space.name().to_owned(), why: error.to_string(), waited });
--- a/crates/harefield/src/domain/outages.rs
+++ b/crates/harefield/src/domain/outages.rs
@@ -1,7 +1,8 @@
 //! Outages of the platform, as the proofs of freshness of the whole fleet show them.
 //!
-//! Only the time in which the platform answered nobody counts. How many entries disappear, or
-//! whether calls of this daemon fail, says nothing about it.
+//! What counts is the time in which the platform answered nobody. How many entries disappear proves
+//! nothing, and a call of this daemon that fails proves no more than that it may have been away since
+//! the last proof.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -55,6 +56,9 @@
     /// It may have been away for long enough. No entry is in use after this time, so that the
     /// promise on upstreams that leave holds if it was not away.
     Possible(Instant),
+    /// A call of this daemon failed, and the platform may have answered nobody since. The time is
+    /// limited as in `Possible`.
+    Suspected(Instant),
     /// It was away. Entries that are still missing at this time belong to upstreams that are gone.
     Certain(Instant),
 }
@@ -73,13 +77,17 @@
     times: OutageTimes,
     proven: Option<Instant>,
     last: Option<Gap>,
+    /// Since when calls of this daemon fail, with no proof since.
+    failing: Option<Instant>,
+    /// When the first proof after such failures was handled.
+    recovered: Option<Instant>,
 }
 
 impl Outages {
     /// Creates a history without outages.
     #[must_use]
     pub fn new(times: OutageTimes) -> Self {
-        Self { times, proven: None, last: None }
+        Self { times, proven: None, last: None, failing: None, recovered: None }
     }
 
     /// Records a proof, handled at `now`, that the platform answered a query sent at `at`.
@@ -88,6 +96,15 @@
             self.last = Some(Gap { length, ended: now });
         }
         self.proven = self.proven.max(Some(at));
+        if self.failing.is_some_and(|since| at > since) {
+            self.failing = None;
+            self.recovered = Some(now);
+        }
+    }
+
+    /// Records that a call of this daemon was not answered, or refused.
+    pub fn record_failure(&mut self, now: Instant) {
+        self.failing.get_or_insert(now);
     }
 
     /// Returns whether entries that are found missing at `now` may have been ended by an outage. What
@@ -104,8 +121,12 @@
         if let Some(until) = last_end(self.times.certain) {
             return Lapse::Certain(until);
         }
-        let possible = last_end(self.times.lapse).map(|until| until.min(proven + self.times.usable));
-        possible.map_or(Lapse::Excluded, Lapse::Possible)
+        let usable = proven + self.times.usable;
+        let suspected = self.failing.map_or(self.recovered, |_| Some(now)).map(|end| end + GRACE);
+        if let Some(until) = suspected.filter(|until| now < *until) {
+            return Lapse::Suspected(until.min(usable));
+        }
+        last_end(self.times.lapse).map_or(Lapse::Excluded, |until| Lapse::Possible(until.min(usable)))
     }
 
     /// Returns for how long the platform may have answered nobody. A proof that is old when it is
--- a/crates/harefield/src/domain/recently_removed.rs
+++ b/crates/harefield/src/domain/recently_removed.rs
@@ -57,7 +57,7 @@
             .map(|(name, upstream)| (Arc::clone(name), Arc::clone(upstream)));
         match lapse {
             Lapse::Excluded => {}
-            Lapse::Certain(until) => {
+            Lapse::Certain(until) | Lapse::Suspected(until) => {
                 self.kept.extend(gone.map(|(name, upstream)| (name, (upstream, until))));
             }
             Lapse::Possible(until) => {
--- a/crates/harefield/tests/decisions/outages.rs
+++ b/crates/harefield/tests/decisions/outages.rs
@@ -90,6 +90,8 @@
     Outage(u64),
     /// The answer to the next query takes this long.
     Hang(u64),
+    /// A call of the daemon fails, while the store serves others.
+    Fail,
     /// The daemon is restarted.
     Restart,
     /// This many milliseconds pass.
@@ -102,6 +104,7 @@
         2 => (0..UPSTREAMS).prop_map(Step::Return),
         1 => (100_u64..9000).prop_map(Step::Outage),
         1 => (100_u64..1500).prop_map(Step::Hang),
+        2 => Just(Step::Fail),
         1 => Just(Step::Restart),
         4 => (50_u64..4000).prop_map(Step::Wait),
     ]
@@ -193,6 +196,7 @@
                 let missing = self.missing();
                 self.daemon.read(&missing, sent, at(self.start, self.now));
             }
+            Step::Fail => self.daemon.outages.record_failure(at(self.start, self.now)),
             Step::Restart => {
                 let missing = self.missing();
                 self.daemon = Daemon::start(self.deadline, &missing, at(self.start, self.now));
@@ -298,6 +302,19 @@
     assert_eq!(seen.lapse(at(start, 4000)), Lapse::Certain(at(start, 6200)));
 }
 
+/// Calls that fail while others' succeed keep an entry no longer than the promise allows.
+#[test]
+fn own_calls_fail() {
+    let start = Instant::now();
+    let mut seen = outages(3000);
+    seen.record_proof(start, start);
+    seen.record_failure(at(start, 500));
+    assert_eq!(seen.lapse(at(start, 600)), Lapse::Suspected(at(start, 2800)), "not until 600 + 2200");
+    seen.record_proof(at(start, 900), at(start, 1000));
+    assert_eq!(seen.lapse(at(start, 1100)), Lapse::Suspected(at(start, 3200)));
+    assert_eq!(seen.lapse(at(start, 3200)), Lapse::Excluded);
+}
+
 /// The first view of a daemon holds what the platform lists.
 #[test]
 fn first_view() {
