--- a/crates/harefield/src/adapters/http/reply_meter.rs
+++ b/crates/harefield/src/adapters/http/reply_meter.rs
@@ -24,7 +24,7 @@
 use log::warn;
 
 /// The maximum size of a connection's read buffer, and of a reply's head, in bytes.
-pub(super) const READ_BUFFER: usize = 64 << 10;
+pub(super) const READ_BUFFER: usize = 32 << 10;
 
 /// How many bytes may arrive for one reply that are not of its body: interim replies, the head,
 /// chunk sizes and trailers, and what is buffered ahead of the reader.
