Soak: upstreams that leave without a word, replies without end, waits at a stop

A connection that ends more than 200 ms after its request was sent breaks the promise on planned stops also where no upstream had the request.

Planned stops under a queue of waiting requests are not drawn yet.

--- a/crates/harefield/tests/soak/checks/runs.rs
+++ b/crates/harefield/tests/soak/checks/runs.rs
@@ -14,6 +14,9 @@
 use crate::ledger::Route;
 use crate::ledger::Scope;
 
+/// A connection that ends later than this after a request was sent had taken the request.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
 impl Checks<'_> {
     /// A request reported as not run ran nowhere, and no request runs more often than allowed.
     pub(super) fn check_runs(&mut self, request: &Request) {
@@ -61,6 +64,9 @@
             Outcome::Disconnected if self.runs.contains_key(&request.id) => {
                 self.report("graceful shutdown", request, "disconnected after it was sent to an upstream");
             }
+            Outcome::Disconnected if request.ended.duration_since(request.sent) > LOSS_SLACK => {
+                self.report("graceful shutdown", request, "disconnected while it waited");
+            }
             Outcome::TimedOut => self.report("answered in time", request, "no answer"),
             _ => {}
         }
--- a/crates/harefield/tests/soak/ledger.rs
+++ b/crates/harefield/tests/soak/ledger.rs
@@ -70,7 +70,7 @@
     pub shards: Vec<String>,
 }
 
-/// An upstream whose entry was set to draining.
+/// An upstream whose entry was set to draining, or removed.
 #[derive(Clone, Debug)]
 pub(crate) struct Leaving {
     pub id: String,
--- a/crates/harefield/tests/soak/main.rs
+++ b/crates/harefield/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod client;
 mod cluster;
 mod configuration;
+mod departures;
 mod draw;
 mod drills;
 mod faults;
--- a/crates/harefield/tests/soak/run.rs
+++ b/crates/harefield/tests/soak/run.rs
@@ -108,12 +108,16 @@
 fn run_faults(faults: &Faults, seed: u64, until: Instant) {
     let foreign = faults.clone();
     let foreign = std::thread::spawn(move || foreign.run_foreign(seed, until));
+    let departures = faults.clone();
+    let departures = std::thread::spawn(move || departures.run_departures(seed, until));
+    let endless = faults.clone();
+    let endless = std::thread::spawn(move || endless.run_endless(seed, until));
     let storms = faults.clone();
     let storms = std::thread::spawn(move || storms.run_storms(seed, until));
     let drills = faults.clone();
     let drills = std::thread::spawn(move || drills.run_drills(seed, until));
     let mut under_way = faults.run(seed, until);
-    under_way.extend([storms, foreign, drills]);
+    under_way.extend([storms, foreign, drills, departures, endless]);
     for fault in under_way {
         fault.join().expect("a fault's thread panicked");
     }
