End a listing whose pages lead to no further page

Cause: the reader went on as long as a page said that it was truncated, from whatever key the page ended with, at no pace of its own. A page without items that said it was truncated was taken for the last one, so that an incomplete listing was applied.

Ruled out: a limit on the number of pages, which a large deployment meets; an order of keys that the store doesn't promise.

Change: each page of a listing has to lead to a key that no page of it was read from before, in both platforms' clients. Otherwise the listing fails, is retried at the pace of other failures, and is warned of at the first, second, fourth, eighth failure and so on.

--- a/crates/harefield/src/adapters/platform.rs
+++ b/crates/harefield/src/adapters/platform.rs
@@ -12,6 +12,7 @@
 
 use super::http::Traffic;
 use super::reading::JsonReader;
+use super::reading::PageCursor;
 use super::reading::READ_LIMIT;
 use super::reading::ReplyFormat;
 use super::reading::deltas;
@@ -79,7 +80,7 @@
 impl Platform for HttpPlatform {
     async fn list(&self, replica: SocketAddr, space: Space) -> Result<Listing, PlatformError> {
         let mut listing = Listing::default();
-        let mut from = String::new();
+        let (mut from, mut cursor) = (String::new(), PageCursor::default());
         loop {
             let path = format!("/v1/{}/list?from={from}", space.name());
             let page = self.reader.get::<Page>(replica, &path, READ_LIMIT).await?.body;
@@ -92,7 +93,7 @@
             listing.last = Revision::first(page.revision);
             listing.items.extend(page.items.into_iter().map(|item| (item.key, raw(&item.value))));
             match page.next {
-                Some(next) => from = next.to_string(),
+                Some(next) => from = cursor.advance(Some(&*next))?,
                 None => return Ok(listing),
             }
         }
--- a/crates/harefield/src/adapters/reading.rs
+++ b/crates/harefield/src/adapters/reading.rs
@@ -1,7 +1,8 @@
 //! Code shared by the clients of both kinds of platform: reading JSON from one replica of the
-//! platform, and grouping changes by revision.
+//! platform, following the pages of a listing, and grouping changes by revision.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -117,6 +118,28 @@
     }
 }
 
+/// Follows the pages of a listing, and ends a listing whose pages repeat.
+#[derive(Debug, Default)]
+pub struct PageCursor {
+    /// The keys that pages were read from.
+    used: HashSet<String>,
+}
+
+impl PageCursor {
+    /// Returns the key that the next page starts from, given the one that the last page ended with.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Malformed` if there is no such key, or if a page was read from it before.
+    pub fn advance(&mut self, key: Option<&str>) -> Result<String, PlatformError> {
+        let key = key.filter(|key| self.used.insert((*key).to_owned()));
+        let key = key.ok_or_else(|| {
+            PlatformError::Malformed("a page of the listing leads to no further page".to_owned())
+        })?;
+        Ok(key.to_owned())
+    }
+}
+
 /// Groups changes after a revision into one delta per revision, each based on the previous one.
 #[must_use]
 pub fn deltas(after: Revision, changes: impl IntoIterator<Item = (Revision, Change)>) -> Vec<Delta> {
--- a/crates/harefield/src/control/reader.rs
+++ b/crates/harefield/src/control/reader.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use log::debug;
+use log::warn;
 use rand::Rng;
 
 use super::duty::Control;
@@ -74,10 +75,10 @@
                     self.announce_blind(space, false);
                 }
                 Err(error) => {
-                    debug!("platform replica {replica}: {error}");
                     self.record_rejection(space, &error);
                     self.record_failure(space, &error, started);
                     failures = failures.saturating_add(1);
+                    log_failure(replica, &error, failures);
                     self.announce_blind(space, failures >= BLIND_AFTER);
                     index += 1;
                     self.ports.clock.sleep(retry_pause(failures)).await;
@@ -379,6 +380,15 @@
     Ok(())
 }
 
+/// Logs a failed call. Invalid answers are warned of ever more rarely while they last.
+fn log_failure(replica: SocketAddr, error: &PlatformError, failures: u32) {
+    if matches!(error, PlatformError::Malformed(_)) && failures.is_power_of_two() {
+        warn!("platform replica {replica}, {failures} failures in a row: {error}");
+    } else {
+        debug!("platform replica {replica}: {error}");
+    }
+}
+
 fn retry_pause(failures: u32) -> Duration {
     backoff(BACKOFF, failures, MAX_BACKOFF).mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -19,6 +19,7 @@
 use super::left_out::UnreadableEntries;
 use crate::adapters::http::Traffic;
 use crate::adapters::reading::JsonReader;
+use crate::adapters::reading::PageCursor;
 use crate::adapters::reading::READ_LIMIT;
 use crate::adapters::reading::ReplyFormat;
 use crate::adapters::reading::StoreReply;
@@ -76,6 +77,18 @@
     store_revision: u64,
 }
 
+impl Page {
+    /// Returns the key that the next page starts from; `None` if this is the last page.
+    fn next(&self, cursor: &mut PageCursor) -> Result<Option<String>, PlatformError> {
+        if !self.truncated {
+            return Ok(None);
+        }
+        let keys = self.items.iter().map(|item| item.private_key.as_str());
+        let last = keys.rev().find(|key| !key.is_empty());
+        cursor.advance(last).map(Some)
+    }
+}
+
 /// The range of revisions at which the pages of a listing were read.
 #[derive(Debug, Default)]
 struct PageRevisions {
@@ -154,20 +167,18 @@
         prefix: &str,
         pages: &mut PageRevisions,
     ) -> Result<Vec<Item>, PlatformError> {
-        let (mut items, mut after) = (Vec::new(), String::new());
+        let (mut items, mut cursor) = (Vec::new(), PageCursor::default());
+        let mut path = format!("/-/kv-range?pathPrefix={prefix}");
         loop {
-            let path = format!("/-/kv-range?pathPrefix={prefix}{after}");
             let StoreReply { era, body } = self.reader.get::<Page>(replica, &path, READ_LIMIT).await?;
             let page = body.ok_or_else(|| {
                 PlatformError::Malformed("a page of the listing no longer exists".to_owned())
             })?;
             pages.record(Revision::new(era, page.store_revision))?;
-            let last = page.items.last().map(|item| item.private_key.clone());
+            let next = page.next(&mut cursor)?;
             items.extend(page.items);
-            match last.filter(|_| page.truncated) {
-                Some(key) => after = format!("&after={key}"),
-                None => return Ok(items),
-            }
+            let Some(after) = next else { return Ok(items) };
+            path = format!("/-/kv-range?pathPrefix={prefix}&after={after}");
         }
     }
 
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -31,6 +31,7 @@
 mod site_foreign;
 mod site_homes;
 mod site_large;
+mod site_odd_entries;
 mod site_outage;
 mod site_regions;
 mod site_store;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -44,4 +44,5 @@
 pub use signed::SignedSearcher;
 pub use signed::upstream_entry;
 pub use site_store::Outage;
+pub use site_store::PageFault;
 pub use site_store::SiteStore;
--- a/crates/standin/src/site_store.rs
+++ b/crates/standin/src/site_store.rs
@@ -43,6 +43,15 @@
     Silent,
 }
 
+/// How the pages of listings are wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFault {
+    /// Every page is the first one.
+    Repeated,
+    /// Pages that are followed by others have no items.
+    Empty,
+}
+
 #[derive(Debug, Default)]
 struct Store {
     revision: u64,
@@ -58,6 +67,7 @@
     pace: Option<u32>,
     /// The maximum number of items in a page of a listing; unlimited if `None`.
     page_items: Option<usize>,
+    page_fault: Option<PageFault>,
     /// Watches that arrived since the store went silent.
     unanswered: usize,
     /// Pages of whole listings that were read.
@@ -209,6 +219,11 @@
         lock(&self.state).page_items = most;
     }
 
+    /// Sets how the pages of listings are wrong.
+    pub fn set_page_fault(&self, fault: Option<PageFault>) {
+        lock(&self.state).page_fault = fault;
+    }
+
     /// Returns how many pages of whole listings were read.
     #[must_use]
     pub fn page_count(&self) -> usize {
@@ -306,7 +321,8 @@
 fn read_range(store: &mut Store, query: &BTreeMap<String, String>) -> Reply {
     store.page_count += 1;
     let text = |name: &str| query.get(name).map_or("", |text| text);
-    let (prefix, after) = (text("pathPrefix"), text("after"));
+    let is_repeated = store.page_fault == Some(PageFault::Repeated);
+    let (prefix, after) = (text("pathPrefix"), if is_repeated { "" } else { text("after") });
     let mut found: Vec<Value> = current_items(store)
         .into_iter()
         .filter(|(key, _)| key.starts_with(prefix) && *key > after)
@@ -314,7 +330,8 @@
         .collect();
     let most = store.page_items.unwrap_or(usize::MAX);
     let truncated = found.len() > most;
-    found.truncate(most);
+    let is_empty = truncated && store.page_fault == Some(PageFault::Empty);
+    found.truncate(if is_empty { 0 } else { most });
     let page = json!({ "items": found, "truncated": truncated, "storeRevision": store.revision });
     let page = reply(store, 200, &page);
     if let Some(backup) = store.next_backup.take() {
