Leave out entries whose key has a character that calls give a meaning

What callers saw: requests that went to an upstream under a name that it doesn't have, and came back refused, while an entry of another writer held a copy of an upstream's value under a key of its own with %, \, #, & or +.

Cause: any visible ASCII but a slash was valid in an upstream's id, so that such an entry with a sound value was taken for an upstream. The users say that an entry under a name with such characters names no upstream to use.

Change: ids are letters, digits, and - . _ ~ : (what RFC 3986 reserves for nothing, and the colon of an address).

--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -229,10 +229,11 @@
     Some(Change { key: format!("evacuations/{zone}").into(), value })
 }
 
-/// Returns whether a text is valid as an upstream's id, which is sent in a header and must not
-/// contain a path separator.
+/// Returns whether a text is valid as an upstream's id: letters, digits, and marks that have no
+/// meaning of their own in headers, paths and queries.
 fn is_valid_id(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/')
+    let is_valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~:".contains(&byte);
+    !text.is_empty() && text.bytes().all(is_valid)
 }
 
 impl Platform for HttpStore {
--- a/crates/harefield/tests/processes/site_odd_entries.rs
+++ b/crates/harefield/tests/processes/site_odd_entries.rs
@@ -113,6 +113,16 @@
     assert!(foreign.runs().is_empty() && foreign.misdirected().is_empty(), "a copied entry was used");
 }
 
+#[test]
+fn backslash_in_key() {
+    play("\\");
+}
+
+#[test]
+fn bare_percent() {
+    play("%");
+}
+
 #[test]
 fn beyond_ascii() {
     play("\u{e9}\u{4e2d}\u{1f600}");
