Treat a status that ends no reply as a lost reply

What callers saw: an upstream in trouble replied with status 101, 600, 777 or 999, and the caller got it as an answer, with its body. Such an upstream was sent as many requests as those that worked, and fan-outs ended without its shard.

Cause: the HTTP library passes every status of three digits on, 101 as the end of a reply. A status below 500 that isn't a success counted as a success of the upstream. An answer handed on by another daemon was not checked either.

Change: a connection to an upstream, of either protocol, another daemon, the store or an operators' address takes a status outside 200 to 599 for a lost reply. The request may have run; it is sent elsewhere where that is safe, the attempt counts against the upstream, and the connection isn't used again. A message of another daemon with such a status is invalid.

There are no health checks of upstreams here.

--- a/crates/harefield/src/adapters/http/client.rs
+++ b/crates/harefield/src/adapters/http/client.rs
@@ -15,6 +15,7 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
+use log::debug;
 
 use super::body;
 use super::body::BodyError;
@@ -24,6 +25,7 @@
 use super::reply_meter::ReplyBody;
 use super::reply_meter::ReplyMeter;
 use super::stall_guard::StallGuardedStream;
+use crate::domain::reply::is_final;
 
 /// How long an upstream, the platform or another daemon may accept none of the data sent to it. A
 /// peer that reads accepts it within a few round trips.
@@ -69,11 +71,13 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of its reply.
+    /// Sends a request and waits for the head of its reply. After an error the connection must not
+    /// be used again.
     ///
     /// # Errors
     ///
-    /// Returns the request if no byte of it was written, or `None` if it may have been sent.
+    /// Returns the request if no byte of it was written, or `None` if it may have been sent. A
+    /// status that doesn't end a reply counts as a lost reply.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -81,6 +85,11 @@
         self.meter.begin();
         let sent = self.sender.try_send_request(request).await;
         let reply = sent.map_err(|mut error| error.take_message())?;
+        let status = reply.status().as_u16();
+        if !is_final(status) {
+            debug!("{} replied with the status {status}", self.meter.address());
+            return Err(None);
+        }
         Ok(reply.map(|incoming| ReplyBody::new(incoming, Rc::clone(&self.meter))))
     }
 }
--- a/crates/harefield/src/adapters/http/reply_meter.rs
+++ b/crates/harefield/src/adapters/http/reply_meter.rs
@@ -60,6 +60,11 @@
         Self { address, received: Cell::new(0), delivered: Cell::new(0), since: Cell::new(None) }
     }
 
+    /// Returns the address of the peer.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Begins to count for another request.
     pub fn begin(&self) {
         self.received.set(0);
--- a/crates/harefield/src/domain/reply.rs
+++ b/crates/harefield/src/domain/reply.rs
@@ -12,10 +12,17 @@
 /// A header as received; its name is in lower case.
 pub type Header = (Arc<str>, Bytes);
 
+/// Returns whether an HTTP status is defined and ends a reply, unlike that of an interim one.
+#[must_use]
+pub const fn is_final(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// A reply of opaque bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpaqueReply {
-    /// The HTTP status.
+    /// The HTTP status. A message with one that doesn't end a reply is invalid.
+    #[serde(deserialize_with = "final_status")]
     pub status: u16,
     /// The headers that are passed on to the caller.
     pub headers: Vec<Header>,
@@ -25,6 +32,12 @@
     pub signature: Option<Arc<str>>,
 }
 
+fn final_status<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
+    let status = u16::deserialize(deserializer)?;
+    let error = || serde::de::Error::custom(format!("{status} is not the status of a reply"));
+    is_final(status).then_some(status).ok_or_else(error)
+}
+
 /// What an upstream replied.
 #[derive(Clone, Debug)]
 pub enum Reply {
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -48,6 +48,7 @@
 mod readiness;
 mod recent;
 mod rejecting_model;
+mod reply_status;
 mod residency;
 mod revisions;
 mod room;
--- a/crates/harefield/tests/processes/main.rs
+++ b/crates/harefield/tests/processes/main.rs
@@ -12,6 +12,7 @@
 mod endless_replies;
 mod forwarding;
 mod hot_requests;
+mod invalid_replies;
 mod leaving;
 mod listings;
 mod not_run;
