Escape the names of lookups in metric labels

What operators see: a lookup whose name holds a quote, a backslash or a line break makes the metrics of each daemon that answers it unreadable as a whole.

Cause: the metrics library writes a label's value as it is. Found by looking for names of others that go into a text as if they were ours; the other labels are constants and numbers, logs are written by a JSON library, and headers take no invalid value.

Change: backslash, quote and line break in a lookup's label are escaped as the text format says.

Evidence: leaving_out::odd_name_escaped failed before and passes.

--- a/crates/harefield/src/adapters/metrics.rs
+++ b/crates/harefield/src/adapters/metrics.rs
@@ -114,6 +114,14 @@
     }
 }
 
+/// Escapes a label's value for the text format, which the metrics library doesn't do.
+fn escape(value: &str) -> String {
+    if !value.contains(['\\', '"', '\n']) {
+        return value.to_owned();
+    }
+    value.replace('\\', r"\\").replace('"', "\\\"").replace('\n', r"\n")
+}
+
 impl Metrics {
     /// Creates metrics with all counters at zero.
     #[must_use]
@@ -271,14 +279,13 @@
 
     fn label(&self, lookup: &str) -> Lookup {
         let mut known = self.lookups.lock().unwrap_or_else(PoisonError::into_inner);
-        if known.contains(lookup) {
-            return Lookup { lookup: lookup.to_owned() };
-        }
-        if known.len() >= MAX_LOOKUPS {
-            return Lookup { lookup: OTHER_LOOKUPS.to_owned() };
+        if !known.contains(lookup) {
+            if known.len() >= MAX_LOOKUPS {
+                return Lookup { lookup: OTHER_LOOKUPS.to_owned() };
+            }
+            known.insert(lookup.to_owned());
         }
-        known.insert(lookup.to_owned());
-        Lookup { lookup: lookup.to_owned() }
+        Lookup { lookup: escape(lookup) }
     }
 
     /// Sets how long a newer revision may have been confirmed without having been received. `None`,
--- a/crates/harefield/tests/decisions/leaving_out.rs
+++ b/crates/harefield/tests/decisions/leaving_out.rs
@@ -190,3 +190,12 @@
     assert!(text.contains("harefield_shards_left_out_total{lookup=\"l\"} 3"), "{text}");
     assert!(text.contains("harefield_refused_no_room_total{lookup=\"l\"} 1"), "{text}");
 }
+
+#[test]
+fn odd_name_escaped() {
+    // A lookup's name that ends its label makes all metrics unreadable.
+    let metrics = Metrics::new();
+    metrics.record(&Event::LeftOut { lookup: "a\"b\\c\nd".into(), count: 3, shards: Vec::new() });
+    let text = metrics.text();
+    assert!(text.contains(r#"harefield_shards_left_out_total{lookup="a\"b\\c\nd"} 3"#), "{text}");
+}
