--- a/crates/harefield/src/domain/reply.rs
+++ b/crates/harefield/src/domain/reply.rs
@@ -12,7 +12,8 @@
 /// A header as received; its name is in lower case.
 pub type Header = (Arc<str>, Bytes);
 
-/// Returns whether an HTTP status is defined and ends a reply, unlike that of an interim one.
+/// Returns whether an HTTP status ends a reply: it is of a class that HTTP defines, and not that of
+/// interim replies.
 #[must_use]
 pub const fn is_final(status: u16) -> bool {
     matches!(status, 200..=599)
--- a/crates/harefield/src/platform/items.rs
+++ b/crates/harefield/src/platform/items.rs
@@ -43,7 +43,7 @@
     tombstone: bool,
 }
 
-/// The fields that place an item which can't be read as a whole.
+/// What remains of an item that can't be read as a whole: where it stands in a listing or a watch.
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Place<'a> {
@@ -73,8 +73,7 @@
         }
     }
 
-    /// Returns the revision of the item's last change in an era; that of an empty store if it can't
-    /// be read.
+    /// Returns the revision of the item's last change in an era; its number is 0 if it can't be read.
     pub fn revision_in(&self, era: Era) -> Revision {
         Revision::new(era, self.revision.unwrap_or_default())
     }
