Read an item's change and a page's path in one way each

Items whose key names no upstream had a copy of the code that records and clears unreadable items, and the path of a page was written twice. Behaviour is the same; site_odd_entries, site_foreign, listings and site_store pass.

--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -157,8 +157,9 @@
         pages: &mut PageRevisions,
     ) -> Result<Vec<Item>, PlatformError> {
         let (mut items, mut cursor) = (Vec::new(), PageCursor::default());
-        let mut path = format!("/-/kv-range?pathPrefix={}", http::encode(prefix));
+        let mut after = String::new();
         loop {
+            let path = format!("/-/kv-range?pathPrefix={}{after}", http::encode(prefix));
             let StoreReply { era, body } = self.reader.get::<Page>(replica, &path, READ_LIMIT).await?;
             let page = body.ok_or_else(|| {
                 PlatformError::Malformed("a page of the listing no longer exists".to_owned())
@@ -166,8 +167,10 @@
             pages.record(Revision::new(era, page.store_revision))?;
             let next = page.next(&mut cursor)?;
             items.extend(page.items);
-            let Some(after) = next else { return Ok(items) };
-            path = format!("/-/kv-range?pathPrefix={}&after={}", http::encode(prefix), http::encode(&after));
+            match next {
+                Some(key) => after = format!("&after={}", http::encode(&key)),
+                None => return Ok(items),
+            }
         }
     }
 
@@ -188,39 +191,28 @@
     fn parse_change(&self, era: Era, item: &Item) -> Option<Change> {
         let name = item.key.as_str();
         let id = name.strip_prefix(UPSTREAMS_PREFIX);
-        let key: Key = match id {
-            Some(id) if is_valid_id(id) => format!("upstreams/{id}").into(),
-            None if name == CONFIG_KEY => CATALOG_KEY.into(),
+        let key: Option<Key> = match id {
+            Some(id) if is_valid_id(id) => Some(format!("upstreams/{id}").into()),
+            None if name == CONFIG_KEY => Some(CATALOG_KEY.into()),
             None if !name.is_empty() => return parse_evacuation(item),
-            _ => {
-                self.leave_out(era, item);
-                return None;
-            }
+            // No upstream has this key, whatever its value says.
+            _ => None,
         };
         if item.is_tombstone() {
             self.unreadable.clear(name);
-            return Some(Change { key, value: None });
+            return Some(Change { key: key?, value: None });
         }
-        match decode(item) {
+        match key.as_ref().ok_or(DecodeError::Key).and_then(|_key| decode(item)) {
             Ok(value) => {
                 self.unreadable.clear(name);
-                Some(Change { key, value: Some(value.into()) })
+                Some(Change { key: key?, value: Some(value.into()) })
             }
             Err(error) => {
                 self.unreadable.record(name, item.revision_in(era), &error);
-                id.is_some().then_some(Change { key, value: None })
+                id.is_some().then_some(Change { key: key?, value: None })
             }
         }
     }
-
-    /// Records an item whose key is not that of any upstream, whatever the item contains.
-    fn leave_out(&self, era: Era, item: &Item) {
-        if item.is_tombstone() {
-            self.unreadable.clear(&item.key);
-        } else {
-            self.unreadable.record(&item.key, item.revision_in(era), &DecodeError::Key);
-        }
-    }
 }
 
 /// Decodes the item of an evacuation; returns `None` for any other item.
