Limit log lines in one place

Reports of incomplete replies and of unreadable entries counted omitted lines with code of their own. Both limits are as they were: one line in a second, twenty in ten. The limit has a test now (log_limit::omitted_counted).

--- a/crates/harefield/src/adapters/http/reply_meter.rs
+++ b/crates/harefield/src/adapters/http/reply_meter.rs
@@ -2,6 +2,7 @@
 //! replies that have no end.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io::Error;
 use std::io::ErrorKind;
 use std::io::IoSlice;
@@ -23,6 +24,8 @@
 use hyper::body::SizeHint;
 use log::warn;
 
+use crate::adapters::log_limit::LogLimit;
+
 /// The maximum size of a connection's read buffer, and of a reply's head, in bytes.
 pub(super) const READ_BUFFER: usize = 32 << 10;
 
@@ -40,8 +43,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 thread_local! {
-    /// When this thread last reported an incomplete reply, and how many it left out since.
-    static REPORTED: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+    /// Limits this thread's reports of incomplete replies.
+    static REPORTS: RefCell<LogLimit> = const { RefCell::new(LogLimit::new(1, REPORT_INTERVAL)) };
 }
 
 /// Counts what arrives on a connection for the reply in progress.
@@ -98,12 +101,8 @@
         if bytes < MIN_REPORTED {
             return;
         }
-        let (last, left_out) = REPORTED.get();
-        if last.is_some_and(|at| at.elapsed() < REPORT_INTERVAL) {
-            REPORTED.set((last, left_out.saturating_add(1)));
-            return;
-        }
-        REPORTED.set((Some(Instant::now()), 0));
+        let admitted = REPORTS.with_borrow_mut(|reports| reports.admit(Instant::now()));
+        let Some(left_out) = admitted else { return };
         let (address, took) = (self.address, since.elapsed().as_millis());
         warn!(
             "closing a connection to {address}: {bytes} bytes in {took} ms are no complete reply; \
--- a/crates/harefield/src/adapters/mod.rs
+++ b/crates/harefield/src/adapters/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod clock;
 pub mod http;
+pub mod log_limit;
 pub mod logs;
 pub mod metrics;
 mod opaque;
--- a/crates/harefield/src/platform/left_out.rs
+++ b/crates/harefield/src/platform/left_out.rs
@@ -1,6 +1,5 @@
 //! Keeps track of store entries that can't be decoded.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Display;
@@ -11,6 +10,7 @@
 use log::warn;
 use prometheus_client::metrics::gauge::Gauge;
 
+use crate::adapters::log_limit::LogLimit;
 use crate::domain::revision::Revision;
 
 /// The maximum number of entries to remember, so that each is logged once per revision: the number
@@ -27,28 +27,15 @@
 #[derive(Clone, Debug)]
 pub(super) struct UnreadableEntries {
     reported: Rc<RefCell<BTreeMap<String, Revision>>>,
-    lines: Rc<Cell<Lines>>,
+    lines: Rc<RefCell<LogLimit>>,
     gauge: Gauge,
 }
 
-/// The log lines of the current interval.
-#[derive(Clone, Copy, Debug)]
-struct Lines {
-    since: Instant,
-    written: u32,
-    omitted: u32,
-}
-
-impl Lines {
-    fn new(omitted: u32) -> Self {
-        Self { since: Instant::now(), written: 0, omitted }
-    }
-}
-
 impl UnreadableEntries {
     /// Creates an empty set; `gauge` shows its size.
     pub fn new(gauge: Gauge) -> Self {
-        Self { reported: Rc::default(), lines: Rc::new(Cell::new(Lines::new(0))), gauge }
+        let lines = LogLimit::new(MAX_LINES, LOG_INTERVAL);
+        Self { reported: Rc::default(), lines: Rc::new(RefCell::new(lines)), gauge }
     }
 
     /// Records an entry that can't be decoded, and logs it once per revision, within the limit.
@@ -60,26 +47,13 @@
             return;
         }
         reported.insert(key.to_owned(), revision);
-        self.log(key, revision, why);
         self.update_gauge(&reported);
-    }
-
-    fn log(&self, key: &str, revision: Revision, why: &impl Display) {
-        let mut lines = self.lines.get();
-        if lines.since.elapsed() >= LOG_INTERVAL {
-            lines = Lines::new(lines.omitted);
-        }
-        if lines.written < MAX_LINES {
-            let omitted = std::mem::take(&mut lines.omitted);
-            lines.written += 1;
+        if let Some(omitted) = self.lines.borrow_mut().admit(Instant::now()) {
             warn!(
                 "ignoring entry {key:?} at revision {revision}, which cannot be decoded: {why}; \
                  {omitted} more since the last report"
             );
-        } else {
-            lines.omitted = lines.omitted.saturating_add(1);
         }
-        self.lines.set(lines);
     }
 
     /// Removes an entry that can now be decoded or has been deleted.
--- a/crates/harefield/tests/decisions/main.rs
+++ b/crates/harefield/tests/decisions/main.rs
@@ -35,6 +35,7 @@
 mod leaving_out;
 mod limits_model;
 mod load_model;
+mod log_limit;
 mod members;
 mod merging;
 mod objectives;
