Share what tests repeated, and name unpaired surrogates by their name

- The stand-ins that reply with raw or endless bytes read a request's head in one place; endless_replies starts and joins its clients, and adds its upstreams, in one; the names of the upstreams that a daemon knows come from site_support.
- Half a character is an unpaired surrogate in the standard's words; test names have two or three words: half_character is unpaired_surrogate now, values_out_of_range unusable_values, status_of_other_length status_length, control_byte_in_name and _in_value name_control_byte and value_control_byte, blank_after_framing_name blank_after_framing, bare_return bare_cr.
- unusable_values has one more value: 200,000 levels that are not closed.

Assertions are as they were.

--- a/crates/harefield/src/platform/items.rs
+++ b/crates/harefield/src/platform/items.rs
@@ -47,7 +47,7 @@
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Place<'a> {
-    /// Bytes, since an escape in a JSON string may stand for half a character.
+    /// Bytes, since an escape in a JSON string may be an unpaired surrogate.
     private_key: ByteBuf,
     #[serde(borrow, default)]
     revision: Option<&'a RawValue>,
--- a/crates/harefield/tests/processes/endless_replies.rs
+++ b/crates/harefield/tests/processes/endless_replies.rs
@@ -5,6 +5,7 @@
 //! reply that never got beyond its head.
 
 use std::net::SocketAddr;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -56,12 +57,7 @@
 /// daemon see of it.
 fn endure(kind: Endless, play: &Play) {
     let mut site = Site::start_with(1, "");
-    let servers: Vec<EndlessServer> =
-        (0..play.endless).map(|_| EndlessServer::start(kind, play.rate)).collect();
-    for (number, server) in servers.iter().enumerate() {
-        let entry = upstream_entry(server.address(), "hall", "one", "ready");
-        site.store.put(&format!("servers/i-endless-{number}"), Some(&entry));
-    }
+    let servers = add_endless(&site, kind, play);
     if !play.has_working {
         site.store.put(&site.upstreams["i-one"].key(), None);
     }
@@ -70,11 +66,8 @@
         request_at(&site.daemon, "/one/x", "first", DEADLINE);
         ended() > 0
     });
-    let to = site.daemon.addresses.callers;
     let start = Instant::now();
-    let clients: Vec<_> = (0..play.clients)
-        .map(|client| std::thread::spawn(move || send_for(to, "/one/x", client, start)))
-        .collect();
+    let clients = start_clients(&site, "/one/x", play.clients);
     let mut slowest = Duration::ZERO;
     while start.elapsed() < PLAY {
         let sent = Instant::now();
@@ -82,12 +75,7 @@
         slowest = slowest.max(sent.elapsed());
         std::thread::sleep(Duration::from_millis(20));
     }
-    let (mut served, mut all) = (0, 0);
-    for client in clients {
-        let (good, sent) = client.join().expect("no request is left without an answer in time");
-        served += good;
-        all += sent;
-    }
+    let (served, all) = join_clients(clients);
     assert!(!play.has_working || served * 10 >= all * 9, "{served} of {all} served");
     assert!(slowest < Duration::from_millis(DEADLINE), "another request took {slowest:?}");
     let peak = site.daemon.peak_memory();
@@ -100,6 +88,33 @@
     site.daemon.wait();
 }
 
+/// Adds endless upstreams to the service `one`.
+fn add_endless(site: &Site, kind: Endless, play: &Play) -> Vec<EndlessServer> {
+    let servers: Vec<EndlessServer> =
+        (0..play.endless).map(|_| EndlessServer::start(kind, play.rate)).collect();
+    for (number, server) in servers.iter().enumerate() {
+        let entry = upstream_entry(server.address(), "hall", "one", "ready");
+        site.store.put(&format!("servers/i-endless-{number}"), Some(&entry));
+    }
+    servers
+}
+
+/// Starts clients that send requests for a while.
+fn start_clients(site: &Site, path: &'static str, count: usize) -> Vec<JoinHandle<(usize, usize)>> {
+    let (to, start) = (site.daemon.addresses.callers, Instant::now());
+    (0..count).map(|client| std::thread::spawn(move || send_for(to, path, client, start))).collect()
+}
+
+/// Returns how many requests of all clients were served, of how many.
+fn join_clients(clients: Vec<JoinHandle<(usize, usize)>>) -> (usize, usize) {
+    let mut counts = (0, 0);
+    for client in clients {
+        let (served, sent) = client.join().expect("no request is left without an answer in time");
+        counts = (counts.0 + served, counts.1 + sent);
+    }
+    counts
+}
+
 /// Sends requests one after the other; returns how many were served, of how many.
 fn send_for(to: SocketAddr, path: &str, client: usize, start: Instant) -> (usize, usize) {
     let (mut served, mut sent) = (0, 0);
@@ -120,15 +135,6 @@
 const REPLICAS: usize = 8;
 const WORK: Duration = Duration::from_millis(5);
 
-/// Sends requests for `path` from many callers for a while; returns how many were served, of how many.
-fn send_from_all(site: &Site, path: &'static str, callers: usize) -> (usize, usize) {
-    let (to, start) = (site.daemon.addresses.callers, Instant::now());
-    let clients: Vec<_> =
-        (0..callers).map(|client| std::thread::spawn(move || send_for(to, path, client, start))).collect();
-    let counts = clients.into_iter().map(|client| client.join().expect("every request is answered in time"));
-    counts.fold((0, 0), |(served, all), (good, sent)| (served + good, all + sent))
-}
-
 /// Many requests of other callers are in flight, first alone, then beside upstreams of a service that
 /// reply without end. Each of them is answered, and the daemon goes on.
 fn endure_beside_many(kind: Endless) {
@@ -144,19 +150,13 @@
     };
     await_true("all upstreams are known", are_known);
     site.upstreams.values().for_each(|upstream| upstream.set_mode(ReplyMode::Good, WORK));
-    send_from_all(&site, "/all/x", OTHERS);
+    join_clients(start_clients(&site, "/all/x", OTHERS));
     let usual = site.daemon.peak_memory();
-    let servers: Vec<EndlessServer> =
-        (0..SOME.endless).map(|_| EndlessServer::start(kind, SOME.rate)).collect();
-    for (number, server) in servers.iter().enumerate() {
-        let entry = upstream_entry(server.address(), "hall", "one", "ready");
-        site.store.put(&format!("servers/i-endless-{number}"), Some(&entry));
-    }
-    std::thread::scope(|scope| {
-        scope.spawn(|| send_from_all(&site, "/one/x", SOME.clients));
-        let (served, all) = send_from_all(&site, "/all/x", OTHERS);
-        assert!(served * 10 >= all * 9, "{served} of {all} served");
-    });
+    let servers = add_endless(&site, kind, &SOME);
+    let endless = start_clients(&site, "/one/x", SOME.clients);
+    let (served, all) = join_clients(start_clients(&site, "/all/x", OTHERS));
+    assert!(served * 10 >= all * 9, "{served} of {all} served");
+    join_clients(endless);
     let ended: usize = servers.iter().map(|server| server.ended().len()).sum();
     assert!(ended > 0, "an endless reply was ended");
     let peak = site.daemon.peak_memory();
--- a/crates/harefield/tests/processes/invalid_replies.rs
+++ b/crates/harefield/tests/processes/invalid_replies.rs
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn status_of_other_length() {
+fn status_length() {
     play(&with_status("20"), true);
     play(&with_status("2000"), true);
 }
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn control_byte_in_name() {
+fn name_control_byte() {
     play(&with_line("x\u{1}own: 1"), true);
     play(&with_line("x\u{0}own: 1"), true);
 }
@@ -175,7 +175,7 @@
 }
 
 #[test]
-fn blank_after_framing_name() {
+fn blank_after_framing() {
     play(&with_line("Content-Length : 3"), true);
     play(&with_line("Transfer-Encoding : chunked"), true);
 }
@@ -217,12 +217,12 @@
 }
 
 #[test]
-fn bare_return() {
+fn bare_cr() {
     play(&with_line("x-own: 1\r2"), true);
 }
 
 #[test]
-fn control_byte_in_value() {
+fn value_control_byte() {
     play(&with_line("x-own: 1\u{1}2"), true);
 }
 
--- a/crates/harefield/tests/processes/site_foreign.rs
+++ b/crates/harefield/tests/processes/site_foreign.rs
@@ -7,6 +7,7 @@
 use standin::SignedSearcher;
 
 use crate::site_support::Site;
+use crate::site_support::known_upstreams;
 use crate::support::await_true;
 
 /// Makes an upstream's entry invalid.
@@ -53,7 +54,8 @@
     for (name, upstream) in &foreign {
         assert!(upstream.runs().is_empty(), "{name}: the upstream got requests");
     }
-    let known: Vec<String> = known(&site).into_iter().filter(|name| name.contains("foreign")).collect();
+    let known: Vec<String> =
+        known_upstreams(&site.daemon).into_iter().filter(|name| name.contains("foreign")).collect();
     assert!(known.is_empty(), "{known:?} are treated as upstreams");
     assert!(site.has_metric("harefield_entries_left_out 13"), "ignored entries are counted");
 }
@@ -64,7 +66,7 @@
     // entry again.
     let mut site = Site::start();
     site.add("one", "i-other", &[5, 5]);
-    let knows = |name: &str| known(&site).iter().any(|held| held == name);
+    let knows = |name: &str| known_upstreams(&site.daemon).iter().any(|held| held == name);
     await_true("both upstreams are known", || knows("i-other") && knows("i-one"));
     let upstream = &site.upstreams["i-other"];
     site.store.put(&upstream.key(), Some(&json!({ "service": "one", "note": "mine" })));
@@ -73,10 +75,3 @@
     site.store.put(&upstream.key(), Some(&upstream.entry("one", "ready")));
     await_true("the upstream is known again", || knows("i-other"));
 }
-
-/// Returns the upstreams that the daemon knows.
-fn known(site: &Site) -> Vec<String> {
-    let status = site.daemon.status();
-    let all = status.workers.values().flat_map(|worker| &worker.upstreams);
-    all.map(|upstream| upstream.upstream.to_string()).collect()
-}
--- a/crates/harefield/tests/processes/site_odd_entries.rs
+++ b/crates/harefield/tests/processes/site_odd_entries.rs
@@ -9,11 +9,12 @@
 
 use serde_json::Value;
 use serde_json::json;
-use standin::HALF_CHARACTER;
 use standin::PageFault;
 use standin::SignedSearcher;
+use standin::UNPAIRED_SURROGATE;
 
 use crate::site_support::Site;
+use crate::site_support::known_upstreams;
 use crate::site_support::request_at;
 use crate::support::Daemon;
 use crate::support::await_true;
@@ -71,9 +72,7 @@
 
 /// Returns whether a daemon knows an upstream whose name contains `part`.
 fn knows(daemon: &Daemon, part: &str) -> bool {
-    let status = daemon.status();
-    let mut known = status.workers.values().flat_map(|worker| &worker.upstreams);
-    known.any(|row| row.upstream.contains(part))
+    known_upstreams(daemon).iter().any(|name| name.contains(part))
 }
 
 /// Plays entries whose keys contain `odd`, written while the daemons run, listed after a 410, after
@@ -174,8 +173,8 @@
 }
 
 #[test]
-fn half_character() {
-    play(&HALF_CHARACTER.to_string());
+fn unpaired_surrogate() {
+    play(&UNPAIRED_SURROGATE.to_string());
 }
 
 #[test]
@@ -202,6 +201,7 @@
         ("nested", nested(50_000, "]")),
         ("nested deeper", nested(200_000, "]")),
         ("nested and not closed", nested(50_000, "")),
+        ("nested deeper and not closed", nested(200_000, "")),
         ("objects not closed", b"{\"a\":".repeat(50_000)),
         ("slots of 60 digits", with("slots", &digits(60))),
         ("slots of 400 digits", with("slots", &digits(400))),
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn values_out_of_range() {
+fn unusable_values() {
     let mut site = Site::start_reading(DAEMONS, "");
     site.store.set_page_items(Some(PAGE));
     let foreign = SignedSearcher::start("i-foreign", &[5, 5]);
--- a/crates/harefield/tests/processes/site_support.rs
+++ b/crates/harefield/tests/processes/site_support.rs
@@ -321,6 +321,13 @@
     )
 }
 
+/// Returns the names of the upstreams that a daemon's workers know.
+pub fn known_upstreams(daemon: &Daemon) -> Vec<String> {
+    let status = daemon.status();
+    let all = status.workers.values().flat_map(|worker| &worker.upstreams);
+    all.map(|upstream| upstream.upstream.to_string()).collect()
+}
+
 pub fn send_request(to: SocketAddr, path: &str, headers: &str) -> Answer {
     let mut stream = TcpStream::connect(to).expect("the listener accepts connections");
     stream.set_read_timeout(Some(TIMEOUT)).expect("a timeout can be set");
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -1,6 +1,5 @@
 //! Stand-ins for upstreams and other peers whose replies have no end.
 
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -153,12 +152,7 @@
 
 /// Reads the head of a request, and replies until the connection is closed; none without a request.
 fn reply_to(mut stream: TcpStream, kind: Endless, rate: u32) -> Option<EndlessReply> {
-    let mut head = Vec::new();
-    let mut buffer = [0; 4096];
-    while !head.windows(4).any(|four| four == b"\r\n\r\n") {
-        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
-        head.extend_from_slice(&buffer[..count]);
-    }
+    net::read_head(&mut stream)?;
     let (begin, again) = kind.parts();
     let block = again.repeat(BLOCK.div_ceil(again.len()));
     let pause =
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -45,7 +45,7 @@
 pub use signed::ReplyMode;
 pub use signed::SignedSearcher;
 pub use signed::upstream_entry;
-pub use site_store::HALF_CHARACTER;
 pub use site_store::Outage;
 pub use site_store::PageFault;
 pub use site_store::SiteStore;
+pub use site_store::UNPAIRED_SURROGATE;
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -28,6 +29,18 @@
 /// A reply whose body is complete from the start.
 pub(crate) type Reply = Response<Full<Bytes>>;
 
+/// Reads the head of one request; none if the connection ends before. The peer sends nothing behind
+/// it until it is answered.
+pub(crate) fn read_head(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut head = Vec::new();
+    let mut buffer = [0; 4096];
+    while !head.windows(4).any(|four| four == b"\r\n\r\n") {
+        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
+        head.extend_from_slice(&buffer[..count]);
+    }
+    Some(head)
+}
+
 /// Builds a JSON reply.
 pub(crate) fn json(status: u16, value: &serde_json::Value) -> Reply {
     json_text(status, value.to_string())
--- a/crates/standin/src/raw.rs
+++ b/crates/standin/src/raw.rs
@@ -1,6 +1,5 @@
 //! A stand-in for upstreams and other peers that reply with given bytes, whatever they are.
 
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -58,16 +57,10 @@
 
     /// Replies to the requests of one connection until it is closed. Requests have no body.
     fn serve(&self, mut stream: TcpStream, reply: &[u8]) {
-        let mut received = Vec::new();
-        let mut buffer = [0; 4096];
-        while let Ok(count @ 1..) = stream.read(&mut buffer) {
-            received.extend_from_slice(&buffer[..count]);
-            while let Some(end) = received.windows(4).position(|four| four == b"\r\n\r\n") {
-                let head: Vec<u8> = received.drain(..end + 4).collect();
-                lock(&self.requests).push(id_of(&head));
-                if stream.write_all(reply).is_err() {
-                    return;
-                }
+        while let Some(head) = net::read_head(&mut stream) {
+            lock(&self.requests).push(id_of(&head));
+            if stream.write_all(reply).is_err() {
+                return;
             }
         }
     }
--- a/crates/standin/src/site_store.rs
+++ b/crates/standin/src/site_store.rs
@@ -22,12 +22,12 @@
 use super::net;
 use super::net::Reply;
 
-/// A character in a key that replies contain as an escape for half a character, so that the key
-/// isn't valid Unicode.
-pub const HALF_CHARACTER: char = '\u{e000}';
+/// A character in a key that replies contain as the escape of an unpaired surrogate, which isn't valid
+/// Unicode.
+pub const UNPAIRED_SURROGATE: char = '\u{e000}';
 
-/// The escape that replaces [`HALF_CHARACTER`] in replies.
-const HALF_ESCAPE: &str = "\\ud800";
+/// The escape that replaces [`UNPAIRED_SURROGATE`] in replies.
+const SURROGATE_ESCAPE: &str = "\\ud800";
 
 /// How often a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -292,7 +292,7 @@
 
 /// Builds a reply with the store's era in a header.
 fn reply(store: &Store, status: u16, body: &Value) -> Reply {
-    let text = body.to_string().replace(HALF_CHARACTER, HALF_ESCAPE);
+    let text = body.to_string().replace(UNPAIRED_SURROGATE, SURROGATE_ESCAPE);
     let mut reply = net::json_text(status, text);
     if let Ok(era) = store.era.to_string().parse() {
         reply.headers_mut().insert("store-era", era);
