Round waits up to whole milliseconds

What callers saw: 49 requests of an account were served in 5 s where its limit of 10 a second allows 50.

Cause: a daemon that finds a part of a limit empty is told when to ask again. That wait was cut to whole milliseconds, so the daemon came up to 1 ms before the permit was there, was rejected, and was assigned the time after those of all others. Nobody came for the permit; the part filled up and the rest was lost. The same cut was made in the Retry-After of callers.

Change: waits that are told to daemons and callers are rounded up, in one place.

--- a/crates/harefield/src/domain/accounts/grants.rs
+++ b/crates/harefield/src/domain/accounts/grants.rs
@@ -6,6 +6,7 @@
 
 use super::holders::SlotId;
 use super::limit::PartLimit;
+use crate::domain::time::wait_millis;
 
 /// The longest time after which a rejected caller is asked to retry.
 const RETRY_HORIZON: Duration = Duration::from_secs(2);
@@ -22,7 +23,8 @@
 pub enum GrantResponse {
     /// The number of permits granted, at least one.
     Granted(u32),
-    /// No permit is available; one will be for a caller that retries after this time.
+    /// No permit is available; one will be for a caller that retries after this time, which is in
+    /// whole milliseconds.
     Empty(Duration),
 }
 
@@ -102,6 +104,6 @@
         let first = now + refill_time(1.0 - self.tokens, limit.rate);
         let retry = first.max(self.last_retry + refill_time(1.0, limit.rate)).min(now + RETRY_HORIZON);
         self.last_retry = retry;
-        GrantResponse::Empty(retry.saturating_duration_since(now))
+        GrantResponse::Empty(Duration::from_millis(wait_millis(retry.saturating_duration_since(now))))
     }
 }
--- a/crates/harefield/src/domain/time.rs
+++ b/crates/harefield/src/domain/time.rs
@@ -13,3 +13,9 @@
 pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns a wait in whole milliseconds, rounded up so that it does not end early; at least one.
+#[must_use]
+pub fn wait_millis(wait: Duration) -> u64 {
+    u64::try_from(wait.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX).max(1)
+}
--- a/crates/harefield/src/engine/identity.rs
+++ b/crates/harefield/src/engine/identity.rs
@@ -25,7 +25,7 @@
 use crate::domain::key::KeyDigest;
 use crate::domain::outcome::Answer;
 use crate::domain::outcome::Outcome;
-use crate::domain::time::millis;
+use crate::domain::time::wait_millis;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -179,7 +179,7 @@
             Ok(permit) => permit,
             Err(refusal) => {
                 let account = Arc::clone(&client.name);
-                let retry_after = millis(refusal.wait.unwrap_or_default());
+                let retry_after = refusal.wait.map_or(0, wait_millis);
                 trace.emit(Event::LimitRefused { account, code: refusal.code, retry_after });
                 return reject_caller(trace, &refusal);
             }
--- a/crates/harefield/src/engine/permits.rs
+++ b/crates/harefield/src/engine/permits.rs
@@ -206,7 +206,7 @@
         let slot = (Arc::clone(&request.account), request.part);
         match self.lock_grants().grant(&slot, limit.part(parts), request.wanted, now) {
             GrantResponse::Granted(permits) => PermitReply::Granted(permits),
-            GrantResponse::Empty(wait) => PermitReply::Empty(millis(wait).max(1)),
+            GrantResponse::Empty(wait) => PermitReply::Empty(millis(wait)),
         }
     }
 
--- a/crates/harefield/src/engine/run.rs
+++ b/crates/harefield/src/engine/run.rs
@@ -24,7 +24,7 @@
 use crate::domain::outcome::SnapshotName;
 use crate::domain::query::Query;
 use crate::domain::time::micros;
-use crate::domain::time::millis;
+use crate::domain::time::wait_millis;
 use crate::domain::view::Plan;
 use crate::ports::Clock;
 use crate::ports::Peers;
@@ -263,9 +263,8 @@
 }
 
 pub(super) fn refuse<C: Clock>(trace: &Trace<C>, code: Code, wait: Duration) -> Answer {
-    let wait = millis(wait).max(1);
     let request = trace.request().map_or("", |id| id);
-    Answer::not_run(request, code, Some(wait))
+    Answer::not_run(request, code, Some(wait_millis(wait)))
 }
 
 /// Returns how long a caller is told to wait when that follows from the code alone.
@@ -277,7 +276,7 @@
 /// may end by itself.
 pub(super) fn reject_caller<C: Clock>(trace: &Trace<C>, refusal: &Refusal) -> Answer {
     let request = trace.request().map_or("", |id| id);
-    Answer::not_run(request, refusal.code, refusal.wait.map(|wait| millis(wait).max(1)))
+    Answer::not_run(request, refusal.code, refusal.wait.map(wait_millis))
 }
 
 pub(super) fn may_have_run<C: Clock>(trace: &Trace<C>, code: Code) -> Answer {
@@ -298,7 +297,7 @@
     answer.failure = finished.failure;
     answer.merge = resolved.plan.lookup.merge;
     if answer.outcome == Outcome::NotRun {
-        answer.retry_after = Some(millis(retry_wait(answer.code)));
+        answer.retry_after = Some(wait_millis(retry_wait(answer.code)));
     }
     answer
 }
--- a/crates/harefield/src/engine/stop.rs
+++ b/crates/harefield/src/engine/stop.rs
@@ -21,7 +21,7 @@
 use crate::domain::outcome::Outcome;
 use crate::domain::routing::LatencyStats;
 use crate::domain::stop::StopSchedule;
-use crate::domain::time::millis;
+use crate::domain::time::wait_millis;
 use crate::ports::Clock;
 use crate::ports::Peers;
 use crate::ports::Upstreams;
@@ -191,7 +191,7 @@
         let Some(schedule) = self.stop.schedule() else { return };
         let now = self.ports.clock.now();
         if answer.code == Code::Stopping {
-            answer.retry_after = Some(millis(self.stop_wait(schedule, now)));
+            answer.retry_after = Some(wait_millis(self.stop_wait(schedule, now)));
         }
         if answer.outcome == Outcome::MayHaveRun && now >= schedule.run_until() {
             self.stop.cut.set(self.stop.cut.get() + 1);
--- a/crates/harefield/tests/decisions/accounts.rs
+++ b/crates/harefield/tests/decisions/accounts.rs
@@ -32,6 +32,7 @@
 use harefield::domain::residency::intersect;
 use harefield::domain::resources::Account;
 use harefield::domain::resources::ResourceSet;
+use harefield::domain::time::millis;
 
 const OVERAGE: Overage = Overage { window: Duration::from_secs(5), share: 0.25, slack: 20.0 };
 
@@ -156,6 +157,25 @@
     assert_eq!(grants.grant(&slot, limit, 1, start + waits[0]), GrantResponse::Granted(1));
 }
 
+#[test]
+fn retry_too_early() {
+    // Waits are sent in whole milliseconds. One that is rounded down ends before there is a permit.
+    for rate in [7.0, 11.0, 13.0, 70.0, 130.0] {
+        let start = Instant::now();
+        let limit = FleetLimit::of(&account(rate, 5.0), &OVERAGE).expect("it has a limit").part(6);
+        let mut grants = Grants::new(start);
+        let slot = ("apex".into(), 0);
+        let mut rejected = || match grants.grant(&slot, limit, 1, start) {
+            GrantResponse::Empty(wait) => Duration::from_millis(millis(wait)),
+            GrantResponse::Granted(_) => panic!("the part starts empty"),
+        };
+        for wait in [rejected(), rejected()] {
+            let response = grants.grant(&slot, limit, 1, start + wait);
+            assert_eq!(response, GrantResponse::Granted(1), "{rate} a second, after {wait:?}");
+        }
+    }
+}
+
 #[test]
 fn full_buckets_dropped() {
     let start = Instant::now();
