Leave an entry whose key names no upstream at once

The key of a change was carried as an option through all of parse_change, and asked for again at each of its ends. No change of behaviour: such an entry is recorded, or forgotten with its tombstone, as before.

--- a/crates/harefield/src/platform/store.rs
+++ b/crates/harefield/src/platform/store.rs
@@ -191,25 +191,32 @@
     fn parse_change(&self, era: Era, item: &Item) -> Option<Change> {
         let name = item.key.as_str();
         let id = name.strip_prefix(UPSTREAMS_PREFIX);
-        let key: Option<Key> = match id {
-            Some(id) if is_valid_id(id) => Some(format!("upstreams/{id}").into()),
-            None if name == CONFIG_KEY => Some(CATALOG_KEY.into()),
+        let key: Key = match id {
+            Some(id) if is_valid_id(id) => format!("upstreams/{id}").into(),
+            None if name == CONFIG_KEY => CATALOG_KEY.into(),
             None if !name.is_empty() => return parse_evacuation(item),
-            // No upstream has this key, whatever its value says.
-            _ => None,
+            // No upstream has such a key, whatever its value says.
+            _ if item.is_tombstone() => {
+                self.unreadable.clear(name);
+                return None;
+            }
+            _ => {
+                self.unreadable.record(name, item.revision_in(era), &DecodeError::Key);
+                return None;
+            }
         };
         if item.is_tombstone() {
             self.unreadable.clear(name);
-            return Some(Change { key: key?, value: None });
+            return Some(Change { key, value: None });
         }
-        match key.as_ref().ok_or(DecodeError::Key).and_then(|_key| decode(item)) {
+        match decode(item) {
             Ok(value) => {
                 self.unreadable.clear(name);
-                Some(Change { key: key?, value: Some(value.into()) })
+                Some(Change { key, value: Some(value.into()) })
             }
             Err(error) => {
                 self.unreadable.record(name, item.revision_in(era), &error);
-                id.is_some().then_some(Change { key: key?, value: None })
+                id.is_some().then_some(Change { key, value: None })
             }
         }
     }
